--- a/internal/api/oas/oas_client_gen.go
+++ b/internal/api/oas/oas_client_gen.go
@@ -32,7 +32,7 @@
 	// Continue the stream of a generation that is still held by an instance.
 	//
 	// GET /v1/workspaces/{workspace}/services/{service}/generations/{key}
-	ContinueGeneration(ctx context.Context, params ContinueGenerationParams) (ContinueGenerationOK, error)
+	ContinueGeneration(ctx context.Context, params ContinueGenerationParams) (ContinueGenerationRes, error)
 	// Drain invokes drain operation.
 	//
 	// Start a graceful shutdown of this instance, as SIGTERM does.
@@ -81,7 +81,7 @@
 	// stream of server-sent events: start, token, attempt and end. It is flushed after each event.
 	//
 	// POST /v1/workspaces/{workspace}/services/{service}/generations
-	StartGeneration(ctx context.Context, request *GenerationRequest, params StartGenerationParams) (StartGenerationOK, error)
+	StartGeneration(ctx context.Context, request *GenerationRequest, params StartGenerationParams) (StartGenerationRes, error)
 	// SubmitPatch invokes submitPatch operation.
 	//
 	// Submit a patch against a version.
@@ -240,12 +240,12 @@
 // Continue the stream of a generation that is still held by an instance.
 //
 // GET /v1/workspaces/{workspace}/services/{service}/generations/{key}
-func (c *Client) ContinueGeneration(ctx context.Context, params ContinueGenerationParams) (ContinueGenerationOK, error) {
+func (c *Client) ContinueGeneration(ctx context.Context, params ContinueGenerationParams) (ContinueGenerationRes, error) {
 	res, err := c.sendContinueGeneration(ctx, params)
 	return res, err
 }
 
-func (c *Client) sendContinueGeneration(ctx context.Context, params ContinueGenerationParams) (res ContinueGenerationOK, err error) {
+func (c *Client) sendContinueGeneration(ctx context.Context, params ContinueGenerationParams) (res ContinueGenerationRes, err error) {
 
 	u := uri.Clone(c.requestURL(ctx))
 	var pathParts [6]string
@@ -362,14 +362,6 @@
 	if err != nil {
 		return res, errors.Wrap(err, "do request")
 	}
-	body := resp.Body
-	defer func() {
-		// Drain the body to EOF before closing, so the underlying
-		// connection can be reused by the Transport regardless of the
-		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
-		_, _ = io.Copy(io.Discard, body)
-		_ = body.Close()
-	}()
 
 	result, err := decodeContinueGenerationResponse(resp)
 	if err != nil {
@@ -778,12 +770,12 @@
 // stream of server-sent events: start, token, attempt and end. It is flushed after each event.
 //
 // POST /v1/workspaces/{workspace}/services/{service}/generations
-func (c *Client) StartGeneration(ctx context.Context, request *GenerationRequest, params StartGenerationParams) (StartGenerationOK, error) {
+func (c *Client) StartGeneration(ctx context.Context, request *GenerationRequest, params StartGenerationParams) (StartGenerationRes, error) {
 	res, err := c.sendStartGeneration(ctx, request, params)
 	return res, err
 }
 
-func (c *Client) sendStartGeneration(ctx context.Context, request *GenerationRequest, params StartGenerationParams) (res StartGenerationOK, err error) {
+func (c *Client) sendStartGeneration(ctx context.Context, request *GenerationRequest, params StartGenerationParams) (res StartGenerationRes, err error) {
 
 	u := uri.Clone(c.requestURL(ctx))
 	var pathParts [5]string
@@ -862,14 +854,6 @@
 	if err != nil {
 		return res, errors.Wrap(err, "do request")
 	}
-	body := resp.Body
-	defer func() {
-		// Drain the body to EOF before closing, so the underlying
-		// connection can be reused by the Transport regardless of the
-		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
-		_, _ = io.Copy(io.Discard, body)
-		_ = body.Close()
-	}()
 
 	result, err := decodeStartGenerationResponse(resp)
 	if err != nil {
--- a/internal/api/oas/oas_handlers_gen.go
+++ b/internal/api/oas/oas_handlers_gen.go
@@ -175,8 +175,6 @@
 	}
 
 	var rawBody []byte
-
-	var response ContinueGenerationOK
 	if m := s.cfg.Middleware; m != nil {
 		mreq := middleware.Request{
 			Context:          ctx,
@@ -213,9 +211,9 @@
 		type (
 			Request  = struct{}
 			Params   = ContinueGenerationParams
-			Response = ContinueGenerationOK
+			Response = struct{}
 		)
-		response, err = middleware.HookMiddleware[
+		_, err = middleware.HookMiddleware[
 			Request,
 			Params,
 			Response,
@@ -224,12 +222,12 @@
 			mreq,
 			unpackContinueGenerationParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.ContinueGeneration(ctx, params)
+				err = s.rh.ContinueGeneration(ctx, params, w)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.ContinueGeneration(ctx, params)
+		err = s.rh.ContinueGeneration(ctx, params, w)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*ErrorStatusCodeWithHeaders](err); ok {
@@ -247,14 +245,6 @@
 		}
 		return
 	}
-
-	if err := encodeContinueGenerationResponse(response, w); err != nil {
-		defer recordError("EncodeResponse", err)
-		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
-			s.cfg.ErrorHandler(ctx, w, r, err)
-		}
-		return
-	}
 }
 
 // handleDrainRequest handles drain operation.
@@ -899,8 +889,6 @@
 			recordError("CloseRequest", err)
 		}
 	}()
-
-	var response StartGenerationOK
 	if m := s.cfg.Middleware; m != nil {
 		mreq := middleware.Request{
 			Context:          ctx,
@@ -929,9 +917,9 @@
 		type (
 			Request  = *GenerationRequest
 			Params   = StartGenerationParams
-			Response = StartGenerationOK
+			Response = struct{}
 		)
-		response, err = middleware.HookMiddleware[
+		_, err = middleware.HookMiddleware[
 			Request,
 			Params,
 			Response,
@@ -940,12 +928,12 @@
 			mreq,
 			unpackStartGenerationParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.StartGeneration(ctx, request, params)
+				err = s.rh.StartGeneration(ctx, request, params, w)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.StartGeneration(ctx, request, params)
+		err = s.rh.StartGeneration(ctx, request, params, w)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*ErrorStatusCodeWithHeaders](err); ok {
@@ -963,14 +951,6 @@
 		}
 		return
 	}
-
-	if err := encodeStartGenerationResponse(response, w); err != nil {
-		defer recordError("EncodeResponse", err)
-		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
-			s.cfg.ErrorHandler(ctx, w, r, err)
-		}
-		return
-	}
 }
 
 // handleSubmitPatchRequest handles submitPatch operation.
--- a/internal/api/oas/oas_response_decoders_gen.go
+++ b/internal/api/oas/oas_response_decoders_gen.go
@@ -3,7 +3,6 @@
 package oas
 
 import (
-	"bytes"
 	"io"
 	"mime"
 	"net/http"
@@ -155,7 +154,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeContinueGenerationResponse(resp *http.Response) (res ContinueGenerationOK, _ error) {
+func decodeContinueGenerationResponse(resp *http.Response) (res ContinueGenerationRes, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -165,14 +164,10 @@
 		}
 		switch {
 		case ct == "text/event-stream":
-			reader := resp.Body
-			b, err := io.ReadAll(reader)
-			if err != nil {
-				return res, err
-			}
-
-			response := ContinueGenerationOK{Data: bytes.NewReader(b)}
-			return response, nil
+			// Raw response - return the http.Response directly
+			return &ContinueGenerationOKRawTextEventStream{
+				Response: resp,
+			}, nil
 		default:
 			return res, validate.InvalidContentType(ct)
 		}
@@ -1214,7 +1209,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeStartGenerationResponse(resp *http.Response) (res StartGenerationOK, _ error) {
+func decodeStartGenerationResponse(resp *http.Response) (res StartGenerationRes, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -1224,14 +1219,10 @@
 		}
 		switch {
 		case ct == "text/event-stream":
-			reader := resp.Body
-			b, err := io.ReadAll(reader)
-			if err != nil {
-				return res, err
-			}
-
-			response := StartGenerationOK{Data: bytes.NewReader(b)}
-			return response, nil
+			// Raw response - return the http.Response directly
+			return &StartGenerationOKRawTextEventStream{
+				Response: resp,
+			}, nil
 		default:
 			return res, validate.InvalidContentType(ct)
 		}
--- a/internal/api/oas/oas_response_encoders_gen.go
+++ b/internal/api/oas/oas_response_encoders_gen.go
@@ -3,7 +3,6 @@
 package oas
 
 import (
-	"io"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -26,19 +25,11 @@
 	return nil
 }
 
-func encodeContinueGenerationResponse(response ContinueGenerationOK, w http.ResponseWriter) error {
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(200)
-
-	writer := w
-	if closer, ok := response.Data.(io.Closer); ok {
-		defer closer.Close()
-	}
-	if _, err := io.Copy(writer, response); err != nil {
-		return errors.Wrap(err, "write")
+func encodeContinueGenerationResponse(response ContinueGenerationRes, w http.ResponseWriter) error {
+	switch response := response.(type) {
+	default:
+		return errors.Errorf("unexpected response type: %T", response)
 	}
-
-	return nil
 }
 
 func encodeDrainResponse(response *DrainStatus, w http.ResponseWriter) error {
@@ -136,19 +127,11 @@
 	return nil
 }
 
-func encodeStartGenerationResponse(response StartGenerationOK, w http.ResponseWriter) error {
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(200)
-
-	writer := w
-	if closer, ok := response.Data.(io.Closer); ok {
-		defer closer.Close()
-	}
-	if _, err := io.Copy(writer, response); err != nil {
-		return errors.Wrap(err, "write")
+func encodeStartGenerationResponse(response StartGenerationRes, w http.ResponseWriter) error {
+	switch response := response.(type) {
+	default:
+		return errors.Errorf("unexpected response type: %T", response)
 	}
-
-	return nil
 }
 
 func encodeSubmitPatchResponse(response *PatchResult, w http.ResponseWriter) error {
--- a/internal/api/oas/oas_schemas_gen.go
+++ b/internal/api/oas/oas_schemas_gen.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -254,6 +255,23 @@
 	return s.Data.Read(p)
 }
 
+// ContinueGenerationOKRawTextEventStream represents raw HTTP response for ContinueGeneration text/event-stream.
+type ContinueGenerationOKRawTextEventStream struct {
+	Response *http.Response `json:"-"`
+}
+
+// GetResponse returns the value of Response.
+func (s *ContinueGenerationOKRawTextEventStream) GetResponse() *http.Response {
+	return s.Response
+}
+
+// SetResponse sets the value of Response.
+func (s *ContinueGenerationOKRawTextEventStream) SetResponse(val *http.Response) {
+	s.Response = val
+}
+
+func (*ContinueGenerationOKRawTextEventStream) continueGenerationRes() {}
+
 // Ref: #/components/schemas/DrainStatus
 type DrainStatus struct {
 	Draining    bool `json:"draining"`
@@ -1228,6 +1246,23 @@
 	return s.Data.Read(p)
 }
 
+// StartGenerationOKRawTextEventStream represents raw HTTP response for StartGeneration text/event-stream.
+type StartGenerationOKRawTextEventStream struct {
+	Response *http.Response `json:"-"`
+}
+
+// GetResponse returns the value of Response.
+func (s *StartGenerationOKRawTextEventStream) GetResponse() *http.Response {
+	return s.Response
+}
+
+// SetResponse sets the value of Response.
+func (s *StartGenerationOKRawTextEventStream) SetResponse(val *http.Response) {
+	s.Response = val
+}
+
+func (*StartGenerationOKRawTextEventStream) startGenerationRes() {}
+
 // Ref: #/components/schemas/Status
 type Status struct {
 	Instance      string `json:"instance"`
--- a/internal/api/oas/oas_server_gen.go
+++ b/internal/api/oas/oas_server_gen.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 )
 
 // Handler handles operations described by OpenAPI v3 specification.
@@ -14,12 +15,6 @@
 	//
 	// POST /v1/workspaces/{workspace}/services/{service}/calls
 	Call(ctx context.Context, req *CallRequest, params CallParams) (*CallResult, error)
-	// ContinueGeneration implements continueGeneration operation.
-	//
-	// Continue the stream of a generation that is still held by an instance.
-	//
-	// GET /v1/workspaces/{workspace}/services/{service}/generations/{key}
-	ContinueGeneration(ctx context.Context, params ContinueGenerationParams) (ContinueGenerationOK, error)
 	// Drain implements drain operation.
 	//
 	// Start a graceful shutdown of this instance, as SIGTERM does.
@@ -62,13 +57,6 @@
 	//
 	// GET /v1/configuration/versions
 	ListConfigurationVersions(ctx context.Context, params ListConfigurationVersionsParams) ([]VersionInfo, error)
-	// StartGeneration implements startGeneration operation.
-	//
-	// The same request may be sent again at any instance with the same Idempotency-Key. The answer is a
-	// stream of server-sent events: start, token, attempt and end. It is flushed after each event.
-	//
-	// POST /v1/workspaces/{workspace}/services/{service}/generations
-	StartGeneration(ctx context.Context, req *GenerationRequest, params StartGenerationParams) (StartGenerationOK, error)
 	// SubmitPatch implements submitPatch operation.
 	//
 	// Submit a patch against a version.
@@ -81,21 +69,40 @@
 	NewError(ctx context.Context, err error) *ErrorStatusCodeWithHeaders
 }
 
+// RawHandler handles raw response operations described by OpenAPI v3 specification.
+type RawHandler interface {
+	// ContinueGeneration implements continueGeneration operation.
+	//
+	// Continue the stream of a generation that is still held by an instance.
+	//
+	// GET /v1/workspaces/{workspace}/services/{service}/generations/{key}
+	ContinueGeneration(ctx context.Context, params ContinueGenerationParams, w http.ResponseWriter) error
+	// StartGeneration implements startGeneration operation.
+	//
+	// The same request may be sent again at any instance with the same Idempotency-Key. The answer is a
+	// stream of server-sent events: start, token, attempt and end. It is flushed after each event.
+	//
+	// POST /v1/workspaces/{workspace}/services/{service}/generations
+	StartGeneration(ctx context.Context, req *GenerationRequest, params StartGenerationParams, w http.ResponseWriter) error
+}
+
 // Server implements http server based on OpenAPI v3 specification and
 // calls Handler to handle requests.
 type Server struct {
-	h Handler
+	h  Handler
+	rh RawHandler
 	baseServer
 }
 
 // NewServer creates new Server.
-func NewServer(h Handler, opts ...ServerOption) (*Server, error) {
+func NewServer(h Handler, rh RawHandler, opts ...ServerOption) (*Server, error) {
 	s, err := newServerConfig(opts...).baseServer()
 	if err != nil {
 		return nil, err
 	}
 	return &Server{
 		h:          h,
+		rh:         rh,
 		baseServer: s,
 	}, nil
 }
--- a/internal/api/oas/oas_unimplemented_gen.go
+++ b/internal/api/oas/oas_unimplemented_gen.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	ht "github.com/ogen-go/ogen/http"
 )
@@ -12,6 +13,7 @@
 type UnimplementedHandler struct{}
 
 var _ Handler = UnimplementedHandler{}
+var _ RawHandler = UnimplementedHandler{}
 
 // Call implements call operation.
 //
@@ -27,8 +29,8 @@
 // Continue the stream of a generation that is still held by an instance.
 //
 // GET /v1/workspaces/{workspace}/services/{service}/generations/{key}
-func (UnimplementedHandler) ContinueGeneration(ctx context.Context, params ContinueGenerationParams) (r ContinueGenerationOK, _ error) {
-	return r, ht.ErrNotImplemented
+func (UnimplementedHandler) ContinueGeneration(ctx context.Context, params ContinueGenerationParams, w http.ResponseWriter) error {
+	return ht.ErrNotImplemented
 }
 
 // Drain implements drain operation.
@@ -100,8 +102,8 @@
 // stream of server-sent events: start, token, attempt and end. It is flushed after each event.
 //
 // POST /v1/workspaces/{workspace}/services/{service}/generations
-func (UnimplementedHandler) StartGeneration(ctx context.Context, req *GenerationRequest, params StartGenerationParams) (r StartGenerationOK, _ error) {
-	return r, ht.ErrNotImplemented
+func (UnimplementedHandler) StartGeneration(ctx context.Context, req *GenerationRequest, params StartGenerationParams, w http.ResponseWriter) error {
+	return ht.ErrNotImplemented
 }
 
 // SubmitPatch implements submitPatch operation.
--- /dev/null
+++ b/internal/api/status.go
@@ -0,0 +1,67 @@
+package api
+
+import (
+	"math"
+	"net/http"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/api/oas"
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// statusByReason maps reasons to HTTP statuses. 429 and 503 mean that the same
+// request may be sent again after the time to come back.
+var statusByReason = map[contract.Reason]int{
+	contract.ReasonOverloaded:      http.StatusTooManyRequests,
+	contract.ReasonLimit:           http.StatusTooManyRequests,
+	contract.ReasonNoUpstream:      http.StatusServiceUnavailable,
+	contract.ReasonStoreDown:       http.StatusServiceUnavailable,
+	contract.ReasonUnconfirmed:     http.StatusServiceUnavailable,
+	contract.ReasonAttempts:        http.StatusServiceUnavailable,
+	contract.ReasonUpstreamRefused: http.StatusServiceUnavailable,
+	contract.ReasonInProgress:      http.StatusConflict,
+	contract.ReasonPrefixMismatch:  http.StatusConflict,
+	contract.ReasonVersionGone:     http.StatusConflict,
+	contract.ReasonQuarantined:     http.StatusUnprocessableEntity,
+	contract.ReasonMismatch:        http.StatusUnprocessableEntity,
+	contract.ReasonKeyExpired:      http.StatusUnprocessableEntity,
+	contract.ReasonKeyNoTime:       http.StatusUnprocessableEntity,
+	contract.ReasonDeadline:        http.StatusGatewayTimeout,
+	contract.ReasonUnknownService:  http.StatusNotFound,
+	contract.ReasonUnknownSpace:    http.StatusNotFound,
+}
+
+// VerdictError returns the HTTP error for a verdict without an answer.
+func VerdictError(verdict contract.Verdict, message string) *oas.ErrorStatusCodeWithHeaders {
+	status, ok := statusByReason[verdict.Reason]
+	if !ok {
+		status = http.StatusServiceUnavailable
+	}
+	answer := &oas.ErrorStatusCodeWithHeaders{
+		StatusCode: status,
+		Response: oas.Error{
+			Outcome: oas.Outcome(verdict.Outcome),
+			Reason:  string(verdict.Reason),
+			Message: message,
+		},
+	}
+	if verdict.RetryAfter > 0 {
+		answer.RetryAfter.SetTo(int(math.Ceil(verdict.RetryAfter.Seconds())))
+		answer.Response.RetryAfterMs.SetTo(ceilMilliseconds(verdict.RetryAfter))
+	}
+	return answer
+}
+
+// ErrorVerdict returns the verdict that an HTTP error carries.
+func ErrorVerdict(answer *oas.ErrorStatusCodeWithHeaders) contract.Verdict {
+	return contract.Verdict{
+		Outcome:    contract.Outcome(answer.Response.Outcome),
+		Reason:     contract.Reason(answer.Response.Reason),
+		RetryAfter: time.Duration(answer.Response.RetryAfterMs.Or(0)) * time.Millisecond,
+	}
+}
+
+// ceilMilliseconds rounds up, so that a caller never comes back too early.
+func ceilMilliseconds(d time.Duration) int64 {
+	return int64(math.Ceil(float64(d) / float64(time.Millisecond)))
+}
--- /dev/null
+++ b/internal/cli/command.go
@@ -0,0 +1,195 @@
+// Package cli is the command-line tool of operators and callers.
+//
+// The package must never change anything without a command that says so, and
+// must never print a stack trace for a wrong argument.
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/api/oas"
+	"foxtailhub.example/foxtailhub/internal/client"
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// ExitCode is the exit code of the tool.
+type ExitCode int
+
+// The exit codes.
+const (
+	ExitOK       ExitCode = 0 // done; the answer is complete
+	ExitFailed   ExitCode = 1 // the operation failed, or the answer is incomplete
+	ExitUsage    ExitCode = 2 // wrong arguments, settings or input
+	ExitNotRun   ExitCode = 3 // the request was not run; come back after the printed time
+	ExitUnknown  ExitCode = 4 // the request may have run
+	ExitConflict ExitCode = 5 // the configuration has moved on from the base version
+)
+
+// endpointsVariable is the environment variable with the default of -endpoints.
+const endpointsVariable = "FOXTAILHUB_ENDPOINTS"
+
+const defaultEndpoint = "http://127.0.0.1:8080"
+
+// Environment is what a command gets from the process.
+type Environment struct {
+	Stdin  io.Reader
+	Stdout io.Writer
+	Stderr io.Writer
+}
+
+// command is one subcommand. run gets the arguments after the flags.
+type command struct {
+	name    string
+	usage   string // arguments after the flags
+	summary string
+	setup   func(flags *flag.FlagSet) runner
+}
+
+type runner func(ctx context.Context, env Environment, c *client.Client, args []string) (ExitCode, error)
+
+// errUsage marks errors of the arguments.
+var errUsage = errors.New("wrong usage")
+
+func usageError(format string, args ...any) error {
+	return errors.Mark(errors.Newf(format, args...), errUsage)
+}
+
+func commands() []command {
+	return []command{
+		generateCommand(),
+		callCommand(),
+		configGetCommand(),
+		configPatchCommand(),
+		configDiffCommand(),
+		configHistoryCommand(),
+		configWaitCommand(),
+		statusCommand(),
+		timelineCommand(),
+		drainCommand(),
+		keysCommand(),
+	}
+}
+
+// Run runs the tool with the arguments after the program's name.
+func Run(ctx context.Context, env Environment, args []string) ExitCode {
+	selected, rest := selectCommand(args)
+	if selected == nil {
+		return printUsage(env, args)
+	}
+	code, err := selected.execute(ctx, env, rest)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case errors.Is(err, errUsage):
+		fmt.Fprintf(env.Stderr, "foxtailhub %s: %v\n", selected.name, err)
+		return ExitUsage
+	case err != nil:
+		fmt.Fprintf(env.Stderr, "foxtailhub %s: %v\n", selected.name, oneLine(err))
+		if code == ExitOK {
+			return ExitFailed
+		}
+	}
+	return code
+}
+
+// selectCommand finds the command with the longest name that args begins with.
+func selectCommand(args []string) (*command, []string) {
+	for words := min(2, len(args)); words > 0; words-- {
+		name := strings.Join(args[:words], " ")
+		all := commands()
+		if i := slices.IndexFunc(all, func(c command) bool { return c.name == name }); i >= 0 {
+			return &all[i], args[words:]
+		}
+	}
+	return nil, nil
+}
+
+func printUsage(env Environment, args []string) ExitCode {
+	help := len(args) == 0 || slices.Contains([]string{"-h", "-help", "--help", "help"}, args[0])
+	out := env.Stderr
+	if help {
+		out = env.Stdout
+	} else {
+		fmt.Fprintf(out, "foxtailhub: unknown command %q\n", strings.Join(args, " "))
+	}
+	fmt.Fprintln(out, "usage: foxtailhub <command> [flags] [arguments]; -h on a command lists its flags")
+	for _, c := range commands() {
+		fmt.Fprintf(out, "  %-15s %s\n", c.name, c.summary)
+	}
+	fmt.Fprintln(out, "exit codes: 0 done, 1 failed or incomplete, 2 wrong usage, 3 not run, 4 may have run, 5 conflict")
+	if help {
+		return ExitOK
+	}
+	return ExitUsage
+}
+
+func (c *command) execute(ctx context.Context, env Environment, args []string) (ExitCode, error) {
+	flags := flag.NewFlagSet("foxtailhub "+c.name, flag.ContinueOnError)
+	flags.SetOutput(env.Stderr)
+	endpoints := flags.String("endpoints", defaultEndpoints(), "comma-separated base URLs of instances or balancers; default from "+endpointsVariable)
+	run := c.setup(flags)
+	flags.Usage = func() {
+		fmt.Fprintf(env.Stderr, "usage: foxtailhub %s [flags] %s\n%s\n", c.name, c.usage, c.summary)
+		flags.PrintDefaults()
+	}
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK, flag.ErrHelp
+		}
+		return ExitUsage, errors.Mark(err, errUsage)
+	}
+	connection, err := client.New(splitList(*endpoints))
+	if err != nil {
+		return ExitUsage, errors.Mark(err, errUsage)
+	}
+	return run(ctx, env, connection, flags.Args())
+}
+
+func defaultEndpoints() string {
+	if value := os.Getenv(endpointsVariable); value != "" {
+		return value
+	}
+	return defaultEndpoint
+}
+
+func splitList(list string) []string {
+	var items []string
+	for item := range strings.SplitSeq(list, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+// oneLine returns the message of an error in one line; an instance's own
+// message is taken out of the HTTP error.
+func oneLine(err error) string {
+	var answer *oas.ErrorStatusCodeWithHeaders
+	if errors.As(err, &answer) {
+		return answer.Response.Message
+	}
+	return strings.ReplaceAll(err.Error(), "\n", " ")
+}
+
+// exitFor maps the outcome of a request to an exit code.
+func exitFor(outcome contract.Outcome) ExitCode {
+	switch outcome {
+	case contract.Completed:
+		return ExitOK
+	case contract.NotRun:
+		return ExitNotRun
+	case contract.Unknown:
+		return ExitUnknown
+	default:
+		return ExitFailed
+	}
+}
--- /dev/null
+++ b/internal/cli/operate.go
@@ -0,0 +1,145 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/api/oas"
+	"foxtailhub.example/foxtailhub/internal/client"
+)
+
+func statusCommand() command {
+	return command{
+		name:    "status",
+		summary: "Shows what an instance knows: itself, its peers, the upstreams, quarantined contents.",
+		setup: func(flags *flag.FlagSet) runner {
+			asJSON := flags.Bool("json", false, "print JSON")
+			return func(ctx context.Context, env Environment, c *client.Client, _ []string) (ExitCode, error) {
+				status, err := c.Endpoint().GetStatus(ctx)
+				if err != nil {
+					return ExitFailed, err
+				}
+				if *asJSON {
+					return ExitOK, printJSON(env.Stdout, status)
+				}
+				return ExitOK, printStatus(env.Stdout, status)
+			}
+		},
+	}
+}
+
+func printStatus(out io.Writer, s *oas.Status) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "instance\t%s\nregion\t%s\nfailure domain\t%s\nstate\t%s\nconfirmed\t%t\nversion in force\t%d\nrequests in progress\t%d\n",
+		s.Instance, s.Region, s.FailureDomain, s.State, s.Confirmed, s.Version, s.Active)
+	fmt.Fprintln(w, "\nPEER\tFAILURE DOMAIN\tSTATE\tVERSION\tSILENT")
+	for _, p := range s.Peers {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", p.Instance, p.FailureDomain, p.State, p.Version, time.Duration(p.SilentMs)*time.Millisecond)
+	}
+	fmt.Fprintln(w, "\nUPSTREAM\tFAILURE DOMAIN\tSTATE\tRUNNING\tSLOTS")
+	for _, u := range s.Upstreams {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\n", u.Upstream, u.FailureDomain, u.State, u.Running, u.Slots)
+	}
+	if len(s.Quarantined) > 0 {
+		fmt.Fprintln(w, "\nCONTENT\tDEATHS\tQUARANTINED\tUNTIL")
+	}
+	for _, q := range s.Quarantined {
+		fmt.Fprintf(w, "%s\t%d\t%t\t%s\n", q.Content, q.Deaths, q.Quarantined, q.Until.Or(time.Time{}).Format(time.RFC3339))
+	}
+	return w.Flush()
+}
+
+func timelineCommand() command {
+	return command{
+		name:    "timeline",
+		summary: "Shows recent events of all instances in causal order.",
+		setup: func(flags *flag.FlagSet) runner {
+			request := flags.String("request", "", "only events of this request, as workspace/key")
+			since := flags.Duration("since", time.Minute, "only events of the last so long")
+			local := flags.Bool("local", false, "only events of the instance that answers")
+			asJSON := flags.Bool("json", false, "print JSON")
+			return func(ctx context.Context, env Environment, c *client.Client, _ []string) (ExitCode, error) {
+				params := oas.GetTimelineParams{SinceMs: oas.NewOptInt64(since.Milliseconds()), Local: oas.NewOptBool(*local)}
+				if *request != "" {
+					params.Request.SetTo(*request)
+				}
+				line, err := c.Endpoint().GetTimeline(ctx, params)
+				if err != nil {
+					return ExitFailed, err
+				}
+				if *asJSON {
+					return ExitOK, printJSON(env.Stdout, line)
+				}
+				printTimeline(env, line)
+				return ExitOK, nil
+			}
+		},
+	}
+}
+
+func printTimeline(env Environment, line *oas.Timeline) {
+	for _, e := range line.Events {
+		fmt.Fprintf(env.Stdout, "%s.%04d instance=%s event=%s", time.UnixMilli(e.WallMs).UTC().Format("15:04:05.000"), e.Logical, e.Instance, e.Kind)
+		if e.Key.Set {
+			fmt.Fprintf(env.Stdout, " request=%s/%s", e.Workspace.Or(""), e.Key.Value)
+		}
+		if e.Attempt.Set {
+			fmt.Fprintf(env.Stdout, " attempt=%d", e.Attempt.Value)
+		}
+		if e.Upstream.Set {
+			fmt.Fprintf(env.Stdout, " upstream=%s", e.Upstream.Value)
+		}
+		if e.Detail.Set {
+			fmt.Fprintf(env.Stdout, " %s", e.Detail.Value)
+		}
+		fmt.Fprintln(env.Stdout)
+	}
+	for _, instance := range line.Missing {
+		fmt.Fprintf(env.Stderr, "no answer from instance=%s\n", instance)
+	}
+}
+
+func drainCommand() command {
+	return command{
+		name:    "drain",
+		summary: "Starts the graceful shutdown of one instance and shows what is left.",
+		setup: func(flags *flag.FlagSet) runner {
+			wait := flags.Bool("wait", false, "wait until nothing is left or the instance has exited")
+			return func(ctx context.Context, env Environment, c *client.Client, _ []string) (ExitCode, error) {
+				endpoint := c.Endpoint()
+				status, err := endpoint.Drain(ctx)
+				for err == nil {
+					fmt.Fprintf(env.Stdout, "draining=%t generations=%d calls=%d\n", status.Draining, status.Generations, status.Calls)
+					if !*wait || status.Generations+status.Calls == 0 {
+						return ExitOK, nil
+					}
+					if err := sleep(ctx, time.Second); err != nil {
+						return ExitFailed, err
+					}
+					status, err = endpoint.GetDrain(ctx)
+				}
+				return ExitFailed, err
+			}
+		},
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func printJSON(out io.Writer, value any) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
