--- /dev/null
+++ b/internal/configuration/acceptor.go
@@ -0,0 +1,250 @@
+package configuration
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+)
+
+// Status says how the submission of a patch ended.
+type Status string
+
+// The statuses. They match the HTTP API.
+const (
+	StatusAccepted    Status = "accepted"
+	StatusConflict    Status = "conflict"    // the base is not the head; Result.Version is
+	StatusInvalid     Status = "invalid"     // the patch can never be accepted
+	StatusUnavailable Status = "unavailable" // this submission certainly had no effect
+	StatusUnknown     Status = "unknown"     // send the same patch again
+	StatusValid       Status = "valid"       // dry run: the patch would be accepted
+)
+
+// Result is the result of a submission.
+type Result struct {
+	Status     Status
+	Version    Version // accepted: the new version; conflict: the current one; else the base
+	Message    string
+	RetryAfter time.Duration // 0 if repeating does not help
+	Document   *Document     // accepted or valid: the new document, without defaults; may be nil after a repeat
+}
+
+// Defaults of AcceptorConfig.
+const (
+	DefaultSubmitTimeout = 8 * time.Second
+	DefaultRetryAfter    = 1 * time.Second
+	commitRounds         = 4 // reads and commits of one submission
+)
+
+// AcceptorConfig configures an Acceptor.
+type AcceptorConfig struct {
+	Store  *Store
+	Holder *Holder
+	// MayAccept reports whether this instance reaches the store and hears from
+	// a majority; see Confirm. Required.
+	MayAccept func() (ok bool, reason string)
+	// Publish passes an accepted version on and returns when a majority of the
+	// known instances holds it. Without that an operator could be told
+	// "accepted" while a majority without the store never learns of the
+	// version. Required.
+	Publish func(ctx context.Context, snapshot *Snapshot) error
+	// SubmitTimeout bounds one submission. Default 8 s.
+	SubmitTimeout time.Duration
+	Recorder      timeline.Recorder // default: discards
+	Log           logrus.FieldLogger
+}
+
+// Acceptor accepts patches through the table service.
+type Acceptor struct {
+	cfg AcceptorConfig
+}
+
+// NewAcceptor returns an Acceptor.
+func NewAcceptor(cfg AcceptorConfig) *Acceptor {
+	setDefault(&cfg.SubmitTimeout, DefaultSubmitTimeout)
+	if cfg.Recorder == nil {
+		cfg.Recorder = timeline.Discard{}
+	}
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	return &Acceptor{cfg: cfg}
+}
+
+// Submit submits a patch. The same patch may be submitted any number of times,
+// at any instance; it is accepted at most once.
+func (a *Acceptor) Submit(ctx context.Context, patch Patch) Result {
+	ctx, cancel := context.WithTimeout(ctx, a.cfg.SubmitTimeout)
+	defer cancel()
+	if err := patch.Check(); err != nil {
+		return invalid(patch, err)
+	}
+	fingerprint, err := patch.fingerprint()
+	if err != nil {
+		return invalid(patch, err)
+	}
+	s := &submission{acceptor: a, patch: patch, fingerprint: fingerprint}
+	if patch.DryRun {
+		return s.dryRun(ctx)
+	}
+	result := s.run(ctx)
+	a.cfg.Log.WithFields(logrus.Fields{"patch": patch.ID, "base": patch.Base, "status": result.Status,
+		"version": result.Version}).Info("configuration patch submitted")
+	return result
+}
+
+func invalid(patch Patch, err error) Result {
+	return Result{Status: StatusInvalid, Version: patch.Base, Message: err.Error()}
+}
+
+// submission is one run of Submit.
+type submission struct {
+	acceptor    *Acceptor
+	patch       Patch
+	fingerprint string
+	uncertain   bool // a commit of this submission may still take effect
+}
+
+func (s *submission) run(ctx context.Context) Result {
+	for range commitRounds {
+		result, settled := s.round(ctx)
+		if settled {
+			return result
+		}
+	}
+	return s.notSettled(errors.New("the head kept changing"))
+}
+
+// round reads the head, then the patch's row, then commits. In this order a
+// head beyond the base without a row proves that the patch was not accepted
+// and no longer can be: its condition on the head's revision cannot hold again.
+// After an uncertain commit the next round is safe for the same reason: at
+// most one of both commits finds the head's revision unchanged.
+func (s *submission) round(ctx context.Context) (Result, bool) {
+	store := s.acceptor.cfg.Store
+	head, revision, err := store.head(ctx)
+	if err != nil {
+		return s.notSettled(err), true
+	}
+	record, err := store.patch(ctx, s.patch.ID)
+	if err != nil {
+		return s.notSettled(err), true
+	}
+	if record != nil {
+		return s.repeated(ctx, *record), true
+	}
+	if head.Version != s.patch.Base {
+		return conflict(head.Version), true
+	}
+	next, result, ok := s.prepare(ctx)
+	if !ok {
+		return result, true
+	}
+	return s.commit(ctx, revision, next)
+}
+
+// prepare checks what must hold before a commit and builds the next version.
+func (s *submission) prepare(ctx context.Context) (*Snapshot, Result, bool) {
+	if ok, reason := s.acceptor.cfg.MayAccept(); !ok {
+		return nil, s.notSettled(errors.Newf("this instance may not accept patches now: %s", reason)), false
+	}
+	base, err := s.base(ctx)
+	if err != nil {
+		return nil, s.notSettled(err), false
+	}
+	document, err := ApplyPatch(base.Document, s.patch.Body)
+	if err != nil {
+		return nil, invalid(s.patch, err), false
+	}
+	next := &Snapshot{Version: s.patch.Base + 1, PatchID: s.patch.ID, Accepted: time.Now().UTC(), Document: document}
+	return next, Result{}, true
+}
+
+func (s *submission) base(ctx context.Context) (*Snapshot, error) {
+	if held := s.acceptor.cfg.Holder.Accepted(); held.Version == s.patch.Base {
+		return held, nil
+	}
+	return s.acceptor.cfg.Store.Version(ctx, s.patch.Base)
+}
+
+func (s *submission) commit(ctx context.Context, revision int64, next *Snapshot) (Result, bool) {
+	record := patchRecord{Version: next.Version, Base: s.patch.Base, Fingerprint: s.fingerprint}
+	applied, err := s.acceptor.cfg.Store.commit(ctx, revision, next, record)
+	switch {
+	case err == nil && applied:
+		return s.publish(ctx, next), true
+	case err == nil, errors.Is(err, platform.ErrUncertain) && ctx.Err() == nil:
+		s.uncertain = s.uncertain || err != nil
+		return Result{}, false
+	case errors.Is(err, platform.ErrUnavailable):
+		return s.notSettled(err), true
+	default:
+		s.uncertain = true
+		return s.notSettled(err), true
+	}
+}
+
+// repeated answers for a patch whose row exists.
+func (s *submission) repeated(ctx context.Context, record patchRecord) Result {
+	if record.Fingerprint != s.fingerprint {
+		return Result{Status: StatusInvalid, Version: record.Version,
+			Message: "patch_id: was used for another patch or base version"}
+	}
+	snapshot, err := s.acceptor.cfg.Store.Version(ctx, record.Version)
+	if err != nil {
+		return s.unknown(record.Version, err)
+	}
+	return s.publish(ctx, snapshot)
+}
+
+// publish puts the version in force here and answers only when a majority
+// holds it.
+func (s *submission) publish(ctx context.Context, snapshot *Snapshot) Result {
+	cfg := s.acceptor.cfg
+	if cfg.Holder.Advance(snapshot) {
+		cfg.Recorder.Record(timeline.Event{Kind: timeline.ConfigAccepted, Detail: versionDetail(snapshot)})
+	}
+	if err := cfg.Publish(ctx, snapshot); err != nil {
+		return s.unknown(snapshot.Version, errors.Wrap(err, "recorded, but not yet held by a majority of the instances"))
+	}
+	return Result{Status: StatusAccepted, Version: snapshot.Version, Document: &snapshot.Document}
+}
+
+// notSettled answers for a submission that this instance cannot complete.
+func (s *submission) notSettled(err error) Result {
+	if s.uncertain {
+		return s.unknown(s.patch.Base, err)
+	}
+	return Result{Status: StatusUnavailable, Version: s.patch.Base, Message: err.Error(), RetryAfter: DefaultRetryAfter}
+}
+
+func (s *submission) unknown(version Version, err error) Result {
+	return Result{Status: StatusUnknown, Version: version, Message: err.Error(), RetryAfter: DefaultRetryAfter}
+}
+
+func conflict(current Version) Result {
+	return Result{Status: StatusConflict, Version: current, Message: "the base version is not the current version"}
+}
+
+func (s *submission) dryRun(ctx context.Context) Result {
+	head, err := s.acceptor.cfg.Store.Head(ctx)
+	if err != nil {
+		return s.notSettled(err)
+	}
+	if head.Version != s.patch.Base {
+		return conflict(head.Version)
+	}
+	base, err := s.base(ctx)
+	if err != nil {
+		return s.notSettled(err)
+	}
+	document, err := ApplyPatch(base.Document, s.patch.Body)
+	if err != nil {
+		return invalid(s.patch, err)
+	}
+	return Result{Status: StatusValid, Version: s.patch.Base, Document: &document}
+}
--- /dev/null
+++ b/internal/configuration/follower.go
@@ -0,0 +1,301 @@
+package configuration
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+)
+
+// Defaults of FollowerConfig.
+const (
+	DefaultPollInterval = 1 * time.Second
+	DefaultReadTimeout  = 1 * time.Second
+	DefaultFetchTimeout = 500 * time.Millisecond
+	DefaultFetchRetry   = 100 * time.Millisecond
+	pollJitter          = 0.25 // share of the poll interval, both ways
+)
+
+// FollowerConfig configures a Follower.
+type FollowerConfig struct {
+	Store  *Store
+	Holder *Holder
+	// Fetch asks a peer for the encoded snapshot (EncodeSnapshot) of a version
+	// or a newer one. Required.
+	Fetch        func(ctx context.Context, peer contract.InstanceID, version Version) ([]byte, error)
+	PollInterval time.Duration // time between head reads, jittered by 25%. Default 1 s
+	ReadTimeout  time.Duration // for one head read. Default 1 s
+	FetchTimeout time.Duration // for one fetch of a document. Default 500 ms
+	FetchRetry   time.Duration // pause after a failed fetch. Default 100 ms
+	Seed         uint64        // of the jitter; 0: random
+	Recorder     timeline.Recorder
+	Log          logrus.FieldLogger
+}
+
+// Follower keeps a Holder at the newest version that the store or a peer knows
+// of.
+type Follower struct {
+	cfg    FollowerConfig
+	wake   chan struct{}
+	jitter *rand.Rand // used by the poll loop only
+
+	mu        sync.Mutex // guards the fields below
+	announced map[contract.InstanceID]announcement
+	lag       lag
+	read      headRead // last successful read
+	confirmed headRead // last successful read whose version is held
+}
+
+// announcement is the newest version that a peer says it knows of.
+type announcement struct {
+	version Version
+	at      time.Time
+}
+
+// headRead is a successful read of the head.
+type headRead struct {
+	version Version
+	started time.Time
+}
+
+// Standing is how current this instance is, for ConfirmInput.
+type Standing struct {
+	Held        Version
+	Newest      Version   // newest version known of
+	HeadRead    time.Time // start of the last head read whose version is held
+	BehindSince time.Time // zero unless Newest > Held
+}
+
+// NewFollower returns a Follower; Run starts it.
+func NewFollower(cfg FollowerConfig) *Follower {
+	setDefault(&cfg.PollInterval, DefaultPollInterval)
+	setDefault(&cfg.ReadTimeout, DefaultReadTimeout)
+	setDefault(&cfg.FetchTimeout, DefaultFetchTimeout)
+	setDefault(&cfg.FetchRetry, DefaultFetchRetry)
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	if cfg.Recorder == nil {
+		cfg.Recorder = timeline.Discard{}
+	}
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	return &Follower{
+		cfg:       cfg,
+		wake:      make(chan struct{}, 1),
+		jitter:    rand.New(rand.NewPCG(cfg.Seed, 0)),
+		announced: map[contract.InstanceID]announcement{},
+	}
+}
+
+// Run polls and fetches until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return f.pollLoop(ctx) })
+	group.Go(func() error { return f.fetchLoop(ctx) })
+	return group.Wait()
+}
+
+// Announce notes that a peer knows of a version: Standing.Newest of the peer,
+// not only the version that it holds. It does not block.
+func (f *Follower) Announce(version Version, peer contract.InstanceID) {
+	held := f.cfg.Holder.Current().Version
+	if version <= held {
+		return
+	}
+	f.noteAnnouncement(version, held, peer)
+	f.wakeFetch()
+}
+
+func (f *Follower) noteAnnouncement(version, held Version, peer contract.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.lag.learn(version, held, now)
+	if version > f.announced[peer].version {
+		f.announced[peer] = announcement{version: version, at: now}
+	}
+}
+
+// Standing returns how current this instance is.
+func (f *Follower) Standing() Standing {
+	held := f.cfg.Holder.Current().Version
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.read.version <= held {
+		f.confirmed = f.read
+	}
+	f.lag.reach(held)
+	return Standing{
+		Held:        held,
+		Newest:      max(held, f.lag.newest()),
+		HeadRead:    f.confirmed.started,
+		BehindSince: f.lag.since(),
+	}
+}
+
+func (f *Follower) wakeFetch() {
+	select {
+	case f.wake <- struct{}{}:
+	default: // a wake-up is already pending
+	}
+}
+
+// pollLoop reads the head. The time between the starts of two reads stays below
+// the confirmation window as long as reads take less than 750 ms.
+func (f *Follower) pollLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		started := time.Now()
+		f.poll(ctx, started)
+		factor := 1 - pollJitter + 2*pollJitter*f.jitter.Float64()
+		next := started.Add(time.Duration(float64(f.cfg.PollInterval) * factor))
+		pause(ctx, time.Until(next))
+	}
+	return nil
+}
+
+func (f *Follower) poll(ctx context.Context, started time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.ReadTimeout)
+	defer cancel()
+	head, err := f.cfg.Store.Head(ctx)
+	if err != nil {
+		f.cfg.Log.WithError(err).Debug("configuration head was not read")
+		return
+	}
+	if held := f.cfg.Holder.Current().Version; head.Version < held {
+		// A store that lost accepted versions must not take this instance back.
+		f.cfg.Log.WithFields(logrus.Fields{"head": head.Version, "held": held}).Error("configuration head is lower than the held version")
+		return
+	}
+	f.noteRead(headRead{version: head.Version, started: started})
+	f.wakeFetch()
+}
+
+// noteRead records a read and drops the announcements that it refutes: a
+// version is committed before any instance can announce it, so a later read
+// shows at least that version.
+func (f *Follower) noteRead(read headRead) {
+	held := f.cfg.Holder.Current().Version
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lag.learn(read.version, held, read.started)
+	f.lag.refute(read)
+	f.read = read
+	if read.version <= held {
+		f.confirmed = read
+	}
+	for peer, a := range f.announced {
+		if a.version <= held {
+			delete(f.announced, peer)
+			continue
+		}
+		if a.version > read.version && a.at.Before(read.started) {
+			f.cfg.Log.WithFields(logrus.Fields{"peer": peer, "version": a.version, "head": read.version}).
+				Warn("peer announced a configuration version that was not accepted")
+			delete(f.announced, peer)
+		}
+	}
+}
+
+// fetchLoop is the only fetcher, so that there is one fetch at a time.
+func (f *Follower) fetchLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.wake:
+		}
+		for ctx.Err() == nil && !f.Standing().BehindSince.IsZero() {
+			if !f.fetchNewest(ctx) {
+				pause(ctx, f.cfg.FetchRetry)
+			}
+		}
+	}
+}
+
+// fetchNewest tries each peer that announced a newer version, then the store.
+// Documents are whole, so versions in between are skipped.
+func (f *Follower) fetchNewest(ctx context.Context) bool {
+	for _, s := range f.sources() {
+		snapshot, err := f.fetch(ctx, s)
+		if err != nil {
+			f.cfg.Log.WithError(err).WithFields(logrus.Fields{"peer": s.peer, "version": s.version}).
+				Warn("configuration version was not fetched")
+			continue
+		}
+		if f.cfg.Holder.Advance(snapshot) {
+			f.cfg.Recorder.Record(timeline.Event{Kind: timeline.ConfigInForce, Detail: versionDetail(snapshot)})
+			f.cfg.Log.WithField("version", snapshot.Version).Info("configuration version is in force")
+		}
+		return true
+	}
+	return false
+}
+
+// source is where a version can be fetched; peer is "" for the store.
+type source struct {
+	peer    contract.InstanceID
+	version Version
+}
+
+func (f *Follower) sources() []source {
+	held := f.cfg.Holder.Current().Version
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var sources []source
+	for peer, a := range f.announced {
+		if a.version > held {
+			sources = append(sources, source{peer: peer, version: a.version})
+		}
+	}
+	if f.read.version > held {
+		sources = append(sources, source{version: f.read.version})
+	}
+	slices.SortStableFunc(sources, func(a, b source) int { return cmp.Compare(b.version, a.version) })
+	return sources
+}
+
+func (f *Follower) fetch(ctx context.Context, s source) (*Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.FetchTimeout)
+	defer cancel()
+	if s.peer == "" {
+		return f.cfg.Store.Version(ctx, s.version)
+	}
+	data, err := f.cfg.Fetch(ctx, s.peer, s.version)
+	if err != nil {
+		return nil, errors.Wrap(err, "fetch from peer")
+	}
+	snapshot, err := DecodeSnapshot(data)
+	if err != nil {
+		return nil, err
+	}
+	if snapshot.Version < s.version {
+		return nil, errors.Newf("peer sent configuration version %d, announced was %d", snapshot.Version, s.version)
+	}
+	return snapshot, nil
+}
+
+func versionDetail(s *Snapshot) string {
+	return fmt.Sprintf("version=%d patch=%s", s.Version, s.PatchID)
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/configuration/validate.go
@@ -0,0 +1,138 @@
+package configuration
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"strconv"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// Validate checks what the schema cannot: references between the parts of a
+// document. The error is a *Fault; with several faults it is always the same
+// one.
+func Validate(d Document) error {
+	for _, check := range []func(Document) *Fault{validateUpstreams, validateServices, validateRules} {
+		if fault := check(d); fault != nil {
+			return fault
+		}
+	}
+	return nil
+}
+
+func validateUpstreams(d Document) *Fault {
+	owners := map[netip.AddrPort]contract.UpstreamID{}
+	for _, id := range sortedKeys(d.Upstreams) {
+		path := "upstreams." + string(id) + ".address"
+		address, fault := parseAddress(path, d.Upstreams[id].Address)
+		if fault != nil {
+			return fault
+		}
+		if other, ok := owners[address]; ok {
+			return &Fault{Path: path, Reason: "is also the address of upstream " + string(other)}
+		}
+		owners[address] = id
+	}
+	return nil
+}
+
+func parseAddress(path, text string) (netip.AddrPort, *Fault) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return address, &Fault{Path: path, Reason: "must be an IP address and a port, such as 127.0.0.1:8001"}
+	}
+	if address.Port() == 0 || address.Addr().IsUnspecified() {
+		return address, &Fault{Path: path, Reason: "must name a specific IP address and a port from 1 to 65535"}
+	}
+	return address, nil
+}
+
+func validateServices(d Document) *Fault {
+	for _, id := range sortedKeys(d.Services) {
+		path := "services." + string(id)
+		service := d.Services[id]
+		if fault := validateService(path, service); fault != nil {
+			return fault
+		}
+		for i, upstream := range service.Upstreams {
+			if fault := validateServiceUpstream(indexed(path+".upstreams", i), d, service, upstream); fault != nil {
+				return fault
+			}
+		}
+	}
+	return nil
+}
+
+func validateService(path string, s Service) *Fault {
+	if s.Kind == KindEngine && s.Model == "" {
+		return &Fault{Path: path + ".model", Reason: "is required for kind engine"}
+	}
+	if s.Kind == KindEngine && s.ModelVersion == "" {
+		return &Fault{Path: path + ".model_version", Reason: "is required for kind engine"}
+	}
+	if s.Kind == KindService && s.Model+s.ModelVersion+s.Adapter != "" {
+		return &Fault{Path: path, Reason: "model, model_version and adapter apply to kind engine only"}
+	}
+	if s.QueueMS > 0 && s.DeadlineMS > 0 && s.QueueMS > s.DeadlineMS {
+		return &Fault{Path: path + ".queue_ms", Reason: "must not exceed deadline_ms"}
+	}
+	return nil
+}
+
+func validateServiceUpstream(path string, d Document, s Service, id contract.UpstreamID) *Fault {
+	upstream, ok := d.Upstreams[id]
+	if !ok {
+		return &Fault{Path: path, Reason: "upstream " + string(id) + " does not exist"}
+	}
+	if upstream.Kind != s.Kind {
+		return &Fault{Path: path, Reason: "upstream " + string(id) + " is of kind " + string(upstream.Kind) +
+			", the service of kind " + string(s.Kind)}
+	}
+	return nil
+}
+
+// binding is the pair that a rule ties; two rules for one pair would contradict
+// each other.
+type binding struct {
+	workspace contract.WorkspaceID
+	service   contract.ServiceID
+}
+
+func validateRules(d Document) *Fault {
+	owners := map[binding]string{}
+	for _, id := range sortedKeys(d.Rules) {
+		rule := d.Rules[id]
+		path := "rules." + id
+		if fault := validateRule(path, d, rule); fault != nil {
+			return fault
+		}
+		pair := binding{rule.Workspace, rule.Service}
+		if other, ok := owners[pair]; ok {
+			return &Fault{Path: path, Reason: "rule " + other + " already ties this workspace to this service"}
+		}
+		owners[pair] = id
+	}
+	return nil
+}
+
+func validateRule(path string, d Document, rule Rule) *Fault {
+	if _, ok := d.Workspaces[rule.Workspace]; !ok {
+		return &Fault{Path: path + ".workspace", Reason: "workspace " + string(rule.Workspace) + " does not exist"}
+	}
+	service, ok := d.Services[rule.Service]
+	if !ok {
+		return &Fault{Path: path + ".service", Reason: "service " + string(rule.Service) + " does not exist"}
+	}
+	for i, upstream := range rule.Upstreams {
+		if !slices.Contains(service.Upstreams, upstream) {
+			return &Fault{Path: indexed(path+".upstreams", i),
+				Reason: "upstream " + string(upstream) + " is not one of service " + string(rule.Service)}
+		}
+	}
+	return nil
+}
+
+func indexed(path string, i int) string { return path + "[" + strconv.Itoa(i) + "]" }
+
+func sortedKeys[K ~string, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/schema/describe.go
@@ -0,0 +1,94 @@
+package schema
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/big"
+	"strings"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+)
+
+// describe turns the library's error into a Fault. An unknown or missing
+// member is named as part of the path.
+func describe(e *jsonschema.ValidationError) *Fault {
+	switch k := e.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		return fault(e, "is not a known field", k.Properties[0])
+	case *kind.Required:
+		return fault(e, "is required", k.Missing[0])
+	case *kind.PropertyNames:
+		return fault(e, "is not a valid name", k.Property)
+	default:
+		return fault(e, reason(e.ErrorKind))
+	}
+}
+
+func fault(e *jsonschema.ValidationError, reason string, member ...string) *Fault {
+	location := e.InstanceLocation
+	path := append(location[:len(location):len(location)], member...)
+	return &Fault{Path: JoinPath(path), Reason: reason}
+}
+
+func reason(errorKind jsonschema.ErrorKind) string {
+	switch k := errorKind.(type) {
+	case *kind.Type:
+		return fmt.Sprintf("must be of type %s, not %s", strings.Join(k.Want, " or "), k.Got)
+	case *kind.Enum:
+		return "must be one of " + valueList(k.Want)
+	case *kind.Const:
+		return "must be " + valueList([]any{k.Want})
+	case *kind.Minimum:
+		return "must be at least " + number(k.Want)
+	case *kind.Maximum:
+		return "must be at most " + number(k.Want)
+	case *kind.ExclusiveMinimum:
+		return "must be greater than " + number(k.Want)
+	case *kind.ExclusiveMaximum:
+		return "must be less than " + number(k.Want)
+	case *kind.Pattern:
+		return "must match " + k.Want
+	default:
+		return sizeReason(errorKind)
+	}
+}
+
+func sizeReason(errorKind jsonschema.ErrorKind) string {
+	switch k := errorKind.(type) {
+	case *kind.MinLength:
+		return fmt.Sprintf("must have at least %d characters", k.Want)
+	case *kind.MaxLength:
+		return fmt.Sprintf("must have at most %d characters", k.Want)
+	case *kind.MinItems:
+		return fmt.Sprintf("must have at least %d items", k.Want)
+	case *kind.MaxItems:
+		return fmt.Sprintf("must have at most %d items", k.Want)
+	case *kind.MaxProperties:
+		return fmt.Sprintf("must have at most %d members", k.Want)
+	case *kind.UniqueItems:
+		return fmt.Sprintf("items %d and %d are equal", k.Duplicates[0], k.Duplicates[1])
+	default:
+		return "violates " + strings.Join(errorKind.KeywordPath(), "/")
+	}
+}
+
+func number(r *big.Rat) string {
+	if r.IsInt() {
+		return r.Num().String()
+	}
+	f, _ := r.Float64()
+	return fmt.Sprint(f)
+}
+
+func valueList(values []any) string {
+	texts := make([]string, 0, len(values))
+	for _, v := range values {
+		text, err := json.Marshal(v)
+		if err != nil {
+			text = fmt.Append(nil, v)
+		}
+		texts = append(texts, string(text))
+	}
+	return strings.Join(texts, ", ")
+}
--- /dev/null
+++ b/internal/schema/schema.go
@@ -0,0 +1,120 @@
+// Package schema checks JSON documents against an embedded JSON schema and
+// describes the first fault in one line that names the path and the reason.
+//
+// The package must never accept a document that decodes to something else than
+// what was checked: documents with duplicate keys or trailing data are refused.
+package schema
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+// Fault is the first fault of a document.
+type Fault struct {
+	Path   string // members joined by dots, "" for the whole document
+	Reason string
+}
+
+// Error returns "path: reason".
+func (f *Fault) Error() string {
+	if f.Path == "" {
+		return f.Reason
+	}
+	return f.Path + ": " + f.Reason
+}
+
+// Schema is a compiled JSON schema. It is safe for concurrent use.
+type Schema struct {
+	compiled *jsonschema.Schema
+}
+
+// MustCompile compiles an embedded schema and panics if it is not valid.
+func MustCompile(name string, text []byte) *Schema {
+	parsed, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		panic(errors.Wrapf(err, "schema %s", name))
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource(name, parsed); err != nil {
+		panic(errors.Wrapf(err, "schema %s", name))
+	}
+	return &Schema{compiled: compiler.MustCompile(name)}
+}
+
+// Decode checks data against the schema and decodes it into target. The error
+// is a *Fault.
+func (s *Schema) Decode(data []byte, target any) error {
+	if err := checkUniqueKeys(data); err != nil {
+		return err
+	}
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return &Fault{Reason: "is not valid JSON: " + err.Error()}
+	}
+	if err := s.check(value); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, target); err != nil {
+		return decodeFault(err)
+	}
+	return nil
+}
+
+func (s *Schema) check(value any) error {
+	err := s.compiled.Validate(value)
+	if err == nil {
+		return nil
+	}
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
+		return &Fault{Reason: err.Error()}
+	}
+	faults := leaves(invalid, nil)
+	slices.SortStableFunc(faults, func(a, b *Fault) int { return strings.Compare(a.Path, b.Path) })
+	return faults[0]
+}
+
+// leaves returns the innermost causes; outer ones only say that something
+// inside them failed.
+func leaves(e *jsonschema.ValidationError, into []*Fault) []*Fault {
+	if len(e.Causes) == 0 {
+		return append(into, describe(e))
+	}
+	for _, cause := range e.Causes {
+		into = leaves(cause, into)
+	}
+	return into
+}
+
+// decodeFault describes a value that fits the schema and not the Go type, such
+// as 1.0 for an integer.
+func decodeFault(err error) error {
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) {
+		return &Fault{Path: mismatch.Field, Reason: "got " + mismatch.Value + ", want " + mismatch.Type.String()}
+	}
+	return &Fault{Reason: err.Error()}
+}
+
+// JoinPath joins the members of a path; numbers become indexes.
+func JoinPath(members []string) string {
+	var b strings.Builder
+	for _, m := range members {
+		if _, err := strconv.ParseUint(m, 10, 31); err == nil {
+			b.WriteString("[" + m + "]")
+			continue
+		}
+		if b.Len() > 0 {
+			b.WriteByte('.')
+		}
+		b.WriteString(m)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/schema/unique.go
@@ -0,0 +1,89 @@
+package schema
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strconv"
+)
+
+// maxDepth bounds the nesting of documents; the deepest setting has depth 4.
+const maxDepth = 32
+
+// checkUniqueKeys refuses duplicate keys: encoding/json merges the maps of
+// duplicate members, while the schema check sees only the last one.
+func checkUniqueKeys(data []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	if err := walkValue(decoder, nil); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return &Fault{Reason: "has data after the end of the JSON value"}
+	}
+	return nil
+}
+
+func walkValue(decoder *json.Decoder, path []string) error {
+	if len(path) > maxDepth {
+		return &Fault{Path: JoinPath(path), Reason: "is nested too deeply"}
+	}
+	token, err := decoder.Token()
+	if err != nil {
+		return notJSON(err)
+	}
+	switch token {
+	case json.Delim('{'):
+		return walkObject(decoder, path)
+	case json.Delim('['):
+		return walkArray(decoder, path)
+	}
+	return nil
+}
+
+func walkObject(decoder *json.Decoder, path []string) error {
+	seen := map[string]bool{}
+	for decoder.More() {
+		token, err := decoder.Token()
+		if err != nil {
+			return notJSON(err)
+		}
+		key, ok := token.(string)
+		if !ok {
+			return &Fault{Path: JoinPath(path), Reason: "is not valid JSON"}
+		}
+		inner := append(path[:len(path):len(path)], key)
+		if seen[key] {
+			return &Fault{Path: JoinPath(inner), Reason: "is given twice"}
+		}
+		seen[key] = true
+		if err := walkValue(decoder, inner); err != nil {
+			return err
+		}
+	}
+	return closeDelim(decoder)
+}
+
+func walkArray(decoder *json.Decoder, path []string) error {
+	for i := 0; decoder.More(); i++ {
+		if err := walkValue(decoder, append(path[:len(path):len(path)], strconv.Itoa(i))); err != nil {
+			return err
+		}
+	}
+	return closeDelim(decoder)
+}
+
+func closeDelim(decoder *json.Decoder) error {
+	if _, err := decoder.Token(); err != nil {
+		return notJSON(err)
+	}
+	return nil
+}
+
+func notJSON(err error) error {
+	return &Fault{Reason: "is not valid JSON: " + err.Error()}
+}
+
+// CheckUniqueKeys refuses data that is not one JSON value or that has duplicate
+// keys. The error is a *Fault.
+func CheckUniqueKeys(data []byte) error { return checkUniqueKeys(data) }
