--- /dev/null
+++ b/internal/configuration/cluster_test.go
@@ -0,0 +1,152 @@
+package configuration_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/naive"
+)
+
+// node is an instance as the tests see it.
+type node interface {
+	Submit(ctx context.Context, patch configuration.Patch) configuration.Result
+	Current() *configuration.Snapshot
+	MayAdmit() bool
+}
+
+// cluster is a set of nodes that share a table service. It is used in a
+// synctest bubble by one test goroutine and the nodes' goroutines.
+type cluster struct {
+	t     *testing.T
+	table *fakeTable
+	links *linkMatrix
+	nodes []*realNode
+}
+
+func newCluster(t *testing.T, size int) *cluster {
+	c := &cluster{t: t, table: newFakeTable(), links: newLinkMatrix(size)}
+	for i := range size {
+		c.nodes = append(c.nodes, &realNode{index: i, cluster: c, way: &cutTable{TableService: c.table}})
+	}
+	for _, n := range c.nodes {
+		n.start()
+	}
+	t.Cleanup(c.stop)
+	return c
+}
+
+func (c *cluster) stop() {
+	for _, n := range c.nodes {
+		n.stop()
+	}
+}
+
+// realNode wires the product's parts as an instance does.
+type realNode struct {
+	index   int
+	cluster *cluster
+	way     *cutTable
+	life    atomic.Pointer[life]
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+func nodeID(i int) contract.InstanceID { return contract.InstanceID(fmt.Sprintf("node-%d", i)) }
+
+func quietLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func (n *realNode) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel, n.done = cancel, make(chan struct{})
+	l := newLife(n)
+	n.cluster.links.setLife(n.index, l)
+	n.life.Store(l)
+	go func() {
+		defer close(n.done)
+		go l.heartbeats(ctx)
+		_ = l.follower.Run(ctx)
+	}()
+}
+
+func (n *realNode) stop() {
+	n.cancel()
+	<-n.done
+	n.cluster.links.setLife(n.index, nil)
+}
+
+// restart replaces the instance by one without any state.
+func (n *realNode) restart() {
+	n.stop()
+	n.start()
+}
+
+func (n *realNode) Submit(ctx context.Context, p configuration.Patch) configuration.Result {
+	return n.life.Load().acceptor.Submit(ctx, p)
+}
+func (n *realNode) Current() *configuration.Snapshot { return n.life.Load().holder.Current() }
+func (n *realNode) MayAdmit() bool                   { return n.life.Load().confirm().Confirmed }
+
+// naiveNode polls the naive row and applies what it reads.
+type naiveNode struct {
+	*naive.PatchAcceptor
+}
+
+func (n naiveNode) Current() *configuration.Snapshot { return n.Holder.Current() }
+func (n naiveNode) MayAdmit() bool                   { return n.Holder.MayAdmit() }
+
+func (n naiveNode) pollUntil(ctx context.Context) {
+	ticker := time.NewTicker(configuration.DefaultPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.Poll(ctx)
+		}
+	}
+}
+
+func workspacePatch(id string, base configuration.Version, workspace string) configuration.Patch {
+	body, _ := json.Marshal(map[string]any{"workspaces": map[string]any{workspace: map[string]any{"weight": 2}}})
+	return configuration.Patch{ID: id, Base: base, Body: body}
+}
+
+var errCut = errors.New("link is cut")
+
+// seeds returns the seeds of a random test: the one of FOXTAILHUB_SEED, or the
+// given number of fixed ones.
+func seeds(t *testing.T, count uint64) []uint64 {
+	if text := os.Getenv("FOXTAILHUB_SEED"); text != "" {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatalf("FOXTAILHUB_SEED: %v", err)
+		}
+		return []uint64{seed}
+	}
+	list := make([]uint64, count)
+	for i := range list {
+		list[i] = uint64(i) + 1
+	}
+	return list
+}
+
+const heartbeatInterval = 500 * time.Millisecond
+
+func workspaceID(i int) contract.WorkspaceID { return contract.WorkspaceID(fmt.Sprintf("w%d", i)) }
--- a/internal/configuration/confirm.go
+++ b/internal/configuration/confirm.go
@@ -12,6 +12,10 @@
 	// DefaultConfirmWindow is how old a head read or a contact may be. With 1 s
 	// for the poll it keeps a missed version below the bound of 3 s.
 	DefaultConfirmWindow = 2 * time.Second
+	// DefaultFetchWindow is how long a version may be known and not yet held. A
+	// contact may bring the news of a version up to 2 s after its acceptance,
+	// which leaves 1 s of the bound for the fetch.
+	DefaultFetchWindow = 1 * time.Second
 	// DefaultDepartureHold is how long an instance that disappeared without
 	// announcing it still counts as known.
 	DefaultDepartureHold = 24 * time.Hour
@@ -28,13 +32,13 @@
 	// LastKnown is when it was last heard from or seen in the list. It matters
 	// when Permanent is false.
 	LastKnown time.Time
-	// Heard is the time of the last completed contact, direct or through
-	// others; zero if there was none.
+	// Heard is the time of the last completed contact, direct or through others,
+	// at which it was current (Confirmation.Current); zero if there was none. An
+	// instance that is not current proves nothing: since a restart it may have
+	// forgotten a version that it acknowledged, or it still lacks one that it
+	// has heard of. For the same reason an instance that is not current relays
+	// no contacts.
 	Heard time.Time
-	// Initialized is false while it has not yet learned a version since its
-	// start. Such an instance may have forgotten an accepted version that it
-	// acknowledged before a restart; its contact proves nothing.
-	Initialized bool
 }
 
 // ConfirmInput is what the confirmation rule looks at.
@@ -51,6 +55,7 @@
 	BehindSince   time.Time
 	Others        []KnownInstance
 	Window        time.Duration // default 2 s
+	FetchWindow   time.Duration // default 1 s
 	DepartureHold time.Duration // default 24 h
 }
 
@@ -59,6 +64,7 @@
 	Confirmed   bool   // may admit new work
 	MayAccept   bool   // may accept patches
 	Initialized bool   // Initialized of the input, or reached now
+	Current     bool   // initialized and not behind: contacts of others with this instance count
 	Known       int    // known instances, this one included
 	Heard       int    // of these heard from within the window, this one included if initialized
 	Reason      string // why not confirmed, or why it may not accept; "" if it may
@@ -69,22 +75,24 @@
 // the window.
 func Confirm(in ConfirmInput) Confirmation {
 	setDefault(&in.Window, DefaultConfirmWindow)
+	setDefault(&in.FetchWindow, DefaultFetchWindow)
 	setDefault(&in.DepartureHold, DefaultDepartureHold)
-	fromStore := in.within(in.HeadRead)
+	fromStore := in.within(in.HeadRead, in.Window)
 	c := Confirmation{Initialized: in.Initialized || fromStore}
 	c.Known, c.Heard = in.count(c.Initialized)
 	majority := 2*c.Heard > c.Known
 	// Versions heard of and not fetched yet are missed as much as unheard ones.
-	current := in.BehindSince.IsZero() || in.within(in.BehindSince)
+	current := in.BehindSince.IsZero() || in.within(in.BehindSince, in.FetchWindow)
 	c.Initialized = c.Initialized || (majority && in.BehindSince.IsZero())
+	c.Current = c.Initialized && in.BehindSince.IsZero()
 	c.Confirmed = c.Initialized && (fromStore || (majority && current))
 	c.MayAccept = fromStore && majority
 	c.Reason = c.reason(fromStore, majority, current)
 	return c
 }
 
-func (in ConfirmInput) within(t time.Time) bool {
-	return !t.IsZero() && in.Now.Sub(t) <= in.Window
+func (in ConfirmInput) within(t time.Time, window time.Duration) bool {
+	return !t.IsZero() && in.Now.Sub(t) <= window
 }
 
 // count returns the known instances and those heard from. An instance that is
@@ -100,7 +108,7 @@
 			continue
 		}
 		known++
-		if other.Initialized && in.within(other.Heard) {
+		if in.within(other.Heard, in.Window) {
 			heard++
 		}
 	}
--- /dev/null
+++ b/internal/configuration/fake_test.go
@@ -0,0 +1,150 @@
+package configuration_test
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/platform"
+)
+
+// tableLatency makes concurrent operators overlap.
+const tableLatency = 5 * time.Millisecond
+
+// fakeTable is an in-memory table service with faults.
+type fakeTable struct {
+	mu              sync.Mutex // guards all fields
+	rows            map[string]platform.Row
+	revision        int64
+	commits         int
+	down            bool
+	downAfterCommit bool
+	loseNext        int           // commits that take effect and lose their answer
+	dropNext        int           // commits without effect whose answer is lost
+	delayNext       time.Duration // the next commit answers ErrUncertain and takes effect after this time
+	random          *rand.Rand    // random faults if not nil
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+
+func (f *fakeTable) set(change func(*fakeTable)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func (f *fakeTable) Read(_ context.Context, key string) (platform.Row, error) {
+	time.Sleep(tableLatency) // virtual time
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	row, ok := f.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (f *fakeTable) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, platform.ErrUnavailable
+	}
+	var rows []platform.Row
+	for _, key := range slices.Sorted(maps.Keys(f.rows)) {
+		if strings.HasPrefix(key, prefix) && key > after && len(rows) < limit {
+			rows = append(rows, f.rows[key])
+		}
+	}
+	return rows, nil
+}
+
+func (f *fakeTable) Commit(_ context.Context, transactions []platform.Transaction) ([]platform.CommitResult, error) {
+	time.Sleep(tableLatency) // virtual time
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.commits++
+	if f.down {
+		return nil, platform.ErrUnavailable
+	}
+	if f.random != nil {
+		f.loseNext = f.random.IntN(2)
+		f.dropNext = f.random.IntN(2)
+	}
+	if f.dropNext > 0 {
+		f.dropNext--
+		return nil, platform.ErrUncertain
+	}
+	if delay := f.delayNext; delay > 0 {
+		f.delayNext = 0
+		go func() {
+			time.Sleep(delay) // virtual time
+			f.set(func(f *fakeTable) { f.apply(transactions) })
+		}()
+		return nil, platform.ErrUncertain
+	}
+	results := f.apply(transactions)
+	f.down = f.downAfterCommit
+	if f.loseNext > 0 {
+		f.loseNext--
+		return nil, platform.ErrUncertain
+	}
+	return results, nil
+}
+
+func (f *fakeTable) apply(transactions []platform.Transaction) []platform.CommitResult {
+	var results []platform.CommitResult
+	for _, t := range transactions {
+		holds := !slices.ContainsFunc(t.Conditions, func(c platform.Condition) bool {
+			return f.rows[c.Key].Revision != c.Revision
+		})
+		if holds {
+			f.revision++
+			for _, w := range t.Writes {
+				f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Revision: f.revision}
+			}
+		}
+		results = append(results, platform.CommitResult{Applied: holds, Revision: f.revision})
+	}
+	return results
+}
+
+// cutTable is one instance's way to the table; it can be cut.
+type cutTable struct {
+	platform.TableService
+	mu  sync.Mutex // guards cut
+	cut bool
+}
+
+func (c *cutTable) setCut(cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = cut
+}
+
+func (c *cutTable) isCut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut
+}
+
+func (c *cutTable) Read(ctx context.Context, key string) (platform.Row, error) {
+	if c.isCut() {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	return c.TableService.Read(ctx, key)
+}
+
+func (c *cutTable) Commit(ctx context.Context, t []platform.Transaction) ([]platform.CommitResult, error) {
+	if c.isCut() {
+		return nil, platform.ErrUnavailable
+	}
+	return c.TableService.Commit(ctx, t)
+}
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -56,7 +56,7 @@
 	confirmed headRead // last successful read whose version is held
 }
 
-// announcement is the newest version that a peer says it knows of.
+// announcement is the newest version that a peer says it knows of first hand.
 type announcement struct {
 	version Version
 	at      time.Time
@@ -71,7 +71,8 @@
 // Standing is how current this instance is, for ConfirmInput.
 type Standing struct {
 	Held        Version
-	Newest      Version   // newest version known of
+	Newest      Version   // newest version known of, also by hearsay
+	Verified    Version   // newest version held or read from the store; heartbeats carry it. Hearsay would circulate forever
 	HeadRead    time.Time // start of the last head read whose version is held
 	BehindSince time.Time // zero unless Newest > Held
 }
@@ -107,8 +108,8 @@
 	return group.Wait()
 }
 
-// Announce notes that a peer knows of a version: Standing.Newest of the peer,
-// not only the version that it holds. It does not block.
+// Announce notes the version that a peer says it knows of first hand, which is
+// Standing.Verified of the peer. It does not block.
 func (f *Follower) Announce(version Version, peer contract.InstanceID) {
 	held := f.cfg.Holder.Current().Version
 	if version <= held {
@@ -140,6 +141,7 @@
 	return Standing{
 		Held:        held,
 		Newest:      max(held, f.lag.newest()),
+		Verified:    max(held, f.read.version),
 		HeadRead:    f.confirmed.started,
 		BehindSince: f.lag.since(),
 	}
