Add peer selection, timeline and frame codec

Peers are neighbours in pseudorandom rings, which keeps links symmetric, bounded and the graph connected after the loss of a failure domain.

--- /dev/null
+++ b/internal/failuredomain/peers.go
@@ -0,0 +1,139 @@
+// Package failuredomain selects the peers of an instance so that the links of
+// a deployment survive the loss of any failure domain.
+//
+// The package holds pure functions. It must never select peers that all depend
+// on a single failure domain while members of others are available.
+package failuredomain
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// MaxPeers is the number of peers that an instance selects by default.
+const MaxPeers = 8
+
+// linksPerRing is the number of neighbours of a member in one ring.
+const linksPerRing = 2
+
+// Member is a candidate for the selection.
+type Member struct {
+	ID     contract.InstanceID
+	Domain contract.FailureDomainID
+	Region string
+}
+
+// Peers returns the peers of self among members, at most max (at least 2),
+// ordered by identifier. All members of the same list select symmetrically: b
+// is a peer of a if and only if a is a peer of b.
+//
+// Up to max+1 members form a full mesh. Otherwise the links are the union of
+// max/2 rings in pseudorandom order: the first ring runs through the own
+// failure domain, the others run through all members with neighbours in
+// different failure domains. Rings give each member a bounded number of links
+// and keep the graph connected; their independent orders keep its diameter
+// logarithmic in the number of members.
+func Peers(self Member, members []Member, max int) []Member {
+	all := normalize(self, members)
+	if len(all) <= max+1 {
+		return slices.DeleteFunc(all, func(m Member) bool { return m.ID == self.ID })
+	}
+	chosen := map[contract.InstanceID]Member{}
+	own := slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m.Domain != self.Domain })
+	addNeighbours(chosen, self, ring(own, 0))
+	for k := 1; k < max/linksPerRing; k++ {
+		addNeighbours(chosen, self, separateDomains(ring(all, uint64(k))))
+	}
+	peers := make([]Member, 0, len(chosen))
+	for _, m := range chosen {
+		peers = append(peers, m)
+	}
+	slices.SortFunc(peers, byID)
+	return peers
+}
+
+func byID(a, b Member) int { return cmp.Compare(a.ID, b.ID) }
+
+// normalize returns members with self, ordered and without duplicates, so that
+// the result depends on the set only.
+func normalize(self Member, members []Member) []Member {
+	all := make([]Member, 0, len(members)+1)
+	all = append(all, self)
+	for _, m := range members {
+		if m.ID != self.ID {
+			all = append(all, m)
+		}
+	}
+	slices.SortStableFunc(all, byID)
+	return slices.CompactFunc(all, func(a, b Member) bool { return a.ID == b.ID })
+}
+
+// ring returns the members in the pseudorandom order number k. The order of
+// the remaining members does not change when one is added or removed.
+func ring(members []Member, k uint64) []Member {
+	type ranked struct {
+		rank   uint64
+		member Member
+	}
+	var seed [8]byte
+	binary.BigEndian.PutUint64(seed[:], k)
+	order := make([]ranked, len(members))
+	for i, m := range members {
+		order[i] = ranked{rank: xxhash.Sum64(append(seed[:], m.ID...)), member: m}
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), byID(a.member, b.member))
+	})
+	out := make([]Member, len(order))
+	for i, r := range order {
+		out[i] = r.member
+	}
+	return out
+}
+
+// separateDomains moves members as little as possible so that neighbours are in
+// different failure domains. It prefers a different region where the next few
+// members offer one.
+func separateDomains(order []Member) []Member {
+	const regionLookahead = 4
+	for i := 1; i < len(order); i++ {
+		previous := order[i-1]
+		pick := -1
+		for j := i; j < len(order); j++ {
+			if order[j].Domain == previous.Domain {
+				continue
+			}
+			if pick < 0 {
+				pick = j
+			}
+			if order[j].Region != previous.Region {
+				pick = j
+				break
+			}
+			if j-pick >= regionLookahead {
+				break
+			}
+		}
+		if pick > i {
+			moved := order[pick]
+			copy(order[i+1:pick+1], order[i:pick])
+			order[i] = moved
+		}
+	}
+	return order
+}
+
+func addNeighbours(chosen map[contract.InstanceID]Member, self Member, order []Member) {
+	i := slices.IndexFunc(order, func(m Member) bool { return m.ID == self.ID })
+	n := len(order)
+	for _, neighbour := range []Member{order[(i+1)%n], order[(i+n-1)%n]} {
+		if neighbour.ID != self.ID {
+			chosen[neighbour.ID] = neighbour
+		}
+	}
+}
--- /dev/null
+++ b/internal/link/codec.go
@@ -0,0 +1,120 @@
+package link
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxFrame is the largest frame in bytes, without its length prefix. A longer
+// one is refused before any of it is read.
+const MaxFrame = 1 << 20
+
+// frameHeader is the size of the length prefix in bytes.
+const frameHeader = 4
+
+// maxElements bounds the elements of one array or map of a message.
+const maxElements = 16384
+
+// Errors of frames.
+var (
+	ErrFrameTooLarge = errors.New("frame exceeds the limit of 1 MiB")
+	ErrMalformed     = errors.New("message is malformed")
+)
+
+var encodeMode = mustEncodeMode()
+
+var decodeMode = mustDecodeMode()
+
+func mustEncodeMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// mustDecodeMode refuses what no instance sends: duplicate keys, indefinite
+// lengths, tags, deep nesting, invalid text. Unknown fields are accepted, so
+// that instances of adjacent releases can run together while they are replaced.
+func mustDecodeMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		UTF8:             cbor.UTF8RejectInvalid,
+		MaxNestedLevels:  8,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns v as CBOR.
+func Encode(v any) ([]byte, error) { return encodeMode.Marshal(v) }
+
+// Decode sets v from CBOR that a peer sent. It refuses trailing bytes and
+// everything that mustDecodeMode excludes.
+func Decode(data []byte, v any) error {
+	if err := decodeMode.Unmarshal(data, v); err != nil {
+		return errors.Wrapf(ErrMalformed, "%v", err)
+	}
+	return nil
+}
+
+// requestFrame opens a stream.
+type requestFrame struct {
+	_    struct{}    `cbor:",toarray"`
+	Kind MessageType // message type
+	Body []byte
+}
+
+// answerFrame answers a request, or is one of the frames that answer it.
+type answerFrame struct {
+	_     struct{} `cbor:",toarray"`
+	Error string   // not empty: the request was refused
+	End   bool     // last frame of a sequence; it has no body
+	Body  []byte
+}
+
+// writeFrame writes v with its length. It returns the number of bytes written.
+func writeFrame(w io.Writer, v any) (int, error) {
+	data, err := Encode(v)
+	if err != nil {
+		return 0, err
+	}
+	if len(data) > MaxFrame {
+		return 0, ErrFrameTooLarge
+	}
+	frame := make([]byte, frameHeader, frameHeader+len(data))
+	binary.BigEndian.PutUint32(frame, uint32(len(data)))
+	return w.Write(append(frame, data...))
+}
+
+// readFrame reads a frame into v. It returns the number of bytes read, and
+// io.EOF where the stream ends before a frame.
+func readFrame(r io.Reader, v any) (int, error) {
+	var header [frameHeader]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return 0, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > MaxFrame {
+		return frameHeader, ErrFrameTooLarge
+	}
+	// The buffer grows with the data that arrives, so that a length alone does
+	// not make this instance allocate memory.
+	data, err := io.ReadAll(io.LimitReader(r, int64(size)))
+	if err != nil {
+		return frameHeader + len(data), err
+	}
+	if len(data) < int(size) {
+		return frameHeader + len(data), io.ErrUnexpectedEOF
+	}
+	return frameHeader + len(data), Decode(data, v)
+}
--- /dev/null
+++ b/internal/timeline/collect.go
@@ -0,0 +1,114 @@
+package timeline
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/link"
+)
+
+// MessageTimeline asks an instance for events of its log.
+const MessageTimeline link.MessageType = "timeline"
+
+const (
+	collectTimeout     = 2 * time.Second // per instance
+	collectConcurrency = 32              // instances asked at a time
+)
+
+// ErrAnswerInvalid reports events that an instance must not send.
+var ErrAnswerInvalid = errors.New("timeline answer is invalid")
+
+// Collection is the merged result of a query over several instances.
+type Collection struct {
+	Events []Event
+	// Missing names the instances that did not answer, in order.
+	Missing []contract.InstanceID
+}
+
+// Collector answers and sends timeline queries over the link.
+type Collector struct {
+	log       *Log
+	transport link.Transport
+}
+
+// NewCollector returns a collector and registers its handler. It must be
+// called before the transport runs.
+func NewCollector(log *Log, transport link.Transport) *Collector {
+	c := &Collector{log: log, transport: transport}
+	transport.Handle(MessageTimeline, c.answer)
+	return c
+}
+
+func (c *Collector) answer(_ context.Context, _ contract.InstanceID, body []byte) ([]byte, error) {
+	var query Query
+	if err := link.Decode(body, &query); err != nil {
+		return nil, err
+	}
+	query, err := query.bounded()
+	if err != nil {
+		return nil, err
+	}
+	return link.Encode(c.log.Select(query))
+}
+
+// Collect returns the events of this instance and the given ones in causal
+// order.
+func (c *Collector) Collect(ctx context.Context, instances []contract.InstanceID, query Query) (Collection, error) {
+	query, err := query.bounded()
+	if err != nil {
+		return Collection{}, err
+	}
+	body, err := link.Encode(query)
+	if err != nil {
+		return Collection{}, err
+	}
+	var mu sync.Mutex // guards lists and missing
+	lists := [][]Event{c.log.Select(query)}
+	var missing []contract.InstanceID
+	var group errgroup.Group
+	group.SetLimit(collectConcurrency)
+	for _, id := range instances {
+		group.Go(func() error {
+			events, err := c.ask(ctx, id, body)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				missing = append(missing, id)
+				return nil
+			}
+			lists = append(lists, events)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	slices.Sort(missing)
+	return Collection{Events: latest(Merge(lists...), query.Limit), Missing: missing}, nil
+}
+
+func (c *Collector) ask(ctx context.Context, id contract.InstanceID, body []byte) ([]Event, error) {
+	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
+	defer cancel()
+	answer, err := c.transport.Request(ctx, id, MessageTimeline, body)
+	if err != nil {
+		return nil, err
+	}
+	var events []Event
+	if err := link.Decode(answer, &events); err != nil {
+		return nil, err
+	}
+	if len(events) > MaxEvents {
+		return nil, ErrAnswerInvalid
+	}
+	for _, e := range events {
+		if e.Instance != id {
+			return nil, errors.Wrapf(ErrAnswerInvalid, "instance %s sent an event of %s", id, e.Instance)
+		}
+	}
+	return events, nil
+}
