--- /dev/null
+++ b/internal/link/linktest/network.go
@@ -0,0 +1,182 @@
+// Package linktest holds an in-memory network of link transports for tests in
+// virtual time, with partitions, one-way cuts, delays, loss and pauses.
+//
+// The package must never be imported by a shipped program.
+package linktest
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// lossTimeout bounds how long a request without a deadline waits for a lost
+// message.
+const lossTimeout = 10 * time.Second
+
+// Errors of the network.
+var (
+	ErrNoPeer = errors.New("no such peer in the test network")
+	ErrLost   = errors.New("message was lost in the test network")
+)
+
+type pair struct{ from, to contract.InstanceID }
+
+// Network joins named transports.
+type Network struct {
+	mu         sync.Mutex // guards all fields
+	random     *rand.Rand
+	transports map[contract.InstanceID]*Transport
+	group      map[contract.InstanceID]int
+	cuts       map[pair]bool
+	paused     map[contract.InstanceID]chan struct{}
+	delay      func(from, to contract.InstanceID) time.Duration
+	loss       float64
+}
+
+// NewNetwork returns a network without delay or loss. The seed fixes the loss
+// of messages.
+func NewNetwork(seed uint64) *Network {
+	return &Network{
+		random:     rand.New(rand.NewPCG(seed, 0)),
+		transports: map[contract.InstanceID]*Transport{},
+		group:      map[contract.InstanceID]int{},
+		cuts:       map[pair]bool{},
+		paused:     map[contract.InstanceID]chan struct{}{},
+		delay:      func(_, _ contract.InstanceID) time.Duration { return 0 },
+	}
+}
+
+// Transport returns the transport of an instance, a new one on the first call.
+func (n *Network) Transport(id contract.InstanceID) *Transport {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t := n.transports[id]
+	if t == nil {
+		t = newTransport(n, id)
+		n.transports[id] = t
+	}
+	return t
+}
+
+// Remove takes an instance off the network.
+func (n *Network) Remove(id contract.InstanceID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.transports, id)
+}
+
+// Partition lets only instances of the same group reach each other. Instances
+// that are in no group form a group of their own.
+func (n *Network) Partition(groups ...[]contract.InstanceID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.group)
+	for i, ids := range groups {
+		for _, id := range ids {
+			n.group[id] = i + 1
+		}
+	}
+}
+
+// Heal ends partitions and cuts.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.group)
+	clear(n.cuts)
+}
+
+// Cut loses all messages in one direction.
+func (n *Network) Cut(from, to contract.InstanceID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[pair{from, to}] = true
+}
+
+// SetDelay sets the one-way delay.
+func (n *Network) SetDelay(delay func(from, to contract.InstanceID) time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = delay
+}
+
+// SetLoss sets the share of messages that are lost, from 0 to 1.
+func (n *Network) SetLoss(rate float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss = rate
+}
+
+// Pause holds back every message to and from an instance until Resume, as if
+// its process did not run: a request that it has sent returns after Resume,
+// even when its deadline has passed.
+func (n *Network) Pause(id contract.InstanceID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.paused[id] == nil {
+		n.paused[id] = make(chan struct{})
+	}
+}
+
+// Resume ends a pause.
+func (n *Network) Resume(id contract.InstanceID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if held := n.paused[id]; held != nil {
+		close(held)
+		delete(n.paused, id)
+	}
+}
+
+func (n *Network) pauseOf(id contract.InstanceID) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.paused[id]
+}
+
+// waitResumed blocks while an instance is paused.
+func (n *Network) waitResumed(id contract.InstanceID) {
+	for held := n.pauseOf(id); held != nil; held = n.pauseOf(id) {
+		<-held
+	}
+}
+
+// carry moves one message, or loses it.
+func (n *Network) carry(ctx context.Context, from, to contract.InstanceID) error {
+	n.waitResumed(from)
+	n.mu.Lock()
+	lost := n.group[from] != n.group[to] || n.cuts[pair{from, to}]
+	if !lost && n.loss > 0 {
+		lost = n.random.Float64() < n.loss
+	}
+	delay := n.delay(from, to)
+	n.mu.Unlock()
+	if lost {
+		return wait(ctx, lossTimeout, ErrLost)
+	}
+	if delay > 0 {
+		if err := wait(ctx, delay, nil); err != nil {
+			return err
+		}
+	}
+	n.waitResumed(to)
+	return nil
+}
+
+// wait returns result after d, or the context's error if it ends before.
+func wait(ctx context.Context, d time.Duration, result error) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return result
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/membership/answer.go
@@ -0,0 +1,101 @@
+package membership
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/link"
+)
+
+// counters count heartbeats and the bytes of their bodies, requests and answers alike.
+type counters struct {
+	messagesIn, messagesOut, bytesIn, bytesOut, failures, refused atomic.Int64
+}
+
+func (c *counters) in(bytes int)  { c.messagesIn.Add(1); c.bytesIn.Add(int64(bytes)) }
+func (c *counters) out(bytes int) { c.messagesOut.Add(1); c.bytesOut.Add(int64(bytes)) }
+
+// Stats counts heartbeats since the start.
+type Stats struct {
+	MessagesIn, MessagesOut int64 // requests and answers
+	BytesIn, BytesOut       int64 // their bodies, without transport overhead
+	Failures                int64 // requests without an answer
+	Refused                 int64 // requests, answers and sections that were not valid
+}
+
+// Stats returns the counters.
+func (m *Membership) Stats() Stats {
+	c := &m.counters
+	return Stats{
+		MessagesIn: c.messagesIn.Load(), MessagesOut: c.messagesOut.Load(),
+		BytesIn: c.bytesIn.Load(), BytesOut: c.bytesOut.Load(),
+		Failures: c.failures.Load(), Refused: c.refused.Load(),
+	}
+}
+
+func (m *Membership) refused(peer contract.InstanceID, err error) {
+	m.counters.refused.Add(1)
+	m.log.WithField("peer", peer).WithError(err).Warn("refused part of a heartbeat")
+}
+
+// answer handles the heartbeat of another instance. It is no contact with the
+// sender: whether the answer arrives there is not known here.
+func (m *Membership) answer(_ context.Context, peer contract.InstanceID, body []byte) ([]byte, error) {
+	m.counters.in(len(body))
+	h, err := decodeHeartbeat(body)
+	if err == nil && h.Self != nil && (h.Self.ID != peer || !m.accepts(h.Self.Region)) {
+		err = errors.Wrapf(ErrHeartbeatInvalid, "entry of %s in region %s", h.Self.ID, h.Self.Region)
+	}
+	if err != nil {
+		m.refused(peer, err)
+		return nil, err
+	}
+	m.updateClock(peer, h.Status)
+	a, behind := m.compileAnswer(peer, h)
+	m.learnSections(peer, h.Sections)
+	if behind {
+		m.tellHead(peer, h.Status.Head)
+	}
+	reply, err := link.Encode(a)
+	if err == nil {
+		m.counters.out(len(reply))
+	}
+	return reply, err
+}
+
+func (m *Membership) compileAnswer(peer contract.InstanceID, h heartbeat) (a answer, behind bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	m.introduce(peer, h, now)
+	table := &peerTable{}
+	if p := m.links[peer]; p != nil {
+		table = &p.table
+	}
+	m.ledger.writeAnswer(&a, h, peer, table, now)
+	a.Status = m.status
+	a.Status.At = m.config.Clock.Now()
+	return a, h.Status.Head > m.status.Head
+}
+
+// introduce applies what the sender tells about itself. The caller holds mu.
+func (m *Membership) introduce(peer contract.InstanceID, h heartbeat, now instant) {
+	r := m.ledger.byID[peer]
+	if h.Self != nil {
+		r = m.ledger.add(h.Self.member(), now)
+		if r != nil {
+			r.member = h.Self.member()
+		}
+	}
+	if r == nil {
+		return
+	}
+	r.lastSeen = now
+	if h.Status.State == Draining {
+		r.report(Draining, now)
+		m.dirty = true
+	}
+}
--- /dev/null
+++ b/internal/membership/beat.go
@@ -0,0 +1,281 @@
+package membership
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/failuredomain"
+	"foxtailhub.example/foxtailhub/internal/link"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+)
+
+// maxPushes bounds the pushes to one peer that wait for an answer at a time, so
+// that a silent peer does not collect goroutines.
+const maxPushes = 4
+
+// peerLink is the state of the exchange with one instance.
+type peerLink struct {
+	table   peerTable
+	greeted bool // the peer has answered: it knows the entry of this instance
+	regular bool // a regular heartbeat waits for its answer
+	pushes  int  // pushes that wait for their answers
+}
+
+func compareIDs(a, b contract.InstanceID) int { return cmp.Compare(a, b) }
+
+// beatLoop sends heartbeats and keeps view and peers up to date.
+func (m *Membership) beatLoop(ctx context.Context) {
+	ticker := time.NewTicker(publishInterval)
+	defer ticker.Stop()
+	nextBeat, nextPush := m.now(), m.now()
+	pushDue := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.push:
+			pushDue = true
+		case <-ticker.C:
+		}
+		now := m.now()
+		if now >= nextBeat {
+			nextBeat = now.after(jitter(m.config.Interval))
+			m.maintain(now)
+			m.beatAll(ctx)
+		}
+		if pushDue && now >= nextPush {
+			pushDue, nextPush = false, now.after(pushInterval)
+			m.pushAll(ctx)
+		}
+		m.mu.Lock()
+		if m.dirty {
+			m.publish()
+		}
+		m.mu.Unlock()
+	}
+}
+
+// jitter returns a duration within 10% of d, so that instances do not send in step.
+func jitter(d time.Duration) time.Duration {
+	return d*9/10 + rand.N(d/5+1)
+}
+
+// maintain removes departed instances and selects the peers anew if the
+// candidates have changed.
+func (m *Membership) maintain(now instant) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ledger.sweep(now)
+	m.dirty = true
+	if now.since(m.selected) < selectInterval && len(m.peers) > 0 {
+		return
+	}
+	var candidates []failuredomain.Member
+	for _, r := range m.ledger.table {
+		if r != nil && r.candidate(now) {
+			candidates = append(candidates, r.member.candidate())
+		}
+	}
+	slices.SortFunc(candidates, func(a, b failuredomain.Member) int { return compareIDs(a.ID, b.ID) })
+	if slices.Equal(candidates, m.chosen) {
+		return
+	}
+	m.chosen, m.selected = candidates, now
+	m.setPeers(failuredomain.Peers(m.config.Self.candidate(), candidates, failuredomain.MaxPeers))
+}
+
+// setPeers replaces the peers. The caller holds mu.
+func (m *Membership) setPeers(selected []failuredomain.Member) {
+	peers := make([]contract.InstanceID, len(selected))
+	for i, p := range selected {
+		peers[i] = p.ID
+	}
+	if slices.Equal(peers, m.peers) {
+		return
+	}
+	for _, id := range peers {
+		if !slices.Contains(m.peers, id) {
+			m.config.Recorder.Record(timeline.Event{Kind: timeline.PeerChanged, Detail: "peer=" + string(id) + " selected=true"})
+		}
+	}
+	for _, id := range m.peers {
+		if !slices.Contains(peers, id) {
+			m.config.Recorder.Record(timeline.Event{Kind: timeline.PeerChanged, Detail: "peer=" + string(id) + " selected=false"})
+			m.dropLink(id)
+		}
+	}
+	m.peers = peers
+	m.config.Transport.SetPeers(peers)
+}
+
+// dropLink forgets the exchange with an instance that is no longer a peer,
+// unless it waits for an answer.
+func (m *Membership) dropLink(id contract.InstanceID) {
+	if p := m.links[id]; p != nil && !p.regular && p.pushes == 0 {
+		delete(m.links, id)
+	}
+}
+
+// beatAll sends a regular heartbeat to each peer and to one silent instance:
+// without the latter, the two sides of a partition would never find each other again.
+func (m *Membership) beatAll(ctx context.Context) {
+	m.mu.Lock()
+	targets := slices.Clone(m.peers)
+	if id, found := m.nextProbe(); found {
+		targets = append(targets, id)
+	}
+	m.mu.Unlock()
+	for _, id := range targets {
+		m.send(ctx, id, true)
+	}
+}
+
+// nextProbe returns the silent instances in turn. The caller holds mu.
+func (m *Membership) nextProbe() (contract.InstanceID, bool) {
+	now := m.now()
+	var first, next contract.InstanceID
+	for id, r := range m.ledger.byID {
+		if r.candidate(now) || r.departed != never || slices.Contains(m.peers, id) {
+			continue
+		}
+		if first == "" || id < first {
+			first = id
+		}
+		if id > m.probe && (next == "" || id < next) {
+			next = id
+		}
+	}
+	m.probe = cmp.Or(next, first)
+	return m.probe, m.probe != ""
+}
+
+func (m *Membership) pushAll(ctx context.Context) {
+	m.mu.Lock()
+	targets := slices.Clone(m.peers)
+	m.mu.Unlock()
+	for _, id := range targets {
+		m.send(ctx, id, false)
+	}
+}
+
+// send starts one heartbeat, unless too many wait for an answer already.
+func (m *Membership) send(ctx context.Context, id contract.InstanceID, regular bool) {
+	m.mu.Lock()
+	p := m.links[id]
+	if p == nil {
+		p = &peerLink{}
+		m.links[id] = p
+	}
+	if regular && p.regular || !regular && p.pushes >= maxPushes {
+		m.mu.Unlock()
+		return
+	}
+	if regular {
+		p.regular = true
+	} else {
+		p.pushes++
+	}
+	h := m.compose(p)
+	m.mu.Unlock()
+	m.sending.Go(func() {
+		m.exchange(ctx, id, p, h, regular)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if regular {
+			p.regular = false
+		} else {
+			p.pushes--
+		}
+		if !slices.Contains(m.peers, id) {
+			m.dropLink(id)
+		}
+	})
+}
+
+// compose returns a heartbeat without sections. The caller holds mu.
+func (m *Membership) compose(p *peerLink) heartbeat {
+	h := heartbeat{Status: m.status, Epoch: p.table.epoch, Have: len(p.table.names)}
+	h.Status.At = m.config.Clock.Now()
+	if !p.greeted {
+		self := m.config.Self.entry()
+		h.Self = &self
+	}
+	return h
+}
+
+// exchange carries out one round trip and merges its answer.
+func (m *Membership) exchange(ctx context.Context, id contract.InstanceID, p *peerLink, h heartbeat, regular bool) {
+	if regular {
+		h.Sections = m.collectSections(id)
+	}
+	delivered := m.roundTrip(ctx, id, p, h)
+	if regular {
+		m.settleSections(id, delivered)
+	}
+}
+
+func (m *Membership) roundTrip(ctx context.Context, id contract.InstanceID, p *peerLink, h heartbeat) bool {
+	body, err := link.Encode(h)
+	if err != nil {
+		m.log.WithError(err).Error("cannot encode a heartbeat")
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.config.RequestTimeout)
+	defer cancel()
+	sent := m.now()
+	m.counters.out(len(body))
+	reply, err := m.config.Transport.Request(ctx, id, MessageHeartbeat, body)
+	if err != nil {
+		m.failed(p)
+		return false
+	}
+	m.counters.in(len(reply))
+	a, err := decodeAnswer(reply)
+	if err != nil {
+		m.refused(id, err)
+		return false
+	}
+	m.updateClock(id, a.Status)
+	m.merge(id, p, a, sent)
+	return true
+}
+
+func (m *Membership) failed(p *peerLink) {
+	m.counters.failures.Add(1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.greeted = false
+}
+
+func (m *Membership) merge(id contract.InstanceID, p *peerLink, a answer, sent instant) {
+	m.mu.Lock()
+	r := m.ledger.byID[id]
+	if r == nil {
+		m.mu.Unlock()
+		return
+	}
+	p.greeted = true
+	m.ledger.readAnswer(a, r, &p.table, m.accepts, sent, m.now())
+	m.dirty = true
+	behind := a.Status.Head > m.status.Head
+	m.mu.Unlock()
+	if behind {
+		m.tellHead(id, a.Status.Head)
+	}
+}
+
+func (m *Membership) tellHead(id contract.InstanceID, head int64) {
+	if m.config.OnHead != nil {
+		m.config.OnHead(id, head)
+	}
+}
+
+func (m *Membership) updateClock(id contract.InstanceID, s status) {
+	if err := m.config.Clock.Update(s.At); err != nil {
+		m.refused(id, err)
+	}
+}
--- /dev/null
+++ b/internal/membership/exchange.go
@@ -0,0 +1,121 @@
+package membership
+
+import (
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// claim is the last contact with an instance that a peer told of.
+type claim struct {
+	at    instant
+	state State
+}
+
+// peerTable is this instance's copy of the table of a peer, with what the peer
+// last claimed about each record.
+type peerTable struct {
+	epoch       uint64
+	names       []*record // by the peer's index, nil where the entry is of no use
+	claims      []claim   // by slot of the own ledger
+	claimsEpoch uint64    // epoch of the own ledger
+}
+
+func (t *peerTable) reset(epoch uint64) {
+	t.epoch = epoch
+	t.names = t.names[:0]
+	t.claims = t.claims[:0]
+}
+
+// setClaim stores what the peer claimed about the record in a slot.
+func (t *peerTable) setClaim(ledgerEpoch uint64, slot int, c claim) {
+	if t.claimsEpoch != ledgerEpoch {
+		t.claims, t.claimsEpoch = t.claims[:0], ledgerEpoch
+	}
+	for len(t.claims) <= slot {
+		t.claims = append(t.claims, claim{at: never})
+	}
+	t.claims[slot] = c
+}
+
+// holds reports whether the peer claimed a contact with r that is as recent as
+// the one of this instance, in the same state.
+func (t *peerTable) holds(ledgerEpoch uint64, r *record) bool {
+	if t.claimsEpoch != ledgerEpoch || r.slot >= len(t.claims) {
+		return false
+	}
+	c := t.claims[r.slot]
+	return c.at >= r.contact && c.state == r.state
+}
+
+// writeAnswer fills in the part of the table that the peer lacks and the
+// contacts that are news to it.
+func (l *ledger) writeAnswer(a *answer, h heartbeat, peer contract.InstanceID, t *peerTable, now instant) {
+	a.Epoch = l.epoch
+	if h.Epoch == l.epoch {
+		a.First = min(h.Have, len(l.table))
+	}
+	end := min(len(l.table), a.First+maxNames)
+	for _, r := range l.table[a.First:end] {
+		if r == nil {
+			a.Names = append(a.Names, entry{})
+			continue
+		}
+		a.Names = append(a.Names, r.member.entry())
+	}
+	var w vectorWriter
+	for i, r := range l.table[:end] {
+		if r == nil || r.contact == never || r.member.ID == peer || t.holds(l.epoch, r) {
+			continue
+		}
+		if age, ok := encodeAge(now.since(r.contact)); ok {
+			w.add(i, r.state, age)
+		}
+	}
+	a.Marks, a.Ages = w.marks, w.ages
+}
+
+// readAnswer merges the answer of a peer to a request that was sent at the
+// given time. An age counts back from that time, because the peer determined it
+// later than that.
+func (l *ledger) readAnswer(a answer, from *record, t *peerTable, accept func(region string) bool, sent, now instant) {
+	from.direct = max(from.direct, sent)
+	from.confirmed, from.head = a.Status.Confirmed, a.Status.Head
+	from.hear(a.Status.State, sent)
+	if t.epoch != a.Epoch || a.First != len(t.names) {
+		t.reset(a.Epoch)
+		if a.First != 0 {
+			t.epoch = 0 // the entries before First are missing: ask for all of them
+			return
+		}
+	}
+	for _, e := range a.Names {
+		t.names = append(t.names, l.resolve(e, accept))
+	}
+	readVector(a.Marks, a.Ages, func(index int, state State, age time.Duration) {
+		if index >= len(t.names) || t.names[index] == nil {
+			return
+		}
+		r := l.add(t.names[index].member, now)
+		if r == nil {
+			return
+		}
+		t.names[index] = r
+		at := sent.after(-age)
+		r.hear(state, at)
+		t.setClaim(l.epoch, r.slot, claim{at: at, state: state})
+	})
+}
+
+// resolve returns the record for an entry of a peer's table. The record of an
+// unknown instance is not part of the ledger until there is a contact: else
+// instances that tell each other names would never forget the dead.
+func (l *ledger) resolve(e entry, accept func(region string) bool) *record {
+	if e.ID == "" || e.ID == l.self || !accept(e.Region) {
+		return nil
+	}
+	if r := l.byID[e.ID]; r != nil {
+		return r
+	}
+	return &record{member: e.member(), slot: -1}
+}
--- /dev/null
+++ b/internal/membership/ledger.go
@@ -0,0 +1,209 @@
+package membership
+
+import (
+	"math"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/platform"
+)
+
+const (
+	// stateMargin is the error that ages may have accumulated on different
+	// paths. Draining wins over another state that is at most this much more
+	// recent, because a leaving instance may send its last heartbeat at any time.
+	stateMargin = 5 * time.Second
+	// departAfter is the silence after which a draining instance has left.
+	departAfter = 5 * time.Second
+	// forgetAfter is how long a departed instance is remembered, so that late
+	// news of it does not add it again.
+	forgetAfter = time.Minute
+	// silentAfter is the silence after which an instance is no candidate for a
+	// peer; it is then only probed.
+	silentAfter = 5 * time.Second
+	// introduction is how long a new instance is a candidate without a contact.
+	introduction = 10 * time.Second
+	// compactAbove is the number of removed table entries that are tolerated.
+	compactAbove = 64
+)
+
+// instant is a time on the monotonic clock, as the distance from the start.
+type instant int64
+
+const never instant = math.MinInt64
+
+func (i instant) after(d time.Duration) instant { return i + instant(d) }
+
+// since returns the time from earlier to i. It saturates for never.
+func (i instant) since(earlier instant) time.Duration {
+	if earlier == never {
+		return math.MaxInt64
+	}
+	return time.Duration(i - earlier)
+}
+
+// record is what is known of another instance.
+type record struct {
+	member    Member
+	slot      int // index in the table, -1 when removed
+	contact   instant
+	direct    instant // last round trip of this instance itself
+	state     State
+	stateAt   instant // contact that reported the state
+	firstSeen instant
+	lastSeen  instant
+	departed  instant // never: has not departed
+	listed    bool
+	seed      bool
+	confirmed bool  // of peers only
+	head      int64 // of peers only
+}
+
+// ledger holds the records of all other instances and decides who is known,
+// who has departed and who may be a peer. It does no I/O and reads no clock.
+type ledger struct {
+	self  contract.InstanceID
+	hold  time.Duration
+	byID  map[contract.InstanceID]*record
+	table []*record // by slot, nil where a record was removed
+	epoch uint64    // changes when slots are assigned anew
+}
+
+func newLedger(self contract.InstanceID, hold time.Duration, epoch uint64) *ledger {
+	return &ledger{self: self, hold: hold, byID: map[contract.InstanceID]*record{}, epoch: epoch}
+}
+
+// add returns the record of a member, a new one if it was unknown. It returns
+// nil for this instance itself, without an identifier, and when the ledger is full.
+func (l *ledger) add(m Member, now instant) *record {
+	if r := l.byID[m.ID]; r != nil {
+		return r
+	}
+	if m.ID == "" || m.ID == l.self || len(l.table) >= maxMembers {
+		return nil
+	}
+	r := &record{
+		member: m, slot: len(l.table), contact: never, direct: never, state: Unready,
+		stateAt: never, firstSeen: now, lastSeen: now, departed: never,
+	}
+	l.byID[m.ID] = r
+	l.table = append(l.table, r)
+	return r
+}
+
+// applyList takes over the platform's list. An instance that is missing from
+// it is not forgotten: only its own announcement that it leaves counts.
+func (l *ledger) applyList(entries []platform.ListEntry, accept func(region string) bool, now instant) {
+	for _, r := range l.byID {
+		r.listed = false
+	}
+	for _, e := range entries {
+		m := Member{
+			ID: contract.InstanceID(e.ID), Address: e.Address,
+			Domain: contract.FailureDomainID(e.FailureDomain), Region: e.Region,
+		}
+		if !accept(m.Region) || m.entry().check() != nil {
+			continue
+		}
+		if e.State == platform.ListedLeaving && l.byID[m.ID] == nil {
+			continue // it has left before this instance knew it
+		}
+		r := l.add(m, now)
+		if r == nil {
+			continue
+		}
+		r.member, r.listed, r.lastSeen = m, true, now
+		if e.State == platform.ListedLeaving {
+			r.report(Draining, now)
+		}
+	}
+}
+
+// report applies a state that was reported by a contact at the given time.
+func (r *record) report(state State, at instant) {
+	limit := r.stateAt
+	if r.stateAt != never && state != r.state {
+		if state == Draining {
+			limit = r.stateAt.after(-stateMargin)
+		}
+		if r.state == Draining {
+			limit = r.stateAt.after(stateMargin)
+		}
+	}
+	if at < limit {
+		return
+	}
+	r.state, r.stateAt = state, max(at, r.stateAt)
+	if state != Draining {
+		r.departed = never
+	}
+}
+
+// hear applies a contact with r at the given time, direct or through others.
+func (r *record) hear(state State, at instant) {
+	if at > r.contact {
+		r.contact = at
+		r.lastSeen = max(r.lastSeen, at)
+	}
+	r.report(state, at)
+}
+
+// sweep marks and removes the instances that have left by the time now.
+func (l *ledger) sweep(now instant) {
+	for id, r := range l.byID {
+		quiet := now.since(max(r.contact, r.stateAt))
+		if r.departed == never && r.state == Draining && quiet > departAfter {
+			r.departed = now
+		}
+		gone := r.departed != never && now.since(r.departed) > forgetAfter
+		if gone && !r.listed || !l.known(r, now) && r.departed == never {
+			delete(l.byID, id)
+			l.table[r.slot] = nil
+			r.slot = -1
+		}
+	}
+	if removed := len(l.table) - len(l.byID); removed > max(compactAbove, len(l.byID)/2) {
+		l.compact()
+	}
+}
+
+// compact assigns slots anew. Peers then fetch the table again.
+func (l *ledger) compact() {
+	kept := l.table[:0]
+	for _, r := range l.table {
+		if r != nil {
+			r.slot = len(kept)
+			kept = append(kept, r)
+		}
+	}
+	clear(l.table[len(kept):])
+	l.table = kept
+	l.epoch++
+}
+
+// known reports whether r is in the denominator of a majority.
+func (l *ledger) known(r *record, now instant) bool {
+	if r.departed != never {
+		return false
+	}
+	return r.listed || r.seed || now.since(r.lastSeen) < l.hold
+}
+
+// knownUntil returns when r leaves the denominator without further news.
+func (l *ledger) knownUntil(r *record, now instant) instant {
+	switch {
+	case r.departed != never:
+		return never
+	case r.listed || r.seed:
+		return now.after(l.hold)
+	}
+	return r.lastSeen.after(l.hold)
+}
+
+// candidate reports whether r may be a peer.
+func (r *record) candidate(now instant) bool {
+	if r.departed != never {
+		return false
+	}
+	return now.since(r.contact) < silentAfter || r.contact == never && now.since(r.firstSeen) < introduction
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,246 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/failuredomain"
+	"foxtailhub.example/foxtailhub/internal/link"
+	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+)
+
+// Default values of Config.
+const (
+	DefaultInterval         = 500 * time.Millisecond
+	DefaultRequestTimeout   = time.Second
+	DefaultHeardWindow      = 2 * time.Second
+	DefaultDepartureHold    = 24 * time.Hour
+	DefaultListInterval     = 2 * time.Second
+	DefaultAnnounceInterval = 10 * time.Second
+)
+
+const (
+	publishInterval = 100 * time.Millisecond // least time between two views
+	selectInterval  = time.Second            // least time between two selections of peers
+	pushInterval    = 20 * time.Millisecond  // least time between two pushes
+	withdrawTimeout = time.Second
+)
+
+// Transport is the link as the membership uses it.
+type Transport interface {
+	link.Transport
+	// SetPeers names the instances whose connections are kept open.
+	SetPeers(ids []contract.InstanceID)
+}
+
+// Config is what a Membership needs. Durations of 0 take the defaults.
+type Config struct {
+	Self Member
+	// Regions lists the accepted regions. Empty: the own region only.
+	Regions []string
+	// Seeds are instances named in the settings. They may include this one.
+	Seeds []Member
+	// List is the platform's list.
+	List      platform.InstanceList
+	Transport Transport
+	Clock     *timeline.Clock
+	Recorder  timeline.Recorder
+	Log       logrus.FieldLogger
+	// OnHead is called when a peer tells a head version above the own one. It
+	// must not block. Optional.
+	OnHead func(peer contract.InstanceID, head int64)
+
+	Interval         time.Duration // between heartbeats to a peer
+	RequestTimeout   time.Duration // for the answer to a heartbeat
+	HeardWindow      time.Duration // age up to which a contact counts as heard
+	DepartureHold    time.Duration // how long a silent instance stays known
+	ListInterval     time.Duration // between polls of the list
+	AnnounceInterval time.Duration // between announcements in the list
+}
+
+func (c Config) withDefaults() (Config, error) {
+	if c.Self.ID == "" || c.Transport == nil || c.List == nil || c.Clock == nil || c.Recorder == nil || c.Log == nil {
+		return c, errors.New("membership needs Self, Transport, List, Clock, Recorder and Log")
+	}
+	if len(c.Regions) == 0 {
+		c.Regions = []string{c.Self.Region}
+	}
+	for value, standard := range map[*time.Duration]time.Duration{
+		&c.Interval:         DefaultInterval,
+		&c.RequestTimeout:   DefaultRequestTimeout,
+		&c.HeardWindow:      DefaultHeardWindow,
+		&c.DepartureHold:    DefaultDepartureHold,
+		&c.ListInterval:     DefaultListInterval,
+		&c.AnnounceInterval: DefaultAnnounceInterval,
+	} {
+		if *value <= 0 {
+			*value = standard
+		}
+	}
+	return c, nil
+}
+
+// Membership keeps track of the instances of the deployment.
+type Membership struct {
+	config   Config
+	log      logrus.FieldLogger
+	start    time.Time
+	sections map[uint8]Section
+	view     atomic.Pointer[View]
+	counters counters
+	push     chan struct{} // capacity 1: a push is due
+	announce chan struct{} // capacity 1: an announcement is due
+	sending  sync.WaitGroup
+
+	mu       sync.Mutex // guards the fields below
+	status   status
+	ledger   *ledger
+	links    map[contract.InstanceID]*peerLink
+	peers    []contract.InstanceID
+	chosen   []failuredomain.Member // candidates of the last selection
+	selected instant
+	probe    contract.InstanceID // instance last probed
+	dirty    bool                // the view is out of date
+}
+
+// New returns a membership and registers its handler. It must be called before
+// the transport runs.
+func New(config Config) (*Membership, error) {
+	config, err := config.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	m := &Membership{
+		config:   config,
+		log:      config.Log.WithField("instance", config.Self.ID),
+		start:    time.Now(),
+		sections: map[uint8]Section{},
+		push:     make(chan struct{}, 1),
+		announce: make(chan struct{}, 1),
+		ledger:   newLedger(config.Self.ID, config.DepartureHold, max(1, rand.Uint64()>>1)),
+		links:    map[contract.InstanceID]*peerLink{},
+		selected: never,
+	}
+	for _, seed := range config.Seeds {
+		if r := m.ledger.add(seed, m.now()); r != nil {
+			r.seed = true
+		}
+	}
+	m.publish()
+	config.Transport.Handle(MessageHeartbeat, m.answer)
+	return m, nil
+}
+
+// now returns the time since the start on the monotonic clock.
+func (m *Membership) now() instant { return instant(time.Since(m.start)) }
+
+func (m *Membership) accepts(region string) bool { return slices.Contains(m.config.Regions, region) }
+
+// View returns the current picture. It is never nil.
+func (m *Membership) View() *View { return m.view.Load() }
+
+// Address returns the link address of an instance.
+func (m *Membership) Address(id contract.InstanceID) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.ledger.byID[id]
+	if r == nil || r.member.Address == "" {
+		return "", false
+	}
+	return r.member.Address, true
+}
+
+// SetState sets the state that heartbeats carry. Draining is announced in the
+// list and pushed to the peers at once, and is final.
+func (m *Membership) SetState(state State) {
+	m.mu.Lock()
+	changed := m.status.State != state && m.status.State != Draining
+	if changed {
+		m.status.State = state
+	}
+	m.mu.Unlock()
+	if !changed {
+		return
+	}
+	m.config.Recorder.Record(timeline.Event{Kind: timeline.InstanceChanged, Detail: "state=" + state.String()})
+	m.Push()
+	if state == Draining {
+		signal(m.announce)
+	}
+}
+
+// SetConfirmed sets whether this instance tells its peers that it is confirmed.
+func (m *Membership) SetConfirmed(confirmed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.status.Confirmed = confirmed
+}
+
+// SetHead sets the head version that heartbeats carry. A lower version than
+// before is ignored.
+func (m *Membership) SetHead(head int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.status.Head = max(m.status.Head, head)
+}
+
+// Push sends a heartbeat without sections to all peers at once.
+func (m *Membership) Push() { signal(m.push) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Run polls the list and sends heartbeats until ctx ends. Then it withdraws
+// this instance from the list.
+func (m *Membership) Run(ctx context.Context) error {
+	var loops sync.WaitGroup
+	loops.Go(func() { m.pollList(ctx) })
+	m.beatLoop(ctx)
+	loops.Wait()
+	m.sending.Wait()
+	withdraw, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTimeout)
+	defer cancel()
+	if err := m.config.List.Withdraw(withdraw, string(m.config.Self.ID)); err != nil {
+		m.log.WithError(err).Warn("cannot withdraw from the instance list")
+	}
+	return nil
+}
+
+// publish builds a view. The caller holds mu, except in New.
+func (m *Membership) publish() {
+	now := m.now()
+	v := &View{self: m.config.Self, window: m.config.HeardWindow, members: make([]MemberView, 0, len(m.ledger.byID))}
+	for _, r := range m.ledger.table {
+		if r == nil {
+			continue
+		}
+		v.members = append(v.members, MemberView{
+			Member: r.member, State: r.state,
+			Contact: m.timeOf(r.contact), Direct: m.timeOf(r.direct), KnownUntil: m.timeOf(m.ledger.knownUntil(r, now)),
+			Peer: slices.Contains(m.peers, r.member.ID), Confirmed: r.confirmed, Head: r.head,
+		})
+	}
+	slices.SortFunc(v.members, func(a, b MemberView) int { return compareIDs(a.ID, b.ID) })
+	m.view.Store(v)
+	m.dirty = false
+}
+
+func (m *Membership) timeOf(i instant) time.Time {
+	if i == never {
+		return time.Time{}
+	}
+	return m.start.Add(time.Duration(i))
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,179 @@
+package membership
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// Guards against a minority that keeps admitting work, and against a majority
+// that stops, when a partition and an outage of the list coincide; and against
+// two sides that never find each other again.
+func TestPartitionLeavesMajorityToOneSide(t *testing.T) {
+	inCluster(t, 9, nil, func(g *WithT, c *cluster) {
+		advance(3 * time.Second)
+		g.Expect(leastHeard(c.nodes)).To(Equal(9))
+		c.list.setDown(true)
+		c.network.Partition(c.ids(0, 5), c.ids(5, 9))
+		advance(3 * time.Second)
+		for i, n := range c.nodes {
+			g.Expect(n.majority()).To(Equal(i < 5), "instance %d heard %d of %d", i, n.heard(), n.known())
+			g.Expect(n.known()).To(Equal(9))
+		}
+		advance(time.Minute)
+		c.network.Heal()
+		advance(8 * time.Second)
+		g.Expect(leastHeard(c.nodes)).To(Equal(9))
+	})
+}
+
+// Guards against an instance that counts contacts from before a pause, or the
+// answers that arrive at its end, as recent.
+func TestPausedInstanceHasHeardNobody(t *testing.T) {
+	inCluster(t, 9, nil, func(g *WithT, c *cluster) {
+		advance(3 * time.Second)
+		paused := c.nodes[0]
+		c.network.Pause(paused.id)
+		advance(30 * time.Second)
+		g.Expect(paused.majority()).To(BeFalse())
+		c.network.Partition(c.ids(0, 1), c.ids(1, 9))
+		c.network.Resume(paused.id) // only the answers held back arrive
+		advance(50 * time.Millisecond)
+		g.Expect(paused.heard()).To(Equal(1))
+		g.Expect(paused.majority()).To(BeFalse())
+		c.network.Heal()
+		advance(3 * time.Second)
+		g.Expect(paused.heard()).To(Equal(9))
+	})
+}
+
+// Guards against an instance that counts messages that arrive although its own
+// are lost: the others do not see it, so it could miss a version.
+func TestAsymmetricLossDoesNotCountAsHeard(t *testing.T) {
+	inCluster(t, 9, nil, func(g *WithT, c *cluster) {
+		advance(3 * time.Second)
+		deaf := c.nodes[0]
+		for _, id := range c.ids(1, 9) {
+			c.network.Cut(deaf.id, id)
+		}
+		advance(3 * time.Second)
+		g.Expect(deaf.heard()).To(Equal(1))
+		for _, n := range c.nodes[1:] {
+			g.Expect(n.heard()).To(Equal(8), "requests to the instance are answered into the void")
+		}
+	})
+}
+
+// Guards against a shrinking denominator: a side of a partition could gain a
+// majority by waiting until the others are forgotten.
+func TestSilentInstancesStayKnownUntilTheHoldEnds(t *testing.T) {
+	const hold = 30 * time.Minute
+	inCluster(t, 5, func(c *Config) { c.DepartureHold = hold }, func(g *WithT, c *cluster) {
+		advance(3 * time.Second)
+		for range 3 {
+			crashed := c.nodes[len(c.nodes)-1]
+			c.crash(crashed)
+			c.list.expire(string(crashed.id))
+		}
+		advance(hold - time.Minute)
+		for _, n := range c.nodes {
+			g.Expect(n.known()).To(Equal(5))
+			g.Expect(n.majority()).To(BeFalse())
+		}
+		advance(2 * time.Minute)
+		for _, n := range c.nodes {
+			g.Expect(n.known()).To(Equal(2))
+			g.Expect(n.majority()).To(BeTrue())
+		}
+	})
+}
+
+// Guards against planned restarts that inflate the denominator until no
+// majority is left, also while the list is down.
+func TestDrainedInstancesLeaveTheDenominator(t *testing.T) {
+	inCluster(t, 9, nil, func(g *WithT, c *cluster) {
+		advance(3 * time.Second)
+		c.list.setDown(true)
+		for range 5 {
+			leaving := c.nodes[len(c.nodes)-1]
+			leaving.SetState(Draining)
+			advance(time.Second)
+			m, _ := c.nodes[0].View().Member(leaving.id)
+			g.Expect(m.State).To(Equal(Draining))
+			c.crash(leaving)
+		}
+		advance(15 * time.Second)
+		for _, n := range c.nodes {
+			g.Expect(n.known()).To(Equal(4))
+			g.Expect(n.majority()).To(BeTrue())
+		}
+	})
+}
+
+// Guards against a target deployment in which the bounded number of peers is
+// too small for a majority to be heard, or a version to arrive, within 3 s; and
+// against heartbeats above the budget of 25 KB per second in both directions.
+func TestTargetDeploymentHearsPushesAndStaysInBudget(t *testing.T) {
+	const instances = 480
+	var reached atomic.Int64
+	nodes := map[contract.InstanceID]*node{}
+	configure := func(config *Config) {
+		self := config.Self.ID
+		config.OnHead = func(_ contract.InstanceID, head int64) {
+			n := nodes[self]
+			n.SetHead(head)
+			n.Push()
+			reached.Add(1)
+		}
+	}
+	inCluster(t, instances, configure, func(g *WithT, c *cluster) {
+		for _, n := range c.nodes {
+			nodes[n.id] = n
+		}
+		advance(3 * time.Second)
+		least := leastHeard(c.nodes)
+		t.Logf("least heard after 3 s: %d of %d", least, instances)
+		g.Expect(least).To(BeNumerically(">", instances/2))
+
+		c.nodes[0].SetHead(7)
+		c.nodes[0].Push()
+		start := time.Now()
+		for reached.Load() < instances-1 && time.Since(start) < 3*time.Second {
+			advance(10 * time.Millisecond)
+		}
+		t.Logf("version reached %d instances after %s", reached.Load()+1, time.Since(start))
+		g.Expect(reached.Load()).To(BeNumerically(">=", instances-1))
+
+		advance(3 * time.Second)
+		g.Expect(leastHeard(c.nodes)).To(BeNumerically(">", instances*9/10))
+		checkTraffic(t, g, c.nodes)
+	})
+}
+
+// packetOverhead is the size of the headers that a heartbeat body needs in one
+// exchange: IP, UDP, QUIC short header and tag, frame headers, message header,
+// for the request, the answer and one acknowledgement (3 * 66 bytes).
+const packetOverhead = 3 * 66
+
+func checkTraffic(t *testing.T, g *WithT, nodes []*node) {
+	const period = 5 * time.Second
+	before := make([]Stats, len(nodes))
+	for i, n := range nodes {
+		before[i] = n.Stats()
+	}
+	advance(period)
+	var largest, sum float64
+	for i, n := range nodes {
+		s := n.Stats()
+		bytes := float64(s.BytesIn - before[i].BytesIn + s.BytesOut - before[i].BytesOut)
+		exchanges := float64(s.MessagesIn-before[i].MessagesIn+s.MessagesOut-before[i].MessagesOut) / 2
+		rate := (bytes + exchanges*packetOverhead) / period.Seconds()
+		largest, sum = max(largest, rate), sum+rate
+	}
+	t.Logf("heartbeat traffic per instance, both directions, with estimated headers: mean %.0f B/s, largest %.0f B/s", sum/float64(len(nodes)), largest)
+	g.Expect(largest).To(BeNumerically("<", 25_000))
+}
--- /dev/null
+++ b/internal/membership/section.go
@@ -0,0 +1,63 @@
+package membership
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// Section is a digest that another package adds to each regular heartbeat. Its
+// content is opaque here. Functions may be called concurrently for different
+// peers, never for the same peer, and must not block.
+type Section struct {
+	ID uint8
+	// Collect returns what a peer is to learn, nil for nothing. It is bounded to 64 KiB.
+	Collect func(peer contract.InstanceID) []byte
+	// Learn takes what a peer collected. An error refuses the part; it is logged.
+	Learn func(peer contract.InstanceID, data []byte) error
+	// Settled tells whether the peer has answered the heartbeat with what Collect
+	// returned last. On false it may or may not have learned it. Optional.
+	Settled func(peer contract.InstanceID, delivered bool)
+}
+
+// Register adds a section. It must be called before Run, once per identifier.
+func (m *Membership) Register(section Section) {
+	contract.Invariant(m.sections[section.ID].Collect == nil, "section is registered once", "section", section.ID)
+	contract.Invariant(len(m.sections) < maxSections, "number of sections is bounded", "section", section.ID)
+	m.sections[section.ID] = section
+}
+
+func (m *Membership) collectSections(peer contract.InstanceID) []sectionData {
+	var parts []sectionData
+	for id, s := range m.sections {
+		data := s.Collect(peer)
+		if len(data) > maxSectionBytes {
+			m.log.WithField("peer", peer).WithField("section", id).WithField("bytes", len(data)).Error("digest section exceeds its limit")
+			continue
+		}
+		if len(data) > 0 {
+			parts = append(parts, sectionData{ID: id, Data: data})
+		}
+	}
+	return parts
+}
+
+func (m *Membership) learnSections(peer contract.InstanceID, parts []sectionData) {
+	for _, part := range parts {
+		s, found := m.sections[part.ID]
+		if !found {
+			continue // of a later release
+		}
+		if err := s.Learn(peer, part.Data); err != nil {
+			m.refused(peer, errors.Wrapf(err, "section %d", part.ID))
+		}
+	}
+}
+
+func (m *Membership) settleSections(peer contract.InstanceID, delivered bool) {
+	for _, s := range m.sections {
+		if s.Settled != nil {
+			s.Settled(peer, delivered)
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/wire.go
@@ -0,0 +1,139 @@
+package membership
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/link"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+)
+
+// MessageHeartbeat is the message type of heartbeats.
+const MessageHeartbeat link.MessageType = "heartbeat"
+
+// Limits of a heartbeat. They bound the memory that a faulty peer can occupy.
+const (
+	maxMembers      = 4096 // members in a table or in the ledger
+	maxNames        = 256  // table entries per answer
+	maxText         = 128  // bytes of an identifier or address
+	maxSections     = 32
+	maxSectionBytes = 64 << 10 // per section
+)
+
+// ErrHeartbeatInvalid reports a heartbeat outside its bounds.
+var ErrHeartbeatInvalid = errors.New("heartbeat is invalid")
+
+// status is the sender's own state.
+type status struct {
+	_         struct{} `cbor:",toarray"`
+	State     State
+	Confirmed bool
+	Head      int64
+	At        timeline.Timestamp
+}
+
+// entry names an instance in a table.
+type entry struct {
+	_       struct{} `cbor:",toarray"`
+	ID      contract.InstanceID
+	Address string
+	Domain  contract.FailureDomainID
+	Region  string
+}
+
+// sectionData is the part of one section.
+type sectionData struct {
+	_    struct{} `cbor:",toarray"`
+	ID   uint8
+	Data []byte
+}
+
+// heartbeat is a request. It tells how much of the receiver's table the sender
+// holds, so that each name travels once.
+type heartbeat struct {
+	Status   status        `cbor:"1,keyasint"`
+	Self     *entry        `cbor:"2,keyasint,omitempty"` // until the peer has answered
+	Epoch    uint64        `cbor:"3,keyasint,omitempty"` // epoch of the receiver's table, 0 if none is held
+	Have     int           `cbor:"4,keyasint,omitempty"` // entries held
+	Sections []sectionData `cbor:"5,keyasint,omitempty"`
+}
+
+// answer completes the round trip. The liveness vector is part of the answer
+// and not of the request: ages then count from the time at which the request
+// was sent, so that neither a pause nor a one-way loss makes a contact look
+// more recent than it was.
+type answer struct {
+	Status status  `cbor:"1,keyasint"`
+	Epoch  uint64  `cbor:"2,keyasint"`
+	First  int     `cbor:"3,keyasint,omitempty"` // index of Names[0]
+	Names  []entry `cbor:"4,keyasint,omitempty"`
+	Marks  []byte  `cbor:"5,keyasint,omitempty"` // two bits per index: no age, or state + 1
+	Ages   []byte  `cbor:"6,keyasint,omitempty"` // one age per mark that is not 0
+}
+
+func decodeHeartbeat(body []byte) (heartbeat, error) {
+	var h heartbeat
+	if err := link.Decode(body, &h); err != nil {
+		return h, err
+	}
+	return h, h.check()
+}
+
+func decodeAnswer(body []byte) (answer, error) {
+	var a answer
+	if err := link.Decode(body, &a); err != nil {
+		return a, err
+	}
+	return a, a.check()
+}
+
+func (s status) check() error {
+	if s.State > Draining || s.Head < 0 {
+		return errors.Wrapf(ErrHeartbeatInvalid, "state=%d head=%d", s.State, s.Head)
+	}
+	return nil
+}
+
+// check accepts an empty identifier: it stands for a removed table entry.
+func (e entry) check() error {
+	if len(e.ID) > maxText || len(e.Address) > maxText || len(e.Domain) > maxText || len(e.Region) > maxText {
+		return errors.Wrap(ErrHeartbeatInvalid, "text of a member is too long")
+	}
+	return nil
+}
+
+func (h heartbeat) check() error {
+	if err := h.Status.check(); err != nil {
+		return err
+	}
+	if h.Have < 0 || h.Have > maxMembers || len(h.Sections) > maxSections {
+		return errors.Wrapf(ErrHeartbeatInvalid, "have=%d sections=%d", h.Have, len(h.Sections))
+	}
+	for _, s := range h.Sections {
+		if len(s.Data) > maxSectionBytes {
+			return errors.Wrapf(ErrHeartbeatInvalid, "section=%d bytes=%d", s.ID, len(s.Data))
+		}
+	}
+	if h.Self != nil {
+		return h.Self.check()
+	}
+	return nil
+}
+
+func (a answer) check() error {
+	if err := a.Status.check(); err != nil {
+		return err
+	}
+	if a.First < 0 || len(a.Names) > maxNames || a.First+len(a.Names) > maxMembers {
+		return errors.Wrapf(ErrHeartbeatInvalid, "first=%d names=%d", a.First, len(a.Names))
+	}
+	if len(a.Marks) > maxMembers/marksPerByte || len(a.Ages) != countMarks(a.Marks) {
+		return errors.Wrapf(ErrHeartbeatInvalid, "marks=%d ages=%d", len(a.Marks), len(a.Ages))
+	}
+	for _, e := range a.Names {
+		if err := e.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
