Add fake engines and a fake router for tests

Tests of generations need engines whose text depends on prompt, preceding text and engine, so that a missing, repeated or foreign token is found by recomputation, and switches for the faults of the fault model.

--- /dev/null
+++ b/internal/upstream/upstreamtest/fault.go
@@ -0,0 +1,112 @@
+package upstreamtest
+
+import (
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// Kill ends the process: all streams and connections are gone.
+func (e *FakeEngine) Kill() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.kill()
+}
+
+func (e *FakeEngine) kill() {
+	e.dead = true
+	for _, s := range e.streams {
+		s.halt()
+	}
+	clear(e.streams)
+	e.cut()
+}
+
+// Restart starts a killed engine with a new incarnation.
+func (e *FakeEngine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dead = false
+	e.paused = false
+	e.incarnation++
+	e.broadcast()
+}
+
+// Close ends all streams of the engine at the end of a test.
+func (e *FakeEngine) Close() { e.Kill() }
+
+// Pause stops the process; its connections stay open. Unpause continues it.
+func (e *FakeEngine) Pause() { e.set(func() { e.paused = true }) }
+
+// Unpause continues a paused engine.
+func (e *FakeEngine) Unpause() { e.set(func() { e.paused = false }) }
+
+// Cut closes all open connections once; the streams go on.
+func (e *FakeEngine) Cut() { e.set(e.cut) }
+
+func (e *FakeEngine) cut() {
+	for _, c := range e.connections {
+		c.lost = true
+	}
+	e.connections = nil
+	e.broadcast()
+}
+
+// Silence makes the connections that are open now silent for good; new ones work.
+func (e *FakeEngine) Silence() { e.each(func(c *connection) { c.silent = true }) }
+
+// Skip leaves out the next token on each open connection.
+func (e *FakeEngine) Skip() { e.each(func(c *connection) { c.skip = true }) }
+
+// Repeat sends the next token twice on each open connection.
+func (e *FakeEngine) Repeat() { e.each(func(c *connection) { c.repeat = true }) }
+
+// CrossRequest puts a token of another request, at the offset expected next,
+// into each open connection.
+func (e *FakeEngine) CrossRequest() {
+	e.each(func(c *connection) {
+		c.injected = append(c.injected, upstream.StreamEvent{
+			Stream:  "other-stream",
+			Request: contract.RequestID{Workspace: "other", Key: "other"},
+			Token:   contract.Token{Offset: c.next, Text: "of another request"},
+		})
+	})
+}
+
+// CrossStream puts a token of an old stream of the same request, at the offset
+// expected next, into each open connection.
+func (e *FakeEngine) CrossStream() {
+	e.each(func(c *connection) {
+		c.injected = append(c.injected, upstream.StreamEvent{
+			Stream:  c.stream.request.Stream + "-old",
+			Request: c.stream.request.Request,
+			Token:   contract.Token{Offset: c.next, Text: "of an old attempt"},
+		})
+	})
+}
+
+// Refuse makes the engine refuse new streams.
+func (e *FakeEngine) Refuse(on bool) { e.set(func() { e.refusing = on }) }
+
+// Leave makes the engine refuse new streams because it is leaving.
+func (e *FakeEngine) Leave(on bool) { e.set(func() { e.leaving = on }) }
+
+// CrashOn makes the engine crash on a prompt that contains the text.
+func (e *FakeEngine) CrashOn(text string) { e.set(func() { e.crashOn = text }) }
+
+// IgnoreCancel makes the engine acknowledge cancellations and generate on.
+func (e *FakeEngine) IgnoreCancel(on bool) { e.set(func() { e.ignoreEnds = on }) }
+
+func (e *FakeEngine) each(change func(*connection)) {
+	e.set(func() {
+		for _, c := range e.connections {
+			change(c)
+		}
+	})
+}
+
+func (e *FakeEngine) set(change func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change()
+	e.broadcast()
+}
--- /dev/null
+++ b/internal/upstream/upstreamtest/router.go
@@ -0,0 +1,169 @@
+package upstreamtest
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// Placement rules of the FakeRouter.
+const (
+	placementWait       = 100 * time.Millisecond
+	quarantineDeaths    = 3
+	quarantineRetention = 10 * time.Minute
+)
+
+// Observed is an Observation with the upstream that it is about.
+type Observed struct {
+	Upstream contract.UpstreamID
+	upstream.Observation
+}
+
+// FakeRouter is an upstream.Router and upstream.EngineDialer over fake engines.
+// It places on the engine with the fewest placements in use, in the order
+// given, and counts a lost connection as a crash.
+type FakeRouter struct {
+	engines []*FakeEngine
+
+	mu           sync.Mutex // guards all fields below
+	inUse        map[contract.UpstreamID]int
+	excluded     map[contract.UpstreamID]bool
+	crashed      map[upstream.ContentKey][]contract.UpstreamID
+	observations []Observed
+	needs        []upstream.Need
+}
+
+var (
+	_ upstream.Router       = (*FakeRouter)(nil)
+	_ upstream.EngineDialer = (*FakeRouter)(nil)
+)
+
+// NewFakeRouter returns a router over the engines.
+func NewFakeRouter(engines ...*FakeEngine) *FakeRouter {
+	return &FakeRouter{
+		engines:  engines,
+		inUse:    map[contract.UpstreamID]int{},
+		excluded: map[contract.UpstreamID]bool{},
+		crashed:  map[upstream.ContentKey][]contract.UpstreamID{},
+	}
+}
+
+// Exclude makes the router place nothing on the upstream, or allows it again.
+func (r *FakeRouter) Exclude(id contract.UpstreamID, on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.excluded[id] = on
+}
+
+// Observations returns what placements reported.
+func (r *FakeRouter) Observations() []Observed {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.observations)
+}
+
+// Needs returns the needs that were placed or not.
+func (r *FakeRouter) Needs() []upstream.Need {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.needs)
+}
+
+// InUse returns how many placements are in use.
+func (r *FakeRouter) InUse() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := 0
+	for _, n := range r.inUse {
+		total += n
+	}
+	return total
+}
+
+// SetCrashes sets the upstreams that crashed while running a content.
+func (r *FakeRouter) SetCrashes(content upstream.ContentKey, ids ...contract.UpstreamID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashed[content] = ids
+}
+
+// Place chooses an engine that serves the pin; a zero pin matches all engines.
+func (r *FakeRouter) Place(need upstream.Need) (upstream.Placement, time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.needs = append(r.needs, need)
+	var best *FakeEngine
+	for _, e := range r.engines {
+		id := e.config.Target.ID
+		if r.excluded[id] || slices.Contains(need.Avoid, id) || !serves(e, need.Pin) {
+			continue
+		}
+		if best == nil || r.inUse[id] < r.inUse[best.config.Target.ID] {
+			best = e
+		}
+	}
+	if best == nil {
+		return upstream.Placement{}, placementWait, false
+	}
+	id := best.config.Target.ID
+	r.inUse[id]++
+	return upstream.Placement{Target: best.config.Target, Done: r.done(id, need.Content)}, 0, true
+}
+
+func serves(e *FakeEngine, pin upstream.ModelPin) bool {
+	return pin == (upstream.ModelPin{}) || pin == e.config.Pin
+}
+
+func (r *FakeRouter) done(id contract.UpstreamID, content upstream.ContentKey) func(upstream.Observation) {
+	called := false
+	return func(o upstream.Observation) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		contract.Invariant(!called, "placement ended twice", "upstream", id)
+		called = true
+		r.inUse[id]--
+		r.observations = append(r.observations, Observed{Upstream: id, Observation: o})
+		if o.Kind == upstream.ObservedLost && !slices.Contains(r.crashed[content], id) {
+			r.crashed[content] = append(r.crashed[content], id)
+		}
+	}
+}
+
+// Target returns an engine's target.
+func (r *FakeRouter) Target(id contract.UpstreamID) (upstream.Target, bool) {
+	for _, e := range r.engines {
+		if e.config.Target.ID == id {
+			return e.config.Target, true
+		}
+	}
+	return upstream.Target{}, false
+}
+
+// Serves reports whether an engine serves the pin.
+func (r *FakeRouter) Serves(_ contract.ServiceID, pin upstream.ModelPin) bool {
+	return slices.ContainsFunc(r.engines, func(e *FakeEngine) bool { return serves(e, pin) })
+}
+
+// Standing returns the crashes of a content.
+func (r *FakeRouter) Standing(content upstream.ContentKey) upstream.Standing {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	deaths := len(r.crashed[content])
+	if deaths < quarantineDeaths {
+		return upstream.Standing{Deaths: deaths}
+	}
+	return upstream.Standing{Deaths: deaths, Quarantined: true, Until: time.Now().Add(quarantineRetention)}
+}
+
+// Engine returns the engine at a target.
+func (r *FakeRouter) Engine(target upstream.Target) upstream.Engine {
+	for _, e := range r.engines {
+		if e.config.Target.ID == target.ID {
+			return e
+		}
+	}
+	return NewFakeEngine(EngineConfig{Target: target})
+}
