Add generations: state machine, runner, registry, locator and relay

A generation survives the loss of its engine, its connection or its holder. The state machine takes the first lane that yields the next token; the fault tests run each fault against the naive version too, which breaks a promise under each of them.

--- a/internal/contract/outcome.go
+++ b/internal/contract/outcome.go
@@ -42,6 +42,8 @@
 	ReasonUnknownService  Reason = "unknown_service"  // the configuration has no such service
 	ReasonUnknownSpace    Reason = "unknown_workspace"
 	ReasonAttempts        Reason = "attempts_exhausted" // the retry budget or the attempt limit is used up
+	ReasonNotHeld         Reason = "not_held"           // the text before the caller's position is not held anywhere
+	ReasonAbandoned       Reason = "abandoned"          // no caller was connected for the grace time
 )
 
 // Verdict is the final answer to a request without its content.
--- a/internal/contract/token.go
+++ b/internal/contract/token.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding"
 	"encoding/hex"
 	"fmt"
 	"hash"
@@ -43,6 +44,27 @@
 	d.tokens++
 }
 
+// State returns the state of the digester, from which RestoreDigester continues
+// without the text.
+func (d *Digester) State() []byte {
+	state, err := d.hash.(encoding.BinaryMarshaler).MarshalBinary()
+	Invariant(err == nil, "state of the digest cannot be written", "error", err)
+	return state
+}
+
+// ErrDigesterState reports a digester state that cannot be read.
+var ErrDigesterState = errors.New("state of a digest is invalid")
+
+// RestoreDigester returns a digester with the state that State returned after
+// the given number of tokens.
+func RestoreDigester(state []byte, tokens int64) (*Digester, error) {
+	d := &Digester{hash: sha256.New(), tokens: tokens}
+	if err := d.hash.(encoding.BinaryUnmarshaler).UnmarshalBinary(state); err != nil {
+		return nil, errors.Mark(err, ErrDigesterState)
+	}
+	return d, nil
+}
+
 // Tokens returns how many tokens were added.
 func (d *Digester) Tokens() int64 { return d.tokens }
 
--- /dev/null
+++ b/internal/generation/plan.go
@@ -0,0 +1,61 @@
+package generation
+
+import (
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// plan is how a new generation begins: from scratch, from the text that the
+// caller or this instance holds, or from the stream that a locator names.
+type plan struct {
+	pin         upstream.ModelPin
+	sampling    upstream.Sampling
+	base        int64 // offset of the first held token
+	digester    *contract.Digester
+	texts       []string // tokens from base on
+	textHeld    bool     // the whole text is held, so that a new attempt can continue it
+	restartFrom int64    // no new attempt before this offset
+	adopt       *AdoptedStream
+}
+
+// newPlan returns the plan for a request, or the reason why its text cannot be
+// continued. known is the text before the caller's position, if it is held.
+func newPlan(r Request, known []string, knownOK bool) (plan, contract.Reason) {
+	p := plan{pin: r.Pin, sampling: r.sampling(), digester: contract.NewDigester()}
+	locator, located := locatorFor(r, ContentOf(r))
+	if located {
+		p.pin = locator.Pin
+		p.sampling = locator.Sampling
+		p.adopt = &AdoptedStream{Attempt: locator.Attempt, Stream: locator.Stream, Upstream: locator.Upstream}
+	}
+	switch {
+	case knownOK:
+		p.texts = known
+		p.textHeld = true
+		if located && locator.Base > r.position().Offset {
+			p.adopt = nil // the stream begins after the caller's position
+		}
+		return p, ""
+	case !located:
+		return plan{}, contract.ReasonNotHeld
+	case locator.Base > r.position().Offset:
+		return plan{}, contract.ReasonNotHeld
+	}
+	digester, err := locator.digester()
+	contract.Invariant(err == nil, "checked locator has no digest", "request", r.ID)
+	p.base = locator.Base
+	p.digester = digester
+	p.textHeld = locator.Base == 0
+	p.restartFrom = r.position().Offset
+	return p, ""
+}
+
+// settings returns the settings of the machine.
+func (p plan) settings(r Request, streamName string, firstToken Rhythm) MachineSettings {
+	return MachineSettings{
+		Request: r.ID, StreamName: streamName, Policy: r.Policy, MaxAttempts: r.MaxAttempts,
+		QueueUntil: r.QueueUntil, Deadline: r.Deadline, FirstToken: firstToken.FirstToken(),
+		Next: p.base + int64(len(p.texts)), TextHeld: p.textHeld, RestartFrom: p.restartFrom,
+		Adopt: p.adopt,
+	}
+}
--- /dev/null
+++ b/internal/generation/request.go
@@ -0,0 +1,79 @@
+package generation
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// Request asks for a generation.
+type Request struct {
+	ID          contract.RequestID
+	Service     contract.ServiceID
+	Pin         upstream.ModelPin
+	Prompt      string
+	Sampling    upstream.Sampling // Seed 0: derived from ID
+	MaxTokens   int64
+	Priority    upstream.Priority
+	Policy      configuration.ResumePolicy
+	MaxAttempts int
+	QueueUntil  time.Time     // a request that never ran waits for an upstream until then
+	Deadline    time.Time     // of the whole request
+	DetachGrace time.Duration // how long the generation runs on without a caller
+	Resume      *Resume       // nil: from the beginning
+}
+
+// Resume is what a caller that reconnects holds.
+type Resume struct {
+	Position contract.Position
+	Locator  string   // of the last start or attempt event; may be empty
+	Received []string // text of each token before Position; may be empty
+}
+
+// ContentOf returns the key of a request's content: service, prompt and
+// parameters. It does not depend on who sends the request or how often.
+func ContentOf(r Request) upstream.ContentKey {
+	hash := sha256.New()
+	// Encoding of a struct of strings and numbers does not fail.
+	_ = json.NewEncoder(hash).Encode(struct {
+		Service   contract.ServiceID
+		Prompt    string
+		Sampling  upstream.Sampling
+		MaxTokens int64
+	}{r.Service, r.Prompt, r.Sampling, r.MaxTokens})
+	return upstream.ContentKey(hash.Sum(nil)[:len(upstream.ContentKey{})])
+}
+
+// sampling returns the parameters with a seed. The derived seed is the same at
+// each instance, so that a repeated request asks engines for the same text.
+func (r Request) sampling() upstream.Sampling {
+	s := r.Sampling
+	if s.Seed == 0 {
+		s.Seed = xxhash.Sum64String(r.ID.String())
+	}
+	return s
+}
+
+// position returns where the caller's text ends.
+func (r Request) position() contract.Position {
+	if r.Resume == nil {
+		return contract.Start()
+	}
+	return r.Resume.Position
+}
+
+// received returns the caller's text if it is complete and matches its position.
+func (r Request) received() ([]string, bool) {
+	if r.Resume == nil || len(r.Resume.Received) == 0 {
+		return nil, r.position() == contract.Start()
+	}
+	texts := r.Resume.Received
+	complete := int64(len(texts)) == r.Resume.Position.Offset
+	return texts, complete && contract.DigestOf(texts) == r.Resume.Position.Digest
+}
--- /dev/null
+++ b/internal/naive/generation.go
@@ -0,0 +1,199 @@
+package naive
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/generation"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// generationSilence is how long the naive version waits for a token before it
+// starts again.
+const generationSilence = time.Second
+
+// Generations is the simplest version of generation.Registry. After a failure
+// it starts again from scratch on another engine and appends whatever comes;
+// it checks no offsets, digests, versions or stream names.
+type Generations struct {
+	config generation.Config
+
+	mu   sync.Mutex // guards held
+	held map[contract.RequestID]*naiveGeneration
+}
+
+// NewGenerations returns an empty Generations.
+func NewGenerations(config generation.Config) *Generations {
+	return &Generations{config: config, held: map[contract.RequestID]*naiveGeneration{}}
+}
+
+// naiveGeneration collects the text of one generation.
+type naiveGeneration struct {
+	request generation.Request
+	events  chan naiveEvent
+
+	mu      sync.Mutex // guards all fields below
+	texts   []string
+	verdict *contract.Verdict
+	changed chan struct{}
+}
+
+// naiveEvent is a token, the end or an error of one connection.
+type naiveEvent struct {
+	event upstream.StreamEvent
+	err   error
+}
+
+// Open subscribes to the generation that is held here, at the caller's offset,
+// or starts one.
+func (n *Generations) Open(
+	_ context.Context, request generation.Request,
+) (*generation.Subscription, contract.Verdict, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	g, found := n.held[request.ID]
+	if !found {
+		g = &naiveGeneration{
+			request: request, events: make(chan naiveEvent), changed: make(chan struct{}),
+		}
+		n.held[request.ID] = g
+		go n.run(g)
+	}
+	position := contract.Start()
+	if request.Resume != nil {
+		position = request.Resume.Position
+	}
+	started := false
+	next := func(ctx context.Context) (generation.Event, error) {
+		if !started {
+			started = true
+			return generation.Event{Kind: generation.EventStart, Position: position, Pin: request.Pin}, nil
+		}
+		return g.next(ctx, &position)
+	}
+	return generation.NewSubscription(next, func() {}), contract.Verdict{}, true
+}
+
+// run feeds the generation from all connections that it has opened.
+func (n *Generations) run(g *naiveGeneration) {
+	ctx, cancel := context.WithDeadline(context.Background(), g.request.Deadline)
+	defer cancel()
+	var avoid []contract.UpstreamID
+	for range g.request.MaxAttempts {
+		avoid = n.start(ctx, g, avoid)
+		if g.read(ctx) {
+			return
+		}
+	}
+	g.finish(contract.Verdict{Outcome: contract.Interrupted, Reason: contract.ReasonAttempts})
+}
+
+// start starts from scratch on an engine that was not used yet.
+func (n *Generations) start(
+	ctx context.Context, g *naiveGeneration, avoid []contract.UpstreamID,
+) []contract.UpstreamID {
+	placement, _, ok := n.config.Router.Place(upstream.Need{Service: g.request.Service, Avoid: avoid})
+	if !ok {
+		return nil
+	}
+	go func() {
+		defer placement.Done(upstream.Observation{Kind: upstream.ObservedOK})
+		engine := n.config.Dialer.Engine(placement.Target)
+		stream, err := engine.Start(ctx, upstream.StreamRequest{
+			Stream:  upstream.StreamID(contract.NewKey()),
+			Request: g.request.ID, Prompt: g.request.Prompt, MaxTokens: g.request.MaxTokens,
+		})
+		for err == nil {
+			var event upstream.StreamEvent
+			event, err = stream.Next(ctx)
+			if err == nil {
+				g.send(ctx, naiveEvent{event: event})
+			}
+		}
+		g.send(ctx, naiveEvent{err: err})
+	}()
+	return append(avoid, placement.Target.ID)
+}
+
+func (g *naiveGeneration) send(ctx context.Context, e naiveEvent) {
+	select {
+	case g.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// read appends what comes until the end (true) or a failure (false).
+func (g *naiveGeneration) read(ctx context.Context) bool {
+	for {
+		timer := time.NewTimer(generationSilence)
+		select {
+		case e := <-g.events:
+			timer.Stop()
+			if e.err != nil {
+				return false
+			}
+			if e.event.End {
+				g.finish(contract.Verdict{Outcome: contract.Completed})
+				return true
+			}
+			g.append(e.event.Token.Text)
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		}
+	}
+}
+
+func (g *naiveGeneration) append(text string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.texts = append(g.texts, text)
+	g.broadcast()
+}
+
+func (g *naiveGeneration) finish(verdict contract.Verdict) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.verdict = &verdict
+	g.broadcast()
+}
+
+func (g *naiveGeneration) broadcast() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// next returns the event after the position and moves the position.
+func (g *naiveGeneration) next(ctx context.Context, p *contract.Position) (generation.Event, error) {
+	for {
+		event, ready, changed := g.poll(p)
+		if ready {
+			return event, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return generation.Event{}, ctx.Err()
+		}
+	}
+}
+
+func (g *naiveGeneration) poll(p *contract.Position) (generation.Event, bool, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	length := int64(len(g.texts))
+	if p.Offset < length {
+		text := g.texts[p.Offset]
+		p.Offset++
+		p.Digest = contract.DigestOf(g.texts[:p.Offset])
+		return generation.Event{Kind: generation.EventToken, Position: *p, Text: text}, true, nil
+	}
+	if g.verdict != nil {
+		return generation.Event{Kind: generation.EventEnd, Position: *p, Verdict: *g.verdict, Count: length}, true, nil
+	}
+	return generation.Event{}, false, g.changed
+}
