--- a/internal/generation/relay.go
+++ b/internal/generation/relay.go
@@ -111,19 +111,35 @@
 func (e Event) final() bool { return e.Kind == EventEnd || e.Kind == EventBroken }
 
 // relay looks for the generation at the holder that the caller's locator names
-// or, without one, at all linked peers.
+// or, without one, at all linked peers at once.
 func (r *Registry) relay(ctx context.Context, request Request) (*Subscription, bool) {
 	if r.config.Transport == nil || request.Resume == nil {
 		return nil, false
 	}
-	for _, peer := range r.candidates(request) {
-		if s, found := r.relayFrom(ctx, peer, request); found {
-			return s, true
+	peers := r.candidates(request)
+	answers := make(chan *relayed, len(peers))
+	opening, cancel := context.WithTimeout(ctx, relayOpenTimeout)
+	defer cancel()
+	for _, peer := range peers {
+		go func() { answers <- r.relayFrom(opening, peer, request) }()
+	}
+	for asked := range peers {
+		if found := <-answers; found != nil {
+			go closeOthers(answers, len(peers)-asked-1)
+			return NewSubscription(found.next, found.close), true
 		}
 	}
 	return nil, false
 }
 
+func closeOthers(answers <-chan *relayed, count int) {
+	for range count {
+		if other := <-answers; other != nil {
+			other.close()
+		}
+	}
+}
+
 func (r *Registry) candidates(request Request) []contract.InstanceID {
 	locator, err := DecodeLocator(request.Resume.Locator)
 	if err == nil && locator.Holder == r.config.Instance {
@@ -138,58 +154,91 @@
 	return r.config.Peers()
 }
 
-// relayFrom subscribes at a peer; found is false if it does not answer in time
-// or does not hold the generation.
-func (r *Registry) relayFrom(ctx context.Context, peer contract.InstanceID, request Request) (*Subscription, bool) {
+// relayFrom subscribes at a peer; nil if it does not answer in time or does not
+// hold the generation.
+func (r *Registry) relayFrom(opening context.Context, peer contract.InstanceID, request Request) *relayed {
 	body, err := cbor.Marshal(RelayRequest{
 		Request: request.ID, Position: request.position(),
 		Content: ContentOf(request), CheckContent: request.Prompt != "",
 	})
 	contract.Invariant(err == nil, "relay request cannot be encoded", "error", err)
-	opening, cancel := context.WithTimeout(ctx, relayOpenTimeout)
-	defer cancel()
-	// The sequence of frames outlives the time limit of its opening.
-	frames, err := openFrames(opening, context.WithoutCancel(ctx), r.config.Transport, peer, body)
+	connection, err := openRelay(opening, r.config.Transport, peer, body)
 	if err != nil {
-		return nil, false
+		return nil
 	}
-	relayed := &relayed{registry: r, request: request, frames: frames, position: request.position()}
-	relayed.texts, relayed.complete = request.received()
-	first, err := relayed.receive(opening)
-	if err != nil {
-		frames.Close()
-		return nil, false
+	relayed := newRelayed(r, request, connection)
+	if relayed.open(opening) != nil {
+		connection.close()
+		return nil
 	}
-	relayed.first = &first
-	return NewSubscription(relayed.next, relayed.close), true
+	return relayed
+}
+
+// relayConnection reads frames in its own goroutine, so that a reader that
+// gives up waiting loses none.
+type relayConnection struct {
+	frames   link.Frames
+	incoming chan incomingFrame
+	cancel   context.CancelFunc
 }
 
-// openFrames opens a sequence of frames within the time limit of one context;
-// the sequence itself lives until it is closed.
-func openFrames(
-	opening, life context.Context, transport link.Transport, peer contract.InstanceID, body []byte,
-) (link.Frames, error) {
-	life, cancel := context.WithCancel(life)
+type incomingFrame struct {
+	encoded []byte
+	err     error
+}
+
+// openRelay opens the sequence of frames; opening limits only the wait for that.
+func openRelay(
+	opening context.Context, transport link.Transport, peer contract.InstanceID, body []byte,
+) (*relayConnection, error) {
+	life, cancel := context.WithCancel(context.WithoutCancel(opening))
 	stop := context.AfterFunc(opening, cancel)
 	frames, err := transport.Open(life, peer, RelayMessage, body)
-	if !stop() && err == nil {
-		frames.Close()
-		err = context.Cause(opening)
-	}
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	return &framesWithCancel{Frames: frames, cancel: cancel}, nil
+	if !stop() {
+		frames.Close()
+		return nil, context.Cause(opening)
+	}
+	c := &relayConnection{frames: frames, incoming: make(chan incomingFrame, 1), cancel: cancel}
+	go c.read(life)
+	return c, nil
+}
+
+func (c *relayConnection) read(life context.Context) {
+	for {
+		encoded, err := c.frames.Next(life)
+		select {
+		case c.incoming <- incomingFrame{encoded: encoded, err: err}:
+		case <-life.Done():
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
 }
 
-type framesWithCancel struct {
-	link.Frames
-	cancel context.CancelFunc
+func (c *relayConnection) close() {
+	c.cancel()
+	c.frames.Close()
 }
 
-// Close closes the frames and ends their context.
-func (f *framesWithCancel) Close() {
-	f.Frames.Close()
-	f.cancel()
+// receive waits for the next frame.
+func (c *relayConnection) receive(ctx context.Context) (RelayFrame, error) {
+	select {
+	case in := <-c.incoming:
+		if in.err != nil {
+			return RelayFrame{}, in.err
+		}
+		var frame RelayFrame
+		if err := cbor.Unmarshal(in.encoded, &frame); err != nil {
+			return RelayFrame{}, errors.Mark(err, ErrRelayFrameInvalid)
+		}
+		return frame, nil
+	case <-ctx.Done():
+		return RelayFrame{}, ctx.Err()
+	}
 }
