Add in-memory fakes of the platform for tests

Tests of dispatch, configuration and membership need the same faults: an unavailable table service, lost answers and writes that take effect late.

--- /dev/null
+++ b/internal/platform/platformtest/list.go
@@ -0,0 +1,123 @@
+package platformtest
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/platform"
+)
+
+// Instances is an in-memory platform.InstanceList. A reader sees the state of
+// lag ago.
+type Instances struct {
+	mu          sync.Mutex // guards the fields below
+	instances   map[string]platform.ListEntry
+	upstreams   map[string]platform.ListEntry
+	history     []snapshot
+	lag         time.Duration
+	unavailable bool
+}
+
+type snapshot struct {
+	at   time.Time
+	list platform.List
+}
+
+// maxHistory bounds the memory of a list with a lag.
+const maxHistory = 1024
+
+// NewInstances returns an empty list without lag.
+func NewInstances() *Instances {
+	return &Instances{instances: map[string]platform.ListEntry{}, upstreams: map[string]platform.ListEntry{}}
+}
+
+// SetLag sets how old the list is that a reader sees.
+func (l *Instances) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+}
+
+// SetUnavailable makes each request fail with ErrUnavailable, or ends that.
+func (l *Instances) SetUnavailable(unavailable bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unavailable = unavailable
+}
+
+// SetUpstream sets the entry of an upstream.
+func (l *Instances) SetUpstream(entry platform.ListEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry.UpdatedAt = time.Now()
+	l.upstreams[entry.ID] = entry
+	l.remember()
+}
+
+// RemoveUpstream removes the entry of an upstream.
+func (l *Instances) RemoveUpstream(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.upstreams, id)
+	l.remember()
+}
+
+// List returns the list as it was lag ago.
+func (l *Instances) List(context.Context) (platform.List, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unavailable {
+		return platform.List{}, platform.ErrUnavailable
+	}
+	limit := time.Now().Add(-l.lag)
+	for i := len(l.history) - 1; i >= 0; i-- {
+		if !l.history[i].at.After(limit) {
+			return l.history[i].list, nil
+		}
+	}
+	return platform.List{}, nil
+}
+
+// Announce sets the entry of an instance.
+func (l *Instances) Announce(_ context.Context, entry platform.ListEntry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unavailable {
+		return platform.ErrUnavailable
+	}
+	entry.UpdatedAt = time.Now()
+	l.instances[entry.ID] = entry
+	l.remember()
+	return nil
+}
+
+// Withdraw removes the entry of an instance.
+func (l *Instances) Withdraw(_ context.Context, id string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unavailable {
+		return platform.ErrUnavailable
+	}
+	delete(l.instances, id)
+	l.remember()
+	return nil
+}
+
+func (l *Instances) remember() {
+	list := platform.List{Instances: entries(l.instances), Upstreams: entries(l.upstreams)}
+	l.history = append(l.history, snapshot{at: time.Now(), list: list})
+	if len(l.history) > maxHistory {
+		l.history = l.history[len(l.history)-maxHistory:]
+	}
+}
+
+func entries(from map[string]platform.ListEntry) []platform.ListEntry {
+	out := make([]platform.ListEntry, 0, len(from))
+	for _, e := range from {
+		out = append(out, e)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
--- /dev/null
+++ b/internal/platform/platformtest/table.go
@@ -0,0 +1,244 @@
+package platformtest
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/platform"
+)
+
+// Faults is what a Table does wrong. The zero value is no fault. Rates are
+// shares of requests between 0 and 1.
+type Faults struct {
+	Unavailable     bool          // each request fails with ErrUnavailable and has no effect
+	UnavailableRate float64       // share of requests that fail that way
+	LoseAnswerRate  float64       // share of commits that take effect and return ErrUncertain
+	LoseRequestRate float64       // share of commits that have no effect and return ErrUncertain
+	DelayRate       float64       // share of commits that return ErrUncertain and take effect later
+	Delay           time.Duration // upper bound of the time until a delayed commit takes effect
+	Slow            time.Duration // upper bound of the random time that each request takes
+}
+
+// Operation names a request to a Table.
+type Operation string
+
+// The operations.
+const (
+	OperationRead   Operation = "read"
+	OperationList   Operation = "list"
+	OperationCommit Operation = "commit"
+)
+
+// Table is an in-memory platform.TableService. Its random choices come from
+// its seed.
+type Table struct {
+	mu       sync.Mutex // guards all fields below
+	rows     map[string]platform.Row
+	revision int64
+	faults   Faults
+	random   *rand.Rand
+	commits  int
+	hook     func(op Operation, after bool)
+}
+
+// NewTable returns an empty table without faults.
+func NewTable() *Table { return NewSeededTable(1) }
+
+// NewSeededTable returns an empty table whose faults follow the seed.
+func NewSeededTable(seed uint64) *Table {
+	return &Table{rows: map[string]platform.Row{}, random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Set puts faults in force.
+func (t *Table) Set(f Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+}
+
+// Hook sets a function that is called, without a lock held, before each
+// operation and after its effect. It may block to pause the caller.
+func (t *Table) Hook(hook func(op Operation, after bool)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hook = hook
+}
+
+// Rows returns all rows by key.
+func (t *Table) Rows() []platform.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sorted("", "", len(t.rows))
+}
+
+// Commits returns how many commit requests were made.
+func (t *Table) Commits() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.commits
+}
+
+// fate is what happens to one request.
+type fate struct {
+	unavailable bool
+	lost        bool // no effect, no answer
+	unanswered  bool // effect, no answer
+	delayed     time.Duration
+	slow        time.Duration
+}
+
+func (t *Table) draw() fate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.faults
+	out := fate{unavailable: f.Unavailable || t.chance(f.UnavailableRate)}
+	if f.Slow > 0 {
+		out.slow = time.Duration(t.random.Int64N(int64(f.Slow)))
+	}
+	switch {
+	case t.chance(f.LoseAnswerRate):
+		out.unanswered = true
+	case t.chance(f.LoseRequestRate):
+		out.lost = true
+	case t.chance(f.DelayRate) && f.Delay > 0:
+		out.delayed = 1 + time.Duration(t.random.Int64N(int64(f.Delay)))
+	}
+	return out
+}
+
+func (t *Table) chance(rate float64) bool { return rate > 0 && t.random.Float64() < rate }
+
+func (t *Table) call(op Operation, after bool) {
+	t.mu.Lock()
+	hook := t.hook
+	t.mu.Unlock()
+	if hook != nil {
+		hook(op, after)
+	}
+}
+
+// wait returns false if ctx ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Read returns a row.
+func (t *Table) Read(ctx context.Context, key string) (platform.Row, error) {
+	t.call(OperationRead, false)
+	f := t.draw()
+	if !wait(ctx, f.slow) || f.unavailable {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	t.mu.Lock()
+	row, ok := t.rows[key]
+	t.mu.Unlock()
+	t.call(OperationRead, true)
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+// List returns rows by prefix.
+func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	t.call(OperationList, false)
+	f := t.draw()
+	if !wait(ctx, f.slow) || f.unavailable {
+		return nil, platform.ErrUnavailable
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sorted(prefix, after, limit), nil
+}
+
+func (t *Table) sorted(prefix, after string, limit int) []platform.Row {
+	out := []platform.Row{}
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			out = append(out, row)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out[:min(limit, len(out))]
+}
+
+// Commit applies independent transactions.
+func (t *Table) Commit(ctx context.Context, transactions []platform.Transaction) ([]platform.CommitResult, error) {
+	t.call(OperationCommit, false)
+	f := t.draw()
+	t.mu.Lock()
+	t.commits++
+	t.mu.Unlock()
+	if f.unavailable {
+		return nil, platform.ErrUnavailable
+	}
+	if f.lost {
+		wait(ctx, f.slow)
+		return nil, platform.ErrUncertain
+	}
+	if f.delayed > 0 {
+		time.AfterFunc(f.slow+f.delayed, func() { t.apply(transactions) })
+		wait(ctx, f.slow)
+		return nil, platform.ErrUncertain
+	}
+	if !wait(ctx, f.slow) {
+		// The request was under way: it takes effect although nobody waits.
+		time.AfterFunc(f.slow, func() { t.apply(transactions) })
+		return nil, platform.ErrUncertain
+	}
+	results := t.apply(transactions)
+	t.call(OperationCommit, true)
+	if f.unanswered {
+		return nil, platform.ErrUncertain
+	}
+	return results, nil
+}
+
+func (t *Table) apply(transactions []platform.Transaction) []platform.CommitResult {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	results := make([]platform.CommitResult, len(transactions))
+	for i, tx := range transactions {
+		if !t.holds(tx.Conditions) {
+			continue
+		}
+		t.revision++
+		results[i] = platform.CommitResult{Applied: true, Revision: t.revision}
+		for _, w := range tx.Writes {
+			t.write(w)
+		}
+	}
+	return results
+}
+
+func (t *Table) holds(conditions []platform.Condition) bool {
+	for _, c := range conditions {
+		if t.rows[c.Key].Revision != c.Revision {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Table) write(w platform.Write) {
+	if w.Value == nil {
+		delete(t.rows, w.Key)
+		return
+	}
+	value := append([]byte{}, w.Value...)
+	t.rows[w.Key] = platform.Row{Key: w.Key, Value: value, Revision: t.revision}
+}
