Add dispatch of calls with at-most-once records, retries and hedges

A call that is not idempotent is recorded before its only send. Uncertain inserts are read back and, when given up, released by a conditional write so that they cannot take effect later. The naive version shows in tests what the record prevents.

--- /dev/null
+++ b/internal/dispatch/batcher.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/platform"
+)
+
+// Limits of one batch. The table service counts a request as one write however
+// many transactions it holds; the delay is small against a write, the byte
+// limit keeps one request from growing to the sum of 64 recorded answers.
+const (
+	batchDelay = 5 * time.Millisecond
+	batchSize  = 64
+	batchBytes = 1 << 20
+)
+
+// batcher joins independent transactions into one commit request.
+type batcher struct {
+	table   platform.TableService
+	timeout time.Duration // of one commit request
+
+	mu      sync.Mutex // guards the fields below and the queued field of each item; never held during I/O
+	pending []*batchItem
+	bytes   int
+	timer   *time.Timer
+}
+
+type batchItem struct {
+	transaction platform.Transaction
+	queued      bool // not yet part of a commit request
+	done        chan struct{}
+	result      platform.CommitResult
+	err         error
+}
+
+func newBatcher(table platform.TableService, timeout time.Duration) *batcher {
+	return &batcher{table: table, timeout: timeout}
+}
+
+// commit applies one transaction. ErrUnavailable means that it had no effect
+// and will have none; ErrUncertain that it may have one, now or later.
+func (b *batcher) commit(ctx context.Context, tx platform.Transaction) (platform.CommitResult, error) {
+	if ctx.Err() != nil {
+		return platform.CommitResult{}, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+	}
+	item := &batchItem{transaction: tx, queued: true, done: make(chan struct{})}
+	b.add(item)
+	select {
+	case <-item.done:
+		return item.result, item.err
+	case <-ctx.Done():
+	}
+	if b.withdraw(item) {
+		return platform.CommitResult{}, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+	}
+	select {
+	case <-item.done:
+		return item.result, item.err
+	default:
+		return platform.CommitResult{}, errors.Mark(ctx.Err(), platform.ErrUncertain)
+	}
+}
+
+func (b *batcher) add(item *batchItem) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pending = append(b.pending, item)
+	b.bytes += item.size()
+	if len(b.pending) >= batchSize || b.bytes >= batchBytes {
+		b.startLocked()
+		return
+	}
+	if b.timer == nil {
+		b.timer = time.AfterFunc(batchDelay, b.start)
+	}
+}
+
+// withdraw takes an item back that is in no commit request yet.
+func (b *batcher) withdraw(item *batchItem) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !item.queued {
+		return false
+	}
+	for i, other := range b.pending {
+		if other == item {
+			b.pending = append(b.pending[:i], b.pending[i+1:]...)
+			break
+		}
+	}
+	b.bytes -= item.size()
+	return true
+}
+
+func (b *batcher) start() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.startLocked()
+}
+
+func (b *batcher) startLocked() {
+	if b.timer != nil {
+		b.timer.Stop()
+		b.timer = nil
+	}
+	batch := b.pending
+	b.pending = nil
+	b.bytes = 0
+	if len(batch) == 0 {
+		return
+	}
+	for _, item := range batch {
+		item.queued = false
+	}
+	go b.send(batch)
+}
+
+func (b *batcher) send(batch []*batchItem) {
+	ctx, cancel := context.WithTimeout(context.Background(), b.timeout)
+	defer cancel()
+	transactions := make([]platform.Transaction, len(batch))
+	for i, item := range batch {
+		transactions[i] = item.transaction
+	}
+	results, err := b.table.Commit(ctx, transactions)
+	if err == nil && len(results) != len(batch) {
+		err = errors.Wrapf(platform.ErrUncertain, "%d results for %d transactions", len(results), len(batch))
+	}
+	if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+		// Whatever else went wrong, the request may have arrived.
+		err = errors.Mark(err, platform.ErrUncertain)
+	}
+	for i, item := range batch {
+		if err == nil {
+			item.result = results[i]
+		}
+		item.err = err
+		close(item.done)
+	}
+}
+
+func (i *batchItem) size() int {
+	n := 0
+	for _, w := range i.transaction.Writes {
+		n += len(w.Value)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/dispatch/budget.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+)
+
+// Settings of the retry budget. A tenth of the requests keeps the extra load
+// during a failure of many upstreams small; the floor lets an instance with few
+// requests retry at all; the capacity bounds the burst after a quiet time.
+const (
+	budgetRatio          = 0.1
+	budgetFloorPerSecond = 1.0
+	budgetCapacity       = 50.0
+)
+
+// Bucket is a token bucket that pays for retries and hedges: each request
+// deposits a part of a token, each retry or hedge takes a whole one. It is a
+// pure value: the time is an argument.
+type Bucket struct {
+	Ratio          float64 // tokens per request
+	FloorPerSecond float64 // tokens per second, regardless of requests
+	Capacity       float64 // largest number of tokens
+
+	tokens  float64
+	updated time.Time
+}
+
+// NewBucket returns a full bucket with the default settings.
+func NewBucket(now time.Time) Bucket {
+	return Bucket{
+		Ratio:          budgetRatio,
+		FloorPerSecond: budgetFloorPerSecond,
+		Capacity:       budgetCapacity,
+		tokens:         budgetCapacity,
+		updated:        now,
+	}
+}
+
+// Deposit returns the bucket after one request.
+func (b Bucket) Deposit(now time.Time) Bucket {
+	b = b.at(now)
+	b.tokens = min(b.Capacity, b.tokens+b.Ratio)
+	return b
+}
+
+// Take returns the bucket after one retry or hedge, or false if there is no
+// whole token.
+func (b Bucket) Take(now time.Time) (Bucket, bool) {
+	b = b.at(now)
+	if b.tokens < 1 {
+		return b, false
+	}
+	b.tokens--
+	return b, true
+}
+
+func (b Bucket) at(now time.Time) Bucket {
+	if elapsed := now.Sub(b.updated); elapsed > 0 {
+		b.tokens = min(b.Capacity, b.tokens+b.FloorPerSecond*elapsed.Seconds())
+		b.updated = now
+	}
+	return b
+}
+
+// Budget is the retry budget of an instance. It covers retries and hedges of
+// calls and generations.
+type Budget struct {
+	mu     sync.Mutex // guards bucket
+	bucket Bucket
+}
+
+// NewBudget returns a full budget.
+func NewBudget() *Budget { return &Budget{bucket: NewBucket(time.Now())} }
+
+// Request counts a request that came from a caller.
+func (b *Budget) Request() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bucket = b.bucket.Deposit(time.Now())
+}
+
+// Take reports whether a retry or hedge may be sent, and counts it.
+func (b *Budget) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next, ok := b.bucket.Take(time.Now())
+	b.bucket = next
+	return ok
+}
--- /dev/null
+++ b/internal/dispatch/caller.go
@@ -0,0 +1,271 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+	"foxtailhub.example/foxtailhub/internal/workspace"
+)
+
+// Defaults of settings that are not given.
+const (
+	DefaultRetention = 24 * time.Hour
+	DefaultStoreWait = time.Second
+	DefaultPollWait  = 2 * time.Second
+
+	defaultDeadline = 10 * time.Second // configuration.Service.DeadlineMS
+	defaultQueue    = time.Second      // configuration.Service.QueueMS
+)
+
+// Config holds the dependencies and settings of a Caller.
+type Config struct {
+	Configuration configuration.Source
+	Router        upstream.Router
+	Services      upstream.ServiceDialer
+	Table         platform.TableService
+
+	Admitter workspace.Admitter // nil: all requests are admitted
+	Budget   *Budget            // nil: a budget of its own
+	Timeline timeline.Recorder  // nil: events are dropped
+	Log      logrus.FieldLogger // nil: log lines are dropped
+
+	// Retention is how long a dispatch record is kept. Default 24 h.
+	Retention time.Duration
+	// StoreWait is the longest time to create a dispatch record. Default 1 s.
+	StoreWait time.Duration
+	// PollWait is the longest time to wait for the outcome of another submission. Default 2 s.
+	PollWait time.Duration
+	// Instances returns the number of instances, which share the deletion of
+	// old records. nil: one instance.
+	Instances func() int
+}
+
+func (c Config) withDefaults() Config {
+	if c.Budget == nil {
+		c.Budget = NewBudget()
+	}
+	if c.Timeline == nil {
+		c.Timeline = timeline.Discard{}
+	}
+	if c.Log == nil {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		c.Log = log
+	}
+	if c.Retention == 0 {
+		c.Retention = DefaultRetention
+	}
+	if c.StoreWait == 0 {
+		c.StoreWait = DefaultStoreWait
+	}
+	if c.PollWait == 0 {
+		c.PollWait = DefaultPollWait
+	}
+	if c.Instances == nil {
+		c.Instances = func() int { return 1 }
+	}
+	return c
+}
+
+// Caller runs calls.
+type Caller struct {
+	config     Config
+	rules      rules
+	recorder   *recorder
+	retention  *retention
+	once       *onceRunner
+	idempotent *idempotentRunner
+
+	mu      sync.Mutex // guards flights; held only for a look-up
+	flights map[flightKey]*flight
+}
+
+// flightKey names a run. Two calls that are not idempotent and share a key
+// share a run or are a mismatch; idempotent calls are joined only if they are
+// equal.
+type flightKey struct {
+	id          contract.RequestID
+	fingerprint Fingerprint // idempotent calls only
+}
+
+// flight is the run of a request that concurrent submissions of it join.
+type flight struct {
+	fingerprint Fingerprint
+	deadline    time.Time
+	done        chan struct{}
+	result      Result // valid once done is closed
+}
+
+// NewCaller returns a Caller. Run must be called for its background work.
+func NewCaller(config Config) *Caller {
+	config = config.withDefaults()
+	r := newRecorder(config.Table, config.StoreWait, config.Log)
+	return &Caller{
+		config:     config,
+		rules:      rules{source: config.Configuration},
+		recorder:   r,
+		retention:  newRetention(config, r.batch),
+		once:       &onceRunner{config: config, recorder: r},
+		idempotent: &idempotentRunner{config: config, latencies: newLatencies()},
+		flights:    map[flightKey]*flight{},
+	}
+}
+
+// Run settles and deletes records in the background until ctx ends.
+func (c *Caller) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { c.recorder.settler.run(ctx) })
+	group.Go(func() { c.retention.run(ctx) })
+	group.Wait()
+}
+
+// Flush writes all outcomes and releases that are still open. It is called at
+// shutdown, when no call is in progress.
+func (c *Caller) Flush(ctx context.Context) error { return c.recorder.settler.flush(ctx) }
+
+// InFlight returns the number of requests in progress.
+func (c *Caller) InFlight() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.flights)
+}
+
+// Call runs a request and returns its final answer. If ctx ends first, the
+// answer is unknown and the run goes on until its deadline.
+func (c *Caller) Call(ctx context.Context, request Request) Result {
+	request = request.withDefaults()
+	service, priority, reason := c.rules.lookup(request.ID.Workspace, request.Service)
+	if reason != "" {
+		return refused(reason, 0)
+	}
+	request.Deadline = deadlineOf(ctx, request, service, time.Now())
+	f, mismatch := c.join(request, service, priority)
+	if mismatch {
+		return refused(contract.ReasonMismatch, 0)
+	}
+	return f.wait(ctx, request.Deadline)
+}
+
+func deadlineOf(ctx context.Context, request Request, service configuration.Service, now time.Time) time.Time {
+	deadline := now.Add(millisecondsOr(service.DeadlineMS, defaultDeadline))
+	if !request.Deadline.IsZero() && request.Deadline.Before(deadline) {
+		deadline = request.Deadline
+	}
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	return deadline
+}
+
+func millisecondsOr(ms int64, def time.Duration) time.Duration {
+	if ms <= 0 {
+		return def
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// join returns the run of the request: the one in progress or a new one.
+func (c *Caller) join(request Request, service configuration.Service, priority upstream.Priority) (*flight, bool) {
+	fingerprint := FingerprintOf(request)
+	key := flightKey{id: request.ID}
+	if service.Idempotent {
+		key.fingerprint = fingerprint
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if f, ok := c.flights[key]; ok {
+		return f, f.fingerprint != fingerprint
+	}
+	f := &flight{
+		fingerprint: fingerprint,
+		deadline:    request.Deadline,
+		done:        make(chan struct{}),
+		// Stands if the run ends without a result.
+		result: unknown(contract.ReasonUnknownOutcome, 0),
+	}
+	c.flights[key] = f
+	go c.fly(f, key, request, service, priority)
+	return f, false
+}
+
+func (c *Caller) fly(f *flight, key flightKey, request Request, service configuration.Service, priority upstream.Priority) {
+	defer func() {
+		c.mu.Lock()
+		delete(c.flights, key)
+		c.mu.Unlock()
+		close(f.done)
+	}()
+	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
+	defer cancel()
+	f.result = c.run(ctx, request, service, priority)
+	c.record(timeline.RequestFinished, request, string(f.result.Verdict.Outcome)+" "+string(f.result.Verdict.Reason))
+}
+
+func (c *Caller) run(ctx context.Context, request Request, service configuration.Service, priority upstream.Priority) Result {
+	c.config.Budget.Request()
+	release, verdict, ok := c.admit(ctx, request, service, priority)
+	if !ok {
+		c.record(timeline.RequestRefused, request, string(verdict.Reason))
+		return Result{Verdict: verdict}
+	}
+	defer release()
+	c.record(timeline.RequestAdmitted, request, "")
+	if service.Idempotent {
+		return c.idempotent.run(ctx, request)
+	}
+	return c.once.run(ctx, request)
+}
+
+func (c *Caller) admit(ctx context.Context, request Request, service configuration.Service, priority upstream.Priority) (func(), contract.Verdict, bool) {
+	if c.config.Admitter == nil {
+		return func() {}, contract.Verdict{}, true
+	}
+	until := time.Now().Add(millisecondsOr(service.QueueMS, defaultQueue))
+	if request.Deadline.Before(until) {
+		until = request.Deadline
+	}
+	return c.config.Admitter.Admit(ctx, workspace.Ask{
+		Workspace: request.ID.Workspace,
+		Service:   request.Service,
+		Priority:  priority,
+		Deadline:  until,
+	})
+}
+
+func (c *Caller) record(kind timeline.Kind, request Request, detail string) {
+	c.config.Timeline.Record(timeline.Event{Kind: kind, Request: request.ID, Detail: detail})
+}
+
+// wait returns the result of the run. A run ends by itself at its deadline, so
+// that a submission with the same or a later deadline gets its result unless
+// its caller goes away; one with an earlier deadline does not wait longer.
+func (f *flight) wait(ctx context.Context, deadline time.Time) Result {
+	var expired <-chan time.Time
+	if deadline.Before(f.deadline) {
+		timer := time.NewTimer(time.Until(deadline))
+		defer timer.Stop()
+		expired = timer.C
+	}
+	select {
+	case <-f.done:
+		return f.result
+	case <-expired:
+		return unknown(contract.ReasonInProgress, 0)
+	case <-ctx.Done():
+	}
+	if expired == nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		<-f.done
+		return f.result
+	}
+	return unknown(contract.ReasonInProgress, 0)
+}
--- /dev/null
+++ b/internal/dispatch/latency.go
@@ -0,0 +1,103 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// Bounds of the latency histograms. One histogram of this range and precision
+// takes about 13 KB; a service has two windows.
+const (
+	latencyMin      = int64(100) // microseconds
+	latencyMax      = int64(60_000_000)
+	latencyDigits   = 1
+	latencyWindow   = 30 * time.Second
+	latencyRefresh  = time.Second
+	latencyServices = 256 // services beyond this number are not observed
+	latencyQuantile = 95
+)
+
+// latencies observes the time to the answer for each service.
+type latencies struct {
+	mu       sync.Mutex // guards services; not held while a histogram is used
+	services map[contract.ServiceID]*serviceLatency
+}
+
+type serviceLatency struct {
+	mu       sync.Mutex // guards the fields below
+	current  *hdrhistogram.Histogram
+	previous *hdrhistogram.Histogram
+	rotated  time.Time
+	summary  Latency
+	computed time.Time
+}
+
+func newLatencies() *latencies {
+	return &latencies{services: map[contract.ServiceID]*serviceLatency{}}
+}
+
+func (l *latencies) of(service contract.ServiceID, now time.Time) *serviceLatency {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.services[service]
+	if !ok && len(l.services) < latencyServices {
+		s = &serviceLatency{
+			current:  hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
+			previous: hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
+			rotated:  now,
+		}
+		l.services[service] = s
+	}
+	return s
+}
+
+func (l *latencies) observe(service contract.ServiceID, d time.Duration, now time.Time) {
+	s := l.of(service, now)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rotate(now)
+	us := min(max(d.Microseconds(), latencyMin), latencyMax)
+	_ = s.current.RecordValue(us) // in range
+}
+
+func (l *latencies) summary(service contract.ServiceID, now time.Time) Latency {
+	s := l.of(service, now)
+	if s == nil {
+		return Latency{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rotate(now)
+	if now.Sub(s.computed) >= latencyRefresh || s.summary.Samples < hedgeMinSamples {
+		s.computed = now
+		s.summary = s.compute()
+	}
+	return s.summary
+}
+
+func (s *serviceLatency) rotate(now time.Time) {
+	if now.Sub(s.rotated) < latencyWindow {
+		return
+	}
+	s.current, s.previous = s.previous, s.current
+	s.current.Reset()
+	s.rotated = now
+}
+
+// compute uses the window with more samples, which avoids a merge: right after
+// a rotation that is the previous one.
+func (s *serviceLatency) compute() Latency {
+	h := s.current
+	if s.previous.TotalCount() > h.TotalCount() {
+		h = s.previous
+	}
+	p95 := time.Duration(h.ValueAtQuantile(latencyQuantile)) * time.Microsecond
+	return Latency{Samples: h.TotalCount(), P95: p95}
+}
--- /dev/null
+++ b/internal/dispatch/request.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import (
+	"net/http"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// Request is one call to a plain service.
+type Request struct {
+	ID       contract.RequestID
+	Service  contract.ServiceID
+	Method   string // default POST
+	Path     string // default /
+	Body     []byte
+	Deadline time.Time // zero: the service's deadline; a later time is cut to it
+}
+
+// Result is the final answer to a submission of a request.
+type Result struct {
+	Verdict  contract.Verdict
+	Response upstream.CallResponse // valid if the outcome is completed
+	// BodyOmitted is set if the answer comes from a record whose body was too
+	// large to keep: the status is valid, the body is missing.
+	BodyOmitted bool
+	// Recorded is set if the answer belongs to an earlier submission.
+	Recorded bool
+}
+
+func (r Request) withDefaults() Request {
+	if r.Method == "" {
+		r.Method = http.MethodPost
+	}
+	if r.Path == "" {
+		r.Path = "/"
+	}
+	return r
+}
+
+func (r Request) call() upstream.CallRequest {
+	return upstream.CallRequest{Request: r.ID, Path: r.Path, Method: r.Method, Body: r.Body}
+}
+
+func refused(reason contract.Reason, retryAfter time.Duration) Result {
+	return Result{Verdict: contract.Verdict{Outcome: contract.NotRun, Reason: reason, RetryAfter: retryAfter}}
+}
+
+func unknown(reason contract.Reason, retryAfter time.Duration) Result {
+	return Result{Verdict: contract.Verdict{Outcome: contract.Unknown, Reason: reason, RetryAfter: retryAfter}}
+}
+
+func completed(response upstream.CallResponse) Result {
+	return Result{Verdict: contract.Verdict{Outcome: contract.Completed}, Response: response}
+}
+
+func quarantined(standing upstream.Standing, now time.Time) Result {
+	return Result{Verdict: contract.Verdict{
+		Outcome:    contract.Quarantined,
+		Reason:     contract.ReasonQuarantined,
+		RetryAfter: max(0, standing.Until.Sub(now)),
+	}}
+}
--- /dev/null
+++ b/internal/naive/call.go
@@ -0,0 +1,64 @@
+package naive
+
+import (
+	"context"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/dispatch"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+const callDeadline = 10 * time.Second
+
+// Caller runs calls without a record: it sends a call again after each error
+// and answers not_run when its deadline has passed.
+type Caller struct {
+	config dispatch.Config
+}
+
+// NewCaller returns a Caller. It takes the dependencies of dispatch.NewCaller
+// and uses the router and the services only.
+func NewCaller(config dispatch.Config) *Caller { return &Caller{config: config} }
+
+// Call runs a request and returns its final answer.
+func (c *Caller) Call(ctx context.Context, request dispatch.Request) dispatch.Result {
+	deadline := request.Deadline
+	if deadline.IsZero() {
+		deadline = time.Now().Add(callDeadline)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	for ctx.Err() == nil {
+		response, ok := c.try(ctx, request)
+		if ok {
+			return dispatch.Result{Verdict: contract.Verdict{Outcome: contract.Completed}, Response: response}
+		}
+		pause(ctx)
+	}
+	return dispatch.Result{Verdict: contract.Verdict{Outcome: contract.NotRun, Reason: contract.ReasonDeadline}}
+}
+
+func (c *Caller) try(ctx context.Context, request dispatch.Request) (upstream.CallResponse, bool) {
+	placement, _, ok := c.config.Router.Place(upstream.Need{Service: request.Service, Workspace: request.ID.Workspace})
+	if !ok {
+		return upstream.CallResponse{}, false
+	}
+	response, err := c.config.Services.Service(placement.Target).CallIdempotent(ctx, upstream.CallRequest{
+		Request: request.ID,
+		Path:    request.Path,
+		Method:  request.Method,
+		Body:    request.Body,
+	})
+	placement.Done(upstream.Observation{Kind: upstream.ObservedOK})
+	return response, err == nil
+}
+
+func pause(ctx context.Context) {
+	timer := time.NewTimer(10 * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
