--- /dev/null
+++ b/internal/dispatch/once_test.go
@@ -0,0 +1,344 @@
+package dispatch_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/dispatch"
+	"foxtailhub.example/foxtailhub/internal/naive"
+	"foxtailhub.example/foxtailhub/internal/platform/platformtest"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+func decode(data []byte) dispatch.Record {
+	var r dispatch.Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// retries sends the same request at two instances in turn, as a caller that
+// got no answer in time does, and returns the answers.
+func retries(first, second caller, request dispatch.Request, n int) []dispatch.Result {
+	var out []dispatch.Result
+	for i := range n {
+		at := first
+		if i%2 == 1 {
+			at = second
+		}
+		out = append(out, at.Call(context.Background(), request))
+	}
+	return out
+}
+
+// Guards against a second execution when a service runs a call and its answer
+// is lost, and the caller then retries at another instance (P5).
+func TestUpstreamLostAfterExecution(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		loseFirst := func(s *servers) {
+			var once sync.Once
+			s.behave(func(context.Context, string) behaviour {
+				b := behaviour{status: 200}
+				once.Do(func() { b.lose = true })
+				return b
+			})
+		}
+		s := newServers(2)
+		loseFirst(s)
+		simple := naive.NewCaller(config(nil, s))
+		request := booking(newKey())
+		retries(simple, simple, request, 2)
+		g.Expect(s.executions(request.ID.Key)).To(BeNumerically(">", 1), "the naive version must show the fault")
+
+		s = newServers(2)
+		loseFirst(s)
+		table := platformtest.NewTable()
+		results := retries(start(t, config(table, s)), start(t, config(table, s)), request, 4)
+		g.Expect(s.executions(request.ID.Key)).To(Equal(1))
+		for _, r := range results {
+			g.Expect(r.Verdict.Outcome).To(Equal(contract.Unknown))
+		}
+		g.Expect(storedRecord(table).State).To(Equal(dispatch.Unknown))
+	})
+}
+
+// Guards against a second execution, and against a lost answer, when a caller
+// submits the same call at two instances at the same time.
+func TestConcurrentSubmissionsAtTwoInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		slow := func(context.Context, string) behaviour {
+			return behaviour{answer: 300 * time.Millisecond, status: 201, content: []byte("booked")}
+		}
+		request := booking(newKey())
+		submit := func(callers ...caller) []dispatch.Result {
+			results := make([]dispatch.Result, len(callers))
+			var group sync.WaitGroup
+			for i, c := range callers {
+				group.Go(func() { results[i] = c.Call(context.Background(), request) })
+			}
+			group.Wait()
+			return results
+		}
+		s := newServers(2)
+		s.behave(slow)
+		simple := naive.NewCaller(config(nil, s))
+		submit(simple, simple)
+		g.Expect(s.executions(request.ID.Key)).To(Equal(2), "the naive version must show the fault")
+
+		s = newServers(2)
+		s.behave(slow)
+		table := platformtest.NewTable()
+		a, b := start(t, config(table, s)), start(t, config(table, s))
+		for _, r := range submit(a, b, a) {
+			g.Expect(r.Verdict.Outcome).To(Equal(contract.Completed))
+			g.Expect(r.Response.Status).To(Equal(201))
+			g.Expect(string(r.Response.Body)).To(Equal("booked"))
+		}
+		g.Expect(s.executions(request.ID.Key)).To(Equal(1))
+	})
+}
+
+// Guards against a call that runs after another instance declared it not run:
+// an instance is lost between the record and the send.
+func TestInstanceLostBetweenRecordAndSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := platformtest.NewTable()
+		s := newServers(1)
+		s.beforeRun = runtime.Goexit // ends the run without any further step
+		request := booking(newKey())
+		start(t, config(table, s)).Call(context.Background(), request)
+		s.beforeRun = nil
+		result := start(t, config(table, s)).Call(context.Background(), request)
+		g.Expect(result.Verdict.Outcome).To(Equal(contract.Unknown))
+		g.Expect(s.executions(request.ID.Key)).To(BeZero())
+	})
+}
+
+// Guards against a paused owner that wakes up after its deadline and sends
+// (P4), and against another instance that declares its call not run meanwhile.
+func TestPausedOwnerWakesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := platformtest.NewTable()
+		s, other := newServers(1), newServers(1)
+		request := booking(newKey())
+		pause := 4 * time.Second // before the deadline: the owner still sends
+		s.beforeRun = func() { time.Sleep(pause) }
+		owner, second := start(t, config(table, s)), start(t, config(table, other))
+
+		done := make(chan dispatch.Result, 1)
+		go func() { done <- owner.Call(context.Background(), request) }()
+		time.Sleep(time.Second)
+		began := time.Now()
+		answer := second.Call(context.Background(), request)
+		g.Expect(answer.Verdict.Outcome).To(Equal(contract.Unknown))
+		g.Expect(time.Since(began)).To(BeNumerically("<=", 2100*time.Millisecond))
+		g.Expect((<-done).Verdict.Outcome).To(Equal(contract.Completed))
+		g.Expect(s.executions(request.ID.Key) + other.executions(request.ID.Key)).To(Equal(1))
+
+		pause = 10 * time.Second // past the deadline
+		late := booking(newKey())
+		result := owner.Call(context.Background(), late)
+		g.Expect(result.Verdict.Outcome).To(Equal(contract.NotRun))
+		time.Sleep(time.Minute)
+		g.Expect(s.executions(late.ID.Key)).To(BeZero())
+		s.beforeRun = nil
+		g.Expect(second.Call(context.Background(), late).Verdict.Outcome).To(Equal(contract.Completed), "the released record can be taken over")
+	})
+}
+
+// Guards against a call that is not run although it was recorded, and against
+// a second one, when the store's answer is lost or the insert takes effect late.
+func TestStoreAnswerLost(t *testing.T) {
+	for name, faults := range map[string]platformtest.Faults{
+		"lost answer":    {LoseAnswerRate: 1},
+		"delayed effect": {DelayRate: 1, Delay: 50 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				table := platformtest.NewTable()
+				table.Set(faults)
+				s := newServers(1)
+				request := booking(newKey())
+				c := start(t, config(table, s))
+				result := c.Call(context.Background(), request)
+				time.Sleep(10 * time.Second)
+				if result.Verdict.Outcome == contract.NotRun {
+					g.Expect(s.executions(request.ID.Key)).To(BeZero())
+				} else {
+					g.Expect(result.Verdict.Outcome).To(Equal(contract.Completed))
+				}
+				table.Set(platformtest.Faults{})
+				g.Expect(c.Flush(context.Background())).To(Succeed())
+				g.Expect(start(t, config(table, s)).Call(context.Background(), request).Verdict.Outcome).To(Equal(contract.Completed))
+				g.Expect(s.executions(request.ID.Key)).To(Equal(1))
+			})
+		})
+	}
+}
+
+// Guards against an insert that takes effect after not_run was answered and
+// blocks the key: it must be fenced off, so that the key can run later.
+func TestLateInsertIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := platformtest.NewTable()
+		table.Set(platformtest.Faults{DelayRate: 1, Delay: 20 * time.Second})
+		s := newServers(1)
+		request := booking(newKey())
+		c := start(t, config(table, s))
+		g.Expect(c.Call(context.Background(), request).Verdict.Outcome).To(Equal(contract.NotRun))
+		table.Set(platformtest.Faults{})
+		g.Expect(c.Flush(context.Background())).To(Succeed())
+		time.Sleep(time.Minute)
+		g.Expect(storedRecord(table).State).To(Equal(dispatch.Released))
+		g.Expect(s.executions(request.ID.Key)).To(BeZero())
+		g.Expect(c.Call(context.Background(), request).Verdict.Outcome).To(Equal(contract.Completed))
+	})
+}
+
+// Guards against waiting for, or running without, a store that is down, and
+// against idempotent calls that depend on it (P10).
+func TestStoreDown(t *testing.T) {
+	for name, faults := range map[string]platformtest.Faults{
+		"unavailable": {Unavailable: true},
+		"hangs":       {Slow: 1000 * time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				table := platformtest.NewTable()
+				table.Set(faults)
+				s := newServers(1)
+				c := start(t, config(table, s))
+				g.Expect(c.Call(context.Background(), booking(newKey())).Verdict.Reason).To(Equal(contract.ReasonStoreDown))
+				began := time.Now()
+				verdict := c.Call(context.Background(), booking(newKey())).Verdict
+				g.Expect(verdict.Outcome).To(Equal(contract.NotRun))
+				g.Expect(verdict.RetryAfter).To(BeNumerically(">", 0))
+				g.Expect(time.Since(began)).To(BeNumerically("<", 50*time.Millisecond))
+				g.Expect(c.Call(context.Background(), stock()).Verdict.Outcome).To(Equal(contract.Completed))
+				table.Set(platformtest.Faults{})
+				time.Sleep(time.Second)
+				g.Expect(c.Call(context.Background(), booking(newKey())).Verdict.Outcome).To(Equal(contract.Completed))
+			})
+		})
+	}
+}
+
+// Guards against a call that is given up although another upstream would take
+// it, and against a record that blocks a call that was not sent.
+func TestNotSentGoesToAnotherUpstream(t *testing.T) {
+	for _, refusal := range []error{upstream.ErrUnreachable, upstream.ErrRefused, upstream.ErrLeaving} {
+		t.Run(refusal.Error(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				table := platformtest.NewTable()
+				s := newServers(2)
+				refuse := func(context.Context, string) behaviour { return behaviour{refuse: refusal} }
+				s.list[0].behave = refuse
+				c := start(t, config(table, s))
+				first := booking(newKey())
+				g.Expect(c.Call(context.Background(), first).Verdict.Outcome).To(Equal(contract.Completed))
+				g.Expect(s.executions(first.ID.Key)).To(Equal(1))
+
+				s.behave(refuse)
+				second := booking(newKey())
+				result := c.Call(context.Background(), second)
+				g.Expect(result.Verdict.Outcome).To(Equal(contract.NotRun))
+				g.Expect(result.Verdict.RetryAfter).To(BeNumerically(">", 0))
+				s.behave(nil)
+				g.Expect(start(t, config(table, s)).Call(context.Background(), second).Verdict.Outcome).To(Equal(contract.Completed))
+				g.Expect(s.executions(second.ID.Key)).To(Equal(1))
+			})
+		})
+	}
+}
+
+// Guards against a key that runs again after its record was deleted, against a
+// key that stands for two requests, and against running quarantined contents.
+func TestRefusedBeforeRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := platformtest.NewTable()
+		s := newServers(1)
+		c := start(t, config(table, s))
+		request := booking(newKey())
+		g.Expect(c.Call(context.Background(), request).Verdict.Outcome).To(Equal(contract.Completed))
+		changed := request
+		changed.Body = []byte("other")
+		g.Expect(c.Call(context.Background(), changed).Verdict.Reason).To(Equal(contract.ReasonMismatch))
+		old := fmt.Sprintf("%013d-x", time.Now().Add(-25*time.Hour).UnixMilli())
+		g.Expect(c.Call(context.Background(), booking(old)).Verdict.Reason).To(Equal(contract.ReasonKeyExpired))
+		g.Expect(c.Call(context.Background(), booking("no-time")).Verdict.Reason).To(Equal(contract.ReasonKeyNoTime))
+		s.standing = upstream.Standing{Quarantined: true, Until: time.Now().Add(time.Minute)}
+		verdict := c.Call(context.Background(), booking(newKey())).Verdict
+		g.Expect(verdict.Outcome).To(Equal(contract.Quarantined))
+		g.Expect(verdict.RetryAfter).To(Equal(time.Minute))
+		g.Expect(table.Rows()).To(HaveLen(1))
+
+		time.Sleep(26 * time.Hour) // sweeps run every few minutes
+		g.Expect(table.Rows()).To(BeEmpty())
+		g.Expect(c.Call(context.Background(), request).Verdict.Reason).To(Equal(contract.ReasonKeyExpired))
+		g.Expect(s.executions(request.ID.Key)).To(Equal(1))
+	})
+}
+
+// Guards against answers of the service that are taken for failures and run
+// again, and against a part of a body that is returned as the whole.
+func TestRecordedAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := platformtest.NewTable()
+		s := newServers(1)
+		a, b := start(t, config(table, s)), start(t, config(table, s))
+		for _, size := range []int{10, dispatch.MaxRecordedBody + 1} {
+			body := bytes.Repeat([]byte("x"), size)
+			s.behave(func(context.Context, string) behaviour { return behaviour{status: 500, content: body} })
+			request := booking(newKey())
+			first := a.Call(context.Background(), request)
+			g.Expect(first.Verdict.Outcome).To(Equal(contract.Completed))
+			g.Expect(first.Response.Body).To(Equal(body))
+			again := b.Call(context.Background(), request)
+			g.Expect(again.Recorded).To(BeTrue())
+			g.Expect(again.Response.Status).To(Equal(500))
+			g.Expect(again.BodyOmitted).To(Equal(size > dispatch.MaxRecordedBody))
+			if !again.BodyOmitted {
+				g.Expect(again.Response.Body).To(Equal(body))
+			}
+			g.Expect(s.executions(request.ID.Key)).To(Equal(1))
+		}
+	})
+}
+
+// Guards against one write to the table service per call.
+func TestInsertsAreBatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := platformtest.NewTable()
+		c := start(t, config(table, newServers(2)))
+		var group sync.WaitGroup
+		for range 128 {
+			group.Go(func() { c.Call(context.Background(), booking(newKey())) })
+		}
+		group.Wait()
+		g.Expect(c.Flush(context.Background())).To(Succeed())
+		g.Expect(table.Rows()).To(HaveLen(128))
+		g.Expect(table.Commits()).To(BeNumerically("<=", 12))
+	})
+}
--- a/internal/naive/doc.go
+++ b/internal/naive/doc.go
@@ -1,6 +1,6 @@
-// Package naive holds the simplest version of each role behind the same
-// interfaces. It is correct without faults and exists to show that the fault
-// tests detect what the real versions prevent.
+// Package naive holds the simplest versions of the product's parts behind the
+// same interfaces. They are correct without faults; the fault tests show how
+// they fail with them.
 //
 // The package must never be used by a shipped program.
 package naive
