Add the engine stand-in and the HTTP adapter for engines

The adapter opens a connection of its own for each request, because a pooled connection may have gone silent while new ones work. The fault switch answers before it acts, so that a fault on the connection of the order does not hide the answer.

--- /dev/null
+++ b/internal/standin/engine_fault.go
@@ -0,0 +1,105 @@
+package standin
+
+import (
+	"net/http"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/upstream/enginehttp"
+)
+
+// exitCode is the exit status of a stand-in that dies by a fault.
+const exitCode = 1
+
+// applyFault puts a fault in force that acts at once or on what runs.
+func (e *Engine) applyFault(fault Fault) {
+	if fault.Die {
+		e.die()
+		return
+	}
+	e.mu.Lock()
+	e.setGate(fault.Pause)
+	e.dieAt = 0
+	if fault.DieAfter > 0 {
+		e.dieAt = e.counters.TokensGenerated + fault.DieAfter
+	}
+	e.recordLoad()
+	e.mu.Unlock()
+	if e.config.Connections == nil {
+		return
+	}
+	// The fault pause is carried out by the engine itself: a pause of the
+	// listener would also hold back the request that clears the fault.
+	if fault.Cut {
+		e.config.Connections.Cut()
+	}
+	if fault.Silence {
+		e.config.Connections.Silence()
+	}
+}
+
+// setGate must be called with e.mu held. While the gate exists, nothing runs.
+func (e *Engine) setGate(paused bool) {
+	if paused && e.gate == nil {
+		e.gate = make(chan struct{})
+	}
+	if !paused && e.gate != nil {
+		close(e.gate)
+		e.gate = nil
+	}
+}
+
+// waitWhilePaused returns false if the engine or the request ended first.
+func (e *Engine) waitWhilePaused(done <-chan struct{}) bool {
+	for {
+		e.mu.Lock()
+		gate := e.gate
+		e.mu.Unlock()
+		if gate == nil {
+			return true
+		}
+		select {
+		case <-gate:
+		case <-done:
+			return false
+		case <-e.closed:
+			return false
+		}
+	}
+}
+
+func (e *Engine) die() {
+	e.Close()
+	e.config.Exit(exitCode)
+}
+
+// faulty applies the faults that concern whole requests.
+func (e *Engine) faulty(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		fault := e.faults.Current()
+		if fault.SlowMS > 0 {
+			select {
+			case <-time.After(time.Duration(fault.SlowMS) * time.Millisecond):
+			case <-r.Context().Done():
+			}
+		}
+		if !e.waitWhilePaused(r.Context().Done()) {
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-e.closed:
+			panic(http.ErrAbortHandler)
+		default:
+		}
+		w.Header().Set(enginehttp.IncarnationHeader, string(e.incarnation))
+		if fault.Refuse {
+			refuse(w, enginehttp.StateRefused, "the engine refuses all requests")
+			return
+		}
+		next(w, r)
+	}
+}
+
+func refuse(w http.ResponseWriter, state, message string) {
+	w.Header().Set(enginehttp.StateHeader, state)
+	http.Error(w, message, http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/internal/standin/engine_http.go
@@ -0,0 +1,177 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+	"foxtailhub.example/foxtailhub/internal/upstream/enginehttp"
+)
+
+func (e *Engine) serveStart(w http.ResponseWriter, r *http.Request) {
+	var request upstream.StreamRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if e.faults.Current().Leaving {
+		refuse(w, enginehttp.StateLeaving, "the engine is leaving")
+		return
+	}
+	e.mu.Lock()
+	if !slices.Contains(e.models, request.Pin) {
+		e.mu.Unlock()
+		refuse(w, enginehttp.StateRefused, "the engine does not serve this model, version and adapter")
+		return
+	}
+	if e.streams[request.Stream] != nil {
+		e.mu.Unlock()
+		http.Error(w, "the stream exists", http.StatusConflict)
+		return
+	}
+	stream := newEngineStream(request)
+	stream.readers++
+	e.counters.StreamsStarted++
+	e.enqueue(stream)
+	e.mu.Unlock()
+	e.send(w, r, stream, int64(len(request.Prefix)))
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	offset, err := strconv.ParseInt(r.URL.Query().Get("offset"), 10, 64)
+	if err != nil || offset < 0 {
+		http.Error(w, "offset must be a number of tokens", http.StatusBadRequest)
+		return
+	}
+	from := contract.Position{Offset: offset, Digest: contract.PrefixDigest(r.URL.Query().Get("digest"))}
+	e.mu.Lock()
+	stream := e.streams[upstream.StreamID(r.PathValue("id"))]
+	if stream == nil || stream.cancelled {
+		e.mu.Unlock()
+		http.NotFound(w, r)
+		return
+	}
+	stream.readers++
+	e.counters.StreamsResumed++
+	e.mu.Unlock()
+	if !e.reach(r, stream, from) {
+		e.leave(stream)
+		http.Error(w, "the stream has another text at this position", http.StatusConflict)
+		return
+	}
+	e.send(w, r, stream, from.Offset)
+}
+
+// reach waits until the stream has reached a position and compares the text.
+func (e *Engine) reach(r *http.Request, stream *engineStream, from contract.Position) bool {
+	for {
+		e.mu.Lock()
+		equal, known := stream.matches(from)
+		changed := stream.changed
+		e.mu.Unlock()
+		if known {
+			return equal
+		}
+		if !e.waitForChange(r, changed) {
+			e.leave(stream)
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (e *Engine) waitForChange(r *http.Request, changed <-chan struct{}) bool {
+	select {
+	case <-changed:
+		return true
+	case <-r.Context().Done():
+		return false
+	case <-e.closed:
+		return false
+	}
+}
+
+func (e *Engine) leave(stream *engineStream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	stream.readers--
+	stream.unreadAt = time.Now()
+}
+
+// send writes the stream's events from an offset until it ends. A stream that
+// was cancelled and an engine that dies end the answer without an end event.
+func (e *Engine) send(w http.ResponseWriter, r *http.Request, stream *engineStream, offset int64) {
+	defer e.leave(stream)
+	session, err := sse.Upgrade(w, r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	if session.Flush() != nil {
+		return
+	}
+	for {
+		e.mu.Lock()
+		texts := stream.texts[min(offset, int64(len(stream.texts))):]
+		ended, cancelled, changed := stream.ended, stream.cancelled, stream.changed
+		e.mu.Unlock()
+		if e.sendTokens(session, stream, offset, texts) != nil || cancelled {
+			panic(http.ErrAbortHandler)
+		}
+		offset += int64(len(texts))
+		if ended {
+			_ = sendEvent(session, enginehttp.EventEnd, enginehttp.Event{
+				Stream: stream.request.Stream, Request: stream.request.Request, Count: offset,
+			})
+			return
+		}
+		if !e.waitForChange(r, changed) {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (e *Engine) sendTokens(session *sse.Session, stream *engineStream, offset int64, texts []string) error {
+	for i, text := range texts {
+		err := sendEvent(session, enginehttp.EventToken, enginehttp.Event{
+			Stream: stream.request.Stream, Request: stream.request.Request,
+			Offset: offset + int64(i), Text: text,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sendEvent(session *sse.Session, kind string, event enginehttp.Event) error {
+	data, err := json.Marshal(event)
+	if err != nil {
+		return err
+	}
+	message := &sse.Message{Type: sse.Type(kind)}
+	message.AppendData(string(data))
+	if err := session.Send(message); err != nil {
+		return err
+	}
+	return session.Flush()
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	stream := e.streams[upstream.StreamID(r.PathValue("id"))]
+	if stream == nil {
+		http.NotFound(w, r)
+		return
+	}
+	e.cancel(time.Now(), stream)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/engine_load.go
@@ -0,0 +1,42 @@
+package standin
+
+import (
+	"slices"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// loadHistoryTime is how long load reports are kept for a lag.
+const loadHistoryTime = time.Minute
+
+// laggingLoad returns load reports as they were a while ago. It is not safe for
+// concurrent use.
+type laggingLoad struct {
+	history []timedReport
+}
+
+type timedReport struct {
+	at     time.Time
+	report upstream.LoadReport
+}
+
+// record adds the present report.
+func (l *laggingLoad) record(now time.Time, report upstream.LoadReport) {
+	l.history = append(l.history, timedReport{at: now, report: report})
+	kept := 0
+	for kept+1 < len(l.history) && now.Sub(l.history[kept+1].at) > loadHistoryTime {
+		kept++
+	}
+	l.history = slices.Delete(l.history, 0, kept)
+}
+
+// at returns the report that was in force at a time, or the oldest known.
+func (l *laggingLoad) at(t time.Time) upstream.LoadReport {
+	for _, entry := range slices.Backward(l.history) {
+		if !entry.at.After(t) {
+			return entry.report
+		}
+	}
+	return l.history[0].report
+}
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -48,6 +48,10 @@
 // Set puts a fault in force.
 func (s *FaultSwitch) Set(f Fault) {
 	s.current.Store(&f)
+	s.notify(f)
+}
+
+func (s *FaultSwitch) notify(f Fault) {
 	if s.onSet != nil {
 		s.onSet(f)
 	}
@@ -66,8 +70,14 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		s.Set(f)
+		// The answer goes out first: a fault may end the process or this
+		// connection. The connection is closed so that no later request is
+		// sent over one that has gone silent.
+		s.current.Store(&f)
+		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusNoContent)
+		_ = http.NewResponseController(w).Flush()
+		s.notify(f)
 	default:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 	}
--- /dev/null
+++ b/internal/upstream/enginehttp/wire.go
@@ -0,0 +1,44 @@
+// Package enginehttp reaches model engines over HTTP with server-sent events.
+//
+// It must never send over a pooled connection: a pooled connection may have
+// gone silent while new ones work, and a probe has to tell the two apart.
+package enginehttp
+
+import (
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// Paths of the engine protocol.
+const (
+	StreamsPath = "/v1/streams"
+	LoadPath    = "/v1/load"
+)
+
+// Headers of the engine protocol.
+const (
+	IncarnationHeader = "Foxtailhub-Incarnation"
+	StateHeader       = "Foxtailhub-Upstream-State"
+)
+
+// Values of StateHeader in answers with status 503.
+const (
+	StateLeaving = "leaving"
+	StateRefused = "refused"
+)
+
+// Types of server-sent events.
+const (
+	EventToken = "token"
+	EventEnd   = "end"
+)
+
+// Event is the data of a server-sent event, as JSON. Offset and Text are set in
+// token events, Count in end events.
+type Event struct {
+	Stream  upstream.StreamID  `json:"stream"`
+	Request contract.RequestID `json:"request"`
+	Offset  int64              `json:"offset"`
+	Text    string             `json:"text,omitempty"`
+	Count   int64              `json:"count,omitempty"`
+}
--- /dev/null
+++ b/internal/upstream/incarnation.go
@@ -0,0 +1,31 @@
+package upstream
+
+import "github.com/cockroachdb/errors"
+
+// incarnationError is an error in an answer of a known incarnation.
+type incarnationError struct {
+	cause       error
+	incarnation Incarnation
+}
+
+func (e *incarnationError) Error() string { return e.cause.Error() }
+func (e *incarnationError) Unwrap() error { return e.cause }
+
+// WithIncarnation returns err together with the incarnation that answered.
+func WithIncarnation(err error, incarnation Incarnation) error {
+	if err == nil || incarnation == "" {
+		return err
+	}
+	return &incarnationError{cause: err, incarnation: incarnation}
+}
+
+// IncarnationOf returns the incarnation that answered with err, or "" if it is
+// unknown. Observations should carry it: a leaving mark of a known incarnation
+// ends exactly when the upstream restarts.
+func IncarnationOf(err error) Incarnation {
+	var with *incarnationError
+	if errors.As(err, &with) {
+		return with.incarnation
+	}
+	return ""
+}
