Add the upstream table: view, health, selection, watchers, digests, quarantine

The path of a request reads an immutable view; observations, polls, the platform's list and peers' digests go through one short writer lock.

--- /dev/null
+++ b/internal/upstream/choose.go
@@ -0,0 +1,150 @@
+package upstream
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+const (
+	// affinityLoadFactor bounds the relative load of an upstream that is chosen
+	// by prefix affinity, as a multiple of the mean.
+	affinityLoadFactor = 1.25
+	// affinityFloor is the share of an upstream's slots up to which affinity
+	// always holds. Without it, affinity would be lost at low load, where the
+	// mean is below one request.
+	affinityFloor = 0.25
+)
+
+// Candidate is an upstream that a request may go to: live and serving what the
+// request needs.
+type Candidate struct {
+	Target        Target
+	Load          float64 // requests on it: lagged report plus own requests in flight
+	Slots         int
+	Doubted       bool // a connection failed there and no contact has succeeded since
+	BesideSuspect bool // a suspect with another content runs there
+}
+
+func (c Candidate) utilization() float64 { return c.Load / float64(max(1, c.Slots)) }
+
+// Choice is the input of Choose.
+type Choice struct {
+	Need         Need
+	Suspect      bool                       // the content may have killed an upstream
+	Died         []contract.UpstreamID      // upstreams that died while running the content
+	AvoidDomains []contract.FailureDomainID // failure domains of Need.Avoid and Died
+	Candidates   []Candidate
+}
+
+// Choose returns the index of the candidate for a request.
+//
+// Upstreams to avoid are used only if there is no other, and never for a
+// suspect. Other failure domains than those of the upstreams to avoid come
+// first. A suspect is never placed beside another suspect nor on an upstream
+// that died with it, and all copies of it go to the same upstream, so that they
+// kill one upstream and not several.
+func Choose(choice Choice, random *rand.Rand) (index int, ok bool) {
+	eligible := eligibleCandidates(choice)
+	if len(eligible) == 0 {
+		return 0, false
+	}
+	switch {
+	case choice.Suspect:
+		return byRendezvous(choice, eligible, string(choice.Need.Content[:])), true
+	case choice.Need.Prefix != "" && !choice.Need.Resumed:
+		return byAffinity(choice, eligible, random), true
+	default:
+		return byLoad(choice, eligible, random), true
+	}
+}
+
+// eligibleCandidates returns the indices of the best group of candidates.
+func eligibleCandidates(choice Choice) []int {
+	var all []int
+	for i, candidate := range choice.Candidates {
+		if choice.Suspect && (candidate.BesideSuspect || slices.Contains(choice.Died, candidate.Target.ID)) {
+			continue
+		}
+		all = append(all, i)
+	}
+	avoid := slices.Concat(choice.Need.Avoid, choice.Died)
+	fresh := keep(all, func(i int) bool { return !slices.Contains(avoid, choice.Candidates[i].Target.ID) })
+	if len(fresh) == 0 {
+		if choice.Suspect {
+			return nil
+		}
+		return all
+	}
+	fresh = prefer(fresh, func(i int) bool { return !choice.Candidates[i].Doubted })
+	return prefer(fresh, func(i int) bool {
+		return !slices.Contains(choice.AvoidDomains, choice.Candidates[i].Target.FailureDomain)
+	})
+}
+
+func keep(indices []int, wanted func(int) bool) []int {
+	var kept []int
+	for _, i := range indices {
+		if wanted(i) {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
+
+// prefer returns the wanted indices, or all if none is wanted.
+func prefer(indices []int, wanted func(int) bool) []int {
+	if kept := keep(indices, wanted); len(kept) > 0 {
+		return kept
+	}
+	return indices
+}
+
+// byRendezvous returns the candidate with the highest rendezvous hash for key.
+func byRendezvous(choice Choice, eligible []int, key string) int {
+	names := make([]string, len(eligible))
+	for n, i := range eligible {
+		names[n] = string(choice.Candidates[i].Target.ID)
+	}
+	winner := rendezvous.New(names, xxhash.Sum64String).Lookup(key)
+	return eligible[slices.Index(names, winner)]
+}
+
+// byAffinity chooses by the prefix among the candidates whose load is bounded.
+func byAffinity(choice Choice, eligible []int, random *rand.Rand) int {
+	var load, slots float64
+	for _, i := range eligible {
+		load += choice.Candidates[i].Load
+		slots += float64(max(1, choice.Candidates[i].Slots))
+	}
+	limit := max(affinityFloor, affinityLoadFactor*(load+1)/slots)
+	bounded := keep(eligible, func(i int) bool {
+		candidate := choice.Candidates[i]
+		return candidate.Load+1 <= max(1, limit*float64(candidate.Slots))
+	})
+	if len(bounded) == 0 {
+		return byLoad(choice, eligible, random)
+	}
+	return byRendezvous(choice, bounded, string(choice.Need.Service)+"\x00"+choice.Need.Prefix)
+}
+
+// byLoad takes the less utilized of two random candidates.
+func byLoad(choice Choice, eligible []int, random *rand.Rand) int {
+	if len(eligible) == 1 {
+		return eligible[0]
+	}
+	first := random.IntN(len(eligible))
+	second := random.IntN(len(eligible) - 1)
+	if second >= first {
+		second++
+	}
+	one, two := eligible[first], eligible[second]
+	if choice.Candidates[two].utilization() < choice.Candidates[one].utilization() {
+		return two
+	}
+	return one
+}
--- /dev/null
+++ b/internal/upstream/digest.go
@@ -0,0 +1,197 @@
+package upstream
+
+import (
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// Digest is what an instance passes on to its peers about upstreams. Each entry
+// carries the time of its first observer; an older entry never replaces a newer
+// one. Times are Unix milliseconds.
+type Digest struct {
+	// Seq is the number up to which the digest is complete, for the next call
+	// of Upstreams.Digest.
+	Seq         uint64            `cbor:"1,keyasint"`
+	Contacts    []ContactEntry    `cbor:"2,keyasint,omitempty"`
+	Failures    []FailureEntry    `cbor:"3,keyasint,omitempty"`
+	Leaving     []LeavingEntry    `cbor:"4,keyasint,omitempty"`
+	Served      []ServedEntry     `cbor:"5,keyasint,omitempty"`
+	Deaths      []DeathEntry      `cbor:"6,keyasint,omitempty"`
+	Acquittals  []AcquittalEntry  `cbor:"7,keyasint,omitempty"`
+	Survivals   []SurvivalEntry   `cbor:"8,keyasint,omitempty"`
+	SuspectRuns []SuspectRunEntry `cbor:"9,keyasint,omitempty"`
+}
+
+// Empty reports whether the digest has no entries.
+func (d Digest) Empty() bool {
+	return len(d.Contacts)+len(d.Failures)+len(d.Leaving)+len(d.Served)+
+		len(d.Deaths)+len(d.Acquittals)+len(d.Survivals)+len(d.SuspectRuns) == 0
+}
+
+// ContactEntry is an answer of an upstream with its load.
+type ContactEntry struct {
+	_           struct{} `cbor:",toarray"`
+	Upstream    contract.UpstreamID
+	AtMS        int64
+	Incarnation Incarnation
+	Leaving     bool
+	Running     int
+	Queued      int
+}
+
+// FailureEntry is a failed contact.
+type FailureEntry struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream contract.UpstreamID
+	AtMS     int64
+}
+
+// LeavingEntry is a leaving mark that came from the upstream itself.
+type LeavingEntry struct {
+	_           struct{} `cbor:",toarray"`
+	Upstream    contract.UpstreamID
+	AtMS        int64
+	Incarnation Incarnation
+}
+
+// ServedEntry is what an engine serves. It changes rarely and is therefore not
+// part of ContactEntry.
+type ServedEntry struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream contract.UpstreamID
+	AtMS     int64
+	Models   []ModelPin
+}
+
+// DeathEntry is a confirmed death with the contents that ran, as far as known.
+type DeathEntry struct {
+	_             struct{} `cbor:",toarray"`
+	Upstream      contract.UpstreamID
+	Incarnation   Incarnation
+	FailureDomain contract.FailureDomainID
+	AtMS          int64
+	Contents      []ContentKey
+}
+
+// AcquittalEntry is the completion of a content that was charged.
+type AcquittalEntry struct {
+	_       struct{} `cbor:",toarray"`
+	Content ContentKey
+	AtMS    int64
+}
+
+// SurvivalEntry is an answer of a process after its supposed death.
+type SurvivalEntry struct {
+	_           struct{} `cbor:",toarray"`
+	Upstream    contract.UpstreamID
+	Incarnation Incarnation
+	AtMS        int64
+}
+
+// SuspectRunEntry says that a suspect runs on an upstream.
+type SuspectRunEntry struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream contract.UpstreamID
+	Content  ContentKey
+	AtMS     int64
+}
+
+// stamped is an entry with the number of its last change at this instance and
+// the peer that it came from ("" for own observations).
+type stamped[T any] struct {
+	value T
+	seq   uint64
+	from  contract.InstanceID
+}
+
+// suspectRun is the key of a SuspectRunEntry.
+type suspectRun struct {
+	upstream contract.UpstreamID
+	content  ContentKey
+}
+
+// ledger holds the newest entry of each kind and numbers the changes. It is not
+// safe for concurrent use and reads no clock.
+type ledger struct {
+	seq         uint64
+	contacts    map[contract.UpstreamID]stamped[ContactEntry]
+	failures    map[contract.UpstreamID]stamped[FailureEntry]
+	leaving     map[contract.UpstreamID]stamped[LeavingEntry]
+	served      map[contract.UpstreamID]stamped[ServedEntry]
+	deaths      map[Start]stamped[DeathEntry]
+	acquittals  map[ContentKey]stamped[AcquittalEntry]
+	survivals   map[Start]stamped[SurvivalEntry]
+	suspectRuns map[suspectRun]stamped[SuspectRunEntry]
+}
+
+func newLedger() *ledger {
+	return &ledger{
+		contacts:    make(map[contract.UpstreamID]stamped[ContactEntry]),
+		failures:    make(map[contract.UpstreamID]stamped[FailureEntry]),
+		leaving:     make(map[contract.UpstreamID]stamped[LeavingEntry]),
+		served:      make(map[contract.UpstreamID]stamped[ServedEntry]),
+		deaths:      make(map[Start]stamped[DeathEntry]),
+		acquittals:  make(map[ContentKey]stamped[AcquittalEntry]),
+		survivals:   make(map[Start]stamped[SurvivalEntry]),
+		suspectRuns: make(map[suspectRun]stamped[SuspectRunEntry]),
+	}
+}
+
+// put stores an entry under the next number.
+func put[K comparable, T any](l *ledger, entries map[K]stamped[T], key K, value T, from contract.InstanceID) {
+	l.seq++
+	entries[key] = stamped[T]{value: value, seq: l.seq, from: from}
+}
+
+// since returns the digest of the changes after a number, without those that
+// came from the given peer.
+func (l *ledger) since(seq uint64, peer contract.InstanceID) Digest {
+	return Digest{
+		Seq:         l.seq,
+		Contacts:    changes(l.contacts, seq, peer),
+		Failures:    changes(l.failures, seq, peer),
+		Leaving:     changes(l.leaving, seq, peer),
+		Served:      changes(l.served, seq, peer),
+		Deaths:      changes(l.deaths, seq, peer),
+		Acquittals:  changes(l.acquittals, seq, peer),
+		Survivals:   changes(l.survivals, seq, peer),
+		SuspectRuns: changes(l.suspectRuns, seq, peer),
+	}
+}
+
+func changes[K comparable, T any](entries map[K]stamped[T], seq uint64, peer contract.InstanceID) []T {
+	var changed []T
+	for _, entry := range entries {
+		if entry.seq > seq && (peer == "" || entry.from != peer) {
+			changed = append(changed, entry.value)
+		}
+	}
+	return changed
+}
+
+// retain removes the entries of upstreams that no longer exist and the evidence
+// that has expired.
+func (l *ledger) retain(entries map[contract.UpstreamID]*entry, evidence *Evidence, now time.Time) {
+	unknown := func(id contract.UpstreamID) bool { return entries[id] == nil }
+	removeKeys(l.contacts, unknown)
+	removeKeys(l.failures, unknown)
+	removeKeys(l.leaving, unknown)
+	removeKeys(l.served, unknown)
+	removeKeys(l.deaths, func(start Start) bool { _, found := evidence.deaths[start]; return !found })
+	removeKeys(l.acquittals, func(content ContentKey) bool { return evidence.acquitted[content].IsZero() })
+	removeKeys(l.survivals, func(start Start) bool { return evidence.alive[start].IsZero() })
+	for key, entry := range l.suspectRuns {
+		if now.Sub(time.UnixMilli(entry.value.AtMS)) > suspectMarkLifetime {
+			delete(l.suspectRuns, key)
+		}
+	}
+}
+
+func removeKeys[K comparable, T any](entries map[K]stamped[T], unwanted func(K) bool) {
+	for key := range entries {
+		if unwanted(key) {
+			delete(entries, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/health.go
@@ -0,0 +1,246 @@
+package upstream
+
+import (
+	"slices"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/platform"
+)
+
+const (
+	// ownContactLifetime is how long an instance trusts its own last contact
+	// more than its peers. Upstreams found down are polled more often than this.
+	ownContactLifetime = 5 * time.Second
+	// peerDownGrace is how much newer a peer's failed contact must be than the
+	// newest successful contact of any instance. It keeps a single watcher that
+	// is cut off from an upstream from marking it down everywhere; it must
+	// exceed contactRefresh.
+	peerDownGrace = 2 * time.Second
+	// failuresUntilDown is how many polls in a row must stay without an answer.
+	failuresUntilDown = 2
+	// unattributedLeavingLifetime bounds a leaving mark of an unknown
+	// incarnation while the upstream itself reports that it is not leaving. It
+	// must exceed the lag of load reports.
+	unattributedLeavingLifetime = time.Minute
+	// pastIncarnations is how many former incarnations are remembered, to
+	// recognise late news about them.
+	pastIncarnations = 4
+)
+
+// State is the state of an upstream as an instance believes it.
+type State string
+
+// The states.
+const (
+	StateLive    State = "live"
+	StateDown    State = "down"
+	StateLeaving State = "leaving"
+)
+
+// Contact is the result of the last attempt of this instance to reach an upstream.
+type Contact struct {
+	Up bool
+	At time.Time
+}
+
+// LeavingMark records that an upstream was reported to be leaving.
+type LeavingMark struct {
+	Set         bool
+	Incarnation Incarnation // "" if unknown
+	At          time.Time
+}
+
+// Health is what is known about the life of one upstream. It is a value: each
+// transition returns a new one. The zero value is a live upstream about which
+// nothing is known.
+type Health struct {
+	Incarnation Incarnation
+	FirstSeen   time.Time // when the incarnation was first seen
+	RestartedAt time.Time // when it replaced another incarnation; zero if it did not
+	Leaving     LeavingMark
+	Own         Contact
+	DoubtedAt   time.Time // when a connection was lost or silent without an explanation so far
+
+	past          [pastIncarnations]Incarnation
+	failures      int       // polls in a row without an answer
+	listedAt      time.Time // newest time of a list entry
+	listedLeaving time.Time // time of the list entry that says leaving; zero if none
+	peersUp       time.Time // newest successful contact of a peer
+	peersDown     time.Time // newest failed contact of a peer
+	diedAt        time.Time // when the present incarnation was found dead
+}
+
+// State returns the state at a time.
+func (h Health) State(now time.Time) State {
+	switch {
+	case h.leaving():
+		return StateLeaving
+	case h.down(now):
+		return StateDown
+	default:
+		return StateLive
+	}
+}
+
+// Doubted reports whether a connection failed and no contact has succeeded since.
+func (h Health) Doubted() bool { return h.DoubtedAt.After(h.lastUp()) }
+
+func (h Health) leaving() bool {
+	return h.Leaving.Set || h.listedLeaving.After(h.RestartedAt)
+}
+
+func (h Health) down(now time.Time) bool {
+	if !h.Own.Up && !h.Own.At.IsZero() && now.Sub(h.Own.At) < ownContactLifetime {
+		return true
+	}
+	if h.diedAt.After(h.lastUp()) {
+		return true
+	}
+	return h.peersDown.After(h.lastUp().Add(peerDownGrace))
+}
+
+// lastUp is the time of the newest successful contact of any instance.
+func (h Health) lastUp() time.Time {
+	if h.Own.Up && h.Own.At.After(h.peersUp) {
+		return h.Own.At
+	}
+	return h.peersUp
+}
+
+// Answered is the transition for an answer to this instance. at is the time
+// when the request was sent, so that an answer from before a failure does not
+// override the failure.
+func (h Health) Answered(at time.Time, incarnation Incarnation, leaving bool) Health {
+	h, stale := h.renewed(at, incarnation)
+	if stale || at.Before(h.Own.At) {
+		return h
+	}
+	h.Own = Contact{Up: true, At: at}
+	h.failures = 0
+	return h.reported(at, leaving)
+}
+
+// Unreachable is the transition for a connection that could not be made.
+func (h Health) Unreachable(at time.Time) Health {
+	if at.Before(h.Own.At) {
+		return h
+	}
+	h.Own = Contact{At: at}
+	return h
+}
+
+// Unanswered is the transition for a poll that got no answer over an open
+// connection. One that follows a doubt counts as enough.
+func (h Health) Unanswered(at time.Time) Health {
+	h.failures++
+	if h.failures < failuresUntilDown && !h.Doubted() {
+		return h
+	}
+	return h.Unreachable(at)
+}
+
+// Doubt is the transition for a connection that was lost or went silent.
+func (h Health) Doubt(at time.Time) Health {
+	if at.After(h.DoubtedAt) {
+		h.DoubtedAt = at
+	}
+	return h
+}
+
+// SaidLeaving is the transition for a leaving mark that this instance or a peer
+// got from the upstream itself.
+func (h Health) SaidLeaving(at time.Time, incarnation Incarnation) Health {
+	h, stale := h.renewed(at, incarnation)
+	if stale || incarnation == "" && at.Before(h.FirstSeen) {
+		return h
+	}
+	return h.marked(at)
+}
+
+// Listed is the transition for an entry of the platform's list, which lags: it
+// cannot end a mark that came from the upstream itself, and an entry from
+// before a restart says nothing about the new incarnation.
+func (h Health) Listed(state platform.ListedState, updatedAt time.Time) Health {
+	if updatedAt.Before(h.listedAt) {
+		return h
+	}
+	h.listedAt = updatedAt
+	h.listedLeaving = time.Time{}
+	if state == platform.ListedLeaving {
+		h.listedLeaving = updatedAt
+	}
+	return h
+}
+
+// PeerAnswered is the transition for an answer to a peer.
+func (h Health) PeerAnswered(at time.Time, incarnation Incarnation, leaving bool) Health {
+	h, stale := h.renewed(at, incarnation)
+	if stale {
+		return h
+	}
+	if at.After(h.peersUp) {
+		h.peersUp = at
+	}
+	return h.reported(at, leaving)
+}
+
+// PeerFailed is the transition for a failed contact of a peer.
+func (h Health) PeerFailed(at time.Time) Health {
+	if at.After(h.peersDown) && at.After(h.RestartedAt) {
+		h.peersDown = at
+	}
+	return h
+}
+
+// Died is the transition for the confirmed death of an incarnation.
+func (h Health) Died(at time.Time, incarnation Incarnation) Health {
+	if incarnation == h.Incarnation && at.After(h.diedAt) {
+		h.diedAt = at
+	}
+	return h
+}
+
+// reported applies what an answer says about leaving. An answer that says
+// nothing about leaving does not end a mark: load reports lag.
+func (h Health) reported(at time.Time, leaving bool) Health {
+	if leaving {
+		return h.marked(at)
+	}
+	unattributed := h.Leaving.Set && h.Leaving.Incarnation == ""
+	if unattributed && at.Sub(h.Leaving.At) > unattributedLeavingLifetime {
+		h.Leaving = LeavingMark{}
+	}
+	return h
+}
+
+func (h Health) marked(at time.Time) Health {
+	if h.Leaving.Set && h.Leaving.Incarnation == h.Incarnation {
+		return h
+	}
+	h.Leaving = LeavingMark{Set: true, Incarnation: h.Incarnation, At: at}
+	return h
+}
+
+// renewed applies an incarnation. stale reports that the news is about a former
+// one. A new incarnation ends leaving, down and doubt.
+func (h Health) renewed(at time.Time, incarnation Incarnation) (renewed Health, stale bool) {
+	switch {
+	case incarnation == "" || incarnation == h.Incarnation:
+		return h, false
+	case h.Incarnation == "":
+		h.Incarnation, h.FirstSeen = incarnation, at
+		return h, false
+	case slices.Contains(h.past[:], incarnation) || at.Before(h.FirstSeen):
+		return h, true
+	}
+	copy(h.past[1:], h.past[:])
+	h.past[0] = h.Incarnation
+	h.Incarnation, h.FirstSeen, h.RestartedAt = incarnation, at, at
+	h.Leaving = LeavingMark{}
+	h.DoubtedAt, h.diedAt, h.peersDown = time.Time{}, time.Time{}, time.Time{}
+	if !h.Own.Up {
+		h.Own = Contact{}
+	}
+	h.failures = 0
+	return h, false
+}
--- /dev/null
+++ b/internal/upstream/poll.go
@@ -0,0 +1,208 @@
+package upstream
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+const (
+	pollInterval    = 500 * time.Millisecond
+	maxPollInterval = 2 * time.Second // of an upstream that cannot be reached
+	pollTimeout     = time.Second
+	pollTick        = 50 * time.Millisecond
+	// pollJitter is the share of an interval by which polls are spread, so that
+	// the watchers of an upstream do not poll in step.
+	pollJitter       = 0.1
+	listInterval     = time.Second
+	listTimeout      = 2 * time.Second
+	maintainInterval = 500 * time.Millisecond
+)
+
+// poller polls the upstreams that this instance watches and those that it found
+// unreachable or doubts.
+type poller struct {
+	upstreams *Upstreams
+	random    *rand.Rand
+	schedule  map[contract.UpstreamID]*scheduledPoll
+	finished  chan contract.UpstreamID
+	members   []Member
+	ring      *watcherRing
+}
+
+// scheduledPoll is when an upstream is polled next.
+type scheduledPoll struct {
+	due      time.Time
+	interval time.Duration
+	running  bool
+	watched  bool
+}
+
+func newPoller(u *Upstreams) *poller {
+	return &poller{
+		upstreams: u,
+		random:    u.random(),
+		schedule:  make(map[contract.UpstreamID]*scheduledPoll),
+		finished:  make(chan contract.UpstreamID),
+	}
+}
+
+func (p *poller) run(ctx context.Context) {
+	ticker := time.NewTicker(pollTick)
+	defer ticker.Stop()
+	defer p.drain()
+	for {
+		p.pollDue(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case id := <-p.upstreams.kicks:
+			if scheduled := p.schedule[id]; scheduled != nil {
+				scheduled.due = p.upstreams.config.Now()
+			}
+		case id := <-p.finished:
+			p.finish(id)
+		}
+	}
+}
+
+// drain waits for the polls that are running.
+func (p *poller) drain() {
+	for _, scheduled := range p.schedule {
+		if scheduled.running {
+			<-p.finished
+		}
+	}
+}
+
+func (p *poller) finish(id contract.UpstreamID) {
+	scheduled := p.schedule[id]
+	if scheduled == nil {
+		return
+	}
+	scheduled.running = false
+	known := p.upstreams.current().entries[id]
+	if known == nil {
+		delete(p.schedule, id)
+		return
+	}
+	scheduled.interval = min(2*scheduled.interval, maxPollInterval)
+	if known.health.Own.Up {
+		scheduled.interval = pollInterval
+	}
+}
+
+// pollDue starts the polls that are due.
+func (p *poller) pollDue(ctx context.Context) {
+	now, view := p.upstreams.config.Now(), p.upstreams.current()
+	p.updateWatched(view)
+	for id, known := range view.entries {
+		scheduled := p.schedule[id]
+		if scheduled.running || now.Before(scheduled.due) || !p.wanted(scheduled, known.health) {
+			continue
+		}
+		scheduled.running = true
+		jitter := 1 + pollJitter*(2*p.random.Float64()-1)
+		scheduled.due = now.Add(time.Duration(jitter * float64(scheduled.interval)))
+		go p.poll(ctx, known, now)
+	}
+}
+
+func (p *poller) wanted(scheduled *scheduledPoll, health Health) bool {
+	ownDown := !health.Own.Up && !health.Own.At.IsZero()
+	return scheduled.watched || ownDown || health.Doubted()
+}
+
+// updateWatched follows changes of the members and of the configuration.
+func (p *poller) updateWatched(view *View) {
+	members := sortedMembers(p.upstreams.config.Instances(), p.upstreams.config.Self)
+	changed := p.ring == nil || !slices.Equal(members, p.members)
+	if changed {
+		p.members, p.ring = members, newWatcherRing(members)
+	}
+	for id := range view.entries {
+		scheduled, found := p.schedule[id]
+		if !found {
+			scheduled = &scheduledPoll{interval: pollInterval}
+			p.schedule[id] = scheduled
+		}
+		if changed || !found {
+			scheduled.watched = slices.Contains(p.ring.watchers(id), p.upstreams.config.Self.ID)
+		}
+	}
+	for id, scheduled := range p.schedule {
+		if view.entries[id] == nil && !scheduled.running {
+			delete(p.schedule, id)
+		}
+	}
+}
+
+func (p *poller) poll(ctx context.Context, known *entry, sentAt time.Time) {
+	defer func() { p.finished <- known.target.ID }()
+	pollCtx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	report, err := p.load(pollCtx, known)
+	if ctx.Err() == nil {
+		p.upstreams.polled(known.target.ID, sentAt, report, err)
+	}
+}
+
+func (p *poller) load(ctx context.Context, known *entry) (LoadReport, error) {
+	if known.kind == configuration.KindEngine {
+		return p.upstreams.config.Engines.Engine(known.target).Load(ctx)
+	}
+	return p.upstreams.config.Services.Service(known.target).Load(ctx)
+}
+
+// readLists reads the platform's list until ctx ends.
+func (u *Upstreams) readLists(ctx context.Context) {
+	random := u.random()
+	failing := false
+	for ctx.Err() == nil {
+		err := u.readList(ctx)
+		if failing != (err != nil) && ctx.Err() == nil {
+			failing = err != nil
+			u.config.Logger.WithField("instance", u.config.Self.ID).WithError(err).
+				Warn("availability of the platform's list has changed")
+		}
+		jitter := 1 + pollJitter*(2*random.Float64()-1)
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(jitter * float64(listInterval))):
+		}
+	}
+}
+
+func (u *Upstreams) readList(ctx context.Context) error {
+	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	list, err := u.config.List.List(listCtx)
+	if err != nil {
+		return err
+	}
+	u.write(func(w *writer, now time.Time) {
+		for _, listed := range list.Upstreams {
+			w.listed(contract.UpstreamID(listed.ID), listed.State, listed.UpdatedAt, now)
+		}
+	})
+	return nil
+}
+
+// maintain removes what has expired until ctx ends.
+func (u *Upstreams) maintain(ctx context.Context) {
+	ticker := time.NewTicker(maintainInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			u.write(func(w *writer, now time.Time) { w.maintain(now) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/status.go
@@ -0,0 +1,66 @@
+package upstream
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// Status is what operators see of one upstream.
+type Status struct {
+	ID            contract.UpstreamID      `json:"id"`
+	Kind          configuration.Kind       `json:"kind"`
+	Address       string                   `json:"address"`
+	FailureDomain contract.FailureDomainID `json:"failure_domain"`
+	State         State                    `json:"state"`
+	Doubted       bool                     `json:"doubted,omitempty"` // a connection failed and no contact has succeeded since
+	Incarnation   Incarnation              `json:"incarnation,omitempty"`
+	Slots         int                      `json:"slots"`
+	Running       int                      `json:"running"` // of the newest load report
+	Queued        int                      `json:"queued"`
+	ReportedAt    time.Time                `json:"reported_at,omitzero"`
+	InFlight      int64                    `json:"in_flight"` // of this instance
+	Models        []ModelPin               `json:"models,omitempty"`
+	Watched       bool                     `json:"watched"` // this instance polls it for all
+}
+
+// Status returns the state of all upstreams, sorted by identifier.
+func (u *Upstreams) Status() []Status {
+	now, view := u.config.Now(), u.current()
+	ring := newWatcherRing(sortedMembers(u.config.Instances(), u.config.Self))
+	all := make([]Status, 0, len(view.entries))
+	for id, known := range view.entries {
+		all = append(all, Status{
+			ID:            id,
+			Kind:          known.kind,
+			Address:       known.target.Address,
+			FailureDomain: known.target.FailureDomain,
+			State:         known.health.State(now),
+			Doubted:       known.health.Doubted(),
+			Incarnation:   known.health.Incarnation,
+			Slots:         known.slots,
+			Running:       known.load.running,
+			Queued:        known.load.queued,
+			ReportedAt:    known.load.at,
+			InFlight:      known.use.inFlight.Load(),
+			Models:        slices.Clone(known.served.models),
+			Watched:       slices.Contains(ring.watchers(id), u.config.Self.ID),
+		})
+	}
+	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// QuarantinedContents returns how many contents are quarantined now.
+func (u *Upstreams) QuarantinedContents() int {
+	now, count := u.config.Now(), 0
+	for _, judgement := range u.current().judgements {
+		if judgement.Standing(now).Quarantined {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/upstream/table.go
@@ -0,0 +1,234 @@
+package upstream
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+)
+
+const (
+	// noUpstreamWait is when to come back if no upstream is live. A poll may
+	// find one by then.
+	noUpstreamWait = 250 * time.Millisecond
+	// heldBackWait is when to come back with a content that waits for a place
+	// or for the confirmation of a death.
+	heldBackWait = 50 * time.Millisecond
+)
+
+// Config is what an Upstreams needs. All fields but Services, Seed and Now are
+// required.
+type Config struct {
+	Self          Member
+	Configuration configuration.Source
+	List          platform.InstanceList
+	Engines       EngineDialer
+	Services      ServiceDialer // nil if no plain services are polled
+	Recorder      timeline.Recorder
+	Instances     func() []Member // the live instances; may omit Self
+	Logger        logrus.FieldLogger
+	Seed          uint64           // of the random choices
+	Now           func() time.Time // default time.Now
+}
+
+// Upstreams implements Router. Its methods are safe for concurrent use.
+type Upstreams struct {
+	config Config
+	view   atomic.Pointer[View]
+	draws  atomic.Uint64 // random sources used so far
+	stats  Stats
+	kicks  chan contract.UpstreamID // upstreams to poll at once
+
+	// placing serializes the placement of suspects: two that choose at the same
+	// time must not choose the same upstream.
+	placing sync.Mutex
+
+	mu     sync.Mutex // guards writer
+	writer *writer
+}
+
+var _ Router = (*Upstreams)(nil)
+
+// kickBuffer bounds the upstreams that wait to be polled at once. When it is
+// full, the regular polls have to do.
+const kickBuffer = 256
+
+// New returns an Upstreams that learns nothing until Run is called.
+func New(config Config) *Upstreams {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	u := &Upstreams{config: config, kicks: make(chan contract.UpstreamID, kickBuffer)}
+	u.writer = newWriter(u.config.Self, &u.stats)
+	u.write(func(*writer, time.Time) {})
+	return u
+}
+
+// Run polls the upstreams and the platform's list until ctx ends.
+func (u *Upstreams) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { newPoller(u).run(ctx) })
+	running.Go(func() { u.readLists(ctx) })
+	running.Go(func() { u.maintain(ctx) })
+	running.Wait()
+}
+
+// Stats returns the counters.
+func (u *Upstreams) Stats() *Stats { return &u.stats }
+
+// current returns the newest view, after a change of the configuration a new one.
+func (u *Upstreams) current() *View {
+	if view := u.view.Load(); view.config == u.config.Configuration.Current() {
+		return view
+	}
+	u.write(func(*writer, time.Time) {})
+	return u.view.Load()
+}
+
+// write applies a change and publishes the new view.
+func (u *Upstreams) write(change func(w *writer, now time.Time)) {
+	u.mu.Lock()
+	now := u.config.Now()
+	u.writer.configure(u.config.Configuration.Current())
+	change(u.writer, now)
+	if view := u.writer.publish(now); view != nil {
+		u.view.Store(view)
+	}
+	events, kicks := u.writer.takeOutput()
+	u.mu.Unlock()
+	for _, event := range events {
+		u.report(event)
+	}
+	for _, id := range kicks {
+		u.kick(id)
+	}
+}
+
+func (u *Upstreams) kick(id contract.UpstreamID) {
+	select {
+	case u.kicks <- id:
+	default:
+	}
+}
+
+func (u *Upstreams) report(event timeline.Event) {
+	u.config.Recorder.Record(event)
+	u.config.Logger.WithFields(logrus.Fields{
+		"instance": u.config.Self.ID,
+		"upstream": event.Upstream,
+		"detail":   event.Detail,
+	}).Info(string(event.Kind))
+}
+
+// random returns a random source for one decision. A source of its own needs no
+// lock on the path of a request.
+func (u *Upstreams) random() *rand.Rand {
+	return rand.New(rand.NewPCG(u.config.Seed, u.draws.Add(1)))
+}
+
+// Place implements Router. A content that may have killed as many upstreams as
+// lead to a quarantine is held back until the deaths are confirmed or refuted;
+// the caller asks for its Standing before each attempt.
+func (u *Upstreams) Place(need Need) (Placement, time.Duration, bool) {
+	now, view := u.config.Now(), u.current()
+	if u.held(view, need.Content, now) {
+		u.stats.HeldBack.Add(1)
+		return Placement{}, heldBackWait, false
+	}
+	if !view.suspect(need.Content, now) {
+		return u.place(view, need, now)
+	}
+	u.placing.Lock()
+	defer u.placing.Unlock()
+	placement, _, ok := u.place(view, need, now)
+	if !ok {
+		return Placement{}, heldBackWait, false
+	}
+	u.write(func(w *writer, now time.Time) { w.markSuspectRun(placement.Target.ID, need.Content, now) })
+	return placement, 0, true
+}
+
+func (u *Upstreams) held(view *View, content ContentKey, now time.Time) bool {
+	if content == (ContentKey{}) {
+		return false
+	}
+	quarantined := view.judgements[content].Standing(now).Quarantined
+	return quarantined || len(view.mayHaveDied(content, now)) >= quarantineDeaths
+}
+
+func (u *Upstreams) place(view *View, need Need, now time.Time) (Placement, time.Duration, bool) {
+	choice, candidates := view.choice(need, now)
+	index, ok := Choose(choice, u.random())
+	if !ok {
+		u.stats.NotPlaced.Add(1)
+		return Placement{}, noUpstreamWait, false
+	}
+	u.stats.Placed.Add(1)
+	return u.occupy(candidates[index], need.Content), 0, true
+}
+
+// occupy counts a request on an upstream until its Done is called.
+func (u *Upstreams) occupy(chosen *entry, content ContentKey) Placement {
+	resident := new(byte)
+	chosen.use.inFlight.Add(1)
+	if content != (ContentKey{}) {
+		chosen.use.residents.Store(resident, content)
+	}
+	var once sync.Once
+	done := func(observation Observation) {
+		once.Do(func() {
+			chosen.use.inFlight.Add(-1)
+			chosen.use.residents.Delete(resident)
+			u.observe(chosen, content, observation)
+		})
+	}
+	return Placement{Target: chosen.target, Done: done}
+}
+
+// Target implements Router.
+func (u *Upstreams) Target(id contract.UpstreamID) (Target, bool) {
+	known := u.current().entries[id]
+	if known == nil {
+		return Target{}, false
+	}
+	return known.target, true
+}
+
+// Serves implements Router.
+func (u *Upstreams) Serves(service contract.ServiceID, pin ModelPin) bool {
+	view := u.current()
+	configured := view.configuredPin(service)
+	for _, id := range view.config.Document.Services[service].Upstreams {
+		if known := view.entries[id]; known != nil && known.serves(pin, configured) {
+			return true
+		}
+	}
+	return false
+}
+
+// Standing implements Router.
+func (u *Upstreams) Standing(content ContentKey) Standing {
+	return u.current().judgements[content].Standing(u.config.Now())
+}
+
+// Capacity returns this instance's share of the slots of the service's live
+// upstreams, rounded up.
+func (u *Upstreams) Capacity(service contract.ServiceID) int {
+	now, view := u.config.Now(), u.current()
+	slots := 0
+	for _, id := range view.config.Document.Services[service].Upstreams {
+		if known := view.entries[id]; known != nil && known.health.State(now) == StateLive {
+			slots += known.slots
+		}
+	}
+	instances := len(sortedMembers(u.config.Instances(), u.config.Self))
+	return (slots + instances - 1) / instances
+}
--- /dev/null
+++ b/internal/upstream/view.go
@@ -0,0 +1,219 @@
+package upstream
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+const (
+	// loadLifetime is how long a load report is used.
+	loadLifetime = 5 * time.Second
+	// suspectMarkLifetime is how long a peer's mark of a suspect's place holds.
+	suspectMarkLifetime = 3 * time.Second
+	// defaultSlots is the number of slots of an upstream that names none.
+	defaultSlots = 8
+)
+
+// View is an immutable picture of all upstreams. The path of a request reads
+// the newest one without a lock.
+type View struct {
+	config     *configuration.Snapshot
+	entries    map[contract.UpstreamID]*entry
+	allowed    map[grant]map[contract.UpstreamID]bool // restrictions by rules
+	judgements map[ContentKey]Judgement
+	// unconfirmed holds, for each content, the upstreams that may have died
+	// while running it.
+	unconfirmed map[ContentKey][]contract.UpstreamID
+	// peerSuspects holds where peers run suspects.
+	peerSuspects map[contract.UpstreamID]map[ContentKey]time.Time
+}
+
+// grant names the use of a service by a workspace.
+type grant struct {
+	workspace contract.WorkspaceID
+	service   contract.ServiceID
+}
+
+// entry is one upstream in a View. It is immutable except for use.
+type entry struct {
+	target Target
+	kind   configuration.Kind
+	slots  int
+	health Health
+	load   reportedLoad
+	served servedModels
+	use    *use
+}
+
+// reportedLoad is the newest load report of an upstream.
+type reportedLoad struct {
+	at      time.Time // zero if none is known
+	running int
+	queued  int
+}
+
+// servedModels is what an engine serves.
+type servedModels struct {
+	at     time.Time // zero if unknown
+	models []ModelPin
+}
+
+// use counts this instance's own requests on an upstream.
+type use struct {
+	inFlight  atomic.Int64
+	residents sync.Map // *placement -> ContentKey
+}
+
+// runsOther reports whether a content other than the given one, for which
+// suspected returns true, runs on the upstream.
+func (u *use) runsOther(content ContentKey, suspected func(ContentKey) bool) bool {
+	found := false
+	u.residents.Range(func(_, value any) bool {
+		other := value.(ContentKey)
+		found = other != content && suspected(other)
+		return !found
+	})
+	return found
+}
+
+// serves reports whether an upstream serves what a request needs. An engine
+// without a report is taken to serve what its service is configured for.
+func (e *entry) serves(pin ModelPin, configured ModelPin) bool {
+	if e.kind != configuration.KindEngine || pin == (ModelPin{}) {
+		return true
+	}
+	if e.served.at.IsZero() {
+		return pin == configured
+	}
+	return slices.Contains(e.served.models, pin)
+}
+
+// currentLoad is the lagged report plus the own requests in flight.
+func (e *entry) currentLoad(now time.Time) float64 {
+	load := float64(e.use.inFlight.Load())
+	if !e.load.at.IsZero() && now.Sub(e.load.at) < loadLifetime {
+		load += float64(e.load.running + e.load.queued)
+	}
+	return load
+}
+
+// buildEntries returns the entries for a configuration. Upstreams that exist in
+// the old entries at the same address keep what is known about them.
+func buildEntries(config *configuration.Snapshot, old map[contract.UpstreamID]*entry) map[contract.UpstreamID]*entry {
+	entries := make(map[contract.UpstreamID]*entry, len(config.Document.Upstreams))
+	for id, described := range config.Document.Upstreams {
+		built := &entry{use: &use{}}
+		if known := old[id]; known != nil {
+			built.use = known.use
+			if known.target.Address == described.Address {
+				*built = *known
+			}
+		}
+		built.target = Target{ID: id, Address: described.Address, FailureDomain: described.FailureDomain}
+		built.kind = described.Kind
+		built.slots = described.Slots
+		if built.slots <= 0 {
+			built.slots = defaultSlots
+		}
+		entries[id] = built
+	}
+	return entries
+}
+
+// buildAllowed returns the restrictions of rules that name upstreams.
+func buildAllowed(rules map[string]configuration.Rule) map[grant]map[contract.UpstreamID]bool {
+	allowed := make(map[grant]map[contract.UpstreamID]bool)
+	unrestricted := make(map[grant]bool)
+	for _, rule := range rules {
+		key := grant{workspace: rule.Workspace, service: rule.Service}
+		if len(rule.Upstreams) == 0 {
+			unrestricted[key] = true
+			continue
+		}
+		if allowed[key] == nil {
+			allowed[key] = make(map[contract.UpstreamID]bool)
+		}
+		for _, id := range rule.Upstreams {
+			allowed[key][id] = true
+		}
+	}
+	maps.DeleteFunc(allowed, func(key grant, _ map[contract.UpstreamID]bool) bool { return unrestricted[key] })
+	return allowed
+}
+
+// eligible returns the entries of a service that a workspace may use.
+func (v *View) eligible(service contract.ServiceID, workspace contract.WorkspaceID) []*entry {
+	ids := v.config.Document.Services[service].Upstreams
+	allowed, restricted := v.allowed[grant{workspace: workspace, service: service}]
+	found := make([]*entry, 0, len(ids))
+	for _, id := range ids {
+		if known := v.entries[id]; known != nil && (!restricted || allowed[id]) {
+			found = append(found, known)
+		}
+	}
+	return found
+}
+
+// configuredPin returns what the engines of a service are configured to serve.
+func (v *View) configuredPin(service contract.ServiceID) ModelPin {
+	described := v.config.Document.Services[service]
+	return ModelPin{Model: described.Model, Version: described.ModelVersion, Adapter: described.Adapter}
+}
+
+// choice returns the input of Choose for a need and the entries of its candidates.
+func (v *View) choice(need Need, now time.Time) (Choice, []*entry) {
+	choice := Choice{Need: need, Suspect: v.suspect(need.Content, now), Died: v.mayHaveDied(need.Content, now)}
+	pin := v.configuredPin(need.Service)
+	var candidates []*entry
+	for _, known := range v.eligible(need.Service, need.Workspace) {
+		if known.health.State(now) != StateLive || !known.serves(need.Pin, pin) {
+			continue
+		}
+		candidates = append(candidates, known)
+		choice.Candidates = append(choice.Candidates, Candidate{
+			Target:        known.target,
+			Load:          known.currentLoad(now),
+			Slots:         known.slots,
+			Doubted:       known.health.Doubted(),
+			BesideSuspect: choice.Suspect && v.besideSuspect(known, need.Content, now),
+		})
+	}
+	for _, id := range slices.Concat(need.Avoid, choice.Died) {
+		if known := v.entries[id]; known != nil {
+			choice.AvoidDomains = append(choice.AvoidDomains, known.target.FailureDomain)
+		}
+	}
+	return choice, candidates
+}
+
+// mayHaveDied returns the upstreams whose death is charged to a content,
+// confirmed or not.
+func (v *View) mayHaveDied(content ContentKey, now time.Time) []contract.UpstreamID {
+	died := v.judgements[content].upstreams(now)
+	for _, id := range v.unconfirmed[content] {
+		if !slices.Contains(died, id) {
+			died = append(died, id)
+		}
+	}
+	return died
+}
+
+// suspect reports whether a content may have killed an upstream.
+func (v *View) suspect(content ContentKey, now time.Time) bool {
+	return content != ContentKey{} && len(v.mayHaveDied(content, now)) > 0
+}
+
+func (v *View) besideSuspect(known *entry, content ContentKey, now time.Time) bool {
+	for other, at := range v.peerSuspects[known.target.ID] {
+		if other != content && now.Sub(at) < suspectMarkLifetime && v.suspect(other, now) {
+			return true
+		}
+	}
+	return known.use.runsOther(content, func(other ContentKey) bool { return v.suspect(other, now) })
+}
--- /dev/null
+++ b/internal/upstream/writer.go
@@ -0,0 +1,267 @@
+package upstream
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+)
+
+const (
+	// contactRefresh is how old a passed-on contact may get without a change.
+	contactRefresh = time.Second
+	// servedRefresh is how old a passed-on list of models may get.
+	servedRefresh = 30 * time.Second
+	// unconfirmedDeathLifetime bounds the time in which a lost connection can be
+	// explained by a death.
+	unconfirmedDeathLifetime = 5 * time.Second
+)
+
+// writer holds the state from which views are built. It is not safe for
+// concurrent use and reads no clock.
+type writer struct {
+	self         Member
+	stats        *Stats
+	config       *configuration.Snapshot
+	entries      map[contract.UpstreamID]*entry // shared with the last view while edited is nil
+	edited       map[contract.UpstreamID]bool   // entries that no view shares yet
+	dirty        bool
+	allowed      map[grant]map[contract.UpstreamID]bool
+	ledger       *ledger
+	evidence     *Evidence
+	judgements   map[ContentKey]Judgement
+	rejudge      bool
+	unconfirmed  map[Start]unconfirmedDeath
+	peerSuspects map[contract.UpstreamID]map[ContentKey]time.Time
+
+	states    map[contract.UpstreamID]State // as last reported
+	standings map[ContentKey]Standing       // as last reported
+	events    []timeline.Event
+	kicks     []contract.UpstreamID
+}
+
+// unconfirmedDeath is a lost connection that may have been a death.
+type unconfirmedDeath struct {
+	at       time.Time
+	contents []ContentKey
+}
+
+func newWriter(self Member, stats *Stats) *writer {
+	return &writer{
+		self:         self,
+		stats:        stats,
+		ledger:       newLedger(),
+		evidence:     NewEvidence(),
+		unconfirmed:  make(map[Start]unconfirmedDeath),
+		peerSuspects: make(map[contract.UpstreamID]map[ContentKey]time.Time),
+		states:       make(map[contract.UpstreamID]State),
+		standings:    make(map[ContentKey]Standing),
+	}
+}
+
+// configure applies a new configuration.
+func (w *writer) configure(config *configuration.Snapshot) {
+	if w.config == config {
+		return
+	}
+	w.config = config
+	w.entries = buildEntries(config, w.entries)
+	w.allowed = buildAllowed(config.Document.Rules)
+	w.edited = make(map[contract.UpstreamID]bool, len(w.entries))
+	for id := range w.entries {
+		w.edited[id] = true
+	}
+	w.dirty = true
+}
+
+// edit returns an entry that may be changed until the next view is published,
+// nil if it is unknown.
+func (w *writer) edit(id contract.UpstreamID) *entry {
+	known := w.entries[id]
+	if known == nil || w.edited[id] {
+		return known
+	}
+	if w.edited == nil {
+		w.entries = maps.Clone(w.entries)
+		w.edited = make(map[contract.UpstreamID]bool)
+	}
+	edited := *known
+	w.entries[id] = &edited
+	w.edited[id] = true
+	w.dirty = true
+	return &edited
+}
+
+// publish returns the new view, nil if nothing has changed.
+func (w *writer) publish(now time.Time) *View {
+	if w.rejudge {
+		w.judgements = w.evidence.Judge()
+		w.rejudge, w.dirty = false, true
+	}
+	w.reportStates(now)
+	w.reportStandings(now)
+	if !w.dirty {
+		return nil
+	}
+	w.dirty, w.edited = false, nil
+	return &View{
+		config:       w.config,
+		entries:      w.entries,
+		allowed:      w.allowed,
+		judgements:   w.judgements,
+		unconfirmed:  w.unconfirmedByContent(),
+		peerSuspects: w.clonePeerSuspects(),
+	}
+}
+
+func (w *writer) unconfirmedByContent() map[ContentKey][]contract.UpstreamID {
+	byContent := make(map[ContentKey][]contract.UpstreamID)
+	for start, death := range w.unconfirmed {
+		for _, content := range death.contents {
+			byContent[content] = append(byContent[content], start.Upstream)
+		}
+	}
+	return byContent
+}
+
+func (w *writer) clonePeerSuspects() map[contract.UpstreamID]map[ContentKey]time.Time {
+	cloned := make(map[contract.UpstreamID]map[ContentKey]time.Time, len(w.peerSuspects))
+	for id, contents := range w.peerSuspects {
+		cloned[id] = maps.Clone(contents)
+	}
+	return cloned
+}
+
+// takeOutput returns the events to report and the upstreams to poll at once.
+func (w *writer) takeOutput() ([]timeline.Event, []contract.UpstreamID) {
+	events, kicks := w.events, w.kicks
+	w.events, w.kicks = nil, nil
+	return events, kicks
+}
+
+func (w *writer) reportStates(now time.Time) {
+	for id, known := range w.entries {
+		state := known.health.State(now)
+		before, reported := w.states[id]
+		if !reported {
+			before = StateLive
+		}
+		w.states[id] = state
+		if state == before {
+			continue
+		}
+		w.stats.StateChanges.Add(1)
+		w.events = append(w.events, timeline.Event{
+			Kind: timeline.UpstreamChanged, Upstream: id,
+			Detail: fmt.Sprintf("from=%s to=%s incarnation=%s", before, state, known.health.Incarnation),
+		})
+	}
+	maps.DeleteFunc(w.states, func(id contract.UpstreamID, _ State) bool { return w.entries[id] == nil })
+}
+
+func (w *writer) reportStandings(now time.Time) {
+	for content, judgement := range w.judgements {
+		standing := judgement.Standing(now)
+		before := w.standings[content]
+		w.standings[content] = standing
+		detail := fmt.Sprintf("content=%x deaths=%d", content, standing.Deaths)
+		if standing.Quarantined && !before.Quarantined {
+			w.events = append(w.events, timeline.Event{Kind: timeline.ContentQuarantine, Detail: detail})
+		} else if standing.Deaths > before.Deaths {
+			w.events = append(w.events, timeline.Event{Kind: timeline.ContentSuspected, Detail: detail})
+		}
+	}
+	maps.DeleteFunc(w.standings, func(content ContentKey, _ Standing) bool {
+		_, found := w.judgements[content]
+		return !found
+	})
+}
+
+// maintain forgets what has expired and repeats the marks of suspects.
+func (w *writer) maintain(now time.Time) {
+	if w.evidence.Expire(now) {
+		w.rejudge = true
+	}
+	for start, death := range w.unconfirmed {
+		if now.Sub(death.at) > unconfirmedDeathLifetime {
+			delete(w.unconfirmed, start)
+			w.dirty = true
+		}
+	}
+	for id, contents := range w.peerSuspects {
+		maps.DeleteFunc(contents, func(_ ContentKey, at time.Time) bool { return now.Sub(at) >= suspectMarkLifetime })
+		if len(contents) == 0 || w.entries[id] == nil {
+			delete(w.peerSuspects, id)
+		}
+	}
+	w.repeatSuspectRuns(now)
+	w.ledger.retain(w.entries, w.evidence, now)
+}
+
+// repeatSuspectRuns marks the places of the suspects that run here.
+func (w *writer) repeatSuspectRuns(now time.Time) {
+	if len(w.judgements)+len(w.unconfirmed) == 0 {
+		return
+	}
+	unconfirmed := w.unconfirmedByContent()
+	for id, known := range w.entries {
+		known.use.residents.Range(func(_, value any) bool {
+			content := value.(ContentKey)
+			if len(w.judgements[content].upstreams(now))+len(unconfirmed[content]) > 0 {
+				w.markSuspectRun(id, content, now)
+			}
+			return true
+		})
+	}
+}
+
+// markSuspectRun tells the peers that a suspect runs on an upstream.
+func (w *writer) markSuspectRun(id contract.UpstreamID, content ContentKey, now time.Time) {
+	put(w.ledger, w.ledger.suspectRuns, suspectRun{upstream: id, content: content},
+		SuspectRunEntry{Upstream: id, Content: content, AtMS: now.UnixMilli()}, "")
+}
+
+// recordDeath adds a death to the evidence and passes it on.
+func (w *writer) recordDeath(death Death, from contract.InstanceID) {
+	// Peers learn the time in milliseconds; all must hold the same one.
+	death.At = time.UnixMilli(death.At.UnixMilli())
+	_, known := w.evidence.Death(death.Start)
+	merged, changed := w.evidence.AddDeath(death)
+	if !changed {
+		return
+	}
+	if !known {
+		w.stats.Deaths.Add(1)
+	}
+	w.rejudge = true
+	put(w.ledger, w.ledger.deaths, death.Start, DeathEntry{
+		Upstream:      merged.Start.Upstream,
+		Incarnation:   merged.Start.Incarnation,
+		FailureDomain: merged.FailureDomain,
+		AtMS:          merged.At.UnixMilli(),
+		Contents:      slices.Clone(merged.Contents),
+	}, from)
+	if edited := w.edit(death.Start.Upstream); edited != nil {
+		edited.health = edited.health.Died(merged.At, death.Start.Incarnation)
+	}
+}
+
+// listed applies an entry of the platform's list. An entry without a time
+// counts as written when it was read.
+func (w *writer) listed(id contract.UpstreamID, state platform.ListedState, updatedAt, now time.Time) {
+	known := w.entries[id]
+	if known == nil {
+		return
+	}
+	if updatedAt.IsZero() {
+		updatedAt = now
+	}
+	if next := known.health.Listed(state, updatedAt); next != known.health {
+		w.edit(id).health = next
+	}
+}
