--- a/internal/api/oas/oas_json_gen.go
+++ b/internal/api/oas/oas_json_gen.go
@@ -215,15 +215,22 @@
 			s.Body.Encode(e)
 		}
 	}
+	{
+		if s.BodyOmitted.Set {
+			e.FieldStart("body_omitted")
+			s.BodyOmitted.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfCallResult = [6]string{
+var jsonFieldsNameOfCallResult = [7]string{
 	0: "outcome",
 	1: "reason",
 	2: "retry_after_ms",
 	3: "status",
 	4: "content_type",
 	5: "body",
+	6: "body_omitted",
 }
 
 // Decode decodes CallResult from json.
@@ -295,6 +302,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"body\"")
 			}
+		case "body_omitted":
+			if err := func() error {
+				s.BodyOmitted.Reset()
+				if err := s.BodyOmitted.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"body_omitted\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/internal/api/oas/oas_schemas_gen.go
+++ b/internal/api/oas/oas_schemas_gen.go
@@ -131,6 +131,8 @@
 	ContentType OptString `json:"content_type"`
 	// Body of the service's answer.
 	Body OptString `json:"body"`
+	// The answer comes from a record whose body was too large to keep; only the status is valid.
+	BodyOmitted OptBool `json:"body_omitted"`
 }
 
 // GetOutcome returns the value of Outcome.
@@ -163,6 +165,11 @@
 	return s.Body
 }
 
+// GetBodyOmitted returns the value of BodyOmitted.
+func (s *CallResult) GetBodyOmitted() OptBool {
+	return s.BodyOmitted
+}
+
 // SetOutcome sets the value of Outcome.
 func (s *CallResult) SetOutcome(val Outcome) {
 	s.Outcome = val
@@ -193,6 +200,11 @@
 	s.Body = val
 }
 
+// SetBodyOmitted sets the value of BodyOmitted.
+func (s *CallResult) SetBodyOmitted(val OptBool) {
+	s.BodyOmitted = val
+}
+
 // Ref: #/components/schemas/Configuration
 type Configuration struct {
 	Version  int64       `json:"version"`
--- /dev/null
+++ b/internal/instance/generations.go
@@ -0,0 +1,155 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/api"
+	"foxtailhub.example/foxtailhub/internal/api/oas"
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/generation"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// unconfirmedRetry is when a refused caller should come back: by then the
+// balancer has noticed that this instance is unready.
+const unconfirmedRetry = time.Second
+
+// StartGeneration serves POST .../generations.
+func (h *handler) StartGeneration(
+	ctx context.Context, body *oas.GenerationRequest, params oas.StartGenerationParams, w http.ResponseWriter,
+) error {
+	defer h.activity.begin(&h.activity.generations)()
+	id := contract.RequestID{Workspace: contract.WorkspaceID(params.Workspace), Key: string(params.IdempotencyKey)}
+	request, verdict, ok := h.generationRequest(id, contract.ServiceID(params.Service), body)
+	if !ok {
+		return h.refuse(id, verdict)
+	}
+	if request.Resume == nil && !h.admitsNewWork() {
+		return h.refuse(id, unconfirmed())
+	}
+	subscription, verdict, ok := h.registry.Open(ctx, request)
+	if !ok {
+		return h.refuse(id, verdict)
+	}
+	defer subscription.Close()
+	return h.stream(ctx, w, id, subscription)
+}
+
+// ContinueGeneration serves GET .../generations/{key}.
+func (h *handler) ContinueGeneration(ctx context.Context, params oas.ContinueGenerationParams, w http.ResponseWriter) error {
+	defer h.activity.begin(&h.activity.generations)()
+	id := contract.RequestID{Workspace: contract.WorkspaceID(params.Workspace), Key: string(params.Key)}
+	resume := &generation.Resume{Position: contract.Start(), Locator: params.Locator.Or("")}
+	if last, set := params.LastEventID.Get(); set {
+		position, err := contract.ParsePosition(last)
+		if err != nil {
+			return badRequest("Last-Event-ID", err)
+		}
+		resume.Position = position
+	}
+	subscription, verdict, ok := h.registry.Join(ctx, id, resume)
+	if !ok {
+		return h.refuse(id, verdict)
+	}
+	defer subscription.Close()
+	return h.stream(ctx, w, id, subscription)
+}
+
+// stream writes the subscription to the caller. A generation that ended before
+// it reached an engine is answered by an HTTP error.
+func (h *handler) stream(ctx context.Context, w http.ResponseWriter, id contract.RequestID, subscription *generation.Subscription) error {
+	first, err := subscription.Next(ctx)
+	if err != nil {
+		return h.refuse(id, contract.Verdict{Outcome: contract.Unknown, Reason: contract.ReasonInProgress})
+	}
+	if first.Kind == generation.EventEnd && first.Count == 0 && first.Verdict.Outcome != contract.Completed {
+		return h.refuse(id, first.Verdict)
+	}
+	if first.Kind == generation.EventBroken {
+		return h.refuse(id, unconfirmed())
+	}
+	if err := newStreamWriter(w, id).copy(ctx, subscription, first); err != nil {
+		h.record(timeline.Event{Kind: timeline.CallerGone, Request: id})
+		h.log.WithField("request", id).WithError(err).Info("caller is gone")
+	}
+	return nil
+}
+
+// generationRequest checks the request against the configuration in force.
+func (h *handler) generationRequest(
+	id contract.RequestID, serviceID contract.ServiceID, body *oas.GenerationRequest,
+) (generation.Request, contract.Verdict, bool) {
+	document := &h.source.Current().Document
+	rule, verdict, ok := findRule(document, id.Workspace, serviceID, configuration.KindEngine)
+	if !ok {
+		return generation.Request{}, verdict, false
+	}
+	service := document.Services[serviceID]
+	now := time.Now()
+	request := generation.Request{
+		ID:          id,
+		Service:     serviceID,
+		Pin:         upstream.ModelPin{Model: service.Model, Version: service.ModelVersion, Adapter: service.Adapter},
+		Prompt:      body.Prompt,
+		Sampling:    upstream.Sampling{Seed: uint64(body.Seed.Or(0)), Temperature: body.Temperature.Or(0)},
+		MaxTokens:   min(body.MaxTokens.Or(service.MaxTokens), service.MaxTokens),
+		Priority:    priorityOf(rule),
+		Policy:      service.ResumePolicy,
+		MaxAttempts: service.MaxAttempts,
+		QueueUntil:  now.Add(milliseconds(service.QueueMS)),
+		Deadline:    now.Add(milliseconds(min(body.DeadlineMs.Or(service.DeadlineMS), service.DeadlineMS))),
+		DetachGrace: milliseconds(service.DetachGraceMS),
+	}
+	if request.QueueUntil.After(request.Deadline) {
+		request.QueueUntil = request.Deadline
+	}
+	resume, set := body.Resume.Get()
+	if !set {
+		return request, contract.Verdict{}, true
+	}
+	position, err := contract.ParsePosition(resume.Position)
+	if err != nil {
+		return request, contract.Verdict{Outcome: contract.NotRun, Reason: reasonBadPosition}, false
+	}
+	request.Resume = &generation.Resume{Position: position, Locator: resume.Locator.Or(""), Received: resume.Received}
+	return request, contract.Verdict{}, true
+}
+
+func priorityOf(rule configuration.Rule) upstream.Priority {
+	if rule.Priority == "batch" {
+		return upstream.PriorityBatch
+	}
+	return upstream.PriorityInteractive
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func unconfirmed() contract.Verdict {
+	return contract.Verdict{Outcome: contract.NotRun, Reason: contract.ReasonUnconfirmed, RetryAfter: unconfirmedRetry}
+}
+
+// findRule finds the rule that lets a workspace use a service of a kind.
+func findRule(
+	document *configuration.Document, workspace contract.WorkspaceID, serviceID contract.ServiceID, kind configuration.Kind,
+) (configuration.Rule, contract.Verdict, bool) {
+	if _, ok := document.Workspaces[workspace]; !ok {
+		return configuration.Rule{}, contract.Verdict{Outcome: contract.NotRun, Reason: contract.ReasonUnknownSpace}, false
+	}
+	for _, rule := range document.Rules {
+		if rule.Workspace == workspace && rule.Service == serviceID && document.Services[serviceID].Kind == kind {
+			return rule, contract.Verdict{}, true
+		}
+	}
+	return configuration.Rule{}, contract.Verdict{Outcome: contract.NotRun, Reason: contract.ReasonUnknownService}, false
+}
+
+// refuse returns the HTTP error for a verdict and records it.
+func (h *handler) refuse(id contract.RequestID, verdict contract.Verdict) error {
+	h.record(timeline.Event{Kind: timeline.RequestRefused, Request: id, Detail: "reason=" + string(verdict.Reason)})
+	h.metrics.refused(verdict)
+	return api.VerdictError(verdict, refusalMessage(verdict))
+}
--- /dev/null
+++ b/internal/instance/handler.go
@@ -0,0 +1,103 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/ogen-go/ogen/ogenerrors"
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/api"
+	"foxtailhub.example/foxtailhub/internal/api/oas"
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/dispatch"
+	"foxtailhub.example/foxtailhub/internal/generation"
+	"foxtailhub.example/foxtailhub/internal/membership"
+	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// reasonBadPosition is the reason for a position that cannot be parsed.
+const reasonBadPosition contract.Reason = "bad_position"
+
+// handler serves the operations of the HTTP interface.
+type handler struct {
+	log        logrus.FieldLogger
+	source     configuration.Source
+	holder     *configuration.Holder
+	store      *configuration.Store
+	acceptor   *configuration.Acceptor
+	registry   *generation.Registry
+	caller     *dispatch.Caller
+	upstreams  *upstream.Upstreams
+	membership *membership.Membership
+	events     *timeline.Log
+	collector  *timeline.Collector
+	activity   *activity
+	metrics    *metrics
+	life       *life
+}
+
+var (
+	_ oas.Handler    = (*handler)(nil)
+	_ oas.RawHandler = (*handler)(nil)
+)
+
+func (h *handler) record(event timeline.Event) { h.events.Record(event) }
+
+// admitsNewWork reports whether this instance may admit new work. A draining
+// instance still does: the balancer has not noticed yet, and a refusal would
+// cut the caller off.
+func (h *handler) admitsNewWork() bool { return h.life.confirmed() }
+
+// NewError maps an unexpected error to an HTTP error. The cause is logged, not
+// sent: it may name internals.
+func (h *handler) NewError(_ context.Context, err error) *oas.ErrorStatusCodeWithHeaders {
+	var answer *oas.ErrorStatusCodeWithHeaders
+	if errors.As(err, &answer) {
+		return answer
+	}
+	h.log.WithError(err).Error("request failed")
+	return api.VerdictError(contract.Verdict{Outcome: contract.Unknown, Reason: "internal"}, "internal error")
+}
+
+// badRequest refuses a request with the path of the bad value.
+func badRequest(path string, err error) error {
+	return &oas.ErrorStatusCodeWithHeaders{
+		StatusCode: http.StatusBadRequest,
+		Response:   oas.Error{Outcome: oas.OutcomeNotRun, Reason: "bad_request", Message: path + ": " + err.Error()},
+	}
+}
+
+// writeDecodeError answers requests that do not match the interface's schema.
+func writeDecodeError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	status := ogenerrors.ErrorCode(err)
+	answer := oas.Error{Outcome: oas.OutcomeNotRun, Reason: "bad_request", Message: decodeMessage(err)}
+	data, encodeErr := answer.MarshalJSON()
+	if encodeErr != nil {
+		http.Error(w, "bad request", status)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data) // a failed write means that the caller is gone
+}
+
+// errRequestForm reports a request identifier that cannot be parsed.
+var errRequestForm = errors.New("must have the form workspace/key")
+
+// badStore answers a read of an accepted version that failed.
+func badStore(err error) error {
+	if errors.Is(err, platform.ErrNotFound) {
+		return &oas.ErrorStatusCodeWithHeaders{
+			StatusCode: http.StatusNotFound,
+			Response:   oas.Error{Outcome: oas.OutcomeNotRun, Reason: "not_found", Message: "version: was not accepted"},
+		}
+	}
+	return api.VerdictError(contract.Verdict{
+		Outcome: contract.NotRun, Reason: contract.ReasonStoreDown, RetryAfter: unconfirmedRetry,
+	}, "the table service cannot be read")
+}
--- /dev/null
+++ b/internal/instance/life.go
@@ -0,0 +1,149 @@
+package instance
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/membership"
+)
+
+const (
+	// confirmInterval is how often the confirmation rule is applied. It is a
+	// small part of the window of 2 s in which a head read or a contact counts.
+	confirmInterval = 100 * time.Millisecond
+	drainInterval   = 100 * time.Millisecond
+)
+
+// life keeps the state of the instance in its life cycle.
+type life struct {
+	log        logrus.FieldLogger
+	follower   *configuration.Follower
+	membership *membership.Membership
+
+	confirmation atomic.Pointer[configuration.Confirmation]
+	state        atomic.Pointer[State]
+	drainStart   atomic.Int64  // Unix nanoseconds; 0 while not draining
+	draining     chan struct{} // closed when the drain begins
+}
+
+func newLife(log logrus.FieldLogger, follower *configuration.Follower, members *membership.Membership) *life {
+	l := &life{log: log, follower: follower, membership: members, draining: make(chan struct{})}
+	starting := StateStarting
+	l.state.Store(&starting)
+	l.confirmation.Store(&configuration.Confirmation{Reason: "starting"})
+	return l
+}
+
+// run applies the confirmation rule until ctx ends.
+func (l *life) run(ctx context.Context) {
+	ticker := time.NewTicker(confirmInterval)
+	defer ticker.Stop()
+	for {
+		l.update(time.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// update applies the confirmation rule once.
+func (l *life) update(now time.Time) {
+	before := l.confirmation.Load()
+	standing := l.follower.Standing()
+	after := configuration.Confirm(configuration.ConfirmInput{
+		Now:         now,
+		Initialized: before.Initialized,
+		HeadRead:    standing.HeadRead,
+		BehindSince: standing.BehindSince,
+		Others:      knownInstances(l.membership.View(), now),
+	})
+	l.confirmation.Store(&after)
+	l.membership.SetConfirmed(after.Current)
+	l.membership.SetHead(int64(standing.Verified))
+	if before.Confirmed != after.Confirmed {
+		l.log.WithField("confirmed", after.Confirmed).WithField("reason", after.Reason).Warn("confirmation changed")
+	}
+	l.setState(lifeState(l.isDraining(), after.Initialized, after.Confirmed))
+}
+
+// knownInstances translates the membership for the confirmation rule.
+func knownInstances(view *membership.View, now time.Time) []configuration.KnownInstance {
+	members := view.Members()
+	known := make([]configuration.KnownInstance, 0, len(members))
+	for _, m := range members {
+		known = append(known, configuration.KnownInstance{
+			ID:        m.ID,
+			Permanent: now.Before(m.KnownUntil),
+			Leaving:   m.State == membership.Draining,
+			Heard:     m.Contact,
+		})
+	}
+	return known
+}
+
+var membershipStates = map[State]membership.State{
+	StateStarting: membership.Unready,
+	StateUnready:  membership.Unready,
+	StateReady:    membership.Ready,
+	StateDraining: membership.Draining,
+}
+
+func (l *life) setState(state State) {
+	before := *l.state.Swap(&state)
+	if before == state {
+		return
+	}
+	l.log.WithField("from", before).WithField("to", state).Info("instance state changed")
+	l.membership.SetState(membershipStates[state])
+}
+
+func (l *life) current() State { return *l.state.Load() }
+
+// confirmed reports whether new work may be admitted.
+func (l *life) confirmed() bool { return l.confirmation.Load().Confirmed }
+
+func (l *life) mayAccept() (bool, string) {
+	c := l.confirmation.Load()
+	return c.MayAccept, c.Reason
+}
+
+func (l *life) isDraining() bool { return l.drainStart.Load() != 0 }
+
+// drain begins the graceful shutdown. It is final and may be called again.
+func (l *life) drain() {
+	if !l.drainStart.CompareAndSwap(0, time.Now().UnixNano()) {
+		return
+	}
+	close(l.draining)
+	l.setState(StateDraining)
+}
+
+// awaitQuiet waits until a draining instance may exit. It has no time limit:
+// ending a request to exit sooner would cut off its caller.
+func (l *life) awaitQuiet(ctx context.Context, a *activity, held func() int, linger time.Duration) {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		view := drainView{
+			startedAt:   time.Unix(0, l.drainStart.Load()),
+			lastRequest: time.Unix(0, a.lastRequest.Load()),
+			active:      a.generations.Load() + a.calls.Load(),
+			held:        int64(held()),
+			linger:      linger,
+		}
+		if mayExit(time.Now(), view) {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/instance/message.go
@@ -0,0 +1,54 @@
+package instance
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// messages says in one line what a reason means for the caller.
+var messages = map[contract.Reason]string{
+	contract.ReasonOverloaded:      "the expected wait exceeds the time for admission",
+	contract.ReasonLimit:           "a limit of the workspace is reached",
+	contract.ReasonNoUpstream:      "no upstream can take the request now",
+	contract.ReasonStoreDown:       "the call cannot be recorded, so it was not run",
+	contract.ReasonUnconfirmed:     "this instance cannot confirm its configuration; another one may",
+	contract.ReasonQuarantined:     "this content has crashed several upstreams and is refused",
+	contract.ReasonDeadline:        "the deadline has passed",
+	contract.ReasonPrefixMismatch:  "the text received so far is not that of the generation; send it in resume.received",
+	contract.ReasonVersionGone:     "no engine serves the model version that the generation began with",
+	contract.ReasonKeyExpired:      "the idempotency key is older than the retention time of records",
+	contract.ReasonKeyNoTime:       contract.ErrKeyNoTime.Error(),
+	contract.ReasonMismatch:        "the idempotency key was used for another request",
+	contract.ReasonInProgress:      "the same request is in progress; send it again with the same key",
+	contract.ReasonUnknownOutcome:  "the call was sent and its answer was lost",
+	contract.ReasonUpstreamRefused: "the upstream refused the request before running it",
+	contract.ReasonUnknownService:  "service: no rule lets this workspace use such a service",
+	contract.ReasonUnknownSpace:    "workspace: not in the configuration",
+	contract.ReasonAttempts:        "too many attempts failed",
+	reasonBadPosition:              "resume.position: " + contract.ErrPositionInvalid.Error(),
+}
+
+func refusalMessage(verdict contract.Verdict) string {
+	if message, ok := messages[verdict.Reason]; ok {
+		return message
+	}
+	return string(verdict.Reason)
+}
+
+// decodeMessage returns one line with the path of the bad value. The wrapping
+// layers of the decoder name Go functions and are left out.
+func decodeMessage(err error) string {
+	var decode *ogenerrors.DecodeRequestError
+	if errors.As(err, &decode) {
+		err = decode.Err
+	}
+	var params *ogenerrors.DecodeParamsError
+	if errors.As(err, &params) {
+		err = params.Err
+	}
+	return strings.ReplaceAll(err.Error(), "\n", " ")
+}
--- /dev/null
+++ b/internal/instance/metrics.go
@@ -0,0 +1,75 @@
+package instance
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+)
+
+const metricsNamespace = "foxtailhub"
+
+// metrics are the instance's metrics. Labels are bounded: kinds of requests,
+// outcomes, reasons, kinds of events.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	events   *prometheus.CounterVec
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "requests_finished_total", Help: "Requests that ended, by kind (generation, call) and outcome.",
+		}, []string{"kind", "outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "requests_refused_total", Help: "Requests answered without an answer of an upstream, by reason.",
+		}, []string{"reason"}),
+		events: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "events_total", Help: "Events of the time line, by kind.",
+		}, []string{"kind"}),
+	}
+	m.registry.MustRegister(m.requests, m.refusals, m.events,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// gauge registers a value that is read when the metrics are.
+func (m *metrics) gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}, read))
+}
+
+// counter registers a growing value that is read when the metrics are.
+func (m *metrics) counter(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help}, read))
+}
+
+func (m *metrics) finished(kind string, verdict contract.Verdict) {
+	m.requests.WithLabelValues(kind, string(verdict.Outcome)).Inc()
+}
+
+func (m *metrics) refused(verdict contract.Verdict) {
+	m.refusals.WithLabelValues(string(verdict.Reason)).Inc()
+}
+
+// recorder counts the events that go to the time line.
+type recorder struct {
+	next    timeline.Recorder
+	metrics *metrics
+}
+
+// Record counts and records an event.
+func (r recorder) Record(event timeline.Event) {
+	r.metrics.events.WithLabelValues(string(event.Kind)).Inc()
+	r.next.Record(event)
+}
--- /dev/null
+++ b/internal/instance/stream.go
@@ -0,0 +1,128 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/api"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/generation"
+)
+
+// writeTimeout bounds one write to a caller. A caller whose connection accepts
+// nothing for that long is taken for gone; it can reconnect at its position.
+const writeTimeout = 10 * time.Second
+
+// errCallerGone ends a stream whose caller cannot be written to.
+var errCallerGone = errors.New("caller is gone")
+
+// streamWriter writes the events of a subscription to one connection.
+type streamWriter struct {
+	response   http.ResponseWriter
+	controller *http.ResponseController
+	request    contract.RequestID
+}
+
+func newStreamWriter(w http.ResponseWriter, request contract.RequestID) *streamWriter {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(http.StatusOK)
+	return &streamWriter{response: w, controller: http.NewResponseController(w), request: request}
+}
+
+// copy writes events until the end, the loss of the caller or a broken relay.
+// A broken relay closes the connection without an end event: the caller
+// reconnects with its position.
+func (s *streamWriter) copy(ctx context.Context, subscription *generation.Subscription, first generation.Event) error {
+	if err := s.write(first); err != nil {
+		return err
+	}
+	events := receive(ctx, subscription)
+	keepAlive := time.NewTicker(api.KeepAliveInterval)
+	defer keepAlive.Stop()
+	for !isLast(first) {
+		select {
+		case event, open := <-events:
+			if !open {
+				return errCallerGone
+			}
+			first = event
+			if err := s.write(event); err != nil {
+				return err
+			}
+		case <-keepAlive.C:
+			if err := s.flush(api.WriteKeepAlive(s.response)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func isLast(event generation.Event) bool {
+	return event.Kind == generation.EventEnd || event.Kind == generation.EventBroken
+}
+
+// receive reads the subscription until its last event or the end of ctx.
+func receive(ctx context.Context, subscription *generation.Subscription) <-chan generation.Event {
+	events := make(chan generation.Event)
+	go func() {
+		defer close(events)
+		for {
+			event, err := subscription.Next(ctx)
+			if err != nil {
+				return
+			}
+			select {
+			case events <- event:
+			case <-ctx.Done():
+				return
+			}
+			if isLast(event) {
+				return
+			}
+		}
+	}()
+	return events
+}
+
+func (s *streamWriter) write(event generation.Event) error {
+	switch event.Kind {
+	case generation.EventStart:
+		return s.event(api.EventStart, event.Position, api.StartEvent{
+			Request: s.request, Model: event.Pin.Model, Version: event.Pin.Version, Locator: event.Locator,
+		})
+	case generation.EventToken:
+		return s.event(api.EventToken, event.Position, api.TokenEvent{Text: event.Text})
+	case generation.EventAttempt:
+		return s.event(api.EventAttempt, event.Position, api.AttemptEvent{Locator: event.Locator})
+	case generation.EventEnd:
+		return s.event(api.EventEnd, event.Position, api.EndEvent{
+			Outcome: event.Verdict.Outcome, Reason: event.Verdict.Reason, RetryAfterMS: event.Verdict.RetryAfter.Milliseconds(),
+			Count: event.Count, SHA256: event.Checksum,
+		})
+	default:
+		return nil
+	}
+}
+
+func (s *streamWriter) event(kind api.EventType, position contract.Position, payload any) error {
+	// Errors of SetWriteDeadline mean that the connection has no deadlines; the
+	// write itself then reports what is wrong.
+	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return s.flush(api.WriteEvent(s.response, kind, position, payload))
+}
+
+// flush sends what was written, unless the write failed.
+func (s *streamWriter) flush(written error) error {
+	if written != nil {
+		return errors.Mark(written, errCallerGone)
+	}
+	if err := s.controller.Flush(); err != nil {
+		return errors.Mark(err, errCallerGone)
+	}
+	return nil
+}
