--- a/internal/configuration/confirm.go
+++ b/internal/configuration/confirm.go
@@ -12,10 +12,6 @@
 	// DefaultConfirmWindow is how old a head read or a contact may be. With 1 s
 	// for the poll it keeps a missed version below the bound of 3 s.
 	DefaultConfirmWindow = 2 * time.Second
-	// DefaultFetchWindow is how long a version may be known and not yet held. A
-	// contact may bring the news of a version up to 2 s after its acceptance,
-	// which leaves 1 s of the bound for the fetch.
-	DefaultFetchWindow = 1 * time.Second
 	// DefaultDepartureHold is how long an instance that disappeared without
 	// announcing it still counts as known.
 	DefaultDepartureHold = 24 * time.Hour
@@ -32,12 +28,13 @@
 	// LastKnown is when it was last heard from or seen in the list. It matters
 	// when Permanent is false.
 	LastKnown time.Time
-	// Heard is the time of the last completed contact, direct or through others,
-	// at which it was current (Confirmation.Current); zero if there was none. An
-	// instance that is not current proves nothing: since a restart it may have
-	// forgotten a version that it acknowledged, or it still lacks one that it
-	// has heard of. For the same reason an instance that is not current relays
-	// no contacts.
+	// Heard is the time of the last completed contact, direct or through others;
+	// zero if there was none. It is only noted if the sender was current
+	// (Confirmation.Current) and if this instance was not behind after
+	// Follower.Announce of the same message. A sender that is not current proves
+	// nothing: since a restart it may have forgotten a version that it
+	// acknowledged, or it still lacks one that it has heard of. For the same
+	// reason an instance that is not current relays no contacts.
 	Heard time.Time
 }
 
@@ -55,7 +52,6 @@
 	BehindSince   time.Time
 	Others        []KnownInstance
 	Window        time.Duration // default 2 s
-	FetchWindow   time.Duration // default 1 s
 	DepartureHold time.Duration // default 24 h
 }
 
@@ -75,24 +71,28 @@
 // the window.
 func Confirm(in ConfirmInput) Confirmation {
 	setDefault(&in.Window, DefaultConfirmWindow)
-	setDefault(&in.FetchWindow, DefaultFetchWindow)
 	setDefault(&in.DepartureHold, DefaultDepartureHold)
-	fromStore := in.within(in.HeadRead, in.Window)
+	fromStore := in.within(in.HeadRead)
 	c := Confirmation{Initialized: in.Initialized || fromStore}
 	c.Known, c.Heard = in.count(c.Initialized)
 	majority := 2*c.Heard > c.Known
-	// Versions heard of and not fetched yet are missed as much as unheard ones.
-	current := in.BehindSince.IsZero() || in.within(in.BehindSince, in.FetchWindow)
 	c.Initialized = c.Initialized || (majority && in.BehindSince.IsZero())
 	c.Current = c.Initialized && in.BehindSince.IsZero()
-	c.Confirmed = c.Initialized && (fromStore || (majority && current))
+	c.Confirmed = c.Initialized && (fromStore || majority)
 	c.MayAccept = fromStore && majority
-	c.Reason = c.reason(fromStore, majority, current)
+	c.Reason = c.reason(fromStore, majority)
 	return c
 }
 
-func (in ConfirmInput) within(t time.Time, window time.Duration) bool {
-	return !t.IsZero() && in.Now.Sub(t) <= window
+func (in ConfirmInput) within(t time.Time) bool {
+	return !t.IsZero() && in.Now.Sub(t) <= in.Window
+}
+
+// heard reports whether a contact counts. Contacts since a missed version
+// became known do not: the peers may hold that version, and counting them would
+// keep this instance confirmed under the old one.
+func (in ConfirmInput) heard(other KnownInstance) bool {
+	return in.within(other.Heard) && (in.BehindSince.IsZero() || other.Heard.Before(in.BehindSince))
 }
 
 // count returns the known instances and those heard from. An instance that is
@@ -108,14 +108,14 @@
 			continue
 		}
 		known++
-		if in.within(other.Heard, in.Window) {
+		if in.heard(other) {
 			heard++
 		}
 	}
 	return known, heard
 }
 
-func (c Confirmation) reason(fromStore, majority, current bool) string {
+func (c Confirmation) reason(fromStore, majority bool) string {
 	heard := fmt.Sprintf("heard from %d of %d known instances", c.Heard, c.Known)
 	switch {
 	case c.MayAccept:
@@ -126,8 +126,6 @@
 		return "the store was not read"
 	case !majority:
 		return "the store was not read and there is no majority: " + heard
-	case !current:
-		return "a newer configuration version is known and was not fetched"
 	default:
 		return "no configuration version is known since the start"
 	}
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -109,14 +109,15 @@
 }
 
 // Announce notes the version that a peer says it knows of first hand, which is
-// Standing.Verified of the peer. It does not block.
-func (f *Follower) Announce(version Version, peer contract.InstanceID) {
-	held := f.cfg.Holder.Current().Version
-	if version <= held {
-		return
+// Standing.Verified of the peer. It does not block. It returns whether this
+// instance holds the newest version that it knows of; if not, the contacts that
+// came with the same message must not be noted for ConfirmInput.
+func (f *Follower) Announce(version Version, peer contract.InstanceID) (current bool) {
+	if held := f.cfg.Holder.Current().Version; version > held {
+		f.noteAnnouncement(version, held, peer)
+		f.wakeFetch()
 	}
-	f.noteAnnouncement(version, held, peer)
-	f.wakeFetch()
+	return f.Standing().BehindSince.IsZero()
 }
 
 func (f *Follower) noteAnnouncement(version, held Version, peer contract.InstanceID) {
