--- /dev/null
+++ b/internal/platform/platformhttp/client.go
@@ -0,0 +1,179 @@
+// Package platformhttp adapts the platform's HTTP services to the interfaces of
+// package platform.
+//
+// The package must never report that a write had no effect unless that is
+// certain.
+package platformhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/platform"
+)
+
+// The protocol: paths below a service's base address, and the header by which a
+// service says that a refused request had no effect.
+const (
+	PathRow       = "/table/row"       // GET ?key=; platform.Row
+	PathRows      = "/table/rows"      // GET ?prefix=&after=&limit=; list of platform.Row
+	PathCommit    = "/table/commit"    // POST CommitRequest; CommitResponse
+	PathObjects   = "/objects/"        // GET, PUT /objects/{name}; the data
+	PathList      = "/list"            // GET; platform.List
+	PathInstances = "/list/instances/" // PUT, DELETE /list/instances/{id}; platform.ListEntry
+	PathUpstreams = "/list/upstreams/" // PUT, DELETE /list/upstreams/{id}; platform.ListEntry
+
+	EffectHeader = "Foxtailhub-Effect"
+	EffectNone   = "none"
+)
+
+// DefaultTimeout bounds one request.
+const DefaultTimeout = 2 * time.Second
+
+// maxAnswerBytes bounds what is read of one answer.
+const maxAnswerBytes = 64 << 20
+
+// CommitRequest is the body of a commit.
+type CommitRequest struct {
+	Transactions []platform.Transaction `json:"transactions"`
+}
+
+// CommitResponse is the answer to a commit.
+type CommitResponse struct {
+	Results []platform.CommitResult `json:"results"`
+}
+
+// Config configures an adapter.
+type Config struct {
+	// Address is the service's base URL, such as http://127.0.0.1:7300.
+	Address string
+	// Timeout bounds one request. Default 2 s.
+	Timeout time.Duration
+	// Transport carries the requests. Default: a transport of its own.
+	//
+	// A transport may send a request again by itself when a reused connection
+	// breaks. Commits are POSTs without an idempotency key, which http.Transport
+	// does not send again once a byte was written; another transport or a proxy
+	// may. A commit that is answered "not applied" may therefore have been
+	// applied by an earlier copy, and callers read back to find out.
+	Transport http.RoundTripper
+}
+
+// maxIdleConnections is per service; commits and reads of one instance overlap
+// by more than the default of 2.
+const maxIdleConnections = 32
+
+// client sends the requests of one adapter.
+type client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+func newClient(cfg Config) *client {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	if cfg.Transport == nil {
+		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: time.Minute}
+	}
+	return &client{
+		base:    strings.TrimSuffix(cfg.Address, "/"),
+		timeout: cfg.Timeout,
+		http:    &http.Client{Transport: cfg.Transport, CheckRedirect: noRedirect},
+	}
+}
+
+// noRedirect keeps a redirect from sending a write twice.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// read sends a GET and returns the body.
+func (c *client) read(ctx context.Context, path string) ([]byte, error) {
+	status, body, err := c.do(ctx, http.MethodGet, path, nil)
+	switch {
+	case err != nil:
+		return nil, errors.Mark(err, platform.ErrUnavailable)
+	case status == http.StatusNotFound:
+		return nil, platform.ErrNotFound
+	case status != http.StatusOK:
+		return nil, errors.Wrapf(platform.ErrUnavailable, "GET %s: status %d", path, status)
+	}
+	return body, nil
+}
+
+func (c *client) readJSON(ctx context.Context, path string, target any) error {
+	body, err := c.read(ctx, path)
+	if err != nil {
+		return err
+	}
+	return decode(body, target, platform.ErrUnavailable)
+}
+
+// write sends a request that has an effect.
+func (c *client) write(ctx context.Context, method, path string, data []byte) ([]byte, error) {
+	status, body, err := c.do(ctx, method, path, data)
+	switch {
+	case err != nil && notSent(err):
+		return nil, errors.Mark(err, platform.ErrUnavailable)
+	case err != nil:
+		return nil, errors.Mark(err, platform.ErrUncertain)
+	case status == statusNoEffect:
+		return nil, errors.Wrapf(platform.ErrUnavailable, "%s %s was refused", method, path)
+	case status/100 != 2:
+		return nil, errors.Wrapf(platform.ErrUncertain, "%s %s: status %d", method, path, status)
+	}
+	return body, nil
+}
+
+// statusNoEffect stands for a 503 that carries the effect header. HTTP has no
+// such status.
+const statusNoEffect = 1
+
+func (c *client) do(ctx context.Context, method, path string, data []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(data))
+	if err != nil {
+		return 0, nil, errors.Mark(err, errNotSent)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = response.Body.Close() }() // the answer was read or the request failed
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(EffectHeader) == EffectNone {
+		return statusNoEffect, nil, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	return response.StatusCode, body, err
+}
+
+// errNotSent marks errors before a request was sent.
+var errNotSent = errors.New("request was not sent")
+
+// notSent reports whether no byte of the request can have left: the connection
+// could not be made.
+func notSent(err error) bool {
+	if errors.Is(err, errNotSent) {
+		return true
+	}
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// decode decodes an answer; kind is the error if that fails.
+func decode(body []byte, target any, kind error) error {
+	if err := json.Unmarshal(body, target); err != nil {
+		return errors.Mark(errors.Wrap(err, "decode answer of the platform"), kind)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,240 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"foxtailhub.example/foxtailhub/internal/platform/platformhttp"
+)
+
+// DefaultEntryTTL is how long an instance's list entry lives without a new
+// announcement.
+const DefaultEntryTTL = 30 * time.Second
+
+// maxRequestBytes bounds the body of a request.
+const maxRequestBytes = 64 << 20
+
+// PlatformConfig configures a Platform.
+type PlatformConfig struct {
+	ReadsPerSecond  float64       // limit over all reads; 0: none
+	WritesPerSecond float64       // limit over all writes; 0: none
+	EntryTTL        time.Duration // of list entries of instances. Default 30 s
+	Seed            uint64        // of lose_rate
+}
+
+// Counters counts the requests to a Platform. GET /counters returns it.
+type Counters struct {
+	Reads        int64 `json:"reads"`         // requests of rows, objects and the list
+	Writes       int64 `json:"writes"`        // commits (whatever the number of transactions), objects, announcements
+	Transactions int64 `json:"transactions"`  // in commits
+	RequestBytes int64 `json:"request_bytes"` // bodies received
+	AnswerBytes  int64 `json:"answer_bytes"`  // bodies sent
+	Rows         int64 `json:"rows"`          // rows in the table now
+	Refused      int64 `json:"refused"`       // by a fault or a limit, without effect
+}
+
+// Platform is a stand-in of the platform: table service, object store and
+// instance list behind one http.Handler.
+type Platform struct {
+	table   *table
+	objects *objects
+	list    *list
+	faults  *FaultSwitch
+	mux     *http.ServeMux
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+
+	readCount, writeCount, transactionCount, requestBytes, answerBytes, refused atomic.Int64
+
+	mu      sync.Mutex    // guards changed and random
+	changed chan struct{} // closed when the fault changes
+	random  *rand.Rand
+}
+
+// NewPlatform returns a stand-in without rows, objects and entries.
+func NewPlatform(cfg PlatformConfig) *Platform {
+	if cfg.EntryTTL == 0 {
+		cfg.EntryTTL = DefaultEntryTTL
+	}
+	p := &Platform{
+		table:   newTable(),
+		objects: &objects{data: map[string][]byte{}},
+		list:    newList(cfg.EntryTTL),
+		mux:     http.NewServeMux(),
+		reads:   newLimiter(cfg.ReadsPerSecond),
+		writes:  newLimiter(cfg.WritesPerSecond),
+		changed: make(chan struct{}),
+		random:  rand.New(rand.NewPCG(cfg.Seed, 0)),
+	}
+	p.faults = NewFaultSwitch(func(Fault) { p.faultChanged() })
+	p.routes()
+	return p
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
+}
+
+func (p *Platform) routes() {
+	p.mux.HandleFunc("GET "+platformhttp.PathRow, p.read(p.table.serveRow))
+	p.mux.HandleFunc("GET "+platformhttp.PathRows, p.read(p.table.serveRows))
+	p.mux.HandleFunc("POST "+platformhttp.PathCommit, p.write(p.commit))
+	p.mux.HandleFunc("GET "+platformhttp.PathObjects+"{name}", p.read(p.objects.serveGet))
+	p.mux.HandleFunc("PUT "+platformhttp.PathObjects+"{name}", p.write(p.objects.servePut))
+	p.mux.HandleFunc("GET "+platformhttp.PathList, p.read(p.serveList))
+	p.mux.HandleFunc("PUT "+platformhttp.PathInstances+"{id}", p.write(p.list.servePut(kindInstance)))
+	p.mux.HandleFunc("DELETE "+platformhttp.PathInstances+"{id}", p.write(p.list.serveDelete(kindInstance)))
+	p.mux.HandleFunc("PUT "+platformhttp.PathUpstreams+"{id}", p.write(p.list.servePut(kindUpstream)))
+	p.mux.HandleFunc("DELETE "+platformhttp.PathUpstreams+"{id}", p.write(p.list.serveDelete(kindUpstream)))
+	p.mux.HandleFunc("GET /counters", p.serveCounters)
+	p.mux.Handle("/fault", p.faults)
+}
+
+// Faults returns the fault switch.
+func (p *Platform) Faults() *FaultSwitch { return p.faults }
+
+// ServeHTTP serves the platform's services, /counters and /fault. The last two
+// are exempt from faults and limits.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// Counters returns the counts so far.
+func (p *Platform) Counters() Counters {
+	return Counters{
+		Reads: p.readCount.Load(), Writes: p.writeCount.Load(), Transactions: p.transactionCount.Load(),
+		RequestBytes: p.requestBytes.Load(), AnswerBytes: p.answerBytes.Load(),
+		Rows: p.table.size(), Refused: p.refused.Load(),
+	}
+}
+
+func (p *Platform) serveCounters(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Counters()) }
+
+// answer is the result of an operation on the platform's state.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// operation works on the state; it never waits.
+type operation func(r *http.Request, body []byte) answer
+
+func (p *Platform) read(op operation) http.HandlerFunc {
+	return p.serve(op, p.reads, &p.readCount, func(r *http.Request) context.Context { return r.Context() })
+}
+
+// write carries a delayed request out even if its sender has gone: the write of
+// a request that timed out may take effect later.
+func (p *Platform) write(op operation) http.HandlerFunc {
+	return p.serve(op, p.writes, &p.writeCount, func(r *http.Request) context.Context {
+		return context.WithoutCancel(r.Context())
+	})
+}
+
+func (p *Platform) serve(op operation, limit *rate.Limiter, count *atomic.Int64, waitOn func(*http.Request) context.Context) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.waitForFault(waitOn(r))
+		if p.faults.Current().Refuse || !limit.Allow() {
+			p.refuse(w)
+			return
+		}
+		count.Add(1)
+		p.requestBytes.Add(int64(len(body)))
+		result := op(r, body)
+		if p.losesAnswer() {
+			panic(http.ErrAbortHandler) // closes the connection without an answer
+		}
+		p.answerBytes.Add(int64(len(result.body)))
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(result.status)
+		_, _ = w.Write(result.body) // the client may have gone
+	}
+}
+
+func (p *Platform) refuse(w http.ResponseWriter) {
+	p.refused.Add(1)
+	w.Header().Set(platformhttp.EffectHeader, platformhttp.EffectNone)
+	http.Error(w, "refused", http.StatusServiceUnavailable)
+}
+
+// waitForFault waits while the platform is paused, then the delay of slow_ms.
+func (p *Platform) waitForFault(ctx context.Context) {
+	for {
+		changed := p.faultChange()
+		if !p.faults.Current().Pause {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+	delay := time.NewTimer(time.Duration(p.faults.Current().SlowMS) * time.Millisecond)
+	defer delay.Stop()
+	select {
+	case <-ctx.Done():
+	case <-delay.C:
+	}
+}
+
+func (p *Platform) faultChange() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changed
+}
+
+func (p *Platform) faultChanged() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *Platform) losesAnswer() bool {
+	fault := p.faults.Current()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fault.LoseAnswer || (fault.LoseRate > 0 && p.random.Float64() < fault.LoseRate)
+}
+
+func (p *Platform) commit(r *http.Request, body []byte) answer {
+	var request platformhttp.CommitRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		return answer{status: http.StatusBadRequest}
+	}
+	p.transactionCount.Add(int64(len(request.Transactions)))
+	return jsonAnswer(platformhttp.CommitResponse{Results: p.table.commit(request.Transactions)})
+}
+
+func (p *Platform) serveList(*http.Request, []byte) answer {
+	lag := time.Duration(p.faults.Current().LagMS) * time.Millisecond
+	return jsonAnswer(p.list.at(time.Now(), lag))
+}
+
+func jsonAnswer(value any) answer {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return answer{status: http.StatusInternalServerError, body: []byte(err.Error())}
+	}
+	return answer{status: http.StatusOK, body: body}
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // the client may have gone
+}
--- /dev/null
+++ b/internal/standin/platform_list.go
@@ -0,0 +1,112 @@
+package standin
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/platform"
+)
+
+// maxLag bounds the history of entries; a longer lag_ms acts like this one.
+const maxLag = time.Minute
+
+// entryKind tells instances from upstreams in the list.
+type entryKind string
+
+const (
+	kindInstance entryKind = "instance"
+	kindUpstream entryKind = "upstream"
+)
+
+type entryKey struct {
+	kind entryKind
+	id   string
+}
+
+// entryVersion is the state of an entry since a time; nil: removed.
+type entryVersion struct {
+	since time.Time
+	entry *platform.ListEntry
+}
+
+// list is the instance list in memory. It keeps old states of its entries, so
+// that it can answer as of an earlier time.
+type list struct {
+	ttl     time.Duration
+	mu      sync.Mutex // guards history
+	history map[entryKey][]entryVersion
+}
+
+func newList(ttl time.Duration) *list {
+	return &list{ttl: ttl, history: map[entryKey][]entryVersion{}}
+}
+
+func (l *list) set(key entryKey, entry *platform.ListEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	versions := append(l.history[key], entryVersion{since: now, entry: entry})
+	// The newest version from before the longest lag is still needed.
+	for len(versions) > 1 && now.Sub(versions[1].since) > maxLag {
+		versions = versions[1:]
+	}
+	l.history[key] = versions
+}
+
+// at returns the list as it was lag ago.
+func (l *list) at(now time.Time, lag time.Duration) platform.List {
+	moment := now.Add(-min(lag, maxLag))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	result := platform.List{Instances: []platform.ListEntry{}, Upstreams: []platform.ListEntry{}}
+	keys := slices.SortedFunc(maps.Keys(l.history), func(a, b entryKey) int {
+		if a.id < b.id {
+			return -1
+		}
+		return 1
+	})
+	for _, key := range keys {
+		entry := entryAt(l.history[key], moment)
+		switch {
+		case entry == nil:
+		case key.kind == kindUpstream:
+			result.Upstreams = append(result.Upstreams, *entry)
+		case moment.Sub(entry.UpdatedAt) <= l.ttl:
+			result.Instances = append(result.Instances, *entry)
+		}
+	}
+	return result
+}
+
+func entryAt(versions []entryVersion, moment time.Time) *platform.ListEntry {
+	for _, v := range slices.Backward(versions) {
+		if !v.since.After(moment) {
+			return v.entry
+		}
+	}
+	return nil
+}
+
+func (l *list) servePut(kind entryKind) operation {
+	return func(r *http.Request, body []byte) answer {
+		var entry platform.ListEntry
+		if err := json.Unmarshal(body, &entry); err != nil {
+			return answer{status: http.StatusBadRequest}
+		}
+		entry.ID = r.PathValue("id")
+		entry.UpdatedAt = time.Now()
+		l.set(entryKey{kind, entry.ID}, &entry)
+		return answer{status: http.StatusNoContent}
+	}
+}
+
+func (l *list) serveDelete(kind entryKind) operation {
+	return func(r *http.Request, _ []byte) answer {
+		l.set(entryKey{kind, r.PathValue("id")}, nil)
+		return answer{status: http.StatusNoContent}
+	}
+}
