--- /dev/null
+++ b/internal/link/identity.go
@@ -0,0 +1,165 @@
+package link
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// identityScheme is the scheme of the URI in an instance's certificate:
+// foxtailhub://<region>/<instance>.
+const identityScheme = "foxtailhub"
+
+// protocolName is negotiated in the TLS handshake. It changes with incompatible
+// versions of the protocol.
+const protocolName = "foxtailhub/1"
+
+// maxInstanceID is the longest instance identifier in bytes.
+const maxInstanceID = 128
+
+// Errors of the identity check.
+var (
+	ErrCertificate = errors.New("certificate is not valid for a link")
+	ErrRegion      = errors.New("region is not accepted")
+	ErrIdentity    = errors.New("certificate belongs to another instance")
+)
+
+// Identity is what a certificate says about an instance.
+type Identity struct {
+	Instance contract.InstanceID
+	Region   string
+}
+
+// identityOf returns the identity in a certificate, which must have exactly one.
+func identityOf(cert *x509.Certificate) (Identity, error) {
+	var found []Identity
+	for _, uri := range cert.URIs {
+		if uri.Scheme != identityScheme {
+			continue
+		}
+		id, err := parseIdentity(uri)
+		if err != nil {
+			return Identity{}, err
+		}
+		found = append(found, id)
+	}
+	if len(found) != 1 {
+		return Identity{}, errors.Wrapf(ErrCertificate, "%d identities", len(found))
+	}
+	return found[0], nil
+}
+
+func parseIdentity(uri *url.URL) (Identity, error) {
+	instance, rooted := strings.CutPrefix(uri.Path, "/")
+	if !rooted || uri.Host == "" || instance == "" || len(instance) > maxInstanceID || strings.Contains(instance, "/") {
+		return Identity{}, errors.Wrapf(ErrCertificate, "identity %q", uri.String())
+	}
+	return Identity{Instance: contract.InstanceID(instance), Region: uri.Host}, nil
+}
+
+// credentials verify peers and identify this instance.
+type credentials struct {
+	self        Identity
+	certificate tls.Certificate
+	authority   *x509.CertPool
+	regions     map[string]bool
+}
+
+func loadCredentials(config Config) (*credentials, error) {
+	pem, err := os.ReadFile(config.AuthorityFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the certificate authority")
+	}
+	c := &credentials{authority: x509.NewCertPool(), regions: map[string]bool{}}
+	if !c.authority.AppendCertsFromPEM(pem) {
+		return nil, errors.Newf("%s holds no certificate", config.AuthorityFile)
+	}
+	if c.certificate, err = tls.LoadX509KeyPair(config.CertificateFile, config.KeyFile); err != nil {
+		return nil, errors.Wrap(err, "read the certificate and key")
+	}
+	if c.self, err = identityOf(c.certificate.Leaf); err != nil {
+		return nil, err
+	}
+	for _, region := range config.Regions {
+		c.regions[region] = true
+	}
+	if len(config.Regions) == 0 {
+		c.regions[c.self.Region] = true
+	}
+	return c, nil
+}
+
+// verify checks the certificates of a peer and returns its identity.
+func (c *credentials) verify(chain []*x509.Certificate, usage x509.ExtKeyUsage) (Identity, error) {
+	if len(chain) == 0 {
+		return Identity{}, errors.Wrap(ErrCertificate, "none was presented")
+	}
+	options := x509.VerifyOptions{Roots: c.authority, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{usage}}
+	for _, cert := range chain[1:] {
+		options.Intermediates.AddCert(cert)
+	}
+	if _, err := chain[0].Verify(options); err != nil {
+		return Identity{}, errors.Wrapf(ErrCertificate, "%v", err)
+	}
+	id, err := identityOf(chain[0])
+	if err != nil {
+		return Identity{}, err
+	}
+	if !c.regions[id.Region] {
+		return id, errors.Wrapf(ErrRegion, "instance=%s region=%q", id.Instance, id.Region)
+	}
+	if id.Instance == c.self.Instance {
+		return id, errors.Wrap(ErrIdentity, "peer presents the identifier of this instance")
+	}
+	return id, nil
+}
+
+func (c *credentials) base() *tls.Config {
+	return &tls.Config{
+		Certificates:           []tls.Certificate{c.certificate},
+		MinVersion:             tls.VersionTLS13,
+		NextProtos:             []string{protocolName},
+		SessionTicketsDisabled: true,
+	}
+}
+
+// server returns the configuration for accepted connections. The certificate is
+// verified in VerifyConnection and not by the TLS library, so that refusals of
+// every kind reach refused.
+func (c *credentials) server(refused func(error)) *tls.Config {
+	config := c.base()
+	config.ClientAuth = tls.RequireAnyClientCert
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		_, err := c.verify(state.PeerCertificates, x509.ExtKeyUsageClientAuth)
+		if err != nil {
+			refused(err)
+		}
+		return err
+	}
+	return config
+}
+
+// client returns the configuration for dialling an instance. Peers are
+// identified by the URI in their certificate and not by a host name, so that
+// VerifyConnection replaces the verification of the TLS library.
+func (c *credentials) client(want contract.InstanceID, refused func(error)) *tls.Config {
+	config := c.base()
+	config.InsecureSkipVerify = true
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		id, err := c.verify(state.PeerCertificates, x509.ExtKeyUsageServerAuth)
+		if err == nil && id.Instance != want {
+			err = errors.Wrapf(ErrIdentity, "dialled %s, reached %s", want, id.Instance)
+		}
+		if err != nil {
+			refused(err)
+		}
+		return err
+	}
+	return config
+}
--- /dev/null
+++ b/internal/link/quic.go
@@ -0,0 +1,218 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// Errors of requests.
+var (
+	// ErrUnreachable reports that no connection to the peer could be used; the
+	// request was not sent.
+	ErrUnreachable = errors.New("peer is unreachable")
+	// ErrInterrupted reports that the connection failed after the request may
+	// have arrived.
+	ErrInterrupted = errors.New("connection to the peer failed during the request")
+	// ErrRefused reports that the peer answered with an error.
+	ErrRefused = errors.New("peer refused the request")
+)
+
+const (
+	idleClose        = 10 * time.Second // after which a connection to an instance that is no peer is closed
+	keepAlive        = time.Second      // without other traffic, so that open streams notice a silent connection
+	silenceTimeout   = 4 * time.Second  // without any packet, after which a connection is lost
+	handshakeTimeout = 2 * time.Second
+	sweepInterval    = time.Second
+	maxStreams       = 1024 // streams that a peer may have open, requests and sequences of frames
+	maxRequests      = 64   // requests of a peer that run at a time
+	receiveWindow    = 64 << 10
+	maxStreamWindow  = MaxFrame + 64<<10
+	maxConnWindow    = 4 * MaxFrame
+)
+
+// Config is what a QUIC transport needs.
+type Config struct {
+	// Address is the IP number and port to listen on. Port 0 takes a free one.
+	Address string
+	// AuthorityFile, CertificateFile and KeyFile name PEM files. The certificate
+	// carries the URI foxtailhub://<region>/<instance>.
+	AuthorityFile, CertificateFile, KeyFile string
+	// Regions lists the accepted regions. Empty: the own region only.
+	Regions []string
+	// Resolve returns the link address of an instance.
+	Resolve func(id contract.InstanceID) (address string, found bool)
+	Log     logrus.FieldLogger
+}
+
+// QUIC is the Transport between instances.
+type QUIC struct {
+	config      Config
+	log         logrus.FieldLogger
+	logLimit    *rate.Limiter // of refusals: a faulty peer must not fill the log
+	credentials *credentials
+	socket      *net.UDPConn
+	transport   *quic.Transport
+	unary       map[MessageType]Handler
+	streams     map[MessageType]StreamHandler
+	counters    counters
+	running     sync.WaitGroup
+
+	mu       sync.Mutex // guards the fields below
+	peers    map[contract.InstanceID]*peer
+	selected map[contract.InstanceID]bool // connections that stay open
+	stopped  bool
+}
+
+var _ Transport = (*QUIC)(nil)
+
+// NewQUIC loads the credentials and binds the socket. Connections are accepted
+// once Run is called.
+func NewQUIC(config Config) (*QUIC, error) {
+	if config.Resolve == nil || config.Log == nil {
+		return nil, errors.New("link needs Resolve and Log")
+	}
+	c, err := loadCredentials(config)
+	if err != nil {
+		return nil, err
+	}
+	address, err := net.ResolveUDPAddr("udp", config.Address)
+	if err != nil {
+		return nil, errors.Wrap(err, "link address")
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "bind the link address")
+	}
+	return &QUIC{
+		config:      config,
+		log:         config.Log.WithField("instance", c.self.Instance),
+		logLimit:    rate.NewLimiter(1, 10),
+		credentials: c,
+		socket:      socket,
+		transport:   &quic.Transport{Conn: socket},
+		unary:       map[MessageType]Handler{},
+		streams:     map[MessageType]StreamHandler{},
+		peers:       map[contract.InstanceID]*peer{},
+		selected:    map[contract.InstanceID]bool{},
+	}, nil
+}
+
+// Self returns the identity in the certificate of this instance.
+func (q *QUIC) Self() Identity { return q.credentials.self }
+
+// Address returns the address that the transport listens on.
+func (q *QUIC) Address() string { return q.socket.LocalAddr().String() }
+
+// Handle registers the handler for a message type, before Run.
+func (q *QUIC) Handle(kind MessageType, handler Handler) { q.unary[kind] = handler }
+
+// HandleStream registers the stream handler for a message type, before Run.
+func (q *QUIC) HandleStream(kind MessageType, handler StreamHandler) { q.streams[kind] = handler }
+
+// SetPeers names the instances whose connections are kept open when idle.
+func (q *QUIC) SetPeers(ids []contract.InstanceID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	clear(q.selected)
+	for _, id := range ids {
+		q.selected[id] = true
+	}
+}
+
+// Run accepts connections until ctx ends, then closes all of them.
+func (q *QUIC) Run(ctx context.Context) error {
+	listener, err := q.transport.Listen(q.credentials.server(q.refusedConnection), quicConfig())
+	if err != nil {
+		return errors.Wrap(err, "listen for links")
+	}
+	var loops sync.WaitGroup
+	loops.Go(func() { q.acceptLoop(ctx, listener) })
+	loops.Go(func() { q.sweepLoop(ctx) })
+	<-ctx.Done()
+	_ = listener.Close()
+	loops.Wait()
+	return q.close()
+}
+
+// start runs f, which Run waits for, unless the transport has stopped.
+func (q *QUIC) start(f func()) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.stopped {
+		q.running.Go(f)
+	}
+	return !q.stopped
+}
+
+// close ends all connections and waits for what they started.
+func (q *QUIC) close() error {
+	q.mu.Lock()
+	q.stopped = true
+	var all []*connection
+	for _, p := range q.peers {
+		all = append(all, p.connections()...)
+	}
+	q.mu.Unlock()
+	for _, c := range all {
+		c.close(codeStopping, "instance stops")
+	}
+	q.running.Wait()
+	err := q.transport.Close()
+	return errors.CombineErrors(err, q.socket.Close())
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           handshakeTimeout,
+		MaxIdleTimeout:                 silenceTimeout,
+		KeepAlivePeriod:                keepAlive,
+		MaxIncomingStreams:             maxStreams,
+		MaxIncomingUniStreams:          -1,
+		InitialStreamReceiveWindow:     receiveWindow,
+		MaxStreamReceiveWindow:         maxStreamWindow,
+		InitialConnectionReceiveWindow: receiveWindow,
+		MaxConnectionReceiveWindow:     maxConnWindow,
+	}
+}
+
+func (q *QUIC) acceptLoop(ctx context.Context, listener *quic.Listener) {
+	for {
+		conn, err := listener.Accept(ctx)
+		if err != nil {
+			if ctx.Err() == nil && !errors.Is(err, quic.ErrServerClosed) {
+				q.log.WithError(err).Error("cannot accept links")
+			}
+			return
+		}
+		id, err := identityOf(conn.ConnectionState().TLS.PeerCertificates[0])
+		if err != nil {
+			_ = conn.CloseWithError(codeRefused, "identity")
+			continue
+		}
+		q.counters.accepted.Add(1)
+		q.attach(newConnection(q, id.Instance, conn, false, nil))
+	}
+}
+
+func (q *QUIC) refusedConnection(err error) {
+	q.counters.refusedConnections.Add(1)
+	if q.logLimit.Allow() {
+		q.log.WithError(err).Warn("refused a link")
+	}
+}
+
+func (q *QUIC) refusedMessage(peer contract.InstanceID, kind MessageType, err error) {
+	q.counters.refusedMessages.Add(1)
+	if q.logLimit.Allow() {
+		q.log.WithField("peer", peer).WithField("type", kind).WithError(err).Warn("refused a message")
+	}
+}
--- /dev/null
+++ b/internal/link/quic_test.go
@@ -0,0 +1,336 @@
+package link_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/link"
+	"foxtailhub.example/foxtailhub/internal/link/linktest"
+)
+
+const (
+	echo   link.MessageType = "echo"
+	count  link.MessageType = "count"
+	region                  = "pohjola"
+)
+
+// directory resolves the instances of a test.
+type directory struct{ addresses sync.Map }
+
+func (d *directory) resolve(id contract.InstanceID) (string, bool) {
+	address, found := d.addresses.Load(id)
+	if !found {
+		return "", false
+	}
+	return address.(string), true
+}
+
+func newAuthority(t *testing.T) *linktest.Authority {
+	a, err := linktest.NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func start(t *testing.T, a *linktest.Authority, d *directory, in, id string) *link.QUIC {
+	return startTrusting(t, a, a.File, d, in, id)
+}
+
+func startTrusting(t *testing.T, a *linktest.Authority, authority string, d *directory, in, id string) *link.QUIC {
+	g := NewWithT(t)
+	certificate, key, err := a.Issue(in, id)
+	g.Expect(err).NotTo(HaveOccurred())
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	q, err := link.NewQUIC(link.Config{
+		Address: "127.0.0.1:0", AuthorityFile: authority, CertificateFile: certificate, KeyFile: key, Resolve: d.resolve, Log: log,
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	d.addresses.Store(contract.InstanceID(id), q.Address())
+	q.Handle(echo, func(_ context.Context, peer contract.InstanceID, body []byte) ([]byte, error) {
+		return append([]byte(peer+":"), body...), nil
+	})
+	q.Handle("refuse", func(context.Context, contract.InstanceID, []byte) ([]byte, error) { return nil, errors.New("no") })
+	q.HandleStream(count, func(ctx context.Context, _ contract.InstanceID, body []byte, send func([]byte) error) error {
+		for i := byte(0); i < body[0]; i++ {
+			if err := send([]byte{i}); err != nil {
+				return err
+			}
+		}
+		if len(body) > 1 {
+			<-ctx.Done()
+		}
+		return nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = q.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return q
+}
+
+func request(q *link.QUIC, to contract.InstanceID, kind link.MessageType, body string, timeout time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	answer, err := q.Request(ctx, to, kind, []byte(body))
+	return string(answer), err
+}
+
+// Guards against answers to the wrong request and wrong peer identities, and
+// against a connection per request or a lasting duplicate when both sides dial.
+func TestManyPeersShareOneConnectionPerPair(t *testing.T) {
+	const instances, requests = 6, 20
+	g := NewWithT(t)
+	a, d := newAuthority(t), &directory{}
+	var all []*link.QUIC
+	for i := range instances {
+		all = append(all, start(t, a, d, region, fmt.Sprintf("i%d", i)))
+	}
+	var wg sync.WaitGroup
+	var failures atomic.Int64
+	for _, q := range all {
+		for _, other := range all {
+			for n := range requests {
+				if other == q {
+					continue
+				}
+				wg.Go(func() {
+					body := fmt.Sprint(n)
+					answer, err := request(q, other.Self().Instance, echo, body, 10*time.Second)
+					if err != nil || answer != string(q.Self().Instance)+":"+body {
+						failures.Add(1)
+					}
+				})
+			}
+		}
+	}
+	wg.Wait()
+	g.Expect(failures.Load()).To(BeZero())
+	for _, q := range all {
+		g.Eventually(func() int { return q.Stats().Connections }, "8s", "50ms").Should(Equal(instances - 1))
+	}
+}
+
+// Guards against sequences that lose or reorder frames, and against handlers
+// that run on when their consumer has gone.
+func TestFrames(t *testing.T) {
+	g := NewWithT(t)
+	a, d := newAuthority(t), &directory{}
+	q := start(t, a, d, region, "a")
+	start(t, a, d, region, "b")
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	f, err := q.Open(ctx, "b", count, []byte{200})
+	g.Expect(err).NotTo(HaveOccurred())
+	for i := range 200 {
+		frame, err := f.Next(ctx)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(frame).To(Equal([]byte{byte(i)}))
+	}
+	_, err = f.Next(ctx)
+	g.Expect(err).To(MatchError(io.EOF))
+	f.Close()
+
+	f, err = q.Open(ctx, "b", count, []byte{1, 1})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = f.Next(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	f.Close()
+	_, err = f.Next(ctx)
+	g.Expect(err).To(HaveOccurred())
+}
+
+// Guards against instances of another deployment or region that take part, and
+// against the harm that their attempts could do.
+func TestForeignInstancesAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	a, other, d := newAuthority(t), newAuthority(t), &directory{}
+	own, second := start(t, a, d, region, "own"), start(t, a, d, region, "second")
+	for _, foreign := range []*link.QUIC{
+		start(t, other, d, region, "foreign"),
+		startTrusting(t, other, a.File, d, region, "trusting"), // refuses nobody, but is not trusted
+		startTrusting(t, a, a.File, d, "hokkaido", "distant"),
+	} {
+		before := own.Stats().RefusedConnections
+		_, err := request(foreign, "own", echo, "x", 3*time.Second)
+		g.Expect(err).To(HaveOccurred())
+		_, err = request(own, foreign.Self().Instance, echo, "x", 3*time.Second)
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(own.Stats().RefusedConnections).To(BeNumerically(">", before))
+	}
+	_, err := request(second, "own", echo, "x", 5*time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+// Guards against a peer that answers at the address of another instance.
+func TestWrongInstanceAtAddressIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	a, d := newAuthority(t), &directory{}
+	q, b := start(t, a, d, region, "a"), start(t, a, d, region, "b")
+	d.addresses.Store(contract.InstanceID("c"), b.Address())
+	_, err := request(q, "c", echo, "x", 3*time.Second)
+	g.Expect(err).To(MatchError(link.ErrUnreachable))
+	g.Expect(q.Stats().RefusedConnections).To(BeNumerically(">=", 1))
+}
+
+// Guards against refusals of one request that harm others on the connection.
+func TestRefusedRequestsLeaveConnectionInUse(t *testing.T) {
+	g := NewWithT(t)
+	a, d := newAuthority(t), &directory{}
+	q, b := start(t, a, d, region, "a"), start(t, a, d, region, "b")
+	_, err := request(q, "b", "refuse", "x", 5*time.Second)
+	g.Expect(err).To(MatchError(link.ErrRefused))
+	_, err = request(q, "b", "unknown", "x", 5*time.Second)
+	g.Expect(err).To(MatchError(link.ErrRefused))
+	_, err = request(q, "b", echo, string(make([]byte, link.MaxFrame)), 5*time.Second)
+	g.Expect(err).To(MatchError(link.ErrFrameTooLarge))
+	_, err = request(q, "b", echo, "x", 5*time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b.Stats().RefusedMessages).To(BeNumerically("==", 2))
+	g.Expect(q.Stats().Dials).To(BeNumerically("==", 1))
+}
+
+// relay forwards packets between clients and a target. Clients that were seen
+// before a silence stay cut off for good.
+type relay struct {
+	front   *net.UDPConn
+	target  *net.UDPAddr
+	mu      sync.Mutex // guards the fields below
+	backs   map[string]*net.UDPConn
+	silent  map[string]bool
+	closing bool
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	g := NewWithT(t)
+	address, err := net.ResolveUDPAddr("udp", target)
+	g.Expect(err).NotTo(HaveOccurred())
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	g.Expect(err).NotTo(HaveOccurred())
+	r := &relay{front: front, target: address, backs: map[string]*net.UDPConn{}, silent: map[string]bool{}}
+	go r.run()
+	t.Cleanup(r.close)
+	return r
+}
+
+func (r *relay) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closing = true
+	_ = r.front.Close()
+	for _, b := range r.backs {
+		_ = b.Close()
+	}
+}
+
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for client := range r.backs {
+		r.silent[client] = true
+	}
+}
+
+func (r *relay) isSilent(client string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silent[client]
+}
+
+func (r *relay) run() {
+	buffer := make([]byte, 2048)
+	for {
+		n, client, err := r.front.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		if back := r.back(client); back != nil && !r.isSilent(client.String()) {
+			_, _ = back.Write(buffer[:n])
+		}
+	}
+}
+
+func (r *relay) back(client *net.UDPAddr) *net.UDPConn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if b := r.backs[client.String()]; b != nil || r.closing {
+		return b
+	}
+	b, err := net.DialUDP("udp", nil, r.target)
+	if err != nil {
+		return nil
+	}
+	r.backs[client.String()] = b
+	go func() {
+		buffer := make([]byte, 2048)
+		for {
+			n, err := b.Read(buffer)
+			if err != nil {
+				return
+			}
+			if !r.isSilent(client.String()) {
+				_, _ = r.front.WriteToUDP(buffer[:n], client)
+			}
+		}
+	}()
+	return b
+}
+
+// Guards against a connection that has gone silent for good while new ones
+// work: it must be replaced, not waited for.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	a, d := newAuthority(t), &directory{}
+	q, b := start(t, a, d, region, "a"), start(t, a, d, region, "b")
+	r := newRelay(t, b.Address())
+	d.addresses.Store(contract.InstanceID("b"), r.front.LocalAddr().String())
+	_, err := request(q, "b", echo, "x", 5*time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	r.silence()
+	began := time.Now()
+	_, err = request(q, "b", echo, "x", time.Second)
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(func() error {
+		_, err := request(q, "b", echo, "x", time.Second)
+		return err
+	}, "3s", "20ms").Should(Succeed())
+	t.Logf("an answer arrived %s after the connection went silent", time.Since(began).Round(time.Millisecond))
+	g.Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+	g.Expect(q.Stats().Silent).To(BeNumerically("==", 1))
+}
+
+// Guards against on-demand connections that accumulate to a full mesh, and
+// against closing those of peers.
+func TestIdleConnectionsOfOthersClose(t *testing.T) {
+	g := NewWithT(t)
+	a, d := newAuthority(t), &directory{}
+	q := start(t, a, d, region, "a")
+	peer, other := start(t, a, d, region, "peer"), start(t, a, d, region, "other")
+	q.SetPeers([]contract.InstanceID{"peer"})
+	peer.SetPeers([]contract.InstanceID{"a"})
+	for _, id := range []contract.InstanceID{"peer", "other"} {
+		_, err := request(q, id, echo, "x", 5*time.Second)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Eventually(func() int { return other.Stats().Connections }, "14s", "200ms").Should(BeZero())
+	g.Expect(peer.Stats().Connections).To(Equal(1))
+	g.Expect(q.Stats().Connections).To(Equal(1))
+}
--- /dev/null
+++ b/internal/link/request.go
@@ -0,0 +1,126 @@
+package link
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// framesBuffered is the number of frames that are read ahead of the consumer.
+const framesBuffered = 16
+
+// Request sends a request and returns the answer. On ErrUnreachable it was not
+// sent; on every other error the peer may have handled it.
+func (q *QUIC) Request(ctx context.Context, peer contract.InstanceID, kind MessageType, body []byte) ([]byte, error) {
+	c, err := q.acquire(ctx, peer)
+	if err != nil {
+		return nil, err
+	}
+	defer c.done()
+	packets := c.conn.ConnectionStats().PacketsReceived
+	answer, err := c.request(ctx, kind, body)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.timedOut(packets)
+	}
+	return answer, err
+}
+
+func (c *connection) request(ctx context.Context, kind MessageType, body []byte) ([]byte, error) {
+	select {
+	case c.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ErrUnreachable, "%s: %v", c.peer, ctx.Err())
+	}
+	defer func() { <-c.slots }()
+	stream, err := c.open(ctx, kind, body)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { abort(stream, streamCancelled) })
+	defer stop()
+	frame, err := c.readAnswer(stream)
+	stream.CancelRead(streamCancelled)
+	return frame.Body, err
+}
+
+// Open sends a request that is answered by a sequence of frames. ctx bounds
+// the opening only; the sequence ends by Close.
+func (q *QUIC) Open(ctx context.Context, peer contract.InstanceID, kind MessageType, body []byte) (Frames, error) {
+	c, err := q.acquire(ctx, peer)
+	if err != nil {
+		return nil, err
+	}
+	packets := c.conn.ConnectionStats().PacketsReceived
+	stream, err := c.open(ctx, kind, body)
+	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.timedOut(packets)
+		}
+		c.done()
+		return nil, err
+	}
+	f := &frames{stream: stream, arriving: make(chan answerFrame, framesBuffered), closed: make(chan struct{})}
+	if !q.start(func() { f.read(c) }) {
+		c.done()
+		return nil, errors.Wrap(ErrInterrupted, "link is stopped")
+	}
+	return f, nil
+}
+
+// frames is the receiving end of a sequence on a stream.
+type frames struct {
+	stream    *quic.Stream
+	arriving  chan answerFrame // closed after err is set
+	err       error
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func (f *frames) read(c *connection) {
+	defer c.done()
+	defer close(f.arriving)
+	for {
+		frame, err := c.readAnswer(f.stream)
+		if err != nil || frame.End {
+			f.err = err
+			f.stream.CancelRead(streamCancelled)
+			return
+		}
+		select {
+		case f.arriving <- frame:
+		case <-f.closed:
+			return
+		}
+	}
+}
+
+// Next returns the next frame, io.EOF after the last one.
+func (f *frames) Next(ctx context.Context) ([]byte, error) {
+	select {
+	case frame, ok := <-f.arriving:
+		if ok {
+			return frame.Body, nil
+		}
+	case <-f.closed:
+		return nil, io.ErrClosedPipe
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if f.err != nil {
+		return nil, f.err
+	}
+	return nil, io.EOF
+}
+
+// Close ends the sequence; the handler of the peer is cancelled.
+func (f *frames) Close() {
+	f.closeOnce.Do(func() {
+		close(f.closed)
+		abort(f.stream, streamCancelled)
+	})
+}
--- /dev/null
+++ b/internal/link/stats.go
@@ -0,0 +1,58 @@
+package link
+
+import "sync/atomic"
+
+type counters struct {
+	messagesIn, messagesOut             atomic.Int64
+	bytesIn, bytesOut                   atomic.Int64
+	wireIn, wireOut                     atomic.Int64 // of connections that have ended
+	dials, dialFailures, accepted       atomic.Int64
+	silent                              atomic.Int64
+	refusedConnections, refusedMessages atomic.Int64
+}
+
+func (c *counters) in(bytes int) {
+	c.messagesIn.Add(1)
+	c.bytesIn.Add(int64(bytes))
+}
+
+func (c *counters) out(bytes int) {
+	c.messagesOut.Add(1)
+	c.bytesOut.Add(int64(bytes))
+}
+
+// Stats counts what a QUIC transport did since its start.
+type Stats struct {
+	MessagesIn, MessagesOut int64 // frames
+	BytesIn, BytesOut       int64 // of frames
+	WireIn, WireOut         int64 // bytes of QUIC packets, without UDP and IP headers
+	Dials, DialFailures     int64 // attempts to connect, and those that failed
+	Accepted                int64 // connections that peers dialled
+	Silent                  int64 // connections replaced because they were silent
+	RefusedConnections      int64 // certificate, region or identity not valid
+	RefusedMessages         int64 // malformed, of unknown type, refused by a handler
+	Connections             int   // open now
+}
+
+// Stats returns the counters.
+func (q *QUIC) Stats() Stats {
+	c := &q.counters
+	s := Stats{
+		MessagesIn: c.messagesIn.Load(), MessagesOut: c.messagesOut.Load(),
+		BytesIn: c.bytesIn.Load(), BytesOut: c.bytesOut.Load(),
+		WireIn: c.wireIn.Load(), WireOut: c.wireOut.Load(),
+		Dials: c.dials.Load(), DialFailures: c.dialFailures.Load(), Accepted: c.accepted.Load(),
+		Silent: c.silent.Load(), RefusedConnections: c.refusedConnections.Load(), RefusedMessages: c.refusedMessages.Load(),
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, p := range q.peers {
+		for _, conn := range p.connections() {
+			wire := conn.conn.ConnectionStats()
+			s.WireIn += int64(wire.BytesReceived)
+			s.WireOut += int64(wire.BytesSent)
+			s.Connections++
+		}
+	}
+	return s
+}
