--- a/internal/failuredomain/peers.go
+++ b/internal/failuredomain/peers.go
@@ -77,21 +77,24 @@
 // the remaining members does not change when one is added or removed.
 func ring(members []Member, k uint64) []Member {
 	type ranked struct {
-		rank   uint64
-		member Member
+		rank  uint64
+		index int
 	}
-	var seed [8]byte
-	binary.BigEndian.PutUint64(seed[:], k)
+	var key [8 + 64]byte // seed, then room for the identifier
+	binary.BigEndian.PutUint64(key[:8], k)
 	order := make([]ranked, len(members))
 	for i, m := range members {
-		order[i] = ranked{rank: xxhash.Sum64(append(seed[:], m.ID...)), member: m}
+		order[i] = ranked{rank: xxhash.Sum64(append(key[:8], m.ID...)), index: i}
 	}
 	slices.SortFunc(order, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), byID(a.member, b.member))
+		if a.rank != b.rank {
+			return cmp.Compare(a.rank, b.rank)
+		}
+		return byID(members[a.index], members[b.index])
 	})
 	out := make([]Member, len(order))
 	for i, r := range order {
-		out[i] = r.member
+		out[i] = members[r.index]
 	}
 	return out
 }
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -25,8 +25,6 @@
 	pushes  int  // pushes that wait for their answers
 }
 
-func compareIDs(a, b contract.InstanceID) int { return cmp.Compare(a, b) }
-
 // beatLoop sends heartbeats and keeps view and peers up to date.
 func (m *Membership) beatLoop(ctx context.Context) {
 	ticker := time.NewTicker(publishInterval)
@@ -75,12 +73,11 @@
 		return
 	}
 	var candidates []failuredomain.Member
-	for _, r := range m.ledger.table {
-		if r != nil && r.candidate(now) {
+	for _, r := range m.ledger.ordered() {
+		if r.candidate(now) {
 			candidates = append(candidates, r.member.candidate())
 		}
 	}
-	slices.SortFunc(candidates, func(a, b failuredomain.Member) int { return compareIDs(a.ID, b.ID) })
 	if slices.Equal(candidates, m.chosen) {
 		return
 	}
@@ -138,15 +135,15 @@
 func (m *Membership) nextProbe() (contract.InstanceID, bool) {
 	now := m.now()
 	var first, next contract.InstanceID
-	for id, r := range m.ledger.byID {
+	for _, r := range m.ledger.ordered() {
+		id := r.member.ID
 		if r.candidate(now) || r.departed != never || slices.Contains(m.peers, id) {
 			continue
 		}
-		if first == "" || id < first {
-			first = id
-		}
-		if id > m.probe && (next == "" || id < next) {
+		first = cmp.Or(first, id)
+		if id > m.probe {
 			next = id
+			break
 		}
 	}
 	m.probe = cmp.Or(next, first)
--- /dev/null
+++ b/internal/membership/core_test.go
@@ -0,0 +1,159 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/link"
+	"foxtailhub.example/foxtailhub/internal/platform"
+)
+
+func anyRegion(string) bool { return true }
+
+// Guards against bytes of a peer that stop the instance, and against an answer
+// that makes a contact more recent than the request that it answers.
+func FuzzHeartbeat(f *testing.F) {
+	l := newLedger("self", time.Hour, 1)
+	var seed answer
+	for i := range 20 {
+		r := l.add(memberNumber(i), 0)
+		r.hear(State(i%3), 0)
+	}
+	l.writeAnswer(&seed, heartbeat{}, "peer", &peerTable{}, 0)
+	body, _ := link.Encode(seed)
+	f.Add(body)
+	body, _ = link.Encode(heartbeat{Self: &entry{ID: "a"}, Have: 3, Sections: []sectionData{{ID: 1, Data: []byte("x")}}})
+	f.Add(body)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		const sent, now = instant(time.Minute), instant(time.Minute + time.Second)
+		mine := newLedger("self", time.Hour, 1)
+		from := mine.add(Member{ID: "peer"}, now)
+		table := &peerTable{}
+		if a, err := decodeAnswer(body); err == nil {
+			for range 2 {
+				mine.readAnswer(a, from, table, anyRegion, sent, now)
+			}
+			if len(mine.table) > maxMembers || len(table.names) > maxMembers {
+				t.Fatal("memory is not bounded")
+			}
+			for _, r := range mine.byID {
+				if r.contact > sent {
+					t.Fatal("a contact is more recent than the request")
+				}
+			}
+		}
+		if h, err := decodeHeartbeat(body); err == nil {
+			var a answer
+			mine.writeAnswer(&a, h, "peer", table, now)
+			if err := a.check(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		mine.sweep(now)
+	})
+}
+
+// Guards against ages or states that are attributed to the wrong instance when
+// instances come and go, tables are compacted and answers are lost.
+func TestExchangeAttributesContactsCorrectly(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		g := NewWithT(r)
+		const hold = time.Minute
+		a, b := newLedger("a", hold, 1), newLedger("b", hold, 100)
+		atB := b.add(Member{ID: "a"}, 0)
+		fromB := a.add(Member{ID: "b"}, 0)
+		_ = atB
+		table := &peerTable{}
+		truth := map[contract.InstanceID]instant{}
+		now := instant(0)
+		next := 0
+		for range rapid.IntRange(1, 40).Draw(r, "rounds") {
+			now = now.after(time.Duration(rapid.IntRange(1, 20_000).Draw(r, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 30).Draw(r, "new") {
+				next++
+				b.add(memberNumber(next), now)
+			}
+			for id, rec := range b.byID {
+				if id != "a" && rapid.IntRange(0, 3).Draw(r, "heard") > 0 {
+					rec.hear(Ready, now)
+					truth[id] = now
+				}
+			}
+			b.sweep(now)
+			a.sweep(now)
+			if a.byID["b"] == nil {
+				fromB = a.add(Member{ID: "b"}, now)
+			}
+			h := heartbeat{Epoch: table.epoch, Have: len(table.names)}
+			var reply answer
+			b.writeAnswer(&reply, h, "a", &peerTable{}, now)
+			g.Expect(reply.check()).To(Succeed())
+			if rapid.Bool().Draw(r, "arrives") {
+				a.readAnswer(reply, fromB, table, anyRegion, now, now)
+			}
+			for id, rec := range a.byID {
+				if id != "b" && rec.contact != never {
+					g.Expect(rec.contact).To(BeNumerically("<=", truth[id]), "%s", id)
+				}
+			}
+		}
+	})
+}
+
+// Guards against news that overtake each other: draining must not be undone by
+// an older report, and an instance that restarts must come back.
+func TestDrainingWinsOverOlderReports(t *testing.T) {
+	g := NewWithT(t)
+	at := func(s float64) instant { return instant(s * float64(time.Second)) }
+	l := newLedger("self", time.Hour, 1)
+	r := l.add(memberNumber(1), 0)
+	r.hear(Ready, at(10))
+	r.hear(Draining, at(9)) // took a longer path
+	g.Expect(r.state).To(Equal(Draining))
+	r.hear(Ready, at(10.4))
+	g.Expect(r.state).To(Equal(Draining))
+	l.sweep(at(16))
+	g.Expect(l.known(r, at(16))).To(BeFalse())
+	r.hear(Ready, at(20))
+	g.Expect(l.known(r, at(20))).To(BeTrue())
+}
+
+// Guards against a list whose entry has only disappeared, or that is empty by
+// fault, shrinking the denominator.
+func TestListAloneRemovesNobody(t *testing.T) {
+	g := NewWithT(t)
+	l := newLedger("self", time.Hour, 1)
+	var entries []platform.ListEntry
+	for i := range 3 {
+		entries = append(entries, platform.ListEntry{ID: fmt.Sprint(i), State: platform.ListedLive})
+	}
+	l.applyList(entries, anyRegion, 0)
+	l.applyList(nil, anyRegion, 1)
+	l.sweep(instant(30 * time.Minute))
+	g.Expect(l.byID).To(HaveLen(3))
+	entries[0].State = platform.ListedLeaving
+	l.applyList(entries[:1], anyRegion, instant(31*time.Minute))
+	l.applyList(nil, anyRegion, instant(32*time.Minute))
+	l.sweep(instant(32 * time.Minute))
+	g.Expect(l.known(l.byID["0"], instant(32*time.Minute))).To(BeFalse())
+	g.Expect(l.known(l.byID["1"], instant(32*time.Minute))).To(BeTrue())
+}
+
+// Guards against an age that is rounded in favour of a contact.
+func TestAgesAreRoundedUp(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		g := NewWithT(r)
+		age := time.Duration(rapid.Int64Range(-int64(time.Second), int64(time.Minute)).Draw(r, "age"))
+		steps, ok := encodeAge(age)
+		g.Expect(ok).To(Equal(age <= maxAge*ageStep))
+		if ok {
+			g.Expect(decodeAge(steps)).To(BeNumerically(">=", age))
+			g.Expect(decodeAge(steps)).To(BeNumerically("<", max(age, 0)+ageStep))
+		}
+	})
+}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -102,11 +102,13 @@
 		if index >= len(t.names) || t.names[index] == nil {
 			return
 		}
-		r := l.add(t.names[index].member, now)
-		if r == nil {
-			return
+		r := t.names[index]
+		if r.slot < 0 {
+			if r = l.add(r.member, now); r == nil {
+				return
+			}
+			t.names[index] = r
 		}
-		t.names[index] = r
 		at := sent.after(-age)
 		r.hear(state, at)
 		t.setClaim(l.epoch, r.slot, claim{at: at, state: state})
--- a/internal/membership/ledger.go
+++ b/internal/membership/ledger.go
@@ -1,7 +1,10 @@
 package membership
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
@@ -67,6 +70,7 @@
 	byID  map[contract.InstanceID]*record
 	table []*record // by slot, nil where a record was removed
 	epoch uint64    // changes when slots are assigned anew
+	order []*record // by identifier, nil after a change
 }
 
 func newLedger(self contract.InstanceID, hold time.Duration, epoch uint64) *ledger {
@@ -88,9 +92,19 @@
 	}
 	l.byID[m.ID] = r
 	l.table = append(l.table, r)
+	l.order = nil
 	return r
 }
 
+// ordered returns all records by identifier. It is computed once per change,
+// because views are built several times a second. The slice must not be changed.
+func (l *ledger) ordered() []*record {
+	if l.order == nil {
+		l.order = slices.SortedFunc(maps.Values(l.byID), func(a, b *record) int { return cmp.Compare(a.member.ID, b.member.ID) })
+	}
+	return l.order
+}
+
 // applyList takes over the platform's list. An instance that is missing from
 // it is not forgotten: only its own announcement that it leaves counts.
 func (l *ledger) applyList(entries []platform.ListEntry, accept func(region string) bool, now instant) {
@@ -160,6 +174,7 @@
 			delete(l.byID, id)
 			l.table[r.slot] = nil
 			r.slot = -1
+			l.order = nil
 		}
 	}
 	if removed := len(l.table) - len(l.byID); removed > max(compactAbove, len(l.byID)/2) {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -223,17 +223,13 @@
 func (m *Membership) publish() {
 	now := m.now()
 	v := &View{self: m.config.Self, window: m.config.HeardWindow, members: make([]MemberView, 0, len(m.ledger.byID))}
-	for _, r := range m.ledger.table {
-		if r == nil {
-			continue
-		}
+	for _, r := range m.ledger.ordered() {
 		v.members = append(v.members, MemberView{
 			Member: r.member, State: r.state,
 			Contact: m.timeOf(r.contact), Direct: m.timeOf(r.direct), KnownUntil: m.timeOf(m.ledger.knownUntil(r, now)),
 			Peer: slices.Contains(m.peers, r.member.ID), Confirmed: r.confirmed, Head: r.head,
 		})
 	}
-	slices.SortFunc(v.members, func(a, b MemberView) int { return compareIDs(a.ID, b.ID) })
 	m.view.Store(v)
 	m.dirty = false
 }
--- a/internal/membership/section.go
+++ b/internal/membership/section.go
@@ -7,8 +7,8 @@
 )
 
 // Section is a digest that another package adds to each regular heartbeat. Its
-// content is opaque here. Functions may be called concurrently for different
-// peers, never for the same peer, and must not block.
+// content is opaque here. Functions may be called concurrently and must not
+// block; Collect and Settled alternate for each peer.
 type Section struct {
 	ID uint8
 	// Collect returns what a peer is to learn, nil for nothing. It is bounded to 64 KiB.
