--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -41,7 +40,7 @@
 		}
 		now := m.now()
 		if now >= nextBeat {
-			nextBeat = now.after(jitter(m.config.Interval))
+			nextBeat = now.after(m.jitter(m.config.Interval))
 			m.maintain(now)
 			m.beatAll(ctx)
 		}
@@ -58,8 +57,10 @@
 }
 
 // jitter returns a duration within 10% of d, so that instances do not send in step.
-func jitter(d time.Duration) time.Duration {
-	return d*9/10 + rand.N(d/5+1)
+func (m *Membership) jitter(d time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return d*9/10 + time.Duration(m.random.Int64N(int64(d/5)+1))
 }
 
 // maintain removes departed instances and selects the peers anew if the
--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -20,6 +21,14 @@
 	"foxtailhub.example/foxtailhub/internal/timeline"
 )
 
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", strconv.FormatUint(seed(), 10)); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 func seed() uint64 {
 	if n, err := strconv.ParseUint(os.Getenv("FOXTAILHUB_SEED"), 10, 64); err == nil {
 		return n
@@ -152,7 +161,7 @@
 	self := memberNumber(i)
 	config := Config{
 		Self: self, List: c.list, Transport: c.network.Transport(self.ID),
-		Clock: timeline.NewClock(), Recorder: timeline.Discard{}, Log: log,
+		Clock: timeline.NewClock(), Recorder: timeline.Discard{}, Log: log, Seed: seed(),
 	}
 	if c.config != nil {
 		c.config(&config)
--- /dev/null
+++ b/internal/membership/idle_test.go
@@ -0,0 +1,149 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/link"
+	"foxtailhub.example/foxtailhub/internal/link/linktest"
+	"foxtailhub.example/foxtailhub/internal/membership"
+	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+)
+
+// emptyList is an instance list that is always down.
+type emptyList struct{}
+
+func (emptyList) List(context.Context) (platform.List, error) {
+	return platform.List{}, platform.ErrUnavailable
+}
+func (emptyList) Announce(context.Context, platform.ListEntry) error { return platform.ErrUnavailable }
+func (emptyList) Withdraw(context.Context, string) error             { return nil }
+
+// idleInstance is an instance with heartbeats over QUIC on loopback.
+type idleInstance struct {
+	self       membership.Member
+	transport  *link.QUIC
+	membership *membership.Membership
+}
+
+// startIdle starts n instances in a full mesh.
+func startIdle(b *testing.B, n int) []*idleInstance {
+	authority, err := linktest.NewAuthority(b.TempDir())
+	if err != nil {
+		b.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var all []*idleInstance
+	var seeds []membership.Member
+	for i := range n {
+		id := fmt.Sprintf("instance-%03d", i)
+		certificate, key, err := authority.Issue("pohjola", id)
+		if err != nil {
+			b.Fatal(err)
+		}
+		in := &idleInstance{}
+		in.transport, err = link.NewQUIC(link.Config{
+			Address: "127.0.0.1:0", AuthorityFile: authority.File, CertificateFile: certificate, KeyFile: key, Log: log,
+			Resolve: func(id contract.InstanceID) (string, bool) { return in.membership.Address(id) },
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		in.self = membership.Member{
+			ID: contract.InstanceID(id), Address: in.transport.Address(),
+			Domain: contract.FailureDomainID(fmt.Sprint(i % 4)), Region: "pohjola",
+		}
+		seeds = append(seeds, in.self)
+		all = append(all, in)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, in := range all {
+		in.membership, err = membership.New(membership.Config{
+			Self: in.self, Seeds: seeds, List: emptyList{}, Transport: in.transport,
+			Clock: timeline.NewClock(), Recorder: timeline.Discard{}, Log: log,
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		in.membership.SetState(membership.Ready)
+	}
+	for _, in := range all {
+		running.Go(func() { _ = in.transport.Run(ctx) })
+		running.Go(func() { _ = in.membership.Run(ctx) })
+	}
+	b.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return all
+}
+
+// waitUntil polls a condition, at most for a minute.
+func waitUntil(b *testing.B, met func() bool) {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	deadline := time.After(time.Minute)
+	for !met() {
+		select {
+		case <-ticker.C:
+		case <-deadline:
+			b.Fatal("condition was not met within a minute")
+		}
+	}
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func memory() float64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return float64(s.HeapAlloc + s.StackInuse)
+}
+
+// BenchmarkIdle measures what heartbeats over QUIC cost an instance with 8 peers.
+func BenchmarkIdle(b *testing.B) {
+	const instances, period = 9, 10 * time.Second
+	empty := memory()
+	all := startIdle(b, instances)
+	waitUntil(b, func() bool {
+		for _, in := range all {
+			if in.membership.View().Heard(time.Now()) < instances || in.transport.Stats().Connections != instances-1 {
+				return false
+			}
+		}
+		return true
+	})
+	wire := func() (sum int64) {
+		for _, in := range all {
+			s := in.transport.Stats()
+			sum += s.WireIn + s.WireOut
+		}
+		return sum
+	}
+	for b.Loop() {
+		began, processor, bytes := time.Now(), processorTime(), wire()
+		waitUntil(b, func() bool { return time.Since(began) > period })
+		seconds := time.Since(began).Seconds() * instances
+		b.ReportMetric(float64(wire()-bytes)/seconds, "wire-B/s/instance")
+		b.ReportMetric((processorTime()-processor).Seconds()/seconds*100, "%core/instance")
+	}
+	b.ReportMetric((memory()-empty)/instances/1024, "KiB/instance")
+	b.ReportMetric((memory()-empty)/instances/(instances-1)/1024, "KiB/connection-end")
+}
--- a/internal/membership/listing.go
+++ b/internal/membership/listing.go
@@ -18,11 +18,11 @@
 	for {
 		if m.now() >= nextAnnounce {
 			if m.announceSelf(ctx) {
-				nextAnnounce = m.now().after(jitter(m.config.AnnounceInterval))
+				nextAnnounce = m.now().after(m.jitter(m.config.AnnounceInterval))
 			}
 		}
 		down = m.readList(ctx, down)
-		timer := time.NewTimer(jitter(m.config.ListInterval))
+		timer := time.NewTimer(m.jitter(m.config.ListInterval))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -8,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
@@ -65,6 +67,9 @@
 	DepartureHold    time.Duration // how long a silent instance stays known
 	ListInterval     time.Duration // between polls of the list
 	AnnounceInterval time.Duration // between announcements in the list
+
+	// Seed fixes the jitter, for tests. 0: random.
+	Seed uint64
 }
 
 func (c Config) withDefaults() (Config, error) {
@@ -110,6 +115,7 @@
 	selected instant
 	probe    contract.InstanceID // instance last probed
 	dirty    bool                // the view is out of date
+	random   *rand.Rand          // for jitter
 }
 
 // New returns a membership and registers its handler. It must be called before
@@ -129,6 +135,7 @@
 		ledger:   newLedger(config.Self.ID, config.DepartureHold, max(1, rand.Uint64()>>1)),
 		links:    map[contract.InstanceID]*peerLink{},
 		selected: never,
+		random:   rand.New(rand.NewPCG(cmp.Or(config.Seed, rand.Uint64()), xxhash.Sum64String(string(config.Self.ID)))),
 	}
 	for _, seed := range config.Seeds {
 		if r := m.ledger.add(seed, m.now()); r != nil {
