--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -25,8 +24,6 @@
 	pushes  int  // pushes that wait for their answers
 }
 
-func compareIDs(a, b contract.InstanceID) int { return cmp.Compare(a, b) }
-
 // beatLoop sends heartbeats and keeps view and peers up to date.
 func (m *Membership) beatLoop(ctx context.Context) {
 	ticker := time.NewTicker(publishInterval)
@@ -43,7 +40,7 @@
 		}
 		now := m.now()
 		if now >= nextBeat {
-			nextBeat = now.after(jitter(m.config.Interval))
+			nextBeat = now.after(m.jitter(m.config.Interval))
 			m.maintain(now)
 			m.beatAll(ctx)
 		}
@@ -60,8 +57,10 @@
 }
 
 // jitter returns a duration within 10% of d, so that instances do not send in step.
-func jitter(d time.Duration) time.Duration {
-	return d*9/10 + rand.N(d/5+1)
+func (m *Membership) jitter(d time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return d*9/10 + time.Duration(m.random.Int64N(int64(d/5)+1))
 }
 
 // maintain removes departed instances and selects the peers anew if the
@@ -75,12 +74,11 @@
 		return
 	}
 	var candidates []failuredomain.Member
-	for _, r := range m.ledger.table {
-		if r != nil && r.candidate(now) {
+	for _, r := range m.ledger.ordered() {
+		if r.candidate(now) {
 			candidates = append(candidates, r.member.candidate())
 		}
 	}
-	slices.SortFunc(candidates, func(a, b failuredomain.Member) int { return compareIDs(a.ID, b.ID) })
 	if slices.Equal(candidates, m.chosen) {
 		return
 	}
@@ -138,15 +136,15 @@
 func (m *Membership) nextProbe() (contract.InstanceID, bool) {
 	now := m.now()
 	var first, next contract.InstanceID
-	for id, r := range m.ledger.byID {
+	for _, r := range m.ledger.ordered() {
+		id := r.member.ID
 		if r.candidate(now) || r.departed != never || slices.Contains(m.peers, id) {
 			continue
 		}
-		if first == "" || id < first {
-			first = id
-		}
-		if id > m.probe && (next == "" || id < next) {
+		first = cmp.Or(first, id)
+		if id > m.probe {
 			next = id
+			break
 		}
 	}
 	m.probe = cmp.Or(next, first)
