--- a/internal/generation/action.go
+++ b/internal/generation/action.go
@@ -32,7 +32,8 @@
 	InputDiverged                        // the text is not the one that the caller holds
 )
 
-// Input is what happened.
+// Input is what happened. InputPlaced or InputNoPlacement must directly follow
+// the step that returned the ActionStart.
 type Input struct {
 	Kind       InputKind
 	Attempt    contract.AttemptNumber
--- a/internal/generation/machine.go
+++ b/internal/generation/machine.go
@@ -130,7 +130,7 @@
 	case InputBegin:
 		m.begin(now)
 	case InputPlaced:
-		m.placed(now, in)
+		m.placed(in)
 	case InputNoPlacement:
 		m.notPlaced(now, in)
 	case InputAbandoned:
@@ -228,11 +228,13 @@
 	})
 }
 
-func (m *Machine) placed(_ time.Time, in Input) {
-	m.goneSince = time.Time{}
-	if a := m.attempt(in.Attempt); a != nil {
-		a.upstream = in.Upstream
+func (m *Machine) placed(in Input) {
+	a := m.attempt(in.Attempt)
+	if a == nil {
+		return
 	}
+	m.goneSince = time.Time{}
+	a.upstream = in.Upstream
 	if m.attempt(m.current) == nil {
 		m.current = in.Attempt
 		m.emit(Action{Kind: ActionSwitch, Attempt: in.Attempt})
@@ -242,11 +244,14 @@
 // notPlaced handles that no upstream can take an attempt now.
 func (m *Machine) notPlaced(now time.Time, in Input) {
 	a := m.attempt(in.Attempt)
-	if a == nil {
+	if a == nil || a.upstream != "" {
 		return
 	}
+	contract.Invariant(a.number == m.lastAttempt, "placement answered after the next start",
+		"request", m.settings.Request, "attempt", a.number, "last", m.lastAttempt)
 	m.remove(a)
 	m.ran--
+	m.lastAttempt-- // nothing was sent under this number
 	if m.standing.Quarantined {
 		m.finishQuarantined(now)
 		return
