Subscribe before a new generation runs and refuse forged positions

A generation may end at once when the named stream is gone; the caller's subscription must exist by then. A position that does not match the locator's digest is refused.

--- a/internal/generation/action.go
+++ b/internal/generation/action.go
@@ -67,7 +67,7 @@
 	Stream      upstream.StreamID        // ActionStart
 	Avoid       []contract.UpstreamID    // ActionStart
 	Resumed     bool                     // ActionStart: it continues a text or replaces a failed attempt
-	Observed    upstream.ObservationKind // ActionEnd
+	Observed    upstream.ObservationKind // ActionEnd; ActionProbe: why the attempt is suspected
 	Cancel      bool                     // ActionEnd: cancel the stream at the engine
 	Connections []ConnectionID           // ActionEnd: to close
 	Token       contract.Token           // ActionDeliver
--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -31,6 +31,7 @@
 	verdict      *contract.Verdict
 	endDelivered bool
 	broken       bool // replaced by another generation of the request
+	abandoned    bool // the grace time has passed
 }
 
 // mark is the place in the text where an attempt became the current one.
@@ -45,7 +46,7 @@
 	g := &Generation{
 		request: r, content: ContentOf(r), pin: plan.pin, sampling: plan.sampling,
 		expected: r.position(),
-		stop:     make(chan Input, 2), // one of each reason
+		stop:     make(chan Input, 3), // replaced, diverged, abandoned
 		base:     plan.base,
 		digester: plan.digester,
 		changed:  make(chan struct{}),
@@ -189,16 +190,31 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.subscribers == 0 {
+		g.abandoned = true
 		g.requestStop(InputAbandoned)
 	}
 }
 
-// outcome returns the verdict and whether a subscriber has received it.
-func (g *Generation) outcome() (verdict contract.Verdict, finished, delivered bool) {
+// superseded reports whether a new submission of the request runs anew. The
+// end of an interrupted generation is delivered once before that.
+func (g *Generation) superseded() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.verdict == nil {
-		return contract.Verdict{}, false, false
+	if g.verdict == nil || g.abandoned {
+		return g.abandoned
 	}
-	return *g.verdict, true, g.endDelivered
+	if g.verdict.Outcome == contract.Completed {
+		return false
+	}
+	return g.endDelivered || g.verdict.Outcome == contract.NotRun
+}
+
+// textBefore returns the whole text before a position, if it is held.
+func (g *Generation) textBefore(p contract.Position) ([]string, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.base != 0 || !g.matches(p) {
+		return nil, false
+	}
+	return g.texts[:p.Offset:p.Offset], true
 }
--- a/internal/generation/harness_test.go
+++ b/internal/generation/harness_test.go
@@ -94,6 +94,9 @@
 	for _, r := range w.registry {
 		NewWithT(w.t).Expect(r.AwaitIdle(w.t.Context())).To(Succeed())
 	}
+	if len(w.registry) > 0 {
+		NewWithT(w.t).Expect(w.router.InUse()).To(BeZero(), "placements that were not given back")
+	}
 	for _, e := range w.engines {
 		e.Close()
 	}
--- a/internal/generation/plan.go
+++ b/internal/generation/plan.go
@@ -43,6 +43,9 @@
 	}
 	digester, err := locator.digester()
 	contract.Invariant(err == nil, "checked locator has no digest", "request", r.ID)
+	if locator.Base == r.position().Offset && digester.Prefix() != r.position().Digest {
+		return plan{}, contract.ReasonPrefixMismatch
+	}
 	p.base = locator.Base
 	p.digester = digester
 	p.textHeld = locator.Base == 0
--- a/internal/generation/recovery.go
+++ b/internal/generation/recovery.go
@@ -24,7 +24,7 @@
 // recover probes the engine of an attempt and, with policy fast, starts a rival.
 func (m *Machine) recover(now time.Time, a *attempt) {
 	probe := a.addLane(m.newLane(), true, now.Add(probeTimeout))
-	m.emit(Action{Kind: ActionProbe, Attempt: a.number, Connection: probe.connection})
+	m.emit(Action{Kind: ActionProbe, Attempt: a.number, Connection: probe.connection, Observed: a.cause})
 	if m.rivalAllowed() {
 		m.avoidUpstream(a)
 		m.startAttempt(now)
--- a/internal/generation/registry.go
+++ b/internal/generation/registry.go
@@ -158,31 +158,27 @@
 		texts, ok := g.textBefore(p)
 		return joining{held: g, known: texts, knownOK: ok}
 	}
-	s, ok := g.subscribe(p)
+	s, ok := r.subscribe(g, p)
 	if !ok {
 		return joining{held: g, diverged: true}
 	}
-	r.config.Recorder.Record(timeline.Event{Kind: timeline.CallerConnected, Request: id, Detail: p.String()})
 	return joining{subscription: s}
 }
 
-// superseded reports whether a new submission of the request runs anew.
-func (g *Generation) superseded() bool {
-	verdict, finished, delivered := g.outcome()
-	if !finished || verdict.Outcome == contract.Completed {
-		return false
-	}
-	return delivered || verdict.Outcome == contract.NotRun || verdict.Reason == contract.ReasonAbandoned
-}
-
-// textBefore returns the whole text before a position, if it is held.
-func (g *Generation) textBefore(p contract.Position) ([]string, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.base != 0 || !g.matches(p) {
+// subscribe subscribes and records when the caller comes and goes.
+func (r *Registry) subscribe(g *Generation, p contract.Position) (*Subscription, bool) {
+	s, ok := g.subscribe(p)
+	if !ok {
 		return nil, false
 	}
-	return g.texts[:p.Offset:p.Offset], true
+	record := func(kind timeline.Kind, detail string) {
+		r.config.Recorder.Record(timeline.Event{Kind: kind, Request: g.request.ID, Detail: detail})
+	}
+	record(timeline.CallerConnected, p.String())
+	return NewSubscription(s.next, func() {
+		s.Close()
+		record(timeline.CallerGone, "")
+	}), true
 }
 
 // create starts a generation that continues the caller's text, in place of the
@@ -205,13 +201,12 @@
 	if !admitted {
 		return nil, verdict, false
 	}
-	g, inserted := r.insert(request, plan, joined.held, release)
+	s, inserted := r.insert(request, plan, joined.held, release)
 	if !inserted {
 		release()
 		return r.joinConcurrent(request)
 	}
-	s, subscribed := g.subscribe(request.position())
-	contract.Invariant(subscribed, "new generation does not continue the caller's text", "request", request.ID)
+	r.config.Recorder.Record(timeline.Event{Kind: timeline.RequestAdmitted, Request: request.ID})
 	return s, contract.Verdict{}, true
 }
 
@@ -238,12 +233,12 @@
 	return refuse(contract.Interrupted, contract.ReasonInProgress, 0)
 }
 
-// insert registers and runs a new generation if the held one is still the one
-// that it is to replace.
-func (r *Registry) insert(request Request, plan plan, replaced *Generation, release func()) (*Generation, bool) {
+// insert registers, subscribes to and runs a new generation if the held one is
+// still the one that it is to replace.
+func (r *Registry) insert(request Request, plan plan, replaced *Generation, release func()) (*Subscription, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.held[request.ID] != replaced {
+	if current := r.held[request.ID]; current != nil && current != replaced {
 		return nil, false
 	}
 	if replaced != nil {
@@ -255,8 +250,10 @@
 	if r.active == 1 {
 		r.idle = make(chan struct{})
 	}
+	s, subscribed := r.subscribe(g, request.position()) // before it runs: it may end at once
+	contract.Invariant(subscribed, "new generation does not continue the caller's text", "request", request.ID)
 	go r.run(g, plan, release)
-	return g, true
+	return s, true
 }
 
 func (r *Registry) run(g *Generation, plan plan, release func()) {
--- a/internal/generation/registry_test.go
+++ b/internal/generation/registry_test.go
@@ -187,6 +187,25 @@
 	})
 }
 
+// Guards against a made-up position that stops the process or is served.
+func TestRegistryRefusesForgedPosition(t *testing.T) {
+	inWorld(t, func(g Gomega, w *world) {
+		c := w.caller("request")
+		c.connect(0, false)
+		c.read(10)
+		w.links.sever()
+		for _, offset := range []int64{0, 5, 1000} {
+			c.position = contract.Position{Offset: offset, Digest: "0123456789abcdef"}
+			c.end = nil
+			if c.connect(1, false) {
+				c.readAll()
+				g.Expect(c.end.Verdict.Outcome).To(Equal(contract.Interrupted))
+			}
+			g.Expect(c.texts).To(HaveLen(10))
+		}
+	})
+}
+
 // Guards against a request that crashes engines without bound (P9).
 func TestRegistryQuarantine(t *testing.T) {
 	inWorld(t, func(g Gomega, w *world) {
--- a/internal/generation/runner.go
+++ b/internal/generation/runner.go
@@ -175,6 +175,7 @@
 // probe resumes the stream of an attempt over a new connection.
 func (r *runner) probe(action Action) {
 	a := r.attempts[action.Attempt]
+	r.record(timeline.AttemptSuspected, a.number, a.target.ID, string(action.Observed))
 	r.record(timeline.AttemptProbed, a.number, a.target.ID, "")
 	from, _ := r.generation.end()
 	r.connect(a, action.Connection, func(ctx context.Context) (upstream.Stream, error) {
