--- a/internal/generation/action.go
+++ b/internal/generation/action.go
@@ -32,7 +32,8 @@
 	InputDiverged                        // the text is not the one that the caller holds
 )
 
-// Input is what happened.
+// Input is what happened. InputPlaced or InputNoPlacement must directly follow
+// the step that returned the ActionStart.
 type Input struct {
 	Kind       InputKind
 	Attempt    contract.AttemptNumber
@@ -66,7 +67,7 @@
 	Stream      upstream.StreamID        // ActionStart
 	Avoid       []contract.UpstreamID    // ActionStart
 	Resumed     bool                     // ActionStart: it continues a text or replaces a failed attempt
-	Observed    upstream.ObservationKind // ActionEnd
+	Observed    upstream.ObservationKind // ActionEnd; ActionProbe: why the attempt is suspected
 	Cancel      bool                     // ActionEnd: cancel the stream at the engine
 	Connections []ConnectionID           // ActionEnd: to close
 	Token       contract.Token           // ActionDeliver
--- a/internal/generation/machine.go
+++ b/internal/generation/machine.go
@@ -81,7 +81,6 @@
 	lanes     []*lane
 	rhythm    Rhythm
 	adopted   bool // another instance started it
-	opened    bool // the engine answered the start
 	produced  bool // it yielded an accepted token
 	suspected bool
 	cause     upstream.ObservationKind // why it is suspected
@@ -130,7 +129,7 @@
 	case InputBegin:
 		m.begin(now)
 	case InputPlaced:
-		m.placed(now, in)
+		m.placed(in)
 	case InputNoPlacement:
 		m.notPlaced(now, in)
 	case InputAbandoned:
@@ -184,7 +183,7 @@
 	}
 	a := &attempt{
 		number: adopted.Attempt, stream: adopted.Stream, upstream: adopted.Upstream,
-		adopted: true, opened: true, suspected: true, cause: upstream.ObservedSilent,
+		adopted: true, suspected: true, cause: upstream.ObservedSilent,
 	}
 	m.attempts = append(m.attempts, a)
 	m.current = a.number
@@ -228,25 +227,26 @@
 	})
 }
 
-func (m *Machine) placed(_ time.Time, in Input) {
-	m.goneSince = time.Time{}
-	if a := m.attempt(in.Attempt); a != nil {
-		a.upstream = in.Upstream
-	}
-	if m.attempt(m.current) == nil {
-		m.current = in.Attempt
-		m.emit(Action{Kind: ActionSwitch, Attempt: in.Attempt})
+func (m *Machine) placed(in Input) {
+	a := m.attempt(in.Attempt)
+	if a == nil {
+		return
 	}
+	m.goneSince = time.Time{}
+	a.upstream = in.Upstream
 }
 
 // notPlaced handles that no upstream can take an attempt now.
 func (m *Machine) notPlaced(now time.Time, in Input) {
 	a := m.attempt(in.Attempt)
-	if a == nil {
+	if a == nil || a.upstream != "" {
 		return
 	}
+	contract.Invariant(a.number == m.lastAttempt, "placement answered after the next start",
+		"request", m.settings.Request, "attempt", a.number, "last", m.lastAttempt)
 	m.remove(a)
 	m.ran--
+	m.lastAttempt-- // nothing was sent under this number
 	if m.standing.Quarantined {
 		m.finishQuarantined(now)
 		return
@@ -279,7 +279,10 @@
 func (m *Machine) opened(now time.Time, a *attempt, l *lane) {
 	m.mayHaveRun = true
 	m.backoff = 0
-	a.opened = true
+	if m.attempt(m.current) == nil {
+		m.current = a.number
+		m.emit(Action{Kind: ActionSwitch, Attempt: a.number})
+	}
 	if l.probe && !a.produced {
 		// The engine is alive and knows the stream: it may still be in prefill.
 		l.deadline = now.Add(m.firstToken)
