Add HTTP adapter and stand-in for plain services

A call that is sent once has a connection of its own that cannot be replaced, and a body without GetBody, since http.Transport sends replayable requests again. The stand-in records executions by idempotency key; its listener cuts or silences connections but leaves the one that carries the control request.

--- a/internal/dispatch/batcher.go
+++ b/internal/dispatch/batcher.go
@@ -46,7 +46,7 @@
 // and will have none; ErrUncertain that it may have one, now or later.
 func (b *batcher) commit(ctx context.Context, tx platform.Transaction) (platform.CommitResult, error) {
 	if ctx.Err() != nil {
-		return platform.CommitResult{}, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+		return platform.CommitResult{}, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
 	}
 	item := &batchItem{transaction: tx, queued: true, done: make(chan struct{})}
 	b.add(item)
@@ -56,13 +56,13 @@
 	case <-ctx.Done():
 	}
 	if b.withdraw(item) {
-		return platform.CommitResult{}, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+		return platform.CommitResult{}, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
 	}
 	select {
 	case <-item.done:
 		return item.result, item.err
 	default:
-		return platform.CommitResult{}, errors.Mark(ctx.Err(), platform.ErrUncertain)
+		return platform.CommitResult{}, errors.Wrap(platform.ErrUncertain, ctx.Err().Error())
 	}
 }
 
@@ -133,7 +133,7 @@
 	}
 	if err != nil && !errors.Is(err, platform.ErrUnavailable) {
 		// Whatever else went wrong, the request may have arrived.
-		err = errors.Mark(err, platform.ErrUncertain)
+		err = errors.Wrap(platform.ErrUncertain, err.Error())
 	}
 	for i, item := range batch {
 		if err == nil {
--- /dev/null
+++ b/internal/standin/listener.go
@@ -0,0 +1,191 @@
+package standin
+
+import (
+	"net"
+	"sync"
+)
+
+// Listener wraps a net.Listener, so that its connections can be closed, go
+// silent or pause.
+type Listener struct {
+	net.Listener
+
+	mu     sync.Mutex // guards the fields below; never held during I/O
+	open   map[*conn]struct{}
+	silent []net.Conn    // kept open so that the peer sees no end of the connection
+	gate   chan struct{} // closed when a pause ends; nil without a pause
+}
+
+// NewListener returns a Listener over inner.
+func NewListener(inner net.Listener) *Listener {
+	return &Listener{Listener: inner, open: map[*conn]struct{}{}}
+}
+
+// Accept returns the next connection. During a pause it waits.
+func (l *Listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: inner, listener: l, closed: make(chan struct{})}
+	l.mu.Lock()
+	l.open[c] = struct{}{}
+	l.mu.Unlock()
+	return c, nil
+}
+
+// Cut closes all open connections, but for those that carry a control request.
+func (l *Listener) Cut() {
+	for _, c := range l.connections() {
+		_ = c.Conn.Close()
+	}
+}
+
+// Silence makes all open connections silent for good, but for those that carry
+// a control request: nothing arrives in either direction, and the peer is not
+// told that the connection ended. New connections work.
+func (l *Listener) Silence() {
+	for _, c := range l.connections() {
+		c.setSilent()
+	}
+}
+
+// Pause holds all transfers back, on open and new connections, until Resume.
+func (l *Listener) Pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.gate == nil {
+		l.gate = make(chan struct{})
+	}
+}
+
+// Resume ends a pause.
+func (l *Listener) Resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.gate != nil {
+		close(l.gate)
+		l.gate = nil
+	}
+}
+
+// Close closes the listener and the connections that went silent.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	silent := l.silent
+	l.silent = nil
+	l.mu.Unlock()
+	for _, c := range silent {
+		_ = c.Close()
+	}
+	return l.Listener.Close()
+}
+
+// connections returns the open connections that are subject to faults.
+func (l *Listener) connections() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*conn, 0, len(l.open))
+	for c := range l.open {
+		if !c.isControl() {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (l *Listener) currentGate() chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.gate
+}
+
+func (l *Listener) forget(c *conn, silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+	if silent {
+		l.silent = append(l.silent, c.Conn)
+	}
+}
+
+// conn is a connection of a Listener.
+type conn struct {
+	net.Conn
+	listener *Listener
+	once     sync.Once
+	closed   chan struct{}
+
+	mu      sync.Mutex // guards the fields below
+	silent  bool
+	control bool // carries a control request, which faults do not touch
+}
+
+func (c *conn) setSilent() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = true
+}
+
+func (c *conn) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent
+}
+
+func (c *conn) setControl() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.control = true
+}
+
+func (c *conn) isControl() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.control
+}
+
+// pass waits while the listener is paused.
+func (c *conn) pass() {
+	if gate := c.listener.currentGate(); gate != nil {
+		select {
+		case <-gate:
+		case <-c.closed:
+		}
+	}
+}
+
+// Read drops what arrives on a silent connection.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		c.pass()
+		if err != nil || !c.isSilent() {
+			return n, err
+		}
+	}
+}
+
+// Write drops what is written to a silent connection.
+func (c *conn) Write(p []byte) (int, error) {
+	c.pass()
+	if c.isSilent() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection. A silent one stays open towards the peer.
+func (c *conn) Close() error {
+	var err error
+	c.once.Do(func() {
+		close(c.closed)
+		silent := c.isSilent()
+		c.listener.forget(c, silent)
+		if silent {
+			return
+		}
+		err = c.Conn.Close()
+	})
+	return err
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,275 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"foxtailhub.example/foxtailhub/internal/upstream"
+	"foxtailhub.example/foxtailhub/internal/upstream/servicehttp"
+)
+
+const (
+	defaultServiceSlots = 8
+	serviceBodyLimit    = 2 << 20
+	// loadHistory bounds the states kept for load reports with a lag.
+	loadHistory = 4096
+)
+
+// ServiceConfig holds the settings of a Service.
+type ServiceConfig struct {
+	// Slots is the number of calls that it reports to run at a time. Default 8.
+	Slots int
+	// Connections carries out the faults cut and silence. nil: they do nothing.
+	Connections *Listener
+	// Exit ends the process by the fault die. Default os.Exit(1).
+	Exit func()
+}
+
+// Execution is how often calls with one idempotency key were carried out.
+type Execution struct {
+	Key   string `json:"key"`
+	Path  string `json:"path"`
+	Count int    `json:"count"`
+}
+
+// ExecutionReport is the answer of GET /executions.
+type ExecutionReport struct {
+	Executions []Execution `json:"executions"`
+	Queries    int         `json:"queries"` // GET requests to other paths
+}
+
+// Service is a stand-in for a plain service: a POST carries out a call, a GET
+// is a query. It records each execution.
+type Service struct {
+	config      ServiceConfig
+	faults      *FaultSwitch
+	incarnation upstream.Incarnation
+	mux         *http.ServeMux
+
+	mu         sync.Mutex // guards the fields below
+	executions map[string]*Execution
+	queries    int
+	running    int
+	history    []loadSample
+	gate       chan struct{} // closed when a pause ends; nil without a pause
+}
+
+type loadSample struct {
+	at      time.Time
+	running int
+	leaving bool
+}
+
+// NewService returns a Service without a fault.
+func NewService(config ServiceConfig) *Service {
+	if config.Slots == 0 {
+		config.Slots = defaultServiceSlots
+	}
+	if config.Exit == nil {
+		config.Exit = func() { os.Exit(1) }
+	}
+	s := &Service{
+		config:      config,
+		incarnation: upstream.Incarnation(uuid.NewString()),
+		mux:         http.NewServeMux(),
+		executions:  map[string]*Execution{},
+	}
+	s.faults = NewFaultSwitch(s.apply)
+	s.mux.Handle(faultPath, s.faults)
+	s.mux.HandleFunc("GET /executions", s.serveExecutions)
+	s.mux.HandleFunc("GET /load", s.serveLoad)
+	s.mux.HandleFunc("/", s.serveCall)
+	return s
+}
+
+// Faults returns the fault switch.
+func (s *Service) Faults() *FaultSwitch { return s.faults }
+
+// ServeHTTP serves the service, its reports and its fault switch.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Executions returns what was carried out, by key.
+func (s *Service) Executions() ExecutionReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report := ExecutionReport{Executions: []Execution{}, Queries: s.queries}
+	for _, e := range s.executions {
+		report.Executions = append(report.Executions, *e)
+	}
+	slices.SortFunc(report.Executions, func(a, b Execution) int { return strings.Compare(a.Key, b.Key) })
+	return report
+}
+
+// apply carries out faults that act when they are set. A pause is carried out
+// by the service and not by its listener, which would also hold back the
+// request that ends the pause.
+func (s *Service) apply(f Fault) {
+	if f.Die {
+		s.config.Exit()
+		return
+	}
+	s.mu.Lock()
+	if f.Pause && s.gate == nil {
+		s.gate = make(chan struct{})
+	}
+	if !f.Pause && s.gate != nil {
+		close(s.gate)
+		s.gate = nil
+	}
+	s.sampleLocked()
+	s.mu.Unlock()
+	if s.config.Connections == nil {
+		return
+	}
+	if f.Cut {
+		s.config.Connections.Cut()
+	}
+	if f.Silence {
+		s.config.Connections.Silence()
+	}
+}
+
+func (s *Service) serveExecutions(w http.ResponseWriter, _ *http.Request) {
+	writeServiceJSON(w, s.Executions())
+}
+
+func (s *Service) serveLoad(w http.ResponseWriter, r *http.Request) {
+	if !s.waitWhilePaused(r) {
+		panic(http.ErrAbortHandler)
+	}
+	f := s.faults.Current()
+	if f.Refuse {
+		refuseCall(w, servicehttp.StateRefused)
+		return
+	}
+	sample := s.sampleAt(time.Now().Add(-time.Duration(f.LagMS) * time.Millisecond))
+	writeServiceJSON(w, upstream.LoadReport{
+		Incarnation: s.incarnation,
+		Leaving:     sample.leaving,
+		Running:     sample.running,
+		Slots:       s.config.Slots,
+	})
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, serviceBodyLimit))
+	if err != nil {
+		panic(http.ErrAbortHandler) // the request did not arrive whole
+	}
+	if !s.waitWhilePaused(r) {
+		panic(http.ErrAbortHandler)
+	}
+	f := s.faults.Current()
+	switch {
+	case f.Leaving:
+		refuseCall(w, servicehttp.StateLeaving)
+		return
+	case f.Refuse:
+		refuseCall(w, servicehttp.StateRefused)
+		return
+	}
+	count := s.begin(r)
+	defer s.end()
+	if f.DieOnPrompt != "" && strings.Contains(string(body), f.DieOnPrompt) {
+		s.config.Exit()
+	}
+	s.delay(r, time.Duration(f.SlowMS)*time.Millisecond)
+	if !s.waitWhilePaused(r) || f.LoseAnswer || f.LoseRate > rand.Float64() {
+		panic(http.ErrAbortHandler)
+	}
+	writeServiceJSON(w, Execution{Key: r.Header.Get(servicehttp.HeaderIdempotencyKey), Path: r.URL.Path, Count: count})
+}
+
+// begin carries out the request and returns how often its key was executed.
+func (s *Service) begin(r *http.Request) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+	s.sampleLocked()
+	if r.Method == http.MethodGet {
+		s.queries++
+		return 0
+	}
+	key := r.Header.Get(servicehttp.HeaderIdempotencyKey)
+	e := s.executions[key]
+	if e == nil {
+		e = &Execution{Key: key, Path: r.URL.Path}
+		s.executions[key] = e
+	}
+	e.Count++
+	return e.Count
+}
+
+func (s *Service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	s.sampleLocked()
+}
+
+func (s *Service) delay(r *http.Request, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+	}
+}
+
+// waitWhilePaused returns false if the request's connection ended first.
+func (s *Service) waitWhilePaused(r *http.Request) bool {
+	s.mu.Lock()
+	gate := s.gate
+	s.mu.Unlock()
+	if gate == nil {
+		return true
+	}
+	select {
+	case <-gate:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// sampleLocked must be called with s.mu held.
+func (s *Service) sampleLocked() {
+	sample := loadSample{at: time.Now(), running: s.running, leaving: s.faults.Current().Leaving}
+	s.history = append(s.history, sample)
+	if len(s.history) > 2*loadHistory {
+		s.history = slices.Clone(s.history[loadHistory:])
+	}
+}
+
+func (s *Service) sampleAt(at time.Time) loadSample {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.history) - 1; i >= 0; i-- {
+		if !s.history[i].at.After(at) {
+			return s.history[i]
+		}
+	}
+	return loadSample{}
+}
+
+func refuseCall(w http.ResponseWriter, state string) {
+	w.Header().Set(servicehttp.HeaderUpstreamState, state)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func writeServiceJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/standin/service_test.go
@@ -0,0 +1,133 @@
+package standin_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/standin"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+	"foxtailhub.example/foxtailhub/internal/upstream/servicehttp"
+)
+
+// running is a service stand-in with a client.
+type running struct {
+	service *standin.Service
+	address string
+	client  upstream.ServiceClient
+}
+
+func startService(t *testing.T) running {
+	t.Helper()
+	g := NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	listener := standin.NewListener(inner)
+	service := standin.NewService(standin.ServiceConfig{Connections: listener})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- standin.Serve(ctx, listener, service) }()
+	dialer := servicehttp.New(servicehttp.Config{})
+	t.Cleanup(func() {
+		dialer.Close()
+		cancel()
+		g.Expect(<-ended).To(Succeed())
+	})
+	address := inner.Addr().String()
+	return running{service, address, dialer.Service(upstream.Target{ID: "s0", Address: address})}
+}
+
+// fault sets a fault over HTTP, as tests with real processes do.
+func (r running) fault(g *WithT, f standin.Fault) {
+	body, err := json.Marshal(f)
+	g.Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(http.MethodPut, "http://"+r.address+"/fault", bytes.NewReader(body))
+	g.Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Body.Close()).To(Succeed())
+	g.Expect(response.StatusCode).To(Equal(http.StatusNoContent))
+}
+
+func (r running) count(key string) int {
+	for _, e := range r.service.Executions().Executions {
+		if e.Key == key {
+			return e.Count
+		}
+	}
+	return 0
+}
+
+func request(method, key string) upstream.CallRequest {
+	return upstream.CallRequest{Request: contract.RequestID{Key: key}, Method: method, Path: "/book", Body: []byte("{}")}
+}
+
+// within calls with a deadline, which silent connections need.
+func within(d time.Duration, call func(context.Context, upstream.CallRequest) (upstream.CallResponse, error), r upstream.CallRequest) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	_, err := call(ctx, r)
+	return err
+}
+
+// Guards against a stand-in that miscounts executions or does not carry out a
+// fault, which would make fault tests pass for the wrong reason.
+func TestServiceFaults(t *testing.T) {
+	g := NewWithT(t)
+	r := startService(t)
+	const long = 10 * time.Second
+	g.Expect(within(long, r.client.CallOnce, request("POST", "k1"))).To(Succeed())
+	g.Expect(within(long, r.client.CallIdempotent, request("GET", "q1"))).To(Succeed())
+	g.Expect(r.count("k1")).To(Equal(1))
+	g.Expect(r.service.Executions().Queries).To(Equal(1))
+
+	r.fault(g, standin.Fault{LoseAnswer: true})
+	g.Expect(within(long, r.client.CallOnce, request("POST", "k2"))).To(MatchError(upstream.ErrConnectionLost))
+	g.Expect(r.count("k2")).To(Equal(1), "executed, answer lost")
+
+	r.fault(g, standin.Fault{Leaving: true})
+	g.Expect(within(long, r.client.CallOnce, request("POST", "k3"))).To(MatchError(upstream.ErrLeaving))
+	report, err := r.client.Load(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Leaving).To(BeTrue())
+	r.fault(g, standin.Fault{Refuse: true})
+	g.Expect(within(long, r.client.CallOnce, request("POST", "k3"))).To(MatchError(upstream.ErrRefused))
+	g.Expect(r.count("k3")).To(BeZero())
+
+	r.fault(g, standin.Fault{Pause: true})
+	g.Expect(within(50*time.Millisecond, r.client.CallOnce, request("POST", "k4"))).To(MatchError(context.DeadlineExceeded))
+	r.fault(g, standin.Fault{})
+	g.Expect(within(long, r.client.CallOnce, request("POST", "k5"))).To(Succeed())
+}
+
+// Guards against silence that ends the connection, which a client would notice
+// at once, or that also affects new connections.
+func TestServiceSilence(t *testing.T) {
+	g := NewWithT(t)
+	r := startService(t)
+	const long = 10 * time.Second
+	g.Expect(within(long, r.client.CallIdempotent, request("GET", "q1"))).To(Succeed()) // leaves an open connection
+	r.fault(g, standin.Fault{Silence: true})
+	g.Expect(within(100*time.Millisecond, r.client.CallIdempotent, request("GET", "q2"))).To(MatchError(context.DeadlineExceeded))
+	g.Expect(within(long, r.client.CallOnce, request("POST", "k1"))).To(Succeed())
+	g.Expect(within(long, r.client.CallIdempotent, request("GET", "q3"))).To(Succeed())
+}
+
+// Guards against a cut that leaves connections open.
+func TestServiceCut(t *testing.T) {
+	g := NewWithT(t)
+	r := startService(t)
+	r.service.Faults().Set(standin.Fault{SlowMS: 60_000})
+	failed := make(chan error, 1)
+	go func() { failed <- within(30*time.Second, r.client.CallOnce, request("POST", "k1")) }()
+	g.Eventually(func() int { return r.count("k1") }).WithTimeout(10 * time.Second).Should(Equal(1))
+	r.fault(g, standin.Fault{Cut: true})
+	g.Expect(<-failed).To(MatchError(upstream.ErrConnectionLost))
+}
--- /dev/null
+++ b/internal/upstream/servicehttp/client.go
@@ -0,0 +1,156 @@
+package servicehttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// Headers of calls and their answers.
+const (
+	// HeaderIdempotencyKey carries the idempotency key to the service.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderUpstreamState tells in an answer with status 503 that the service
+	// did not run the call, and why: one of the States.
+	HeaderUpstreamState = "Foxtailhub-Upstream-State"
+	StateLeaving        = "leaving"
+	StateRefused        = "refused"
+)
+
+// MaxResponseBytes is the longest body of an answer.
+const MaxResponseBytes = 1 << 20
+
+// ErrResponseTooLarge reports an answer that is longer than MaxResponseBytes.
+// The call ran; its answer cannot be returned whole.
+var ErrResponseTooLarge = errors.New("answer of the service is too large")
+
+type client struct {
+	dialer  *Dialer
+	address string
+}
+
+// CallIdempotent sends a request that may be repeated.
+func (c *client) CallIdempotent(ctx context.Context, call upstream.CallRequest) (upstream.CallResponse, error) {
+	request, err := c.newRequest(ctx, call, bytes.NewReader(call.Body))
+	if err != nil {
+		return upstream.CallResponse{}, err
+	}
+	return exchange(ctx, c.dialer.pooled, request)
+}
+
+// CallOnce sends a request at most once. It has a connection of its own: the
+// transport sends a replayable request again when a reused connection breaks,
+// and a broken reused connection would leave open whether the call ran.
+func (c *client) CallOnce(ctx context.Context, call upstream.CallRequest) (upstream.CallResponse, error) {
+	request, err := c.newRequest(ctx, call, onceBody{bytes.NewReader(call.Body)})
+	if err != nil {
+		return upstream.CallResponse{}, err
+	}
+	request.ContentLength = int64(len(call.Body))
+	if len(call.Body) == 0 {
+		// A length of 0 with a body means that the length is not known.
+		request.ContentLength = -1
+	}
+	conn, err := c.dialer.dial(ctx, "tcp", c.address)
+	if err != nil {
+		return upstream.CallResponse{}, err
+	}
+	defer func() { _ = conn.Close() }()
+	transport := singleUse(conn)
+	defer transport.CloseIdleConnections()
+	return exchange(ctx, transport, request)
+}
+
+// onceBody hides the type of the reader, for which http.NewRequest would set
+// GetBody and so make the request replayable. It is never nil, since a request
+// without a body is replayable too.
+type onceBody struct{ io.Reader }
+
+// Load returns the load report.
+func (c *client) Load(ctx context.Context) (upstream.LoadReport, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+"/load", nil)
+	if err != nil {
+		return upstream.LoadReport{}, errors.Wrap(upstream.ErrUnreachable, err.Error())
+	}
+	response, err := exchange(ctx, c.dialer.pooled, request)
+	if err != nil {
+		return upstream.LoadReport{}, err
+	}
+	if response.Status != http.StatusOK {
+		return upstream.LoadReport{}, errors.Newf("load report: status %d", response.Status)
+	}
+	var report upstream.LoadReport
+	if err := json.Unmarshal(response.Body, &report); err != nil {
+		return upstream.LoadReport{}, errors.Wrap(err, "load report")
+	}
+	return report, nil
+}
+
+func (c *client) newRequest(ctx context.Context, call upstream.CallRequest, body io.Reader) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.address+call.Path, body)
+	if err != nil {
+		// The request cannot be formed, so that nothing can be sent.
+		return nil, errors.Wrapf(upstream.ErrRefused, "request to the service: %v", err)
+	}
+	request.Header.Set(HeaderIdempotencyKey, call.Request.Key)
+	if len(call.Body) > 0 {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	return request, nil
+}
+
+// exchange uses RoundTrip and not http.Client, which follows redirects.
+func exchange(ctx context.Context, transport *http.Transport, request *http.Request) (upstream.CallResponse, error) {
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return upstream.CallResponse{}, classify(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := notRun(response); err != nil {
+		return upstream.CallResponse{}, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
+	if err != nil {
+		return upstream.CallResponse{}, classify(ctx, err)
+	}
+	if len(body) > MaxResponseBytes {
+		return upstream.CallResponse{}, ErrResponseTooLarge
+	}
+	return upstream.CallResponse{
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Body:        body,
+	}, nil
+}
+
+// classify keeps ErrUnreachable, reports the end of ctx as such, and anything
+// else as a lost connection.
+func classify(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(err, upstream.ErrUnreachable):
+		return err
+	case ctx.Err() != nil:
+		return errors.Wrap(ctx.Err(), err.Error())
+	}
+	return errors.Wrap(upstream.ErrConnectionLost, err.Error())
+}
+
+// notRun returns the error for an answer that says that the call did not run.
+func notRun(response *http.Response) error {
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return nil
+	}
+	switch response.Header.Get(HeaderUpstreamState) {
+	case StateLeaving:
+		return upstream.ErrLeaving
+	case StateRefused:
+		return upstream.ErrRefused
+	}
+	return nil
+}
