--- a/internal/upstream/choose.go
+++ b/internal/upstream/choose.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -28,6 +29,7 @@
 	Slots         int
 	Doubted       bool // a connection failed there and no contact has succeeded since
 	BesideSuspect bool // a suspect with another content runs there
+	BusyDomain    bool // a death in its failure domain could not be attributed now
 }
 
 func (c Candidate) utilization() float64 { return c.Load / float64(max(1, c.Slots)) }
@@ -36,6 +38,7 @@
 type Choice struct {
 	Need         Need
 	Suspect      bool                       // the content may have killed an upstream
+	HeavySuspect bool                       // upstreams died repeatedly while running it
 	Died         []contract.UpstreamID      // upstreams that died while running the content
 	AvoidDomains []contract.FailureDomainID // failure domains of Need.Avoid and Died
 	Candidates   []Candidate
@@ -47,7 +50,8 @@
 // suspect. Other failure domains than those of the upstreams to avoid come
 // first. A suspect is never placed beside another suspect nor on an upstream
 // that died with it, and all copies of it go to the same upstream, so that they
-// kill one upstream and not several.
+// kill one upstream and not several. A heavy suspect waits for a failure domain
+// in which a further death can be attributed to it.
 func Choose(choice Choice, random *rand.Rand) (index int, ok bool) {
 	eligible := eligibleCandidates(choice)
 	if len(eligible) == 0 {
@@ -70,6 +74,9 @@
 		if choice.Suspect && (candidate.BesideSuspect || slices.Contains(choice.Died, candidate.Target.ID)) {
 			continue
 		}
+		if choice.HeavySuspect && candidate.BusyDomain {
+			continue
+		}
 		all = append(all, i)
 	}
 	avoid := slices.Concat(choice.Need.Avoid, choice.Died)
@@ -81,6 +88,7 @@
 		return all
 	}
 	fresh = prefer(fresh, func(i int) bool { return !choice.Candidates[i].Doubted })
+	fresh = prefer(fresh, func(i int) bool { return !choice.Candidates[i].BusyDomain })
 	return prefer(fresh, func(i int) bool {
 		return !slices.Contains(choice.AvoidDomains, choice.Candidates[i].Target.FailureDomain)
 	})
@@ -124,7 +132,7 @@
 	limit := max(affinityFloor, affinityLoadFactor*(load+1)/slots)
 	bounded := keep(eligible, func(i int) bool {
 		candidate := choice.Candidates[i]
-		return candidate.Load+1 <= max(1, limit*float64(candidate.Slots))
+		return candidate.Load+1 <= math.Ceil(limit*float64(max(1, candidate.Slots)))
 	})
 	if len(bounded) == 0 {
 		return byLoad(choice, eligible, random)
--- /dev/null
+++ b/internal/upstream/choose_test.go
@@ -0,0 +1,169 @@
+package upstream
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+func candidates(perDomain int, domains ...string) []Candidate {
+	var all []Candidate
+	for _, domain := range domains {
+		for i := range perDomain {
+			all = append(all, Candidate{
+				Target: Target{ID: contract.UpstreamID(fmt.Sprint(domain, "-", i)), FailureDomain: contract.FailureDomainID(domain)},
+				Slots:  8,
+			})
+		}
+	}
+	return all
+}
+
+// Guards against a herd: after the loss of a domain, the resumed requests must
+// spread. The naive rule, the least reported load, sends all of them to one
+// upstream while the reports lag.
+func TestLoadOfALostDomainIsSpread(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	remaining := candidates(5, "oulu-b", "kemi-c", "rova-d")
+	for i := range remaining {
+		remaining[i].Load = float64(3 + random.IntN(3)) // lagged reports
+	}
+	reported := slices.Clone(remaining)
+	naive := make([]int, len(remaining))
+	placed := make([]int, len(remaining))
+	for range 60 {
+		need := Need{Service: "notes", Prefix: "the same prompt", Resumed: true, Avoid: []contract.UpstreamID{"oulu-a-1"}}
+		index, ok := Choose(Choice{Need: need, AvoidDomains: []contract.FailureDomainID{"oulu-a"}, Candidates: remaining}, random)
+		g.Expect(ok).To(BeTrue())
+		remaining[index].Load++
+		placed[index]++
+		least := slices.MinFunc(indices(len(reported)), func(a, b int) int { return int(reported[a].Load - reported[b].Load) })
+		naive[least]++
+	}
+	mean := 60.0 / float64(len(placed))
+	g.Expect(float64(slices.Max(placed)) / mean).To(BeNumerically("<=", 2))
+	g.Expect(float64(slices.Max(naive)) / mean).To(BeNumerically(">", 10))
+}
+
+// Guards against the loss of prefix affinity at usual load, and against an
+// upstream that a popular prefix overloads.
+func TestAffinityIsKeptAndBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := candidates(rapid.IntRange(1, 5).Draw(t, "per domain"), "sapporo", "asahikawa", "obihiro")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		need := Need{Service: "guides", Prefix: rapid.StringN(1, 40, 80).Draw(t, "prefix")}
+		home, _ := Choose(Choice{Need: need, Candidates: all}, random)
+		again, _ := Choose(Choice{Need: need, Candidates: all}, random)
+		if home != again {
+			t.Fatalf("prefix went to %d and %d", home, again)
+		}
+		total, slots := 0.0, float64(8*len(all))
+		for range 4 * len(all) {
+			index, _ := Choose(Choice{Need: need, Candidates: all}, random)
+			bound := math.Ceil(8 * max(affinityFloor, affinityLoadFactor*(total+1)/slots))
+			if all[index].Load+1 > bound {
+				t.Fatalf("load %v exceeds the bound %v", all[index].Load+1, bound)
+			}
+			all[index].Load++
+			total++
+		}
+		if all[home].Load < 1 {
+			t.Fatal("the home of the prefix got no request")
+		}
+	})
+}
+
+// Guards against violations of the filters, whatever the candidates.
+func TestChooseFilters(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := candidates(3, "a", "b")
+		choice := Choice{Candidates: all, Suspect: rapid.Bool().Draw(t, "suspect")}
+		choice.Need.Content = content(rapid.String().Draw(t, "content"))
+		choice.Need.Resumed = rapid.Bool().Draw(t, "resumed")
+		for i := range all {
+			all[i].Load = float64(rapid.IntRange(0, 20).Draw(t, "load"))
+			all[i].Doubted = rapid.Bool().Draw(t, "doubted")
+			all[i].BesideSuspect = rapid.Bool().Draw(t, "beside")
+			if rapid.Bool().Draw(t, "avoid") {
+				choice.Need.Avoid = append(choice.Need.Avoid, all[i].Target.ID)
+			}
+			if choice.Suspect && rapid.Bool().Draw(t, "died") {
+				choice.Died = append(choice.Died, all[i].Target.ID)
+			}
+		}
+		avoid := slices.Concat(choice.Need.Avoid, choice.Died)
+		free := keep(indices(len(all)), func(i int) bool {
+			return !slices.Contains(avoid, all[i].Target.ID) && !(choice.Suspect && all[i].BesideSuspect)
+		})
+		index, ok := Choose(choice, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)))
+		if ok != (len(free) > 0 || !choice.Suspect) {
+			t.Fatalf("ok=%v with %d free candidates", ok, len(free))
+		}
+		if ok && len(free) > 0 && !slices.Contains(free, index) {
+			t.Fatalf("chose %d, free are %v", index, free)
+		}
+		healthy := keep(free, func(i int) bool { return !all[i].Doubted })
+		if ok && len(healthy) > 0 && !slices.Contains(healthy, index) {
+			t.Fatalf("chose the doubted %d, others are %v", index, healthy)
+		}
+	})
+}
+
+// Guards against a resumed request that stays in the failure domain that may be
+// failing, and against copies of a suspect that kill several upstreams.
+func TestDomainsAndSuspects(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(2, 2))
+	all := candidates(4, "a", "b")
+	suspects := make(map[int]bool)
+	for range 50 {
+		need := Need{Resumed: true, Avoid: []contract.UpstreamID{"a-0"}, Content: content("x")}
+		choice := Choice{Need: need, AvoidDomains: []contract.FailureDomainID{"a"}, Candidates: all}
+		index, _ := Choose(choice, random)
+		g.Expect(all[index].Target.FailureDomain).To(BeEquivalentTo("b"))
+		choice.Suspect, choice.Died = true, need.Avoid
+		suspect, _ := Choose(choice, random)
+		suspects[suspect] = true
+	}
+	g.Expect(suspects).To(HaveLen(1))
+}
+
+// Guards against watchers that share a failure domain, depend on the order of
+// the members, or all change with one member.
+func TestWatchers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		domains := rapid.IntRange(1, 5).Draw(t, "domains")
+		count := rapid.IntRange(1, 12).Draw(t, "instances")
+		var members []Member
+		domainOf := make(map[contract.InstanceID]contract.FailureDomainID)
+		for i := range count {
+			member := Member{ID: contract.InstanceID(fmt.Sprint("i", i)), FailureDomain: contract.FailureDomainID(fmt.Sprint("d", i%domains))}
+			members = append(members, member)
+			domainOf[member.ID] = member.FailureDomain
+		}
+		id := contract.UpstreamID(rapid.String().Draw(t, "upstream"))
+		watchers := Watchers(id, members)
+		g.Expect(watchers).To(HaveLen(min(3, count)))
+		spread := make(map[contract.FailureDomainID]bool)
+		distinct := make(map[contract.InstanceID]bool)
+		for _, watcher := range watchers {
+			spread[domainOf[watcher]], distinct[watcher] = true, true
+		}
+		g.Expect(distinct).To(HaveLen(len(watchers)))
+		g.Expect(spread).To(HaveLen(min(3, count, domains)))
+		g.Expect(Watchers(id, rapid.Permutation(members).Draw(t, "order"))).To(Equal(watchers))
+		removed := rapid.IntRange(0, count-1).Draw(t, "removed")
+		if !distinct[members[removed].ID] && domains == 1 {
+			g.Expect(Watchers(id, slices.Delete(slices.Clone(members), removed, removed+1))).To(Equal(watchers))
+		}
+	})
+}
--- /dev/null
+++ b/internal/upstream/health_test.go
@@ -0,0 +1,100 @@
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"foxtailhub.example/foxtailhub/internal/platform"
+)
+
+var epoch = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return epoch.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// Guards against a wrong belief about the life of an upstream, one row per rule.
+func TestHealthTransitions(t *testing.T) {
+	live := Health{}.Answered(at(0), "a", false)
+	rows := []struct {
+		name   string
+		health Health
+		now    float64
+		want   State
+	}{
+		{"nothing known", Health{}, 0, StateLive},
+		{"refused connection", live.Unreachable(at(1)), 1, StateDown},
+		{"late answer from before the failure", live.Unreachable(at(1)).Answered(at(0.5), "a", false), 1, StateDown},
+		{"answer after the failure", live.Unreachable(at(1)).Answered(at(2), "a", false), 2, StateLive},
+		{"one unanswered poll", live.Unanswered(at(1)), 1, StateLive},
+		{"two unanswered polls", live.Unanswered(at(1)).Unanswered(at(2)), 2, StateDown},
+		{"unanswered poll after a doubt", live.Doubt(at(0.5)).Unanswered(at(1)), 1, StateDown},
+		{"own failure against a peer's contact", live.Unreachable(at(1)).PeerAnswered(at(2), "a", false), 2, StateDown},
+		{"one cut-off watcher", live.PeerAnswered(at(9), "a", false).PeerFailed(at(10)), 10, StateLive},
+		{"all watchers fail", live.PeerAnswered(at(9), "a", false).PeerFailed(at(12)), 12, StateDown},
+		{"confirmed death", live.PeerAnswered(at(9), "a", false).Died(at(9.5), "a"), 10, StateDown},
+		{"death of a former process", live.PeerAnswered(at(9), "b", false).Died(at(9.5), "a"), 10, StateLive},
+		{"new process after a death", live.Died(at(1), "a").PeerAnswered(at(2), "b", false), 2, StateLive},
+		{"new process after an own failure", live.Unreachable(at(1)).PeerAnswered(at(2), "b", false), 2, StateLive},
+		{"leaving answer", live.SaidLeaving(at(1), "a"), 1, StateLeaving},
+		{"lagging report after a leaving answer", live.SaidLeaving(at(1), "a").Answered(at(3), "a", false), 3, StateLeaving},
+		{"lagging list after a leaving answer", live.SaidLeaving(at(1), "a").Listed(platform.ListedLive, at(5)), 5, StateLeaving},
+		{"restart after leaving", live.SaidLeaving(at(1), "a").Answered(at(3), "b", false), 3, StateLive},
+		{"old mark after a restart", live.Answered(at(3), "b", false).SaidLeaving(at(4), "a"), 4, StateLive},
+		{"mark without a process from before a restart", live.Answered(at(3), "b", false).SaidLeaving(at(2), ""), 4, StateLive},
+		{"listed as leaving", live.Listed(platform.ListedLeaving, at(1)), 1, StateLeaving},
+		{"listed as live again", live.Listed(platform.ListedLeaving, at(1)).Listed(platform.ListedLive, at(2)), 2, StateLive},
+		{"older copy of the list", live.Listed(platform.ListedLeaving, at(2)).Listed(platform.ListedLive, at(1)), 2, StateLeaving},
+		{"old list entry after a restart", live.Answered(at(3), "b", false).Listed(platform.ListedLeaving, at(2)), 4, StateLive},
+		{"mark of an unknown process, lagging report", Health{}.SaidLeaving(at(1), "").Answered(at(30), "a", false), 30, StateLeaving},
+		{"mark of an unknown process, refuted for long", Health{}.SaidLeaving(at(1), "").Answered(at(70), "a", false), 70, StateLive},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			NewWithT(t).Expect(row.health.State(at(row.now))).To(Equal(row.want))
+		})
+	}
+}
+
+// drawNews applies a random transition that is about the process "a", or lags.
+func drawNews(t *rapid.T, health Health, time time.Time) Health {
+	switch rapid.IntRange(0, 7).Draw(t, "news") {
+	case 0:
+		return health.Answered(time, "a", false)
+	case 1:
+		return health.PeerAnswered(time, "a", false)
+	case 2:
+		return health.Unreachable(time)
+	case 3:
+		return health.Unanswered(time)
+	case 4:
+		return health.PeerFailed(time)
+	case 5:
+		return health.Listed(platform.ListedLive, time)
+	case 6:
+		return health.Doubt(time)
+	default:
+		return health.Died(time, "a")
+	}
+}
+
+// Guards against any sequence of late or lagging news that ends a leaving mark
+// of a running process (P6).
+func TestLeavingIsEndedOnlyByRestart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		health := Health{}.Answered(at(0), "a", false).SaidLeaving(at(10), "a")
+		for range rapid.IntRange(1, 20).Draw(t, "count") {
+			second := rapid.Float64Range(0, 600).Draw(t, "second")
+			health = drawNews(t, health, at(second))
+			if health.State(at(second)) != StateLeaving {
+				t.Fatalf("leaving mark was lost: %+v", health)
+			}
+		}
+		if state := health.Answered(at(601), "b", false).State(at(601)); state != StateLive {
+			t.Fatalf("state after a restart is %s", state)
+		}
+	})
+}
--- a/internal/upstream/judgement.go
+++ b/internal/upstream/judgement.go
@@ -14,18 +14,22 @@
 	until   time.Time
 }
 
-// charge is a death that counts against a content.
+// charge is a death of an upstream while it ran a content.
 type charge struct {
 	upstream contract.UpstreamID
+	domain   contract.FailureDomainID
 	at       time.Time
 	// correlated reports that another upstream of the failure domain died
 	// within the correlation window.
 	correlated bool
+	// counts reports that the content ran on all upstreams of correlated deaths.
+	counts bool
 }
 
 // Standing returns the standing at a time.
 func (j Judgement) Standing(now time.Time) Standing {
-	standing := Standing{Deaths: len(j.upstreams(now))}
+	counting := func(c charge) bool { return c.counts }
+	standing := Standing{Deaths: len(distinctUpstreams(j.recent(now), counting))}
 	if !j.from.IsZero() && !now.Before(j.from) && now.Before(j.until) {
 		standing.Quarantined = true
 		standing.Until = j.until
@@ -33,40 +37,190 @@
 	return standing
 }
 
-// upstreams returns the distinct upstreams of the charges that are not too old.
-func (j Judgement) upstreams(now time.Time) []contract.UpstreamID {
+// recent returns the charges that are not too old.
+func (j Judgement) recent(now time.Time) []charge {
+	first := slices.IndexFunc(j.charges, func(c charge) bool { return now.Sub(c.at) <= quarantineTime })
+	if first < 0 {
+		return nil
+	}
+	return j.charges[first:]
+}
+
+// incidents counts the recent charges, with correlated ones as one. It is at
+// least 2 for a killer even if its deaths coincide with others, and at most 1
+// for a content that a lost failure domain took down.
+func (j Judgement) incidents(now time.Time) int {
+	last := make(map[contract.FailureDomainID]time.Time)
+	count := 0
+	for _, c := range j.recent(now) {
+		if previous, found := last[c.domain]; !found || c.at.Sub(previous) > correlationWindow {
+			count++
+		}
+		last[c.domain] = c.at
+	}
+	return count
+}
+
+func distinctUpstreams(charges []charge, wanted func(charge) bool) []contract.UpstreamID {
 	var ids []contract.UpstreamID
-	for _, charge := range j.charges {
-		if now.Sub(charge.at) <= quarantineTime && !slices.Contains(ids, charge.upstream) {
-			ids = append(ids, charge.upstream)
+	for _, c := range charges {
+		if wanted(c) && !slices.Contains(ids, c.upstream) {
+			ids = append(ids, c.upstream)
 		}
 	}
 	return ids
 }
 
-// Judge returns the judgement of each content that is charged with a death.
+// quarantinePeriod is the time for which a content is refused.
+type quarantinePeriod struct{ from, until time.Time }
+
+// judge computes judgements from sorted deaths.
+type judge struct {
+	deaths    []Death
+	byContent map[ContentKey][]int // indices of the deaths that count against a content
+	condemned map[ContentKey]quarantinePeriod
+}
+
+// Judge returns the judgement of each content that ran on an upstream when it
+// died. The result depends only on the evidence.
+//
+// Contents are condemned in the order of time, with the deaths known up to then.
+// A death is explained by a condemned content that ran there: it counts neither
+// against others nor as correlated with other deaths. Without that, two killers
+// that are active at the same time would clear each other.
 func (e *Evidence) Judge() map[ContentKey]Judgement {
-	judgements := make(map[ContentKey]Judgement)
-	deaths := e.provenDeaths()
-	for i, death := range deaths {
-		contents, correlated := commonContents(deaths, i)
-		for _, content := range contents {
-			if !e.acquitted[content].Before(death.At) {
+	j := judge{
+		deaths:    e.provenDeaths(),
+		byContent: make(map[ContentKey][]int),
+		condemned: make(map[ContentKey]quarantinePeriod),
+	}
+	for i, death := range j.deaths {
+		for _, content := range death.Contents {
+			if e.acquitted[content].Before(death.At) {
+				j.byContent[content] = append(j.byContent[content], i)
+			}
+		}
+	}
+	j.condemn()
+	return j.judgements()
+}
+
+// condemn finds the contents that the deaths condemn.
+func (j *judge) condemn() {
+	candidates := j.candidates()
+	for _, now := range j.instants(candidates) {
+		for _, content := range candidates {
+			period, found := quarantine(j.charges(content, now), now)
+			if !found {
 				continue
 			}
-			judgement := judgements[content]
-			judgement.charges = append(judgement.charges,
-				charge{upstream: death.Start.Upstream, at: death.At, correlated: correlated})
-			judgements[content] = judgement
+			if known, again := j.condemned[content]; again {
+				period.from = known.from
+			}
+			j.condemned[content] = period
+		}
+	}
+}
+
+// candidates returns the contents that ran on enough upstreams, sorted.
+func (j *judge) candidates() []ContentKey {
+	var candidates []ContentKey
+	for content, indices := range j.byContent {
+		upstreams := make(map[contract.UpstreamID]bool)
+		for _, i := range indices {
+			upstreams[j.deaths[i].Start.Upstream] = true
+		}
+		if len(upstreams) >= quarantineDeaths {
+			candidates = append(candidates, content)
+		}
+	}
+	slices.SortFunc(candidates, compareContents)
+	return candidates
+}
+
+// instants returns the times at which a candidate may become condemned: at a
+// death, or when the correlation window after a death has closed.
+func (j *judge) instants(candidates []ContentKey) []time.Time {
+	var instants []time.Time
+	for _, content := range candidates {
+		for _, i := range j.byContent[content] {
+			instants = append(instants, j.deaths[i].At, j.deaths[i].At.Add(correlationWindow))
 		}
 	}
-	for content, judgement := range judgements {
-		judgement.from, judgement.until = quarantine(judgement.charges)
-		judgements[content] = judgement
+	slices.SortFunc(instants, time.Time.Compare)
+	return slices.CompactFunc(instants, time.Time.Equal)
+}
+
+// judgements returns the result with all deaths.
+func (j *judge) judgements() map[ContentKey]Judgement {
+	judgements := make(map[ContentKey]Judgement, len(j.byContent))
+	for content := range j.byContent {
+		judgement := Judgement{
+			charges: j.charges(content, j.deaths[len(j.deaths)-1].At),
+			from:    j.condemned[content].from,
+			until:   j.condemned[content].until,
+		}
+		if len(judgement.charges) > 0 || !judgement.from.IsZero() {
+			judgements[content] = judgement
+		}
 	}
 	return judgements
 }
 
+// charges returns the deaths up to a time that no other content explains.
+func (j *judge) charges(content ContentKey, now time.Time) []charge {
+	var charges []charge
+	for _, i := range j.byContent[content] {
+		death := j.deaths[i]
+		if death.At.After(now) || j.explained(death, content, now) {
+			continue
+		}
+		c := charge{upstream: death.Start.Upstream, domain: death.FailureDomain, at: death.At, counts: true}
+		for _, other := range j.related(i, content, now) {
+			c.correlated = true
+			c.counts = c.counts && ranOn(other, content)
+		}
+		charges = append(charges, c)
+	}
+	return charges
+}
+
+// explained reports whether a content that is condemned by now, other than the
+// given one, ran on the upstream that died.
+func (j *judge) explained(death Death, content ContentKey, now time.Time) bool {
+	for other, period := range j.condemned {
+		if other != content && !period.from.After(now) && ranOn(death, other) {
+			return true
+		}
+	}
+	return false
+}
+
+// related returns the deaths up to a time of other upstreams in the failure
+// domain of a death within the correlation window, without explained ones.
+func (j *judge) related(index int, content ContentKey, now time.Time) []Death {
+	death := j.deaths[index]
+	var related []Death
+	add := func(other Death) {
+		sameDomain := other.FailureDomain == death.FailureDomain && other.Start.Upstream != death.Start.Upstream
+		if sameDomain && !other.At.After(now) && !j.explained(other, content, now) {
+			related = append(related, other)
+		}
+	}
+	for i := index - 1; i >= 0 && death.At.Sub(j.deaths[i].At) <= correlationWindow; i-- {
+		add(j.deaths[i])
+	}
+	for i := index + 1; i < len(j.deaths) && j.deaths[i].At.Sub(death.At) <= correlationWindow; i++ {
+		add(j.deaths[i])
+	}
+	return related
+}
+
+func ranOn(death Death, content ContentKey) bool {
+	_, found := slices.BinarySearchFunc(death.Contents, content, compareContents)
+	return found
+}
+
 // provenDeaths returns the deaths of processes that did not answer afterwards,
 // sorted by time.
 func (e *Evidence) provenDeaths() []Death {
@@ -84,53 +238,22 @@
 // refutes a death. Times of deaths are rounded to milliseconds.
 func provesAlive(sentAt, death time.Time) bool { return sentAt.Sub(death) > time.Millisecond }
 
-// commonContents returns the contents of a death that also ran on each other
-// upstream of its failure domain that died within the correlation window.
-func commonContents(deaths []Death, index int) (contents []ContentKey, correlated bool) {
-	death := deaths[index]
-	contents = death.Contents
-	related := func(other Death) {
-		if other.FailureDomain != death.FailureDomain || other.Start.Upstream == death.Start.Upstream {
-			return
-		}
-		correlated = true
-		contents = slices.DeleteFunc(slices.Clone(contents), func(c ContentKey) bool {
-			_, found := slices.BinarySearchFunc(other.Contents, c, compareContents)
-			return !found
-		})
-	}
-	for i := index - 1; i >= 0 && death.At.Sub(deaths[i].At) <= correlationWindow; i-- {
-		related(deaths[i])
-	}
-	for i := index + 1; i < len(deaths) && deaths[i].At.Sub(death.At) <= correlationWindow; i++ {
-		related(deaths[i])
-	}
-	return contents, correlated
-}
-
-// quarantine returns the time of the quarantine that charges lead to, zero
-// times if none. Charges of correlated deaths count only after the correlation
-// window: until then, further deaths of the failure domain may become known
-// that clear the content.
-func quarantine(charges []charge) (from, until time.Time) {
-	for last := range charges {
-		var upstreams []contract.UpstreamID
-		settled := charges[last].at
-		for i := last; i >= 0 && charges[last].at.Sub(charges[i].at) <= quarantineTime; i-- {
-			if !slices.Contains(upstreams, charges[i].upstream) {
-				upstreams = append(upstreams, charges[i].upstream)
-			}
-			if settles := charges[i].at.Add(correlationWindow); charges[i].correlated && settles.After(settled) {
-				settled = settles
-			}
-		}
-		if len(upstreams) < quarantineDeaths {
-			continue
+// quarantine returns the quarantine that charges have led to by now. Charges of
+// correlated deaths count only after the correlation window: until then,
+// further deaths of the failure domain may become known that clear the content.
+func quarantine(charges []charge, now time.Time) (period quarantinePeriod, found bool) {
+	settled := slices.DeleteFunc(slices.Clone(charges), func(c charge) bool {
+		return !c.counts || c.correlated && c.at.Add(correlationWindow).After(now)
+	})
+	for last := range settled {
+		within := settled[:last+1]
+		for settled[last].at.Sub(within[0].at) > quarantineTime {
+			within = within[1:]
 		}
-		if from.IsZero() {
-			from = settled
+		if len(distinctUpstreams(within, func(charge) bool { return true })) >= quarantineDeaths {
+			period = quarantinePeriod{from: now, until: settled[last].at.Add(quarantineTime)}
+			found = true
 		}
-		until = charges[last].at.Add(quarantineTime)
 	}
-	return from, until
+	return period, found
 }
--- /dev/null
+++ b/internal/upstream/killer_test.go
@@ -0,0 +1,256 @@
+package upstream
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// maxRounds bounds the attempts and waits of one submission.
+const maxRounds = 2000
+
+// submit runs a request at an instance until its end, as the holder of a
+// generation does. It returns "completed", "quarantined" or "gave up".
+func submit(c *cluster, instance int, need Need, length time.Duration, kills bool) string {
+	u := c.instances[instance]
+	need.Service, need.Pin = "notes", testPin
+	for range maxRounds {
+		if u.Standing(need.Content).Quarantined {
+			return "quarantined"
+		}
+		placement, wait, ok := u.Place(need)
+		if !ok {
+			time.Sleep(wait)
+			continue
+		}
+		observation := c.world.run(placement.Target.ID, length, kills)
+		placement.Done(observation)
+		if observation.Kind == ObservedOK {
+			return "completed"
+		}
+		need.Resumed = true
+		if observation.Kind == ObservedLost || observation.Kind == ObservedUnreachable {
+			need.Avoid = append(need.Avoid, placement.Target.ID)
+		}
+	}
+	return "gave up"
+}
+
+// Guards against a killer that is not stopped after three deaths, or that is
+// stopped at one instance only (P9).
+func TestKillerIsQuarantinedEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(4, "oulu-a", "oulu-b", "kemi-c")
+		c := newCluster(w, 3, 2)
+		defer c.stop()
+		time.Sleep(2 * time.Second)
+		killer := Need{Content: content("killer"), Prefix: "killer"}
+		g.Expect(submit(c, 0, killer, time.Minute, true)).To(Equal("quarantined"))
+		g.Expect(w.deathCount()).To(Equal(quarantineDeaths))
+		time.Sleep(time.Second)
+		for i, u := range c.instances {
+			standing := u.Standing(killer.Content)
+			g.Expect(standing.Quarantined).To(BeTrue())
+			g.Expect(standing.Deaths).To(Equal(quarantineDeaths))
+			begin := time.Now()
+			for range 100 {
+				g.Expect(submit(c, i, killer, time.Minute, true)).To(Equal("quarantined"))
+			}
+			g.Expect(time.Since(begin)).To(BeZero(), "the final answer must come at once")
+			_, _, ok := u.Place(Need{Service: "notes", Pin: testPin, Content: killer.Content})
+			g.Expect(ok).To(BeFalse())
+		}
+		g.Expect(w.deathCount()).To(Equal(quarantineDeaths))
+		time.Sleep(quarantineTime)
+		g.Expect(c.instances[1].Standing(killer.Content).Quarantined).To(BeFalse())
+	})
+}
+
+// Guards against a count that starts anew at each instance: the deaths are
+// spread over two instances that exchange digests.
+func TestDeathsAtTwoInstancesAddUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(3, "sapporo", "asahikawa", "obihiro")
+		c := newCluster(w, 4, 2)
+		defer c.stop()
+		time.Sleep(2 * time.Second)
+		need := Need{Service: "notes", Pin: testPin, Content: content("killer")}
+		for i := range quarantineDeaths {
+			u := c.instances[i%2]
+			placement, _, ok := u.Place(need)
+			g.Expect(ok).To(BeTrue())
+			placement.Done(w.run(placement.Target.ID, time.Minute, true))
+			time.Sleep(2 * time.Second)
+		}
+		for _, u := range c.instances {
+			g.Expect(u.Standing(need.Content).Quarantined).To(BeTrue())
+		}
+	})
+}
+
+// Guards against a cut connection or a partition that counts as a death.
+func TestCutConnectionIsNoDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(2, "sapporo", "asahikawa")
+		c := newCluster(w, 5, 2)
+		defer c.stop()
+		time.Sleep(2 * time.Second)
+		need := Need{Service: "notes", Pin: testPin, Content: content("innocent")}
+		u := c.instances[0]
+		for range 5 {
+			placement, _, ok := u.Place(need)
+			g.Expect(ok).To(BeTrue())
+			placement.Done(Observation{Kind: ObservedLost, Incarnation: w.procs[placement.Target.ID].incarnation})
+			time.Sleep(time.Second)
+			g.Expect(u.Standing(need.Content).Deaths).To(BeZero())
+		}
+		placement, _, _ := u.Place(need)
+		id := placement.Target.ID
+		w.set(id, func(p *proc) { p.alive = false }) // unreachable, but running
+		placement.Done(Observation{Kind: ObservedLost, Incarnation: w.procs[id].incarnation})
+		time.Sleep(time.Second)
+		g.Expect(u.Standing(need.Content).Deaths).To(Equal(1))
+		w.set(id, func(p *proc) { p.alive = true })
+		time.Sleep(4 * time.Second)
+		for _, each := range c.instances {
+			g.Expect(each.Standing(need.Content).Deaths).To(BeZero(), "the process answers again")
+		}
+	})
+}
+
+// Guards against two suspects on one upstream, also when they are placed at the
+// same time.
+func TestSuspectsAreSeparated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(3, "sapporo", "asahikawa", "obihiro")
+		c := newCluster(w, 6, 1)
+		defer c.stop()
+		time.Sleep(2 * time.Second)
+		u := c.instances[0]
+		view := u.view.Load()
+		victims := make([]Placement, 8)
+		for i := range victims {
+			victims[i] = u.occupy(view.entries["sapporo-0"], content(fmt.Sprint("c", i)))
+		}
+		incarnation := w.procs["sapporo-0"].incarnation
+		w.kill("sapporo-0")
+		placements := make([]Placement, len(victims))
+		var resumed sync.WaitGroup
+		for i, victim := range victims {
+			resumed.Go(func() {
+				victim.Done(Observation{Kind: ObservedLost, Incarnation: incarnation})
+				var ok bool
+				placements[i], _, ok = u.Place(Need{Service: "notes", Pin: testPin, Resumed: true, Content: content(fmt.Sprint("c", i))})
+				g.Expect(ok).To(BeTrue())
+			})
+		}
+		resumed.Wait()
+		used := make(map[contract.UpstreamID]bool)
+		for _, placement := range placements {
+			g.Expect(used).NotTo(HaveKey(placement.Target.ID))
+			used[placement.Target.ID] = true
+		}
+		_, _, ok := u.Place(Need{Service: "notes", Pin: testPin, Content: content("c0"), Avoid: []contract.UpstreamID{placements[0].Target.ID}})
+		g.Expect(ok).To(BeFalse(), "all other upstreams run suspects")
+		for _, placement := range placements {
+			placement.Done(Observation{Kind: ObservedOK, Incarnation: w.procs[placement.Target.ID].incarnation})
+		}
+		g.Expect(u.Standing(content("c0")).Deaths).To(BeZero(), "a completed content is no suspect")
+	})
+}
+
+// Guards, over random histories, against killers that go on killing and
+// innocents that are condemned: beside killers, in lost failure domains and
+// after cuts (P9).
+func TestSoakQuarantine(t *testing.T) {
+	for _, seed := range seeds(t, 12) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { soakQuarantine(t, seed) })
+		})
+	}
+}
+
+func soakQuarantine(t *testing.T, seed uint64) {
+	const (
+		length  = 3 * time.Minute
+		killers = 2
+	)
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(seed, 0))
+	domains := []contract.FailureDomainID{"oulu-a", "oulu-b", "kemi-c", "rova-d"}
+	w := newWorld(5, domains...)
+	c := newCluster(w, seed, 3)
+	time.Sleep(2 * time.Second)
+	begin := time.Now()
+	var mu sync.Mutex // guards outcomes
+	outcomes := make(map[string]int)
+	var callers sync.WaitGroup
+	caller := func(instance int, need Need, length time.Duration, kills bool) {
+		outcome := submit(c, instance, need, length, kills)
+		mu.Lock()
+		defer mu.Unlock()
+		outcomes[fmt.Sprint(kills, " ", outcome)]++
+	}
+	for i := range killers {
+		first := time.Duration(random.IntN(60)) * time.Second
+		need := Need{Content: content(fmt.Sprint("killer ", i)), Prefix: fmt.Sprint("killer ", i)}
+		instances := random.Perm(len(c.instances))
+		callers.Go(func() {
+			time.Sleep(first)
+			for n := 0; time.Since(begin) < length; n++ {
+				caller(instances[n%len(instances)], need, length, true)
+				time.Sleep(600 * time.Millisecond)
+			}
+		})
+	}
+	lost := domains[random.IntN(len(domains))]
+	lossAt := begin.Add(time.Duration(60+random.IntN(60)) * time.Second)
+	planned := false
+	lossDeaths := 0
+	for i := 0; time.Since(begin) < length; i++ {
+		instance := random.IntN(len(c.instances))
+		need := Need{Content: content(fmt.Sprint("note ", i)), Prefix: fmt.Sprint("prefix ", random.IntN(10))}
+		if random.IntN(4) == 0 {
+			need.Content = content("popular")
+		}
+		duration := time.Duration(random.IntN(20_000)) * time.Millisecond
+		callers.Go(func() { caller(instance, need, duration, false) })
+		if !planned && time.Now().After(lossAt) {
+			planned = true
+			before := w.deathCount()
+			for n := range 5 {
+				w.kill(contract.UpstreamID(fmt.Sprint(lost, "-", n)))
+			}
+			lossDeaths = w.deathCount() - before
+		}
+		if random.IntN(10) == 0 {
+			w.cut(contract.UpstreamID(fmt.Sprint(domains[random.IntN(len(domains))], "-", random.IntN(5))))
+		}
+		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+		if i%10 == 0 { // the platform restarts what died, after a while
+			for id := range w.procs {
+				if random.IntN(4) == 0 {
+					w.start(id)
+				}
+			}
+		}
+	}
+	callers.Wait()
+	c.stop()
+	t.Logf("outcomes=%v deaths=%d of which in the lost domain=%d", outcomes, w.deathCount(), lossDeaths)
+	g.Expect(outcomes["false quarantined"]).To(BeZero())
+	g.Expect(outcomes["false gave up"]).To(BeZero())
+	g.Expect(outcomes["true completed"] + outcomes["true gave up"]).To(BeZero())
+	g.Expect(w.deathCount() - lossDeaths).To(BeNumerically("<=", killers*quarantineDeaths))
+}
--- a/internal/upstream/learn.go
+++ b/internal/upstream/learn.go
@@ -143,6 +143,7 @@
 	if len(contents) != len(news.Contents) {
 		from = ""
 	}
+	contents = mergeContents(nil, contents)
 	l.recordDeath(Death{Start: start, FailureDomain: news.FailureDomain, At: at, Contents: contents}, from)
 }
 
--- /dev/null
+++ b/internal/upstream/leaving_test.go
@@ -0,0 +1,143 @@
+package upstream
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/platform"
+)
+
+// leavingBound is the time of P6.
+const leavingBound = 3 * time.Second
+
+// naivePlace is the simplest rule: any upstream that the list calls live.
+func naivePlace(w *world, random *rand.Rand) contract.UpstreamID {
+	list, _ := w.List(nil) //nolint:staticcheck // the fake ignores its context
+	live := slices.DeleteFunc(list.Upstreams, func(e platform.ListEntry) bool { return e.State != platform.ListedLive })
+	return contract.UpstreamID(live[random.IntN(len(live))].ID)
+}
+
+// Guards against new work on an upstream that is leaving while the platform's
+// list lags (P6), whichever of the sources tells first.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	rows := map[string]func(*world, *cluster, contract.UpstreamID){
+		"load report of a watcher, then digests": func(w *world, _ *cluster, id contract.UpstreamID) {
+			w.set(id, func(p *proc) { p.leaving = true })
+		},
+		"answer of the upstream to one instance, then digests": func(w *world, c *cluster, id contract.UpstreamID) {
+			w.set(id, func(p *proc) { p.leaving, p.lagged = true, true })
+			used := c.instances[0].occupy(c.instances[0].view.Load().entries[id], content("x"))
+			used.Done(w.run(id, time.Second, false))
+		},
+		"list alone": func(w *world, _ *cluster, id contract.UpstreamID) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			for i := range w.list.Upstreams {
+				if w.list.Upstreams[i].ID == string(id) {
+					w.list.Upstreams[i].State, w.list.Upstreams[i].UpdatedAt = platform.ListedLeaving, time.Now()
+				}
+			}
+		},
+	}
+	for name, leave := range rows {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				w := newWorld(2, "oulu-a", "kemi-c")
+				c := newCluster(w, 1, 5)
+				defer c.stop()
+				time.Sleep(2 * time.Second)
+				leaving := contract.UpstreamID("oulu-a-1")
+				leave(w, c, leaving)
+				time.Sleep(leavingBound)
+				random := rand.New(rand.NewPCG(1, 1))
+				naive := 0
+				for range 100 {
+					for _, u := range c.instances {
+						placement, _, ok := u.Place(Need{Service: "notes", Pin: testPin})
+						g.Expect(ok).To(BeTrue())
+						g.Expect(placement.Target.ID).NotTo(Equal(leaving))
+						placement.Done(Observation{Kind: ObservedCancelled})
+					}
+					if naivePlace(w, random) == leaving {
+						naive++
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				if name != "list alone" {
+					g.Expect(naive).To(BeNumerically(">", 0), "the naive rule uses it as long as the list lags")
+				}
+			})
+		})
+	}
+}
+
+// Guards against a leaving mark that outlives the process: after a restart the
+// upstream must get work again at each instance.
+func TestRestartedUpstreamIsUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(1, "oulu-a")
+		c := newCluster(w, 1, 4)
+		defer c.stop()
+		time.Sleep(2 * time.Second)
+		w.set("oulu-a-0", func(p *proc) { p.leaving = true })
+		time.Sleep(leavingBound)
+		for _, u := range c.instances {
+			_, wait, ok := u.Place(Need{Service: "notes", Pin: testPin})
+			g.Expect(ok).To(BeFalse())
+			g.Expect(wait).To(BeNumerically(">", 0))
+			g.Expect(u.Serves("notes", testPin)).To(BeTrue())
+			g.Expect(u.Capacity("notes")).To(BeZero())
+		}
+		w.kill("oulu-a-0")
+		time.Sleep(5 * time.Second)
+		w.start("oulu-a-0")
+		time.Sleep(leavingBound)
+		for _, u := range c.instances {
+			placement, _, ok := u.Place(Need{Service: "notes", Pin: testPin})
+			g.Expect(ok).To(BeTrue())
+			placement.Done(Observation{Kind: ObservedCancelled})
+			g.Expect(u.Capacity("notes")).To(Equal(2))
+			g.Expect(u.Stats().Deaths.Load()).To(BeZero(), "the end of a leaving upstream is no death")
+		}
+	})
+}
+
+// Guards against a paused or dead upstream that keeps getting work, and against
+// one that is not used again.
+func TestUnansweringUpstreamIsDown(t *testing.T) {
+	faults := map[string]func(*proc, bool){
+		"paused": func(p *proc, on bool) { p.paused = on },
+		"dead":   func(p *proc, on bool) { p.alive = !on },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				w := newWorld(1, "oulu-a", "kemi-c")
+				c := newCluster(w, 1, 6)
+				defer c.stop()
+				states := func() (all []State) {
+					for _, u := range c.instances {
+						all = append(all, u.Status()[1].State)
+					}
+					return all
+				}
+				time.Sleep(2 * time.Second)
+				w.set("oulu-a-0", func(p *proc) { fault(p, true) })
+				time.Sleep(6 * time.Second)
+				g.Expect(states()).To(HaveEach(StateDown))
+				w.set("oulu-a-0", func(p *proc) { fault(p, false) })
+				time.Sleep(4 * time.Second)
+				g.Expect(states()).To(HaveEach(StateLive))
+			})
+		})
+	}
+}
--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -161,7 +161,7 @@
 		return false
 	}
 	quarantined := view.judgements[content].Standing(now).Quarantined
-	return quarantined || len(view.mayHaveDied(content, now)) >= quarantineDeaths
+	return quarantined || len(view.charged(content, now)) >= quarantineDeaths
 }
 
 func (u *Upstreams) place(view *View, need Need, now time.Time) (Placement, time.Duration, bool) {
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -16,6 +16,8 @@
 	loadLifetime = 5 * time.Second
 	// suspectMarkLifetime is how long a peer's mark of a suspect's place holds.
 	suspectMarkLifetime = 3 * time.Second
+	// heavyIncidents is how many incidents make a heavy suspect.
+	heavyIncidents = 2
 	// defaultSlots is the number of slots of an upstream that names none.
 	defaultSlots = 8
 )
@@ -30,6 +32,9 @@
 	// unconfirmed holds, for each content, the upstreams that may have died
 	// while running it.
 	unconfirmed map[ContentKey][]contract.UpstreamID
+	// lastDeaths holds the time of the last death, confirmed or not, in each
+	// failure domain.
+	lastDeaths map[contract.FailureDomainID]time.Time
 	// peerSuspects holds where peers run suspects.
 	peerSuspects map[contract.UpstreamID]map[ContentKey]time.Time
 }
@@ -168,7 +173,14 @@
 
 // choice returns the input of Choose for a need and the entries of its candidates.
 func (v *View) choice(need Need, now time.Time) (Choice, []*entry) {
-	choice := Choice{Need: need, Suspect: v.suspect(need.Content, now), Died: v.mayHaveDied(need.Content, now)}
+	choice := Choice{Need: need, Suspect: v.suspect(need.Content, now)}
+	var busy map[contract.FailureDomainID]bool
+	if choice.Suspect {
+		choice.HeavySuspect = v.heavySuspect(need.Content, now)
+		choice.Died = v.died(need.Content, now)
+		busy = v.busyDomains(need.Content, now)
+	}
+	suspected := func(other ContentKey) bool { return v.suspect(other, now) }
 	pin := v.configuredPin(need.Service)
 	var candidates []*entry
 	for _, known := range v.eligible(need.Service, need.Workspace) {
@@ -181,7 +193,8 @@
 			Load:          known.currentLoad(now),
 			Slots:         known.slots,
 			Doubted:       known.health.Doubted(),
-			BesideSuspect: choice.Suspect && v.besideSuspect(known, need.Content, now),
+			BesideSuspect: choice.Suspect && v.runsSuspect(known, need.Content, now, suspected),
+			BusyDomain:    busy[known.target.FailureDomain],
 		})
 	}
 	for _, id := range slices.Concat(need.Avoid, choice.Died) {
@@ -192,28 +205,64 @@
 	return choice, candidates
 }
 
-// mayHaveDied returns the upstreams whose death is charged to a content,
-// confirmed or not.
-func (v *View) mayHaveDied(content ContentKey, now time.Time) []contract.UpstreamID {
-	died := v.judgements[content].upstreams(now)
+// charged returns the upstreams that died while running a content and count
+// against it, and those that may have died.
+func (v *View) charged(content ContentKey, now time.Time) []contract.UpstreamID {
+	counting := func(c charge) bool { return c.counts }
+	return v.withUnconfirmed(content, distinctUpstreams(v.judgements[content].recent(now), counting))
+}
+
+// died returns the upstreams that died while running a content, for whatever
+// cause, and those that may have died.
+func (v *View) died(content ContentKey, now time.Time) []contract.UpstreamID {
+	all := func(charge) bool { return true }
+	return v.withUnconfirmed(content, distinctUpstreams(v.judgements[content].recent(now), all))
+}
+
+func (v *View) withUnconfirmed(content ContentKey, ids []contract.UpstreamID) []contract.UpstreamID {
 	for _, id := range v.unconfirmed[content] {
-		if !slices.Contains(died, id) {
-			died = append(died, id)
+		if !slices.Contains(ids, id) {
+			ids = append(ids, id)
 		}
 	}
-	return died
+	return ids
 }
 
 // suspect reports whether a content may have killed an upstream.
 func (v *View) suspect(content ContentKey, now time.Time) bool {
-	return content != ContentKey{} && len(v.mayHaveDied(content, now)) > 0
+	return content != ContentKey{} && (len(v.charged(content, now)) > 0 || v.heavySuspect(content, now))
+}
+
+// heavySuspect reports whether upstreams died repeatedly while running a
+// content, even if each death coincided with others.
+func (v *View) heavySuspect(content ContentKey, now time.Time) bool {
+	return v.judgements[content].incidents(now)+len(v.unconfirmed[content]) >= heavyIncidents
 }
 
-func (v *View) besideSuspect(known *entry, content ContentKey, now time.Time) bool {
+// runsSuspect reports whether another content, for which suspected returns
+// true, runs on an upstream.
+func (v *View) runsSuspect(known *entry, content ContentKey, now time.Time, suspected func(ContentKey) bool) bool {
 	for other, at := range v.peerSuspects[known.target.ID] {
-		if other != content && now.Sub(at) < suspectMarkLifetime && v.suspect(other, now) {
+		if other != content && now.Sub(at) < suspectMarkLifetime && suspected(other) {
 			return true
 		}
 	}
-	return known.use.runsOther(content, func(other ContentKey) bool { return v.suspect(other, now) })
+	return known.use.runsOther(content, suspected)
+}
+
+// busyDomains returns the failure domains in which a further death could not be
+// attributed to a content: an upstream died there within the correlation
+// window, or another heavy suspect runs there.
+func (v *View) busyDomains(content ContentKey, now time.Time) map[contract.FailureDomainID]bool {
+	busy := make(map[contract.FailureDomainID]bool)
+	for domain, at := range v.lastDeaths {
+		busy[domain] = now.Sub(at) <= correlationWindow
+	}
+	for _, known := range v.entries {
+		domain := known.target.FailureDomain
+		busy[domain] = busy[domain] || v.runsSuspect(known, content, now, func(other ContentKey) bool {
+			return v.heavySuspect(other, now)
+		})
+	}
+	return busy
 }
--- /dev/null
+++ b/internal/upstream/world_test.go
@@ -0,0 +1,252 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+)
+
+var testPin = ModelPin{Model: "fitting", Version: "3"}
+
+// seeds returns the fixed seeds of CI, or the one in FOXTAILHUB_SEED.
+func seeds(t *testing.T, count uint64) []uint64 {
+	if text := os.Getenv("FOXTAILHUB_SEED"); text != "" {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []uint64{seed}
+	}
+	var all []uint64
+	for seed := range count {
+		all = append(all, seed+1)
+	}
+	return all
+}
+
+// world is a set of upstream processes for tests in virtual time. It implements
+// EngineDialer, InstanceList and configuration.Source.
+type world struct {
+	snapshot configuration.Snapshot
+	mu       sync.Mutex // guards all fields below
+	procs    map[contract.UpstreamID]*proc
+	list     platform.List
+	starts   int
+	deaths   []contract.UpstreamID
+}
+
+type proc struct {
+	incarnation Incarnation
+	domain      contract.FailureDomainID
+	gone        chan struct{} // closed at death
+	cut         chan struct{} // closed when its connections are cut
+	alive       bool
+	leaving     bool
+	paused      bool
+	lagged      bool // load reports do not show leaving
+}
+
+// newWorld returns perDomain engines in each domain, all serving "notes".
+func newWorld(perDomain int, domains ...contract.FailureDomainID) *world {
+	w := &world{procs: make(map[contract.UpstreamID]*proc)}
+	w.snapshot.Version = 1
+	w.snapshot.Document.Upstreams = make(map[contract.UpstreamID]configuration.Upstream)
+	service := configuration.Service{Kind: configuration.KindEngine, Model: testPin.Model, ModelVersion: testPin.Version}
+	for _, domain := range domains {
+		for i := range perDomain {
+			id := contract.UpstreamID(fmt.Sprint(domain, "-", i))
+			w.snapshot.Document.Upstreams[id] = configuration.Upstream{Kind: configuration.KindEngine, Address: string(id), FailureDomain: domain}
+			service.Upstreams = append(service.Upstreams, id)
+			w.procs[id] = &proc{domain: domain}
+			w.startLocked(id)
+			w.list.Upstreams = append(w.list.Upstreams, platform.ListEntry{
+				ID: string(id), State: platform.ListedLive, UpdatedAt: time.Now()})
+		}
+	}
+	w.snapshot.Document.Services = map[contract.ServiceID]configuration.Service{"notes": service}
+	return w
+}
+
+func (w *world) Current() *configuration.Snapshot { return &w.snapshot }
+
+func (w *world) List(context.Context) (platform.List, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return platform.List{Upstreams: append([]platform.ListEntry(nil), w.list.Upstreams...)}, nil
+}
+
+func (w *world) Announce(context.Context, platform.ListEntry) error { return nil }
+func (w *world) Withdraw(context.Context, string) error             { return nil }
+
+func (w *world) startLocked(id contract.UpstreamID) {
+	w.starts++
+	p := w.procs[id]
+	p.incarnation, p.alive, p.leaving = Incarnation(fmt.Sprint("start-", w.starts)), true, false
+	p.gone, p.cut = make(chan struct{}), make(chan struct{})
+}
+
+func (w *world) start(id contract.UpstreamID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.procs[id].alive {
+		w.startLocked(id)
+	}
+}
+
+func (w *world) kill(id contract.UpstreamID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p := w.procs[id]; p.alive {
+		p.alive = false
+		close(p.gone)
+		w.deaths = append(w.deaths, id)
+	}
+}
+
+func (w *world) set(id contract.UpstreamID, change func(*proc)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change(w.procs[id])
+}
+
+// cut ends the connections to an upstream that lives on.
+func (w *world) cut(id contract.UpstreamID) {
+	w.set(id, func(p *proc) {
+		close(p.cut)
+		p.cut = make(chan struct{})
+	})
+}
+
+func (w *world) deathCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.deaths)
+}
+
+// run runs a request on an upstream and returns what its user observes.
+func (w *world) run(id contract.UpstreamID, length time.Duration, kills bool) Observation {
+	w.mu.Lock()
+	p := *w.procs[id]
+	w.mu.Unlock()
+	switch {
+	case !p.alive:
+		return Observation{Kind: ObservedUnreachable}
+	case p.leaving:
+		return Observation{Kind: ObservedLeaving, Incarnation: p.incarnation}
+	}
+	if kills {
+		time.Sleep(50 * time.Millisecond)
+		w.kill(id)
+	}
+	select {
+	case <-p.cut:
+		return Observation{Kind: ObservedLost, Incarnation: p.incarnation}
+	case <-p.gone:
+		return Observation{Kind: ObservedLost, Incarnation: p.incarnation}
+	case <-time.After(length):
+		return Observation{Kind: ObservedOK, Incarnation: p.incarnation}
+	}
+}
+
+func (w *world) Engine(target Target) Engine { return worldEngine{world: w, id: target.ID} }
+
+// worldEngine answers load reports; the tests run requests through world.run.
+type worldEngine struct {
+	Engine
+	world *world
+	id    contract.UpstreamID
+}
+
+func (e worldEngine) Load(ctx context.Context) (LoadReport, error) {
+	e.world.mu.Lock()
+	p := *e.world.procs[e.id]
+	e.world.mu.Unlock()
+	if p.paused {
+		<-ctx.Done()
+		return LoadReport{}, ctx.Err()
+	}
+	if !p.alive {
+		return LoadReport{}, ErrUnreachable
+	}
+	return LoadReport{Incarnation: p.incarnation, Leaving: p.leaving && !p.lagged, Slots: 8, Models: []ModelPin{testPin}}, nil
+}
+
+// cluster is a set of instances that exchange digests every 500 ms.
+type cluster struct {
+	world     *world
+	instances []*Upstreams
+	members   []Member
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
+}
+
+func newCluster(w *world, seed uint64, count int) *cluster {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{world: w, cancel: cancel}
+	for i := range count {
+		c.members = append(c.members, Member{ID: contract.InstanceID(fmt.Sprint("instance-", i)),
+			FailureDomain: contract.FailureDomainID(fmt.Sprint("domain-", i))})
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	for i, self := range c.members {
+		u := New(Config{
+			Self: self, Configuration: w, List: w, Engines: w, Recorder: timeline.Discard{}, Logger: logger,
+			Instances: func() []Member { return c.members }, Seed: seed*100 + uint64(i),
+		})
+		c.instances = append(c.instances, u)
+		c.done.Go(func() { u.Run(ctx) })
+	}
+	c.done.Go(func() { c.heartbeats(ctx) })
+	return c
+}
+
+func (c *cluster) stop() {
+	c.cancel()
+	c.done.Wait()
+}
+
+func (c *cluster) heartbeats(ctx context.Context) {
+	sent := make(map[[2]int]uint64)
+	for ctx.Err() == nil {
+		for from := range c.instances {
+			for to := range c.instances {
+				if from != to {
+					sent[[2]int{from, to}] = c.exchange(from, to, sent[[2]int{from, to}])
+				}
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
+
+// exchange passes a digest on in its encoded form.
+func (c *cluster) exchange(from, to int, since uint64) uint64 {
+	digest := c.instances[from].DigestFor(c.members[to].ID, since)
+	encoded, err := cbor.Marshal(digest)
+	if err != nil {
+		panic(err)
+	}
+	var decoded Digest
+	if err := cbor.Unmarshal(encoded, &decoded); err != nil {
+		panic(err)
+	}
+	c.instances[to].Learn(c.members[from].ID, decoded)
+	return decoded.Seq
+}
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -115,10 +115,29 @@
 		allowed:      w.allowed,
 		judgements:   w.judgements,
 		unconfirmed:  w.unconfirmedByContent(),
+		lastDeaths:   w.lastDeaths(),
 		peerSuspects: w.clonePeerSuspects(),
 	}
 }
 
+func (w *writer) lastDeaths() map[contract.FailureDomainID]time.Time {
+	last := make(map[contract.FailureDomainID]time.Time)
+	note := func(domain contract.FailureDomainID, at time.Time) {
+		if at.After(last[domain]) {
+			last[domain] = at
+		}
+	}
+	for _, death := range w.evidence.deaths {
+		note(death.FailureDomain, death.At)
+	}
+	for start, death := range w.unconfirmed {
+		if known := w.entries[start.Upstream]; known != nil {
+			note(known.target.FailureDomain, death.at)
+		}
+	}
+	return last
+}
+
 func (w *writer) unconfirmedByContent() map[ContentKey][]contract.UpstreamID {
 	byContent := make(map[ContentKey][]contract.UpstreamID)
 	for start, death := range w.unconfirmed {
@@ -212,7 +231,7 @@
 	for id, known := range w.entries {
 		known.use.residents.Range(func(_, value any) bool {
 			content := value.(ContentKey)
-			if len(w.judgements[content].upstreams(now))+len(unconfirmed[content]) > 0 {
+			if len(w.judgements[content].recent(now))+len(unconfirmed[content]) > 0 {
 				w.markSuspectRun(id, content, now)
 			}
 			return true
@@ -238,6 +257,9 @@
 	if !known {
 		w.stats.Deaths.Add(1)
 	}
+	if len(merged.Contents) != len(death.Contents) || !merged.At.Equal(death.At) {
+		from = "" // more than the peer knows: it has to learn the rest
+	}
 	w.rejudge = true
 	put(w.ledger, w.ledger.deaths, death.Start, DeathEntry{
 		Upstream:      merged.Start.Upstream,
