Add admission with shares, fair queue and immediate refusals

Shares follow the demand that the instances report to each other. A larger share comes into force only after the others have had time to reduce theirs, and places that are still held elsewhere are not given away, so that the sum stays within the limit.

--- /dev/null
+++ b/internal/workspace/admission.go
@@ -0,0 +1,216 @@
+package workspace
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+const (
+	// DefaultQueueLimit bounds the requests that wait for one service.
+	DefaultQueueLimit = 1024
+	// minRetryAfter is the least retry-after time of a refusal.
+	minRetryAfter = 100 * time.Millisecond
+)
+
+// Config holds the dependencies and settings of an Admission.
+type Config struct {
+	Instance      contract.InstanceID
+	Configuration configuration.Source
+	// Capacity returns how many requests of a service run at this instance at a
+	// time; 0 means no limit. nil: no limit for any service.
+	Capacity func(contract.ServiceID) int
+	// Instances returns the number of instances that are known. nil: one.
+	Instances func() int
+	// QueueLimit is the largest number of requests that wait for one service. Default 1024.
+	QueueLimit int
+}
+
+// Admission is the Admitter of an instance.
+type Admission struct {
+	config Config
+	states sync.Map // contract.WorkspaceID to *state; read without a lock
+	gates  sync.Map // contract.ServiceID to *gate; read without a lock
+
+	mu        sync.Mutex // guards the fields below and the demand of each state; not used by Admit
+	others    map[contract.WorkspaceID]map[contract.InstanceID]learnedDemand
+	refreshed time.Time
+}
+
+// NewAdmission returns an Admission. Run must be called to keep its shares up
+// to date.
+func NewAdmission(config Config) *Admission {
+	if config.Capacity == nil {
+		config.Capacity = func(contract.ServiceID) int { return 0 }
+	}
+	if config.Instances == nil {
+		config.Instances = func() int { return 1 }
+	}
+	if config.QueueLimit == 0 {
+		config.QueueLimit = DefaultQueueLimit
+	}
+	return &Admission{
+		config:    config,
+		others:    map[contract.WorkspaceID]map[contract.InstanceID]learnedDemand{},
+		refreshed: time.Now(),
+	}
+}
+
+// Run updates the shares until ctx ends.
+func (a *Admission) Run(ctx context.Context) {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			a.refresh(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Admit waits for a place. A request that cannot be admitted before its
+// deadline is refused at once.
+func (a *Admission) Admit(ctx context.Context, ask Ask) (func(), contract.Verdict, bool) {
+	document := a.config.Configuration.Current().Document
+	w, ok := document.Workspaces[ask.Workspace]
+	if !ok {
+		return refuse(contract.ReasonUnknownSpace, 0)
+	}
+	service, ok := document.Services[ask.Service]
+	if !ok {
+		return refuse(contract.ReasonUnknownService, 0)
+	}
+	l := limitsOf(w)
+	s := a.state(ask.Workspace, l)
+	s.asked.Add(1)
+	if wait, ok := passRate(ctx, s, ask); !ok {
+		return refuse(contract.ReasonLimit, wait)
+	}
+	return a.enter(ctx, a.gate(ask.Service), entry{
+		state:      s,
+		weight:     l.weight,
+		priority:   ask.Priority,
+		generation: service.Kind == configuration.KindEngine,
+		deadline:   ask.Deadline,
+	})
+}
+
+// passRate waits for a token of the workspace's rate, or returns false at once
+// if none is due before the deadline. A resumed generation was counted before.
+func passRate(ctx context.Context, s *state, ask Ask) (time.Duration, bool) {
+	if ask.Priority >= upstream.PriorityResumed {
+		return 0, true
+	}
+	now := time.Now()
+	reservation := s.limiter.ReserveN(now, 1)
+	delay := reservation.DelayFrom(now)
+	if delay == 0 {
+		return 0, true
+	}
+	if delay == rate.InfDuration || now.Add(delay).After(ask.Deadline) {
+		reservation.CancelAt(now)
+		return max(delay, minRetryAfter), false
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return 0, true
+	case <-ctx.Done():
+		reservation.Cancel()
+		return minRetryAfter, false
+	}
+}
+
+func (a *Admission) enter(ctx context.Context, g *gate, e entry) (func(), contract.Verdict, bool) {
+	waiting, wait, refusal := g.enter(e, time.Now())
+	if refusal != "" {
+		e.countRefusal()
+		return refuse(refusal, max(wait, minRetryAfter))
+	}
+	if waiting != nil && !a.wait(ctx, g, e, waiting) {
+		e.countRefusal()
+		g.mu.Lock()
+		wait, reason := g.expectedWait(e)
+		g.mu.Unlock()
+		return refuse(reason, max(wait, minRetryAfter))
+	}
+	return a.release(g, e, time.Now()), contract.Verdict{}, true
+}
+
+func (e entry) countRefusal() {
+	if e.generation {
+		e.state.refused.Add(1)
+	}
+}
+
+// wait returns false if the request was not admitted before its deadline.
+func (a *Admission) wait(ctx context.Context, g *gate, e entry, w *Waiting) bool {
+	if e.generation {
+		e.state.waiting.Add(1)
+		defer e.state.waiting.Add(-1)
+	}
+	timer := time.NewTimer(time.Until(e.deadline))
+	defer timer.Stop()
+	select {
+	case <-w.admitted:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return !g.abandon(w)
+}
+
+func (a *Admission) release(g *gate, e entry, admitted time.Time) func() {
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			if e.generation {
+				e.state.running.Add(-1)
+			}
+			g.leave(time.Since(admitted))
+			if e.generation {
+				// The workspace's place may be what a request at another gate waits for.
+				a.kickAll()
+			}
+		})
+	}
+}
+
+func (a *Admission) kickAll() {
+	a.gates.Range(func(_, value any) bool {
+		value.(*gate).kick()
+		return true
+	})
+}
+
+func (a *Admission) state(id contract.WorkspaceID, l limits) *state {
+	if s, ok := a.states.Load(id); ok {
+		return s.(*state)
+	}
+	s, _ := a.states.LoadOrStore(id, newState(id, l, a.config.Instances()))
+	return s.(*state)
+}
+
+func (a *Admission) gate(service contract.ServiceID) *gate {
+	if g, ok := a.gates.Load(service); ok {
+		return g.(*gate)
+	}
+	g, _ := a.gates.LoadOrStore(service, &gate{
+		capacity: func() int { return a.config.Capacity(service) },
+		queue:    NewQueue(a.config.QueueLimit),
+	})
+	return g.(*gate)
+}
+
+func refuse(reason contract.Reason, retryAfter time.Duration) (func(), contract.Verdict, bool) {
+	return func() {}, contract.Verdict{Outcome: contract.NotRun, Reason: reason, RetryAfter: retryAfter}, false
+}
--- /dev/null
+++ b/internal/workspace/admission_test.go
@@ -0,0 +1,276 @@
+package workspace_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+	"foxtailhub.example/foxtailhub/internal/workspace"
+)
+
+type fixedSource struct{ snapshot configuration.Snapshot }
+
+func (f *fixedSource) Current() *configuration.Snapshot { return &f.snapshot }
+
+func source(workspaces map[contract.WorkspaceID]configuration.Workspace) *fixedSource {
+	return &fixedSource{snapshot: configuration.Snapshot{Version: 1, Document: configuration.Document{
+		Services: map[contract.ServiceID]configuration.Service{
+			"notes":   {Kind: configuration.KindEngine},
+			"letters": {Kind: configuration.KindEngine},
+			"stock":   {Kind: configuration.KindService},
+		},
+		Workspaces: workspaces,
+	}}}
+}
+
+func run(t *testing.T, a *workspace.Admission) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { a.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+func single(t *testing.T, capacity int, workspaces map[contract.WorkspaceID]configuration.Workspace) *workspace.Admission {
+	a := workspace.NewAdmission(workspace.Config{
+		Instance:      "i0",
+		Configuration: source(workspaces),
+		Capacity:      func(contract.ServiceID) int { return capacity },
+	})
+	run(t, a)
+	return a
+}
+
+func ask(id contract.WorkspaceID, service contract.ServiceID, priority upstream.Priority, wait time.Duration) workspace.Ask {
+	return workspace.Ask{Workspace: id, Service: service, Priority: priority, Deadline: time.Now().Add(wait)}
+}
+
+// Guards against a refusal that is held back until the deadline, and against
+// one without a time to come back (P10).
+func TestRefusalIsImmediate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a := single(t, 1, map[contract.WorkspaceID]configuration.Workspace{"a": {RequestsPerSecond: 1000}})
+		admit := func(wait time.Duration) (func(), contract.Verdict, bool) {
+			return a.Admit(context.Background(), ask("a", "notes", upstream.PriorityInteractive, wait))
+		}
+		release, _, ok := admit(time.Second)
+		g.Expect(ok).To(BeTrue())
+		time.Sleep(10 * time.Second)
+		release() // a place is held for 10 s
+		release, _, ok = admit(time.Second)
+		g.Expect(ok).To(BeTrue())
+		began := time.Now()
+		_, verdict, ok := admit(5 * time.Second)
+		g.Expect(ok).To(BeFalse())
+		g.Expect(time.Since(began)).To(BeZero())
+		g.Expect(verdict).To(Equal(contract.Verdict{Outcome: contract.NotRun, Reason: contract.ReasonOverloaded, RetryAfter: 10 * time.Second}))
+
+		time.AfterFunc(3*time.Second, release)
+		release, _, ok = admit(15 * time.Second)
+		g.Expect(ok).To(BeTrue(), "a request that can wait is admitted")
+		g.Expect(time.Since(began)).To(Equal(3 * time.Second))
+		release()
+		release() // no second place
+		_, _, ok = admit(time.Second)
+		g.Expect(ok).To(BeTrue())
+		_, _, ok = admit(time.Second)
+		g.Expect(ok).To(BeFalse())
+	})
+}
+
+// Guards against requests over the rate that are admitted, or queued beyond
+// their deadline.
+func TestRateLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a := single(t, 0, map[contract.WorkspaceID]configuration.Workspace{"a": {RequestsPerSecond: 10}})
+		admitted, refused := 0, 0
+		began := time.Now()
+		for time.Since(began) < 20*time.Second {
+			_, verdict, ok := a.Admit(context.Background(), ask("a", "stock", upstream.PriorityInteractive, 0))
+			if ok {
+				admitted++
+			} else {
+				refused++
+				g.Expect(verdict.Reason).To(Equal(contract.ReasonLimit))
+				g.Expect(verdict.RetryAfter).To(BeNumerically(">", 0))
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		g.Expect(admitted).To(BeNumerically("~", 210, 5)) // 20 s at 10/s and a burst of 10
+		g.Expect(refused).To(BeNumerically(">", 1000))
+	})
+}
+
+// Guards against a large workspace that keeps a small one from being served,
+// and against resumed generations that wait behind new ones.
+func TestFairnessAndPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		many := configuration.Workspace{RequestsPerSecond: 10000, ConcurrentGenerations: 1000}
+		a := single(t, 4, map[contract.WorkspaceID]configuration.Workspace{"large": many, "small": many})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		for range 200 {
+			group.Go(func() {
+				for ctx.Err() == nil {
+					if release, _, ok := a.Admit(ctx, ask("large", "notes", upstream.PriorityInteractive, time.Hour)); ok {
+						time.Sleep(100 * time.Millisecond)
+						release()
+					}
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		wait := func(id contract.WorkspaceID, priority upstream.Priority) time.Duration {
+			began := time.Now()
+			release, _, ok := a.Admit(ctx, ask(id, "notes", priority, time.Hour))
+			g.Expect(ok).To(BeTrue())
+			waited := time.Since(began)
+			release()
+			return waited
+		}
+		for range 10 {
+			g.Expect(wait("small", upstream.PriorityInteractive)).To(BeNumerically("<=", 200*time.Millisecond))
+			g.Expect(wait("large", upstream.PriorityResumed)).To(BeNumerically("<=", 100*time.Millisecond))
+		}
+		g.Expect(wait("large", upstream.PriorityInteractive)).To(BeNumerically(">=", 3*time.Second))
+		cancel()
+		group.Wait()
+	})
+}
+
+// Guards against a place that is lost when a waiting request gives up or when
+// its place comes free at another service.
+func TestPlacesAreNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a := single(t, 2, map[contract.WorkspaceID]configuration.Workspace{"a": {RequestsPerSecond: 10000, ConcurrentGenerations: 3}})
+		var group sync.WaitGroup
+		var running, most, completed atomic.Int64
+		for i := range 300 {
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * 3 * time.Millisecond)
+				service := contract.ServiceID([]string{"notes", "letters"}[i%2])
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(1+i%7)*20*time.Millisecond)
+				defer cancel()
+				release, _, ok := a.Admit(ctx, ask("a", service, upstream.PriorityBatch, time.Second))
+				if !ok {
+					return
+				}
+				most.Store(max(most.Load(), running.Add(1)))
+				time.Sleep(20 * time.Millisecond)
+				running.Add(-1)
+				release()
+				completed.Add(1)
+			})
+		}
+		group.Wait()
+		g.Expect(most.Load()).To(BeEquivalentTo(3))
+		g.Expect(completed.Load()).To(BeNumerically(">", 50))
+		for _, service := range []contract.ServiceID{"notes", "letters", "letters"} {
+			_, _, ok := a.Admit(context.Background(), ask("a", service, upstream.PriorityBatch, time.Second))
+			g.Expect(ok).To(BeTrue(), "all places are free again")
+		}
+	})
+}
+
+// fleet is a number of instances that exchange their demand.
+type fleet struct {
+	instances []*workspace.Admission
+	running   atomic.Int64
+	admitted  []atomic.Int64
+}
+
+func newFleet(t *testing.T, n int, w configuration.Workspace) *fleet {
+	f := &fleet{admitted: make([]atomic.Int64, n)}
+	s := source(map[contract.WorkspaceID]configuration.Workspace{"a": w})
+	for i := range n {
+		a := workspace.NewAdmission(workspace.Config{
+			Instance:      contract.InstanceID(fmt.Sprint(i)),
+			Configuration: s,
+			Instances:     func() int { return n },
+		})
+		run(t, a)
+		f.instances = append(f.instances, a)
+	}
+	return f
+}
+
+func (f *fleet) exchange(ctx context.Context) {
+	for ctx.Err() == nil {
+		for i, from := range f.instances {
+			for _, to := range f.instances {
+				to.Learn(contract.InstanceID(fmt.Sprint(i)), from.Demand())
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// load keeps n callers busy at an instance with generations of one second.
+func (f *fleet) load(ctx context.Context, group *sync.WaitGroup, at, n int) {
+	for range n {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				release, _, ok := f.instances[at].Admit(ctx, ask("a", "notes", upstream.PriorityInteractive, 200*time.Millisecond))
+				if !ok {
+					time.Sleep(200 * time.Millisecond)
+					continue
+				}
+				f.running.Add(1)
+				f.admitted[at].Add(1)
+				time.Sleep(time.Second)
+				f.running.Add(-1)
+				release()
+			}
+		})
+	}
+}
+
+// Guards against shares that together exceed the workspace's limit, leave it
+// unused where the demand is, or keep a new instance from any share.
+func TestSharesFollowDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const limit = 30
+		f := newFleet(t, 6, configuration.Workspace{RequestsPerSecond: 100000, ConcurrentGenerations: limit})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		defer group.Wait()
+		defer cancel()
+		group.Go(func() { f.exchange(ctx) })
+		f.load(ctx, &group, 0, 40)
+		f.load(ctx, &group, 1, 10)
+		time.Sleep(20 * time.Second)
+		watch := func(d time.Duration) (mean float64, most int64) {
+			samples := int(d / (50 * time.Millisecond))
+			for range samples {
+				time.Sleep(50 * time.Millisecond)
+				mean += float64(f.running.Load()) / float64(samples)
+				most = max(most, f.running.Load())
+			}
+			return mean, most
+		}
+		mean, most := watch(10 * time.Second)
+		g.Expect(most).To(BeNumerically("<=", limit))
+		g.Expect(mean).To(BeNumerically(">=", 0.7*limit))
+
+		f.load(ctx, &group, 5, 20)
+		time.Sleep(5 * time.Second)
+		g.Expect(f.admitted[5].Load()).To(BeNumerically(">", 0))
+		time.Sleep(15 * time.Second)
+		_, most = watch(10 * time.Second)
+		g.Expect(most).To(BeNumerically("<=", limit))
+		g.Expect(f.admitted[5].Load()).To(BeNumerically(">", 20))
+	})
+}
--- /dev/null
+++ b/internal/workspace/share.go
@@ -0,0 +1,129 @@
+package workspace
+
+import (
+	"math"
+	"sort"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// Demand is what one instance recently needed of a limit.
+type Demand struct {
+	Instance contract.InstanceID
+	Amount   float64
+	Held     int // whole places in use, which cannot be taken back
+}
+
+// shareFloor is the part of a limit that is divided equally among the instances
+// with demand. It keeps an instance whose demand has just begun from getting
+// nothing while the others' demand is large.
+const shareFloor = 0.1
+
+// Share returns the part of a limit that belongs to an instance. demands holds
+// each instance with demand, the own one included. Instances that know the same
+// demands get parts whose sum is the limit.
+func Share(limit float64, own contract.InstanceID, demands []Demand) float64 {
+	total := 0.0
+	mine := 0.0
+	for _, d := range demands {
+		total += d.Amount
+		if d.Instance == own {
+			mine = d.Amount
+		}
+	}
+	if total <= 0 {
+		return limit / float64(max(1, len(demands)))
+	}
+	equal := shareFloor / float64(len(demands))
+	return limit * (equal + (1-shareFloor)*mine/total)
+}
+
+// IntegerShare is Share for a limit of whole places: instances that know the
+// same demands get whole parts whose sum is the limit. Each instance gets at
+// least one place if there are enough; places that remain after rounding down
+// go to the largest remainders. An instance that holds more than its part keeps
+// what it holds, at the expense of the others' free places: the sum exceeds the
+// limit only if the held places do.
+func IntegerShare(limit int, own contract.InstanceID, demands []Demand) int {
+	if limit <= 0 || len(demands) == 0 {
+		return max(0, limit)
+	}
+	ordered := append([]Demand{}, demands...)
+	sort.Slice(ordered, func(i, j int) bool {
+		if ordered[i].Amount != ordered[j].Amount {
+			return ordered[i].Amount > ordered[j].Amount
+		}
+		return ordered[i].Instance < ordered[j].Instance
+	})
+	shares := integerShares(limit, ordered)
+	keepHeld(shares, ordered)
+	for i, n := range shares {
+		if ordered[i].Instance == own {
+			return n
+		}
+	}
+	return 0
+}
+
+// keepHeld raises shares to the held places and takes the difference from the
+// instances with the most free places.
+func keepHeld(shares []int, demands []Demand) {
+	excess := 0
+	for i, d := range demands {
+		if d.Held > shares[i] {
+			excess += d.Held - shares[i]
+			shares[i] = d.Held
+		}
+	}
+	for ; excess > 0; excess-- {
+		most := 0
+		for i, d := range demands {
+			if shares[i]-d.Held > shares[most]-demands[most].Held {
+				most = i
+			}
+		}
+		if shares[most] <= demands[most].Held {
+			return
+		}
+		shares[most]--
+	}
+}
+
+// integerShares expects demands in falling order.
+func integerShares(limit int, demands []Demand) []int {
+	shares := make([]int, len(demands))
+	for i := range shares {
+		if i < limit {
+			shares[i] = 1
+		}
+	}
+	rest := limit - min(limit, len(demands))
+	total := 0.0
+	for _, d := range demands {
+		total += d.Amount
+	}
+	if rest == 0 {
+		return shares
+	}
+	remainders := make([]float64, len(demands))
+	given := 0
+	for i, d := range demands {
+		exact := float64(rest) / float64(len(demands))
+		if total > 0 {
+			exact = float64(rest) * d.Amount / total
+		}
+		whole := math.Floor(exact)
+		shares[i] += int(whole)
+		given += int(whole)
+		remainders[i] = exact - whole
+	}
+	order := make([]int, len(demands))
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(a, b int) bool { return remainders[order[a]] > remainders[order[b]] })
+	for i := 0; i < rest-given && i < len(order); i++ {
+		shares[order[i]]++
+	}
+	return shares
+}
--- /dev/null
+++ b/internal/workspace/state.go
@@ -0,0 +1,108 @@
+package workspace
+
+import (
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// Defaults of configuration.Workspace.
+const (
+	defaultRequestsPerSecond     = 100.0
+	defaultConcurrentGenerations = 100
+	defaultWeight                = 1.0
+)
+
+// limits are the limits of a workspace over all instances.
+type limits struct {
+	rate   float64 // requests per second
+	places int     // concurrent generations
+	weight float64
+}
+
+func limitsOf(w configuration.Workspace) limits {
+	l := limits{rate: w.RequestsPerSecond, places: w.ConcurrentGenerations, weight: w.Weight}
+	if l.rate <= 0 {
+		l.rate = defaultRequestsPerSecond
+	}
+	if l.places <= 0 {
+		l.places = defaultConcurrentGenerations
+	}
+	if l.weight <= 0 {
+		l.weight = defaultWeight
+	}
+	return l
+}
+
+// equalPart is the part of the limits for an instance that does not know the
+// others' demand yet, or whose demand the others do not know yet.
+func (l limits) equalPart(instances int) (ratePart float64, places int) {
+	n := max(1, instances)
+	return l.rate / float64(n), max(1, l.places/n)
+}
+
+// state is what this instance knows and grants of one workspace. Requests use
+// its atomic fields and the limiter, whose own lock is short.
+type state struct {
+	id      contract.WorkspaceID
+	limiter *rate.Limiter // requests per second, by this instance's share
+	places  atomic.Int64  // concurrent generations, by this instance's share
+	running atomic.Int64  // generations admitted
+	waiting atomic.Int64  // generations in the queue
+	asked   atomic.Int64  // requests since the last refresh
+	refused atomic.Int64  // generations refused since the last refresh
+
+	// The fields below belong to the refresh of the demand, under its lock.
+
+	rate        float64   // smoothed requests per second
+	concurrent  float64   // smoothed generations wanted at a time
+	activeSince time.Time // zero without a demand
+	endedAt     time.Time // when the demand ended
+	due         []due     // shares of the last refreshes, newest last
+
+	reportedRate       float64 // what the others are told of rate
+	reportedConcurrent float64 // what the others are told of concurrent
+}
+
+func newState(id contract.WorkspaceID, l limits, instances int) *state {
+	ratePart, places := l.equalPart(instances)
+	s := &state{id: id, limiter: rate.NewLimiter(rate.Limit(ratePart), burstOf(ratePart))}
+	s.places.Store(int64(places))
+	return s
+}
+
+// due is the share that an instance should have by one refresh.
+type due struct {
+	rate   float64
+	places int
+}
+
+// burstOf is the size of the token bucket: the requests of one second, and at
+// least one, without which no request would ever pass.
+func burstOf(perSecond float64) int { return max(1, int(perSecond)) }
+
+// setShare puts a new share in force.
+func (s *state) setShare(perSecond float64, places int) {
+	s.limiter.SetLimit(rate.Limit(perSecond))
+	s.limiter.SetBurst(burstOf(perSecond))
+	s.places.Store(int64(places))
+}
+
+// acquire takes a place for a generation if the share has room.
+func (s *state) acquire() bool {
+	for {
+		n := s.running.Load()
+		if n >= s.places.Load() {
+			return false
+		}
+		if s.running.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+func (s *state) hasRoom() bool { return s.running.Load() < s.places.Load() }
