--- /dev/null
+++ b/cmd/foxtailhub-standin/main.go
@@ -0,0 +1,97 @@
+// Command foxtailhub-standin runs a stand-in for a system outside foxtailhub: the
+// platform, a model engine or a plain service. It is for tests, measurements and
+// the demo.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/standin"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// options are the flags of the program.
+type options struct {
+	role    string
+	listen  string
+	models  string
+	slots   int
+	token   time.Duration
+	prefill time.Duration
+	ttl     time.Duration
+}
+
+func main() {
+	var o options
+	flag.StringVar(&o.role, "role", "", "platform, engine or service (required)")
+	flag.StringVar(&o.listen, "listen", "127.0.0.1:0", "listen address")
+	flag.StringVar(&o.models, "models", "", "engine: comma-separated models as name@version or name@version+adapter")
+	flag.IntVar(&o.slots, "slots", 8, "engine, service: requests that run at a time")
+	flag.DurationVar(&o.token, "token-interval", 20*time.Millisecond, "engine: time between two tokens of a stream")
+	flag.DurationVar(&o.prefill, "prefill-per-token", 50*time.Microsecond, "engine: time to compute one prompt token")
+	flag.DurationVar(&o.ttl, "entry-ttl", standin.DefaultEntryTTL, "platform: lifetime of a list entry that is not repeated")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "foxtailhub-standin:", err)
+		os.Exit(2)
+	}
+}
+
+func run(ctx context.Context, o options) error {
+	inner, err := net.Listen("tcp", o.listen)
+	if err != nil {
+		return err
+	}
+	listener := standin.NewListener(inner)
+	handler, err := newHandler(o, listener)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("role=%s listen=%s\n", o.role, inner.Addr())
+	return standin.Serve(ctx, listener, handler)
+}
+
+func newHandler(o options, listener *standin.Listener) (http.Handler, error) {
+	switch o.role {
+	case "platform":
+		return standin.NewPlatform(standin.PlatformConfig{EntryTTL: o.ttl}), nil
+	case "engine":
+		return standin.NewEngine(standin.EngineConfig{
+			Models:          parseModels(o.models),
+			Slots:           o.slots,
+			TokenInterval:   o.token,
+			PrefillPerToken: o.prefill,
+			Exit:            os.Exit,
+			Connections:     listener,
+		}), nil
+	case "service":
+		return standin.NewService(standin.ServiceConfig{Slots: o.slots, Connections: listener}), nil
+	default:
+		return nil, fmt.Errorf("-role must be platform, engine or service, not %q", o.role)
+	}
+}
+
+// parseModels parses "name@version+adapter,..."; the adapter is optional.
+func parseModels(list string) []upstream.ModelPin {
+	var pins []upstream.ModelPin
+	for item := range strings.SplitSeq(list, ",") {
+		name, rest, found := strings.Cut(item, "@")
+		if !found {
+			continue
+		}
+		version, adapter, _ := strings.Cut(rest, "+")
+		pins = append(pins, upstream.ModelPin{Model: name, Version: version, Adapter: adapter})
+	}
+	return pins
+}
--- /dev/null
+++ b/internal/instance/gauges.go
@@ -0,0 +1,44 @@
+package instance
+
+import "time"
+
+// registerMetrics adds what other parts count to the instance's metrics.
+func (i *Instance) registerMetrics() {
+	m := i.metrics
+	m.gauge("configuration_version", "Configuration version in force.", func() float64 {
+		return float64(i.holder.Current().Version)
+	})
+	m.gauge("confirmed", "1 while the instance may admit new work.", func() float64 {
+		return boolGauge(i.life.confirmed())
+	})
+	m.gauge("draining", "1 during the graceful shutdown.", func() float64 { return boolGauge(i.life.isDraining()) })
+	m.gauge("instances_known", "Instances in the denominator of a majority, this one included.", func() float64 {
+		return float64(i.membership.View().Known(time.Now()))
+	})
+	m.gauge("instances_heard", "Known instances heard from in the last 2 s, this one included.", func() float64 {
+		return float64(i.membership.View().Heard(time.Now()))
+	})
+	m.gauge("generations_active", "Generations that run at this instance.", func() float64 { return float64(i.registry.Active()) })
+	m.gauge("connections_active", "Callers' connections to generations.", func() float64 {
+		return float64(i.activity.generations.Load())
+	})
+	m.gauge("calls_active", "Calls in progress.", func() float64 { return float64(i.activity.calls.Load()) })
+	m.gauge("contents_quarantined", "Quarantined contents.", func() float64 { return float64(i.upstreams.QuarantinedContents()) })
+	m.counter("heartbeat_bytes_in_total", "Bytes of heartbeats received, without transport overhead.", func() float64 {
+		return float64(i.membership.Stats().BytesIn)
+	})
+	m.counter("heartbeat_bytes_out_total", "Bytes of heartbeats sent, without transport overhead.", func() float64 {
+		return float64(i.membership.Stats().BytesOut)
+	})
+	m.counter("link_bytes_in_total", "Bytes received over links.", func() float64 { return float64(i.transport.Stats().BytesIn) })
+	m.counter("link_bytes_out_total", "Bytes sent over links.", func() float64 { return float64(i.transport.Stats().BytesOut) })
+	m.counter("link_messages_in_total", "Messages received over links.", func() float64 { return float64(i.transport.Stats().MessagesIn) })
+	m.counter("link_messages_out_total", "Messages sent over links.", func() float64 { return float64(i.transport.Stats().MessagesOut) })
+}
+
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/instance/life.go
+++ b/internal/instance/life.go
@@ -64,8 +64,9 @@
 		Others:      knownInstances(l.membership.View(), now),
 	})
 	l.confirmation.Store(&after)
-	l.membership.SetConfirmed(after.Current)
-	l.membership.SetHead(int64(standing.Verified))
+	l.membership.SetStanding(membership.Standing{
+		Current: after.Current, Head: int64(standing.Verified), Held: int64(standing.Held),
+	})
 	if before.Confirmed != after.Confirmed {
 		l.log.WithField("confirmed", after.Confirmed).WithField("reason", after.Reason).Warn("confirmation changed")
 	}
--- a/internal/instance/operator.go
+++ b/internal/instance/operator.go
@@ -105,10 +105,10 @@
 			continue
 		}
 		peer := oas.PeerStatus{
-			Instance: string(m.ID), FailureDomain: string(m.Domain), State: m.State.String(), Version: m.Head, SilentMs: -1,
+			Instance: string(m.ID), FailureDomain: string(m.Domain), State: m.State.String(), Version: m.Held, SilentMs: -1,
 		}
-		if age, heard := view.Age(m.ID, now); heard {
-			peer.SilentMs = age.Milliseconds()
+		if contact := latest(m.Contact, m.Direct); !contact.IsZero() {
+			peer.SilentMs = now.Sub(contact).Milliseconds()
 		}
 		status.Peers = append(status.Peers, peer)
 	}
--- /dev/null
+++ b/internal/instance/sharedlist.go
@@ -0,0 +1,44 @@
+package instance
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"foxtailhub.example/foxtailhub/internal/platform"
+)
+
+// sharedList lets the readers of the platform's list share its reads: the
+// platform allows about two thousand reads a second for all instances.
+type sharedList struct {
+	platform.InstanceList
+	maxAge time.Duration
+	reads  singleflight.Group
+	last   atomic.Pointer[listRead]
+}
+
+type listRead struct {
+	list platform.List
+	at   time.Time
+}
+
+// List returns the list as it was read at most maxAge ago.
+func (s *sharedList) List(ctx context.Context) (platform.List, error) {
+	if last := s.last.Load(); last != nil && time.Since(last.at) < s.maxAge {
+		return last.list, nil
+	}
+	value, err, _ := s.reads.Do("", func() (any, error) {
+		at := time.Now()
+		list, err := s.InstanceList.List(ctx)
+		if err == nil {
+			s.last.Store(&listRead{list: list, at: at})
+		}
+		return list, err
+	})
+	if err != nil {
+		return platform.List{}, err
+	}
+	return value.(platform.List), nil
+}
--- a/internal/membership/answer.go
+++ b/internal/membership/answer.go
@@ -54,11 +54,9 @@
 		return nil, err
 	}
 	m.updateClock(peer, h.Status)
-	a, behind := m.compileAnswer(peer, h)
+	a := m.compileAnswer(peer, h)
 	m.learnSections(peer, h.Sections)
-	if behind {
-		m.tellHead(peer, h.Status.Head)
-	}
+	m.announceHead(peer, h.Status.Head)
 	reply, err := link.Encode(a)
 	if err == nil {
 		m.counters.out(len(reply))
@@ -66,7 +64,7 @@
 	return reply, err
 }
 
-func (m *Membership) compileAnswer(peer contract.InstanceID, h heartbeat) (a answer, behind bool) {
+func (m *Membership) compileAnswer(peer contract.InstanceID, h heartbeat) answer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
@@ -75,10 +73,10 @@
 	if p := m.links[peer]; p != nil {
 		table = &p.table
 	}
-	m.ledger.writeAnswer(&a, h, peer, table, now)
-	a.Status = m.status
+	a := answer{Status: m.status}
 	a.Status.At = m.config.Clock.Now()
-	return a, h.Status.Head > m.status.Head
+	m.ledger.writeAnswer(&a, h, peer, table, now)
+	return a
 }
 
 // introduce applies what the sender tells about itself. The caller holds mu.
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -238,7 +238,7 @@
 		return false
 	}
 	m.updateClock(id, a.Status)
-	m.merge(id, p, a, sent)
+	m.merge(id, p, a, m.announceHead(id, a.Status.Head), sent)
 	return true
 }
 
@@ -249,27 +249,22 @@
 	p.greeted = false
 }
 
-func (m *Membership) merge(id contract.InstanceID, p *peerLink, a answer, sent instant) {
+func (m *Membership) merge(id contract.InstanceID, p *peerLink, a answer, current bool, sent instant) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	r := m.ledger.byID[id]
 	if r == nil {
-		m.mu.Unlock()
 		return
 	}
 	p.greeted = true
-	m.ledger.readAnswer(a, r, &p.table, m.accepts, sent, m.now())
+	m.ledger.readAnswer(a, r, &p.table, m.accepts, current, sent, m.now())
 	m.dirty = true
-	behind := a.Status.Head > m.status.Head
-	m.mu.Unlock()
-	if behind {
-		m.tellHead(id, a.Status.Head)
-	}
 }
 
-func (m *Membership) tellHead(id contract.InstanceID, head int64) {
-	if m.config.OnHead != nil {
-		m.config.OnHead(id, head)
-	}
+// announceHead passes the head version of a peer on and reports whether this
+// instance is current.
+func (m *Membership) announceHead(id contract.InstanceID, head int64) bool {
+	return m.config.Announce == nil || m.config.Announce(id, head)
 }
 
 func (m *Membership) updateClock(id contract.InstanceID, s status) {
--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -152,7 +152,9 @@
 }
 
 func (c *cluster) start(t *testing.T, i int) {
-	c.run(c.create(t, i))
+	n := c.create(t, i)
+	n.SetStanding(Standing{Current: true})
+	c.run(n)
 }
 
 func (c *cluster) create(t *testing.T, i int) *node {
@@ -223,3 +225,32 @@
 	time.Sleep(d)
 	synctest.Wait()
 }
+
+// adopt holds a version from now on and passes it on. It reports whether the
+// version was new.
+func (n *node) adopt(version int64) bool {
+	n.mu.Lock()
+	fresh := version > n.status.Held
+	n.mu.Unlock()
+	if fresh {
+		n.SetStanding(Standing{Current: true, Head: version, Held: version})
+		n.Push()
+	}
+	return fresh
+}
+
+// leastHolders returns the smallest number of instances that a node knows to
+// hold a version, itself included.
+func leastHolders(nodes []*node, version int64) int {
+	least := len(nodes)
+	for _, n := range nodes {
+		holding := 1
+		for _, m := range n.View().Members() {
+			if m.Held >= version {
+				holding++
+			}
+		}
+		least = min(least, holding)
+	}
+	return least
+}
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -19,7 +19,7 @@
 // that makes a contact more recent than the request that it answers.
 func FuzzHeartbeat(f *testing.F) {
 	l := newLedger("self", time.Hour, 1)
-	var seed answer
+	seed := answer{Status: status{Current: true, Held: 3}}
 	for i := range 20 {
 		r := l.add(memberNumber(i), 0)
 		r.hear(State(i%3), 0)
@@ -36,7 +36,7 @@
 		table := &peerTable{}
 		if a, err := decodeAnswer(body); err == nil {
 			for range 2 {
-				mine.readAnswer(a, from, table, anyRegion, sent, now)
+				mine.readAnswer(a, from, table, anyRegion, true, sent, now)
 			}
 			if len(mine.table) > maxMembers || len(table.names) > maxMembers {
 				t.Fatal("memory is not bounded")
@@ -48,7 +48,7 @@
 			}
 		}
 		if h, err := decodeHeartbeat(body); err == nil {
-			var a answer
+			a := answer{Status: status{Current: true}}
 			mine.writeAnswer(&a, h, "peer", table, now)
 			if err := a.check(); err != nil {
 				t.Fatal(err)
@@ -81,6 +81,7 @@
 			for id, rec := range b.byID {
 				if id != "a" && rapid.IntRange(0, 3).Draw(r, "heard") > 0 {
 					rec.hear(Ready, now)
+					rec.held = heldBy(id)
 					truth[id] = now
 				}
 			}
@@ -90,21 +91,25 @@
 				fromB = a.add(Member{ID: "b"}, now)
 			}
 			h := heartbeat{Epoch: table.epoch, Have: len(table.names)}
-			var reply answer
+			reply := answer{Status: status{Current: true, Held: 1}}
 			b.writeAnswer(&reply, h, "a", &peerTable{}, now)
 			g.Expect(reply.check()).To(Succeed())
 			if rapid.Bool().Draw(r, "arrives") {
-				a.readAnswer(reply, fromB, table, anyRegion, now, now)
+				a.readAnswer(reply, fromB, table, anyRegion, true, now, now)
 			}
 			for id, rec := range a.byID {
 				if id != "b" && rec.contact != never {
 					g.Expect(rec.contact).To(BeNumerically("<=", truth[id]), "%s", id)
+					g.Expect(rec.held).To(Equal(heldBy(id)), "%s", id)
 				}
 			}
 		}
 	})
 }
 
+// heldBy returns the version that a member holds in a test.
+func heldBy(id contract.InstanceID) int64 { return int64(id[len(id)-1]) % 3 }
+
 // Guards against news that overtake each other: draining must not be undone by
 // an older report, and an instance that restarts must come back.
 func TestDrainingWinsOverOlderReports(t *testing.T) {
@@ -157,3 +162,29 @@
 		}
 	})
 }
+
+// Guards against a majority that is counted over instances that have forgotten
+// a version in a restart, or by one that lacks a version that it knows of.
+func TestContactsCountOnlyBetweenCurrentInstances(t *testing.T) {
+	for _, c := range []struct{ sender, receiver, counted bool }{
+		{true, true, true}, {false, true, false}, {true, false, false}, {false, false, false},
+	} {
+		g := NewWithT(t)
+		relay, receiver := newLedger("relay", time.Hour, 1), newLedger("receiver", time.Hour, 2)
+		third := relay.add(memberNumber(1), 0)
+		third.hear(Ready, 0)
+		third.held = 4
+		from := receiver.add(Member{ID: "relay"}, 0)
+		reply := answer{Status: status{Current: c.sender, Held: 5}}
+		relay.writeAnswer(&reply, heartbeat{}, "receiver", &peerTable{}, 0)
+		receiver.readAnswer(reply, from, &peerTable{}, anyRegion, c.receiver, 0, 0)
+		g.Expect(from.contact != never).To(Equal(c.counted))
+		g.Expect(from.direct).To(Equal(instant(0)))
+		g.Expect(from.held).To(Equal(int64(5)))
+		relayed := receiver.byID[third.member.ID]
+		g.Expect(relayed != nil && relayed.contact != never).To(Equal(c.counted))
+		if c.counted {
+			g.Expect(relayed.held).To(Equal(int64(4)))
+		}
+	}
+}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -10,6 +10,7 @@
 type claim struct {
 	at    instant
 	state State
+	held  int64 // configuration version that it held
 }
 
 // peerTable is this instance's copy of the table of a peer, with what the peer
@@ -51,11 +52,12 @@
 		return false
 	}
 	c := t.claims[r.slot]
-	return c.at != never && c.at.after(newsMargin) >= r.contact && c.state == r.state
+	return c.at != never && c.at.after(newsMargin) >= r.contact && c.state == r.state && c.held >= r.held
 }
 
 // writeAnswer fills in the part of the table that the peer lacks and the
-// contacts that are news to it.
+// contacts that are news to it. An instance that is not current passes on no
+// contacts: it may have forgotten a version that it acknowledged before a restart.
 func (l *ledger) writeAnswer(a *answer, h heartbeat, peer contract.InstanceID, t *peerTable, now instant) {
 	a.Epoch = l.epoch
 	if h.Epoch == l.epoch {
@@ -69,6 +71,9 @@
 		}
 		a.Names = append(a.Names, r.member.entry())
 	}
+	if !a.Status.Current {
+		return
+	}
 	w := newVectorWriter()
 	for i, r := range l.table[:end] {
 		if r == nil || r.contact == never || r.member.ID == peer || t.holds(l.epoch, r) {
@@ -76,6 +81,9 @@
 		}
 		if age, ok := encodeAge(now.since(r.contact)); ok {
 			w.add(i, r.state, age)
+			if r.held != a.Status.Held {
+				w.held = append(w.held, held{Index: i, Version: r.held})
+			}
 		}
 	}
 	w.store(a)
@@ -83,11 +91,17 @@
 
 // readAnswer merges the answer of a peer to a request that was sent at the
 // given time. An age counts back from that time, because the peer determined it
-// later than that.
-func (l *ledger) readAnswer(a answer, from *record, t *peerTable, accept func(region string) bool, sent, now instant) {
+// later than that. Contacts count only if the peer is current and this instance
+// lacks no version that it knows of.
+func (l *ledger) readAnswer(a answer, from *record, t *peerTable, accept func(region string) bool, current bool, sent, now instant) {
 	from.direct = max(from.direct, sent)
-	from.confirmed, from.head = a.Status.Confirmed, a.Status.Head
-	from.hear(a.Status.State, sent)
+	from.head, from.held = a.Status.Head, max(from.held, a.Status.Held)
+	from.lastSeen = max(from.lastSeen, sent)
+	if current && a.Status.Current {
+		from.hear(a.Status.State, sent)
+	} else {
+		from.report(a.Status.State, sent)
+	}
 	if t.epoch != a.Epoch || a.First != len(t.names) {
 		t.reset(a.Epoch)
 		if a.First != 0 {
@@ -98,7 +112,7 @@
 	for _, e := range a.Names {
 		t.names = append(t.names, l.resolve(e, accept))
 	}
-	readVector(a, func(index int, state State, age time.Duration) {
+	readVector(a, func(index int, state State, age time.Duration, version int64) {
 		if index >= len(t.names) || t.names[index] == nil {
 			return
 		}
@@ -110,8 +124,11 @@
 			t.names[index] = r
 		}
 		at := sent.after(-age)
-		r.hear(state, at)
-		t.setClaim(l.epoch, r.slot, claim{at: at, state: state})
+		r.held = max(r.held, version)
+		t.setClaim(l.epoch, r.slot, claim{at: at, state: state, held: version})
+		if current {
+			r.hear(state, at)
+		}
 	})
 }
 
--- a/internal/membership/ledger.go
+++ b/internal/membership/ledger.go
@@ -48,8 +48,8 @@
 // record is what is known of another instance.
 type record struct {
 	member    Member
-	slot      int // index in the table, -1 when removed
-	contact   instant
+	slot      int     // index in the table, -1 when removed
+	contact   instant // last contact at which it was current, direct or through others
 	direct    instant // last round trip of this instance itself
 	state     State
 	stateAt   instant // contact that reported the state
@@ -58,8 +58,8 @@
 	departed  instant // never: has not departed
 	listed    bool
 	seed      bool
-	confirmed bool  // of peers only
 	head      int64 // of peers only
+	held      int64 // configuration version that it is known to hold
 }
 
 // ledger holds the records of all other instances and decides who is known,
@@ -165,7 +165,7 @@
 // sweep marks and removes the instances that have left by the time now.
 func (l *ledger) sweep(now instant) {
 	for id, r := range l.byID {
-		quiet := now.since(max(r.contact, r.stateAt))
+		quiet := now.since(max(r.alive(), r.stateAt))
 		if r.departed == never && r.state == Draining && quiet > departAfter {
 			r.departed = now
 		}
@@ -220,5 +220,8 @@
 	if r.departed != never {
 		return false
 	}
-	return now.since(r.contact) < silentAfter || r.contact == never && now.since(r.firstSeen) < introduction
+	return now.since(r.alive()) < silentAfter || r.alive() == never && now.since(r.firstSeen) < introduction
 }
+
+// alive returns the last contact, whether r was current or not.
+func (r *record) alive() instant { return max(r.contact, r.direct) }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -57,9 +57,11 @@
 	Clock     *timeline.Clock
 	Recorder  timeline.Recorder
 	Log       logrus.FieldLogger
-	// OnHead is called when a peer tells a head version above the own one. It
-	// must not block. Optional.
-	OnHead func(peer contract.InstanceID, head int64)
+	// Announce is called with the head version that a peer tells. It returns
+	// whether this instance holds the newest version that it knows of; if not,
+	// contacts do not count. It must not block. Optional: without it every
+	// instance is current.
+	Announce func(peer contract.InstanceID, head int64) (current bool)
 
 	Interval         time.Duration // between heartbeats to a peer
 	RequestTimeout   time.Duration // for the answer to a heartbeat
@@ -137,6 +139,7 @@
 		selected: never,
 		random:   rand.New(rand.NewPCG(cmp.Or(config.Seed, rand.Uint64()), xxhash.Sum64String(string(config.Self.ID)))),
 	}
+	m.status.Current = config.Announce == nil
 	for _, seed := range config.Seeds {
 		if r := m.ledger.add(seed, m.now()); r != nil {
 			r.seed = true
@@ -185,19 +188,20 @@
 	}
 }
 
-// SetConfirmed sets whether this instance tells its peers that it is confirmed.
-func (m *Membership) SetConfirmed(confirmed bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.status.Confirmed = confirmed
+// Standing is what an instance tells about its configuration.
+type Standing struct {
+	Current bool  // its contacts prove that it misses no version
+	Head    int64 // newest version that it has verified
+	Held    int64 // version in force
 }
 
-// SetHead sets the head version that heartbeats carry. A lower version than
-// before is ignored.
-func (m *Membership) SetHead(head int64) {
+// SetStanding sets what heartbeats carry. Lower versions than before are ignored.
+func (m *Membership) SetStanding(s Standing) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.status.Head = max(m.status.Head, head)
+	m.status.Current = s.Current
+	m.status.Head = max(m.status.Head, s.Head)
+	m.status.Held = max(m.status.Held, s.Held)
 }
 
 // Push sends a heartbeat without sections to all peers at once.
@@ -234,7 +238,7 @@
 		v.members = append(v.members, MemberView{
 			Member: r.member, State: r.state,
 			Contact: m.timeOf(r.contact), Direct: m.timeOf(r.direct), KnownUntil: m.timeOf(m.ledger.knownUntil(r, now)),
-			Peer: slices.Contains(m.peers, r.member.ID), Confirmed: r.confirmed, Head: r.head,
+			Peer: slices.Contains(m.peers, r.member.ID), Head: r.head, Held: r.held,
 		})
 	}
 	m.view.Store(v)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -120,27 +121,26 @@
 func TestTargetDeploymentHearsPushesAndStaysInBudget(t *testing.T) {
 	const instances = 480
 	var reached atomic.Int64
-	nodes := map[contract.InstanceID]*node{}
+	var nodes sync.Map // by identifier
 	configure := func(config *Config) {
 		self := config.Self.ID
-		config.OnHead = func(_ contract.InstanceID, head int64) {
-			n := nodes[self]
-			n.SetHead(head)
-			n.Push()
-			reached.Add(1)
+		config.Announce = func(_ contract.InstanceID, head int64) bool {
+			if n, found := nodes.Load(self); found && n.(*node).adopt(head) {
+				reached.Add(1)
+			}
+			return true
 		}
 	}
 	inCluster(t, instances, configure, func(g *WithT, c *cluster) {
 		for _, n := range c.nodes {
-			nodes[n.id] = n
+			nodes.Store(n.id, n)
 		}
 		advance(3 * time.Second)
 		least := leastHeard(c.nodes)
 		t.Logf("least heard after 3 s: %d of %d", least, instances)
 		g.Expect(least).To(BeNumerically(">", instances/2))
 
-		c.nodes[0].SetHead(7)
-		c.nodes[0].Push()
+		c.nodes[0].adopt(7)
 		start := time.Now()
 		for reached.Load() < instances-1 && time.Since(start) < 3*time.Second {
 			advance(10 * time.Millisecond)
@@ -148,6 +148,11 @@
 		t.Logf("version reached %d instances after %s", reached.Load()+1, time.Since(start))
 		g.Expect(reached.Load()).To(BeNumerically(">=", instances-1))
 
+		for leastHolders(c.nodes, 7) <= instances/2 && time.Since(start) < 6*time.Second {
+			advance(10 * time.Millisecond)
+		}
+		t.Logf("every instance knows a majority that holds the version after %s", time.Since(start))
+		g.Expect(time.Since(start)).To(BeNumerically("<", 3*time.Second))
 		advance(3 * time.Second)
 		g.Expect(leastHeard(c.nodes)).To(BeNumerically(">", instances*9/10))
 		checkTraffic(t, g, c.nodes)
@@ -158,25 +163,26 @@
 // before the peers are selected anew; and against a lost majority.
 func TestVersionArrivesDespiteLossOfFailureDomain(t *testing.T) {
 	const instances, domains = 96, 12
-	nodes := map[contract.InstanceID]*node{}
+	var nodes sync.Map // by identifier
 	configure := func(config *Config) {
 		self := config.Self.ID
-		config.OnHead = func(_ contract.InstanceID, head int64) {
-			nodes[self].SetHead(head)
-			nodes[self].Push()
+		config.Announce = func(_ contract.InstanceID, head int64) bool {
+			if n, found := nodes.Load(self); found {
+				n.(*node).adopt(head)
+			}
+			return true
 		}
 	}
 	inCluster(t, instances, configure, func(g *WithT, c *cluster) {
 		for _, n := range c.nodes {
-			nodes[n.id] = n
+			nodes.Store(n.id, n)
 		}
 		advance(3 * time.Second)
 		c.network.SetLoss(0.1)
 		for i := range instances / domains {
-			c.crash(nodes[memberNumber(i*domains).ID])
+			c.crash(c.nodes[i*domains])
 		}
-		c.nodes[0].SetHead(9)
-		c.nodes[0].Push()
+		c.nodes[0].adopt(9)
 		advance(3 * time.Second)
 		for _, n := range c.nodes {
 			n.mu.Lock()
--- a/internal/membership/vector.go
+++ b/internal/membership/vector.go
@@ -33,6 +33,7 @@
 	ages     []byte
 	states   []byte
 	allReady bool
+	held     []held
 }
 
 func newVectorWriter() *vectorWriter { return &vectorWriter{allReady: true} }
@@ -56,7 +57,7 @@
 // store puts the vector into an answer. States are left out in the usual case
 // that all are Ready.
 func (w *vectorWriter) store(a *answer) {
-	a.Marks, a.Ages = w.marks, w.ages
+	a.Marks, a.Ages, a.Held = w.marks, w.ages, w.held
 	if !w.allReady {
 		a.States = w.states
 	}
@@ -80,13 +81,21 @@
 
 // readVector calls visit for each member with an age. The answer must have
 // passed check.
-func readVector(a answer, visit func(index int, state State, age time.Duration)) {
+func readVector(a answer, visit func(index int, state State, age time.Duration, version int64)) {
 	position := 0
+	exceptions := make(map[int]int64, len(a.Held))
+	for _, h := range a.Held {
+		exceptions[h.Index] = h.Version
+	}
 	for i := range len(a.Marks) * marksPerByte {
 		if a.Marks[i/marksPerByte]>>(i%marksPerByte)&1 == 0 {
 			continue
 		}
-		visit(i, stateAt(a.States, position), decodeAge(a.Ages[position]))
+		version, found := exceptions[i]
+		if !found {
+			version = a.Status.Held
+		}
+		visit(i, stateAt(a.States, position), decodeAge(a.Ages[position]), version)
 		position++
 	}
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -12,16 +12,16 @@
 type MemberView struct {
 	Member
 	State State
-	// Contact is the time of the last contact, direct or through others; zero if there was none.
+	// Contact is the time of the last contact at which it was current, direct or
+	// through others; zero if there was none.
 	Contact time.Time
 	// Direct is the time of this instance's own last round trip to it; zero if there was none.
 	Direct time.Time
 	// KnownUntil is when it leaves the denominator of a majority; zero if it has departed.
 	KnownUntil time.Time
-	Peer       bool // this instance sends heartbeats to it
-	// Confirmed and Head are as it last told this instance directly.
-	Confirmed bool
-	Head      int64
+	Peer       bool  // this instance sends heartbeats to it
+	Head       int64 // newest configuration version it has verified, as it last told directly
+	Held       int64 // configuration version in force there, direct or through others
 }
 
 // View is an immutable picture of the membership.
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -25,11 +25,12 @@
 
 // status is the sender's own state.
 type status struct {
-	_         struct{} `cbor:",toarray"`
-	State     State
-	Confirmed bool
-	Head      int64
-	At        timeline.Timestamp
+	_       struct{} `cbor:",toarray"`
+	State   State
+	Current bool  // the sender's contacts prove that it misses no configuration version
+	Head    int64 // newest configuration version that it has verified
+	Held    int64 // configuration version in force at the sender
+	At      timeline.Timestamp
 }
 
 // entry names an instance in a table.
@@ -48,6 +49,13 @@
 	Data []byte
 }
 
+// held is the configuration version that a marked member holds.
+type held struct {
+	_       struct{} `cbor:",toarray"`
+	Index   int
+	Version int64
+}
+
 // heartbeat is a request. It tells how much of the receiver's table the sender
 // holds, so that each name travels once.
 type heartbeat struct {
@@ -70,6 +78,7 @@
 	Marks  []byte  `cbor:"5,keyasint,omitempty"` // one bit per index: an age follows
 	Ages   []byte  `cbor:"6,keyasint,omitempty"` // one byte per mark
 	States []byte  `cbor:"7,keyasint,omitempty"` // two bits per mark; empty: all are Ready
+	Held   []held  `cbor:"8,keyasint,omitempty"` // marks that hold another version than the sender, ascending
 }
 
 func decodeHeartbeat(body []byte) (heartbeat, error) {
@@ -89,7 +98,7 @@
 }
 
 func (s status) check() error {
-	if s.State > Draining || s.Head < 0 {
+	if s.State > Draining || s.Head < 0 || s.Held < 0 {
 		return errors.Wrapf(ErrHeartbeatInvalid, "state=%d head=%d", s.State, s.Head)
 	}
 	return nil
@@ -134,6 +143,14 @@
 	if len(a.States) > 0 && len(a.States) != (len(a.Ages)+statesPerByte-1)/statesPerByte {
 		return errors.Wrapf(ErrHeartbeatInvalid, "ages=%d states=%d", len(a.Ages), len(a.States))
 	}
+	if len(a.Held) > len(a.Ages) {
+		return errors.Wrapf(ErrHeartbeatInvalid, "ages=%d held=%d", len(a.Ages), len(a.Held))
+	}
+	for _, h := range a.Held {
+		if h.Index < 0 || h.Index >= maxMembers || h.Version < 0 {
+			return errors.Wrapf(ErrHeartbeatInvalid, "index=%d version=%d", h.Index, h.Version)
+		}
+	}
 	for i := range a.Ages {
 		if stateAt(a.States, i) > Draining {
 			return errors.Wrap(ErrHeartbeatInvalid, "state of a member is unknown")
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -15,9 +15,8 @@
 
 // ConnectionFaults acts on the connections of a listener.
 type ConnectionFaults interface {
-	Cut()       // closes all open connections
-	Silence()   // makes the open connections silent for good
-	Pause(bool) // holds back all data while true
+	Cut()     // closes all open connections
+	Silence() // makes the open connections silent for good
 }
 
 // EngineConfig describes an engine stand-in. Zero values take the defaults.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -46,7 +46,7 @@
 type Platform struct {
 	table   *table
 	objects *objects
-	list    *list
+	list    *memberList
 	faults  *FaultSwitch
 	mux     *http.ServeMux
 	reads   *rate.Limiter
@@ -67,7 +67,7 @@
 	p := &Platform{
 		table:   newTable(),
 		objects: &objects{data: map[string][]byte{}},
-		list:    newList(cfg.EntryTTL),
+		list:    newMemberList(cfg.EntryTTL),
 		mux:     http.NewServeMux(),
 		reads:   newLimiter(cfg.ReadsPerSecond),
 		writes:  newLimiter(cfg.WritesPerSecond),
@@ -233,8 +233,3 @@
 	}
 	return answer{status: http.StatusOK, body: body}
 }
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value) // the client may have gone
-}
--- a/internal/standin/platform_list.go
+++ b/internal/standin/platform_list.go
@@ -33,19 +33,19 @@
 	entry *platform.ListEntry
 }
 
-// list is the instance list in memory. It keeps old states of its entries, so
+// memberList is the instance list in memory. It keeps old states of its entries, so
 // that it can answer as of an earlier time.
-type list struct {
+type memberList struct {
 	ttl     time.Duration
 	mu      sync.Mutex // guards history
 	history map[entryKey][]entryVersion
 }
 
-func newList(ttl time.Duration) *list {
-	return &list{ttl: ttl, history: map[entryKey][]entryVersion{}}
+func newMemberList(ttl time.Duration) *memberList {
+	return &memberList{ttl: ttl, history: map[entryKey][]entryVersion{}}
 }
 
-func (l *list) set(key entryKey, entry *platform.ListEntry) {
+func (l *memberList) set(key entryKey, entry *platform.ListEntry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -58,7 +58,7 @@
 }
 
 // at returns the list as it was lag ago.
-func (l *list) at(now time.Time, lag time.Duration) platform.List {
+func (l *memberList) at(now time.Time, lag time.Duration) platform.List {
 	moment := now.Add(-min(lag, maxLag))
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -91,7 +91,7 @@
 	return nil
 }
 
-func (l *list) servePut(kind entryKind) operation {
+func (l *memberList) servePut(kind entryKind) operation {
 	return func(r *http.Request, body []byte) answer {
 		var entry platform.ListEntry
 		if err := json.Unmarshal(body, &entry); err != nil {
@@ -104,7 +104,7 @@
 	}
 }
 
-func (l *list) serveDelete(kind entryKind) operation {
+func (l *memberList) serveDelete(kind entryKind) operation {
 	return func(r *http.Request, _ []byte) answer {
 		l.set(entryKey{kind, r.PathValue("id")}, nil)
 		return answer{status: http.StatusNoContent}
