--- a/internal/schema/describe.go
+++ b/internal/schema/describe.go
@@ -4,22 +4,31 @@
 	"encoding/json"
 	"fmt"
 	"math/big"
+	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 )
 
+// namePattern is the form of identifiers. Schemas state it by patternProperties:
+// with propertyNames the library gives wrong paths, because it does not copy the
+// location of such an error.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
 // describe turns the library's error into a Fault. An unknown or missing
 // member is named as part of the path.
 func describe(e *jsonschema.ValidationError) *Fault {
 	switch k := e.ErrorKind.(type) {
 	case *kind.AdditionalProperties:
-		return fault(e, "is not a known field", k.Properties[0])
+		member := slices.Min(k.Properties)
+		if !namePattern.MatchString(member) {
+			return fault(e, "is not a valid name", member)
+		}
+		return fault(e, "is not a known field", member)
 	case *kind.Required:
 		return fault(e, "is required", k.Missing[0])
-	case *kind.PropertyNames:
-		return fault(e, "is not a valid name", k.Property)
 	default:
 		return fault(e, reason(e.ErrorKind))
 	}
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -103,6 +104,9 @@
 	return &Fault{Reason: err.Error()}
 }
 
+// plainMember is a member that needs no quotes in a line of text.
+var plainMember = regexp.MustCompile(`^[A-Za-z0-9._ -]{1,64}$`)
+
 // JoinPath joins the members of a path; numbers become indexes.
 func JoinPath(members []string) string {
 	var b strings.Builder
@@ -114,6 +118,9 @@
 		if b.Len() > 0 {
 			b.WriteByte('.')
 		}
+		if !plainMember.MatchString(m) {
+			m = strconv.Quote(m)
+		}
 		b.WriteString(m)
 	}
 	return b.String()
--- /dev/null
+++ b/internal/tlskeys/authority.go
@@ -0,0 +1,213 @@
+// Package tlskeys creates a development certificate authority and certificates
+// of instances for the links.
+//
+// The package must never overwrite a file and never write a key that others can
+// read.
+package tlskeys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net/netip"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// Files of the authority within its directory.
+const (
+	AuthorityFile    = "authority.crt"
+	AuthorityKeyFile = "authority.key"
+)
+
+const (
+	// Scheme of the URI that names an instance in its certificate.
+	Scheme = "foxtailhub"
+
+	keyMode         = 0o600
+	certificateMode = 0o644
+	directoryMode   = 0o700
+	// backdate tolerates clocks that are behind.
+	backdate        = time.Hour
+	authorityLife   = 10 * 365 * 24 * time.Hour
+	certificateLife = 365 * 24 * time.Hour
+	serialBits      = 127
+)
+
+// Instance is what a certificate says about an instance.
+type Instance struct {
+	ID        contract.InstanceID
+	Region    string
+	Addresses []netip.Addr // IP addresses of its link
+}
+
+// URI returns the URI that names an instance: foxtailhub://<region>/<instance>.
+func URI(region string, id contract.InstanceID) *url.URL {
+	return &url.URL{Scheme: Scheme, Host: region, Path: "/" + string(id)}
+}
+
+// Authority signs certificates of instances.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// CreateAuthority creates an authority and writes its files to a directory,
+// which is created if needed.
+func CreateAuthority(directory string) (*Authority, error) {
+	if err := os.MkdirAll(directory, directoryMode); err != nil {
+		return nil, errors.Wrap(err, "create directory of keys")
+	}
+	template, err := newTemplate("foxtailhub development authority", authorityLife)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.MaxPathLenZero = true
+	template.KeyUsage = x509.KeyUsageCertSign | x509.KeyUsageCRLSign
+	key, err := newKey()
+	if err != nil {
+		return nil, err
+	}
+	certificate, err := sign(template, template, key, key)
+	if err != nil {
+		return nil, err
+	}
+	if err := writePair(filepath.Join(directory, "authority"), certificate, key); err != nil {
+		return nil, err
+	}
+	return &Authority{certificate: certificate, key: key}, nil
+}
+
+// LoadAuthority reads the files that CreateAuthority wrote.
+func LoadAuthority(directory string) (*Authority, error) {
+	certificateDER, err := readPEM(filepath.Join(directory, AuthorityFile), certificateBlock)
+	if err != nil {
+		return nil, err
+	}
+	certificate, err := x509.ParseCertificate(certificateDER)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse authority certificate")
+	}
+	keyDER, err := readPEM(filepath.Join(directory, AuthorityKeyFile), keyBlock)
+	if err != nil {
+		return nil, err
+	}
+	key, err := x509.ParseECPrivateKey(keyDER)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse authority key")
+	}
+	if !key.PublicKey.Equal(certificate.PublicKey) {
+		return nil, errors.New("authority key and certificate do not belong together")
+	}
+	return &Authority{certificate: certificate, key: key}, nil
+}
+
+// Issue creates a key and a certificate for an instance and writes
+// <instance>.crt and <instance>.key to a directory.
+func (a *Authority) Issue(directory string, instance Instance) error {
+	if instance.ID == "" || instance.Region == "" || len(instance.Addresses) == 0 {
+		return errors.New("a certificate needs an instance, a region and an IP address")
+	}
+	if filepath.Base(string(instance.ID)) != string(instance.ID) {
+		return errors.Newf("instance %q cannot be part of a file name", instance.ID)
+	}
+	template, err := newTemplate(string(instance.ID), certificateLife)
+	if err != nil {
+		return err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	template.URIs = []*url.URL{URI(instance.Region, instance.ID)}
+	for _, address := range instance.Addresses {
+		template.IPAddresses = append(template.IPAddresses, address.AsSlice())
+	}
+	key, err := newKey()
+	if err != nil {
+		return err
+	}
+	certificate, err := sign(template, a.certificate, key, a.key)
+	if err != nil {
+		return err
+	}
+	return writePair(filepath.Join(directory, string(instance.ID)), certificate, key)
+}
+
+func newTemplate(name string, life time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, errors.Wrap(err, "create serial number")
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-backdate),
+		NotAfter:     now.Add(life),
+	}, nil
+}
+
+func newKey() (*ecdsa.PrivateKey, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	return key, errors.Wrap(err, "create key")
+}
+
+func sign(template, parent *x509.Certificate, key, parentKey *ecdsa.PrivateKey) (*x509.Certificate, error) {
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, parentKey)
+	if err != nil {
+		return nil, errors.Wrap(err, "sign certificate")
+	}
+	certificate, err := x509.ParseCertificate(der)
+	return certificate, errors.Wrap(err, "parse certificate")
+}
+
+const (
+	certificateBlock = "CERTIFICATE"
+	keyBlock         = "EC PRIVATE KEY"
+)
+
+// writePair writes name.key and name.crt. The key is first, so that an existing
+// key keeps its certificate.
+func writePair(name string, certificate *x509.Certificate, key *ecdsa.PrivateKey) error {
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return errors.Wrap(err, "encode key")
+	}
+	if err := writeNew(name+".key", keyBlock, keyDER, keyMode); err != nil {
+		return err
+	}
+	return writeNew(name+".crt", certificateBlock, certificate.Raw, certificateMode)
+}
+
+// writeNew writes a file that must not exist.
+func writeNew(path, block string, der []byte, mode os.FileMode) error {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return errors.Wrap(err, "write key file")
+	}
+	err = pem.Encode(file, &pem.Block{Type: block, Bytes: der})
+	return errors.Wrap(errors.CombineErrors(err, file.Close()), "write key file")
+}
+
+func readPEM(path, block string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read key file")
+	}
+	decoded, _ := pem.Decode(data)
+	if decoded == nil || decoded.Type != block {
+		return nil, errors.Newf("%s holds no %s block", path, block)
+	}
+	return decoded.Bytes, nil
+}
