--- a/internal/configuration/accept_test.go
+++ b/internal/configuration/accept_test.go
@@ -90,6 +90,7 @@
 	for name, fault := range map[string]func(*fakeTable){
 		"applied":    func(f *fakeTable) { f.loseNext = 1 },
 		"dropped":    func(f *fakeTable) { f.dropNext = 1 },
+		"sent twice": func(f *fakeTable) { f.resendNext = true },
 		"takes long": func(f *fakeTable) { f.delayNext = time.Millisecond },
 	} {
 		t.Run(name, func(t *testing.T) {
