Read the base of a patch from the store and drop dead announcers

A document that a peer sent must not become the base of a stored version. Failed fetches drop the announcement, so that dead peers delay a fetch once.

--- a/internal/configuration/acceptor.go
+++ b/internal/configuration/acceptor.go
@@ -164,10 +164,9 @@
 	return next, Result{}, true
 }
 
+// base reads the base from the store, not from the holder: what a peer sent must
+// not become the base of a stored version.
 func (s *submission) base(ctx context.Context) (*Snapshot, error) {
-	if held := s.acceptor.cfg.Holder.Accepted(); held.Version == s.patch.Base {
-		return held, nil
-	}
 	return s.acceptor.cfg.Store.Version(ctx, s.patch.Base)
 }
 
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -235,6 +235,7 @@
 		if err != nil {
 			f.cfg.Log.WithError(err).WithFields(logrus.Fields{"peer": s.peer, "version": s.version}).
 				Warn("configuration version was not fetched")
+			f.dropSource(s)
 			continue
 		}
 		if f.cfg.Holder.Advance(snapshot) {
@@ -269,6 +270,17 @@
 	return sources
 }
 
+// dropSource forgets a peer's announcement after a failed fetch, so that dead
+// peers do not delay the next round. A live peer announces again with its next
+// heartbeat. The version stays known as missed.
+func (f *Follower) dropSource(s source) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.announced[s.peer].version == s.version {
+		delete(f.announced, s.peer)
+	}
+}
+
 func (f *Follower) fetch(ctx context.Context, s source) (*Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.FetchTimeout)
 	defer cancel()
--- a/internal/configuration/life_test.go
+++ b/internal/configuration/life_test.go
@@ -133,7 +133,7 @@
 				holding++
 			}
 		}
-		if 2*holding > len(l.others) {
+		if 2*holding > l.confirm().Known {
 			return nil
 		}
 		time.Sleep(20 * time.Millisecond) // virtual time
--- a/internal/configuration/partition_test.go
+++ b/internal/configuration/partition_test.go
@@ -1,6 +1,7 @@
 package configuration_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,8 +9,89 @@
 	. "github.com/onsi/gomega"
 
 	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
 )
 
+// Guards against a version that reaches an instance later than P8 allows, when
+// all instances reach the store and when only one does.
+func TestTakesEffectWithinBound(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCluster(t, 9)
+			time.Sleep(settle)
+			for _, n := range c.nodes[1:] {
+				n.way.setCut(cut)
+			}
+			time.Sleep(settle)
+			g.Expect(c.nodes[0].Submit(t.Context(), workspacePatch("p", 0, "w")).Status).To(Equal(configuration.StatusAccepted))
+			time.Sleep(effectiveBound)
+			for _, n := range c.nodes {
+				g.Expect(n.Current().Version).To(Equal(configuration.Version(1)))
+				g.Expect(n.MayAdmit()).To(BeTrue())
+			}
+		})
+	}
+}
+
+// Guards against a denominator that shrinks when instances disappear, and one
+// that does not shrink when they announced that they leave.
+func TestDepartedInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 5)
+		time.Sleep(settle)
+		for _, n := range c.nodes[2:] {
+			n.cancel()
+			c.links.setLife(n.index, nil)
+		}
+		time.Sleep(settle)
+		p := workspacePatch("p", 0, "w")
+		g.Expect(c.nodes[0].Submit(t.Context(), p).Status).To(Equal(configuration.StatusUnavailable))
+		l := c.nodes[0].life.Load()
+		l.mu.Lock()
+		for i := 2; i < 5; i++ {
+			l.others[i].Leaving = true
+		}
+		l.mu.Unlock()
+		g.Expect(c.nodes[0].Submit(t.Context(), p).Status).To(Equal(configuration.StatusAccepted))
+		g.Expect(c.table.commits).To(Equal(1))
+	})
+}
+
+// Guards against a peer that sends anything else than a newer valid version.
+func TestFetchChecksWhatItGets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := newFakeTable()
+		way := &cutTable{TableService: table}
+		way.setCut(true)
+		holder := configuration.NewHolder()
+		answers := []string{"{", `{"version":1,"document":{}}`, `{"version":2,"document":{"rules":{"r":{}}}}`,
+			`{"version":2,"document":{"extra":{}}}`, `{"version":2,"patch_id":"p","document":{}}`}
+		follower := configuration.NewFollower(configuration.FollowerConfig{
+			Store: configuration.NewStore(way), Holder: holder, Seed: 1, Log: quietLog(),
+			Fetch: func(context.Context, contract.InstanceID, configuration.Version) ([]byte, error) {
+				answer := answers[0]
+				answers = answers[1:]
+				return []byte(answer), nil
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = follower.Run(ctx) }()
+		for range 4 {
+			follower.Announce(2, "peer")
+			time.Sleep(time.Second)
+			g.Expect(holder.Current().Version).To(BeZero())
+		}
+		follower.Announce(2, "peer")
+		time.Sleep(time.Second)
+		g.Expect(holder.Current().Version).To(Equal(configuration.Version(2)))
+		g.Expect(answers).To(BeEmpty(), "one fetch per announcement")
+	})
+}
+
 // Guards against an instance cut off from the store and from its peers that
 // goes on with a superseded version.
 func TestPartitionFromStoreAndPeers(t *testing.T) {
--- a/internal/platform/platformhttp/platformhttp_test.go
+++ b/internal/platform/platformhttp/platformhttp_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -144,6 +145,13 @@
 	instances := platformhttp.NewInstanceList(cfg)
 	g.Expect(instances.Announce(t.Context(), platform.ListEntry{ID: "i", State: platform.ListedLive})).To(Succeed())
 	g.Expect(instances.List(t.Context())).To(HaveField("Instances", HaveExactElements(HaveField("ID", "i"))))
+	request, err := http.NewRequest(http.MethodPut, cfg.Address+platformhttp.PathUpstreams+"u", strings.NewReader(`{"state":"leaving"}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Body.Close()).To(Succeed())
+	g.Expect(instances.List(t.Context())).To(HaveField("Upstreams",
+		HaveExactElements(And(HaveField("ID", "u"), HaveField("State", platform.ListedLeaving)))))
 	p.Faults().Set(standin.Fault{LagMS: 60_000})
 	g.Expect(instances.List(t.Context())).To(HaveField("Instances", BeEmpty()))
 	p.Faults().Set(standin.Fault{})
--- a/internal/standin/platform_list.go
+++ b/internal/standin/platform_list.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -64,10 +65,7 @@
 	defer l.mu.Unlock()
 	result := platform.List{Instances: []platform.ListEntry{}, Upstreams: []platform.ListEntry{}}
 	keys := slices.SortedFunc(maps.Keys(l.history), func(a, b entryKey) int {
-		if a.id < b.id {
-			return -1
-		}
-		return 1
+		return cmp.Compare(a.id, b.id)
 	})
 	for _, key := range keys {
 		entry := entryAt(l.history[key], moment)
