--- a/internal/platform/platformhttp/client.go
+++ b/internal/platform/platformhttp/client.go
@@ -147,6 +147,9 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
+		// Connections that went silent fail together. Without this each idle one
+		// would cost one more request its timeout.
+		c.http.CloseIdleConnections()
 		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }() // the answer was read or the request failed
--- a/internal/platform/platformhttp/platformhttp_test.go
+++ b/internal/platform/platformhttp/platformhttp_test.go
@@ -1,10 +1,13 @@
 package platformhttp_test
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,3 +173,41 @@
 	g.Expect(errors.Is(err, platform.ErrUnavailable)).To(BeTrue())
 	g.Expect(p.Counters().Refused).To(Equal(int64(1)))
 }
+
+type connectionKey struct{}
+
+// Guards against one timeout per idle connection after all of them went silent.
+func TestSilentConnections(t *testing.T) {
+	g := NewWithT(t)
+	const connections = 4
+	var opened, silentUpTo atomic.Int64
+	var together sync.WaitGroup
+	together.Add(connections)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		number := r.Context().Value(connectionKey{}).(int64)
+		switch {
+		case silentUpTo.Load() == 0: // warm-up: each request needs its own connection
+			together.Done()
+			together.Wait()
+		case number <= silentUpTo.Load():
+			<-r.Context().Done()
+		}
+		_, _ = w.Write([]byte(`{"key":"k"}`))
+	}))
+	server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, opened.Add(1))
+	}
+	server.Start()
+	defer server.Close()
+	table := platformhttp.NewTableService(platformhttp.Config{Address: server.URL, Timeout: 300 * time.Millisecond})
+	var warm sync.WaitGroup
+	for range connections {
+		warm.Go(func() { _, _ = table.Read(t.Context(), "k") })
+	}
+	warm.Wait()
+	silentUpTo.Store(opened.Load())
+	_, err := table.Read(t.Context(), "k")
+	g.Expect(errors.Is(err, platform.ErrUnavailable)).To(BeTrue())
+	_, err = table.Read(t.Context(), "k")
+	g.Expect(err).NotTo(HaveOccurred())
+}
