Strengthen the tests of generations

Trial changes of the code showed that no test failed when a relayed event was not checked, a foreign stream was cancelled or not_run followed a lost start. A start that is answered as a probe counts as one that may have run.

--- a/internal/generation/fault_test.go
+++ b/internal/generation/fault_test.go
@@ -43,12 +43,12 @@
 		w.serving(c.request).Kill()
 	}},
 	{"entry instance lost", func(w *world, c *caller) {
-		w.severed[0].off.Store(true)
+		w.severed[0].Sever(true)
 		w.links.sever()
 		c.connect(1, true)
 	}},
 	{"entry instance and engine lost", func(w *world, c *caller) {
-		w.severed[0].off.Store(true)
+		w.severed[0].Sever(true)
 		w.links.sever()
 		w.serving(c.request).Kill()
 		c.connect(1, true)
--- a/internal/generation/harness_test.go
+++ b/internal/generation/harness_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,7 +40,7 @@
 	router    *upstreamtest.FakeRouter
 	nonces    []uint64
 	instances []opener
-	severed   []*severableDialer
+	severed   []*upstreamtest.SeverableDialer
 	links     *fakeLinks
 	registry  []*generation.Registry
 }
@@ -57,7 +56,7 @@
 	w.router = upstreamtest.NewFakeRouter(w.engines...)
 	links := newFakeLinks()
 	for i := range 2 {
-		dialer := &severableDialer{EngineDialer: w.router}
+		dialer := upstreamtest.NewSeverableDialer(w.router)
 		config := generation.Config{
 			Instance: contract.InstanceID(fmt.Sprintf("i%d", i+1)), Router: w.router, Dialer: dialer,
 		}
@@ -218,55 +217,3 @@
 	}
 	return ""
 }
-
-// severableDialer cuts one instance off from all engines.
-type severableDialer struct {
-	upstream.EngineDialer
-	off atomic.Bool
-}
-
-// Engine returns the engine, or one that is unreachable.
-func (d *severableDialer) Engine(target upstream.Target) upstream.Engine {
-	return severableEngine{Engine: d.EngineDialer.Engine(target), dialer: d}
-}
-
-type severableEngine struct {
-	upstream.Engine
-	dialer *severableDialer
-}
-
-func (e severableEngine) Start(ctx context.Context, r upstream.StreamRequest) (upstream.Stream, error) {
-	if e.dialer.off.Load() {
-		return nil, upstream.ErrUnreachable
-	}
-	s, err := e.Engine.Start(ctx, r)
-	return severableStream{s, e.dialer}, err
-}
-
-func (e severableEngine) Resume(ctx context.Context, id upstream.StreamID, p contract.Position) (upstream.Stream, error) {
-	if e.dialer.off.Load() {
-		return nil, upstream.ErrUnreachable
-	}
-	s, err := e.Engine.Resume(ctx, id, p)
-	return severableStream{s, e.dialer}, err
-}
-
-func (e severableEngine) Cancel(ctx context.Context, id upstream.StreamID) error {
-	if e.dialer.off.Load() {
-		return upstream.ErrUnreachable
-	}
-	return e.Engine.Cancel(ctx, id)
-}
-
-type severableStream struct {
-	upstream.Stream
-	dialer *severableDialer
-}
-
-func (s severableStream) Next(ctx context.Context) (upstream.StreamEvent, error) {
-	event, err := s.Stream.Next(ctx)
-	if s.dialer.off.Load() {
-		return upstream.StreamEvent{}, upstream.ErrConnectionLost
-	}
-	return event, err
-}
--- a/internal/generation/machine.go
+++ b/internal/generation/machine.go
@@ -169,6 +169,7 @@
 	case InputUnreachable:
 		m.refused(now, a, l, upstream.ObservedUnreachable)
 	case InputStreamNotFound, InputPrefixMismatch:
+		m.mayHaveRun = true
 		m.endAttempt(now, a, a.observation(upstream.ObservedCancelled), in.Kind == InputPrefixMismatch)
 	default:
 		contract.Invariant(false, "input kind unknown", "kind", in.Kind)
--- a/internal/generation/machine_test.go
+++ b/internal/generation/machine_test.go
@@ -113,6 +113,23 @@
 	}
 }
 
+// Guards against a rival that is ended, or joined by a third attempt, when the
+// old attempt fails for good, and against an attempt that is not probed again
+// after its probe has won.
+func TestMachineSurvivorIsKept(t *testing.T) {
+	b := newBench(t, func(s *generation.MachineSettings) { s.Policy = configuration.ResumeFast })
+	b.step(generation.Input{Kind: generation.InputBegin})
+	b.event(1, 1, 0)
+	b.g.Expect(b.event(1, 1, 0)).To(BeEmpty(), "a repeated token ends nothing")
+	b.tick()
+	b.event(1, 2, 1)
+	b.g.Expect(kinds(b.tick())).To(Equal([]generation.ActionKind{generation.ActionProbe, generation.ActionStart}))
+	b.step(generation.Input{Kind: generation.InputLost, Attempt: 1, Connection: 2})
+	actions := b.step(generation.Input{Kind: generation.InputUnreachable, Attempt: 1, Connection: 4})
+	b.g.Expect(kinds(actions)).To(Equal([]generation.ActionKind{generation.ActionEnd}))
+	b.g.Expect(kinds(b.event(3, 5, 2))).To(ContainElement(generation.ActionDeliver))
+}
+
 // Guards against a suspected content on two engines at a time (P9): with policy
 // fast it is probed first, and its next attempt waits for the cancellation.
 func TestMachineSuspectNeverRunsTwice(t *testing.T) {
@@ -181,8 +198,16 @@
 				s.Adopt = &generation.AdoptedStream{Attempt: 1, Stream: "s-1", Upstream: "u"}
 			})
 			b.step(begin)
-			return b.step(lane(generation.InputStreamNotFound, 1, 1))
+			actions := b.step(lane(generation.InputPrefixMismatch, 1, 1))
+			b.g.Expect(actions[0].Cancel).To(BeFalse(), "the stream may belong to another request")
+			return actions
 		}, contract.Verdict{Outcome: contract.Interrupted, Reason: contract.ReasonNotHeld}},
+		"no upstream for a caller that holds tokens": {func(b *bench) []generation.Action {
+			*b = *newBench(t, func(s *generation.MachineSettings) { s.Next = 5 })
+			b.m.Step(b.now, begin)
+			b.now = b.now.Add(20 * time.Second)
+			return b.step(generation.Input{Kind: generation.InputNoPlacement, Attempt: 1})
+		}, contract.Verdict{}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -202,7 +227,7 @@
 			Request: machineRequest, StreamName: "s", Policy: policy, MaxAttempts: 4, TextHeld: true,
 			QueueUntil: now.Add(time.Second), Deadline: now.Add(time.Minute), FirstToken: time.Second,
 		})
-		w := &watcher{alive: map[contract.AttemptNumber]bool{}}
+		w := &watcher{alive: map[contract.AttemptNumber]bool{}, refused: map[generation.ConnectionID]bool{}}
 		deaths := 0
 		w.feed(t, m, now, generation.Input{Kind: generation.InputBegin})
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
@@ -228,6 +253,7 @@
 	starts   []generation.Action
 	lanes    [][2]int // attempt and lane of each connection opened
 	alive    map[contract.AttemptNumber]bool
+	refused  map[generation.ConnectionID]bool
 }
 
 func (w *watcher) draw(t *rapid.T) generation.Input {
@@ -248,6 +274,10 @@
 }
 
 func (w *watcher) feed(t *rapid.T, m *generation.Machine, now time.Time, in generation.Input) {
+	switch in.Kind {
+	case generation.InputRefused, generation.InputLeaving, generation.InputUnreachable:
+		w.refused[in.Connection] = true
+	}
 	actions, wake := m.Step(now, in)
 	if !m.Finished() && !wake.After(now) {
 		t.Fatalf("wake %v is not after %v", wake, now)
@@ -299,6 +329,10 @@
 		if len(w.alive) > 0 {
 			t.Fatalf("attempts %v are alive after the end", w.alive)
 		}
+		ran := slices.ContainsFunc(w.starts, func(s generation.Action) bool { return !w.refused[s.Connection] })
+		if ran && a.Verdict.Outcome == contract.NotRun {
+			t.Fatalf("not_run after an attempt that was not refused")
+		}
 	}
 	// A rival may be alive from before the first crash; no new one may start after it.
 	rival := a.Kind == generation.ActionStart && len(w.alive) > 1
--- a/internal/generation/registry_test.go
+++ b/internal/generation/registry_test.go
@@ -135,7 +135,10 @@
 		w.links.sever()
 		c := w.caller("request")
 		c.locator = other.locator
+		before := time.Now()
 		g.Expect(c.connect(1, false)).To(BeTrue())
+		c.read(1)
+		g.Expect(time.Since(before)).To(Equal(testPrefill), "the foreign stream was tried first")
 		c.readAll()
 		c.sub.Close()
 		other.readAll()
@@ -158,7 +161,7 @@
 				w.serving(c.request).Kill()
 				c.read(20)
 			}
-			w.severed[0].off.Store(true)
+			w.severed[0].Sever(true)
 			w.links.sever()
 			g.Expect(c.connect(1, false)).To(BeTrue())
 			c.readAll()
@@ -176,7 +179,7 @@
 		c := w.caller("request")
 		c.connect(0, false)
 		c.read(10)
-		w.severed[0].off.Store(true)
+		w.severed[0].Sever(true)
 		w.links.sever()
 		w.serving(c.request).Kill()
 		g.Expect(c.connect(1, false)).To(BeTrue())
@@ -202,6 +205,8 @@
 				g.Expect(c.end.Verdict.Outcome).To(Equal(contract.Interrupted))
 			}
 			g.Expect(c.texts).To(HaveLen(10))
+			synctest.Wait()
+			g.Expect(w.registry[1].Active()).To(BeZero())
 		}
 	})
 }
--- a/internal/generation/relay_test.go
+++ b/internal/generation/relay_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 
 	"foxtailhub.example/foxtailhub/internal/configuration"
@@ -54,8 +55,8 @@
 	faults := map[string]func(w *world){
 		"link cut":                  func(w *world) { w.links.sever() },
 		"link silent":               func(w *world) { w.links.silence() },
-		"holder cut off as well":    func(w *world) { w.links.sever(); w.severed[0].off.Store(true) },
-		"holder silent and cut off": func(w *world) { w.links.silence(); w.severed[0].off.Store(true) },
+		"holder cut off as well":    func(w *world) { w.links.sever(); w.severed[0].Sever(true) },
+		"holder silent and cut off": func(w *world) { w.links.silence(); w.severed[0].Sever(true) },
 	}
 	for name, fault := range faults {
 		for _, received := range []bool{false, true} {
@@ -137,11 +138,25 @@
 
 func (f *scriptedFrames) Close() {}
 
+// relayFrame encodes an event of a peer.
+func relayFrame(kind generation.EventKind, offset int64, digest contract.PrefixDigest, text string) []byte {
+	frame := generation.RelayFrame{Event: &generation.Event{
+		Kind: kind, Position: contract.Position{Offset: offset, Digest: digest}, Text: text,
+	}}
+	encoded, err := cbor.Marshal(frame)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
+
 // Guards against a peer's message that does not fit the caller's text: it must
 // not reach the caller.
 func FuzzRelayFrame(f *testing.F) {
-	f.Add([]byte{0xa0}, []byte{0xff})
-	f.Add([]byte("\xa1\x01\xa2\x01\x65token\x02\xa2\x01\x01\x02\x60"), []byte{})
+	start, digest := contract.Start().Digest, contract.DigestOf([]string{"wrong"})
+	f.Add(relayFrame(generation.EventStart, 0, start, ""), relayFrame(generation.EventToken, 1, start, "wrong"))
+	f.Add(relayFrame(generation.EventStart, 0, start, ""), relayFrame(generation.EventToken, 2, digest, "wrong"))
+	f.Add(relayFrame(generation.EventStart, 3, start, ""), []byte{0xff})
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(t, configuration.ResumeSparing, false)
@@ -152,19 +167,16 @@
 				Peers:     func() []contract.InstanceID { return []contract.InstanceID{"peer"} },
 			})
 			w.registry = append(w.registry, r)
-			request := w.request("key")
-			request.Resume = &generation.Resume{Position: contract.Start()}
-			sub, _, ok := r.Open(t.Context(), request)
-			if !ok {
+			c := w.caller("key")
+			c.request.Resume = &generation.Resume{Position: c.position}
+			var ok bool
+			if c.sub, _, ok = r.Open(t.Context(), c.request); !ok {
 				return
 			}
-			defer sub.Close()
-			c := &caller{w: w, request: request, sub: sub, position: contract.Start()}
+			defer c.sub.Close()
 			c.read(testTokens)
-			for i, text := range c.texts {
-				if contract.DigestOf(c.texts[:i+1]) != c.position.Digest && i+1 == len(c.texts) {
-					t.Fatalf("token %q does not fit its position", text)
-				}
+			if c.position.Offset != int64(len(c.texts)) || c.position.Digest != contract.DigestOf(c.texts) {
+				t.Fatalf("the caller's text %q does not have position %v", c.texts, c.position)
 			}
 		})
 	})
--- a/internal/generation/soak_test.go
+++ b/internal/generation/soak_test.go
@@ -105,7 +105,7 @@
 			w.injectFault(random)
 		case <-done:
 			for _, d := range w.severed {
-				d.off.Store(false)
+				d.Sever(false)
 			}
 			return
 		}
@@ -139,8 +139,8 @@
 		time.AfterFunc(recovery, func() { e.Refuse(false) })
 	case 9:
 		d := w.severed[random.IntN(len(w.severed))]
-		d.off.Store(true)
-		time.AfterFunc(recovery, func() { d.off.Store(false) })
+		d.Sever(true)
+		time.AfterFunc(recovery, func() { d.Sever(false) })
 	}
 }
 
