--- a/internal/link/connection.go
+++ b/internal/link/connection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,7 @@
 	readTimeout  = 5 * time.Second  // for a whole request to arrive
 	writeTimeout = 10 * time.Second // for an answer to be taken
 	maxTimeouts  = 3                // requests in a row without an answer, after which a connection is replaced
+	creditBatch  = 16               // streams whose credit is returned to the peer at a time
 	maxErrorText = 512              // bytes of an error that is sent to a peer
 )
 
@@ -50,6 +52,9 @@
 	timeouts atomic.Int64  // own requests without an answer since the last frame that arrived
 	answered atomic.Bool   // a frame has arrived
 	slots    chan struct{} // own requests that run
+
+	mu       sync.Mutex     // guards finished
+	finished []*quic.Stream // streams of the peer whose credit was not returned yet
 }
 
 func newConnection(q *QUIC, peer contract.InstanceID, conn *quic.Conn, dialled bool, release func()) *connection {
@@ -82,6 +87,8 @@
 	stats := c.conn.ConnectionStats()
 	c.link.counters.wireIn.Add(int64(stats.BytesReceived))
 	c.link.counters.wireOut.Add(int64(stats.BytesSent))
+	c.link.counters.packetsIn.Add(int64(stats.PacketsReceived))
+	c.link.counters.packetsOut.Add(int64(stats.PacketsSent))
 	if c.release != nil {
 		c.release()
 	}
@@ -113,12 +120,30 @@
 		c.link.running.Go(func() {
 			defer c.done()
 			c.handle(stream)
+			c.returnCredit(stream)
 		})
 	}
 	c.link.detach(c)
 	c.finish()
 }
 
+// returnCredit allows the peer to open further streams. Credit is returned in
+// batches: the library sends it in a packet of its own, and with the
+// acknowledgement it would cost two of five packets of an exchange.
+func (c *connection) returnCredit(stream *quic.Stream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finished = append(c.finished, stream)
+	if len(c.finished) < creditBatch {
+		return
+	}
+	for _, s := range c.finished {
+		s.ReleaseStreamCredit()
+	}
+	clear(c.finished)
+	c.finished = c.finished[:0]
+}
+
 // handle reads one request and answers it. Whatever is wrong with the request
 // ends this stream only.
 func (c *connection) handle(stream *quic.Stream) {
@@ -127,6 +152,9 @@
 	var request requestFrame
 	n, err := readFrame(stream, &request)
 	q.counters.in(n)
+	if err == nil {
+		err = readEnd(stream)
+	}
 	if err != nil {
 		if !endedByPeer(err) {
 			q.refusedMessage(c.peer, "", err)
@@ -189,10 +217,23 @@
 		abort(stream, streamCancelled)
 		return
 	}
-	stream.CancelRead(streamCancelled) // nothing follows the request
 	_ = stream.Close()
 }
 
+// readEnd reads the end of a stream, which usually has arrived with the last
+// frame. Cancelling the stream instead would cost a packet per request.
+func readEnd(stream io.Reader) error {
+	var rest [1]byte
+	n, err := stream.Read(rest[:])
+	if n > 0 {
+		return errors.Wrap(ErrMalformed, "bytes follow the last frame")
+	}
+	if err == io.EOF {
+		return nil
+	}
+	return err
+}
+
 // endedByPeer reports whether a read failed because the peer cancelled its
 // request or the connection ended, which is not a fault of the message.
 func endedByPeer(err error) bool {
--- a/internal/link/quic.go
+++ b/internal/link/quic.go
@@ -176,6 +176,7 @@
 		MaxIdleTimeout:                 silenceTimeout,
 		KeepAlivePeriod:                keepAlive,
 		MaxIncomingStreams:             maxStreams,
+		RequireStreamCreditRelease:     true,
 		MaxIncomingUniStreams:          -1,
 		InitialStreamReceiveWindow:     receiveWindow,
 		MaxStreamReceiveWindow:         maxStreamWindow,
--- a/internal/link/request.go
+++ b/internal/link/request.go
@@ -44,7 +44,9 @@
 	stop := context.AfterFunc(ctx, func() { abort(stream, streamCancelled) })
 	defer stop()
 	frame, err := c.readAnswer(stream)
-	stream.CancelRead(streamCancelled)
+	if readEnd(stream) != nil {
+		stream.CancelRead(streamCancelled)
+	}
 	return frame.Body, err
 }
 
@@ -88,7 +90,9 @@
 		frame, err := c.readAnswer(f.stream)
 		if err != nil || frame.End {
 			f.err = err
-			f.stream.CancelRead(streamCancelled)
+			if err != nil || readEnd(f.stream) != nil {
+				f.stream.CancelRead(streamCancelled)
+			}
 			return
 		}
 		select {
--- a/internal/link/stats.go
+++ b/internal/link/stats.go
@@ -6,6 +6,7 @@
 	messagesIn, messagesOut             atomic.Int64
 	bytesIn, bytesOut                   atomic.Int64
 	wireIn, wireOut                     atomic.Int64 // of connections that have ended
+	packetsIn, packetsOut               atomic.Int64 // of connections that have ended
 	dials, dialFailures, accepted       atomic.Int64
 	silent                              atomic.Int64
 	refusedConnections, refusedMessages atomic.Int64
@@ -26,6 +27,7 @@
 	MessagesIn, MessagesOut int64 // frames
 	BytesIn, BytesOut       int64 // of frames
 	WireIn, WireOut         int64 // bytes of QUIC packets, without UDP and IP headers
+	PacketsIn, PacketsOut   int64 // QUIC packets
 	Dials, DialFailures     int64 // attempts to connect, and those that failed
 	Accepted                int64 // connections that peers dialled
 	Silent                  int64 // connections replaced because they were silent
@@ -41,6 +43,7 @@
 		MessagesIn: c.messagesIn.Load(), MessagesOut: c.messagesOut.Load(),
 		BytesIn: c.bytesIn.Load(), BytesOut: c.bytesOut.Load(),
 		WireIn: c.wireIn.Load(), WireOut: c.wireOut.Load(),
+		PacketsIn: c.packetsIn.Load(), PacketsOut: c.packetsOut.Load(),
 		Dials: c.dials.Load(), DialFailures: c.dialFailures.Load(), Accepted: c.accepted.Load(),
 		Silent: c.silent.Load(), RefusedConnections: c.refusedConnections.Load(), RefusedMessages: c.refusedMessages.Load(),
 	}
@@ -51,6 +54,8 @@
 			wire := conn.conn.ConnectionStats()
 			s.WireIn += int64(wire.BytesReceived)
 			s.WireOut += int64(wire.BytesSent)
+			s.PacketsIn += int64(wire.PacketsReceived)
+			s.PacketsOut += int64(wire.PacketsSent)
 			s.Connections++
 		}
 	}
--- a/internal/membership/idle_test.go
+++ b/internal/membership/idle_test.go
@@ -117,6 +117,9 @@
 	return float64(s.HeapAlloc + s.StackInuse)
 }
 
+// ipHeaders is the size of the IPv4 and UDP headers of a packet.
+const ipHeaders = 28
+
 // BenchmarkIdle measures what heartbeats over QUIC cost an instance with 8 peers.
 func BenchmarkIdle(b *testing.B) {
 	const instances, period = 9, 10 * time.Second
@@ -130,18 +133,24 @@
 		}
 		return true
 	})
-	wire := func() (sum int64) {
+	total := func() (bytes, packets, messages int64) {
 		for _, in := range all {
 			s := in.transport.Stats()
-			sum += s.WireIn + s.WireOut
+			bytes += s.WireIn + s.WireOut
+			packets += s.PacketsIn + s.PacketsOut
+			messages += s.MessagesIn + s.MessagesOut
 		}
-		return sum
+		return bytes, packets, messages
 	}
 	for b.Loop() {
-		began, processor, bytes := time.Now(), processorTime(), wire()
+		began, processor := time.Now(), processorTime()
+		bytesBefore, packetsBefore, messagesBefore := total()
 		waitUntil(b, func() bool { return time.Since(began) > period })
 		seconds := time.Since(began).Seconds() * instances
-		b.ReportMetric(float64(wire()-bytes)/seconds, "wire-B/s/instance")
+		bytes, packets, messages := total()
+		bytes, packets, messages = bytes-bytesBefore, packets-packetsBefore, messages-messagesBefore
+		b.ReportMetric(float64(bytes+packets*ipHeaders)/seconds, "wire-B/s/instance")
+		b.ReportMetric(float64(packets)/float64(messages), "packets/message")
 		b.ReportMetric((processorTime()-processor).Seconds()/seconds*100, "%core/instance")
 	}
 	b.ReportMetric((memory()-empty)/instances/1024, "KiB/instance")
