--- a/internal/dispatch/latency.go
+++ b/internal/dispatch/latency.go
@@ -10,7 +10,7 @@
 )
 
 // Bounds of the latency histograms. One histogram of this range and precision
-// takes about 13 KB; a service has two windows.
+// takes 2.2 KB (Histogram.ByteSize); a service has two windows.
 const (
 	latencyMin      = int64(100) // microseconds
 	latencyMax      = int64(60_000_000)
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -20,6 +20,9 @@
 	claimRounds = 3
 	// inProgressRetry is the retry-after time while another submission runs.
 	inProgressRetry = time.Second
+	// refusedRetry is the retry-after time when upstreams refused the call and
+	// the retry budget is used up. The budget's floor is one retry per second.
+	refusedRetry = time.Second
 )
 
 // onceRunner runs calls that are not idempotent.
@@ -149,7 +152,7 @@
 		}
 		s.avoid = append(s.avoid, placement.Target.ID)
 		if !o.config.Budget.Take() {
-			return o.giveUp(s, contract.ReasonUpstreamRefused, time.Second)
+			return o.giveUp(s, contract.ReasonUpstreamRefused, refusedRetry)
 		}
 	}
 }
--- a/internal/dispatch/once_test.go
+++ b/internal/dispatch/once_test.go
@@ -16,8 +16,10 @@
 	"foxtailhub.example/foxtailhub/internal/contract"
 	"foxtailhub.example/foxtailhub/internal/dispatch"
 	"foxtailhub.example/foxtailhub/internal/naive"
+	"foxtailhub.example/foxtailhub/internal/platform"
 	"foxtailhub.example/foxtailhub/internal/platform/platformtest"
 	"foxtailhub.example/foxtailhub/internal/upstream"
+	"foxtailhub.example/foxtailhub/internal/workspace"
 )
 
 func decode(data []byte) dispatch.Record {
@@ -28,6 +30,10 @@
 	return r
 }
 
+func commit(table *platformtest.Table, key, value string) {
+	_, _ = table.Commit(context.Background(), []platform.Transaction{{Writes: []platform.Write{{Key: key, Value: []byte(value)}}}})
+}
+
 // retries sends the same request at two instances in turn, as a caller that
 // got no answer in time does, and returns the answers.
 func retries(first, second caller, request dispatch.Request, n int) []dispatch.Result {
@@ -137,6 +143,15 @@
 		s, other := newServers(1), newServers(1)
 		request := booking(newKey())
 		pause := 4 * time.Second // before the deadline: the owner still sends
+		first := newServers(1)
+		first.beforeRun = func() { time.Sleep(pause) }
+		go naive.NewCaller(config(nil, first)).Call(context.Background(), request)
+		naive.NewCaller(config(nil, other)).Call(context.Background(), request)
+		time.Sleep(pause + time.Second)
+		g.Expect(first.executions(request.ID.Key)+other.executions(request.ID.Key)).To(Equal(2), "the naive version must show the fault")
+		other = newServers(1)
+		request = booking(newKey())
+
 		s.beforeRun = func() { time.Sleep(pause) }
 		owner, second := start(t, config(table, s)), start(t, config(table, other))
 
@@ -292,8 +307,16 @@
 		g.Expect(verdict.RetryAfter).To(Equal(time.Minute))
 		g.Expect(table.Rows()).To(HaveLen(1))
 
+		// Old records of both key forms and of another workspace.
+		for _, key := range []string{"clinic/" + contract.NewKey(), "atelier/" + newKey()} {
+			commit(table, "dispatch/"+key, `{"state":"dispatched"}`)
+		}
 		time.Sleep(26 * time.Hour) // sweeps run every few minutes
 		g.Expect(table.Rows()).To(BeEmpty())
+		commit(table, "dispatch/clinic/"+newKey(), "{}")
+		commit(table, "other", "{}")
+		time.Sleep(24 * time.Hour)
+		g.Expect(table.Rows()).To(HaveLen(2), "records within the retention time and other rows stay")
 		g.Expect(c.Call(context.Background(), request).Verdict.Reason).To(Equal(contract.ReasonKeyExpired))
 		g.Expect(s.executions(request.ID.Key)).To(Equal(1))
 	})
@@ -342,3 +365,74 @@
 		g.Expect(table.Commits()).To(BeNumerically("<=", 12))
 	})
 }
+
+// Guards against outcomes that are lost at a shutdown, and against a flush that
+// claims success without the store.
+func TestFlush(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := platformtest.NewTable()
+		s := newServers(1)
+		s.behave(func(context.Context, string) behaviour {
+			table.Set(platformtest.Faults{Unavailable: true}) // after the record, before the outcome
+			return behaviour{status: 201}
+		})
+		c := start(t, config(table, s))
+		request := booking(newKey())
+		g.Expect(c.Call(context.Background(), request).Response.Status).To(Equal(201))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		g.Expect(c.Flush(ctx)).NotTo(Succeed())
+		table.Set(platformtest.Faults{})
+		g.Expect(c.Flush(context.Background())).To(Succeed())
+		g.Expect(storedRecord(table).State).To(Equal(dispatch.Completed))
+		g.Expect(storedRecord(table).Status).To(Equal(201))
+	})
+}
+
+// Guards against a difference between the naive and the real version where no
+// fault excuses it.
+func TestSameAnswersWithoutFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newServers(2)
+		s.behave(func(_ context.Context, key string) behaviour {
+			return behaviour{answer: time.Millisecond, status: 200 + len(key)%3, content: []byte(key)}
+		})
+		simple, c := naive.NewCaller(config(nil, s)), start(t, config(platformtest.NewTable(), s))
+		for i := range 20 {
+			for _, request := range []dispatch.Request{booking(newKey()), stock()} {
+				request.ID.Key += fmt.Sprint(i)
+				expected := simple.Call(context.Background(), request)
+				g.Expect(c.Call(context.Background(), request)).To(Equal(expected))
+			}
+		}
+	})
+}
+
+// Guards against a call that runs although admission refused it.
+func TestAdmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := platformtest.NewTable()
+		s := newServers(1)
+		s.behave(func(context.Context, string) behaviour { return behaviour{answer: time.Second} })
+		c := config(table, s)
+		c.Admitter = workspace.NewAdmission(workspace.Config{
+			Configuration: c.Configuration,
+			Capacity:      func(contract.ServiceID) int { return 1 },
+		})
+		caller := start(t, c)
+		caller.Call(context.Background(), booking(newKey()))
+		go caller.Call(context.Background(), booking(newKey()))
+		time.Sleep(100 * time.Millisecond)
+		request := booking(newKey())
+		request.Deadline = time.Now().Add(500 * time.Millisecond)
+		verdict := caller.Call(context.Background(), request).Verdict
+		held := 1005 * time.Millisecond // the answer and the batch delay of the record
+		g.Expect(verdict).To(Equal(contract.Verdict{Outcome: contract.NotRun, Reason: contract.ReasonOverloaded, RetryAfter: held}))
+		time.Sleep(time.Minute)
+		g.Expect(s.executions(request.ID.Key)).To(BeZero())
+		g.Expect(caller.InFlight()).To(BeZero())
+	})
+}
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -14,6 +14,7 @@
 	open   map[*conn]struct{}
 	silent []net.Conn    // kept open so that the peer sees no end of the connection
 	gate   chan struct{} // closed when a pause ends; nil without a pause
+	closed bool
 }
 
 // NewListener returns a Listener over inner.
@@ -21,7 +22,7 @@
 	return &Listener{Listener: inner, open: map[*conn]struct{}{}}
 }
 
-// Accept returns the next connection. During a pause it waits.
+// Accept returns the next connection.
 func (l *Listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
 	if err != nil {
@@ -74,6 +75,7 @@
 	l.mu.Lock()
 	silent := l.silent
 	l.silent = nil
+	l.closed = true
 	l.mu.Unlock()
 	for _, c := range silent {
 		_ = c.Close()
@@ -100,13 +102,17 @@
 	return l.gate
 }
 
-func (l *Listener) forget(c *conn, silent bool) {
+// forget drops a connection that its server closed. It returns false if the
+// connection must stay open towards its peer.
+func (l *Listener) forget(c *conn, silent bool) (end bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.open, c)
-	if silent {
-		l.silent = append(l.silent, c.Conn)
+	if !silent || l.closed {
+		return true
 	}
+	l.silent = append(l.silent, c.Conn)
+	return false
 }
 
 // conn is a connection of a Listener.
@@ -180,12 +186,9 @@
 	var err error
 	c.once.Do(func() {
 		close(c.closed)
-		silent := c.isSilent()
-		c.listener.forget(c, silent)
-		if silent {
-			return
+		if c.listener.forget(c, c.isSilent()) {
+			err = c.Conn.Close()
 		}
-		err = c.Conn.Close()
 	})
 	return err
 }
--- a/internal/standin/service_test.go
+++ b/internal/standin/service_test.go
@@ -131,3 +131,30 @@
 	r.fault(g, standin.Fault{Cut: true})
 	g.Expect(<-failed).To(MatchError(upstream.ErrConnectionLost))
 }
+
+// Guards against a pause that loses or reorders what was sent meanwhile.
+func TestListenerPause(t *testing.T) {
+	g := NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	listener := standin.NewListener(inner)
+	defer func() { _ = listener.Close() }()
+	listener.Pause()
+	client, err := net.Dial("tcp", inner.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = client.Close() }()
+	server, err := listener.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = server.Close() }()
+	_, err = client.Write([]byte("one"))
+	g.Expect(err).NotTo(HaveOccurred())
+	received := make(chan string, 1)
+	go func() {
+		buffer := make([]byte, 3)
+		_, _ = server.Read(buffer)
+		received <- string(buffer)
+	}()
+	g.Consistently(received).WithTimeout(50 * time.Millisecond).ShouldNot(Receive())
+	listener.Resume()
+	g.Eventually(received).WithTimeout(10 * time.Second).Should(Receive(Equal("one")))
+}
