--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 
 clean:
 	rm -rf $(BIN) .demo
+
+demo:
+	scripts/demo.sh
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -180,7 +180,8 @@
 		advance(3 * time.Second)
 		c.network.SetLoss(0.1)
 		for i := range instances / domains {
-			c.crash(c.nodes[i*domains])
+			lost, _ := nodes.Load(memberNumber(i * domains).ID)
+			c.crash(lost.(*node))
 		}
 		c.nodes[0].adopt(9)
 		advance(3 * time.Second)
--- /dev/null
+++ b/internal/testcluster/cluster.go
@@ -0,0 +1,340 @@
+package testcluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/client"
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/settings"
+	"foxtailhub.example/foxtailhub/internal/standin"
+	"foxtailhub.example/foxtailhub/internal/tlskeys"
+)
+
+// Names that every cluster uses.
+const (
+	Region         = "hokkaido"
+	Workspace      = contract.WorkspaceID("shop-a")
+	OtherWorkspace = contract.WorkspaceID("shop-b")
+	Generations    = contract.ServiceID("care-guides")     // engines
+	Charges        = contract.ServiceID("renewal-charges") // plain service, not idempotent
+	Lookups        = contract.ServiceID("order-lookups")   // plain service, idempotent
+
+	model        = "guide-drafter"
+	modelVersion = "2026-11"
+	readyTimeout = 20 * time.Second
+	pollInterval = 20 * time.Millisecond
+)
+
+var domains = []contract.FailureDomainID{"sapporo", "asahikawa", "obihiro"}
+
+// Options describe a cluster. Zero values take the defaults.
+type Options struct {
+	Instances     int // default 3
+	Engines       int // default 3
+	Services      int // default 1
+	Slots         int // of each engine, default 8
+	TokenInterval time.Duration
+	ResumePolicy  configuration.ResumePolicy // default sparing
+	Adjust        func(*settings.Settings)   // changes the settings of each instance; may be nil
+	Document      func(*configuration.Document)
+	Binaries      string // directory of the built programs; "": they are built
+}
+
+// Cluster is a set of running processes.
+type Cluster struct {
+	Platform  *Process
+	Engines   []*Process
+	Services  []*Process
+	Instances []*Process
+
+	options   Options
+	dir       string
+	binaries  string
+	settings  []*settings.Settings
+	authority *tlskeys.Authority
+}
+
+// Start starts all processes and puts a configuration in force. dir must be an
+// empty directory; logs, keys and settings go there.
+func Start(ctx context.Context, dir string, options Options) (*Cluster, error) {
+	c := &Cluster{options: withDefaults(options), dir: dir, binaries: options.Binaries}
+	if err := c.start(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func withDefaults(o Options) Options {
+	for field, value := range map[*int]int{&o.Instances: 3, &o.Engines: 3, &o.Services: 1, &o.Slots: 8} {
+		if *field == 0 {
+			*field = value
+		}
+	}
+	if o.TokenInterval == 0 {
+		o.TokenInterval = 10 * time.Millisecond
+	}
+	if o.ResumePolicy == "" {
+		o.ResumePolicy = configuration.ResumeSparing
+	}
+	return o
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	if err := c.build(ctx); err != nil {
+		return err
+	}
+	if err := c.startStandins(); err != nil {
+		return err
+	}
+	if err := c.prepareInstances(); err != nil {
+		return err
+	}
+	for i := range c.settings {
+		if err := c.StartInstance(i); err != nil {
+			return err
+		}
+	}
+	if err := c.AwaitReady(ctx, c.Instances...); err != nil {
+		return err
+	}
+	return c.putDocument(ctx)
+}
+
+// build builds the programs unless a directory with them was given.
+func (c *Cluster) build(ctx context.Context) error {
+	if c.binaries != "" {
+		return nil
+	}
+	c.binaries = filepath.Join(c.dir, "bin")
+	command := exec.CommandContext(ctx, "go", "build", "-o", c.binaries+"/", "foxtailhub.example/foxtailhub/cmd/...")
+	output, err := command.CombinedOutput()
+	return errors.Wrapf(err, "build: %s", output)
+}
+
+func (c *Cluster) startStandins() error {
+	platform, err := c.standin("platform", "platform")
+	if err != nil {
+		return err
+	}
+	c.Platform = platform
+	for i := range c.options.Engines {
+		engine, err := c.StartEngine(i, "")
+		if err != nil {
+			return err
+		}
+		c.Engines = append(c.Engines, engine)
+	}
+	for i := range c.options.Services {
+		service, err := c.standin(fmt.Sprintf("service-%d", i), "service")
+		if err != nil {
+			return err
+		}
+		c.Services = append(c.Services, service)
+	}
+	return nil
+}
+
+// StartEngine starts engine i at an address, a free one if it is empty.
+func (c *Cluster) StartEngine(i int, address string) (*Process, error) {
+	return c.standinAt(fmt.Sprintf("engine-%d", i), address, "-role", "engine",
+		"-models", model+"@"+modelVersion, "-slots", fmt.Sprint(c.options.Slots),
+		"-token-interval", c.options.TokenInterval.String())
+}
+
+func (c *Cluster) standin(name, role string) (*Process, error) {
+	return c.standinAt(name, "", "-role", role)
+}
+
+func (c *Cluster) standinAt(name, address string, args ...string) (*Process, error) {
+	if address == "" {
+		free, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		address = free
+	}
+	return startProcess(c.dir, name, address, filepath.Join(c.binaries, "foxtailhub-standin"), append(args, "-listen", address)...)
+}
+
+// prepareInstances creates keys and settings.
+func (c *Cluster) prepareInstances() error {
+	keys := filepath.Join(c.dir, "keys")
+	authority, err := tlskeys.CreateAuthority(keys)
+	if err != nil {
+		return err
+	}
+	c.authority = authority
+	c.Instances = make([]*Process, c.options.Instances)
+	for i := range c.options.Instances {
+		s, err := c.newSettings(i, keys)
+		if err != nil {
+			return err
+		}
+		c.settings = append(c.settings, s)
+	}
+	return nil
+}
+
+func (c *Cluster) newSettings(i int, keys string) (*settings.Settings, error) {
+	s := settings.Defaults()
+	s.Instance = contract.InstanceID(fmt.Sprintf("instance-%d", i))
+	s.Region = Region
+	s.FailureDomain = domains[i%len(domains)]
+	var err error
+	if s.APIAddress, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	if s.LinkAddress, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	s.TLS = settings.TLS{
+		CertificateFile: filepath.Join(keys, string(s.Instance)+".crt"),
+		KeyFile:         filepath.Join(keys, string(s.Instance)+".key"),
+		AuthorityFile:   filepath.Join(keys, tlskeys.AuthorityFile),
+	}
+	s.Platform.TableAddress = c.Platform.URL()
+	s.Platform.ObjectStoreAddress = c.Platform.URL()
+	s.Platform.ListAddress = c.Platform.URL()
+	s.DrainLingerMS = 500
+	if c.options.Adjust != nil {
+		c.options.Adjust(&s)
+	}
+	issue := tlskeys.Instance{ID: s.Instance, Region: s.Region, Addresses: []netip.Addr{netip.MustParseAddr("127.0.0.1")}}
+	return &s, c.authority.Issue(keys, issue)
+}
+
+// StartInstance starts instance i, again after it ended.
+func (c *Cluster) StartInstance(i int) error {
+	s := c.settings[i]
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(c.dir, string(s.Instance)+".json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return err
+	}
+	c.Instances[i], err = startProcess(c.dir, string(s.Instance), s.APIAddress,
+		filepath.Join(c.binaries, "foxtailhubd"), "-settings", file)
+	return err
+}
+
+// AwaitReady waits until the instances are ready.
+func (c *Cluster) AwaitReady(ctx context.Context, instances ...*Process) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, instance := range instances {
+		err := Await(ctx, func() bool { return status(ctx, instance.URL()+"/readyz") == http.StatusOK })
+		if err != nil {
+			return errors.Wrapf(err, "%s is not ready, see %s", instance.Name, c.LogFile(instance))
+		}
+	}
+	return nil
+}
+
+// LogFile returns the name of a process's log.
+func (c *Cluster) LogFile(p *Process) string { return filepath.Join(c.dir, p.Name+".log") }
+
+// Await waits until a condition holds or ctx ends.
+func Await(ctx context.Context, condition func() bool) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func status(ctx context.Context, url string) int {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close() //nolint:errcheck // only the status is needed
+	return answer.StatusCode
+}
+
+// SetFault sets the fault of a stand-in.
+func SetFault(ctx context.Context, p *Process, fault standin.Fault) error {
+	body, err := json.Marshal(fault)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, p.URL()+"/fault", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close() //nolint:errcheck // the status says it all
+	if answer.StatusCode != http.StatusNoContent {
+		return errors.Newf("set fault of %s: status %d", p.Name, answer.StatusCode)
+	}
+	return nil
+}
+
+// GetJSON reads a JSON answer of a stand-in, such as its counters.
+func GetJSON(ctx context.Context, url string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close() //nolint:errcheck // it was read
+	data, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, into)
+}
+
+// URLs returns the base URLs of the instances.
+func (c *Cluster) URLs() []string {
+	urls := make([]string, len(c.Instances))
+	for i, p := range c.Instances {
+		urls[i] = p.URL()
+	}
+	return urls
+}
+
+// Client returns a client of all instances.
+func (c *Cluster) Client() (*client.Client, error) { return client.New(c.URLs()) }
+
+// Close kills all processes.
+func (c *Cluster) Close() {
+	all := append([]*Process{c.Platform}, c.Engines...)
+	all = append(all, c.Services...)
+	all = append(all, c.Instances...)
+	for _, p := range all {
+		if p != nil {
+			p.kill()
+		}
+	}
+}
