--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,6 @@
 
 demo:
 	scripts/demo.sh
+
+e2e:
+	$(GO) test -tags e2e -timeout 10m ./internal/e2e
--- a/internal/api/event.go
+++ b/internal/api/event.go
@@ -31,7 +31,7 @@
 // KeepAliveInterval is the longest time without a byte on a stream. A caller
 // that receives nothing for several intervals should reconnect: the connection
 // may be dead although no end was seen.
-const KeepAliveInterval = time.Second
+const KeepAliveInterval = 500 * time.Millisecond
 
 // keepAlive is a comment line, which readers of server-sent events skip.
 const keepAlive = ":\n\n"
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailhub.example/foxtailhub/internal/api"
 	"foxtailhub.example/foxtailhub/internal/api/oas"
 )
 
@@ -27,9 +28,10 @@
 
 const (
 	dialTimeout = 2 * time.Second
-	// idleTimeout is three keep-alive intervals of the server: after that the
-	// connection is taken for dead although it is open.
-	idleTimeout = 3 * time.Second
+	// idleTimeout is the silence after which a connection is taken for dead
+	// although it is open. It leaves half of the 3 s in which output must go on
+	// to the reconnection.
+	idleTimeout = 3 * api.KeepAliveInterval
 	// reconnectPause keeps a caller from hammering a balancer whose instances
 	// are all unready.
 	reconnectPause = 100 * time.Millisecond
--- /dev/null
+++ b/internal/e2e/harness_test.go
@@ -0,0 +1,186 @@
+//go:build e2e
+
+package e2e
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/api/oas"
+	"foxtailhub.example/foxtailhub/internal/client"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/standin"
+	"foxtailhub.example/foxtailhub/internal/testcluster"
+)
+
+// resumeBound is the stated bound of resume latency.
+const resumeBound = 3 * time.Second
+
+// testTimeout bounds one test.
+const testTimeout = 90 * time.Second
+
+// world is a running cluster with a client.
+type world struct {
+	*GomegaWithT
+	t       *testing.T
+	ctx     context.Context
+	cluster *testcluster.Cluster
+	client  *client.Client
+}
+
+// start starts a cluster that ends with the test. On failure its directory with
+// the logs is kept and named.
+func start(t *testing.T, options testcluster.Options) *world {
+	t.Helper()
+	g := NewWithT(t)
+	g.SetDefaultEventuallyTimeout(20 * time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	dir, err := os.MkdirTemp("", "foxtailhub-e2e-")
+	g.Expect(err).NotTo(HaveOccurred())
+	options.Binaries = binaries
+	cluster, err := testcluster.Start(ctx, dir, options)
+	if err != nil {
+		t.Fatalf("%v (logs in %s)", err, dir)
+	}
+	t.Cleanup(func() {
+		cluster.Close()
+		cancel()
+		if t.Failed() {
+			t.Logf("logs are in %s", dir)
+			return
+		}
+		_ = os.RemoveAll(dir)
+	})
+	connection, err := cluster.Client()
+	g.Expect(err).NotTo(HaveOccurred())
+	return &world{GomegaWithT: g, t: t, ctx: ctx, cluster: cluster, client: connection}
+}
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "foxtailhub-bin-")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	if err := testcluster.Build(context.Background(), dir); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// run is a generation in progress.
+type run struct {
+	request contract.RequestID
+	prompt  string
+	length  int
+	tokens  atomic.Int64
+	done    chan struct{}
+	result  client.GenerationResult
+	err     error
+}
+
+const seed = 7
+
+// generate starts a generation of length tokens through a client.
+func (w *world) generate(c *client.Client, length int, temperature float64) *run {
+	r := &run{
+		request: contract.RequestID{Workspace: testcluster.Workspace, Key: contract.NewKey()},
+		prompt:  "care guide " + contract.NewKey() + " len=" + strconv.Itoa(length),
+		length:  length,
+		done:    make(chan struct{}),
+	}
+	go func() {
+		defer close(r.done)
+		r.result, r.err = c.Generate(w.ctx, client.Generation{
+			Request: r.request, Service: testcluster.Generations, Prompt: r.prompt, Seed: seed, Temperature: temperature,
+			OnToken: func(contract.Token) { r.tokens.Add(1) },
+		})
+	}()
+	return r
+}
+
+// awaitTokens waits until the caller has received n tokens.
+func (w *world) awaitTokens(r *run, n int64) {
+	w.t.Helper()
+	w.Eventually(r.tokens.Load, 20*time.Second, 5*time.Millisecond).Should(BeNumerically(">=", n))
+}
+
+// finish waits for the end and checks that the answer is whole, of one text, and
+// that it went on within the bound.
+func (w *world) finish(r *run) {
+	w.t.Helper()
+	select {
+	case <-r.done:
+	case <-w.ctx.Done():
+		w.t.Fatal("the generation did not end")
+	}
+	w.Expect(r.err).NotTo(HaveOccurred())
+	w.Expect(r.result.Verdict.Outcome).To(Equal(contract.Completed), "%+v", r.result.Verdict)
+	w.Expect(r.result.Tokens).To(HaveLen(r.length))
+	w.Expect(standin.VerifyText(r.prompt, seed, r.result.Tokens)).To(Succeed())
+	w.t.Logf("longest_gap=%s reconnects=%d", r.result.LongestGap, r.result.Reconnects)
+	w.Expect(r.result.LongestGap).To(BeNumerically("<", resumeBound))
+}
+
+// engineOf returns the engine that runs a generation now, as the time line of an
+// instance says.
+func (w *world) engineOf(r *run, instance *testcluster.Process) int {
+	w.t.Helper()
+	c, err := client.New([]string{instance.URL()})
+	w.Expect(err).NotTo(HaveOccurred())
+	line, err := c.Endpoint().GetTimeline(w.ctx, oas.GetTimelineParams{Request: oas.NewOptString(r.request.String())})
+	w.Expect(err).NotTo(HaveOccurred())
+	engine := -1
+	for _, event := range line.Events {
+		if name, found := strings.CutPrefix(event.Upstream.Or(""), "drafting-"); found && event.Kind == "attempt_started" {
+			engine, err = strconv.Atoi(name)
+			w.Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	w.Expect(engine).To(BeNumerically(">=", 0), "no attempt in the time line")
+	return engine
+}
+
+// clientOf returns a client that prefers the given instances in order.
+func (w *world) clientOf(instances ...int) *client.Client {
+	var urls []string
+	for _, i := range instances {
+		urls = append(urls, w.cluster.Instances[i].URL())
+	}
+	c, err := client.New(urls)
+	w.Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+// executions returns how often a key was executed over all services.
+func (w *world) executions(key string) int {
+	w.t.Helper()
+	count := 0
+	for _, service := range w.cluster.Services {
+		var report standin.ExecutionReport
+		w.Expect(testcluster.GetJSON(w.ctx, service.URL()+"/executions", &report)).To(Succeed())
+		for _, e := range report.Executions {
+			if e.Key == key {
+				count += e.Count
+			}
+		}
+	}
+	return count
+}
+
+func (w *world) logTail(p *testcluster.Process) string {
+	data, _ := os.ReadFile(filepath.Clean(w.cluster.LogFile(p)))
+	return string(data[max(0, len(data)-2000):])
+}
--- a/internal/instance/stream.go
+++ b/internal/instance/stream.go
@@ -53,6 +53,7 @@
 			if err := s.write(event); err != nil {
 				return err
 			}
+			keepAlive.Reset(api.KeepAliveInterval)
 		case <-keepAlive.C:
 			if err := s.flush(api.WriteKeepAlive(s.response)); err != nil {
 				return err
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -120,7 +120,12 @@
 		return nil
 	}
 	c.binaries = filepath.Join(c.dir, "bin")
-	command := exec.CommandContext(ctx, "go", "build", "-o", c.binaries+"/", "foxtailhub.example/foxtailhub/cmd/...")
+	return Build(ctx, c.binaries)
+}
+
+// Build builds all programs into a directory.
+func Build(ctx context.Context, directory string) error {
+	command := exec.CommandContext(ctx, "go", "build", "-o", directory+"/", "foxtailhub.example/foxtailhub/cmd/...")
 	output, err := command.CombinedOutput()
 	return errors.Wrapf(err, "build: %s", output)
 }
