--- a/internal/configuration/accept_test.go
+++ b/internal/configuration/accept_test.go
@@ -179,3 +179,27 @@
 		g.Expect(c.table.commits).To(BeZero())
 	})
 }
+
+// Guards against "accepted" for a version that no majority holds: a majority
+// without the store could go on under the old one for as long as it likes.
+func TestAcceptedOnlyWhenAMajorityHoldsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 3)
+		time.Sleep(settle)
+		for _, n := range c.nodes[1:] {
+			n.way.setCut(true)
+		}
+		c.table.set(func(f *fakeTable) { f.onCommit = func() { c.links.split(0, 1, 1) } })
+		p := workspacePatch("p", 0, "w")
+		g.Expect(c.nodes[0].Submit(t.Context(), p).Status).To(Equal(configuration.StatusUnknown))
+		g.Expect(c.nodes[1].MayAdmit()).To(BeTrue())
+		g.Expect(c.nodes[1].Current().Version).To(BeZero())
+		c.links.split(0, 0, 0)
+		time.Sleep(settle)
+		r := c.nodes[0].Submit(t.Context(), p)
+		g.Expect(r.Status).To(Equal(configuration.StatusAccepted))
+		g.Expect(r.Version).To(Equal(configuration.Version(1)))
+		g.Expect(c.nodes[1].Current().Version).To(Equal(configuration.Version(1)))
+	})
+}
--- a/internal/configuration/fake_test.go
+++ b/internal/configuration/fake_test.go
@@ -25,6 +25,7 @@
 	downAfterCommit bool
 	loseNext        int           // commits that take effect and lose their answer
 	dropNext        int           // commits without effect whose answer is lost
+	onCommit        func()        // called once by the next commit, before it answers
 	resendNext      bool          // the next commit arrives twice, as a transport or proxy may send it
 	delayNext       time.Duration // the next commit answers ErrUncertain and takes effect after this time
 	random          *rand.Rand    // random faults if not nil
@@ -91,6 +92,10 @@
 		}()
 		return nil, platform.ErrUncertain
 	}
+	if f.onCommit != nil {
+		f.onCommit()
+		f.onCommit = nil
+	}
 	results := f.apply(transactions)
 	if f.resendNext {
 		f.resendNext = false
