Count correlated deaths as one incident

Heavy suspects wait until the evidence has reached the other instances and share the upstreams by rendezvous hashing, so that two instances do not put them side by side.

--- a/internal/upstream/choose.go
+++ b/internal/upstream/choose.go
@@ -40,6 +40,7 @@
 	Suspect      bool                       // the content may have killed an upstream
 	HeavySuspect bool                       // upstreams died repeatedly while running it
 	Died         []contract.UpstreamID      // upstreams that died while running the content
+	Rivals       []ContentKey               // other heavy suspects
 	AvoidDomains []contract.FailureDomainID // failure domains of Need.Avoid and Died
 	Candidates   []Candidate
 }
@@ -69,12 +70,13 @@
 
 // eligibleCandidates returns the indices of the best group of candidates.
 func eligibleCandidates(choice Choice) []int {
+	owned := ownedUpstreams(choice)
 	var all []int
 	for i, candidate := range choice.Candidates {
 		if choice.Suspect && (candidate.BesideSuspect || slices.Contains(choice.Died, candidate.Target.ID)) {
 			continue
 		}
-		if choice.HeavySuspect && candidate.BusyDomain {
+		if choice.HeavySuspect && (candidate.BusyDomain || !owned[candidate.Target.ID]) {
 			continue
 		}
 		all = append(all, i)
@@ -94,6 +96,34 @@
 	})
 }
 
+// ownedUpstreams returns the upstreams that a heavy suspect may use. They are
+// divided among the heavy suspects: instances with the same evidence divide them
+// in the same way, so that two instances do not place two heavy suspects on one
+// upstream at the same time. One that owns none may use all.
+func ownedUpstreams(choice Choice) map[contract.UpstreamID]bool {
+	if !choice.HeavySuspect {
+		return nil
+	}
+	own := string(choice.Need.Content[:])
+	contents := []string{own}
+	for _, rival := range choice.Rivals {
+		contents = append(contents, string(rival[:]))
+	}
+	division := rendezvous.New(contents, xxhash.Sum64String)
+	all := make(map[contract.UpstreamID]bool)
+	owned := make(map[contract.UpstreamID]bool)
+	for _, candidate := range choice.Candidates {
+		all[candidate.Target.ID] = true
+		if division.Lookup(string(candidate.Target.ID)) == own {
+			owned[candidate.Target.ID] = true
+		}
+	}
+	if len(owned) == 0 {
+		return all
+	}
+	return owned
+}
+
 func keep(indices []int, wanted func(int) bool) []int {
 	var kept []int
 	for _, i := range indices {
--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -134,12 +134,12 @@
 	return rand.New(rand.NewPCG(u.config.Seed, u.draws.Add(1)))
 }
 
-// Place implements Router. A content that may have killed as many upstreams as
-// lead to a quarantine is held back until the deaths are confirmed or refuted;
-// the caller asks for its Standing before each attempt.
+// Place implements Router. A content with repeated deaths is held back for a
+// short time: until deaths are confirmed or refuted and the evidence has reached
+// the other instances. The caller asks for its Standing before each attempt.
 func (u *Upstreams) Place(need Need) (Placement, time.Duration, bool) {
 	now, view := u.config.Now(), u.current()
-	if u.held(view, need.Content, now) {
+	if view.held(need.Content, now) {
 		u.stats.HeldBack.Add(1)
 		return Placement{}, heldBackWait, false
 	}
@@ -156,14 +156,6 @@
 	return placement, 0, true
 }
 
-func (u *Upstreams) held(view *View, content ContentKey, now time.Time) bool {
-	if content == (ContentKey{}) {
-		return false
-	}
-	quarantined := view.judgements[content].Standing(now).Quarantined
-	return quarantined || len(view.charged(content, now)) >= quarantineDeaths
-}
-
 func (u *Upstreams) place(view *View, need Need, now time.Time) (Placement, time.Duration, bool) {
 	choice, candidates := view.choice(need, now)
 	index, ok := Choose(choice, u.random())
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -18,6 +18,10 @@
 	suspectMarkLifetime = 3 * time.Second
 	// heavyIncidents is how many incidents make a heavy suspect.
 	heavyIncidents = 2
+	// evidenceDelay is the time in which evidence reaches the other instances: a
+	// few heartbeats. It delays only contents with repeated deaths and must leave
+	// room in the bound on the resume latency (3 s).
+	evidenceDelay = 1500 * time.Millisecond
 	// defaultSlots is the number of slots of an upstream that names none.
 	defaultSlots = 8
 )
@@ -178,6 +182,7 @@
 	if choice.Suspect {
 		choice.HeavySuspect = v.heavySuspect(need.Content, now)
 		choice.Died = v.died(need.Content, now)
+		choice.Rivals = v.rivals(need.Content, now)
 		busy = v.busyDomains(need.Content, now)
 	}
 	suspected := func(other ContentKey) bool { return v.suspect(other, now) }
@@ -205,21 +210,16 @@
 	return choice, candidates
 }
 
-// charged returns the upstreams that died while running a content and count
-// against it, and those that may have died.
-func (v *View) charged(content ContentKey, now time.Time) []contract.UpstreamID {
-	counting := func(c charge) bool { return c.counts }
-	return v.withUnconfirmed(content, distinctUpstreams(v.judgements[content].recent(now), counting))
+// charged returns how many deaths count against a content, unconfirmed ones
+// included.
+func (v *View) charged(content ContentKey, now time.Time) int {
+	return v.judgements[content].Standing(now).Deaths + len(v.unconfirmed[content])
 }
 
 // died returns the upstreams that died while running a content, for whatever
 // cause, and those that may have died.
 func (v *View) died(content ContentKey, now time.Time) []contract.UpstreamID {
-	all := func(charge) bool { return true }
-	return v.withUnconfirmed(content, distinctUpstreams(v.judgements[content].recent(now), all))
-}
-
-func (v *View) withUnconfirmed(content ContentKey, ids []contract.UpstreamID) []contract.UpstreamID {
+	ids := distinctUpstreams(v.judgements[content].recent(now))
 	for _, id := range v.unconfirmed[content] {
 		if !slices.Contains(ids, id) {
 			ids = append(ids, id)
@@ -230,13 +230,41 @@
 
 // suspect reports whether a content may have killed an upstream.
 func (v *View) suspect(content ContentKey, now time.Time) bool {
-	return content != ContentKey{} && (len(v.charged(content, now)) > 0 || v.heavySuspect(content, now))
+	return content != ContentKey{} && (v.charged(content, now) > 0 || v.heavySuspect(content, now))
 }
 
 // heavySuspect reports whether upstreams died repeatedly while running a
 // content, even if each death coincided with others.
 func (v *View) heavySuspect(content ContentKey, now time.Time) bool {
-	return v.judgements[content].incidents(now)+len(v.unconfirmed[content]) >= heavyIncidents
+	judgement := v.judgements[content]
+	repeated := max(incidents(judgement.recent(now)), len(distinctUpstreams(judgement.counting(now))))
+	return repeated+len(v.unconfirmed[content]) >= heavyIncidents
+}
+
+// held reports whether a content must not be placed now: it is quarantined or
+// about to be, or it is a heavy suspect and the evidence of its last death may
+// not have reached all instances.
+func (v *View) held(content ContentKey, now time.Time) bool {
+	if content == (ContentKey{}) {
+		return false
+	}
+	judgement := v.judgements[content]
+	if judgement.Standing(now).Quarantined || v.charged(content, now) >= quarantineDeaths {
+		return true
+	}
+	recent := judgement.recent(now)
+	return len(recent) > 0 && v.heavySuspect(content, now) && now.Sub(recent[len(recent)-1].at) < evidenceDelay
+}
+
+// rivals returns the heavy suspects other than a content.
+func (v *View) rivals(content ContentKey, now time.Time) []ContentKey {
+	var rivals []ContentKey
+	for other, judgement := range v.judgements {
+		if other != content && v.heavySuspect(other, now) && !judgement.Standing(now).Quarantined {
+			rivals = append(rivals, other)
+		}
+	}
+	return rivals
 }
 
 // runsSuspect reports whether another content, for which suspected returns
