--- a/internal/generation/fault_test.go
+++ b/internal/generation/fault_test.go
@@ -69,6 +69,7 @@
 		c.connect(1, true)
 		c.read(30)
 		engine.Unpause()
+		time.Sleep(500 * time.Millisecond) // the first holder passes the caller's position
 		c.connect(0, true)
 		c.read(40)
 		c.connect(1, true)
