--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -44,7 +44,7 @@
 // texts are the tokens before it, if they are held.
 func newGeneration(r Request, plan plan) *Generation {
 	g := &Generation{
-		request: r, content: ContentOf(r), pin: plan.pin, sampling: plan.sampling,
+		request: r, content: r.content, pin: plan.pin, sampling: plan.sampling,
 		expected: r.position(),
 		stop:     make(chan Input, 3), // replaced, diverged, abandoned
 		base:     plan.base,
--- a/internal/generation/plan.go
+++ b/internal/generation/plan.go
@@ -22,7 +22,7 @@
 // continued. known is the text before the caller's position, if it is held.
 func newPlan(r Request, known []string, knownOK bool) (plan, contract.Reason) {
 	p := plan{pin: r.Pin, sampling: r.sampling(), digester: contract.NewDigester()}
-	locator, located := locatorFor(r, ContentOf(r))
+	locator, located := locatorFor(r, r.content)
 	if located {
 		p.pin = locator.Pin
 		p.sampling = locator.Sampling
--- a/internal/generation/registry.go
+++ b/internal/generation/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -89,11 +90,12 @@
 // held by a peer, or to a new one that continues the caller's text. If ok is
 // false the verdict is final.
 func (r *Registry) Open(ctx context.Context, request Request) (*Subscription, contract.Verdict, bool) {
-	joined := r.join(request.ID, request.position(), ContentOf(request), true)
+	request.content = ContentOf(request)
+	joined := r.join(request.ID, request.position(), request.content, true)
 	if joined.subscription != nil || joined.refused {
 		return joined.subscription, joined.verdict, !joined.refused
 	}
-	standing := r.config.Router.Standing(ContentOf(request))
+	standing := r.config.Router.Standing(request.content)
 	if standing.Quarantined {
 		wait := max(time.Until(standing.Until), 0)
 		return refuse(contract.Quarantined, contract.ReasonQuarantined, wait)
@@ -174,7 +176,7 @@
 	record := func(kind timeline.Kind, detail string) {
 		r.config.Recorder.Record(timeline.Event{Kind: kind, Request: g.request.ID, Detail: detail})
 	}
-	record(timeline.CallerConnected, p.String())
+	record(timeline.CallerConnected, fmt.Sprintf("offset=%d", p.Offset))
 	return NewSubscription(s.next, func() {
 		s.Close()
 		record(timeline.CallerGone, "")
@@ -226,7 +228,7 @@
 // joinConcurrent joins the generation that another submission of the request
 // has started in the meantime.
 func (r *Registry) joinConcurrent(request Request) (*Subscription, contract.Verdict, bool) {
-	joined := r.join(request.ID, request.position(), ContentOf(request), true)
+	joined := r.join(request.ID, request.position(), request.content, true)
 	if joined.subscription != nil || joined.refused {
 		return joined.subscription, joined.verdict, !joined.refused
 	}
--- a/internal/generation/relay.go
+++ b/internal/generation/relay.go
@@ -159,7 +159,7 @@
 func (r *Registry) relayFrom(opening context.Context, peer contract.InstanceID, request Request) *relayed {
 	body, err := cbor.Marshal(RelayRequest{
 		Request: request.ID, Position: request.position(),
-		Content: ContentOf(request), CheckContent: request.Prompt != "",
+		Content: request.content, CheckContent: request.Prompt != "",
 	})
 	contract.Invariant(err == nil, "relay request cannot be encoded", "error", err)
 	connection, err := openRelay(opening, r.config.Transport, peer, body)
--- a/internal/generation/relayed.go
+++ b/internal/generation/relayed.go
@@ -181,7 +181,7 @@
 
 // takeOver opens a generation here without asking the holder.
 func (r *Registry) takeOver(ctx context.Context, request Request) (*Subscription, bool) {
-	joined := r.join(request.ID, request.position(), ContentOf(request), true)
+	joined := r.join(request.ID, request.position(), request.content, true)
 	if joined.subscription != nil || joined.refused {
 		return joined.subscription, !joined.refused
 	}
--- a/internal/generation/request.go
+++ b/internal/generation/request.go
@@ -2,7 +2,8 @@
 
 import (
 	"crypto/sha256"
-	"encoding/json"
+	"fmt"
+	"io"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,6 +28,8 @@
 	Deadline    time.Time     // of the whole request
 	DetachGrace time.Duration // how long the generation runs on without a caller
 	Resume      *Resume       // nil: from the beginning
+
+	content upstream.ContentKey // set by Open: prompts may be long
 }
 
 // Resume is what a caller that reconnects holds.
@@ -40,13 +43,11 @@
 // parameters. It does not depend on who sends the request or how often.
 func ContentOf(r Request) upstream.ContentKey {
 	hash := sha256.New()
-	// Encoding of a struct of strings and numbers does not fail.
-	_ = json.NewEncoder(hash).Encode(struct {
-		Service   contract.ServiceID
-		Prompt    string
-		Sampling  upstream.Sampling
-		MaxTokens int64
-	}{r.Service, r.Prompt, r.Sampling, r.MaxTokens})
+	// The lengths keep texts apart that are equal when joined.
+	_, _ = fmt.Fprintf(hash, "%d %d %d %v %d\n",
+		len(r.Service), len(r.Prompt), r.Sampling.Seed, r.Sampling.Temperature, r.MaxTokens)
+	_, _ = io.WriteString(hash, string(r.Service)) // hash.Hash never returns an error
+	_, _ = io.WriteString(hash, r.Prompt)
 	return upstream.ContentKey(hash.Sum(nil)[:len(upstream.ContentKey{})])
 }
 
--- a/internal/generation/runner.go
+++ b/internal/generation/runner.go
@@ -13,8 +13,12 @@
 	"foxtailhub.example/foxtailhub/internal/upstream"
 )
 
-// inputBuffer lets connections run ahead of the machine by a few events.
-const inputBuffer = 16
+const (
+	// inputBuffer lets connections run ahead of the machine by a few events.
+	inputBuffer = 16
+	// affinityBytes is the part of the prompt that decides its prefix affinity.
+	affinityBytes = 2048
+)
 
 // runner carries out the actions of one machine. Only the goroutine of run
 // uses its fields, except inputs.
@@ -131,7 +135,8 @@
 func (r *runner) start(action Action) {
 	g := r.generation
 	need := upstream.Need{
-		Service: g.request.Service, Workspace: g.request.ID.Workspace, Pin: g.pin, Prefix: g.request.Prompt,
+		Service: g.request.Service, Workspace: g.request.ID.Workspace, Pin: g.pin,
+		Prefix:  g.request.Prompt[:min(len(g.request.Prompt), affinityBytes)],
 		Content: g.content, Avoid: action.Avoid, Resumed: action.Resumed,
 	}
 	if r.config.Router.Standing(g.content).Quarantined {
