--- a/internal/generation/runner.go
+++ b/internal/generation/runner.go
@@ -40,6 +40,7 @@
 	stream      upstream.StreamID
 	target      upstream.Target
 	engine      upstream.Engine // nil if the upstream is not known
+	adopted     bool            // another instance started it: its first token may be ready at once
 	done        func(upstream.Observation)
 	base        contract.Position // where the stream began
 	baseState   []byte            // of the digester at base
@@ -118,7 +119,8 @@
 	}
 	base, state := r.generation.end()
 	a := &engineAttempt{
-		number: adopted.Attempt, stream: adopted.Stream, base: base, baseState: state, started: time.Now(),
+		number: adopted.Attempt, stream: adopted.Stream, adopted: true,
+		base: base, baseState: state, started: time.Now(),
 		done: func(upstream.Observation) {}, // the placement belongs to the other instance
 	}
 	target, known := r.config.Router.Target(adopted.Upstream)
@@ -301,7 +303,9 @@
 	a := r.attempts[action.Attempt]
 	if a.latency == 0 {
 		a.latency = time.Since(a.started)
-		r.firstTokens.observe(r.generation.request.Service, a.latency)
+		if !a.adopted {
+			r.firstTokens.observe(r.generation.request.Service, a.latency)
+		}
 		r.record(timeline.AttemptFirstToken, a.number, a.target.ID, "")
 	}
 	if !r.generation.deliver(action.Token) {
