--- a/internal/generation/runner.go
+++ b/internal/generation/runner.go
@@ -13,8 +13,12 @@
 	"foxtailhub.example/foxtailhub/internal/upstream"
 )
 
-// inputBuffer lets connections run ahead of the machine by a few events.
-const inputBuffer = 16
+const (
+	// inputBuffer lets connections run ahead of the machine by a few events.
+	inputBuffer = 16
+	// affinityBytes is the part of the prompt that decides its prefix affinity.
+	affinityBytes = 2048
+)
 
 // runner carries out the actions of one machine. Only the goroutine of run
 // uses its fields, except inputs.
@@ -36,6 +40,7 @@
 	stream      upstream.StreamID
 	target      upstream.Target
 	engine      upstream.Engine // nil if the upstream is not known
+	adopted     bool            // another instance started it: its first token may be ready at once
 	done        func(upstream.Observation)
 	base        contract.Position // where the stream began
 	baseState   []byte            // of the digester at base
@@ -114,7 +119,8 @@
 	}
 	base, state := r.generation.end()
 	a := &engineAttempt{
-		number: adopted.Attempt, stream: adopted.Stream, base: base, baseState: state, started: time.Now(),
+		number: adopted.Attempt, stream: adopted.Stream, adopted: true,
+		base: base, baseState: state, started: time.Now(),
 		done: func(upstream.Observation) {}, // the placement belongs to the other instance
 	}
 	target, known := r.config.Router.Target(adopted.Upstream)
@@ -131,7 +137,8 @@
 func (r *runner) start(action Action) {
 	g := r.generation
 	need := upstream.Need{
-		Service: g.request.Service, Workspace: g.request.ID.Workspace, Pin: g.pin, Prefix: g.request.Prompt,
+		Service: g.request.Service, Workspace: g.request.ID.Workspace, Pin: g.pin,
+		Prefix:  g.request.Prompt[:min(len(g.request.Prompt), affinityBytes)],
 		Content: g.content, Avoid: action.Avoid, Resumed: action.Resumed,
 	}
 	if r.config.Router.Standing(g.content).Quarantined {
@@ -296,7 +303,9 @@
 	a := r.attempts[action.Attempt]
 	if a.latency == 0 {
 		a.latency = time.Since(a.started)
-		r.firstTokens.observe(r.generation.request.Service, a.latency)
+		if !a.adopted {
+			r.firstTokens.observe(r.generation.request.Service, a.latency)
+		}
 		r.record(timeline.AttemptFirstToken, a.number, a.target.ID, "")
 	}
 	if !r.generation.deliver(action.Token) {
