--- a/internal/dispatch/idempotent.go
+++ b/internal/dispatch/idempotent.go
@@ -160,7 +160,7 @@
 	if err == nil {
 		run.runner.latencies.observe(run.request.Service, latency, time.Now())
 	}
-	placement.Done(observe(err, latency))
+	placement.Done(observe(response, err, latency))
 	run.answers <- idempotentAnswer{target: placement.Target.ID, response: response, err: err}
 }
 
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -169,7 +169,7 @@
 func (o *onceRunner) call(ctx context.Context, request Request, placement upstream.Placement) (upstream.CallResponse, error) {
 	began := time.Now()
 	response, err := o.config.Services.Service(placement.Target).CallOnce(ctx, request.call())
-	placement.Done(observe(err, time.Since(began)))
+	placement.Done(observe(response, err, time.Since(began)))
 	return response, err
 }
 
@@ -179,11 +179,11 @@
 }
 
 // observe tells the router how the use of an upstream ended.
-func observe(err error, latency time.Duration) upstream.Observation {
+func observe(response upstream.CallResponse, err error, latency time.Duration) upstream.Observation {
 	kind := upstream.ObservedLost
 	switch {
 	case err == nil:
-		return upstream.Observation{Kind: upstream.ObservedOK, Latency: latency}
+		return upstream.Observation{Kind: upstream.ObservedOK, Incarnation: response.Incarnation, Latency: latency}
 	case errors.Is(err, upstream.ErrUnreachable):
 		kind = upstream.ObservedUnreachable
 	case errors.Is(err, upstream.ErrRefused):
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -95,7 +95,10 @@
 func (s *Service) Faults() *FaultSwitch { return s.faults }
 
 // ServeHTTP serves the service, its reports and its fault switch.
-func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(servicehttp.HeaderIncarnation, string(s.incarnation))
+	s.mux.ServeHTTP(w, r)
+}
 
 // Executions returns what was carried out, by key.
 func (s *Service) Executions() ExecutionReport {
--- a/internal/standin/service_test.go
+++ b/internal/standin/service_test.go
@@ -96,6 +96,7 @@
 	g.Expect(within(long, r.client.CallOnce, request("POST", "k3"))).To(MatchError(upstream.ErrLeaving))
 	report, err := r.client.Load(context.Background())
 	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Incarnation).NotTo(BeEmpty())
 	g.Expect(report.Leaving).To(BeTrue())
 	r.fault(g, standin.Fault{Refuse: true})
 	g.Expect(within(long, r.client.CallOnce, request("POST", "k3"))).To(MatchError(upstream.ErrRefused))
@@ -104,7 +105,9 @@
 	r.fault(g, standin.Fault{Pause: true})
 	g.Expect(within(50*time.Millisecond, r.client.CallOnce, request("POST", "k4"))).To(MatchError(context.DeadlineExceeded))
 	r.fault(g, standin.Fault{})
-	g.Expect(within(long, r.client.CallOnce, request("POST", "k5"))).To(Succeed())
+	response, err := r.client.CallOnce(context.Background(), request("POST", "k5"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Incarnation).To(Equal(report.Incarnation))
 }
 
 // Guards against silence that ends the connection, which a client would notice
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -19,6 +19,8 @@
 	Status      int    `json:"status" cbor:"1,keyasint"`
 	ContentType string `json:"content_type" cbor:"2,keyasint"`
 	Body        []byte `json:"body" cbor:"3,keyasint"`
+
+	Incarnation Incarnation `json:"-" cbor:"-"` // of the server that answered, if known
 }
 
 // ServiceClient calls one plain service server.
--- a/internal/upstream/servicehttp/client.go
+++ b/internal/upstream/servicehttp/client.go
@@ -19,6 +19,8 @@
 	// HeaderUpstreamState tells in an answer with status 503 that the service
 	// did not run the call, and why: one of the States.
 	HeaderUpstreamState = "Foxtailhub-Upstream-State"
+	// HeaderIncarnation names the incarnation of the server that answers. Optional.
+	HeaderIncarnation = "Foxtailhub-Incarnation"
 	StateLeaving        = "leaving"
 	StateRefused        = "refused"
 )
@@ -126,6 +128,7 @@
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
 		Body:        body,
+		Incarnation: upstream.Incarnation(response.Header.Get(HeaderIncarnation)),
 	}, nil
 }
 
