--- /dev/null
+++ b/internal/dispatch/claim.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/platform"
+)
+
+// claimTries bounds how often an uncertain insert is read back and repeated.
+const claimTries = 5
+
+// claim is the result of the attempt to create a record, or to take a released
+// one over. If neither owned nor existing is set, the store is down.
+type claim struct {
+	owned      bool // the record exists under our own writer token
+	revision   int64
+	existing   *Record // a record of another submission, if not owned
+	retryAfter time.Duration
+}
+
+func (c claim) storeDown() bool { return !c.owned && c.existing == nil }
+
+// claim writes record under its own writer token if there is none, or if the
+// existing one is released. If the claim is not owned, the submission must not
+// send, and a record that may still appear is released in the background.
+func (r *recorder) claim(caller context.Context, key string, record Record) claim {
+	if retryAfter, ok := r.breaker.allow(time.Now()); !ok {
+		return claim{retryAfter: retryAfter}
+	}
+	ctx, cancel := context.WithTimeout(caller, r.storeWait)
+	defer cancel()
+	attempt := &claiming{recorder: r, key: key, record: record}
+	c := attempt.run(ctx)
+	if !c.storeDown() || caller.Err() == nil {
+		// A claim that ended with its caller's deadline says nothing about the store.
+		r.breaker.report(!c.storeDown(), time.Now())
+	}
+	if c.storeDown() {
+		c.retryAfter = breakerPause
+	}
+	if !c.owned && attempt.mayHaveEffect {
+		r.settler.add(attempt.fence())
+	}
+	return c
+}
+
+// claiming is one attempt to own the record of a key.
+type claiming struct {
+	recorder      *recorder
+	key           string
+	record        Record
+	expected      int64 // revision on which the write is conditional
+	mayHaveEffect bool  // a write conditional on expected may still take effect
+}
+
+func (c *claiming) run(ctx context.Context) claim {
+	for range claimTries {
+		result, err := c.recorder.batch.commit(ctx, conditionalWrite(c.key, c.expected, c.record))
+		switch {
+		case err == nil && result.Applied:
+			return claim{owned: true, revision: result.Revision}
+		case err != nil && !errors.Is(err, platform.ErrUncertain):
+			return claim{}
+		case err != nil:
+			c.mayHaveEffect = true
+		}
+		row, err := c.read(ctx)
+		if err != nil {
+			return claim{}
+		}
+		if done, ok := c.learn(row); ok {
+			return done
+		}
+	}
+	return claim{}
+}
+
+// read returns the row of the record, with revision 0 if it is absent.
+func (c *claiming) read(ctx context.Context) (platform.Row, error) {
+	row, err := c.recorder.table.Read(ctx, c.key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Row{Key: c.key}, nil
+	}
+	return row, err
+}
+
+// learn takes what was read. It returns false if the write is to be repeated.
+func (c *claiming) learn(row platform.Row) (claim, bool) {
+	if row.Revision != c.expected {
+		// The row has moved on: a write conditional on the old revision can no
+		// longer take effect.
+		c.mayHaveEffect = false
+		c.expected = row.Revision
+	}
+	if row.Revision == 0 {
+		return claim{}, false
+	}
+	found, err := decodeRecord(row.Value)
+	if err != nil {
+		c.recorder.log.WithError(err).WithField("record", c.key).Error("dispatch record is not readable")
+		return claim{existing: &Record{State: Unknown, Fingerprint: c.record.Fingerprint}}, true
+	}
+	if found.Writer == c.record.Writer {
+		contract.Invariant(found.State == Dispatched, "own record in a state that was not written", "state", found.State)
+		return claim{owned: true, revision: row.Revision}, true
+	}
+	if found.State != Released || found.Fingerprint != c.record.Fingerprint {
+		return claim{existing: &found}, true
+	}
+	next, err := found.TakeOver(c.record.Writer, c.record.CreatedAt)
+	contract.Invariant(err == nil, "released record cannot be taken over", "error", err)
+	c.record = next
+	return claim{}, false
+}
+
+// fence returns the settlement of a write that may take effect later: a release
+// on the same condition, after which the write can no longer take effect.
+func (c *claiming) fence() settlement {
+	released, err := c.record.Release(c.record.Writer)
+	contract.Invariant(err == nil, "own record cannot be released", "error", err)
+	return settlement{key: c.key, target: released, expected: c.expected}
+}
--- a/internal/upstream/servicehttp/client.go
+++ b/internal/upstream/servicehttp/client.go
@@ -21,8 +21,8 @@
 	HeaderUpstreamState = "Foxtailhub-Upstream-State"
 	// HeaderIncarnation names the incarnation of the server that answers. Optional.
 	HeaderIncarnation = "Foxtailhub-Incarnation"
-	StateLeaving        = "leaving"
-	StateRefused        = "refused"
+	StateLeaving      = "leaving"
+	StateRefused      = "refused"
 )
 
 // MaxResponseBytes is the longest body of an answer.
