--- a/internal/upstream/servicehttp/client.go
+++ b/internal/upstream/servicehttp/client.go
@@ -19,8 +19,10 @@
 	// HeaderUpstreamState tells in an answer with status 503 that the service
 	// did not run the call, and why: one of the States.
 	HeaderUpstreamState = "Foxtailhub-Upstream-State"
-	StateLeaving        = "leaving"
-	StateRefused        = "refused"
+	// HeaderIncarnation names the incarnation of the server that answers. Optional.
+	HeaderIncarnation = "Foxtailhub-Incarnation"
+	StateLeaving      = "leaving"
+	StateRefused      = "refused"
 )
 
 // MaxResponseBytes is the longest body of an answer.
@@ -126,6 +128,7 @@
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
 		Body:        body,
+		Incarnation: upstream.Incarnation(response.Header.Get(HeaderIncarnation)),
 	}, nil
 }
 
