--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -19,7 +19,9 @@
 	// noticed within seconds.
 	dialBackoff    = 100 * time.Millisecond
 	maxDialBackoff = 2 * time.Second
-	// retireAfter leaves both sides time to learn that a connection was replaced.
+	// retireAfter is how long a replaced connection must be unused before it is
+	// closed. The other side may still use it, where it knows that the connection
+	// that this side prefers is dead.
 	retireAfter = time.Second
 )
 
@@ -247,7 +249,7 @@
 			idle = append(idle, c)
 		}
 		for _, c := range p.retired {
-			if now.Sub(c.retiredAt) > retireAfter && c.idleSince(now) > 0 {
+			if now.Sub(c.retiredAt) > retireAfter && c.idleSince(now) > retireAfter {
 				replaced = append(replaced, c)
 			}
 		}
--- a/internal/link/quic_test.go
+++ b/internal/link/quic_test.go
@@ -215,7 +215,8 @@
 	target  *net.UDPAddr
 	mu      sync.Mutex // guards the fields below
 	backs   map[string]*net.UDPConn
-	silent  map[string]bool
+	silent  map[string]bool // in the direction of the target
+	oneWay  bool            // a silent client still receives
 	closing bool
 }
 
@@ -241,18 +242,19 @@
 	}
 }
 
-func (r *relay) silence() {
+func (r *relay) silence(oneWay bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.oneWay = oneWay
 	for client := range r.backs {
 		r.silent[client] = true
 	}
 }
 
-func (r *relay) isSilent(client string) bool {
+func (r *relay) isSilent(client string, fromTarget bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.silent[client]
+	return r.silent[client] && !(fromTarget && r.oneWay)
 }
 
 func (r *relay) run() {
@@ -262,7 +264,7 @@
 		if err != nil {
 			return
 		}
-		if back := r.back(client); back != nil && !r.isSilent(client.String()) {
+		if back := r.back(client); back != nil && !r.isSilent(client.String(), false) {
 			_, _ = back.Write(buffer[:n])
 		}
 	}
@@ -286,7 +288,7 @@
 			if err != nil {
 				return
 			}
-			if !r.isSilent(client.String()) {
+			if !r.isSilent(client.String(), true) {
 				_, _ = r.front.WriteToUDP(buffer[:n], client)
 			}
 		}
@@ -294,27 +296,56 @@
 	return b
 }
 
-// Guards against a connection that has gone silent for good while new ones
-// work: it must be replaced, not waited for.
+// Guards against a connection that has gone silent for good, in both directions
+// or in one, while new ones work: it must be replaced, not waited for.
 func TestSilentConnectionIsReplaced(t *testing.T) {
+	for name, oneWay := range map[string]bool{"both directions": false, "one direction": true} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, d := newAuthority(t), &directory{}
+			q, b := start(t, a, d, region, "a"), start(t, a, d, region, "b")
+			r := newRelay(t, b.Address())
+			d.addresses.Store(contract.InstanceID("b"), r.front.LocalAddr().String())
+			_, err := request(q, "b", echo, "x", 5*time.Second)
+			g.Expect(err).NotTo(HaveOccurred())
+			r.silence(oneWay)
+			began := time.Now()
+			_, err = request(q, "b", echo, "x", time.Second)
+			g.Expect(err).To(HaveOccurred())
+			g.Eventually(func() error {
+				_, err := request(q, "b", echo, "x", time.Second)
+				return err
+			}, "5s", "20ms").Should(Succeed())
+			t.Logf("an answer arrived %s after the connection went silent", time.Since(began).Round(time.Millisecond))
+			g.Expect(q.Stats().Silent).To(BeNumerically("==", 1))
+		})
+	}
+}
+
+// Guards against two dead ends: the side whose own connection is preferred does
+// not notice that it is dead, and closes the one that the other side has dialled.
+func TestReplacedConnectionStaysWhileInUse(t *testing.T) {
 	g := NewWithT(t)
 	a, d := newAuthority(t), &directory{}
-	q, b := start(t, a, d, region, "a"), start(t, a, d, region, "b")
-	r := newRelay(t, b.Address())
+	preferred, other := start(t, a, d, region, "a"), start(t, a, d, region, "b")
+	r := newRelay(t, other.Address())
 	d.addresses.Store(contract.InstanceID("b"), r.front.LocalAddr().String())
-	_, err := request(q, "b", echo, "x", 5*time.Second)
+	_, err := request(preferred, "b", echo, "x", 5*time.Second)
 	g.Expect(err).NotTo(HaveOccurred())
-	r.silence()
-	began := time.Now()
-	_, err = request(q, "b", echo, "x", time.Second)
+	r.silence(false)
+	_, err = request(other, "a", echo, "x", time.Second)
 	g.Expect(err).To(HaveOccurred())
+	dials := func() int64 { return other.Stats().Dials }
 	g.Eventually(func() error {
-		_, err := request(q, "b", echo, "x", time.Second)
+		_, err := request(other, "a", echo, "x", time.Second)
+		return err
+	}, "5s", "20ms").Should(Succeed())
+	before := dials()
+	g.Consistently(func() error {
+		_, err := request(other, "a", echo, "x", time.Second)
 		return err
-	}, "3s", "20ms").Should(Succeed())
-	t.Logf("an answer arrived %s after the connection went silent", time.Since(began).Round(time.Millisecond))
-	g.Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
-	g.Expect(q.Stats().Silent).To(BeNumerically("==", 1))
+	}, "5s", "200ms").Should(Succeed())
+	g.Expect(dials()).To(Equal(before))
 }
 
 // Guards against on-demand connections that accumulate to a full mesh, and
--- a/internal/link/request.go
+++ b/internal/link/request.go
@@ -99,6 +99,9 @@
 		case f.arriving <- frame:
 		case <-f.closed:
 			return
+		case <-c.conn.Context().Done(): // also ends the wait for a consumer that does not read
+			f.err = errors.Wrapf(ErrInterrupted, "%s: connection ended", c.peer)
+			return
 		}
 	}
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -57,8 +57,8 @@
 	Clock     *timeline.Clock
 	Recorder  timeline.Recorder
 	Log       logrus.FieldLogger
-	// OnHead is called when a peer tells a head version above the own one. It
-	// must not block. Optional.
+	// OnHead is called each time that a peer tells a head version above the own
+	// one, until SetHead is called. It must not block. Optional.
 	OnHead func(peer contract.InstanceID, head int64)
 
 	Interval         time.Duration // between heartbeats to a peer
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -8,6 +8,8 @@
 	. "github.com/onsi/gomega"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/link"
+	"foxtailhub.example/foxtailhub/internal/platform"
 )
 
 // Guards against a minority that keeps admitting work, and against a majority
@@ -228,6 +230,55 @@
 	})
 }
 
+// Guards against an entry in the platform's list that outlives the instance or
+// hides that it leaves.
+func TestListEntryFollowsTheInstance(t *testing.T) {
+	inCluster(t, 2, nil, func(g *WithT, c *cluster) {
+		leaving := c.nodes[1]
+		entry := func() platform.ListEntry {
+			list, _ := c.list.List(t.Context())
+			for _, e := range list.Instances {
+				if e.ID == string(leaving.id) {
+					return e
+				}
+			}
+			return platform.ListEntry{}
+		}
+		advance(time.Second)
+		g.Expect(entry().State).To(Equal(platform.ListedLive))
+		g.Expect(entry().UpdatedAt).NotTo(BeZero())
+		leaving.SetState(Draining)
+		leaving.SetState(Ready) // draining is final
+		advance(10 * time.Millisecond)
+		g.Expect(entry().State).To(Equal(platform.ListedLeaving))
+		leaving.stop()
+		<-leaving.done
+		g.Expect(entry().ID).To(BeEmpty())
+	})
+}
+
+// Guards against wrong heartbeats that have an effect.
+func TestWrongHeartbeatsAreRefused(t *testing.T) {
+	inCluster(t, 1, nil, func(g *WithT, c *cluster) {
+		for _, wrong := range []heartbeat{
+			{Self: &entry{ID: "another", Region: "pohjola"}},
+			{Self: &entry{ID: "peer", Region: "hokkaido"}},
+			{Status: status{State: Draining + 1}},
+			{Status: status{Head: -1}},
+			{Have: maxMembers + 1},
+		} {
+			body, err := link.Encode(wrong)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = c.nodes[0].answer(t.Context(), "peer", body)
+			g.Expect(err).To(MatchError(ErrHeartbeatInvalid))
+		}
+		_, err := c.nodes[0].answer(t.Context(), "peer", []byte("x"))
+		g.Expect(err).To(MatchError(link.ErrMalformed))
+		g.Expect(c.nodes[0].Stats().Refused).To(Equal(int64(6)))
+		g.Expect(c.nodes[0].known()).To(Equal(1))
+	})
+}
+
 // packetOverhead is the size of the headers that a heartbeat body needs in one
 // exchange: IP, UDP, QUIC short header and tag, frame headers, message header,
 // for the request, the answer and one acknowledgement (3 * 66 bytes).
