--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -37,6 +37,9 @@
 // answers that arrive at its end, as recent.
 func TestPausedInstanceHasHeardNobody(t *testing.T) {
 	inCluster(t, 9, nil, func(g *WithT, c *cluster) {
+		advance(3 * time.Second)
+		// The delay keeps answers in flight at the moment of the pause.
+		c.network.SetDelay(func(_, _ contract.InstanceID) time.Duration { return 200 * time.Millisecond })
 		advance(3 * time.Second)
 		paused := c.nodes[0]
 		c.network.Pause(paused.id)
@@ -44,7 +47,7 @@
 		g.Expect(paused.majority()).To(BeFalse())
 		c.network.Partition(c.ids(0, 1), c.ids(1, 9))
 		c.network.Resume(paused.id) // only the answers held back arrive
-		advance(50 * time.Millisecond)
+		advance(250 * time.Millisecond) // a view is published every 100 ms
 		g.Expect(paused.heard()).To(Equal(1))
 		g.Expect(paused.majority()).To(BeFalse())
 		c.network.Heal()
