Require full knowledge of the membership for a majority

An instance that started in the minority of a partition while the list was down took this minority for the whole deployment. Tables now carry silent instances with their remaining hold. A heartbeat that waits for its answer no longer holds back the next one: with 10% of messages lost, one of 40 runs of the domain loss test ended with an instance that had heard too few.

--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -12,7 +12,7 @@
 	"foxtailhub.example/foxtailhub/internal/timeline"
 )
 
-// maxPushes bounds the pushes to one peer that wait for an answer at a time, so
+// maxPushes bounds the heartbeats without sections to one peer that wait for an answer at a time, so
 // that a silent peer does not collect goroutines.
 const maxPushes = 4
 
@@ -20,8 +20,8 @@
 type peerLink struct {
 	table   peerTable
 	greeted bool // the peer has answered: it knows the entry of this instance
-	regular bool // a regular heartbeat waits for its answer
-	pushes  int  // pushes that wait for their answers
+	regular bool // a heartbeat with sections waits for its answer
+	pushes  int  // heartbeats without sections that wait for their answers
 }
 
 // beatLoop sends heartbeats and keeps view and peers up to date.
@@ -160,7 +160,9 @@
 	}
 }
 
-// send starts one heartbeat, unless too many wait for an answer already.
+// send starts one heartbeat, unless too many wait for an answer already. While a
+// regular one waits, further ones go without sections: a lost message must not
+// delay the contact by the whole timeout.
 func (m *Membership) send(ctx context.Context, id contract.InstanceID, regular bool) {
 	m.mu.Lock()
 	p := m.links[id]
@@ -168,7 +170,8 @@
 		p = &peerLink{}
 		m.links[id] = p
 	}
-	if regular && p.regular || !regular && p.pushes >= maxPushes {
+	regular = regular && !p.regular
+	if !regular && p.pushes >= maxPushes {
 		m.mu.Unlock()
 		return
 	}
@@ -259,6 +262,9 @@
 	p.greeted = true
 	m.ledger.readAnswer(a, r, &p.table, m.accepts, sent, m.now())
 	m.dirty = true
+	if a.Status.Informed && len(a.Names) < maxNames {
+		m.status.Informed = true
+	}
 	behind := a.Status.Head > m.status.Head
 	m.mu.Unlock()
 	if behind {
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -67,7 +67,9 @@
 			a.Names = append(a.Names, entry{})
 			continue
 		}
-		a.Names = append(a.Names, r.member.entry())
+		e := r.member.entry()
+		e.Silent = r.silentSeconds(now)
+		a.Names = append(a.Names, e)
 	}
 	w := newVectorWriter()
 	for i, r := range l.table[:end] {
@@ -88,15 +90,16 @@
 	from.direct = max(from.direct, sent)
 	from.confirmed, from.head = a.Status.Confirmed, a.Status.Head
 	from.hear(a.Status.State, sent)
-	if t.epoch != a.Epoch || a.First != len(t.names) {
+	if t.epoch != a.Epoch || a.First > len(t.names) {
 		t.reset(a.Epoch)
 		if a.First != 0 {
 			t.epoch = 0 // the entries before First are missing: ask for all of them
 			return
 		}
 	}
-	for _, e := range a.Names {
-		t.names = append(t.names, l.resolve(e, accept))
+	held := min(len(t.names)-a.First, len(a.Names)) // by the answer to another heartbeat
+	for _, e := range a.Names[held:] {
+		t.names = append(t.names, l.resolve(e, accept, now))
 	}
 	readVector(a, func(index int, state State, age time.Duration) {
 		if index >= len(t.names) || t.names[index] == nil {
@@ -115,15 +118,31 @@
 	})
 }
 
-// resolve returns the record for an entry of a peer's table. The record of an
-// unknown instance is not part of the ledger until there is a contact: else
-// instances that tell each other names would never forget the dead.
-func (l *ledger) resolve(e entry, accept func(region string) bool) *record {
+// silentSeconds returns the Silent of an entry for r.
+func (r *record) silentSeconds(now instant) uint32 {
+	if r.departed != never {
+		return departedEntry
+	}
+	return uint32(max(now.since(r.lastSeen), 0) / time.Second)
+}
+
+// resolve returns the record for an entry of a peer's table. An instance that
+// the peer knows becomes known here for the rest of its hold: else an instance
+// that starts in the minority of a partition, while the list is down, would take
+// this minority for the whole deployment. One that has departed is not added.
+func (l *ledger) resolve(e entry, accept func(region string) bool, now instant) *record {
 	if e.ID == "" || e.ID == l.self || !accept(e.Region) {
 		return nil
 	}
 	if r := l.byID[e.ID]; r != nil {
 		return r
 	}
+	silent := time.Duration(e.Silent) * time.Second
+	if e.Silent != departedEntry && silent < l.hold {
+		if r := l.add(e.member(), now); r != nil {
+			r.lastSeen, r.firstSeen = now.after(-silent), now.after(-silent)
+			return r
+		}
+	}
 	return &record{member: e.member(), slot: -1}
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -46,7 +46,7 @@
 		advance(30 * time.Second)
 		g.Expect(paused.majority()).To(BeFalse())
 		c.network.Partition(c.ids(0, 1), c.ids(1, 9))
-		c.network.Resume(paused.id) // only the answers held back arrive
+		c.network.Resume(paused.id)     // only the answers held back arrive
 		advance(250 * time.Millisecond) // a view is published every 100 ms
 		g.Expect(paused.heard()).To(Equal(1))
 		g.Expect(paused.majority()).To(BeFalse())
@@ -92,7 +92,7 @@
 		advance(2 * time.Minute)
 		for _, n := range c.nodes {
 			g.Expect(n.known()).To(Equal(2))
-			g.Expect(n.majority()).To(BeTrue())
+			g.Expect(n.majority()).To(BeTrue(), "heard %d of %d, informed %v, peers %d", n.heard(), n.known(), n.View().Informed(), len(n.View().Peers()))
 		}
 	})
 }
@@ -114,7 +114,7 @@
 		advance(15 * time.Second)
 		for _, n := range c.nodes {
 			g.Expect(n.known()).To(Equal(4))
-			g.Expect(n.majority()).To(BeTrue())
+			g.Expect(n.majority()).To(BeTrue(), "heard %d of %d, informed %v, peers %d", n.heard(), n.known(), n.View().Informed(), len(n.View().Peers()))
 		}
 	})
 }
@@ -187,7 +187,7 @@
 			n.mu.Lock()
 			g.Expect(n.status.Head).To(Equal(int64(9)), "%s", n.id)
 			n.mu.Unlock()
-			g.Expect(n.majority()).To(BeTrue())
+			g.Expect(n.majority()).To(BeTrue(), "heard %d of %d, informed %v, peers %d", n.heard(), n.known(), n.View().Informed(), len(n.View().Peers()))
 			g.Expect(n.known()).To(Equal(instances))
 		}
 	})
@@ -282,6 +282,35 @@
 	})
 }
 
+// Guards against an instance that starts in a minority while the list is down,
+// and takes this minority, or itself alone, for the whole deployment.
+func TestInstanceThatStartsInMinorityHasNoMajority(t *testing.T) {
+	const late = 9
+	configure := func(config *Config) {
+		if config.Self.ID == memberNumber(late).ID {
+			config.Seeds = []Member{memberNumber(7), memberNumber(8)}
+		}
+	}
+	inCluster(t, late, configure, func(g *WithT, c *cluster) {
+		advance(3 * time.Second)
+		c.list.setDown(true)
+		c.network.Partition(c.ids(0, 6), append(c.ids(6, 9), memberNumber(late).ID))
+		advance(time.Minute)
+		c.start(t, late)
+		started := c.nodes[late]
+		g.Expect(started.majority()).To(BeFalse())
+		for range 100 {
+			advance(100 * time.Millisecond)
+			g.Expect(started.majority()).To(BeFalse())
+		}
+		g.Expect(started.heard()).To(Equal(4))
+		g.Expect(started.known()).To(Equal(10))
+		c.network.Heal()
+		advance(8 * time.Second)
+		g.Expect(started.majority()).To(BeTrue())
+	})
+}
+
 // packetOverhead is the size of the headers that a heartbeat body needs in one
 // exchange: IP, UDP, QUIC short header and tag, frame headers, message header,
 // for the request, the answer and one acknowledgement (3 * 66 bytes).
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -26,9 +26,10 @@
 
 // View is an immutable picture of the membership.
 type View struct {
-	self    Member
-	window  time.Duration
-	members []MemberView // by identifier
+	self     Member
+	window   time.Duration
+	informed bool
+	members  []MemberView // by identifier
 }
 
 // Self returns this instance.
@@ -95,5 +96,13 @@
 	return count
 }
 
-// Majority reports whether more than half of the known instances were heard.
-func (v *View) Majority(now time.Time) bool { return 2*v.Heard(now) > v.Known(now) }
+// Informed reports whether this instance knows of all instances: it has read
+// the platform's list since its start, or was told by one that knows.
+func (v *View) Informed() bool { return v.informed }
+
+// Majority reports whether more than half of the known instances were heard. It
+// is false until this instance is informed: one that has just started knows
+// nobody, and half of that is easily exceeded.
+func (v *View) Majority(now time.Time) bool {
+	return v.informed && 2*v.Heard(now) > v.Known(now)
+}
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"math"
+
 	"github.com/cockroachdb/errors"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
@@ -28,8 +30,11 @@
 	_         struct{} `cbor:",toarray"`
 	State     State
 	Confirmed bool
-	Head      int64
-	At        timeline.Timestamp
+	// Informed tells that the sender knows of all instances: it has read the
+	// platform's list, or has received the table of an instance that is informed.
+	Informed bool
+	Head     int64
+	At       timeline.Timestamp
 }
 
 // entry names an instance in a table.
@@ -39,8 +44,15 @@
 	Address string
 	Domain  contract.FailureDomainID
 	Region  string
+	// Silent is the time since the last news of the instance, in seconds, or
+	// departedEntry. It lets the receiver keep the instance in the denominator
+	// exactly as long as the sender does.
+	Silent uint32
 }
 
+// departedEntry marks an instance that has left.
+const departedEntry = math.MaxUint32
+
 // sectionData is the part of one section.
 type sectionData struct {
 	_    struct{} `cbor:",toarray"`
