--- a/internal/configuration/confirm.go
+++ b/internal/configuration/confirm.go
@@ -49,7 +49,10 @@
 	HeadRead time.Time
 	// BehindSince is when this instance learned of a version newer than the one
 	// it holds; zero if it holds the newest version that it knows of.
-	BehindSince   time.Time
+	BehindSince time.Time
+	// Uninformed is true while this instance may not know of all others, as
+	// after a start without the platform's list. There is no majority then.
+	Uninformed    bool
 	Others        []KnownInstance
 	Window        time.Duration // default 2 s
 	DepartureHold time.Duration // default 24 h
@@ -75,7 +78,7 @@
 	fromStore := in.within(in.HeadRead)
 	c := Confirmation{Initialized: in.Initialized || fromStore}
 	c.Known, c.Heard = in.count(c.Initialized)
-	majority := 2*c.Heard > c.Known
+	majority := 2*c.Heard > c.Known && !in.Uninformed
 	c.Initialized = c.Initialized || (majority && in.BehindSince.IsZero())
 	c.Current = c.Initialized && in.BehindSince.IsZero()
 	c.Confirmed = c.Initialized && (fromStore || majority)
--- a/internal/instance/life.go
+++ b/internal/instance/life.go
@@ -56,12 +56,14 @@
 func (l *life) update(now time.Time) {
 	before := l.confirmation.Load()
 	standing := l.follower.Standing()
+	view := l.membership.View()
 	after := configuration.Confirm(configuration.ConfirmInput{
 		Now:         now,
 		Initialized: before.Initialized,
 		HeadRead:    standing.HeadRead,
 		BehindSince: standing.BehindSince,
-		Others:      knownInstances(l.membership.View(), now),
+		Uninformed:  !view.Informed(),
+		Others:      knownInstances(view, now),
 	})
 	l.confirmation.Store(&after)
 	l.membership.SetStanding(membership.Standing{
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/gomega"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/link"
+	"foxtailhub.example/foxtailhub/internal/platform"
 )
 
 // Guards against a minority that keeps admitting work, and against a majority
@@ -36,14 +38,17 @@
 // answers that arrive at its end, as recent.
 func TestPausedInstanceHasHeardNobody(t *testing.T) {
 	inCluster(t, 9, nil, func(g *WithT, c *cluster) {
+		advance(3 * time.Second)
+		// The delay keeps answers in flight at the moment of the pause.
+		c.network.SetDelay(func(_, _ contract.InstanceID) time.Duration { return 200 * time.Millisecond })
 		advance(3 * time.Second)
 		paused := c.nodes[0]
 		c.network.Pause(paused.id)
 		advance(30 * time.Second)
 		g.Expect(paused.majority()).To(BeFalse())
 		c.network.Partition(c.ids(0, 1), c.ids(1, 9))
-		c.network.Resume(paused.id) // only the answers held back arrive
-		advance(50 * time.Millisecond)
+		c.network.Resume(paused.id)     // only the answers held back arrive
+		advance(250 * time.Millisecond) // a view is published every 100 ms
 		g.Expect(paused.heard()).To(Equal(1))
 		g.Expect(paused.majority()).To(BeFalse())
 		c.network.Heal()
@@ -88,7 +93,7 @@
 		advance(2 * time.Minute)
 		for _, n := range c.nodes {
 			g.Expect(n.known()).To(Equal(2))
-			g.Expect(n.majority()).To(BeTrue())
+			g.Expect(n.majority()).To(BeTrue(), "heard %d of %d, informed %v, peers %d", n.heard(), n.known(), n.View().Informed(), len(n.View().Peers()))
 		}
 	})
 }
@@ -110,7 +115,7 @@
 		advance(15 * time.Second)
 		for _, n := range c.nodes {
 			g.Expect(n.known()).To(Equal(4))
-			g.Expect(n.majority()).To(BeTrue())
+			g.Expect(n.majority()).To(BeTrue(), "heard %d of %d, informed %v, peers %d", n.heard(), n.known(), n.View().Informed(), len(n.View().Peers()))
 		}
 	})
 }
@@ -189,7 +194,7 @@
 			n.mu.Lock()
 			g.Expect(n.status.Head).To(Equal(int64(9)), "%s", n.id)
 			n.mu.Unlock()
-			g.Expect(n.majority()).To(BeTrue())
+			g.Expect(n.majority()).To(BeTrue(), "heard %d of %d, informed %v, peers %d", n.heard(), n.known(), n.View().Informed(), len(n.View().Peers()))
 			g.Expect(n.known()).To(Equal(instances))
 		}
 	})
@@ -235,6 +240,84 @@
 	})
 }
 
+// Guards against an entry in the platform's list that outlives the instance or
+// hides that it leaves.
+func TestListEntryFollowsTheInstance(t *testing.T) {
+	inCluster(t, 2, nil, func(g *WithT, c *cluster) {
+		leaving := c.nodes[1]
+		entry := func() platform.ListEntry {
+			list, _ := c.list.List(t.Context())
+			for _, e := range list.Instances {
+				if e.ID == string(leaving.id) {
+					return e
+				}
+			}
+			return platform.ListEntry{}
+		}
+		advance(time.Second)
+		g.Expect(entry().State).To(Equal(platform.ListedLive))
+		g.Expect(entry().UpdatedAt).NotTo(BeZero())
+		leaving.SetState(Draining)
+		leaving.SetState(Ready) // draining is final
+		advance(10 * time.Millisecond)
+		g.Expect(entry().State).To(Equal(platform.ListedLeaving))
+		leaving.stop()
+		<-leaving.done
+		g.Expect(entry().ID).To(BeEmpty())
+	})
+}
+
+// Guards against wrong heartbeats that have an effect.
+func TestWrongHeartbeatsAreRefused(t *testing.T) {
+	inCluster(t, 1, nil, func(g *WithT, c *cluster) {
+		for _, wrong := range []heartbeat{
+			{Self: &entry{ID: "another", Region: "pohjola"}},
+			{Self: &entry{ID: "peer", Region: "hokkaido"}},
+			{Status: status{State: Draining + 1}},
+			{Status: status{Head: -1}},
+			{Have: maxMembers + 1},
+		} {
+			body, err := link.Encode(wrong)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = c.nodes[0].answer(t.Context(), "peer", body)
+			g.Expect(err).To(MatchError(ErrHeartbeatInvalid))
+		}
+		_, err := c.nodes[0].answer(t.Context(), "peer", []byte("x"))
+		g.Expect(err).To(MatchError(link.ErrMalformed))
+		g.Expect(c.nodes[0].Stats().Refused).To(Equal(int64(6)))
+		g.Expect(c.nodes[0].known()).To(Equal(1))
+	})
+}
+
+// Guards against an instance that starts in a minority while the list is down,
+// and takes this minority, or itself alone, for the whole deployment.
+func TestInstanceThatStartsInMinorityHasNoMajority(t *testing.T) {
+	const late = 9
+	configure := func(config *Config) {
+		if config.Self.ID == memberNumber(late).ID {
+			config.Seeds = []Member{memberNumber(7), memberNumber(8)}
+		}
+	}
+	inCluster(t, late, configure, func(g *WithT, c *cluster) {
+		advance(3 * time.Second)
+		c.list.setDown(true)
+		c.network.Partition(c.ids(0, 6), append(c.ids(6, 9), memberNumber(late).ID))
+		advance(time.Minute)
+		c.start(t, late)
+		started := c.nodes[late]
+		g.Expect(started.majority()).To(BeFalse())
+		for range 100 {
+			advance(100 * time.Millisecond)
+			g.Expect(started.majority()).To(BeFalse())
+		}
+		g.Expect(started.heard()).To(Equal(4))
+		g.Expect(started.known()).To(Equal(10))
+		c.network.Heal()
+		advance(8 * time.Second)
+		g.Expect(started.majority()).To(BeTrue())
+	})
+}
+
 // packetOverhead is the size of the headers that a heartbeat body needs in one
 // exchange: IP, UDP, QUIC short header and tag, frame headers, message header,
 // for the request, the answer and one acknowledgement (3 * 66 bytes).
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"math"
+
 	"github.com/cockroachdb/errors"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
@@ -27,10 +29,13 @@
 type status struct {
 	_       struct{} `cbor:",toarray"`
 	State   State
-	Current bool  // the sender's contacts prove that it misses no configuration version
-	Head    int64 // newest configuration version that it has verified
-	Held    int64 // configuration version in force at the sender
-	At      timeline.Timestamp
+	Current bool // the sender's contacts prove that it misses no configuration version
+	// Informed tells that the sender knows of all instances: it has read the
+	// platform's list, or has received the table of an instance that is informed.
+	Informed bool
+	Head     int64 // newest configuration version that it has verified
+	Held     int64 // configuration version in force at the sender
+	At       timeline.Timestamp
 }
 
 // entry names an instance in a table.
@@ -40,8 +45,15 @@
 	Address string
 	Domain  contract.FailureDomainID
 	Region  string
+	// Silent is the time since the last news of the instance, in seconds, or
+	// departedEntry. It lets the receiver keep the instance in the denominator
+	// exactly as long as the sender does.
+	Silent uint32
 }
 
+// departedEntry marks an instance that has left.
+const departedEntry = math.MaxUint32
+
 // sectionData is the part of one section.
 type sectionData struct {
 	_    struct{} `cbor:",toarray"`
