--- a/internal/configuration/soak_test.go
+++ b/internal/configuration/soak_test.go
@@ -17,6 +17,7 @@
 const (
 	soakSize       = 5
 	soakSteps      = 120
+	healSteps      = 20
 	checkInterval  = 100 * time.Millisecond
 	effectiveBound = 3 * time.Second // P8
 )
@@ -162,7 +163,10 @@
 	for step := range soakSteps {
 		time.Sleep(time.Duration(s.rng.IntN(800)) * time.Millisecond)
 		s.submit(t, &wg, step)
-		if s.rng.IntN(3) == 0 {
+		switch {
+		case step%healSteps == healSteps-1:
+			s.heal() // with some seeds the table would stay down for most of the run
+		case s.rng.IntN(3) == 0:
 			s.fault()
 		}
 	}
