--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,7 +31,6 @@
 	FailureDomain        contract.FailureDomainID `json:"failure_domain"`                   //
 	APIAddress           string                   `json:"api_address"`                      // IP and port, TCP
 	LinkAddress          string                   `json:"link_address"`                     // IP and port, UDP
-	AdvertiseAPIAddress  string                   `json:"advertise_api_address,omitempty"`  // default: APIAddress
 	AdvertiseLinkAddress string                   `json:"advertise_link_address,omitempty"` // default: LinkAddress
 	TLS                  TLS                      `json:"tls"`
 	Platform             Platform                 `json:"platform"`
@@ -40,10 +39,8 @@
 	RecordRetentionMS    int64                    `json:"record_retention_ms"`       // milliseconds, default 24 h
 	LogLevel             string                   `json:"log_level"`                 // default "info"
 	TimelineCapacity     int                      `json:"timeline_capacity"`         // events, default 16384
-	MaxPeers             int                      `json:"max_peers"`                 // instances, default 8
 	HeartbeatIntervalMS  int64                    `json:"heartbeat_interval_ms"`     // milliseconds, default 500
 	ListIntervalMS       int64                    `json:"list_interval_ms"`          // milliseconds, default 1000
-	LoadIntervalMS       int64                    `json:"load_interval_ms"`          // milliseconds, default 500
 	ConfigIntervalMS     int64                    `json:"configuration_interval_ms"` // milliseconds, default 1000
 	DepartureHoldMS      int64                    `json:"departure_hold_ms"`         // milliseconds, default 24 h
 }
@@ -58,10 +55,9 @@
 
 // Platform names the platform's services.
 type Platform struct {
-	TableAddress       string `json:"table_address"`        // base URL
-	ObjectStoreAddress string `json:"object_store_address"` // base URL
-	ListAddress        string `json:"list_address"`         // base URL
-	TimeoutMS          int64  `json:"timeout_ms"`           // milliseconds for one request, default 2000
+	TableAddress string `json:"table_address"` // base URL
+	ListAddress  string `json:"list_address"`  // base URL
+	TimeoutMS    int64  `json:"timeout_ms"`    // milliseconds for one request, default 2000
 }
 
 // Seed is another instance known at the start.
@@ -80,10 +76,8 @@
 		RecordRetentionMS:   24 * 60 * 60 * 1000,
 		LogLevel:            "info",
 		TimelineCapacity:    16384,
-		MaxPeers:            8,
 		HeartbeatIntervalMS: 500,
 		ListIntervalMS:      1000,
-		LoadIntervalMS:      500,
 		ConfigIntervalMS:    1000,
 		DepartureHoldMS:     24 * 60 * 60 * 1000,
 	}
@@ -116,9 +110,6 @@
 	if err := settingsSchema.Decode(data, &s); err != nil {
 		return nil, err
 	}
-	if s.AdvertiseAPIAddress == "" {
-		s.AdvertiseAPIAddress = s.APIAddress
-	}
 	if s.AdvertiseLinkAddress == "" {
 		s.AdvertiseLinkAddress = s.LinkAddress
 	}
@@ -150,7 +141,7 @@
 
 func (s *Settings) checkAdvertised() error {
 	for _, advertised := range []struct{ path, value string }{
-		{"advertise_api_address", s.AdvertiseAPIAddress}, {"advertise_link_address", s.AdvertiseLinkAddress},
+		{"advertise_link_address", s.AdvertiseLinkAddress},
 	} {
 		if fault := checkReachable(advertised.path, advertised.value); fault != nil {
 			return fault
@@ -174,7 +165,6 @@
 func (p Platform) check() error {
 	for _, service := range []struct{ path, value string }{
 		{"platform.table_address", p.TableAddress},
-		{"platform.object_store_address", p.ObjectStoreAddress},
 		{"platform.list_address", p.ListAddress},
 	} {
 		u, err := url.Parse(service.value)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -22,7 +22,7 @@
 
 const minimal = `{"instance":"i","region":"r","failure_domain":"d","api_address":"127.0.0.1:1","link_address":"127.0.0.1:2",
  "tls":{"certificate_file":"c","key_file":"k","authority_file":"/a"},
- "platform":{"table_address":"http://127.0.0.1:3","object_store_address":"http://127.0.0.1:3","list_address":"http://127.0.0.1:3"}}`
+ "platform":{"table_address":"http://127.0.0.1:3","list_address":"http://127.0.0.1:3"}}`
 
 // Guards against a bad value that is accepted, or refused without its path.
 func TestFaults(t *testing.T) {
@@ -37,7 +37,7 @@
 		{`"region":null`, "region: must be of type string, not null"},
 		{`"seeds":[{"id":"a"}]`, "seeds[0].link_address: is required"},
 		{`"seeds":[{"id":"a","link_address":"127.0.0.1:0","failure_domain":"d"}]`, "seeds[0].link_address: must name a specific IP address and a port from 1 to 65535"},
-		{`"platform":{"table_address":"x","object_store_address":"x","list_address":"x"}`, "platform.table_address: must be a URL such as http://127.0.0.1:7300"},
+		{`"platform":{"table_address":"x","list_address":"x"}`, "platform.table_address: must be a URL such as http://127.0.0.1:7300"},
 	} {
 		members := map[string]json.RawMessage{}
 		g.Expect(json.Unmarshal([]byte(minimal), &members)).To(Succeed())
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -212,7 +212,6 @@
 		AuthorityFile:   filepath.Join(keys, tlskeys.AuthorityFile),
 	}
 	s.Platform.TableAddress = c.Platform.URL()
-	s.Platform.ObjectStoreAddress = c.Platform.URL()
 	s.Platform.ListAddress = c.Platform.URL()
 	s.DrainLingerMS = 500
 	if c.options.Adjust != nil {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -58,7 +58,7 @@
 		  "instance": "instance-$i", "region": "hokkaido", "failure_domain": "${DOMAINS[$i]}",
 		  "api_address": "127.0.0.1:1760$i", "link_address": "127.0.0.1:1770$i",
 		  "tls": {"certificate_file": "keys/instance-$i.crt", "key_file": "keys/instance-$i.key", "authority_file": "keys/authority.crt"},
-		  "platform": {"table_address": "http://$PLATFORM", "object_store_address": "http://$PLATFORM", "list_address": "http://$PLATFORM"},
+		  "platform": {"table_address": "http://$PLATFORM", "list_address": "http://$PLATFORM"},
 		  "drain_linger_ms": 500
 		}
 	JSON
