--- a/internal/generation/registry.go
+++ b/internal/generation/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -177,9 +178,17 @@
 		r.config.Recorder.Record(timeline.Event{Kind: kind, Request: g.request.ID, Detail: detail})
 	}
 	record(timeline.CallerConnected, fmt.Sprintf("offset=%d", p.Offset))
-	return NewSubscription(s.next, func() {
+	var ended atomic.Bool // Next and Close may run concurrently
+	next := func(ctx context.Context) (Event, error) {
+		event, err := s.Next(ctx)
+		ended.Store(event.Kind == EventEnd)
+		return event, err
+	}
+	return NewSubscription(next, func() {
 		s.Close()
-		record(timeline.CallerGone, "")
+		if !ended.Load() {
+			record(timeline.CallerGone, "")
+		}
 	}), true
 }
 
--- a/internal/instance/calls.go
+++ b/internal/instance/calls.go
@@ -32,7 +32,9 @@
 	if deadline, set := body.DeadlineMs.Get(); set {
 		request.Deadline = time.Now().Add(milliseconds(deadline))
 	}
+	arrived := time.Now()
 	result := h.caller.Call(ctx, request)
+	h.metrics.call.Observe(time.Since(arrived).Seconds())
 	return h.callResult(id, result)
 }
 
--- a/internal/instance/generations.go
+++ b/internal/instance/generations.go
@@ -62,6 +62,7 @@
 // stream writes the subscription to the caller. A generation that ended before
 // it reached an engine is answered by an HTTP error.
 func (h *handler) stream(ctx context.Context, w http.ResponseWriter, id contract.RequestID, subscription *generation.Subscription) error {
+	arrived := time.Now()
 	first, err := subscription.Next(ctx)
 	if err != nil {
 		return h.refuse(id, contract.Verdict{Outcome: contract.Unknown, Reason: contract.ReasonInProgress})
@@ -72,8 +73,7 @@
 	if first.Kind == generation.EventBroken {
 		return h.refuse(id, unconfirmed())
 	}
-	if err := newStreamWriter(w, id).copy(ctx, subscription, first); err != nil {
-		h.record(timeline.Event{Kind: timeline.CallerGone, Request: id})
+	if err := newStreamWriter(w, id, &pace{metrics: h.metrics, start: arrived}).copy(ctx, subscription, first); err != nil {
 		h.log.WithField("request", id).WithError(err).Info("caller is gone")
 	}
 	return nil
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -20,6 +20,10 @@
 	requests *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	events   *prometheus.CounterVec
+
+	firstToken prometheus.Histogram
+	resume     prometheus.Histogram
+	call       prometheus.Histogram
 }
 
 func newMetrics() *metrics {
@@ -34,12 +38,23 @@
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "events_total", Help: "Events of the time line, by kind.",
 		}, []string{"kind"}),
+		firstToken: durations("first_token_seconds", "Time from a caller's request to its first token."),
+		resume: durations("resume_seconds",
+			"Time from the last token before a generation moved to another engine to the next token."),
+		call: durations("call_seconds", "Time from a call's arrival to its answer."),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.events,
+	m.registry.MustRegister(m.requests, m.refusals, m.events, m.firstToken, m.resume, m.call,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
+// durations returns a histogram with buckets from 1 ms to about 30 s.
+func durations(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: metricsNamespace, Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
+	})
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/internal/instance/stream.go
+++ b/internal/instance/stream.go
@@ -24,13 +24,14 @@
 	response   http.ResponseWriter
 	controller *http.ResponseController
 	request    contract.RequestID
+	pace       *pace
 }
 
-func newStreamWriter(w http.ResponseWriter, request contract.RequestID) *streamWriter {
+func newStreamWriter(w http.ResponseWriter, request contract.RequestID, pace *pace) *streamWriter {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
 	w.WriteHeader(http.StatusOK)
-	return &streamWriter{response: w, controller: http.NewResponseController(w), request: request}
+	return &streamWriter{response: w, controller: http.NewResponseController(w), request: request, pace: pace}
 }
 
 // copy writes events until the end, the loss of the caller or a broken relay.
@@ -91,6 +92,7 @@
 }
 
 func (s *streamWriter) write(event generation.Event) error {
+	s.pace.observe(event, time.Now())
 	switch event.Kind {
 	case generation.EventStart:
 		return s.event(api.EventStart, event.Position, api.StartEvent{
