--- /dev/null
+++ b/internal/dispatch/caller_test.go
@@ -0,0 +1,106 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/dispatch"
+	"foxtailhub.example/foxtailhub/internal/naive"
+	"foxtailhub.example/foxtailhub/internal/platform/platformtest"
+	"foxtailhub.example/foxtailhub/internal/workspace"
+)
+
+// Guards against one write to the table service per call.
+func TestInsertsAreBatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := platformtest.NewTable()
+		c := start(t, config(table, newServers(2)))
+		var group sync.WaitGroup
+		for range 128 {
+			group.Go(func() { c.Call(context.Background(), booking(newKey())) })
+		}
+		group.Wait()
+		g.Expect(c.Flush(context.Background())).To(Succeed())
+		g.Expect(table.Rows()).To(HaveLen(128))
+		g.Expect(table.Commits()).To(BeNumerically("<=", 12))
+	})
+}
+
+// Guards against outcomes that are lost at a shutdown, and against a flush that
+// claims success without the store.
+func TestFlush(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := platformtest.NewTable()
+		s := newServers(1)
+		s.behave(func(context.Context, string) behaviour {
+			table.Set(platformtest.Faults{Unavailable: true}) // after the record, before the outcome
+			return behaviour{status: 201}
+		})
+		c := start(t, config(table, s))
+		request := booking(newKey())
+		g.Expect(c.Call(context.Background(), request).Response.Status).To(Equal(201))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		g.Expect(c.Flush(ctx)).NotTo(Succeed())
+		table.Set(platformtest.Faults{})
+		g.Expect(c.Flush(context.Background())).To(Succeed())
+		g.Expect(storedRecord(table).State).To(Equal(dispatch.Completed))
+		g.Expect(storedRecord(table).Status).To(Equal(201))
+	})
+}
+
+// Guards against a difference between the naive and the real version where no
+// fault excuses it.
+func TestSameAnswersWithoutFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newServers(2)
+		s.behave(func(_ context.Context, key string) behaviour {
+			return behaviour{answer: time.Millisecond, status: 200 + len(key)%3, content: []byte(key)}
+		})
+		simple, c := naive.NewCaller(config(nil, s)), start(t, config(platformtest.NewTable(), s))
+		for i := range 20 {
+			for _, request := range []dispatch.Request{booking(newKey()), stock()} {
+				request.ID.Key += fmt.Sprint(i)
+				expected := simple.Call(context.Background(), request)
+				g.Expect(c.Call(context.Background(), request)).To(Equal(expected))
+			}
+		}
+	})
+}
+
+// Guards against a call that runs although admission refused it.
+func TestAdmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := platformtest.NewTable()
+		s := newServers(1)
+		s.behave(func(context.Context, string) behaviour { return behaviour{answer: time.Second} })
+		c := config(table, s)
+		c.Admitter = workspace.NewAdmission(workspace.Config{
+			Configuration: c.Configuration,
+			Capacity:      func(contract.ServiceID) int { return 1 },
+		})
+		caller := start(t, c)
+		caller.Call(context.Background(), booking(newKey()))
+		go caller.Call(context.Background(), booking(newKey()))
+		time.Sleep(100 * time.Millisecond)
+		request := booking(newKey())
+		request.Deadline = time.Now().Add(500 * time.Millisecond)
+		verdict := caller.Call(context.Background(), request).Verdict
+		held := 5*time.Millisecond + shortest + time.Second // batch delay of the record, execution, answer
+		g.Expect(verdict).To(Equal(contract.Verdict{Outcome: contract.NotRun, Reason: contract.ReasonOverloaded, RetryAfter: held}))
+		time.Sleep(time.Minute)
+		g.Expect(s.executions(request.ID.Key)).To(BeZero())
+		g.Expect(caller.InFlight()).To(BeZero())
+	})
+}
