--- a/internal/upstream/choose.go
+++ b/internal/upstream/choose.go
@@ -71,8 +71,9 @@
 // eligibleCandidates returns the indices of the best group of candidates.
 func eligibleCandidates(choice Choice) []int {
 	owned := ownedUpstreams(choice)
-	var all []int
-	for i, candidate := range choice.Candidates {
+	all := make([]int, 0, len(choice.Candidates))
+	for i := range choice.Candidates {
+		candidate := &choice.Candidates[i]
 		if choice.Suspect && (candidate.BesideSuspect || slices.Contains(choice.Died, candidate.Target.ID)) {
 			continue
 		}
@@ -125,7 +126,7 @@
 }
 
 func keep(indices []int, wanted func(int) bool) []int {
-	var kept []int
+	kept := make([]int, 0, len(indices))
 	for _, i := range indices {
 		if wanted(i) {
 			kept = append(kept, i)
--- a/internal/upstream/enginehttp/engine_test.go
+++ b/internal/upstream/enginehttp/engine_test.go
@@ -94,6 +94,8 @@
 	model  *standin.Engine
 	engine upstream.Engine
 	server *httptest.Server
+
+	address string
 }
 
 func newFixture(t *testing.T, config standin.EngineConfig) *fixture {
@@ -104,7 +106,7 @@
 	config.Models = []upstream.ModelPin{pin}
 	config.TokenInterval = 2 * time.Millisecond
 	config.Connections = listener
-	f := &fixture{g: g}
+	f := &fixture{g: g, address: plain.Addr().String()}
 	config.Exit = func(int) {
 		_ = plain.Close()
 		listener.Cut()
@@ -119,7 +121,7 @@
 		f.model.Close()
 		f.server.Close()
 	})
-	f.engine = enginehttp.NewDialer().Engine(upstream.Target{ID: "engine-1", Address: plain.Addr().String()})
+	f.engine = enginehttp.NewDialer().Engine(upstream.Target{ID: "engine-1", Address: f.address})
 	return f
 }
 
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -22,6 +22,9 @@
 	// incarnation while the upstream itself reports that it is not leaving. It
 	// must exceed the lag of load reports.
 	unattributedLeavingLifetime = time.Minute
+	// formerProcessGrace is how long late news of peers about a former process is
+	// ignored. It must exceed the difference of the instances' clocks.
+	formerProcessGrace = 10 * time.Second
 	// pastIncarnations is how many former incarnations are remembered, to
 	// recognise late news about them.
 	pastIncarnations = 4
@@ -111,7 +114,7 @@
 // when the request was sent, so that an answer from before a failure does not
 // override the failure.
 func (h Health) Answered(at time.Time, incarnation Incarnation, leaving bool) Health {
-	h, stale := h.renewed(at, incarnation)
+	h, stale := h.renewed(at, incarnation, 0)
 	if stale || at.Before(h.Own.At) {
 		return h
 	}
@@ -150,7 +153,7 @@
 // SaidLeaving is the transition for a leaving mark that this instance or a peer
 // got from the upstream itself.
 func (h Health) SaidLeaving(at time.Time, incarnation Incarnation) Health {
-	h, stale := h.renewed(at, incarnation)
+	h, stale := h.renewed(at, incarnation, formerProcessGrace)
 	if stale || incarnation == "" && at.Before(h.FirstSeen) {
 		return h
 	}
@@ -174,7 +177,7 @@
 
 // PeerAnswered is the transition for an answer to a peer.
 func (h Health) PeerAnswered(at time.Time, incarnation Incarnation, leaving bool) Health {
-	h, stale := h.renewed(at, incarnation)
+	h, stale := h.renewed(at, incarnation, formerProcessGrace)
 	if stale {
 		return h
 	}
@@ -192,9 +195,13 @@
 	return h
 }
 
-// Died is the transition for the confirmed death of an incarnation.
+// Died is the transition for the confirmed death of an incarnation. Of several
+// times, the earliest is right.
 func (h Health) Died(at time.Time, incarnation Incarnation) Health {
-	if incarnation == h.Incarnation && at.After(h.diedAt) {
+	if h.Incarnation == "" {
+		h.Incarnation, h.FirstSeen = incarnation, at
+	}
+	if incarnation == h.Incarnation && (h.diedAt.IsZero() || at.Before(h.diedAt)) {
 		h.diedAt = at
 	}
 	return h
@@ -222,15 +229,19 @@
 }
 
 // renewed applies an incarnation. stale reports that the news is about a former
-// one. A new incarnation ends leaving, down and doubt.
-func (h Health) renewed(at time.Time, incarnation Incarnation) (renewed Health, stale bool) {
+// one. A new incarnation ends leaving, down and doubt. News of a former one that
+// is newer than the present one by more than grace shows that the order was
+// wrong, as clocks of instances differ; otherwise the upstream would be lost.
+func (h Health) renewed(at time.Time, incarnation Incarnation, grace time.Duration) (renewed Health, stale bool) {
 	switch {
 	case incarnation == "" || incarnation == h.Incarnation:
 		return h, false
 	case h.Incarnation == "":
 		h.Incarnation, h.FirstSeen = incarnation, at
 		return h, false
-	case slices.Contains(h.past[:], incarnation) || at.Before(h.FirstSeen):
+	case at.Before(h.FirstSeen):
+		return h, true
+	case slices.Contains(h.past[:], incarnation) && at.Sub(h.FirstSeen) <= grace:
 		return h, true
 	}
 	copy(h.past[1:], h.past[:])
--- a/internal/upstream/health_test.go
+++ b/internal/upstream/health_test.go
@@ -45,6 +45,8 @@
 		{"restart after leaving", live.SaidLeaving(at(1), "a").Answered(at(3), "b", false), 3, StateLive},
 		{"old mark after a restart", live.Answered(at(3), "b", false).SaidLeaving(at(4), "a"), 4, StateLive},
 		{"mark without a process from before a restart", live.Answered(at(3), "b", false).SaidLeaving(at(2), ""), 4, StateLive},
+		{"former process answers this instance again", live.PeerAnswered(at(3), "b", false).SaidLeaving(at(3), "b").Answered(at(4), "a", false), 4, StateLive},
+		{"late contact of a former process", live.PeerAnswered(at(3), "b", false).SaidLeaving(at(3), "b").PeerAnswered(at(4), "a", false), 4, StateLeaving},
 		{"listed as leaving", live.Listed(platform.ListedLeaving, at(1)), 1, StateLeaving},
 		{"listed as live again", live.Listed(platform.ListedLeaving, at(1)).Listed(platform.ListedLive, at(2)), 2, StateLive},
 		{"older copy of the list", live.Listed(platform.ListedLeaving, at(2)).Listed(platform.ListedLive, at(1)), 2, StateLeaving},
--- a/internal/upstream/observe.go
+++ b/internal/upstream/observe.go
@@ -225,7 +225,7 @@
 	w.dirty = true
 	if start.Incarnation == "" {
 		// Deaths of unknown processes must not be taken for one another.
-		start.Incarnation = Incarnation("unknown-" + death.at.UTC().Format(time.RFC3339Nano))
+		start.Incarnation = Incarnation(unknownProcess + death.at.UTC().Format(time.RFC3339Nano))
 	}
 	w.recordDeath(Death{Start: start, FailureDomain: domain, At: death.at, Contents: death.contents}, "")
 }
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -187,8 +187,10 @@
 	}
 	suspected := func(other ContentKey) bool { return v.suspect(other, now) }
 	pin := v.configuredPin(need.Service)
-	var candidates []*entry
-	for _, known := range v.eligible(need.Service, need.Workspace) {
+	eligible := v.eligible(need.Service, need.Workspace)
+	candidates := make([]*entry, 0, len(eligible))
+	choice.Candidates = make([]Candidate, 0, len(eligible))
+	for _, known := range eligible {
 		if known.health.State(now) != StateLive || !known.serves(need.Pin, pin) {
 			continue
 		}
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"foxtailhub.example/foxtailhub/internal/configuration"
@@ -17,6 +18,9 @@
 	contactRefresh = time.Second
 	// servedRefresh is how old a passed-on list of models may get.
 	servedRefresh = 30 * time.Second
+	// unknownProcess begins the incarnation under which the death of a process of
+	// unknown incarnation is recorded.
+	unknownProcess = "unknown-"
 	// unconfirmedDeathLifetime bounds the time in which a lost connection can be
 	// explained by a death.
 	unconfirmedDeathLifetime = 5 * time.Second
@@ -268,7 +272,8 @@
 		AtMS:          merged.At.UnixMilli(),
 		Contents:      slices.Clone(merged.Contents),
 	}, from)
-	if edited := w.edit(death.Start.Upstream); edited != nil {
+	edited := w.edit(death.Start.Upstream)
+	if edited != nil && !strings.HasPrefix(string(death.Start.Incarnation), unknownProcess) {
 		edited.health = edited.health.Died(merged.At, death.Start.Incarnation)
 	}
 }
