--- a/internal/upstream/poll.go
+++ b/internal/upstream/poll.go
@@ -103,7 +103,7 @@
 	p.updateWatched(view)
 	for id, known := range view.entries {
 		scheduled := p.schedule[id]
-		if scheduled.running || now.Before(scheduled.due) || !p.wanted(scheduled, known.health) {
+		if scheduled.running || now.Before(scheduled.due) || !p.wanted(scheduled, known) {
 			continue
 		}
 		scheduled.running = true
@@ -113,7 +113,11 @@
 	}
 }
 
-func (p *poller) wanted(scheduled *scheduledPoll, health Health) bool {
+func (p *poller) wanted(scheduled *scheduledPoll, known *entry) bool {
+	if known.kind != configuration.KindEngine && p.upstreams.config.Services == nil {
+		return false
+	}
+	health := known.health
 	ownDown := !health.Own.Up && !health.Own.At.IsZero()
 	return scheduled.watched || ownDown || health.Doubted()
 }
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -106,9 +106,9 @@
 	if w.rejudge {
 		w.judgements = w.evidence.Judge()
 		w.rejudge, w.dirty = false, true
+		w.reportStandings(now)
 	}
 	w.reportStates(now)
-	w.reportStandings(now)
 	if !w.dirty {
 		return nil
 	}
@@ -192,11 +192,11 @@
 		standing := judgement.Standing(now)
 		before := w.standings[content]
 		w.standings[content] = standing
-		detail := fmt.Sprintf("content=%x deaths=%d", content, standing.Deaths)
-		if standing.Quarantined && !before.Quarantined {
-			w.events = append(w.events, timeline.Event{Kind: timeline.ContentQuarantine, Detail: detail})
-		} else if standing.Deaths > before.Deaths {
-			w.events = append(w.events, timeline.Event{Kind: timeline.ContentSuspected, Detail: detail})
+		switch {
+		case standing.Quarantined && !before.Quarantined:
+			w.reportContent(timeline.ContentQuarantine, content, standing)
+		case standing.Deaths > before.Deaths:
+			w.reportContent(timeline.ContentSuspected, content, standing)
 		}
 	}
 	maps.DeleteFunc(w.standings, func(content ContentKey, _ Standing) bool {
@@ -205,6 +205,12 @@
 	})
 }
 
+func (w *writer) reportContent(kind timeline.Kind, content ContentKey, standing Standing) {
+	w.events = append(w.events, timeline.Event{
+		Kind: kind, Detail: fmt.Sprintf("content=%x deaths=%d", content, standing.Deaths),
+	})
+}
+
 // maintain forgets what has expired and repeats the marks of suspects.
 func (w *writer) maintain(now time.Time) {
 	if w.evidence.Expire(now) {
@@ -222,6 +228,7 @@
 			delete(w.peerSuspects, id)
 		}
 	}
+	w.reportStandings(now) // a quarantine may have begun or ended
 	w.repeatSuspectRuns(now)
 	w.ledger.retain(w.entries, w.evidence, now)
 }
