--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"foxtailhub.example/foxtailhub/internal/configuration"
@@ -17,6 +18,9 @@
 	contactRefresh = time.Second
 	// servedRefresh is how old a passed-on list of models may get.
 	servedRefresh = 30 * time.Second
+	// unknownProcess begins the incarnation under which the death of a process of
+	// unknown incarnation is recorded.
+	unknownProcess = "unknown-"
 	// unconfirmedDeathLifetime bounds the time in which a lost connection can be
 	// explained by a death.
 	unconfirmedDeathLifetime = 5 * time.Second
@@ -102,9 +106,9 @@
 	if w.rejudge {
 		w.judgements = w.evidence.Judge()
 		w.rejudge, w.dirty = false, true
+		w.reportStandings(now)
 	}
 	w.reportStates(now)
-	w.reportStandings(now)
 	if !w.dirty {
 		return nil
 	}
@@ -188,11 +192,11 @@
 		standing := judgement.Standing(now)
 		before := w.standings[content]
 		w.standings[content] = standing
-		detail := fmt.Sprintf("content=%x deaths=%d", content, standing.Deaths)
-		if standing.Quarantined && !before.Quarantined {
-			w.events = append(w.events, timeline.Event{Kind: timeline.ContentQuarantine, Detail: detail})
-		} else if standing.Deaths > before.Deaths {
-			w.events = append(w.events, timeline.Event{Kind: timeline.ContentSuspected, Detail: detail})
+		switch {
+		case standing.Quarantined && !before.Quarantined:
+			w.reportContent(timeline.ContentQuarantine, content, standing)
+		case standing.Deaths > before.Deaths:
+			w.reportContent(timeline.ContentSuspected, content, standing)
 		}
 	}
 	maps.DeleteFunc(w.standings, func(content ContentKey, _ Standing) bool {
@@ -201,6 +205,12 @@
 	})
 }
 
+func (w *writer) reportContent(kind timeline.Kind, content ContentKey, standing Standing) {
+	w.events = append(w.events, timeline.Event{
+		Kind: kind, Detail: fmt.Sprintf("content=%x deaths=%d", content, standing.Deaths),
+	})
+}
+
 // maintain forgets what has expired and repeats the marks of suspects.
 func (w *writer) maintain(now time.Time) {
 	if w.evidence.Expire(now) {
@@ -218,6 +228,7 @@
 			delete(w.peerSuspects, id)
 		}
 	}
+	w.reportStandings(now) // a quarantine may have begun or ended
 	w.repeatSuspectRuns(now)
 	w.ledger.retain(w.entries, w.evidence, now)
 }
@@ -268,7 +279,8 @@
 		AtMS:          merged.At.UnixMilli(),
 		Contents:      slices.Clone(merged.Contents),
 	}, from)
-	if edited := w.edit(death.Start.Upstream); edited != nil {
+	edited := w.edit(death.Start.Upstream)
+	if edited != nil && !strings.HasPrefix(string(death.Start.Incarnation), unknownProcess) {
 		edited.health = edited.health.Died(merged.At, death.Start.Incarnation)
 	}
 }
