Let a fault act before its switch answers, except the end of the process

TestServiceSilence failed in about 3 of 200 runs: the connection went silent only after the answer to PUT /fault, so a request in between was still answered over it. Ruled out: a second connection (the trace shows that the first one was reused). Refusals of plain services now carry the incarnation that answered.

--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -70,14 +70,19 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		// The answer goes out first: a fault may end the process or this
-		// connection. The connection is closed so that no later request is
-		// sent over one that has gone silent.
 		s.current.Store(&f)
+		// The sender may rely on the fault once it has the answer, except that a
+		// process which is to die answers first. The connection is closed so
+		// that no later request is sent over one that has gone silent.
 		w.Header().Set("Connection", "close")
+		if !f.Die {
+			s.notify(f)
+		}
 		w.WriteHeader(http.StatusNoContent)
 		_ = http.NewResponseController(w).Flush()
-		s.notify(f)
+		if f.Die {
+			s.notify(f)
+		}
 	default:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 	}
--- a/internal/standin/service_test.go
+++ b/internal/standin/service_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -116,9 +118,23 @@
 	g := NewWithT(t)
 	r := startService(t)
 	const long = 10 * time.Second
-	g.Expect(within(long, r.client.CallIdempotent, request("GET", "q1"))).To(Succeed()) // leaves an open connection
+	// With at most one connection, the second request cannot take a new one
+	// because the first is not back in the pool yet.
+	transport := &http.Transport{MaxConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+	query := func(ctx context.Context, call upstream.CallRequest) (upstream.CallResponse, error) {
+		request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+r.address+call.Path, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		response, err := transport.RoundTrip(request)
+		if err != nil {
+			return upstream.CallResponse{}, err
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		return upstream.CallResponse{Status: response.StatusCode}, errors.Join(err, response.Body.Close())
+	}
+	g.Expect(within(long, query, request("GET", "q1"))).To(Succeed()) // leaves an open connection
 	r.fault(g, standin.Fault{Silence: true})
-	g.Expect(within(100*time.Millisecond, r.client.CallIdempotent, request("GET", "q2"))).To(MatchError(context.DeadlineExceeded))
+	g.Expect(within(100*time.Millisecond, query, request("GET", "q2"))).To(MatchError(context.DeadlineExceeded))
 	g.Expect(within(long, r.client.CallOnce, request("POST", "k1"))).To(Succeed())
 	g.Expect(within(long, r.client.CallIdempotent, request("GET", "q3"))).To(Succeed())
 }
--- a/internal/upstream/servicehttp/client.go
+++ b/internal/upstream/servicehttp/client.go
@@ -114,8 +114,9 @@
 		return upstream.CallResponse{}, classify(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	incarnation := upstream.Incarnation(response.Header.Get(HeaderIncarnation))
 	if err := notRun(response); err != nil {
-		return upstream.CallResponse{}, err
+		return upstream.CallResponse{}, upstream.WithIncarnation(err, incarnation)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
 	if err != nil {
@@ -128,7 +129,7 @@
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
 		Body:        body,
-		Incarnation: upstream.Incarnation(response.Header.Get(HeaderIncarnation)),
+		Incarnation: incarnation,
 	}, nil
 }
 
