Build an instance from its ways to the outside

Provision builds the real adapters; New wires an instance from interfaces and a listener, so that tests can run whole instances in virtual time. The client takes a dial function for the same reason.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -6,6 +6,7 @@
 package client
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -43,14 +44,30 @@
 	next      atomic.Uint64
 }
 
+// Option changes how a Client connects.
+type Option func(*options)
+
+type options struct {
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// WithDial makes the client open its connections with dial instead of TCP.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(o *options) { o.dial = dial }
+}
+
 // New returns a Client for a list of base URLs. Each connection is used for one
 // request, since a pooled connection may have gone silent without notice.
-func New(urls []string) (*Client, error) {
+func New(urls []string, change ...Option) (*Client, error) {
 	if len(urls) == 0 {
 		return nil, ErrNoEndpoint
 	}
+	o := options{dial: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	for _, apply := range change {
+		apply(&o)
+	}
 	transport := &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:       o.dial,
 		DisableKeepAlives: true,
 	}
 	c := &Client{}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -15,15 +15,10 @@
 	"foxtailhub.example/foxtailhub/internal/contract"
 	"foxtailhub.example/foxtailhub/internal/dispatch"
 	"foxtailhub.example/foxtailhub/internal/generation"
-	"foxtailhub.example/foxtailhub/internal/link"
 	"foxtailhub.example/foxtailhub/internal/membership"
-	"foxtailhub.example/foxtailhub/internal/platform"
-	"foxtailhub.example/foxtailhub/internal/platform/platformhttp"
 	"foxtailhub.example/foxtailhub/internal/settings"
 	"foxtailhub.example/foxtailhub/internal/timeline"
 	"foxtailhub.example/foxtailhub/internal/upstream"
-	"foxtailhub.example/foxtailhub/internal/upstream/enginehttp"
-	"foxtailhub.example/foxtailhub/internal/upstream/servicehttp"
 	"foxtailhub.example/foxtailhub/internal/workspace"
 )
 
@@ -31,9 +26,6 @@
 	readHeaderTimeout = 10 * time.Second
 	// flushTimeout bounds the last writes of dispatch records at shutdown.
 	flushTimeout = 10 * time.Second
-	// liveWindow is the age of the last contact up to which another instance is
-	// given work, such as watching an upstream.
-	liveWindow = 3 * time.Second
 )
 
 // Instance is one instance, provisioned from its settings.
@@ -44,7 +36,8 @@
 	clock      *timeline.Clock
 	events     *timeline.Log
 	collector  *timeline.Collector
-	transport  *link.QUIC
+	transport  Link
+	listener   net.Listener // nil: one on the settings' address
 	membership *membership.Membership
 	holder     *configuration.Holder
 	follower   *configuration.Follower
@@ -58,197 +51,12 @@
 	handler    *handler
 }
 
-// Provision builds an instance from checked settings and binds its link. It
-// sends nothing yet.
-func Provision(s *settings.Settings, log logrus.FieldLogger) (*Instance, error) {
-	i := &Instance{
-		settings: s,
-		log:      log.WithField("instance", s.Instance),
-		clock:    timeline.NewClock(),
-		holder:   configuration.NewHolder(),
-		activity: &activity{},
-		metrics:  newMetrics(),
-	}
-	i.events = timeline.NewLog(s.Instance, i.clock, s.TimelineCapacity)
-	record := recorder{next: i.events, metrics: i.metrics}
-	if err := i.provisionLink(record); err != nil {
-		return nil, err
-	}
-	table := platformhttp.NewTableService(i.platformConfig(s.Platform.TableAddress))
-	acceptor := i.provisionConfiguration(table, record)
-	i.provisionUpstreams(record)
-	i.provisionRequests(table, record)
-	i.handler = &handler{
-		log: i.log, source: i.holder, holder: i.holder, store: configuration.NewStore(table), acceptor: acceptor,
-		registry: i.registry, caller: i.caller, upstreams: i.upstreams, membership: i.membership,
-		events: i.events, collector: i.collector, activity: i.activity, metrics: i.metrics, life: i.life,
-	}
-	i.registerMetrics()
-	return i, nil
-}
-
-func (i *Instance) platformConfig(address string) platformhttp.Config {
-	return platformhttp.Config{Address: address, Timeout: milliseconds(i.settings.Platform.TimeoutMS)}
-}
-
-// provisionLink builds the connections to other instances.
-func (i *Instance) provisionLink(record timeline.Recorder) error {
-	s := i.settings
-	transport, err := link.NewQUIC(link.Config{
-		Address:         s.LinkAddress,
-		AuthorityFile:   s.TLS.AuthorityFile,
-		CertificateFile: s.TLS.CertificateFile,
-		KeyFile:         s.TLS.KeyFile,
-		Resolve:         func(id contract.InstanceID) (string, bool) { return i.membership.Address(id) },
-		Log:             i.log,
-	})
-	if err != nil {
-		return err
-	}
-	i.transport = transport
-	if self := transport.Self(); self.Instance != s.Instance || self.Region != s.Region {
-		return errors.Newf("tls.certificate_file: names instance %s of region %s, the settings name %s of %s",
-			self.Instance, self.Region, s.Instance, s.Region)
-	}
-	i.membership, err = membership.New(membership.Config{
-		Self: membership.Member{
-			ID: s.Instance, Address: s.AdvertiseLinkAddress, Domain: s.FailureDomain, Region: s.Region,
-		},
-		Seeds:     seeds(s),
-		List:      i.sharedList(),
-		Transport: transport,
-		Clock:     i.clock,
-		Recorder:  record,
-		Log:       i.log,
-		Announce: func(peer contract.InstanceID, head int64) bool {
-			return i.follower.Announce(configuration.Version(head), peer)
-		},
-		Interval:      milliseconds(s.HeartbeatIntervalMS),
-		ListInterval:  milliseconds(s.ListIntervalMS),
-		DepartureHold: milliseconds(s.DepartureHoldMS),
-	})
-	if err != nil {
-		return err
-	}
-	i.collector = timeline.NewCollector(i.events, transport)
-	return nil
-}
-
-func (i *Instance) sharedList() platform.InstanceList {
-	return &sharedList{
-		InstanceList: platformhttp.NewInstanceList(i.platformConfig(i.settings.Platform.ListAddress)),
-		maxAge:       milliseconds(i.settings.ListIntervalMS) / 2,
-	}
-}
-
-func seeds(s *settings.Settings) []membership.Member {
-	members := make([]membership.Member, 0, len(s.Seeds))
-	for _, seed := range s.Seeds {
-		members = append(members, membership.Member{
-			ID: seed.ID, Address: seed.LinkAddress, Domain: seed.FailureDomain, Region: s.Region,
-		})
-	}
-	return members
-}
-
-// provisionConfiguration builds what keeps the configuration in force.
-func (i *Instance) provisionConfiguration(table platform.TableService, record timeline.Recorder) *configuration.Acceptor {
-	spread := &spread{holder: i.holder, transport: i.transport, membership: i.membership}
-	i.transport.Handle(messageFetchConfiguration, spread.answerFetch)
-	i.follower = configuration.NewFollower(configuration.FollowerConfig{
-		Store:        configuration.NewStore(table),
-		Holder:       i.holder,
-		Fetch:        spread.fetch,
-		PollInterval: milliseconds(i.settings.ConfigIntervalMS),
-		Recorder:     record,
-		Log:          i.log,
-	})
-	i.life = newLife(i.log, i.follower, i.membership)
-	spread.update = func() { i.life.update(time.Now()) }
-	i.holder.Subscribe(func(*configuration.Snapshot) { i.membership.Push() })
-	return configuration.NewAcceptor(configuration.AcceptorConfig{
-		Store:     configuration.NewStore(table),
-		Holder:    i.holder,
-		MayAccept: i.life.mayAccept,
-		Publish:   spread.publish,
-		Recorder:  record,
-		Log:       i.log,
-	})
-}
-
-// provisionUpstreams builds what knows the upstreams.
-func (i *Instance) provisionUpstreams(record timeline.Recorder) {
-	i.upstreams = upstream.New(upstream.Config{
-		Self:          upstream.Member{ID: i.settings.Instance, FailureDomain: i.settings.FailureDomain},
-		Configuration: i.holder,
-		List:          i.sharedList(),
-		Engines:       enginehttp.NewDialer(),
-		Services:      servicehttp.New(servicehttp.Config{}),
-		Recorder:      record,
-		Instances:     i.liveInstances,
-		Logger:        i.log,
-		Seed:          uint64(time.Now().UnixNano()),
-	})
-	i.membership.Register(newUpstreamSection(i.upstreams).section())
-}
-
-// liveInstances returns the other instances that were heard from and stay.
-func (i *Instance) liveInstances() []upstream.Member {
-	now := time.Now()
-	view := i.membership.View()
-	live := []upstream.Member{{ID: i.settings.Instance, FailureDomain: i.settings.FailureDomain}}
-	for _, m := range view.Members() {
-		if m.State != membership.Draining && now.Sub(latest(m.Contact, m.Direct)) <= liveWindow {
-			live = append(live, upstream.Member{ID: m.ID, FailureDomain: m.Domain})
-		}
-	}
-	return live
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// provisionRequests builds what runs requests.
-func (i *Instance) provisionRequests(table platform.TableService, record timeline.Recorder) {
-	i.admission = workspace.NewAdmission(workspace.Config{
-		Instance:      i.settings.Instance,
-		Configuration: i.holder,
-		Capacity:      i.upstreams.Capacity,
-		Instances:     func() int { return len(i.liveInstances()) },
-	})
-	i.membership.Register(demandSection(i.admission))
-	i.caller = dispatch.NewCaller(dispatch.Config{
-		Configuration: i.holder,
-		Router:        i.upstreams,
-		Services:      servicehttp.New(servicehttp.Config{}),
-		Table:         table,
-		Admitter:      i.admission,
-		Timeline:      record,
-		Log:           i.log,
-		Retention:     milliseconds(i.settings.RecordRetentionMS),
-		Instances:     func() int { return len(i.liveInstances()) },
-	})
-	i.registry = generation.NewRegistry(generation.Config{
-		Instance:  i.settings.Instance,
-		Router:    i.upstreams,
-		Dialer:    enginehttp.NewDialer(),
-		Recorder:  record,
-		Admitter:  i.admission,
-		Transport: i.transport,
-		Peers:     func() []contract.InstanceID { return i.membership.View().Peers() },
-	})
-}
-
 // Run serves until a drain has ended. ctx begins the drain when it ends; no
 // request is ended by it.
 func (i *Instance) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", i.settings.APIAddress)
+	listener, err := i.listen()
 	if err != nil {
-		return errors.Wrap(err, "api_address")
+		return err
 	}
 	server, err := i.server()
 	if err != nil {
@@ -269,6 +77,15 @@
 	return err
 }
 
+// listen returns the listener of the HTTP interface.
+func (i *Instance) listen() (net.Listener, error) {
+	if i.listener != nil {
+		return i.listener, nil
+	}
+	listener, err := net.Listen("tcp", i.settings.APIAddress)
+	return listener, errors.Wrap(err, "api_address")
+}
+
 // startBackground starts everything but the HTTP interface.
 func (i *Instance) startBackground(ctx context.Context) *errgroup.Group {
 	group, ctx := errgroup.WithContext(ctx)
--- /dev/null
+++ b/internal/instance/wiring.go
@@ -0,0 +1,186 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/dispatch"
+	"foxtailhub.example/foxtailhub/internal/generation"
+	"foxtailhub.example/foxtailhub/internal/membership"
+	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/settings"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+	"foxtailhub.example/foxtailhub/internal/workspace"
+)
+
+// liveWindow is the age of the last contact up to which another instance is
+// given work, such as watching an upstream.
+const liveWindow = 3 * time.Second
+
+// New builds an instance from checked settings and what it reaches. It sends
+// nothing yet.
+func New(s *settings.Settings, parts Parts, log logrus.FieldLogger) (*Instance, error) {
+	i := &Instance{
+		settings:  s,
+		log:       log.WithField("instance", s.Instance),
+		clock:     timeline.NewClock(),
+		holder:    configuration.NewHolder(),
+		activity:  &activity{},
+		metrics:   newMetrics(),
+		transport: parts.Transport,
+		listener:  parts.Listener,
+	}
+	i.events = timeline.NewLog(s.Instance, i.clock, s.TimelineCapacity)
+	record := recorder{next: i.events, metrics: i.metrics}
+	if err := i.provisionLink(parts.List, record); err != nil {
+		return nil, err
+	}
+	acceptor := i.provisionConfiguration(parts.Table, record)
+	i.provisionUpstreams(parts, record)
+	i.provisionRequests(parts, record)
+	i.handler = &handler{
+		log: i.log, source: i.holder, holder: i.holder, store: configuration.NewStore(parts.Table), acceptor: acceptor,
+		registry: i.registry, caller: i.caller, upstreams: i.upstreams, membership: i.membership,
+		events: i.events, collector: i.collector, activity: i.activity, metrics: i.metrics, life: i.life,
+	}
+	i.registerMetrics()
+	return i, nil
+}
+
+// provisionLink builds what knows the other instances.
+func (i *Instance) provisionLink(list platform.InstanceList, record timeline.Recorder) error {
+	s := i.settings
+	members, err := membership.New(membership.Config{
+		Self: membership.Member{
+			ID: s.Instance, Address: s.AdvertiseLinkAddress, Domain: s.FailureDomain, Region: s.Region,
+		},
+		Seeds:     seeds(s),
+		List:      i.sharedList(list),
+		Transport: i.transport,
+		Clock:     i.clock,
+		Recorder:  record,
+		Log:       i.log,
+		Announce: func(peer contract.InstanceID, head int64) bool {
+			return i.follower.Announce(configuration.Version(head), peer)
+		},
+		Interval:      milliseconds(s.HeartbeatIntervalMS),
+		ListInterval:  milliseconds(s.ListIntervalMS),
+		DepartureHold: milliseconds(s.DepartureHoldMS),
+	})
+	if err != nil {
+		return err
+	}
+	i.membership = members
+	i.collector = timeline.NewCollector(i.events, i.transport)
+	return nil
+}
+
+func (i *Instance) sharedList(list platform.InstanceList) platform.InstanceList {
+	return &sharedList{InstanceList: list, maxAge: milliseconds(i.settings.ListIntervalMS) / 2}
+}
+
+func seeds(s *settings.Settings) []membership.Member {
+	members := make([]membership.Member, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		members = append(members, membership.Member{
+			ID: seed.ID, Address: seed.LinkAddress, Domain: seed.FailureDomain, Region: s.Region,
+		})
+	}
+	return members
+}
+
+// provisionConfiguration builds what keeps the configuration in force.
+func (i *Instance) provisionConfiguration(table platform.TableService, record timeline.Recorder) *configuration.Acceptor {
+	spread := &spread{holder: i.holder, transport: i.transport, membership: i.membership}
+	i.transport.Handle(messageFetchConfiguration, spread.answerFetch)
+	i.follower = configuration.NewFollower(configuration.FollowerConfig{
+		Store:        configuration.NewStore(table),
+		Holder:       i.holder,
+		Fetch:        spread.fetch,
+		PollInterval: milliseconds(i.settings.ConfigIntervalMS),
+		Recorder:     record,
+		Log:          i.log,
+	})
+	i.life = newLife(i.log, i.follower, i.membership)
+	spread.update = func() { i.life.update(time.Now()) }
+	i.holder.Subscribe(func(*configuration.Snapshot) { i.membership.Push() })
+	return configuration.NewAcceptor(configuration.AcceptorConfig{
+		Store:     configuration.NewStore(table),
+		Holder:    i.holder,
+		MayAccept: i.life.mayAccept,
+		Publish:   spread.publish,
+		Recorder:  record,
+		Log:       i.log,
+	})
+}
+
+// provisionUpstreams builds what knows the upstreams.
+func (i *Instance) provisionUpstreams(parts Parts, record timeline.Recorder) {
+	i.upstreams = upstream.New(upstream.Config{
+		Self:          upstream.Member{ID: i.settings.Instance, FailureDomain: i.settings.FailureDomain},
+		Configuration: i.holder,
+		List:          i.sharedList(parts.List),
+		Engines:       parts.Engines,
+		Services:      parts.Services,
+		Recorder:      record,
+		Instances:     i.liveInstances,
+		Logger:        i.log,
+		Seed:          uint64(time.Now().UnixNano()),
+	})
+	i.membership.Register(newUpstreamSection(i.upstreams).section())
+}
+
+// liveInstances returns the other instances that were heard from and stay.
+func (i *Instance) liveInstances() []upstream.Member {
+	now := time.Now()
+	view := i.membership.View()
+	live := []upstream.Member{{ID: i.settings.Instance, FailureDomain: i.settings.FailureDomain}}
+	for _, m := range view.Members() {
+		if m.State != membership.Draining && now.Sub(latest(m.Contact, m.Direct)) <= liveWindow {
+			live = append(live, upstream.Member{ID: m.ID, FailureDomain: m.Domain})
+		}
+	}
+	return live
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// provisionRequests builds what runs requests.
+func (i *Instance) provisionRequests(parts Parts, record timeline.Recorder) {
+	i.admission = workspace.NewAdmission(workspace.Config{
+		Instance:      i.settings.Instance,
+		Configuration: i.holder,
+		Capacity:      i.upstreams.Capacity,
+		Instances:     func() int { return len(i.liveInstances()) },
+	})
+	i.membership.Register(demandSection(i.admission))
+	i.caller = dispatch.NewCaller(dispatch.Config{
+		Configuration: i.holder,
+		Router:        i.upstreams,
+		Services:      parts.Services,
+		Table:         parts.Table,
+		Admitter:      i.admission,
+		Timeline:      record,
+		Log:           i.log,
+		Retention:     milliseconds(i.settings.RecordRetentionMS),
+		Instances:     func() int { return len(i.liveInstances()) },
+	})
+	i.registry = generation.NewRegistry(generation.Config{
+		Instance:  i.settings.Instance,
+		Router:    i.upstreams,
+		Dialer:    parts.Engines,
+		Recorder:  record,
+		Admitter:  i.admission,
+		Transport: i.transport,
+		Peers:     func() []contract.InstanceID { return i.membership.View().Peers() },
+	})
+}
