--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -51,6 +51,9 @@
 	handler    *handler
 }
 
+// Configuration returns the configuration in force.
+func (i *Instance) Configuration() *configuration.Snapshot { return i.holder.Current() }
+
 // Run serves until a drain has ended. ctx begins the drain when it ends; no
 // request is ended by it.
 func (i *Instance) Run(ctx context.Context) error {
--- a/internal/instance/life.go
+++ b/internal/instance/life.go
@@ -106,6 +106,12 @@
 	l.membership.SetState(membershipStates[state])
 }
 
+// State returns the state of the instance in its life cycle.
+func (i *Instance) State() State { return i.life.current() }
+
+// Admits reports whether the instance may admit new work.
+func (i *Instance) Admits() bool { return i.life.confirmed() }
+
 func (l *life) current() State { return *l.state.Load() }
 
 // confirmed reports whether new work may be admitted.
--- /dev/null
+++ b/internal/soak/service_test.go
@@ -0,0 +1,152 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// serviceFault is what a plain service does wrong.
+type serviceFault int
+
+const (
+	serviceWell    serviceFault = iota
+	serviceDown                 // not reachable
+	serviceRefuses              // alive, takes nothing
+	serviceLeaves               //
+	serviceLoses                // executes and loses some answers
+	serviceLate                 // executes after the sender has given up
+	serviceFaults
+)
+
+// services are fake plain service servers that count executions.
+type services struct {
+	mu         sync.Mutex // guards all fields
+	random     *rand.Rand
+	faults     map[contract.UpstreamID]serviceFault
+	starts     map[contract.UpstreamID]int // a server that has left comes back as another process
+	executions map[string]int
+}
+
+func newServices(seed uint64) *services {
+	return &services{
+		random: rand.New(rand.NewPCG(seed, 7)), faults: map[contract.UpstreamID]serviceFault{},
+		starts: map[contract.UpstreamID]int{}, executions: map[string]int{},
+	}
+}
+
+func (s *services) set(id contract.UpstreamID, fault serviceFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults[id] == serviceLeaves && fault != serviceLeaves {
+		s.starts[id]++
+	}
+	s.faults[id] = fault
+}
+
+// incarnation requires the lock.
+func (s *services) incarnation(id contract.UpstreamID) upstream.Incarnation {
+	return upstream.Incarnation(fmt.Sprintf("%s#%d", id, s.starts[id]))
+}
+
+func (s *services) executed(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.executions[key]
+}
+
+// answerOf is the only right answer to a call.
+func answerOf(key, body string) string { return fmt.Sprintf("ran %s with %s", key, body) }
+
+type gatedServices struct {
+	*gate
+	services *services
+}
+
+func (d gatedServices) Service(target upstream.Target) upstream.ServiceClient {
+	return serviceClient{d.gate, d.services, target.ID}
+}
+
+type serviceClient struct {
+	*gate
+	services *services
+	id       contract.UpstreamID
+}
+
+func (c serviceClient) CallOnce(ctx context.Context, call upstream.CallRequest) (upstream.CallResponse, error) {
+	if c.pass() != nil {
+		return upstream.CallResponse{}, upstream.ErrUnreachable
+	}
+	response, err := c.services.call(ctx, c.id, call)
+	return response, c.either(err, upstream.ErrConnectionLost)
+}
+
+func (c serviceClient) CallIdempotent(ctx context.Context, call upstream.CallRequest) (upstream.CallResponse, error) {
+	return c.CallOnce(ctx, call)
+}
+
+func (c serviceClient) Load(context.Context) (upstream.LoadReport, error) {
+	if c.pass() != nil {
+		return upstream.LoadReport{}, upstream.ErrUnreachable
+	}
+	c.services.mu.Lock()
+	defer c.services.mu.Unlock()
+	fault := c.services.faults[c.id]
+	if fault == serviceDown {
+		return upstream.LoadReport{}, upstream.ErrUnreachable
+	}
+	return upstream.LoadReport{Incarnation: c.services.incarnation(c.id), Leaving: fault == serviceLeaves, Slots: 16}, nil
+}
+
+// begin returns the fault in force and the time until the execution.
+func (s *services) begin(id contract.UpstreamID) (serviceFault, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delay := time.Millisecond + time.Duration(s.random.Int64N(int64(30*time.Millisecond)))
+	if s.faults[id] == serviceLate {
+		delay = time.Duration(1 + s.random.Int64N(int64(12*time.Second)))
+	}
+	return s.faults[id], delay
+}
+
+// call executes a call even if its sender is gone by then.
+func (s *services) call(ctx context.Context, id contract.UpstreamID, call upstream.CallRequest) (upstream.CallResponse, error) {
+	fault, delay := s.begin(id)
+	switch fault {
+	case serviceDown:
+		return upstream.CallResponse{}, upstream.ErrUnreachable
+	case serviceRefuses:
+		return upstream.CallResponse{}, upstream.ErrRefused
+	case serviceLeaves:
+		return upstream.CallResponse{}, upstream.ErrLeaving
+	}
+	answered := make(chan bool, 1)
+	time.AfterFunc(delay, func() { answered <- s.execute(id, call.Request.Key) })
+	select {
+	case ok := <-answered:
+		if !ok {
+			return upstream.CallResponse{}, upstream.ErrConnectionLost
+		}
+		return upstream.CallResponse{
+			Status: 200, ContentType: "text/plain", Body: []byte(answerOf(call.Request.Key, string(call.Body))),
+		}, nil
+	case <-ctx.Done():
+		return upstream.CallResponse{}, ctx.Err()
+	}
+}
+
+// execute reports whether the answer reaches the sender.
+func (s *services) execute(id contract.UpstreamID, key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults[id] == serviceDown {
+		return false
+	}
+	s.executions[key]++
+	return s.faults[id] != serviceLoses || s.random.IntN(2) == 0
+}
--- a/internal/upstream/upstreamtest/engine.go
+++ b/internal/upstream/upstreamtest/engine.go
@@ -16,6 +16,7 @@
 	Target     upstream.Target
 	Pin        upstream.ModelPin
 	Nonce      uint64        // distinguishes the texts of engines
+	Greedy     bool          // requests with temperature 0 get the same text (nonce 0) at all such engines
 	FirstToken time.Duration // time before the first token of a stream
 	Interval   time.Duration // time between tokens
 	Slots      int           // reported in the load report
@@ -36,6 +37,7 @@
 	refusing    bool
 	leaving     bool
 	crashOn     string
+	crashes     []string // prompts that the engine has crashed on
 	ignoreEnds  bool
 	starts      []upstream.StreamRequest
 	cancels     []upstream.StreamID
@@ -83,6 +85,20 @@
 	return append([]upstream.StreamID(nil), e.cancels...)
 }
 
+// Crashes returns the prompts that the engine has crashed on.
+func (e *FakeEngine) Crashes() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.crashes...)
+}
+
+// Dead reports whether the engine's process has ended.
+func (e *FakeEngine) Dead() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dead
+}
+
 // Running returns how many streams with the prompt are being generated.
 func (e *FakeEngine) Running(prompt string) int {
 	e.mu.Lock()
@@ -107,6 +123,7 @@
 		return nil, err
 	}
 	if e.crashOn != "" && strings.Contains(request.Prompt, e.crashOn) {
+		e.crashes = append(e.crashes, request.Prompt)
 		e.kill()
 		return nil, upstream.ErrConnectionLost
 	}
@@ -255,7 +272,11 @@
 		s.done = true
 		return false
 	}
-	s.add(TokenText(s.request.Prompt, s.pin, s.digester.Prefix(), e.config.Nonce))
+	nonce := e.config.Nonce
+	if e.config.Greedy && s.request.Sampling.Temperature == 0 {
+		nonce = 0
+	}
+	s.add(TokenText(s.request.Prompt, s.pin, s.digester.Prefix(), nonce))
 	s.done = int64(len(s.texts)) >= s.request.MaxTokens
 	return !s.done
 }
