--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -27,6 +27,10 @@
 // testTimeout bounds one test.
 const testTimeout = 90 * time.Second
 
+// clusterSlots bounds how many clusters run at a time, so that the processes of
+// one test do not starve those of another.
+var clusterSlots = make(chan struct{}, 4)
+
 // world is a running cluster with a client.
 type world struct {
 	*GomegaWithT
@@ -40,6 +44,8 @@
 // the logs is kept and named.
 func start(t *testing.T, options testcluster.Options) *world {
 	t.Helper()
+	clusterSlots <- struct{}{}
+	t.Cleanup(func() { <-clusterSlots })
 	g := NewWithT(t)
 	g.SetDefaultEventuallyTimeout(20 * time.Second)
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -144,7 +144,7 @@
 		c.Engines = append(c.Engines, engine)
 	}
 	for i := range c.options.Services {
-		service, err := c.standin(fmt.Sprintf("service-%d", i), "service")
+		service, err := c.StartService(i, "")
 		if err != nil {
 			return err
 		}
@@ -160,6 +160,11 @@
 		"-token-interval", c.options.TokenInterval.String())
 }
 
+// StartService starts plain service i at an address, a free one if it is empty.
+func (c *Cluster) StartService(i int, address string) (*Process, error) {
+	return c.standinAt(fmt.Sprintf("service-%d", i), address, "-role", "service")
+}
+
 func (c *Cluster) standin(name, role string) (*Process, error) {
 	return c.standinAt(name, "", "-role", role)
 }
