Refuse at once in an outage of the table service, settle records right after it

While the table service hung, one call per 500 ms tried it and was refused only after 1 s, so that callers at a low rate all waited (0 of 24 refusals within 250 ms). A commit without effect in the background now finds out when the service works again. Records of refused charges stayed dispatched for up to 12 s after an outage, because the settler paused up to 7.5 s between two tries; it is now told of the recovery.

--- a/internal/dispatch/breaker.go
+++ b/internal/dispatch/breaker.go
@@ -1,43 +1,93 @@
 package dispatch
 
 import (
+	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
+
+	"foxtailhub.example/foxtailhub/internal/platform"
 )
 
-// breakerPause is the time between two attempts to use a failing table
-// service. It bounds how many calls wait for the timeout of a service that
-// hangs, and how long calls are refused after it has recovered.
+// breakerPause is the mean time between two probes of a failing table service
+// and the time after which refused callers may come back. It bounds how long
+// calls are refused after the service has recovered.
 const breakerPause = 500 * time.Millisecond
 
-// breaker lets one call at a time try the table service while it fails, so
-// that all others are refused immediately instead of after a timeout.
+// breaker refuses calls while the table service fails. The service is tried by
+// probes in the background: a call that tried it would be refused only after a
+// timeout.
 type breaker struct {
-	mu      sync.Mutex // guards the fields below
+	tripped   chan struct{} // receives when the service begins to fail
+	recovered chan struct{} // receives when it has recovered
+
+	mu      sync.Mutex // guards the field below
 	failing bool
-	next    time.Time
+}
+
+func newBreaker() *breaker {
+	return &breaker{tripped: make(chan struct{}, 1), recovered: make(chan struct{}, 1)}
 }
 
 // allow reports whether a call may use the table service, else when to retry.
-func (b *breaker) allow(now time.Time) (retryAfter time.Duration, ok bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.failing {
-		return 0, true
+func (b *breaker) allow() (retryAfter time.Duration, ok bool) {
+	if b.isFailing() {
+		return breakerPause, false
 	}
-	if now.Before(b.next) {
-		return b.next.Sub(now), false
-	}
-	b.next = now.Add(breakerPause)
 	return 0, true
 }
 
+func (b *breaker) isFailing() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failing
+}
+
 // report tells how a use of the table service ended.
-func (b *breaker) report(ok bool, now time.Time) {
+func (b *breaker) report(ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.failing = !ok
+	changed := b.recovered
 	if !ok {
-		b.next = now.Add(breakerPause)
+		changed = b.tripped
+	}
+	if b.failing == ok {
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	}
+	b.failing = !ok
+}
+
+// run probes the table service while it fails, until ctx ends. Each probe may
+// take up to timeout; the next one does not wait for it, since its connection
+// may hang although the service has recovered.
+func (b *breaker) run(ctx context.Context, table platform.TableService, timeout time.Duration) {
+	var probes sync.WaitGroup
+	defer probes.Wait()
+	for {
+		select {
+		case <-b.tripped:
+		case <-ctx.Done():
+			return
+		}
+		for b.isFailing() && sleep(ctx, breakerPause/2+rand.N(breakerPause)) {
+			probes.Go(func() { b.probe(ctx, table, timeout) })
+		}
+	}
+}
+
+// probe makes a commit without effect: a table service that answers reads may
+// still fail writes. Its condition never holds, because no row has this key.
+func (b *breaker) probe(ctx context.Context, table platform.TableService, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	transaction := platform.Transaction{
+		Conditions: []platform.Condition{{Key: probeKey, Revision: 1}},
+		Writes:     []platform.Write{},
+	}
+	if _, err := table.Commit(ctx, []platform.Transaction{transaction}); err == nil {
+		b.report(true)
 	}
 }
--- a/internal/dispatch/caller.go
+++ b/internal/dispatch/caller.go
@@ -121,11 +121,13 @@
 	}
 }
 
-// Run settles and deletes records in the background until ctx ends.
+// Run settles and deletes records, and probes a failing table service, until ctx
+// ends.
 func (c *Caller) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { c.recorder.settler.run(ctx) })
 	group.Go(func() { c.retention.run(ctx) })
+	group.Go(func() { c.recorder.breaker.run(ctx, c.config.Table, c.config.StoreWait) })
 	group.Wait()
 }
 
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -28,7 +28,7 @@
 // existing one is released. If the claim is not owned, the submission must not
 // send, and a record that may still appear is released in the background.
 func (r *recorder) claim(caller context.Context, key string, record Record) claim {
-	if retryAfter, ok := r.breaker.allow(time.Now()); !ok {
+	if retryAfter, ok := r.breaker.allow(); !ok {
 		return claim{retryAfter: retryAfter}
 	}
 	ctx, cancel := context.WithTimeout(caller, r.storeWait)
@@ -37,7 +37,7 @@
 	c := attempt.run(ctx)
 	if !c.storeDown() || caller.Err() == nil {
 		// A claim that ended with its caller's deadline says nothing about the store.
-		r.breaker.report(!c.storeDown(), time.Now())
+		r.breaker.report(!c.storeDown())
 	}
 	if c.storeDown() {
 		c.retryAfter = breakerPause
--- a/internal/dispatch/once_test.go
+++ b/internal/dispatch/once_test.go
@@ -227,6 +227,26 @@
 	})
 }
 
+// Guards against keys that stay blocked for many seconds after an outage of the
+// store: callers that were told not_run come back within a second.
+func TestRecordsAreReleasedSoonAfterAnOutage(t *testing.T) {
+	for range 8 { // the pauses between two tries are random
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			table := platformtest.NewTable()
+			table.Set(platformtest.Faults{DelayRate: 1, Delay: 20 * time.Second})
+			c := start(t, config(table, newServers(1)))
+			g.Expect(c.Call(context.Background(), booking(newKey())).Verdict.Reason).To(Equal(contract.ReasonStoreDown))
+			table.Set(platformtest.Faults{Unavailable: true})
+			time.Sleep(time.Minute)
+			g.Expect(storedRecord(table).State).To(Equal(dispatch.Dispatched))
+			table.Set(platformtest.Faults{})
+			time.Sleep(time.Second)
+			g.Expect(storedRecord(table).State).To(Equal(dispatch.Released))
+		})
+	}
+}
+
 // Guards against waiting for, or running without, a store that is down, and
 // against idempotent calls that depend on it (P10).
 func TestStoreDown(t *testing.T) {
@@ -247,6 +267,11 @@
 				g.Expect(verdict.Outcome).To(Equal(contract.NotRun))
 				g.Expect(verdict.RetryAfter).To(BeNumerically(">", 0))
 				g.Expect(time.Since(began)).To(BeNumerically("<", 50*time.Millisecond))
+				// A call long after the one before must not be the one that tries the store.
+				time.Sleep(time.Minute)
+				began = time.Now()
+				g.Expect(c.Call(context.Background(), booking(newKey())).Verdict.Reason).To(Equal(contract.ReasonStoreDown))
+				g.Expect(time.Since(began)).To(BeNumerically("<", 50*time.Millisecond))
 				g.Expect(c.Call(context.Background(), stock()).Verdict.Outcome).To(Equal(contract.Completed))
 				table.Set(platformtest.Faults{})
 				time.Sleep(time.Second)
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -134,6 +134,9 @@
 	return r, nil
 }
 
+// probeKey is the key of a row that never exists; see breaker.
+const probeKey = "probe/dispatch"
+
 // keyPrefix begins the key of each dispatch record.
 const keyPrefix = "dispatch/"
 
--- a/internal/dispatch/recorder.go
+++ b/internal/dispatch/recorder.go
@@ -24,15 +24,15 @@
 type recorder struct {
 	table     platform.TableService
 	batch     *batcher
-	breaker   breaker
+	breaker   *breaker
 	settler   *settler
 	storeWait time.Duration
 	log       logrus.FieldLogger
 }
 
 func newRecorder(table platform.TableService, storeWait time.Duration, log logrus.FieldLogger) *recorder {
-	r := &recorder{table: table, batch: newBatcher(table, storeWait), storeWait: storeWait, log: log}
-	r.settler = newSettler(r.settle, log)
+	r := &recorder{table: table, batch: newBatcher(table, storeWait), breaker: newBreaker(), storeWait: storeWait, log: log}
+	r.settler = newSettler(r.settle, r.breaker.recovered, log)
 	return r
 }
 
--- a/internal/dispatch/settler.go
+++ b/internal/dispatch/settler.go
@@ -37,6 +37,9 @@
 	try  func(context.Context, *settlement) bool
 	log  logrus.FieldLogger
 	wake chan struct{}
+	// recovered receives when the table service works again: what waits is then
+	// tried at once, because callers come back for the keys.
+	recovered <-chan struct{}
 
 	mu      sync.Mutex // guards the fields below; never held during I/O
 	waiting []settlement
@@ -45,8 +48,8 @@
 	dropped int64
 }
 
-func newSettler(try func(context.Context, *settlement) bool, log logrus.FieldLogger) *settler {
-	return &settler{try: try, log: log, wake: make(chan struct{}, 1)}
+func newSettler(try func(context.Context, *settlement) bool, recovered <-chan struct{}, log logrus.FieldLogger) *settler {
+	return &settler{try: try, log: log, wake: make(chan struct{}, 1), recovered: recovered}
 }
 
 func (s *settler) add(item settlement) {
@@ -138,13 +141,30 @@
 			backoff = settleBackoffMin
 			continue
 		}
-		sleep(ctx, backoff/2+rand.N(backoff))
-		if done == 0 {
+		recovered := s.pause(ctx, backoff/2+rand.N(backoff))
+		switch {
+		case recovered:
+			backoff = settleBackoffMin
+		case done == 0:
 			backoff = min(2*backoff, settleBackoffMax)
 		}
 	}
 }
 
+// pause waits for d or until the table service has recovered.
+func (s *settler) pause(ctx context.Context, d time.Duration) (recovered bool) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return false
+	case <-s.recovered:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // flush settles all records or returns an error when ctx ends.
 func (s *settler) flush(ctx context.Context) error {
 	for s.remaining() > 0 {
