Add foxtailhub-bench with measurements of real processes

Subcommands resume, handover, latency, overload, control, upstreams and config start clusters on loopback and print tables with the seed and the configuration.

--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,133 @@
+package bench
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/testcluster"
+)
+
+// ErrUsage reports arguments that name no measurement.
+var ErrUsage = errors.New("usage: foxtailhub-bench resume|handover|latency|overload|control|upstreams|config [flags]")
+
+// measurement is one subcommand.
+type measurement interface {
+	// flags registers the flags; their values are the configuration.
+	flags(set *flag.FlagSet)
+	// run measures and adds tables to the report.
+	run(ctx context.Context, e *environment) error
+}
+
+func measurements() map[string]measurement {
+	return map[string]measurement{
+		"resume":    &resumeMeasurement{},
+		"handover":  &handoverMeasurement{},
+		"latency":   &latencyMeasurement{},
+		"overload":  &overloadMeasurement{},
+		"control":   &controlMeasurement{},
+		"upstreams": &upstreamsMeasurement{},
+		"config":    &configMeasurement{},
+	}
+}
+
+// environment is what all measurements share.
+type environment struct {
+	seed     uint64
+	binaries string
+	work     string // directory for logs, keys and settings
+	clusters int
+	report   *Report
+	progress io.Writer
+}
+
+// Run runs the measurement that the arguments name and prints its report.
+func Run(ctx context.Context, args []string, out io.Writer) error {
+	if len(args) == 0 {
+		return ErrUsage
+	}
+	chosen, found := measurements()[args[0]]
+	if !found {
+		return ErrUsage
+	}
+	set := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	asJSON := set.Bool("json", false, "print JSON instead of text")
+	seed := set.Uint64("seed", 1, "seed of all random choices of the measurement")
+	binaries := set.String("binaries", "", "directory of built programs; they are built if it is empty")
+	chosen.flags(set)
+	if err := set.Parse(args[1:]); err != nil {
+		return err
+	}
+	e := &environment{seed: *seed, binaries: *binaries, report: newReport(args[0], set), progress: os.Stderr}
+	if err := e.prepare(ctx); err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(e.work) }()
+	if err := chosen.run(ctx, e); err != nil {
+		return err
+	}
+	if *asJSON {
+		return e.report.WriteJSON(out)
+	}
+	return e.report.WriteText(out)
+}
+
+func (e *environment) prepare(ctx context.Context) error {
+	work, err := os.MkdirTemp("", "foxtailhub-bench-")
+	if err != nil {
+		return err
+	}
+	e.work = work
+	if e.binaries != "" {
+		return nil
+	}
+	e.binaries = filepath.Join(work, "bin")
+	return testcluster.Build(ctx, e.binaries)
+}
+
+// start starts a cluster in a directory of its own.
+func (e *environment) start(ctx context.Context, options testcluster.Options) (*testcluster.Cluster, error) {
+	e.clusters++
+	dir := filepath.Join(e.work, fmt.Sprintf("cluster-%d", e.clusters))
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		return nil, err
+	}
+	options.Binaries = e.binaries
+	return testcluster.Start(ctx, dir, options)
+}
+
+func (e *environment) logf(format string, args ...any) {
+	_, _ = fmt.Fprintf(e.progress, format+"\n", args...) // progress only
+}
+
+// intList is a flag of comma-separated numbers.
+type intList []int
+
+// String returns the numbers as they are given on the command line.
+func (l *intList) String() string {
+	var parts []string
+	for _, n := range *l {
+		parts = append(parts, strconv.Itoa(n))
+	}
+	return strings.Join(parts, ",")
+}
+
+// Set parses comma-separated numbers.
+func (l *intList) Set(text string) error {
+	*l = nil
+	for part := range strings.SplitSeq(text, ",") {
+		n, err := strconv.Atoi(part)
+		if err != nil {
+			return err
+		}
+		*l = append(*l, n)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/handover.go
@@ -0,0 +1,93 @@
+package bench
+
+import (
+	"context"
+	"flag"
+	"strings"
+	"syscall"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/client"
+	"foxtailhub.example/foxtailhub/internal/testcluster"
+)
+
+// handoverMeasurement measures how long callers wait after the fault of their
+// entry instance.
+type handoverMeasurement struct {
+	faults                    string
+	runs, generations, length int
+	interval                  time.Duration
+}
+
+func (m *handoverMeasurement) flags(set *flag.FlagSet) {
+	set.StringVar(&m.faults, "faults", "killed,paused", "faults of the instance")
+	set.IntVar(&m.runs, "runs", 3, "runs of each fault")
+	set.IntVar(&m.generations, "generations", 30, "generations in progress at the instance")
+	set.IntVar(&m.length, "length", 250, "tokens of each generation")
+	set.DurationVar(&m.interval, "token-interval", 20*time.Millisecond, "time between two tokens")
+}
+
+func (m *handoverMeasurement) run(ctx context.Context, e *environment) error {
+	var rows [][]any
+	for fault := range strings.SplitSeq(m.faults, ",") {
+		total := newDurations()
+		var medians, longest []float64
+		damaged := 0
+		for n := range m.runs {
+			pauses, bad, err := m.once(ctx, e, fault, e.seed+uint64(n))
+			if err != nil {
+				return err
+			}
+			e.logf("%s run %d: p50=%.0f max=%.0f ms damaged=%d", fault, n, pauses.ms(50), pauses.maxMS(), bad)
+			total.merge(pauses)
+			damaged += bad
+			medians, longest = append(medians, pauses.ms(50)), append(longest, pauses.maxMS())
+		}
+		rows = append(rows, append(append([]any{fault}, total.cells()...), spread(medians), spread(longest), damaged))
+	}
+	columns := append(append([]string{"fault"}, percentileColumns...), "p50 of runs", "max of runs", "damaged")
+	e.report.add("pause at the caller after the fault of its entry instance", columns, rows)
+	return nil
+}
+
+func (m *handoverMeasurement) once(ctx context.Context, e *environment, fault string, seed uint64) (durations, int, error) {
+	pauses, damaged := newDurations(), 0
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Minute)
+	defer cancel()
+	cluster, err := e.start(ctx, testcluster.Options{Engines: 4, Slots: 16, TokenInterval: m.interval})
+	if err != nil {
+		return pauses, 0, err
+	}
+	defer cluster.Close()
+	var streams []*stream
+	for i := range m.generations {
+		s := newStream(seed, i, m.length)
+		streams = append(streams, s)
+		// A client of its own leads each first connection to instance 0.
+		c, err := client.New(cluster.URLs())
+		if err != nil {
+			return pauses, 0, err
+		}
+		go s.generate(ctx, c, seed)
+	}
+	if err := awaitAll(ctx, streams, 50); err != nil {
+		return pauses, 0, err
+	}
+	signal := syscall.SIGKILL
+	if fault == faultPaused {
+		signal = syscall.SIGSTOP
+	}
+	at := time.Now()
+	if err := cluster.Instances[0].Signal(signal); err != nil {
+		return pauses, 0, err
+	}
+	for _, s := range streams {
+		<-s.done
+		pause, _ := s.pauseAfter(at)
+		pauses.record(pause)
+		if !s.whole(seed) {
+			damaged++
+		}
+	}
+	return pauses, damaged, nil
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,117 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/client"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/standin"
+	"foxtailhub.example/foxtailhub/internal/testcluster"
+)
+
+// noticeablePause is how soon after a fault a pause must begin to be counted
+// as its effect.
+const noticeablePause = 3 * time.Second
+
+// stream is one generation as its caller sees it.
+type stream struct {
+	request contract.RequestID
+	prompt  string
+	length  int
+
+	mu       sync.Mutex // guards arrivals
+	arrivals []time.Time
+
+	done   chan struct{}
+	result client.GenerationResult
+	err    error
+}
+
+func newStream(seed uint64, number, length int) *stream {
+	return &stream{
+		request: contract.RequestID{Workspace: testcluster.Workspace, Key: contract.NewKey()},
+		prompt:  fmt.Sprintf("%d-%d care guide for chain wax len=%d", seed, number, length),
+		length:  length,
+		done:    make(chan struct{}),
+	}
+}
+
+// generate runs the stream through a client.
+func (s *stream) generate(ctx context.Context, c *client.Client, seed uint64) {
+	defer close(s.done)
+	s.result, s.err = c.Generate(ctx, client.Generation{
+		Request: s.request, Service: testcluster.Generations, Prompt: s.prompt, Seed: seed, Temperature: 1,
+		OnToken: func(contract.Token) { s.arrived(time.Now()) },
+	})
+}
+
+func (s *stream) arrived(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, at)
+}
+
+func (s *stream) tokens() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.arrivals)
+}
+
+// whole reports whether the caller has the complete text of one run.
+func (s *stream) whole(seed uint64) bool {
+	return s.err == nil && s.result.Verdict.Outcome == contract.Completed && len(s.result.Tokens) == s.length &&
+		standin.VerifyText(s.prompt, seed, s.result.Tokens) == nil
+}
+
+// pauseAfter returns the longest time without a token that begins soon after
+// the fault, counted from the fault, and how many tokens came before it.
+func (s *stream) pauseAfter(fault time.Time) (longest time.Duration, before int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := 1; i < len(s.arrivals); i++ {
+		start, end := s.arrivals[i-1], s.arrivals[i]
+		if end.Before(fault) || start.After(fault.Add(noticeablePause)) {
+			continue
+		}
+		if start.Before(fault) {
+			start = fault
+		}
+		if end.Sub(start) > longest {
+			longest, before = end.Sub(start), i
+		}
+	}
+	return longest, before
+}
+
+// gaps records the times between tokens.
+func (s *stream) gaps(into durations) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := 1; i < len(s.arrivals); i++ {
+		into.record(s.arrivals[i].Sub(s.arrivals[i-1]))
+	}
+}
+
+// awaitAll waits until each stream has n tokens.
+func awaitAll(ctx context.Context, streams []*stream, n int) error {
+	return testcluster.Await(ctx, func() bool {
+		for _, s := range streams {
+			if s.tokens() < n {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func waitFor(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/bench/overload.go
@@ -0,0 +1,144 @@
+package bench
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/client"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/testcluster"
+)
+
+// overloadMeasurement offers more generations than the engines can serve.
+type overloadMeasurement struct {
+	instances, engines, slots, length int
+	factor, heavyShare                float64
+	interval, deadline, duration      time.Duration
+}
+
+func (m *overloadMeasurement) flags(set *flag.FlagSet) {
+	set.IntVar(&m.instances, "instances", 3, "instances")
+	set.IntVar(&m.engines, "engines", 3, "engines")
+	set.IntVar(&m.slots, "slots", 8, "slots of each engine")
+	set.IntVar(&m.length, "length", 40, "tokens of each generation")
+	set.Float64Var(&m.factor, "factor", 2, "offered load as a multiple of the capacity")
+	set.Float64Var(&m.heavyShare, "heavy-share", 0.8, "share of the heavy workspace in the offered load")
+	set.DurationVar(&m.interval, "token-interval", 20*time.Millisecond, "time between two tokens")
+	set.DurationVar(&m.deadline, "deadline", 4*time.Second, "deadline of each generation")
+	set.DurationVar(&m.duration, "duration", 20*time.Second, "time in which load is offered")
+}
+
+// shareOfWorkspace counts the answers of one workspace.
+type shareOfWorkspace struct {
+	mu                                    sync.Mutex // guards all fields below
+	offered, inTime, refused, late, other int
+	withoutRetryAfter                     int
+	refusals, answers, firstTokens        durations
+	reasons                               map[contract.Reason]int
+}
+
+func newShareOfWorkspace() *shareOfWorkspace {
+	return &shareOfWorkspace{
+		refusals: newDurations(), answers: newDurations(), firstTokens: newDurations(), reasons: map[contract.Reason]int{},
+	}
+}
+
+func (s *shareOfWorkspace) count(result client.GenerationResult, err error, took, deadline time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.offered++
+	switch {
+	case err == nil && result.Verdict.Outcome == contract.Completed && took <= deadline:
+		s.inTime++
+		s.answers.record(took)
+		s.firstTokens.record(result.FirstToken)
+	case err == nil && result.Verdict.Outcome == contract.NotRun:
+		s.refused++
+		s.refusals.record(took)
+		s.reasons[result.Verdict.Reason]++
+		if result.Verdict.RetryAfter <= 0 {
+			s.withoutRetryAfter++
+		}
+	case err == nil && (result.Verdict.Outcome == contract.Completed || result.Verdict.Reason == contract.ReasonDeadline):
+		s.late++
+	default:
+		s.other++
+		s.reasons[result.Verdict.Reason]++
+	}
+}
+
+// run offers load from both workspaces as Poisson processes.
+func (m *overloadMeasurement) run(ctx context.Context, e *environment) error {
+	cluster, err := e.start(ctx, testcluster.Options{
+		Instances: m.instances, Engines: m.engines, Slots: m.slots, TokenInterval: m.interval,
+	})
+	if err != nil {
+		return err
+	}
+	defer cluster.Close()
+	c, err := cluster.Client()
+	if err != nil {
+		return err
+	}
+	capacity := float64(m.engines*m.slots) / (float64(m.length) * m.interval.Seconds())
+	heavy, light := newShareOfWorkspace(), newShareOfWorkspace()
+	var group sync.WaitGroup
+	random := rand.New(rand.NewPCG(e.seed, 0))
+	began := time.Now()
+	due := began
+	for number := 0; due.Sub(began) < m.duration; number++ {
+		due = due.Add(time.Duration(random.ExpFloat64() / (m.factor * capacity) * float64(time.Second)))
+		workspace, counts := testcluster.OtherWorkspace, light
+		if random.Float64() < m.heavyShare {
+			workspace, counts = testcluster.Workspace, heavy
+		}
+		if err := waitFor(ctx, time.Until(due)); err != nil {
+			return err
+		}
+		group.Go(func() { m.offer(ctx, c, workspace, counts, e.seed, number) })
+	}
+	group.Wait()
+	m.addTables(e, capacity, heavy, light)
+	return nil
+}
+
+func (m *overloadMeasurement) offer(
+	ctx context.Context, c *client.Client, workspace contract.WorkspaceID, counts *shareOfWorkspace, seed uint64, number int,
+) {
+	ctx, cancel := context.WithTimeout(ctx, 2*m.deadline)
+	defer cancel()
+	began := time.Now()
+	result, err := c.Generate(ctx, client.Generation{
+		Request: contract.RequestID{Workspace: workspace, Key: contract.NewKey()},
+		Service: testcluster.Generations, Deadline: m.deadline, Seed: seed, Temperature: 1,
+		Prompt: fmt.Sprintf("%d-%d reorder summary len=%d", seed, number, m.length),
+	})
+	counts.count(result, err, time.Since(began), m.deadline)
+}
+
+func (m *overloadMeasurement) addTables(e *environment, capacity float64, heavy, light *shareOfWorkspace) {
+	var answers, refusals [][]any
+	for _, w := range []struct {
+		name   string
+		counts *shareOfWorkspace
+	}{{"heavy", heavy}, {"light", light}} {
+		s := w.counts
+		answers = append(answers, []any{
+			w.name, s.offered, s.inTime, share(int64(s.inTime), int64(s.offered)),
+			float64(s.inTime) / m.duration.Seconds(), s.refused, s.late, s.other,
+			s.firstTokens.ms(50), s.firstTokens.ms(95), s.answers.ms(95),
+		})
+		refusals = append(refusals, append(append([]any{w.name}, s.refusals.cells()...), s.withoutRetryAfter, fmt.Sprint(s.reasons)))
+	}
+	e.report.add(fmt.Sprintf("answers at %.1f times the capacity of %.1f generations a second", m.factor, capacity),
+		[]string{
+			"workspace", "offered", "in time", "share", "answered/s", "refused", "late", "other",
+			"first token p50 ms", "first token p95 ms", "answer p95 ms",
+		}, answers)
+	e.report.add("time to the refusal",
+		append(append([]string{"workspace"}, percentileColumns...), "without retry-after", "reasons"), refusals)
+}
--- /dev/null
+++ b/internal/bench/resume.go
@@ -0,0 +1,231 @@
+package bench
+
+import (
+	"context"
+	"flag"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/standin"
+	"foxtailhub.example/foxtailhub/internal/testcluster"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+)
+
+// variantNaive restarts from scratch; the other variants are resume policies.
+const variantNaive = "naive"
+
+// resumeMeasurement measures how long callers wait after an engine's fault and
+// what the engines compute in vain.
+type resumeMeasurement struct {
+	variants, faults                          string
+	runs, generations, engines, slots, length int
+	interval                                  time.Duration
+}
+
+func (m *resumeMeasurement) flags(set *flag.FlagSet) {
+	set.StringVar(&m.variants, "variants", "naive,sparing,fast", "variants to compare")
+	set.StringVar(&m.faults, "faults", "killed,paused,silent,cut", "faults of the engine")
+	set.IntVar(&m.runs, "runs", 3, "runs of each variant and fault; run n has seed+n")
+	set.IntVar(&m.generations, "generations", 60, "generations in progress")
+	set.IntVar(&m.engines, "engines", 6, "engines")
+	set.IntVar(&m.slots, "slots", 12, "slots of each engine")
+	set.IntVar(&m.length, "length", 250, "tokens of each generation")
+	set.DurationVar(&m.interval, "token-interval", 20*time.Millisecond, "time between two tokens")
+}
+
+// resumeRun is the result of one run.
+type resumeRun struct {
+	pauses   durations // from the fault to the next token at the caller
+	useful   durations // from the fault to the first token that the caller did not have
+	affected int
+	damaged  int
+	tokens   int64 // useful tokens: the length of all generations
+	counters standin.EngineCounters
+	started  int64
+}
+
+var resumeColumns = []string{
+	"variant", "fault", "affected", "p50 ms", "p95 ms", "p99 ms", "max ms", "p50 of runs", "max of runs", "useful p50 ms", "useful max ms", "damaged",
+}
+
+var costColumns = []string{
+	"variant", "fault", "useful tokens", "generated in vain", "prefix computed again", "extra streams", "extra connections", "in vain, spread",
+}
+
+func (m *resumeMeasurement) run(ctx context.Context, e *environment) error {
+	var latencies, costs [][]any
+	for fault := range strings.SplitSeq(m.faults, ",") {
+		for variant := range strings.SplitSeq(m.variants, ",") {
+			total := resumeRun{pauses: newDurations(), useful: newDurations()}
+			var medians, longest, vain []float64
+			for n := range m.runs {
+				one, err := m.once(ctx, e, variant, fault, e.seed+uint64(n))
+				if err != nil {
+					return err
+				}
+				e.logf("%s %s run %d: affected=%d p50=%.0f max=%.0f ms damaged=%d", variant, fault, n,
+					one.affected, one.pauses.ms(50), one.pauses.maxMS(), one.damaged)
+				total.merge(one)
+				medians, longest = append(medians, one.pauses.ms(50)), append(longest, one.pauses.maxMS())
+				vain = append(vain, 100*float64(one.vain())/float64(one.tokens))
+			}
+			latencies = append(latencies, []any{
+				variant, fault, total.affected, total.pauses.ms(50), total.pauses.ms(95), total.pauses.ms(99), total.pauses.maxMS(),
+				spread(medians), spread(longest), total.useful.ms(50), total.useful.maxMS(), total.damaged,
+			})
+			costs = append(costs, append([]any{variant, fault}, append(total.costs(), spread(vain)+"%")...))
+		}
+	}
+	e.report.add("resume latency at the caller, from the fault to the next token (useful: to the first token it did not have)", resumeColumns, latencies)
+	e.report.add("extra resource use, as a share of the useful tokens of all generations", costColumns, costs)
+	return nil
+}
+
+func (r *resumeRun) merge(o resumeRun) {
+	r.pauses.merge(o.pauses)
+	r.useful.merge(o.useful)
+	r.affected += o.affected
+	r.damaged += o.damaged
+	r.tokens += o.tokens
+	r.started += o.started
+	addCounters(&r.counters, o.counters)
+}
+
+// vain is how many tokens were generated and reached no caller as new text.
+func (r *resumeRun) vain() int64 { return max(0, r.counters.TokensGenerated-r.tokens) }
+
+func (r *resumeRun) costs() []any {
+	extra := r.counters.StreamsStarted - r.started
+	return []any{
+		r.tokens, share(r.vain(), r.tokens), share(r.counters.PrefixTokensRecomputed, r.tokens),
+		extra, extra + r.counters.StreamsResumed,
+	}
+}
+
+func (m *resumeMeasurement) once(ctx context.Context, e *environment, variant, fault string, seed uint64) (resumeRun, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Minute)
+	defer cancel()
+	policy := configuration.ResumeSparing
+	if variant != variantNaive {
+		policy = configuration.ResumePolicy(variant)
+	}
+	cluster, err := e.start(ctx, testcluster.Options{
+		Engines: m.engines, Slots: m.slots, TokenInterval: m.interval, ResumePolicy: policy,
+	})
+	if err != nil {
+		return resumeRun{}, err
+	}
+	defer cluster.Close()
+	streams, placed, err := m.launch(ctx, cluster, variant, seed)
+	if err != nil {
+		return resumeRun{}, err
+	}
+	random := rand.New(rand.NewPCG(seed, 0))
+	if err := awaitAll(ctx, streams, 10); err != nil {
+		return resumeRun{}, err
+	}
+	if err := waitFor(ctx, time.Duration(500+random.IntN(1000))*time.Millisecond); err != nil {
+		return resumeRun{}, err
+	}
+	if placed == nil {
+		if placed, err = enginesByKey(ctx, cluster); err != nil {
+			return resumeRun{}, err
+		}
+	}
+	return m.fail(ctx, cluster, streams, placed, fault, random.IntN(m.engines), seed, variant)
+}
+
+// launch starts all generations and returns, for the naive version, where they run.
+func (m *resumeMeasurement) launch(
+	ctx context.Context, cluster *testcluster.Cluster, variant string, seed uint64,
+) ([]*stream, map[string]int, error) {
+	var streams []*stream
+	for i := range m.generations {
+		streams = append(streams, newStream(seed, i, m.length))
+	}
+	if variant == variantNaive {
+		return streams, launchNaive(ctx, cluster, streams), nil
+	}
+	c, err := cluster.Client()
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, s := range streams {
+		go s.generate(ctx, c, seed)
+	}
+	return streams, nil, nil
+}
+
+// launchNaive starts the streams one by one, to know where each is placed.
+func launchNaive(ctx context.Context, cluster *testcluster.Cluster, streams []*stream) map[string]int {
+	router := newLeastBusy(cluster.Engines)
+	generations := naiveGenerations(router, upstream.ModelPin{Model: testcluster.Model, Version: testcluster.ModelVersion})
+	placed := map[string]int{}
+	for i, s := range streams {
+		go s.generateNaive(ctx, generations)
+		if testcluster.Await(ctx, func() bool { return router.placements() > i }) == nil {
+			placed[s.request.Key] = router.lastPlaced()
+		}
+	}
+	return placed
+}
+
+// fail injects the fault and measures until all generations have ended.
+func (m *resumeMeasurement) fail(
+	ctx context.Context, cluster *testcluster.Cluster, streams []*stream, placed map[string]int,
+	fault string, engine int, seed uint64, variant string,
+) (resumeRun, error) {
+	r := resumeRun{pauses: newDurations(), useful: newDurations(), started: int64(len(streams))}
+	lost := -1 // an engine whose counters cannot be read after the fault
+	if fault == faultKilled || fault == faultPaused {
+		lost = engine
+		if err := testcluster.GetJSON(ctx, cluster.Engines[engine].URL()+"/counters", &r.counters); err != nil {
+			return r, err
+		}
+	}
+	at := time.Now()
+	if err := inject(ctx, fault, cluster.Engines[engine]); err != nil {
+		return r, err
+	}
+	for _, s := range streams {
+		<-s.done
+	}
+	for _, s := range streams {
+		r.tokens += int64(s.length)
+		if !s.correct(seed, variant) {
+			r.damaged++
+		}
+		if on, known := placed[s.request.Key]; known && on == engine {
+			r.affected++
+			r.observe(s, at, variant)
+		}
+	}
+	rest, err := settledCounters(ctx, cluster.Engines, lost)
+	addCounters(&r.counters, rest)
+	return r, err
+}
+
+// correct reports whether the caller got one whole text. The naive version
+// passes no sampling seed on.
+func (s *stream) correct(seed uint64, variant string) bool {
+	if variant == variantNaive {
+		seed = 0
+	}
+	return s.whole(seed)
+}
+
+func (r *resumeRun) observe(s *stream, fault time.Time, variant string) {
+	pause, before := s.pauseAfter(fault)
+	r.pauses.record(pause)
+	if variant != variantNaive {
+		r.useful.record(pause)
+		return
+	}
+	// The restarted text repeats what the caller has.
+	if first := 2 * before; first < len(s.arrivals) && s.result.Verdict.Outcome == contract.Completed {
+		r.useful.record(s.arrivals[first].Sub(fault))
+	}
+}
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -32,8 +32,8 @@
 	Charges        = contract.ServiceID("renewal-charges") // plain service, not idempotent
 	Lookups        = contract.ServiceID("order-lookups")   // plain service, idempotent
 
-	model        = "guide-drafter"
-	modelVersion = "2026-11"
+	Model        = "guide-drafter"
+	ModelVersion = "2026-11"
 	readyTimeout = 20 * time.Second
 	pollInterval = 20 * time.Millisecond
 )
@@ -156,7 +156,7 @@
 // StartEngine starts engine i at an address, a free one if it is empty.
 func (c *Cluster) StartEngine(i int, address string) (*Process, error) {
 	return c.standinAt(fmt.Sprintf("engine-%d", i), address, "-role", "engine",
-		"-models", model+"@"+modelVersion, "-slots", fmt.Sprint(c.options.Slots),
+		"-models", Model+"@"+ModelVersion, "-slots", fmt.Sprint(c.options.Slots),
 		"-token-interval", c.options.TokenInterval.String())
 }
 
--- a/internal/testcluster/document.go
+++ b/internal/testcluster/document.go
@@ -45,7 +45,7 @@
 	}
 	d.Services = map[contract.ServiceID]configuration.Service{
 		Generations: {
-			Kind: configuration.KindEngine, Model: model, ModelVersion: modelVersion,
+			Kind: configuration.KindEngine, Model: Model, ModelVersion: ModelVersion,
 			ResumePolicy: c.options.ResumePolicy, Upstreams: engines,
 		},
 		Charges: {Kind: configuration.KindService, Upstreams: services},
