Take over running streams without waiting for admission

A caller whose entry instance was killed waited for the relay to the dead holder (500 ms, now 200 ms) and, where the taking instance was at its capacity, for the end of another generation. A takeover of a running stream holds its slot at the engine already: it is counted when there is room.

--- a/internal/bench/resume.go
+++ b/internal/bench/resume.go
@@ -17,6 +17,10 @@
 // variantNaive restarts from scratch; the other variants are resume policies.
 const variantNaive = "naive"
 
+// launchPause spreads the start of the generations: engines report their load
+// with a lag, so a burst would fill some of them beyond their slots.
+const launchPause = 30 * time.Millisecond
+
 // resumeMeasurement measures how long callers wait after an engine's fault and
 // what the engines compute in vain.
 type resumeMeasurement struct {
@@ -32,7 +36,7 @@
 	set.IntVar(&m.generations, "generations", 60, "generations in progress")
 	set.IntVar(&m.engines, "engines", 6, "engines")
 	set.IntVar(&m.slots, "slots", 12, "slots of each engine")
-	set.IntVar(&m.length, "length", 250, "tokens of each generation")
+	set.IntVar(&m.length, "length", 300, "tokens of each generation")
 	set.DurationVar(&m.interval, "token-interval", 20*time.Millisecond, "time between two tokens")
 }
 
@@ -155,6 +159,9 @@
 	}
 	for _, s := range streams {
 		go s.generate(ctx, c, seed)
+		if err := waitFor(ctx, launchPause); err != nil {
+			return nil, nil, err
+		}
 	}
 	return streams, nil, nil
 }
@@ -166,6 +173,7 @@
 	placed := map[string]int{}
 	for i, s := range streams {
 		go s.generateNaive(ctx, generations)
+		_ = waitFor(ctx, launchPause) // Await checks ctx
 		if testcluster.Await(ctx, func() bool { return router.placements() > i }) == nil {
 			placed[s.request.Key] = router.lastPlaced()
 		}
--- a/internal/generation/registry.go
+++ b/internal/generation/registry.go
@@ -199,7 +199,7 @@
 	if reason != "" {
 		return refuse(contract.Interrupted, reason, 0)
 	}
-	release, verdict, admitted := r.admit(ctx, request)
+	release, verdict, admitted := r.admit(ctx, request, plan.adopt != nil)
 	if !admitted {
 		return nil, verdict, false
 	}
@@ -212,17 +212,38 @@
 	return s, contract.Verdict{}, true
 }
 
-func (r *Registry) admit(ctx context.Context, request Request) (func(), contract.Verdict, bool) {
+// admit admits a generation. One that takes over a running stream holds a slot
+// at its engine already, so it goes on at once and is counted when there is room.
+func (r *Registry) admit(ctx context.Context, request Request, running bool) (func(), contract.Verdict, bool) {
 	if r.config.Admitter == nil {
 		return func() {}, contract.Verdict{}, true
 	}
-	priority := request.Priority
+	ask := workspace.Ask{
+		Workspace: request.ID.Workspace, Service: request.Service, Priority: request.Priority, Deadline: request.QueueUntil,
+	}
 	if request.position().Offset > 0 {
-		priority = upstream.PriorityResumed
+		ask.Priority = upstream.PriorityResumed
+	}
+	if !running || ask.Priority != upstream.PriorityResumed {
+		return r.config.Admitter.Admit(ctx, ask)
 	}
-	return r.config.Admitter.Admit(ctx, workspace.Ask{
-		Workspace: request.ID.Workspace, Service: request.Service, Priority: priority, Deadline: request.QueueUntil,
-	})
+	ask.Deadline = request.Deadline
+	return r.admitLater(ask), contract.Verdict{}, true
+}
+
+// admitLater asks for admission in the background until it is released.
+func (r *Registry) admitLater(ask workspace.Ask) (release func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer cancel()
+		release, _, ok := r.config.Admitter.Admit(ctx, ask)
+		if !ok {
+			return // refused, or it has ended before there was room
+		}
+		defer release()
+		<-ctx.Done()
+	}()
+	return cancel
 }
 
 // joinConcurrent joins the generation that another submission of the request
--- a/internal/generation/relay.go
+++ b/internal/generation/relay.go
@@ -18,7 +18,9 @@
 
 // Times of a relay.
 const (
-	relayOpenTimeout = 500 * time.Millisecond // until the first frame of a peer
+	// Until the first frame of a peer. A caller whose holder was killed waits
+	// for all of it; a takeover from a slow holder is safe, as digests are compared.
+	relayOpenTimeout = 200 * time.Millisecond
 	relayKeepAlive   = 250 * time.Millisecond // between frames of the holder when no event comes
 	relaySilence     = time.Second            // without a frame the holder is taken as lost
 )
