--- a/internal/instance/parts.go
+++ b/internal/instance/parts.go
@@ -67,6 +67,7 @@
 		AuthorityFile:   s.TLS.AuthorityFile,
 		CertificateFile: s.TLS.CertificateFile,
 		KeyFile:         s.TLS.KeyFile,
+		Regions:         s.Regions,
 		Resolve:         resolve,
 		Log:             log.WithField("instance", s.Instance),
 	})
--- a/internal/instance/wiring.go
+++ b/internal/instance/wiring.go
@@ -36,6 +36,7 @@
 	}
 	i.events = timeline.NewLog(s.Instance, i.clock, s.TimelineCapacity)
 	record := recorder{next: i.events, metrics: i.metrics}
+	parts.List = &sharedList{InstanceList: parts.List, maxAge: milliseconds(s.ListIntervalMS) / 2}
 	if err := i.provisionLink(parts.List, record); err != nil {
 		return nil, err
 	}
@@ -58,8 +59,9 @@
 		Self: membership.Member{
 			ID: s.Instance, Address: s.AdvertiseLinkAddress, Domain: s.FailureDomain, Region: s.Region,
 		},
+		Regions:   s.Regions,
 		Seeds:     seeds(s),
-		List:      i.sharedList(list),
+		List:      list,
 		Transport: i.transport,
 		Clock:     i.clock,
 		Recorder:  record,
@@ -79,10 +81,6 @@
 	return nil
 }
 
-func (i *Instance) sharedList(list platform.InstanceList) platform.InstanceList {
-	return &sharedList{InstanceList: list, maxAge: milliseconds(i.settings.ListIntervalMS) / 2}
-}
-
 func seeds(s *settings.Settings) []membership.Member {
 	members := make([]membership.Member, 0, len(s.Seeds))
 	for _, seed := range s.Seeds {
@@ -123,7 +121,7 @@
 	i.upstreams = upstream.New(upstream.Config{
 		Self:          upstream.Member{ID: i.settings.Instance, FailureDomain: i.settings.FailureDomain},
 		Configuration: i.holder,
-		List:          i.sharedList(parts.List),
+		List:          parts.List,
 		Engines:       parts.Engines,
 		Services:      parts.Services,
 		Recorder:      record,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,7 @@
 type Settings struct {
 	Instance             contract.InstanceID      `json:"instance"`                         // unique among all regions
 	Region               string                   `json:"region"`                           //
+	Regions              []string                 `json:"regions,omitempty"`                // linked regions, default: Region alone
 	FailureDomain        contract.FailureDomainID `json:"failure_domain"`                   //
 	APIAddress           string                   `json:"api_address"`                      // IP and port, TCP
 	LinkAddress          string                   `json:"link_address"`                     // IP and port, UDP
@@ -110,6 +112,9 @@
 	if err := settingsSchema.Decode(data, &s); err != nil {
 		return nil, err
 	}
+	if len(s.Regions) == 0 {
+		s.Regions = []string{s.Region}
+	}
 	if s.AdvertiseLinkAddress == "" {
 		s.AdvertiseLinkAddress = s.LinkAddress
 	}
@@ -121,6 +126,9 @@
 
 // check checks what the schema cannot.
 func (s *Settings) check() error {
+	if !slices.Contains(s.Regions, s.Region) {
+		return &schema.Fault{Path: "regions", Reason: "must contain region"}
+	}
 	for _, listen := range []struct{ path, value string }{
 		{"api_address", s.APIAddress}, {"link_address", s.LinkAddress},
 	} {
@@ -128,7 +136,7 @@
 			return &schema.Fault{Path: listen.path, Reason: addressReason}
 		}
 	}
-	if err := s.checkAdvertised(); err != nil {
+	if err := checkReachable("advertise_link_address", s.AdvertiseLinkAddress); err != nil {
 		return err
 	}
 	if err := s.Platform.check(); err != nil {
@@ -139,17 +147,6 @@
 
 const addressReason = "must be an IP address and a port, such as 127.0.0.1:7400"
 
-func (s *Settings) checkAdvertised() error {
-	for _, advertised := range []struct{ path, value string }{
-		{"advertise_link_address", s.AdvertiseLinkAddress},
-	} {
-		if fault := checkReachable(advertised.path, advertised.value); fault != nil {
-			return fault
-		}
-	}
-	return nil
-}
-
 // checkReachable checks an address that others connect to.
 func checkReachable(path, value string) error {
 	address, err := netip.ParseAddrPort(value)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -94,7 +94,9 @@
 		case reflect.Struct:
 			documented(field.Type, n, prefix+name+".", visit)
 		case reflect.Slice:
-			documented(field.Type.Elem(), *n.Items, prefix+name+"[].", visit)
+			if field.Type.Elem().Kind() == reflect.Struct {
+				documented(field.Type.Elem(), *n.Items, prefix+name+"[].", visit)
+			}
 		}
 	}
 }
