Log each event in one line with its own fields; compare normalised documents in config diff

A walk through docs/operations.md showed idempotent=false as a difference between a document and its accepted form, 'error=<nil>' in the last log line and key=value pairs nested in a field.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -13,11 +13,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	jsonpatch "github.com/evanphx/json-patch/v5"
 	"github.com/go-faster/jx"
 
 	"foxtailhub.example/foxtailhub/internal/api/oas"
 	"foxtailhub.example/foxtailhub/internal/client"
+	"foxtailhub.example/foxtailhub/internal/configuration"
 	"foxtailhub.example/foxtailhub/internal/contract"
 )
 
@@ -31,12 +31,12 @@
 		setup: func(flags *flag.FlagSet) runner {
 			version := flags.Int64("version", currentVersion, "accepted version; default the one in force")
 			return func(ctx context.Context, env Environment, c *client.Client, _ []string) (ExitCode, error) {
-				configuration, err := getConfiguration(ctx, c, *version)
+				current, err := getConfiguration(ctx, c, *version)
 				if err != nil {
 					return ExitFailed, err
 				}
-				fmt.Fprintf(env.Stderr, "version=%d patch_id=%s\n", configuration.Version, configuration.PatchID.Or(""))
-				return ExitOK, printDocument(env.Stdout, configuration.Document)
+				fmt.Fprintf(env.Stderr, "version=%d patch_id=%s\n", current.Version, current.PatchID.Or(""))
+				return ExitOK, printDocument(env.Stdout, current.Document)
 			}
 		},
 	}
@@ -117,12 +117,20 @@
 
 // differenceTo returns the merge patch that leads from a version to a document.
 func differenceTo(ctx context.Context, c *client.Client, base int64, document []byte) (int64, []byte, error) {
-	configuration, err := getConfiguration(ctx, c, base)
+	current, err := getConfiguration(ctx, c, base)
 	if err != nil {
 		return 0, nil, err
 	}
-	patch, err := jsonpatch.CreateMergePatch(configuration.Document, document)
-	return configuration.Version, patch, err
+	from, err := configuration.ParseDocument(current.Document)
+	if err != nil {
+		return 0, nil, err
+	}
+	to, err := configuration.ParseDocument(document)
+	if err != nil {
+		return 0, nil, errors.Mark(err, errUsage)
+	}
+	patch, err := configuration.Diff(from, to)
+	return current.Version, patch, err
 }
 
 func submitPatch(ctx context.Context, env Environment, c *client.Client, request *oas.PatchRequest) (ExitCode, error) {
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -240,7 +240,6 @@
 		}
 		if f.cfg.Holder.Advance(snapshot) {
 			f.cfg.Recorder.Record(timeline.Event{Kind: timeline.ConfigInForce, Detail: versionDetail(snapshot)})
-			f.cfg.Log.WithField("version", snapshot.Version).Info("configuration version is in force")
 		}
 		return true
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -76,7 +76,9 @@
 		"api_address": listener.Addr(), "link_address": i.transport.Address(), "failure_domain": i.settings.FailureDomain,
 	}).Info("instance started")
 	err = group.Wait()
-	i.log.WithError(err).Info("instance stopped")
+	if err == nil {
+		i.log.Info("instance stopped")
+	}
 	return err
 }
 
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -8,7 +8,6 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
-	"foxtailhub.example/foxtailhub/internal/timeline"
 )
 
 const metricsNamespace = "foxtailhub"
@@ -76,15 +75,3 @@
 func (m *metrics) refused(verdict contract.Verdict) {
 	m.refusals.WithLabelValues(string(verdict.Reason)).Inc()
 }
-
-// recorder counts the events that go to the time line.
-type recorder struct {
-	next    timeline.Recorder
-	metrics *metrics
-}
-
-// Record counts and records an event.
-func (r recorder) Record(event timeline.Event) {
-	r.metrics.events.WithLabelValues(string(event.Kind)).Inc()
-	r.next.Record(event)
-}
--- /dev/null
+++ b/internal/instance/recorder.go
@@ -0,0 +1,68 @@
+package instance
+
+import (
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/timeline"
+)
+
+// quietEvents occur for each request that runs as usual. They are logged at
+// level debug; all other events at level info.
+var quietEvents = map[timeline.Kind]bool{
+	timeline.RequestAdmitted:   true,
+	timeline.RequestFinished:   true,
+	timeline.CallerConnected:   true,
+	timeline.CallerGone:        true,
+	timeline.AttemptStarted:    true,
+	timeline.AttemptFirstToken: true,
+	timeline.AttemptEnded:      true,
+	timeline.CallRecorded:      true,
+	timeline.CallSent:          true,
+}
+
+// recorder passes events on to the time line, counts them and logs each in one
+// line of key=value pairs.
+type recorder struct {
+	next    timeline.Recorder
+	metrics *metrics
+	log     logrus.FieldLogger
+}
+
+// Record takes an event.
+func (r recorder) Record(event timeline.Event) {
+	r.metrics.events.WithLabelValues(string(event.Kind)).Inc()
+	r.next.Record(event)
+	level := logrus.InfoLevel
+	if quietEvents[event.Kind] {
+		level = logrus.DebugLevel
+	}
+	if entry := r.log.WithField("event", event.Kind); entry.Logger.IsLevelEnabled(level) {
+		entry.WithFields(eventFields(event)).Log(level)
+	}
+}
+
+// eventFields returns the fields of a log line. The detail of an event is a
+// list of key=value pairs, or one word.
+func eventFields(event timeline.Event) logrus.Fields {
+	fields := logrus.Fields{}
+	if event.Request.Key != "" {
+		fields["workspace"] = event.Request.Workspace
+		fields["request"] = event.Request
+	}
+	if event.Attempt != 0 {
+		fields["attempt"] = event.Attempt
+	}
+	if event.Upstream != "" {
+		fields["upstream"] = event.Upstream
+	}
+	for _, word := range strings.Fields(event.Detail) {
+		key, value, found := strings.Cut(word, "=")
+		if !found {
+			key, value = "detail", word
+		}
+		fields[key] = value
+	}
+	return fields
+}
--- a/internal/instance/wiring.go
+++ b/internal/instance/wiring.go
@@ -35,7 +35,7 @@
 		listener:  parts.Listener,
 	}
 	i.events = timeline.NewLog(s.Instance, i.clock, s.TimelineCapacity)
-	record := recorder{next: i.events, metrics: i.metrics}
+	record := recorder{next: i.events, metrics: i.metrics, log: i.log}
 	parts.List = &sharedList{InstanceList: parts.List, maxAge: milliseconds(s.ListIntervalMS) / 2}
 	if err := i.provisionLink(parts.List, record); err != nil {
 		return nil, err
--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -119,14 +119,7 @@
 	}
 }
 
-func (u *Upstreams) report(event timeline.Event) {
-	u.config.Recorder.Record(event)
-	u.config.Logger.WithFields(logrus.Fields{
-		"instance": u.config.Self.ID,
-		"upstream": event.Upstream,
-		"detail":   event.Detail,
-	}).Info(string(event.Kind))
-}
+func (u *Upstreams) report(event timeline.Event) { u.config.Recorder.Record(event) }
 
 // random returns a random source for one decision. A source of its own needs no
 // lock on the path of a request.
