--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -188,6 +188,7 @@
 		Instances:     i.liveInstances,
 		Logger:        i.log,
 		Seed:          uint64(time.Now().UnixNano()),
+		OnDeath:       i.membership.Hasten,
 	})
 	i.membership.Register(newUpstreamSection(i.upstreams).section())
 }
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -29,18 +29,22 @@
 	ticker := time.NewTicker(publishInterval)
 	defer ticker.Stop()
 	nextBeat, nextPush := m.now(), m.now()
-	pushDue := false
+	nextHastened := m.now()
+	pushDue, beatDue := false, false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-m.push:
 			pushDue = true
+		case <-m.hasten:
+			beatDue = true
 		case <-ticker.C:
 		}
 		now := m.now()
-		if now >= nextBeat {
+		if now >= nextBeat || beatDue && now >= nextHastened {
 			nextBeat = now.after(m.jitter(m.config.Interval))
+			beatDue, nextHastened = false, now.after(pushInterval)
 			m.maintain(now)
 			m.beatAll(ctx)
 		}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -105,6 +105,7 @@
 	view     atomic.Pointer[View]
 	counters counters
 	push     chan struct{} // capacity 1: a push is due
+	hasten   chan struct{} // capacity 1: a regular heartbeat is due
 	announce chan struct{} // capacity 1: an announcement is due
 	sending  sync.WaitGroup
 
@@ -133,6 +134,7 @@
 		start:    time.Now(),
 		sections: map[uint8]Section{},
 		push:     make(chan struct{}, 1),
+		hasten:   make(chan struct{}, 1),
 		announce: make(chan struct{}, 1),
 		ledger:   newLedger(config.Self.ID, config.DepartureHold, max(1, rand.Uint64()>>1)),
 		links:    map[contract.InstanceID]*peerLink{},
@@ -207,6 +209,10 @@
 // Push sends a heartbeat without sections to all peers at once.
 func (m *Membership) Push() { signal(m.push) }
 
+// Hasten sends the next regular heartbeat to all peers at once, for a section with
+// news that must not wait for the interval.
+func (m *Membership) Hasten() { signal(m.hasten) }
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -240,6 +240,34 @@
 	})
 }
 
+// Guards against evidence of a crash that waits for the next interval: meanwhile
+// a peer would place the same content.
+func TestHastenedHeartbeatCarriesSections(t *testing.T) {
+	var learned atomic.Int64
+	configure := func(config *Config) { config.Interval = time.Hour }
+	inCluster(t, 2, configure, func(g *WithT, c *cluster) {
+		for _, n := range c.nodes {
+			n.stop() // sections are registered before Run: the running instances are replaced
+			<-n.done
+		}
+		c.nodes = nil
+		for i := range 2 {
+			n := c.create(t, i)
+			n.Register(Section{
+				ID:      3,
+				Collect: func(contract.InstanceID) []byte { return []byte("news") },
+				Learn:   func(contract.InstanceID, []byte) error { learned.Add(1); return nil },
+			})
+			c.run(n)
+		}
+		advance(time.Minute)
+		before := learned.Load()
+		c.nodes[0].Hasten()
+		advance(100 * time.Millisecond)
+		g.Expect(learned.Load()).To(BeNumerically(">", before))
+	})
+}
+
 // Guards against an entry in the platform's list that outlives the instance or
 // hides that it leaves.
 func TestListEntryFollowsTheInstance(t *testing.T) {
--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -37,6 +37,10 @@
 	Logger        logrus.FieldLogger
 	Seed          uint64           // of the random choices
 	Now           func() time.Time // default time.Now
+	// OnDeath is called after a death or more of its contents became known, so
+	// that the peers learn of it before they place the same content. It must not
+	// block. Optional.
+	OnDeath func()
 }
 
 // Upstreams implements Router. Its methods are safe for concurrent use.
@@ -103,7 +107,12 @@
 		u.view.Store(view)
 	}
 	events, kicks := u.writer.takeOutput()
+	died := u.writer.died
+	u.writer.died = false
 	u.mu.Unlock()
+	if died && u.config.OnDeath != nil {
+		u.config.OnDeath()
+	}
 	for _, event := range events {
 		u.report(event)
 	}
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -43,6 +43,7 @@
 	standings map[ContentKey]Standing       // as last reported
 	events    []timeline.Event
 	kicks     []contract.UpstreamID
+	died      bool // evidence of a death was added
 }
 
 // unconfirmedDeath is a lost connection that may have been a death.
@@ -260,7 +261,7 @@
 	if len(merged.Contents) != len(death.Contents) || !merged.At.Equal(death.At) {
 		from = "" // more than the peer knows: it has to learn the rest
 	}
-	w.rejudge = true
+	w.rejudge, w.died = true, true
 	put(w.ledger, w.ledger.deaths, death.Start, DeathEntry{
 		Upstream:      merged.Start.Upstream,
 		Incarnation:   merged.Start.Incarnation,
