--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -104,6 +104,11 @@
 
 // generate starts a generation of length tokens through a client.
 func (w *world) generate(c *client.Client, length int, temperature float64) *run {
+	return w.generateAt(c, testcluster.Generations, length, temperature)
+}
+
+// generateAt starts a generation at a service.
+func (w *world) generateAt(c *client.Client, service contract.ServiceID, length int, temperature float64) *run {
 	r := &run{
 		request: contract.RequestID{Workspace: testcluster.Workspace, Key: contract.NewKey()},
 		prompt:  "care guide " + contract.NewKey() + " len=" + strconv.Itoa(length),
@@ -113,7 +118,7 @@
 	go func() {
 		defer close(r.done)
 		r.result, r.err = c.Generate(w.ctx, client.Generation{
-			Request: r.request, Service: testcluster.Generations, Prompt: r.prompt, Seed: seed, Temperature: temperature,
+			Request: r.request, Service: service, Prompt: r.prompt, Seed: seed, Temperature: temperature,
 			OnToken: func(contract.Token) { r.tokens.Add(1) },
 		})
 	}()
