--- a/internal/e2e/configuration_test.go
+++ b/internal/e2e/configuration_test.go
@@ -67,7 +67,7 @@
 	var shown struct {
 		Version int64 `json:"version"`
 	}
-	if testcluster.GetJSON(w.ctx, w.cluster.Instances[instance].URL()+"/v1/configuration", &shown) != nil {
+	if testcluster.GetJSON(w.ctx, w.urls[instance]+"/v1/configuration", &shown) != nil {
 		return -1
 	}
 	return shown.Version
@@ -75,7 +75,7 @@
 
 // ready reports whether an instance is ready, as a balancer sees it.
 func (w *world) ready(instance int) bool {
-	response, err := http.Get(w.cluster.Instances[instance].URL() + "/readyz")
+	response, err := http.Get(w.urls[instance] + "/readyz")
 	if err != nil {
 		return false
 	}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -41,6 +41,7 @@
 	ctx     context.Context
 	cluster *testcluster.Cluster
 	client  *client.Client
+	urls    []string // of the instances; they stay the same over restarts
 }
 
 // start starts a cluster that ends with the test. On failure its directory with
@@ -70,7 +71,7 @@
 	})
 	connection, err := cluster.Client()
 	g.Expect(err).NotTo(HaveOccurred())
-	return &world{GomegaWithT: g, t: t, ctx: ctx, cluster: cluster, client: connection}
+	return &world{GomegaWithT: g, t: t, ctx: ctx, cluster: cluster, client: connection, urls: cluster.URLs()}
 }
 
 var binaries string
@@ -171,7 +172,7 @@
 func (w *world) clientOf(instances ...int) *client.Client {
 	var urls []string
 	for _, i := range instances {
-		urls = append(urls, w.cluster.Instances[i].URL())
+		urls = append(urls, w.urls[i])
 	}
 	c, err := client.New(urls)
 	w.Expect(err).NotTo(HaveOccurred())
