--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -6,9 +6,12 @@
 	"flag"
 	"fmt"
 	"io"
+	"syscall"
 	"text/tabwriter"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"foxtailhub.example/foxtailhub/internal/api/oas"
 	"foxtailhub.example/foxtailhub/internal/client"
 )
@@ -122,6 +125,11 @@
 						return ExitFailed, err
 					}
 					status, err = endpoint.GetDrain(ctx)
+					if errors.Is(err, syscall.ECONNREFUSED) {
+						// The instance accepted the drain and now listens no more.
+						fmt.Fprintln(env.Stdout, "exited")
+						return ExitOK, nil
+					}
 				}
 				return ExitFailed, err
 			}
