--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -41,6 +41,7 @@
 	ctx     context.Context
 	cluster *testcluster.Cluster
 	client  *client.Client
+	urls    []string // of the instances; they stay the same over restarts
 }
 
 // start starts a cluster that ends with the test. On failure its directory with
@@ -70,7 +71,7 @@
 	})
 	connection, err := cluster.Client()
 	g.Expect(err).NotTo(HaveOccurred())
-	return &world{GomegaWithT: g, t: t, ctx: ctx, cluster: cluster, client: connection}
+	return &world{GomegaWithT: g, t: t, ctx: ctx, cluster: cluster, client: connection, urls: cluster.URLs()}
 }
 
 var binaries string
@@ -104,6 +105,11 @@
 
 // generate starts a generation of length tokens through a client.
 func (w *world) generate(c *client.Client, length int, temperature float64) *run {
+	return w.generateAt(c, testcluster.Generations, length, temperature)
+}
+
+// generateAt starts a generation at a service.
+func (w *world) generateAt(c *client.Client, service contract.ServiceID, length int, temperature float64) *run {
 	r := &run{
 		request: contract.RequestID{Workspace: testcluster.Workspace, Key: contract.NewKey()},
 		prompt:  "care guide " + contract.NewKey() + " len=" + strconv.Itoa(length),
@@ -113,7 +119,7 @@
 	go func() {
 		defer close(r.done)
 		r.result, r.err = c.Generate(w.ctx, client.Generation{
-			Request: r.request, Service: testcluster.Generations, Prompt: r.prompt, Seed: seed, Temperature: temperature,
+			Request: r.request, Service: service, Prompt: r.prompt, Seed: seed, Temperature: temperature,
 			OnToken: func(contract.Token) { r.tokens.Add(1) },
 		})
 	}()
@@ -166,7 +172,7 @@
 func (w *world) clientOf(instances ...int) *client.Client {
 	var urls []string
 	for _, i := range instances {
-		urls = append(urls, w.cluster.Instances[i].URL())
+		urls = append(urls, w.urls[i])
 	}
 	c, err := client.New(urls)
 	w.Expect(err).NotTo(HaveOccurred())
--- a/internal/instance/life.go
+++ b/internal/instance/life.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,9 @@
 	// small part of the window of 2 s in which a head read or a contact counts.
 	confirmInterval = 100 * time.Millisecond
 	drainInterval   = 100 * time.Millisecond
+	// staleAfter is the age from which a result of the confirmation rule is not
+	// used: the process was paused since then.
+	staleAfter = 5 * confirmInterval
 )
 
 // life keeps the state of the instance in its life cycle.
@@ -24,7 +28,9 @@
 	follower   *configuration.Follower
 	membership *membership.Membership
 
+	updating     sync.Mutex // held during update, so that results replace each other in order
 	confirmation atomic.Pointer[configuration.Confirmation]
+	updated      atomic.Int64 // Unix nanoseconds of the last update
 	state        atomic.Pointer[State]
 	drainStart   atomic.Int64  // Unix nanoseconds; 0 while not draining
 	draining     chan struct{} // closed when the drain begins
@@ -54,6 +60,8 @@
 
 // update applies the confirmation rule once.
 func (l *life) update(now time.Time) {
+	l.updating.Lock()
+	defer l.updating.Unlock()
 	before := l.confirmation.Load()
 	standing := l.follower.Standing()
 	view := l.membership.View()
@@ -66,6 +74,7 @@
 		Others:      knownInstances(view, now),
 	})
 	l.confirmation.Store(&after)
+	l.updated.Store(now.UnixNano())
 	l.membership.SetStanding(membership.Standing{
 		Current: after.Current, Head: int64(standing.Verified), Held: int64(standing.Held),
 	})
@@ -114,8 +123,15 @@
 
 func (l *life) current() State { return *l.state.Load() }
 
-// confirmed reports whether new work may be admitted.
-func (l *life) confirmed() bool { return l.confirmation.Load().Confirmed }
+// confirmed reports whether new work may be admitted. After a pause of the
+// process the rule is applied anew first: others may have gone on without it.
+func (l *life) confirmed() bool {
+	now := time.Now()
+	if now.Sub(time.Unix(0, l.updated.Load())) > staleAfter {
+		l.update(now)
+	}
+	return l.confirmation.Load().Confirmed
+}
 
 func (l *life) mayAccept() (bool, string) {
 	c := l.confirmation.Load()
--- a/internal/instance/wiring.go
+++ b/internal/instance/wiring.go
@@ -128,6 +128,7 @@
 		Instances:     i.liveInstances,
 		Logger:        i.log,
 		Seed:          uint64(time.Now().UnixNano()),
+		OnDeath:       i.membership.Hasten,
 	})
 	i.membership.Register(newUpstreamSection(i.upstreams).section())
 }
--- a/internal/testcluster/proc.go
+++ b/internal/testcluster/proc.go
@@ -31,3 +31,17 @@
 	}
 	return int64(stat.ResidentMemory()), nil
 }
+
+// processStopped reports whether all threads of a process have stopped.
+func processStopped(pid int) bool {
+	threads, err := procfs.AllThreads(pid)
+	if err != nil {
+		return false
+	}
+	for _, thread := range threads {
+		if stat, err := thread.Stat(); err != nil || stat.State != "T" {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -6,6 +6,7 @@
 package testcluster
 
 import (
+	"context"
 	"net"
 	"os"
 	"os/exec"
@@ -55,8 +56,17 @@
 // PID returns the process identifier.
 func (p *Process) PID() int { return p.command.Process.Pid }
 
-// Signal sends a signal, such as SIGKILL, SIGSTOP, SIGCONT or SIGTERM.
-func (p *Process) Signal(signal syscall.Signal) error { return p.command.Process.Signal(signal) }
+// Signal sends a signal, such as SIGKILL, SIGSTOP, SIGCONT or SIGTERM. It returns
+// after SIGSTOP once the process has stopped: on a busy machine its threads run
+// on for a moment and may still answer.
+func (p *Process) Signal(signal syscall.Signal) error {
+	if err := p.command.Process.Signal(signal); err != nil || signal != syscall.SIGSTOP {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	return Await(ctx, func() bool { return processStopped(p.PID()) })
+}
 
 // Exited is closed when the process has ended.
 func (p *Process) Exited() <-chan struct{} { return p.exited }
