--- /dev/null
+++ b/internal/instance/traffic_test.go
@@ -0,0 +1,209 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/link/linktest"
+	"foxtailhub.example/foxtailhub/internal/membership"
+	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+	"foxtailhub.example/foxtailhub/internal/workspace"
+)
+
+// trafficEnvironment turns the measurement of all sizes on.
+const trafficEnvironment = "FOXTAILHUB_TRAFFIC"
+
+const (
+	trafficSettle = 10 * time.Second // until first digests have spread
+	trafficPeriod = 40 * time.Second // more than a full digest and a refresh of models
+)
+
+// trafficFleet is a platform and upstreams for instances in virtual time.
+type trafficFleet struct {
+	snapshot configuration.Snapshot
+	mu       sync.Mutex // guards random and loads
+	random   *rand.Rand
+	loads    map[contract.UpstreamID]int
+}
+
+func newTrafficFleet(upstreams, workspaces int) *trafficFleet {
+	f := &trafficFleet{random: rand.New(rand.NewPCG(1, 1)), loads: map[contract.UpstreamID]int{}}
+	f.snapshot.Version = 1
+	f.snapshot.Document.Upstreams = map[contract.UpstreamID]configuration.Upstream{}
+	f.snapshot.Document.Services = map[contract.ServiceID]configuration.Service{"notes": {Kind: configuration.KindEngine}}
+	f.snapshot.Document.Workspaces = map[contract.WorkspaceID]configuration.Workspace{}
+	for i := range upstreams {
+		id := contract.UpstreamID(fmt.Sprintf("engine-oulu-a-%04d", i))
+		f.snapshot.Document.Upstreams[id] = configuration.Upstream{Kind: configuration.KindEngine, Address: string(id)}
+		f.loads[id] = 8
+	}
+	for i := range workspaces {
+		f.snapshot.Document.Workspaces[contract.WorkspaceID(fmt.Sprintf("workspace-%03d", i))] = configuration.Workspace{}
+	}
+	return f
+}
+
+func (f *trafficFleet) Current() *configuration.Snapshot { return &f.snapshot }
+
+func (f *trafficFleet) List(context.Context) (platform.List, error) { return platform.List{}, nil }
+
+func (f *trafficFleet) Announce(context.Context, platform.ListEntry) error { return nil }
+
+func (f *trafficFleet) Withdraw(context.Context, string) error { return nil }
+
+func (f *trafficFleet) Engine(target upstream.Target) upstream.Engine {
+	return trafficEngine{fleet: f, id: target.ID}
+}
+
+// trafficEngine reports a load that wanders by one request every second poll.
+type trafficEngine struct {
+	upstream.Engine
+	fleet *trafficFleet
+	id    contract.UpstreamID
+}
+
+func (e trafficEngine) Load(context.Context) (upstream.LoadReport, error) {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	e.fleet.loads[e.id] = min(max(e.fleet.loads[e.id]+e.fleet.random.IntN(4)/3-e.fleet.random.IntN(4)/3, 0), 16)
+	return upstream.LoadReport{
+		Incarnation: upstream.Incarnation("0f2d6c1e-7a53-4b8f-9d20-" + string(e.id[len(e.id)-4:])), Slots: 8,
+		Running: min(e.fleet.loads[e.id], 8), Queued: max(e.fleet.loads[e.id]-8, 0),
+		Models: []upstream.ModelPin{{Model: "fitting-notes", Version: "2026-11"}},
+	}, nil
+}
+
+// traffic returns the bytes per second, in both directions and without transport
+// overhead, that an instance spends on heartbeats.
+func traffic(t *testing.T, instances, upstreams, workspaces int) (perSecond float64) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fleet := newTrafficFleet(upstreams, workspaces)
+		network := linktest.NewNetwork(1)
+		network.SetDelay(func(_, _ contract.InstanceID) time.Duration { return 2 * time.Millisecond })
+		var running sync.WaitGroup
+		var all []*membership.Membership
+		for i := range instances {
+			all = append(all, startTraffic(ctx, t, &running, fleet, network, i, instances))
+		}
+		total := func() (bytes int64) {
+			for _, m := range all {
+				stats := m.Stats()
+				bytes += stats.BytesIn + stats.BytesOut
+			}
+			return bytes
+		}
+		time.Sleep(trafficSettle)
+		before := total()
+		time.Sleep(trafficPeriod)
+		perSecond = float64(total()-before) / trafficPeriod.Seconds() / float64(instances)
+		cancel()
+		running.Wait()
+	})
+	return perSecond
+}
+
+// startTraffic starts the parts of an instance that exchange digests.
+func startTraffic(ctx context.Context, t *testing.T, running *sync.WaitGroup, fleet *trafficFleet, network *linktest.Network, number, count int) *membership.Membership {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	member := func(i int) membership.Member {
+		id := fmt.Sprintf("instance-%03d", i)
+		return membership.Member{
+			ID: contract.InstanceID(id), Address: id + ":1", Region: "pohjola",
+			Domain: contract.FailureDomainID(fmt.Sprint("domain-", i%4)),
+		}
+	}
+	var seeds []membership.Member
+	var members []upstream.Member
+	for i := range count {
+		seeds = append(seeds, member(i))
+		members = append(members, upstream.Member{ID: member(i).ID, FailureDomain: member(i).Domain})
+	}
+	m, err := membership.New(membership.Config{
+		Self: member(number), Seeds: seeds, List: fleet, Transport: network.Transport(member(number).ID),
+		Clock: timeline.NewClock(), Recorder: timeline.Discard{}, Log: log, Seed: uint64(number) + 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	upstreams := upstream.New(upstream.Config{
+		Self: members[number], Configuration: fleet, List: fleet, Engines: fleet, Recorder: timeline.Discard{},
+		Instances: func() []upstream.Member { return members }, Logger: log, Seed: uint64(number) + 1,
+	})
+	admission := workspace.NewAdmission(workspace.Config{Instance: members[number].ID, Configuration: fleet, Instances: func() int { return count }})
+	m.Register(newUpstreamSection(upstreams).section())
+	m.Register(demandSection(admission))
+	m.SetState(membership.Ready)
+	m.SetStanding(membership.Standing{Current: true, Head: 1, Held: 1})
+	running.Go(func() { _ = m.Run(ctx) })
+	running.Go(func() { upstreams.Run(ctx) })
+	running.Go(func() { admission.Run(ctx) })
+	for id := range fleet.snapshot.Document.Workspaces {
+		running.Go(func() { generate(ctx, admission, id) })
+	}
+	return m
+}
+
+// generate runs generations of a workspace one after the other.
+func generate(ctx context.Context, admission *workspace.Admission, id contract.WorkspaceID) {
+	for ctx.Err() == nil {
+		ask := workspace.Ask{Workspace: id, Service: "notes", Deadline: time.Now().Add(time.Second)}
+		if release, _, ok := admission.Admit(ctx, ask); ok {
+			pause(ctx, time.Duration(500+rand.IntN(1000))*time.Millisecond)
+			release()
+		}
+		pause(ctx, time.Duration(rand.IntN(3000))*time.Millisecond)
+	}
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
+
+// Prints what digests add to heartbeats, for the capacity page.
+func TestTrafficBySize(t *testing.T) {
+	if os.Getenv(trafficEnvironment) == "" {
+		t.Skip("a measurement; set " + trafficEnvironment + "=1")
+	}
+	for _, instances := range []int{6, 20, 40, 80} {
+		alone := traffic(t, instances, 0, 0)
+		t.Logf("instances=%d heartbeats=%.0f B/s", instances, alone)
+		for _, upstreams := range []int{24, 100, 300} {
+			if instances*upstreams <= 80*100 || instances == 20 {
+				t.Logf("instances=%d upstreams=%d added=%.0f B/s", instances, upstreams, traffic(t, instances, upstreams, 0)-alone)
+			}
+		}
+		if instances <= 20 {
+			t.Logf("instances=%d workspaces=%d added=%.0f B/s", instances, 50, traffic(t, instances, 0, 50)-alone)
+		}
+	}
+}
+
+// Guards against digests that outgrow the budget of control traffic.
+func TestTrafficIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	alone := traffic(t, 6, 0, 0)
+	t.Logf("heartbeats=%.0f B/s", alone)
+	perUpstream := (traffic(t, 6, 24, 0) - alone) / 24
+	perWorkspace := (traffic(t, 6, 0, 10) - alone) / 10
+	t.Logf("per upstream=%.1f B/s per workspace=%.1f B/s", perUpstream, perWorkspace)
+	g.Expect(perUpstream).To(BeNumerically("<", 10_000))
+}
