Pass contacts on by changes of state and steps of load

A contact is passed on at once when state or incarnation change or when it contradicts a failure, after 1 s when the load has changed by a step, else after 5 s; the watchers of an upstream refresh one after the other. Loads count for 10 s, which covers refresh, stagger and the way of a digest.

With contacts that old, the first failure of a cut-off watcher would mark an upstream down everywhere. A failure therefore carries the begin of its series, is passed on from the first unanswered poll, and makes the other watchers pass on their next success; a new test cuts each watcher off in turn. An upstream that only pauses is down for instances without a contact after the third unanswered poll (3.5 s after the last answer) instead of the second or third.

--- a/internal/upstream/digest.go
+++ b/internal/upstream/digest.go
@@ -40,11 +40,27 @@
 	Queued      int
 }
 
-// FailureEntry is a failed contact.
+// FailureEntry is a failed contact of an observer whose contacts have failed
+// since a time, 0 if that is unknown.
 type FailureEntry struct {
 	_        struct{} `cbor:",toarray"`
 	Upstream contract.UpstreamID
 	AtMS     int64
+	SinceMS  int64
+}
+
+// newerThan orders failures by time, and of the same time the longest series
+// first.
+func (f FailureEntry) newerThan(other FailureEntry) bool {
+	return f.AtMS > other.AtMS || f.AtMS == other.AtMS && f.SinceMS < other.SinceMS
+}
+
+// series returns the times between which contacts failed; since is zero if unknown.
+func (f FailureEntry) series() (since, last time.Time) {
+	if f.SinceMS != 0 {
+		since = time.UnixMilli(f.SinceMS)
+	}
+	return since, time.UnixMilli(f.AtMS)
 }
 
 // LeavingEntry is a leaving mark that came from the upstream itself.
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -12,10 +12,12 @@
 	// more than its peers. Upstreams found down are polled more often than this.
 	ownContactLifetime = 5 * time.Second
 	// peerDownGrace is how much newer a peer's failed contact must be than the
-	// newest successful contact of any instance. It keeps a single watcher that
-	// is cut off from an upstream from marking it down everywhere; it must
-	// exceed contactRefresh.
-	peerDownGrace = 2 * time.Second
+	// newest successful contact of any instance and the begin of the peer's
+	// failures. It keeps a single watcher that is cut off from an upstream from
+	// marking it down everywhere: within this time the first failure reaches the
+	// other watchers and their next success comes back. Two polls without an
+	// answer take 2.5 s, three 3.5 s.
+	peerDownGrace = 2800 * time.Millisecond
 	// failuresUntilDown is how many polls in a row must stay without an answer.
 	failuresUntilDown = 2
 	// unattributedLeavingLifetime bounds a leaving mark of an unknown
@@ -70,6 +72,8 @@
 	listedLeaving time.Time // time of the list entry that says leaving; zero if none
 	peersUp       time.Time // newest successful contact of a peer
 	peersDown     time.Time // newest failed contact of a peer
+	peersFailing  time.Time // when the failures of that peer began; zero if unknown
+	failingSince  time.Time // when the own failures began; zero if the last contact succeeded
 	diedAt        time.Time // when the present incarnation was found dead
 }
 
@@ -99,7 +103,16 @@
 	if h.diedAt.After(h.lastUp()) {
 		return true
 	}
-	return h.peersDown.After(h.lastUp().Add(peerDownGrace))
+	return h.downAfter(h.peersFailing, h.peersDown)
+}
+
+// downAfter reports whether failed contacts from since to last show the
+// upstream down to instances without a contact of their own.
+func (h Health) downAfter(since, last time.Time) bool {
+	if up := h.lastUp(); up.After(since) {
+		since = up
+	}
+	return last.After(since.Add(peerDownGrace))
 }
 
 // lastUp is the time of the newest successful contact of any instance.
@@ -120,6 +133,7 @@
 	}
 	h.Own = Contact{Up: true, At: at}
 	h.failures = 0
+	h.failingSince = time.Time{}
 	return h.reported(at, leaving)
 }
 
@@ -128,14 +142,29 @@
 	if at.Before(h.Own.At) {
 		return h
 	}
+	h = h.failing(at)
 	h.Own = Contact{At: at}
 	return h
 }
 
+// failing notes the begin of failures. They count from the last success if that
+// is recent: an upstream that is polled regularly stopped answering after it.
+func (h Health) failing(at time.Time) Health {
+	if !h.failingSince.IsZero() {
+		return h
+	}
+	h.failingSince = at
+	if h.Own.Up && at.Sub(h.Own.At) < ownContactLifetime {
+		h.failingSince = h.Own.At
+	}
+	return h
+}
+
 // Unanswered is the transition for a poll that got no answer over an open
 // connection. One that follows a doubt counts as enough.
 func (h Health) Unanswered(at time.Time) Health {
 	h.failures++
+	h = h.failing(at)
 	if h.failures < failuresUntilDown && !h.Doubted() {
 		return h
 	}
@@ -187,10 +216,15 @@
 	return h.reported(at, leaving)
 }
 
-// PeerFailed is the transition for a failed contact of a peer.
-func (h Health) PeerFailed(at time.Time) Health {
-	if at.After(h.peersDown) && at.After(h.RestartedAt) {
-		h.peersDown = at
+// PeerFailed is the transition for a failed contact of a peer whose contacts
+// have failed since a time (zero if unknown). Of several peers with the same
+// newest failure, the longest series counts.
+func (h Health) PeerFailed(since, at time.Time) Health {
+	if !at.After(h.RestartedAt) || at.Before(h.peersDown) {
+		return h
+	}
+	if at.After(h.peersDown) || since.Before(h.peersFailing) {
+		h.peersDown, h.peersFailing = at, since
 	}
 	return h
 }
@@ -248,7 +282,8 @@
 	h.past[0] = h.Incarnation
 	h.Incarnation, h.FirstSeen, h.RestartedAt = incarnation, at, at
 	h.Leaving = LeavingMark{}
-	h.DoubtedAt, h.diedAt, h.peersDown = time.Time{}, time.Time{}, time.Time{}
+	h.DoubtedAt, h.diedAt = time.Time{}, time.Time{}
+	h.peersDown, h.peersFailing, h.failingSince = time.Time{}, time.Time{}, time.Time{}
 	if !h.Own.Up {
 		h.Own = Contact{}
 	}
--- a/internal/upstream/health_test.go
+++ b/internal/upstream/health_test.go
@@ -33,8 +33,8 @@
 		{"two unanswered polls", live.Unanswered(at(1)).Unanswered(at(2)), 2, StateDown},
 		{"unanswered poll after a doubt", live.Doubt(at(0.5)).Unanswered(at(1)), 1, StateDown},
 		{"own failure against a peer's contact", live.Unreachable(at(1)).PeerAnswered(at(2), "a", false), 2, StateDown},
-		{"one cut-off watcher", live.PeerAnswered(at(9), "a", false).PeerFailed(at(10)), 10, StateLive},
-		{"all watchers fail", live.PeerAnswered(at(9), "a", false).PeerFailed(at(12)), 12, StateDown},
+		{"one cut-off watcher", live.PeerAnswered(at(9), "a", false).PeerFailed(time.Time{}, at(10)), 10, StateLive},
+		{"all watchers fail", live.PeerAnswered(at(9), "a", false).PeerFailed(time.Time{}, at(12)), 12, StateDown},
 		{"confirmed death", live.PeerAnswered(at(9), "a", false).Died(at(9.5), "a"), 10, StateDown},
 		{"death of a former process", live.PeerAnswered(at(9), "b", false).Died(at(9.5), "a"), 10, StateLive},
 		{"new process after a death", live.Died(at(1), "a").PeerAnswered(at(2), "b", false), 2, StateLive},
@@ -73,7 +73,7 @@
 	case 3:
 		return health.Unanswered(time)
 	case 4:
-		return health.PeerFailed(time)
+		return health.PeerFailed(at(0), time)
 	case 5:
 		return health.Listed(platform.ListedLive, time)
 	case 6:
--- a/internal/upstream/learn.go
+++ b/internal/upstream/learn.go
@@ -95,12 +95,12 @@
 }
 
 func (l learner) failure(news FailureEntry) {
-	at, ok := l.time(news.AtMS, 0)
-	if !ok || l.entries[news.Upstream] == nil || news.AtMS <= l.ledger.failures[news.Upstream].value.AtMS {
+	_, ok := l.time(news.AtMS, 0)
+	if !ok || l.entries[news.Upstream] == nil || !news.newerThan(l.ledger.failures[news.Upstream].value) {
 		return
 	}
 	edited := l.edit(news.Upstream)
-	edited.health = edited.health.PeerFailed(at)
+	edited.health = edited.health.PeerFailed(news.series())
 	put(l.ledger, l.ledger.failures, news.Upstream, news, l.peer)
 }
 
--- a/internal/upstream/leaving_test.go
+++ b/internal/upstream/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -142,3 +143,32 @@
 		})
 	}
 }
+
+// Guards against one watcher that is cut off from an upstream and thereby marks
+// it down at all instances: contacts of the others are passed on rarely, so
+// their last one may be old when the first failure arrives.
+func TestCutOffWatcherMarksNobodyElseDown(t *testing.T) {
+	for watcher := range watchersPerUpstream {
+		t.Run(fmt.Sprint("rank=", watcher), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				w := newWorld(1, "oulu-a", "kemi-c")
+				c := newCluster(w, 1, 6)
+				defer c.stop()
+				time.Sleep(8 * time.Second)
+				watchers := Watchers("oulu-a-0", c.members)
+				cut := slices.IndexFunc(c.members, func(m Member) bool { return m.ID == watchers[watcher] })
+				w.set("oulu-a-0", func(p *proc) { p.cutOff = cut + 1 })
+				for range 600 {
+					time.Sleep(50 * time.Millisecond)
+					for i, u := range c.instances {
+						if i != cut {
+							g.Expect(u.Status()[1].State).To(Equal(StateLive), "instance %d", i)
+						}
+					}
+				}
+				g.Expect(c.instances[cut].Status()[1].State).To(Equal(StateDown))
+			})
+		})
+	}
+}
--- a/internal/upstream/observe.go
+++ b/internal/upstream/observe.go
@@ -49,7 +49,7 @@
 	if known == nil {
 		return true
 	}
-	fresh := known.health.Own.Up && now.Sub(known.health.Own.At) < contactRefresh
+	fresh := known.health.Own.Up && now.Sub(known.health.Own.At) < ownRefresh
 	same := observation.Incarnation == "" || observation.Incarnation == known.health.Incarnation
 	return fresh && same && !view.suspect(content, now)
 }
@@ -163,9 +163,7 @@
 		return
 	}
 	edited.health = edited.health.Unanswered(now)
-	if !edited.health.Own.Up {
-		w.passOnFailure(id, now)
-	}
+	w.passOnFailure(id, now)
 }
 
 func (w *writer) saidLeaving(id contract.UpstreamID, now time.Time, incarnation Incarnation) {
@@ -275,16 +273,57 @@
 		Running:     edited.load.running,
 		Queued:      edited.load.queued,
 	}
-	old := passed.value
-	same := found && old.Incarnation == next.Incarnation && old.Leaving == next.Leaving &&
-		(!hasLoad || old.Running == next.Running && old.Queued == next.Queued)
-	age := time.Duration(next.AtMS-old.AtMS) * time.Millisecond
-	if same && age < contactRefresh || found && age <= 0 {
+	if found && !w.worthPassing(edited, passed.value, next, hasLoad) {
 		return
 	}
 	put(w.ledger, w.ledger.contacts, edited.target.ID, next, "")
 }
 
+// worthPassing reports whether the peers need a contact although they know an
+// older one: a change of state at once, a change of load by a step after a
+// while, and the rest when the old one gets too old. Loads change with each poll
+// of a busy engine; without these limits they dominate the control traffic.
+func (w *writer) worthPassing(edited *entry, old, next ContactEntry, hasLoad bool) bool {
+	age := time.Duration(next.AtMS-old.AtMS) * time.Millisecond
+	switch {
+	case age <= 0:
+		return false
+	case old.Incarnation != next.Incarnation || old.Leaving != next.Leaving || w.contradicts(edited, old):
+		return true
+	case hasLoad && edited.loadStep(old, next):
+		return age >= loadRefresh+w.stagger(edited.target.ID)
+	default:
+		return age >= contactRefresh+w.stagger(edited.target.ID)
+	}
+}
+
+// contradicts reports whether peers may take the upstream for down because of
+// news that is later than the contact that they know.
+func (w *writer) contradicts(edited *entry, passed ContactEntry) bool {
+	return w.ledger.failures[edited.target.ID].value.AtMS > passed.AtMS ||
+		edited.health.diedAt.After(time.UnixMilli(passed.AtMS))
+}
+
+// loadStep reports whether two loads differ enough to matter for a choice.
+func (e *entry) loadStep(old, next ContactEntry) bool {
+	before, now := old.Running+old.Queued, next.Running+next.Queued
+	step := max(minLoadStep, before/loadStepShare, e.slots/slotStepShare)
+	return max(before-now, now-before) >= step
+}
+
+// stagger is how much later than the first watcher of an upstream this instance
+// refreshes what the peers know of it, so that usually one of them does.
+func (w *writer) stagger(id contract.UpstreamID) time.Duration {
+	if w.ranks == nil {
+		return 0
+	}
+	rank, watched := w.ranks[id]
+	if !watched {
+		rank = watchersPerUpstream
+	}
+	return time.Duration(rank) * watcherStagger
+}
+
 func (w *writer) passOnServed(edited *entry, at time.Time, models []ModelPin) {
 	same := !edited.served.at.IsZero() && slices.Equal(edited.served.models, models)
 	if same && at.Sub(edited.served.at) < servedRefresh {
@@ -298,9 +337,19 @@
 }
 
 func (w *writer) passOnFailure(id contract.UpstreamID, now time.Time) {
-	last := time.UnixMilli(w.ledger.failures[id].value.AtMS)
-	if now.Sub(last) >= contactRefresh {
-		put(w.ledger, w.ledger.failures, id, FailureEntry{Upstream: id, AtMS: now.UnixMilli()}, "")
+	health := w.entries[id].health
+	known := w.ledger.failures[id].value
+	since, last := known.series()
+	refresh := failureRefresh
+	if health.downAfter(since, last) || health.diedAt.After(health.lastUp()) {
+		refresh = knownFailureRefresh
+	}
+	if now.Sub(last) >= refresh {
+		next := FailureEntry{Upstream: id, AtMS: now.UnixMilli()}
+		if !health.failingSince.IsZero() {
+			next.SinceMS = health.failingSince.UnixMilli()
+		}
+		put(w.ledger, w.ledger.failures, id, next, "")
 	}
 }
 
--- a/internal/upstream/poll.go
+++ b/internal/upstream/poll.go
@@ -40,6 +40,14 @@
 	interval time.Duration
 	running  bool
 	watched  bool
+	rank     int // among the watchers, if watched
+}
+
+// setRanks replaces the places of this instance among the watchers.
+func (u *Upstreams) setRanks(ranks map[contract.UpstreamID]int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.writer.ranks = ranks
 }
 
 func newPoller(u *Upstreams) *poller {
@@ -129,16 +137,22 @@
 	if changed {
 		p.members, p.ring = members, newWatcherRing(members)
 	}
+	added := false
 	for id := range view.entries {
 		scheduled, found := p.schedule[id]
 		if !found {
 			scheduled = &scheduledPoll{interval: pollInterval}
 			p.schedule[id] = scheduled
+			added = true
 		}
 		if changed || !found {
-			scheduled.watched = slices.Contains(p.ring.watchers(id), p.upstreams.config.Self.ID)
+			scheduled.rank = slices.Index(p.ring.watchers(id), p.upstreams.config.Self.ID)
+			scheduled.watched = scheduled.rank >= 0
 		}
 	}
+	if changed || added {
+		p.upstreams.setRanks(p.ranks())
+	}
 	for id, scheduled := range p.schedule {
 		if view.entries[id] == nil && !scheduled.running {
 			delete(p.schedule, id)
@@ -146,6 +160,16 @@
 	}
 }
 
+func (p *poller) ranks() map[contract.UpstreamID]int {
+	ranks := make(map[contract.UpstreamID]int)
+	for id, scheduled := range p.schedule {
+		if scheduled.watched {
+			ranks[id] = scheduled.rank
+		}
+	}
+	return ranks
+}
+
 func (p *poller) poll(ctx context.Context, known *entry, sentAt time.Time) {
 	defer func() { p.finished <- known.target.ID }()
 	pollCtx, cancel := context.WithTimeout(ctx, pollTimeout)
--- a/internal/upstream/world_test.go
+++ b/internal/upstream/world_test.go
@@ -57,6 +57,7 @@
 	leaving     bool
 	paused      bool
 	lagged      bool // load reports do not show leaving
+	cutOff      int  // number of the instance whose polls get no answer, from 1; 0 for none
 }
 
 // newWorld returns perDomain engines in each domain, all serving "notes".
@@ -163,18 +164,29 @@
 
 func (w *world) Engine(target Target) Engine { return worldEngine{world: w, id: target.ID} }
 
+// worldDialer reaches the world from one instance, numbered from 1.
+type worldDialer struct {
+	world *world
+	from  int
+}
+
+func (d worldDialer) Engine(target Target) Engine {
+	return worldEngine{world: d.world, id: target.ID, from: d.from}
+}
+
 // worldEngine answers load reports; the tests run requests through world.run.
 type worldEngine struct {
 	Engine
 	world *world
 	id    contract.UpstreamID
+	from  int
 }
 
 func (e worldEngine) Load(ctx context.Context) (LoadReport, error) {
 	e.world.mu.Lock()
 	p := *e.world.procs[e.id]
 	e.world.mu.Unlock()
-	if p.paused {
+	if p.paused || p.cutOff != 0 && p.cutOff == e.from {
 		<-ctx.Done()
 		return LoadReport{}, ctx.Err()
 	}
@@ -204,7 +216,7 @@
 	logger.SetOutput(io.Discard)
 	for i, self := range c.members {
 		u := New(Config{
-			Self: self, Configuration: w, List: w, Engines: w, Recorder: timeline.Discard{}, Logger: logger,
+			Self: self, Configuration: w, List: w, Engines: worldDialer{w, i + 1}, Recorder: timeline.Discard{}, Logger: logger,
 			Instances: func() []Member { return c.members }, Seed: seed*100 + uint64(i),
 		})
 		c.instances = append(c.instances, u)
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -14,8 +14,26 @@
 )
 
 const (
-	// contactRefresh is how old a passed-on contact may get without a change.
-	contactRefresh = time.Second
+	// contactRefresh is how old a passed-on contact may get without a change. It
+	// must leave loadLifetime time for the way through all instances.
+	contactRefresh = 5 * time.Second
+	// loadRefresh is how old a passed-on contact gets although its load has
+	// changed by a step.
+	loadRefresh = time.Second
+	// watcherStagger is the time in which a contact that one watcher passes on
+	// reaches the others.
+	watcherStagger = 1500 * time.Millisecond
+	// minLoadStep, loadStepShare and slotStepShare bound the change of load that
+	// is not passed on: 2 requests, a quarter of the load, an eighth of the slots.
+	minLoadStep   = 2
+	loadStepShare = 4
+	slotStepShare = 8
+	// ownRefresh is how old the last own contact may get while requests succeed.
+	ownRefresh = time.Second
+	// failureRefresh is how old a passed-on failure may get while it does not yet
+	// show the upstream down to all, knownFailureRefresh afterwards.
+	failureRefresh      = time.Second
+	knownFailureRefresh = 30 * time.Second
 	// servedRefresh is how old a passed-on list of models may get.
 	servedRefresh = 30 * time.Second
 	// unknownProcess begins the incarnation under which the death of a process of
@@ -34,6 +52,7 @@
 	config       *configuration.Snapshot
 	entries      map[contract.UpstreamID]*entry // shared with the last view while edited is nil
 	edited       map[contract.UpstreamID]bool   // entries that no view shares yet
+	ranks        map[contract.UpstreamID]int    // place of this instance among the watchers; nil before the first poll
 	dirty        bool
 	allowed      map[grant]map[contract.UpstreamID]bool
 	ledger       *ledger
