Place suspects by the view that is current under the lock

Place took its view before the lock: a content whose placement was waiting did not know contents as suspects that had become so since, and joined one of them.

--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -148,6 +148,7 @@
 	}
 	u.placing.Lock()
 	defer u.placing.Unlock()
+	view = u.current() // suspects placed since then may not have been suspects in the former view
 	placement, _, ok := u.place(view, need, now)
 	if !ok {
 		return Placement{}, heldBackWait, false
