Send no entry to a peer that sent the same; send everything only after a restart

Each entry notes the peers that sent it. The run of the process, sent until it is acknowledged, replaces the full digest of every 30 s (now a repair every 10 minutes); a lost heartbeat repeats only what was not acknowledged. Lists of models are repeated every 5 minutes, in the first 30 s of a process every 15 s.

A digest is limited to an estimated 40 KiB, the rest follows: membership drops a section of more than 64 KiB, which a full digest of some 450 engines or the evidence of the loss of a large failure domain exceeded every time.

--- a/internal/instance/digest.go
+++ b/internal/instance/digest.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,14 +20,16 @@
 	sectionDemand    uint8 = 2
 )
 
-// fullDigestInterval is how often a peer is sent everything. A peer that was
-// restarted between two heartbeats has forgotten what it once acknowledged.
-const fullDigestInterval = 30 * time.Second
+// fullDigestInterval is how often a peer is sent everything. It repairs what a
+// peer could not take, such as news of upstreams that its configuration did not
+// name yet. A peer that was restarted tells by the run in its own digest.
+const fullDigestInterval = 10 * time.Minute
 
 // upstreamSection passes on what is known of upstreams: to each peer what has
 // changed since the last heartbeat that it acknowledged.
 type upstreamSection struct {
 	upstreams *upstream.Upstreams
+	run       uint32 // of this process, not 0
 
 	mu    sync.Mutex // guards peers
 	peers map[contract.InstanceID]*digestProgress
@@ -36,10 +40,16 @@
 	acknowledged uint64
 	sent         uint64
 	fullAt       time.Time
+	run          uint32 // of the peer's process, 0 if unknown
+	introduced   bool   // the peer knows the run of this process
 }
 
 func newUpstreamSection(upstreams *upstream.Upstreams) *upstreamSection {
-	return &upstreamSection{upstreams: upstreams, peers: map[contract.InstanceID]*digestProgress{}}
+	return &upstreamSection{
+		upstreams: upstreams,
+		run:       1 + rand.Uint32N(math.MaxUint32),
+		peers:     map[contract.InstanceID]*digestProgress{},
+	}
 }
 
 func (s *upstreamSection) section() membership.Section {
@@ -49,9 +59,13 @@
 func (s *upstreamSection) collect(peer contract.InstanceID) []byte {
 	digest := s.upstreams.DigestFor(peer, s.begin(peer, time.Now()))
 	s.mu.Lock()
-	s.peers[peer].sent = digest.Seq
+	progress := s.peers[peer]
+	progress.sent = digest.Seq
+	if !progress.introduced {
+		digest.Run = s.run
+	}
 	s.mu.Unlock()
-	if digest.Empty() {
+	if digest.Empty() && digest.Run == 0 {
 		return nil
 	}
 	data, err := link.Encode(digest)
@@ -63,11 +77,7 @@
 func (s *upstreamSection) begin(peer contract.InstanceID, now time.Time) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	progress := s.peers[peer]
-	if progress == nil {
-		progress = &digestProgress{}
-		s.peers[peer] = progress
-	}
+	progress := s.progress(peer)
 	if now.Sub(progress.fullAt) >= fullDigestInterval {
 		progress.fullAt = now
 		progress.acknowledged = 0
@@ -75,17 +85,44 @@
 	return progress.acknowledged
 }
 
+// progress must be called with mu held.
+func (s *upstreamSection) progress(peer contract.InstanceID) *digestProgress {
+	progress := s.peers[peer]
+	if progress == nil {
+		progress = &digestProgress{}
+		s.peers[peer] = progress
+	}
+	return progress
+}
+
 func (s *upstreamSection) learn(peer contract.InstanceID, data []byte) error {
 	var digest upstream.Digest
 	if err := link.Decode(data, &digest); err != nil {
 		return err
 	}
+	s.noteRun(peer, digest.Run)
 	s.upstreams.Learn(peer, digest)
 	return nil
 }
 
-// settled notes what the peer has learned. After a lost heartbeat everything is
-// sent again: the peer may have been restarted.
+// noteRun starts anew with a peer that was restarted: it has forgotten what it
+// acknowledged, and may have answered a digest with changes only.
+func (s *upstreamSection) noteRun(peer contract.InstanceID, run uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	progress := s.progress(peer)
+	if run == 0 || run == progress.run {
+		return
+	}
+	if progress.run != 0 {
+		progress.acknowledged, progress.sent, progress.introduced = 0, 0, false
+		s.upstreams.Restarted()
+	}
+	progress.run = run
+}
+
+// settled notes what the peer has learned. What a lost heartbeat carried is sent
+// again.
 func (s *upstreamSection) settled(peer contract.InstanceID, delivered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,10 +131,10 @@
 		return
 	}
 	if !delivered {
-		progress.acknowledged = 0
+		progress.introduced = false
 		return
 	}
-	progress.acknowledged = progress.sent
+	progress.acknowledged, progress.introduced = progress.sent, true
 }
 
 // demandSection passes on this instance's demand per active workspace.
--- a/internal/instance/traffic_test.go
+++ b/internal/instance/traffic_test.go
@@ -183,17 +183,17 @@
 	if os.Getenv(trafficEnvironment) == "" {
 		t.Skip("a measurement; set " + trafficEnvironment + "=1")
 	}
-	for _, instances := range []int{6, 20, 40, 80} {
-		alone := traffic(t, instances, 0, 0)
-		t.Logf("instances=%d heartbeats=%.0f B/s", instances, alone)
-		for _, upstreams := range []int{24, 100, 300} {
-			if instances*upstreams <= 80*100 || instances == 20 {
-				t.Logf("instances=%d upstreams=%d added=%.0f B/s", instances, upstreams, traffic(t, instances, upstreams, 0)-alone)
-			}
-		}
-		if instances <= 20 {
-			t.Logf("instances=%d workspaces=%d added=%.0f B/s", instances, 50, traffic(t, instances, 0, 50)-alone)
-		}
+	for _, size := range []struct{ instances, upstreams, workspaces int }{
+		{6, 24, 0}, {6, 100, 0}, {6, 300, 0}, {6, 0, 50},
+		{20, 24, 0}, {20, 100, 0}, {20, 300, 0}, {20, 0, 50},
+		{40, 100, 0}, {40, 0, 50}, {80, 100, 0}, {80, 300, 0},
+	} {
+		t.Run(fmt.Sprintf("%d_%d_%d", size.instances, size.upstreams, size.workspaces), func(t *testing.T) {
+			alone := traffic(t, size.instances, 0, 0)
+			added := traffic(t, size.instances, size.upstreams, size.workspaces) - alone
+			t.Logf("instances=%d upstreams=%d workspaces=%d heartbeats=%.0f B/s added=%.0f B/s each=%.1f B/s",
+				size.instances, size.upstreams, size.workspaces, alone, added, added/float64(size.upstreams+size.workspaces))
+		})
 	}
 }
 
--- a/internal/upstream/digest.go
+++ b/internal/upstream/digest.go
@@ -21,6 +21,9 @@
 	Acquittals  []AcquittalEntry  `cbor:"7,keyasint,omitempty"`
 	Survivals   []SurvivalEntry   `cbor:"8,keyasint,omitempty"`
 	SuspectRuns []SuspectRunEntry `cbor:"9,keyasint,omitempty"`
+	// Run identifies the run of the sender's process, until the receiver has
+	// acknowledged it; 0 otherwise.
+	Run uint32 `cbor:"10,keyasint,omitempty"`
 }
 
 // Empty reports whether the digest has no entries.
@@ -114,11 +117,11 @@
 }
 
 // stamped is an entry with the number of its last change at this instance and
-// the peer that it came from ("" for own observations).
+// the peers that have sent the same.
 type stamped[T any] struct {
-	value T
-	seq   uint64
-	from  contract.InstanceID
+	value   T
+	seq     uint64
+	holders peerSet
 }
 
 // suspectRun is the key of a SuspectRunEntry.
@@ -131,6 +134,7 @@
 // safe for concurrent use and reads no clock.
 type ledger struct {
 	seq         uint64
+	peers       map[contract.InstanceID]peerSet
 	contacts    map[contract.UpstreamID]stamped[ContactEntry]
 	failures    map[contract.UpstreamID]stamped[FailureEntry]
 	leaving     map[contract.UpstreamID]stamped[LeavingEntry]
@@ -143,6 +147,7 @@
 
 func newLedger() *ledger {
 	return &ledger{
+		peers:       make(map[contract.InstanceID]peerSet),
 		contacts:    make(map[contract.UpstreamID]stamped[ContactEntry]),
 		failures:    make(map[contract.UpstreamID]stamped[FailureEntry]),
 		leaving:     make(map[contract.UpstreamID]stamped[LeavingEntry]),
@@ -154,32 +159,44 @@
 	}
 }
 
-// put stores an entry under the next number.
+// put stores an entry under the next number. from is the peer that sent it, ""
+// for an own observation.
 func put[K comparable, T any](l *ledger, entries map[K]stamped[T], key K, value T, from contract.InstanceID) {
 	l.seq++
-	entries[key] = stamped[T]{value: value, seq: l.seq, from: from}
+	entries[key] = stamped[T]{value: value, seq: l.seq, holders: l.peerSet(from)}
+}
+
+// repeated notes that a peer has sent an entry that is known already: it need
+// not be sent there.
+func repeated[K comparable, T any](l *ledger, entries map[K]stamped[T], key K, from contract.InstanceID) {
+	if known, found := entries[key]; found {
+		known.holders |= l.peerSet(from)
+		entries[key] = known
+	}
 }
 
 // since returns the digest of the changes after a number, without those that
-// came from the given peer.
+// the given peer has sent.
 func (l *ledger) since(seq uint64, peer contract.InstanceID) Digest {
+	holder := l.peerSet(peer)
+	last := l.lastWithin(seq, holder)
 	return Digest{
-		Seq:         l.seq,
-		Contacts:    changes(l.contacts, seq, peer),
-		Failures:    changes(l.failures, seq, peer),
-		Leaving:     changes(l.leaving, seq, peer),
-		Served:      changes(l.served, seq, peer),
-		Deaths:      changes(l.deaths, seq, peer),
-		Acquittals:  changes(l.acquittals, seq, peer),
-		Survivals:   changes(l.survivals, seq, peer),
-		SuspectRuns: changes(l.suspectRuns, seq, peer),
+		Seq:         last,
+		Contacts:    changes(l.contacts, seq, last, holder),
+		Failures:    changes(l.failures, seq, last, holder),
+		Leaving:     changes(l.leaving, seq, last, holder),
+		Served:      changes(l.served, seq, last, holder),
+		Deaths:      changes(l.deaths, seq, last, holder),
+		Acquittals:  changes(l.acquittals, seq, last, holder),
+		Survivals:   changes(l.survivals, seq, last, holder),
+		SuspectRuns: changes(l.suspectRuns, seq, last, holder),
 	}
 }
 
-func changes[K comparable, T any](entries map[K]stamped[T], seq uint64, peer contract.InstanceID) []T {
+func changes[K comparable, T any](entries map[K]stamped[T], seq, last uint64, holder peerSet) []T {
 	var changed []T
 	for _, entry := range entries {
-		if entry.seq > seq && (peer == "" || entry.from != peer) {
+		if entry.seq > seq && entry.seq <= last && entry.holders&holder == 0 {
 			changed = append(changed, entry.value)
 		}
 	}
--- a/internal/upstream/learn.go
+++ b/internal/upstream/learn.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"slices"
 	"time"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
@@ -21,6 +22,13 @@
 	return u.writer.ledger.since(since, peer)
 }
 
+// Restarted tells that a peer was restarted: it lacks what it once sent.
+func (u *Upstreams) Restarted() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.writer.ledger.forgetHolders()
+}
+
 // Learn applies the digest of a peer. Entries that are older than what is known
 // have no effect.
 func (u *Upstreams) Learn(peer contract.InstanceID, digest Digest) {
@@ -80,7 +88,10 @@
 
 func (l learner) contact(news ContactEntry) {
 	at, ok := l.time(news.AtMS, 0)
-	if !ok || l.entries[news.Upstream] == nil || news.AtMS <= l.ledger.contacts[news.Upstream].value.AtMS {
+	if known := l.ledger.contacts[news.Upstream].value; known == news {
+		repeated(l.ledger, l.ledger.contacts, news.Upstream, l.peer)
+		return
+	} else if !ok || l.entries[news.Upstream] == nil || news.AtMS <= known.AtMS {
 		return
 	}
 	edited := l.edit(news.Upstream)
@@ -96,7 +107,10 @@
 
 func (l learner) failure(news FailureEntry) {
 	_, ok := l.time(news.AtMS, 0)
-	if !ok || l.entries[news.Upstream] == nil || !news.newerThan(l.ledger.failures[news.Upstream].value) {
+	if known := l.ledger.failures[news.Upstream].value; known == news {
+		repeated(l.ledger, l.ledger.failures, news.Upstream, l.peer)
+		return
+	} else if !ok || l.entries[news.Upstream] == nil || !news.newerThan(known) {
 		return
 	}
 	edited := l.edit(news.Upstream)
@@ -106,7 +120,10 @@
 
 func (l learner) leaving(news LeavingEntry) {
 	at, ok := l.time(news.AtMS, 0)
-	if !ok || l.entries[news.Upstream] == nil || news.AtMS <= l.ledger.leaving[news.Upstream].value.AtMS {
+	if known := l.ledger.leaving[news.Upstream].value; known == news {
+		repeated(l.ledger, l.ledger.leaving, news.Upstream, l.peer)
+		return
+	} else if !ok || l.entries[news.Upstream] == nil || news.AtMS <= known.AtMS {
 		return
 	}
 	edited := l.edit(news.Upstream)
@@ -118,6 +135,10 @@
 
 func (l learner) served(news ServedEntry) {
 	at, ok := l.time(news.AtMS, 0)
+	if known := l.ledger.served[news.Upstream].value; known.AtMS == news.AtMS && slices.Equal(known.Models, news.Models) {
+		repeated(l.ledger, l.ledger.served, news.Upstream, l.peer)
+		return
+	}
 	if !ok || l.entries[news.Upstream] == nil || !at.After(l.entries[news.Upstream].served.at) {
 		return
 	}
@@ -164,7 +185,10 @@
 func (l learner) suspectRun(news SuspectRunEntry) {
 	at, ok := l.time(news.AtMS, suspectMarkLifetime)
 	key := suspectRun{upstream: news.Upstream, content: news.Content}
-	if !ok || l.entries[news.Upstream] == nil || news.AtMS <= l.ledger.suspectRuns[key].value.AtMS {
+	if known := l.ledger.suspectRuns[key].value; known == news {
+		repeated(l.ledger, l.ledger.suspectRuns, key, l.peer)
+		return
+	} else if !ok || l.entries[news.Upstream] == nil || news.AtMS <= known.AtMS {
 		return
 	}
 	if l.peerSuspects[news.Upstream] == nil {
--- a/internal/upstream/observe.go
+++ b/internal/upstream/observe.go
@@ -326,7 +326,11 @@
 
 func (w *writer) passOnServed(edited *entry, at time.Time, models []ModelPin) {
 	same := !edited.served.at.IsZero() && slices.Equal(edited.served.models, models)
-	if same && at.Sub(edited.served.at) < servedRefresh {
+	refresh := servedRefresh
+	if at.Sub(edited.health.FirstSeen) < newProcessPeriod {
+		refresh = newServedRefresh
+	}
+	if same && at.Sub(edited.served.at) < refresh+w.stagger(edited.target.ID) {
 		return
 	}
 	edited.served = servedModels{at: at, models: slices.Clone(models)}
--- /dev/null
+++ b/internal/upstream/share.go
@@ -0,0 +1,110 @@
+package upstream
+
+import (
+	"cmp"
+	"slices"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// maxDigestBytes bounds the estimated size of a digest. What does not fit
+// follows with the next one: membership drops a section of more than 64 KiB.
+const maxDigestBytes = 40 << 10
+
+// Estimated sizes of encoded entries in bytes.
+const (
+	usualEntrySize = 80
+	modelSize      = 64
+	contentSize    = 17
+)
+
+// peerSet is a set of peers, one bit each. Instances have at most 8 peers at a
+// time; beyond 64 different ones the sets start anew, which costs only
+// repetitions.
+type peerSet uint64
+
+const maxPeerSets = 64
+
+// peerSet returns the set of one peer, the empty set for "".
+func (l *ledger) peerSet(peer contract.InstanceID) peerSet {
+	if peer == "" {
+		return 0
+	}
+	if set, found := l.peers[peer]; found {
+		return set
+	}
+	if len(l.peers) == maxPeerSets {
+		l.forgetHolders()
+	}
+	set := peerSet(1) << len(l.peers)
+	l.peers[peer] = set
+	return set
+}
+
+func (l *ledger) forgetHolders() {
+	clear(l.peers)
+	forgetHolders(l.contacts)
+	forgetHolders(l.failures)
+	forgetHolders(l.leaving)
+	forgetHolders(l.served)
+	forgetHolders(l.deaths)
+	forgetHolders(l.acquittals)
+	forgetHolders(l.survivals)
+	forgetHolders(l.suspectRuns)
+}
+
+func forgetHolders[K comparable, T any](entries map[K]stamped[T]) {
+	for key, entry := range entries {
+		entry.holders = 0
+		entries[key] = entry
+	}
+}
+
+// sizedChange is the number and estimated size of a change.
+type sizedChange struct {
+	seq  uint64
+	size int
+}
+
+// lastWithin returns the number up to which the changes after seq fit into one
+// digest. It is larger than seq if there is a change.
+func (l *ledger) lastWithin(seq uint64, holder peerSet) uint64 {
+	all := sizedChanges(nil, l.contacts, seq, holder, nil)
+	all = sizedChanges(all, l.failures, seq, holder, nil)
+	all = sizedChanges(all, l.leaving, seq, holder, nil)
+	all = sizedChanges(all, l.served, seq, holder, func(s ServedEntry) int { return modelSize * len(s.Models) })
+	all = sizedChanges(all, l.deaths, seq, holder, func(d DeathEntry) int { return contentSize * len(d.Contents) })
+	all = sizedChanges(all, l.acquittals, seq, holder, nil)
+	all = sizedChanges(all, l.survivals, seq, holder, nil)
+	all = sizedChanges(all, l.suspectRuns, seq, holder, nil)
+	total := 0
+	for _, change := range all {
+		total += change.size
+	}
+	if total <= maxDigestBytes {
+		return l.seq
+	}
+	slices.SortFunc(all, func(a, b sizedChange) int { return cmp.Compare(a.seq, b.seq) })
+	last, total := all[0].seq, all[0].size
+	for _, change := range all[1:] {
+		if total += change.size; total > maxDigestBytes {
+			break
+		}
+		last = change.seq
+	}
+	return last
+}
+
+func sizedChanges[K comparable, T any](all []sizedChange, entries map[K]stamped[T], seq uint64, holder peerSet, extra func(T) int) []sizedChange {
+	for _, entry := range entries {
+		if entry.seq <= seq || entry.holders&holder != 0 {
+			continue
+		}
+		size := usualEntrySize
+		if extra != nil {
+			size += extra(entry.value)
+		}
+		all = append(all, sizedChange{seq: entry.seq, size: size})
+	}
+	return all
+}
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -34,8 +34,12 @@
 	// show the upstream down to all, knownFailureRefresh afterwards.
 	failureRefresh      = time.Second
 	knownFailureRefresh = 30 * time.Second
-	// servedRefresh is how old a passed-on list of models may get.
-	servedRefresh = 30 * time.Second
+	// servedRefresh is how old a passed-on list of models may get,
+	// newServedRefresh in the first time of a process: instances whose
+	// configuration does not name the upstream yet cannot take the first one.
+	servedRefresh    = 5 * time.Minute
+	newServedRefresh = 15 * time.Second
+	newProcessPeriod = 30 * time.Second
 	// unknownProcess begins the incarnation under which the death of a process of
 	// unknown incarnation is recorded.
 	unknownProcess = "unknown-"
