Prefer upstreams with a free slot and count own requests once

The load of an upstream counted this instance's requests twice, in its report and as in flight, so that free slots could not be told. A request goes to an upstream with a free slot if one is known; a resumed attempt that its engine queues for longer than the time to a first token gets a rival elsewhere with any resume policy.

--- a/internal/bench/handover.go
+++ b/internal/bench/handover.go
@@ -14,16 +14,18 @@
 // handoverMeasurement measures how long callers wait after the fault of their
 // entry instance.
 type handoverMeasurement struct {
-	faults                    string
-	runs, generations, length int
-	interval                  time.Duration
+	faults                   string
+	runs, generations, slots int
+	length                   int
+	interval                 time.Duration
 }
 
 func (m *handoverMeasurement) flags(set *flag.FlagSet) {
 	set.StringVar(&m.faults, "faults", "killed,paused", "faults of the instance")
 	set.IntVar(&m.runs, "runs", 3, "runs of each fault")
-	set.IntVar(&m.generations, "generations", 30, "generations in progress at the instance")
-	set.IntVar(&m.length, "length", 250, "tokens of each generation")
+	set.IntVar(&m.generations, "generations", 30, "generations in progress at the instance; half as many run at the next one")
+	set.IntVar(&m.slots, "slots", 24, "slots of each of 4 engines")
+	set.IntVar(&m.length, "length", 400, "tokens of each generation")
 	set.DurationVar(&m.interval, "token-interval", 20*time.Millisecond, "time between two tokens")
 }
 
@@ -54,17 +56,21 @@
 	pauses, damaged := newDurations(), 0
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Minute)
 	defer cancel()
-	cluster, err := e.start(ctx, testcluster.Options{Engines: 4, Slots: 16, TokenInterval: m.interval})
+	cluster, err := e.start(ctx, testcluster.Options{Engines: 4, Slots: m.slots, TokenInterval: m.interval})
 	if err != nil {
 		return pauses, 0, err
 	}
 	defer cluster.Close()
 	var streams []*stream
-	for i := range m.generations {
+	for i := range m.generations + m.generations/2 {
 		s := newStream(seed, i, m.length)
 		streams = append(streams, s)
-		// A client of its own leads each first connection to instance 0.
-		c, err := client.New(cluster.URLs())
+		urls := cluster.URLs()
+		if i >= m.generations {
+			urls = urls[1:]
+		}
+		// A client of its own leads each first connection to the first address.
+		c, err := client.New(urls)
 		if err != nil {
 			return pauses, 0, err
 		}
@@ -81,10 +87,11 @@
 	if err := cluster.Instances[0].Signal(signal); err != nil {
 		return pauses, 0, err
 	}
-	for _, s := range streams {
+	for i, s := range streams {
 		<-s.done
-		pause, _ := s.pauseAfter(at)
-		pauses.record(pause)
+		if pause, _ := s.pauseAfter(at); i < m.generations {
+			pauses.record(pause)
+		}
 		if !s.whole(seed) {
 			damaged++
 		}
--- a/internal/generation/recovery.go
+++ b/internal/generation/recovery.go
@@ -31,10 +31,19 @@
 	}
 }
 
-// rivalAllowed reports whether a second attempt may run beside a suspected one.
+// queuedTooLong reports whether an attempt that continues a text has not begun
+// within the time to a first token. Its engine is alive and has probably queued
+// it behind long generations; the queue may outlast the resume bound.
+func (m *Machine) queuedTooLong(a *attempt) bool {
+	return m.next > 0 && !a.produced && !a.adopted && a.cause == upstream.ObservedSilent
+}
+
+// rivalAllowed reports whether a second attempt may run beside a suspected one:
+// with policy fast, or if the suspected one waits in a queue with any policy.
 // A content that is suspected of crashing engines never runs on two at a time.
 func (m *Machine) rivalAllowed() bool {
-	return m.settings.Policy == configuration.ResumeFast &&
+	wanted := m.settings.Policy == configuration.ResumeFast || slices.ContainsFunc(m.attempts, m.queuedTooLong)
+	return wanted &&
 		m.standing.Deaths == 0 &&
 		m.restartable() &&
 		m.ran < m.settings.MaxAttempts
--- a/internal/upstream/choose.go
+++ b/internal/upstream/choose.go
@@ -32,6 +32,8 @@
 	BusyDomain    bool // a death in its failure domain could not be attributed now
 }
 
+func (c Candidate) hasFreeSlot() bool { return c.Load < float64(c.Slots) }
+
 func (c Candidate) utilization() float64 { return c.Load / float64(max(1, c.Slots)) }
 
 // Choice is the input of Choose.
@@ -159,7 +161,7 @@
 		load += choice.Candidates[i].Load
 		slots += float64(max(1, choice.Candidates[i].Slots))
 	}
-	limit := max(affinityFloor, affinityLoadFactor*(load+1)/slots)
+	limit := min(1, max(affinityFloor, affinityLoadFactor*(load+1)/slots))
 	bounded := keep(eligible, func(i int) bool {
 		candidate := choice.Candidates[i]
 		return candidate.Load+1 <= math.Ceil(limit*float64(max(1, candidate.Slots)))
@@ -170,8 +172,11 @@
 	return byRendezvous(choice, bounded, string(choice.Need.Service)+"\x00"+choice.Need.Prefix)
 }
 
-// byLoad takes the less utilized of two random candidates.
+// byLoad takes the less utilized of two random candidates, of those with a free
+// slot if there are any: a request that an engine queues waits for the end of
+// another generation.
 func byLoad(choice Choice, eligible []int, random *rand.Rand) int {
+	eligible = prefer(eligible, func(i int) bool { return choice.Candidates[i].hasFreeSlot() })
 	if len(eligible) == 1 {
 		return eligible[0]
 	}
--- a/internal/upstream/learn.go
+++ b/internal/upstream/learn.go
@@ -89,7 +89,7 @@
 		return // about a former process
 	}
 	if at.After(edited.load.at) {
-		edited.load = reportedLoad{at: at, running: news.Running, queued: news.Queued}
+		edited.load = edited.load.next(at, news.Running, news.Queued, edited.use.inFlight.Load())
 	}
 	put(l.ledger, l.ledger.contacts, news.Upstream, news, l.peer)
 }
--- a/internal/upstream/observe.go
+++ b/internal/upstream/observe.go
@@ -103,7 +103,7 @@
 	}
 	w.explain(id, report.Incarnation, sentAt)
 	if hasLoad {
-		edited.load = reportedLoad{at: sentAt, running: report.Running, queued: report.Queued}
+		edited.load = edited.load.next(sentAt, report.Running, report.Queued, edited.use.inFlight.Load())
 		edited.applySlots(report.Slots)
 		w.passOnServed(edited, sentAt, report.Models)
 	}
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -65,6 +65,17 @@
 	at      time.Time // zero if none is known
 	running int
 	queued  int
+	learned int64 // own requests in flight when the report was learned
+	counted int64 // own requests in flight that the report includes
+}
+
+// next returns the load of a newer report. Reports lag: of the own requests in
+// flight, only those that ran when the report before was learned are taken as
+// included.
+func (l reportedLoad) next(at time.Time, running, queued int, inFlight int64) reportedLoad {
+	return reportedLoad{
+		at: at, running: running, queued: queued, learned: inFlight, counted: min(l.learned, inFlight, int64(running+queued)),
+	}
 }
 
 // servedModels is what an engine serves.
@@ -103,13 +114,14 @@
 	return slices.Contains(e.served.models, pin)
 }
 
-// currentLoad is the lagged report plus the own requests in flight.
+// currentLoad is the lagged report plus the own requests in flight that it does
+// not include.
 func (e *entry) currentLoad(now time.Time) float64 {
-	load := float64(e.use.inFlight.Load())
-	if !e.load.at.IsZero() && now.Sub(e.load.at) < loadLifetime {
-		load += float64(e.load.running + e.load.queued)
+	inFlight := e.use.inFlight.Load()
+	if e.load.at.IsZero() || now.Sub(e.load.at) >= loadLifetime {
+		return float64(inFlight)
 	}
-	return load
+	return float64(int64(e.load.running+e.load.queued) + max(0, inFlight-e.load.counted))
 }
 
 // buildEntries returns the entries for a configuration. Upstreams that exist in
