--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -142,6 +142,13 @@
 	g.broadcast()
 }
 
+// completed reports whether the whole text was generated.
+func (g *Generation) completed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.verdict != nil && g.verdict.Outcome == contract.Completed
+}
+
 // replace ends all subscriptions because another generation takes over.
 func (g *Generation) replace() {
 	g.mu.Lock()
--- a/internal/generation/registry.go
+++ b/internal/generation/registry.go
@@ -34,7 +34,8 @@
 // Registry knows the generations that this instance holds.
 type Registry struct {
 	config      Config
-	firstTokens *firstTokens
+	firstTokens *serviceRhythms // times to the first token
+	runTimes    *serviceRhythms // times of whole generations
 
 	mu     sync.Mutex // guards all fields below
 	held   map[contract.RequestID]*Generation
@@ -53,7 +54,8 @@
 	}
 	r := &Registry{
 		config:      config,
-		firstTokens: &firstTokens{rhythms: map[contract.ServiceID]Rhythm{}},
+		firstTokens: newServiceRhythms(),
+		runTimes:    newServiceRhythms(),
 		held:        map[contract.RequestID]*Generation{},
 		idle:        make(chan struct{}),
 	}
@@ -219,7 +221,7 @@
 		return func() {}, contract.Verdict{}, true
 	}
 	ask := workspace.Ask{
-		Workspace: request.ID.Workspace, Service: request.Service, Priority: request.Priority, Deadline: request.QueueUntil,
+		Workspace: request.ID.Workspace, Service: request.Service, Priority: request.Priority, Deadline: r.latestStart(request),
 	}
 	if request.position().Offset > 0 {
 		ask.Priority = upstream.PriorityResumed
@@ -231,6 +233,16 @@
 	return r.admitLater(ask), contract.Verdict{}, true
 }
 
+// latestStart returns when a request must have been admitted. A generation that
+// would be cut off by its deadline is refused instead of begun.
+func (r *Registry) latestStart(request Request) time.Time {
+	latest := request.Deadline.Add(-r.runTimes.of(request.Service).mean)
+	if latest.Before(request.QueueUntil) {
+		return latest
+	}
+	return request.QueueUntil
+}
+
 // admitLater asks for admission in the background until it is released.
 func (r *Registry) admitLater(ask workspace.Ask) (release func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -290,7 +302,11 @@
 		attempts:    map[contract.AttemptNumber]*engineAttempt{},
 		connections: map[ConnectionID]context.CancelFunc{},
 	}
+	began := time.Now()
 	runner.run(cancel)
+	if plan.adopt == nil && g.completed() {
+		r.runTimes.observe(g.request.Service, time.Since(began))
+	}
 }
 
 // finished keeps the generation for its retention time.
--- a/internal/generation/runner.go
+++ b/internal/generation/runner.go
@@ -26,7 +26,7 @@
 	config      Config
 	generation  *Generation
 	machine     *Machine
-	firstTokens *firstTokens
+	firstTokens *serviceRhythms
 	ctx         context.Context // of the connections
 	inputs      chan Input
 	pending     []Input // inputs that follow from the actions of a step
@@ -331,14 +331,17 @@
 	})
 }
 
-// firstTokens estimates the time to the first token of each service from the
-// attempts of all generations.
-type firstTokens struct {
+// serviceRhythms estimates one time of each service from all generations.
+type serviceRhythms struct {
 	mu      sync.Mutex // guards rhythms
 	rhythms map[contract.ServiceID]Rhythm
 }
 
-func (f *firstTokens) observe(service contract.ServiceID, latency time.Duration) {
+func newServiceRhythms() *serviceRhythms {
+	return &serviceRhythms{rhythms: map[contract.ServiceID]Rhythm{}}
+}
+
+func (f *serviceRhythms) observe(service contract.ServiceID, latency time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	rhythm := f.rhythms[service]
@@ -346,7 +349,7 @@
 	f.rhythms[service] = rhythm
 }
 
-func (f *firstTokens) of(service contract.ServiceID) Rhythm {
+func (f *serviceRhythms) of(service contract.ServiceID) Rhythm {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.rhythms[service]
--- a/internal/workspace/gate.go
+++ b/internal/workspace/gate.go
@@ -88,7 +88,7 @@
 	var wait time.Duration
 	reason := contract.ReasonOverloaded
 	if !g.hasRoom() {
-		wait = ExpectedWait(g.queue.Ahead(e.priority), g.capacity(), g.hold)
+		wait = ExpectedWait(g.queue.Before(e.state.id, e.priority), g.capacity(), g.hold)
 	}
 	if e.exempt() || e.state.hasRoom() {
 		return wait, reason
--- a/internal/workspace/queue.go
+++ b/internal/workspace/queue.go
@@ -1,6 +1,7 @@
 package workspace
 
 import (
+	"sort"
 	"time"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
@@ -116,17 +117,34 @@
 	return q.take(c, w)
 }
 
-// Ahead returns how many requests of at least the priority wait.
-func (q *Queue) Ahead(priority upstream.Priority) int {
+// Before returns how many waiting requests would be served before a new one of
+// the workspace: those of a higher priority, and of its own priority those with
+// an earlier turn.
+func (q *Queue) Before(workspace contract.WorkspaceID, priority upstream.Priority) int {
 	n := 0
 	for _, c := range q.classes {
-		if c.priority >= priority {
+		switch {
+		case c.priority > priority:
 			n += c.size
+		case c.priority == priority:
+			n += c.before(workspace)
 		}
 	}
 	return n
 }
 
+func (c *class) before(workspace contract.WorkspaceID) int {
+	start := c.virtual
+	if f := c.flows[workspace]; f != nil {
+		start = max(start, f.finish)
+	}
+	n := 0
+	for _, f := range c.flows {
+		n += sort.Search(len(f.items), func(i int) bool { return f.items[i].start > start })
+	}
+	return n
+}
+
 // AheadOf returns how many requests of the workspace of at least the priority wait.
 func (q *Queue) AheadOf(workspace contract.WorkspaceID, priority upstream.Priority) int {
 	n := 0
