Let resumed generations find free slots after a crash

A crash makes suspects of all generations that ran on the engine, and suspects went to the upstream that their content hashes to, also when its slots were taken; there they waited for the end of other generations.

--- a/internal/bench/overload.go
+++ b/internal/bench/overload.go
@@ -13,6 +13,9 @@
 	"foxtailhub.example/foxtailhub/internal/testcluster"
 )
 
+// immediate is the time within which a refusal counts as given at once.
+const immediate = 100 * time.Millisecond
+
 // overloadMeasurement offers more generations than the engines can serve.
 type overloadMeasurement struct {
 	instances, engines, slots, length int
@@ -36,7 +39,7 @@
 type shareOfWorkspace struct {
 	mu                                    sync.Mutex // guards all fields below
 	offered, inTime, refused, late, other int
-	withoutRetryAfter                     int
+	withoutRetryAfter, slowRefusals       int
 	refusals, answers, firstTokens        durations
 	reasons                               map[contract.Reason]int
 }
@@ -59,6 +62,9 @@
 	case err == nil && result.Verdict.Outcome == contract.NotRun:
 		s.refused++
 		s.refusals.record(took)
+		if took > immediate {
+			s.slowRefusals++
+		}
 		s.reasons[result.Verdict.Reason]++
 		if result.Verdict.RetryAfter <= 0 {
 			s.withoutRetryAfter++
@@ -132,7 +138,7 @@
 			float64(s.inTime) / m.duration.Seconds(), s.refused, s.late, s.other,
 			s.firstTokens.ms(50), s.firstTokens.ms(95), s.answers.ms(95),
 		})
-		refusals = append(refusals, append(append([]any{w.name}, s.refusals.cells()...), s.withoutRetryAfter, fmt.Sprint(s.reasons)))
+		refusals = append(refusals, append(append([]any{w.name}, s.refusals.cells()...), s.slowRefusals, s.withoutRetryAfter, fmt.Sprint(s.reasons)))
 	}
 	e.report.add(fmt.Sprintf("answers at %.1f times the capacity of %.1f generations a second", m.factor, capacity),
 		[]string{
@@ -140,5 +146,5 @@
 			"first token p50 ms", "first token p95 ms", "answer p95 ms",
 		}, answers)
 	e.report.add("time to the refusal",
-		append(append([]string{"workspace"}, percentileColumns...), "without retry-after", "reasons"), refusals)
+		append(append([]string{"workspace"}, percentileColumns...), "later than 100 ms", "without retry-after", "reasons"), refusals)
 }
--- a/internal/generation/machine.go
+++ b/internal/generation/machine.go
@@ -54,23 +54,24 @@
 // Several lanes (connections of up to two attempts) may be open at a time; the
 // first that yields the next token wins and all others are ended.
 type Machine struct {
-	settings    MachineSettings
-	next        int64
-	attempts    []*attempt // alive; at most maxAttemptsAlive
-	current     contract.AttemptNumber
-	lastAttempt contract.AttemptNumber
-	lastLane    ConnectionID
-	ran         int  // attempts that count against MaxAttempts
-	mayHaveRun  bool // an engine may have run the request
-	firstToken  time.Duration
-	avoid       []contract.UpstreamID
-	retryAt     time.Time              // when to place the next attempt; zero if none is wanted
-	cancelling  contract.AttemptNumber // its cancellation delays the next attempt; 0: none
-	backoff     time.Duration          // last wait for a placement since an engine answered
-	goneSince   time.Time
-	standing    upstream.Standing
-	finished    bool
-	out         []Action
+	settings       MachineSettings
+	next           int64
+	attempts       []*attempt // alive; at most maxAttemptsAlive
+	current        contract.AttemptNumber
+	lastAttempt    contract.AttemptNumber
+	lastLane       ConnectionID
+	ran            int  // attempts that count against MaxAttempts
+	mayHaveRun     bool // an engine may have run the request
+	firstToken     time.Duration
+	silentAttempts int // attempts that have yielded no token in time since the last token
+	avoid          []contract.UpstreamID
+	retryAt        time.Time              // when to place the next attempt; zero if none is wanted
+	cancelling     contract.AttemptNumber // its cancellation delays the next attempt; 0: none
+	backoff        time.Duration          // last wait for a placement since an engine answered
+	goneSince      time.Time
+	standing       upstream.Standing
+	finished       bool
+	out            []Action
 }
 
 // attempt is one run on one engine.
@@ -219,8 +220,8 @@
 		number: m.lastAttempt,
 		stream: upstream.StreamID(fmt.Sprintf("%s-%d", m.settings.StreamName, m.lastAttempt)),
 	}
-	l := a.addLane(m.newLane(), false, now.Add(m.firstToken))
 	resumed := m.lastAttempt > 1 || m.next > 0
+	l := a.addLane(m.newLane(), false, now.Add(m.firstTokenBound()))
 	m.attempts = append(m.attempts, a)
 	m.emit(Action{
 		Kind: ActionStart, Attempt: a.number, Connection: l.connection,
@@ -350,6 +351,7 @@
 	l.probe = false
 	m.retryAt = time.Time{}
 	m.firstToken = m.settings.FirstToken
+	m.silentAttempts = 0
 	if m.current != a.number {
 		m.current = a.number
 		m.emit(Action{Kind: ActionSwitch, Attempt: a.number})
--- a/internal/generation/recovery.go
+++ b/internal/generation/recovery.go
@@ -31,6 +31,16 @@
 	}
 }
 
+// firstTokenBound returns how long a new attempt may take to its first token. A
+// text that has begun has to go on within the resume bound; the bound grows with
+// each attempt in vain, because a long prefill may be the reason.
+func (m *Machine) firstTokenBound() time.Duration {
+	if m.next == 0 {
+		return m.firstToken
+	}
+	return min(m.firstToken, resumedFirstToken<<min(m.silentAttempts, maxDoublings))
+}
+
 // queuedTooLong reports whether an attempt that continues a text has not begun
 // within the time to a first token. Its engine is alive and has probably queued
 // it behind long generations; the queue may outlast the resume bound.
@@ -165,6 +175,7 @@
 	l.deadline = time.Time{}
 	if !a.produced {
 		m.firstToken = min(2*m.firstToken, firstTokenCeiling)
+		m.silentAttempts++
 	}
 	m.suspect(now, a, upstream.ObservedSilent)
 }
--- a/internal/generation/silence.go
+++ b/internal/generation/silence.go
@@ -15,6 +15,11 @@
 	firstTokenCeiling = 30 * time.Second
 	firstTokenInitial = 3 * time.Second
 
+	// A first token of a new attempt that is later leaves too little of the
+	// resume bound of 3 s for another attempt.
+	resumedFirstToken = time.Second
+	maxDoublings      = 5 // of resumedFirstToken
+
 	// Weights and factors of the estimate of mean and deviation, as in RFC 6298.
 	meanWeight      = 0.125
 	deviationWeight = 0.25
--- a/internal/upstream/choose.go
+++ b/internal/upstream/choose.go
@@ -62,6 +62,11 @@
 	}
 	switch {
 	case choice.Suspect:
+		if choice.Need.Resumed && !choice.HeavySuspect {
+			// A crash makes suspects of all generations that ran there; they must
+			// not wait behind others where a slot is free.
+			eligible = prefer(eligible, func(i int) bool { return choice.Candidates[i].hasFreeSlot() })
+		}
 		return byRendezvous(choice, eligible, string(choice.Need.Content[:])), true
 	case choice.Need.Prefix != "" && !choice.Need.Resumed:
 		return byAffinity(choice, eligible, random), true
