--- a/internal/generation/recovery.go
+++ b/internal/generation/recovery.go
@@ -31,10 +31,29 @@
 	}
 }
 
-// rivalAllowed reports whether a second attempt may run beside a suspected one.
+// firstTokenBound returns how long a new attempt may take to its first token. A
+// text that has begun has to go on within the resume bound; the bound grows with
+// each attempt in vain, because a long prefill may be the reason.
+func (m *Machine) firstTokenBound() time.Duration {
+	if m.next == 0 {
+		return m.firstToken
+	}
+	return min(m.firstToken, resumedFirstToken<<min(m.silentAttempts, maxDoublings))
+}
+
+// queuedTooLong reports whether an attempt that continues a text has not begun
+// within the time to a first token. Its engine is alive and has probably queued
+// it behind long generations; the queue may outlast the resume bound.
+func (m *Machine) queuedTooLong(a *attempt) bool {
+	return m.next > 0 && !a.produced && !a.adopted && a.cause == upstream.ObservedSilent
+}
+
+// rivalAllowed reports whether a second attempt may run beside a suspected one:
+// with policy fast, or if the suspected one waits in a queue with any policy.
 // A content that is suspected of crashing engines never runs on two at a time.
 func (m *Machine) rivalAllowed() bool {
-	return m.settings.Policy == configuration.ResumeFast &&
+	wanted := m.settings.Policy == configuration.ResumeFast || slices.ContainsFunc(m.attempts, m.queuedTooLong)
+	return wanted &&
 		m.standing.Deaths == 0 &&
 		m.restartable() &&
 		m.ran < m.settings.MaxAttempts
@@ -156,6 +175,7 @@
 	l.deadline = time.Time{}
 	if !a.produced {
 		m.firstToken = min(2*m.firstToken, firstTokenCeiling)
+		m.silentAttempts++
 	}
 	m.suspect(now, a, upstream.ObservedSilent)
 }
--- a/internal/upstream/learn.go
+++ b/internal/upstream/learn.go
@@ -101,7 +101,7 @@
 		return // about a former process
 	}
 	if at.After(edited.load.at) {
-		edited.load = reportedLoad{at: at, running: news.Running, queued: news.Queued}
+		edited.load = edited.load.next(at, news.Running, news.Queued, edited.use.inFlight.Load())
 	}
 	l.ledger.putContact(news, l.peer)
 }
