Choose test ports below the range of outgoing sockets and wait for contacts

An end-to-end test failed because the UDP port of an instance's link was taken by a socket of a link that another instance had dialled; another one because a patch came before its instance had heard from the others.

--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailhub.example/foxtailhub/internal/api/oas"
 	"foxtailhub.example/foxtailhub/internal/client"
 	"foxtailhub.example/foxtailhub/internal/configuration"
 	"foxtailhub.example/foxtailhub/internal/contract"
@@ -111,6 +112,9 @@
 	if err := c.AwaitReady(ctx, c.Instances...); err != nil {
 		return err
 	}
+	if err := c.awaitContacts(ctx); err != nil {
+		return err
+	}
 	return c.putDocument(ctx)
 }
 
@@ -255,6 +259,33 @@
 	return nil
 }
 
+// awaitContacts waits until each instance has heard from all others. Before
+// that it may be ready through the store and yet hear no majority.
+func (c *Cluster) awaitContacts(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, instance := range c.Instances {
+		var status oas.Status
+		err := Await(ctx, func() bool {
+			return GetJSON(ctx, instance.URL()+"/v1/status", &status) == nil && heardAll(status, len(c.Instances)-1)
+		})
+		if err != nil {
+			return errors.Wrapf(err, "%s has not heard from all others, see %s", instance.Name, c.LogFile(instance))
+		}
+	}
+	return nil
+}
+
+func heardAll(status oas.Status, others int) bool {
+	heard := 0
+	for _, peer := range status.Peers {
+		if peer.SilentMs >= 0 {
+			heard++
+		}
+	}
+	return heard >= others
+}
+
 // LogFile returns the name of a process's log.
 func (c *Cluster) LogFile(p *Process) string { return filepath.Join(c.dir, p.Name+".log") }
 
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -93,12 +95,38 @@
 // ResidentBytes returns the resident memory of the process.
 func (p *Process) ResidentBytes() (int64, error) { return processResident(p.PID()) }
 
-// freeAddress returns a loopback address that was free a moment ago.
+const (
+	// Ports below the range from which the system takes those of outgoing
+	// connections and sockets, so that none of them takes a chosen port before
+	// its process binds it.
+	firstPort = 20000
+	lastPort  = 32000
+	portTries = 100
+)
+
+var errNoPort = errors.New("no free port found")
+
+// freeAddress returns a loopback address that was free for TCP and UDP a moment
+// ago.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if isFree(address) {
+			return address, nil
+		}
+	}
+	return "", errNoPort
+}
+
+func isFree(address string) bool {
+	stream, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer stream.Close() //nolint:errcheck // only the address is needed
+	packets, err := net.ListenPacket("udp", address)
 	if err != nil {
-		return "", err
+		return false
 	}
-	defer listener.Close() //nolint:errcheck // only the address is needed
-	return listener.Addr().String(), nil
+	return packets.Close() == nil
 }
