Refuse waiting requests as soon as their turn is out of reach

The wait of a workspace that offers more than its share grows as others come with earlier turns. The gate learns by how much, keeps a margin at entry and reviews waiting requests every 100 ms.

--- a/internal/workspace/admission.go
+++ b/internal/workspace/admission.go
@@ -17,6 +17,10 @@
 	DefaultQueueLimit = 1024
 	// minRetryAfter is the least retry-after time of a refusal.
 	minRetryAfter = 100 * time.Millisecond
+	// reviewInterval is the time between two looks at whether a waiting request
+	// can still be admitted in time. Requests that come later may have an earlier
+	// turn; a refusal must not be put off until the deadline.
+	reviewInterval = 100 * time.Millisecond
 )
 
 // Config holds the dependencies and settings of an Admission.
@@ -160,13 +164,23 @@
 	}
 	timer := time.NewTimer(time.Until(e.deadline))
 	defer timer.Stop()
-	select {
-	case <-w.admitted:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
+	review := time.NewTicker(reviewInterval)
+	defer review.Stop()
+	for {
+		select {
+		case <-w.admitted:
+			g.waited(w, time.Now())
+			return true
+		case now := <-review.C:
+			if !g.hopeless(w, e.deadline, now) {
+				continue
+			}
+		case <-timer.C:
+			g.waited(w, time.Now())
+		case <-ctx.Done():
+		}
+		return !g.abandon(w)
 	}
-	return !g.abandon(w)
 }
 
 func (a *Admission) release(g *gate, e entry, admitted time.Time) func() {
@@ -207,6 +221,7 @@
 	g, _ := a.gates.LoadOrStore(service, &gate{
 		capacity: func() int { return a.config.Capacity(service) },
 		queue:    NewQueue(a.config.QueueLimit),
+		slowness: map[contract.WorkspaceID]float64{},
 	})
 	return g.(*gate)
 }
--- a/internal/workspace/gate.go
+++ b/internal/workspace/gate.go
@@ -13,6 +13,16 @@
 // request holds its place.
 const holdWeight = 0.1
 
+// Bounds and weight of the correction of expected waits.
+const (
+	slownessWeight = 0.3
+	slownessFloor  = 1
+	slownessLimit  = 8
+	// entryMargin is by how much the expected wait may grow after a request has
+	// entered the queue. A refusal after a wait is worse than one at once.
+	entryMargin = 1.4
+)
+
 // gate limits how many requests of a service run at this instance at a time.
 type gate struct {
 	capacity func() int   // requests at a time; 0: no limit
@@ -22,6 +32,10 @@
 	running int
 	queue   *Queue
 	hold    time.Duration // mean time that a request holds its place
+
+	// slowness is how many times longer than expected requests of a workspace
+	// waited of late: those of others that come later may have an earlier turn.
+	slowness map[contract.WorkspaceID]float64
 }
 
 // entry is one request at a gate.
@@ -64,7 +78,7 @@
 		return nil, 0, ""
 	}
 	wait, reason := g.expectedWait(e)
-	if now.Add(wait).After(e.deadline) {
+	if now.Add(time.Duration(entryMargin * float64(wait))).After(e.deadline) {
 		return nil, wait, reason
 	}
 	w = &Waiting{
@@ -75,6 +89,8 @@
 		limited:    !e.exempt(),
 		generation: e.generation,
 		admitted:   make(chan struct{}),
+		queued:     now,
+		expected:   wait,
 	}
 	if !g.queue.Push(w) {
 		return nil, max(wait, minRetryAfter), contract.ReasonOverloaded
@@ -89,6 +105,7 @@
 	reason := contract.ReasonOverloaded
 	if !g.hasRoom() {
 		wait = ExpectedWait(g.queue.Before(e.state.id, e.priority), g.capacity(), g.hold)
+		wait = time.Duration(max(slownessFloor, g.slowness[e.state.id]) * float64(wait))
 	}
 	if e.exempt() || e.state.hasRoom() {
 		return wait, reason
@@ -122,6 +139,41 @@
 	return !w.limited || w.state.hasRoom()
 }
 
+// waited learns from the end of a wait.
+func (g *gate) waited(w *Waiting, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.learn(w, now)
+}
+
+// learn must be called with g.mu held.
+func (g *gate) learn(w *Waiting, now time.Time) {
+	known := max(slownessFloor, g.slowness[w.Workspace])
+	if w.expected <= 0 {
+		return
+	}
+	observed := known * float64(now.Sub(w.queued)) / float64(w.expected)
+	known += slownessWeight * (observed - known)
+	g.slowness[w.Workspace] = min(max(known, slownessFloor), slownessLimit)
+}
+
+// hopeless reports whether a waiting request is no longer expected to be
+// admitted before its deadline.
+func (g *gate) hopeless(w *Waiting, deadline, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w.gone || w.Priority >= upstream.PriorityResumed {
+		return false
+	}
+	wait := ExpectedWait(g.queue.BeforeWaiting(w), g.capacity(), g.hold)
+	wait = time.Duration(max(slownessFloor, g.slowness[w.Workspace]) * float64(wait))
+	if !now.Add(wait).After(deadline) {
+		return false
+	}
+	g.learn(w, now.Add(wait))
+	return true
+}
+
 // abandon takes a request out of the queue. It returns false if the request
 // was admitted meanwhile.
 func (g *gate) abandon(w *Waiting) bool {
--- a/internal/workspace/queue.go
+++ b/internal/workspace/queue.go
@@ -19,6 +19,8 @@
 	generation bool          // counts as a concurrent generation
 	admitted   chan struct{} // closed by the gate
 	gone       bool          // taken out of the queue
+	queued     time.Time
+	expected   time.Duration // wait that was expected then
 	start      float64       // start tag
 }
 
@@ -133,11 +135,30 @@
 	return n
 }
 
+// BeforeWaiting returns how many waiting requests would be served before w.
+func (q *Queue) BeforeWaiting(w *Waiting) int {
+	n := 0
+	for _, c := range q.classes {
+		switch {
+		case c.priority > w.Priority:
+			n += c.size
+		case c.priority == w.Priority:
+			n += max(0, c.upTo(w.start)-1)
+		}
+	}
+	return n
+}
+
 func (c *class) before(workspace contract.WorkspaceID) int {
 	start := c.virtual
 	if f := c.flows[workspace]; f != nil {
 		start = max(start, f.finish)
 	}
+	return c.upTo(start)
+}
+
+// upTo returns how many requests have a start tag up to the given one.
+func (c *class) upTo(start float64) int {
 	n := 0
 	for _, f := range c.flows {
 		n += sort.Search(len(f.items), func(i int) bool { return f.items[i].start > start })
