--- a/cmd/foxtailhub-standin/main.go
+++ b/cmd/foxtailhub-standin/main.go
@@ -23,6 +23,7 @@
 type options struct {
 	role    string
 	listen  string
+	also    string
 	models  string
 	slots   int
 	token   time.Duration
@@ -34,6 +35,7 @@
 	var o options
 	flag.StringVar(&o.role, "role", "", "platform, engine or service (required)")
 	flag.StringVar(&o.listen, "listen", "127.0.0.1:0", "listen address")
+	flag.StringVar(&o.also, "also", "", "comma-separated further listen addresses of the same stand-in, without connection faults")
 	flag.StringVar(&o.models, "models", "", "engine: comma-separated models as name@version or name@version+adapter")
 	flag.IntVar(&o.slots, "slots", 8, "engine, service: requests that run at a time")
 	flag.DurationVar(&o.token, "token-interval", 20*time.Millisecond, "engine: time between two tokens of a stream")
@@ -58,10 +60,33 @@
 	if err != nil {
 		return err
 	}
+	if err := serveAlso(ctx, o.also, handler); err != nil {
+		return err
+	}
 	fmt.Printf("role=%s listen=%s\n", o.role, inner.Addr())
 	return standin.Serve(ctx, listener, handler)
 }
 
+// serveAlso serves the handler at further addresses, so that one process can
+// stand for many upstreams in a measurement.
+func serveAlso(ctx context.Context, addresses string, handler http.Handler) error {
+	for address := range strings.SplitSeq(addresses, ",") {
+		if address == "" {
+			continue
+		}
+		inner, err := net.Listen("tcp", address)
+		if err != nil {
+			return err
+		}
+		go func() {
+			if err := standin.Serve(ctx, standin.NewListener(inner), handler); err != nil {
+				fmt.Fprintln(os.Stderr, "foxtailhub-standin:", err)
+			}
+		}()
+	}
+	return nil
+}
+
 func newHandler(o options, listener *standin.Listener) (http.Handler, error) {
 	switch o.role {
 	case "platform":
--- a/internal/bench/config.go
+++ b/internal/bench/config.go
@@ -20,12 +20,14 @@
 	instances intList
 	patches   int
 	poll      time.Duration
+	settle    time.Duration
 }
 
 func (m *configMeasurement) flags(set *flag.FlagSet) {
 	m.instances = intList{3, 9, 20, 40}
 	set.Var(&m.instances, "instances", "numbers of instances")
 	set.IntVar(&m.patches, "patches", 10, "patches, one after the other")
+	set.DurationVar(&m.settle, "settle", 5*time.Second, "time before the first patch: a new instance needs news of a majority")
 	set.DurationVar(&m.poll, "poll", 10*time.Millisecond, "time between two looks at an instance")
 }
 
@@ -36,6 +38,9 @@
 		if err != nil {
 			return err
 		}
+		if err = waitFor(ctx, m.settle); err != nil {
+			return err
+		}
 		accepted, inForce, everywhere := newDurations(), newDurations(), newDurations()
 		for i := range m.patches {
 			if err = m.patch(ctx, cluster, i, accepted, inForce, everywhere); err != nil {
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -139,7 +139,7 @@
 }
 
 // upstreamsMeasurement measures the cost of idle instances over the number of
-// upstreams. All further upstreams have the address of one engine.
+// upstreams. One process stands for all engines.
 type upstreamsMeasurement struct {
 	instances, upstreams intList
 	settle, window       time.Duration
@@ -160,7 +160,7 @@
 		var costs []idleCost
 		for _, upstreams := range m.upstreams {
 			cluster, err := e.start(ctx, testcluster.Options{
-				Instances: instances, Engines: 1, Document: func(d *configuration.Document) { addUpstreams(d, upstreams) },
+				Instances: instances, Engines: 1, Aliases: upstreams - 1, Document: addAliases,
 			})
 			if err != nil {
 				return err
@@ -182,15 +182,16 @@
 	return nil
 }
 
-// addUpstreams adds engines until there are count.
-func addUpstreams(d *configuration.Document, count int) {
+// addAliases adds an engine for each further address of engine 0.
+func addAliases(cluster *testcluster.Cluster, d *configuration.Document) {
 	service := d.Services[testcluster.Generations]
-	first := d.Upstreams[testcluster.EngineID(0)]
+	engine := d.Upstreams[testcluster.EngineID(0)]
 	domains := []contract.FailureDomainID{"sapporo", "asahikawa", "obihiro"}
-	for i := 1; i < count; i++ {
-		first.FailureDomain = domains[i%len(domains)]
-		d.Upstreams[testcluster.EngineID(i)] = first
-		service.Upstreams = append(service.Upstreams, testcluster.EngineID(i))
+	for i, address := range cluster.Aliases {
+		id := testcluster.EngineID(i + 1)
+		engine.Address, engine.FailureDomain = address, domains[(i+1)%len(domains)]
+		d.Upstreams[id] = engine
+		service.Upstreams = append(service.Upstreams, id)
 	}
 	d.Services[testcluster.Generations] = service
 }
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,11 +46,12 @@
 	Instances     int // default 3
 	Engines       int // default 3
 	Services      int // default 1
+	Aliases       int // further addresses of engine 0
 	Slots         int // of each engine, default 8
 	TokenInterval time.Duration
 	ResumePolicy  configuration.ResumePolicy // default sparing
 	Adjust        func(*settings.Settings)   // changes the settings of each instance; may be nil
-	Document      func(*configuration.Document)
+	Document      func(*Cluster, *configuration.Document)
 	Binaries      string // directory of the built programs; "": they are built
 }
 
@@ -59,6 +61,7 @@
 	Engines   []*Process
 	Services  []*Process
 	Instances []*Process
+	Aliases   []string // further addresses of engine 0, set before the document is adjusted
 
 	options   Options
 	dir       string
@@ -136,6 +139,9 @@
 		return err
 	}
 	c.Platform = platform
+	if c.Aliases, err = freeAddresses(c.options.Aliases); err != nil {
+		return err
+	}
 	for i := range c.options.Engines {
 		engine, err := c.StartEngine(i, "")
 		if err != nil {
@@ -155,7 +161,11 @@
 
 // StartEngine starts engine i at an address, a free one if it is empty.
 func (c *Cluster) StartEngine(i int, address string) (*Process, error) {
-	return c.standinAt(fmt.Sprintf("engine-%d", i), address, "-role", "engine",
+	var also []string
+	if i == 0 {
+		also = c.Aliases
+	}
+	return c.standinAt(fmt.Sprintf("engine-%d", i), address, "-role", "engine", "-also", strings.Join(also, ","),
 		"-models", Model+"@"+ModelVersion, "-slots", fmt.Sprint(c.options.Slots),
 		"-token-interval", c.options.TokenInterval.String())
 }
--- a/internal/testcluster/document.go
+++ b/internal/testcluster/document.go
@@ -57,7 +57,7 @@
 		}
 	}
 	if c.options.Document != nil {
-		c.options.Document(&d)
+		c.options.Document(c, &d)
 	}
 	return d
 }
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -92,3 +92,18 @@
 	defer listener.Close() //nolint:errcheck // only the address is needed
 	return listener.Addr().String(), nil
 }
+
+// freeAddresses returns loopback addresses that were free a moment ago. They are
+// held together, so that none is returned twice.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close() //nolint:errcheck // only the address is needed
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
