--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -69,8 +69,10 @@
 	if err := e.prepare(ctx); err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(e.work) }()
 	if err := chosen.run(ctx, e); err != nil {
+		return errors.Wrapf(err, "logs are in %s", e.work)
+	}
+	if err := os.RemoveAll(e.work); err != nil {
 		return err
 	}
 	if *asJSON {
--- a/internal/generation/recovery.go
+++ b/internal/generation/recovery.go
@@ -41,15 +41,6 @@
 	return min(m.firstToken, resumedFirstToken<<min(m.silentAttempts, maxDoublings))
 }
 
-// movesOn reports whether an attempt that continues a text and has not begun in
-// time ends in favour of one elsewhere, because a rival beside it is not allowed.
-// The number of moves is bounded: where all slots are busy, each gives up a place
-// in a queue.
-func (m *Machine) movesOn(a *attempt) bool {
-	return m.next > 0 && !a.adopted && len(m.attempts) == 1 && m.standing.Deaths > 0 && m.restartable() &&
-		m.silentAttempts <= maxMoves && m.ran < m.settings.MaxAttempts
-}
-
 // queuedTooLong reports whether an attempt that continues a text has not begun
 // within the time to a first token. Its engine is alive and has probably queued
 // it behind long generations; the queue may outlast the resume bound.
@@ -185,10 +176,6 @@
 	if !a.produced {
 		m.firstToken = min(2*m.firstToken, firstTokenCeiling)
 		m.silentAttempts++
-		if m.movesOn(a) {
-			m.endAttempt(now, a, upstream.ObservedSilent, true)
-			return
-		}
 	}
 	m.suspect(now, a, upstream.ObservedSilent)
 }
--- a/internal/generation/silence.go
+++ b/internal/generation/silence.go
@@ -19,7 +19,6 @@
 	// resume bound of 3 s for another attempt.
 	resumedFirstToken = time.Second
 	maxDoublings      = 5 // of resumedFirstToken
-	maxMoves          = 2 // of a suspect that waits for its first token
 
 	// Weights and factors of the estimate of mean and deviation, as in RFC 6298.
 	meanWeight      = 0.125
