--- a/internal/generation/machine_test.go
+++ b/internal/generation/machine_test.go
@@ -350,3 +350,19 @@
 		t.Fatalf("attempts are not numbered in order")
 	}
 }
+
+// Guards against a text that stands still while its new attempt waits in the
+// queue of a live engine, with the policy that otherwise starts no rival.
+func TestMachineLeavesAQueueWhileTheTextWaits(t *testing.T) {
+	b := newBench(t, func(s *generation.MachineSettings) { s.MaxAttempts = 8 })
+	b.step(generation.Input{Kind: generation.InputBegin})
+	b.event(1, 1, 0)
+	b.step(generation.Input{Kind: generation.InputLost, Attempt: 1, Connection: 1})
+	b.g.Expect(kinds(b.step(generation.Input{Kind: generation.InputUnreachable, Attempt: 1, Connection: 2}))).To(
+		ContainElement(generation.ActionStart))
+	b.step(generation.Input{Kind: generation.InputOpened, Attempt: 2, Connection: 3})
+	lost := b.now
+	b.g.Expect(kinds(b.tick())).To(ContainElements(generation.ActionProbe, generation.ActionStart))
+	b.g.Expect(b.now.Sub(lost)).To(BeNumerically("<=", time.Second))
+	b.g.Expect(kinds(b.event(3, 5, 1))).To(ContainElements(generation.ActionDeliver, generation.ActionEnd))
+}
--- a/internal/generation/registry_test.go
+++ b/internal/generation/registry_test.go
@@ -315,3 +315,23 @@
 	}
 	return all
 }
+
+// Guards against a takeover that waits at admission for the end of another
+// generation although its engine runs on.
+func TestTakeoverDoesNotWaitForAdmission(t *testing.T) {
+	inWorld(t, func(g Gomega, w *world) {
+		c := w.caller("request")
+		g.Expect(c.connect(0, false)).To(BeTrue())
+		c.read(10)
+		full := &recordingAdmitter{}
+		r := generation.NewRegistry(generation.Config{
+			Instance: "i9", Router: w.router, Dialer: w.router, Admitter: full,
+		})
+		w.instances[1], w.registry[1] = r, r
+		g.Expect(c.connect(1, true)).To(BeTrue())
+		c.readAll()
+		c.sub.Close()
+		g.Expect(c.violation()).To(BeEmpty())
+		g.Expect(full.asks).To(HaveLen(1))
+	})
+}
--- a/internal/upstream/choose_test.go
+++ b/internal/upstream/choose_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -167,3 +168,37 @@
 		}
 	})
 }
+
+// Guards against a resumed generation that waits in the queue of an engine while
+// another one has a free slot, also when a crash has made a suspect of it.
+func TestResumedRequestFindsTheFreeSlot(t *testing.T) {
+	g := NewWithT(t)
+	all := candidates(3, "sapporo", "asahikawa")
+	for i := range all {
+		all[i].Load = float64(all[i].Slots)
+	}
+	all[4].Load--
+	for seed := range uint64(20) {
+		for _, suspect := range []bool{false, true} {
+			need := Need{Service: "notes", Prefix: "prompt", Content: ContentKey{byte(seed)}, Resumed: true}
+			index, ok := Choose(Choice{Need: need, Suspect: suspect, Candidates: all}, rand.New(rand.NewPCG(seed, 0)))
+			g.Expect(ok).To(BeTrue())
+			g.Expect(index).To(Equal(4))
+		}
+	}
+}
+
+// Guards against a load that counts this instance's requests twice, in the
+// report and as in flight: free slots would not be found at half of the load.
+func TestReportedRequestsAreCountedOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	e := &entry{use: &use{}}
+	e.use.inFlight.Store(3)
+	e.load = e.load.next(now, 2, 0, 2).next(now, 3, 0, 3)
+	g.Expect(e.currentLoad(now)).To(Equal(4.0), "one request began after the report before")
+	e.load = e.load.next(now, 3, 0, 3)
+	g.Expect(e.currentLoad(now)).To(Equal(3.0))
+	e.use.inFlight.Store(5)
+	g.Expect(e.currentLoad(now)).To(Equal(5.0))
+}
--- a/internal/workspace/admission_test.go
+++ b/internal/workspace/admission_test.go
@@ -274,3 +274,41 @@
 		g.Expect(f.admitted[5].Load()).To(BeNumerically(">", 20))
 	})
 }
+
+// Guards against a refusal of a workspace that uses less than its share because
+// of the queue of another one, and against requests of the other one that wait
+// until their deadline although their turn has moved out of reach (P10).
+func TestOverloadOfOneWorkspaceLeavesTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		unlimited := configuration.Workspace{RequestsPerSecond: 1e6, ConcurrentGenerations: 1e6}
+		a := single(t, 4, map[contract.WorkspaceID]configuration.Workspace{"heavy": unlimited, "light": unlimited})
+		var lightRefused, heavyRefused, slowRefusals atomic.Int64
+		request := func(id contract.WorkspaceID, refused *atomic.Int64) {
+			began := time.Now()
+			release, _, ok := a.Admit(context.Background(), ask(id, "notes", upstream.PriorityInteractive, 4*time.Second))
+			if !ok {
+				refused.Add(1)
+				if time.Since(began) > 3*time.Second {
+					slowRefusals.Add(1)
+				}
+				return
+			}
+			time.Sleep(time.Second)
+			release()
+		}
+		var group sync.WaitGroup
+		for n := range 600 { // 10 a second for a capacity of 4 a second
+			id, refused := contract.WorkspaceID("heavy"), &heavyRefused
+			if n%6 == 0 {
+				id, refused = "light", &lightRefused
+			}
+			group.Go(func() { request(id, refused) })
+			time.Sleep(100 * time.Millisecond)
+		}
+		group.Wait()
+		g.Expect(lightRefused.Load()).To(BeZero())
+		g.Expect(heavyRefused.Load()).To(BeNumerically(">", 200))
+		g.Expect(slowRefusals.Load()).To(BeNumerically("<", heavyRefused.Load()/20))
+	})
+}
