Place suspects with the newest view and choose free UDP ports

A suspect that waited for the lock used a view from before it, in which the suspects placed meanwhile were missing: TestSuspectsAreSeparated failed once on a busy machine, and passed 60 of 60 runs after the change. Instances of a test cluster failed to start when the UDP port of their link was taken.

--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -213,7 +213,7 @@
 	if s.APIAddress, err = freeAddress(); err != nil {
 		return nil, err
 	}
-	if s.LinkAddress, err = freeAddress(); err != nil {
+	if s.LinkAddress, err = freeLinkAddress(); err != nil {
 		return nil, err
 	}
 	s.TLS = settings.TLS{
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -107,3 +107,14 @@
 	}
 	return addresses, nil
 }
+
+// freeLinkAddress returns a loopback address whose UDP port was free a moment
+// ago; a free TCP port may be in use for UDP.
+func freeLinkAddress() (string, error) {
+	connection, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer connection.Close() //nolint:errcheck // only the address is needed
+	return connection.LocalAddr().String(), nil
+}
--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -148,7 +148,8 @@
 	}
 	u.placing.Lock()
 	defer u.placing.Unlock()
-	placement, _, ok := u.place(view, need, now)
+	// The view from before the lock may lack suspects that were placed meanwhile.
+	placement, _, ok := u.place(u.current(), need, now)
 	if !ok {
 		return Placement{}, heldBackWait, false
 	}
