--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -130,3 +130,29 @@
 	}
 	return packets.Close() == nil
 }
+
+// freeAddresses returns loopback addresses that were free a moment ago. They are
+// held together, so that none is returned twice.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close() //nolint:errcheck // only the address is needed
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// freeLinkAddress returns a loopback address whose UDP port was free a moment
+// ago; a free TCP port may be in use for UDP.
+func freeLinkAddress() (string, error) {
+	connection, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer connection.Close() //nolint:errcheck // only the address is needed
+	return connection.LocalAddr().String(), nil
+}
