Send demand on change, rounded to what CBOR encodes in three bytes

A reported demand changes at most every 2.5 s and by more than 20% or 0.1; the own share follows the reported demand, so that shares agree meanwhile. Held places are reported only where they exceed the own share, which is what the others need to know. A peer that was restarted gets all entries with the next heartbeat.

--- /dev/null
+++ b/internal/instance/demand_test.go
@@ -0,0 +1,69 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/upstream"
+	"foxtailhub.example/foxtailhub/internal/workspace"
+)
+
+// Guards against a demand that a peer never learns, after a lost heartbeat, a
+// change or a restart, or that expires there although it is steady, and against
+// one that is repeated in each heartbeat.
+func TestDemandIsSentOnChange(t *testing.T) {
+	g := NewWithT(t)
+	s := newDemandSection(nil)
+	steady := []workspace.DemandEntry{{Workspace: "small", Rate: 2}, {Workspace: "large", Rate: 50}}
+	now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	send := func(entries []workspace.DemandEntry, delivered bool) []workspace.DemandEntry {
+		now = now.Add(500 * time.Millisecond)
+		sent := s.changes("peer", entries, now)
+		s.settled("peer", delivered)
+		return sent
+	}
+	g.Expect(send(steady, false)).To(Equal(steady))
+	g.Expect(send(steady, true)).To(Equal(steady))
+	g.Expect(send(steady, true)).To(BeEmpty())
+	changed := []workspace.DemandEntry{{Workspace: "small", Rate: 3}, {Workspace: "large", Rate: 50}}
+	g.Expect(send(changed, false)).To(Equal(changed[:1]))
+	g.Expect(send(steady, true)).To(Equal(steady[:1]), "the peer may have learned the lost change")
+	now = now.Add(demandRefresh)
+	g.Expect(send(steady, true)).To(Equal(steady))
+	g.Expect(send(steady, true)).To(BeEmpty())
+	s.forget("peer")
+	g.Expect(send(steady, true)).To(Equal(steady))
+}
+
+// Guards against a restarted peer that lacks what it acknowledged before, also
+// when its answer to a digest with changes only arrives after its restart.
+func TestRestartedPeerGetsEverything(t *testing.T) {
+	g := NewWithT(t)
+	fleet := newTrafficFleet(3, 0)
+	empty := func() *upstream.Upstreams {
+		return upstream.New(upstream.Config{
+			Self: upstream.Member{ID: "self"}, Configuration: fleet, List: fleet, Engines: fleet,
+			Instances: func() []upstream.Member { return nil },
+		})
+	}
+	upstreams := empty()
+	const contacted = "engine-oulu-a-0000"
+	upstreams.Learn("other", upstream.Digest{Contacts: []upstream.ContactEntry{
+		{Upstream: contacted, AtMS: time.Now().UnixMilli(), Incarnation: "p"}}})
+	s := newUpstreamSection(upstreams)
+	restarted := 0
+	s.restarted = func(contract.InstanceID) { restarted++ }
+	g.Expect(s.noteRun("peer", 7)).To(BeFalse())
+	g.Expect(s.collect("peer")).NotTo(BeEmpty())
+	s.settled("peer", true)
+	g.Expect(s.collect("peer")).To(BeEmpty())
+	next := newUpstreamSection(empty()) // of the peer's next process
+	g.Expect(s.learn("peer", next.collect("self"))).To(Succeed())
+	g.Expect(restarted).To(Equal(1))
+	s.settled("peer", true)
+	g.Expect(s.begin("peer", time.Now())).To(BeZero())
+	g.Expect(len(s.collect("peer"))).To(BeNumerically(">", len(contacted)))
+}
--- a/internal/instance/digest.go
+++ b/internal/instance/digest.go
@@ -10,7 +10,6 @@
 	"foxtailhub.example/foxtailhub/internal/link"
 	"foxtailhub.example/foxtailhub/internal/membership"
 	"foxtailhub.example/foxtailhub/internal/upstream"
-	"foxtailhub.example/foxtailhub/internal/workspace"
 )
 
 // Identifiers of the digest sections. They are part of the protocol between
@@ -29,7 +28,8 @@
 // changed since the last heartbeat that it acknowledged.
 type upstreamSection struct {
 	upstreams *upstream.Upstreams
-	run       uint32 // of this process, not 0
+	run       uint32                         // of this process, not 0
+	restarted func(peer contract.InstanceID) // told of peers that were restarted; optional
 
 	mu    sync.Mutex // guards peers
 	peers map[contract.InstanceID]*digestProgress
@@ -100,25 +100,31 @@
 	if err := link.Decode(data, &digest); err != nil {
 		return err
 	}
-	s.noteRun(peer, digest.Run)
+	if s.noteRun(peer, digest.Run) {
+		s.upstreams.Restarted()
+		if s.restarted != nil {
+			s.restarted(peer)
+		}
+	}
 	s.upstreams.Learn(peer, digest)
 	return nil
 }
 
 // noteRun starts anew with a peer that was restarted: it has forgotten what it
 // acknowledged, and may have answered a digest with changes only.
-func (s *upstreamSection) noteRun(peer contract.InstanceID, run uint32) {
+func (s *upstreamSection) noteRun(peer contract.InstanceID, run uint32) (restarted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	progress := s.progress(peer)
 	if run == 0 || run == progress.run {
-		return
+		return false
 	}
-	if progress.run != 0 {
+	restarted = progress.run != 0
+	if restarted {
 		progress.acknowledged, progress.sent, progress.introduced = 0, 0, false
-		s.upstreams.Restarted()
 	}
 	progress.run = run
+	return restarted
 }
 
 // settled notes what the peer has learned. What a lost heartbeat carried is sent
@@ -136,27 +142,3 @@
 	}
 	progress.acknowledged, progress.introduced = progress.sent, true
 }
-
-// demandSection passes on this instance's demand per active workspace.
-func demandSection(admission *workspace.Admission) membership.Section {
-	return membership.Section{
-		ID: sectionDemand,
-		Collect: func(contract.InstanceID) []byte {
-			entries := admission.Demand()
-			if len(entries) == 0 {
-				return nil
-			}
-			data, err := link.Encode(entries)
-			contract.Invariant(err == nil, "demand can be encoded", "error", err)
-			return data
-		},
-		Learn: func(peer contract.InstanceID, data []byte) error {
-			var entries []workspace.DemandEntry
-			if err := link.Decode(data, &entries); err != nil {
-				return err
-			}
-			admission.Learn(peer, entries)
-			return nil
-		},
-	}
-}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -49,6 +49,7 @@
 	holder     *configuration.Holder
 	follower   *configuration.Follower
 	upstreams  *upstream.Upstreams
+	digests    *upstreamSection
 	admission  *workspace.Admission
 	caller     *dispatch.Caller
 	registry   *generation.Registry
@@ -189,7 +190,8 @@
 		Logger:        i.log,
 		Seed:          uint64(time.Now().UnixNano()),
 	})
-	i.membership.Register(newUpstreamSection(i.upstreams).section())
+	i.digests = newUpstreamSection(i.upstreams)
+	i.membership.Register(i.digests.section())
 }
 
 // liveInstances returns the other instances that were heard from and stay.
@@ -220,7 +222,9 @@
 		Capacity:      i.upstreams.Capacity,
 		Instances:     func() int { return len(i.liveInstances()) },
 	})
-	i.membership.Register(demandSection(i.admission))
+	demand := newDemandSection(i.admission)
+	i.digests.restarted = demand.forget
+	i.membership.Register(demand.section())
 	i.caller = dispatch.NewCaller(dispatch.Config{
 		Configuration: i.holder,
 		Router:        i.upstreams,
--- a/internal/instance/traffic_test.go
+++ b/internal/instance/traffic_test.go
@@ -147,7 +147,7 @@
 	})
 	admission := workspace.NewAdmission(workspace.Config{Instance: members[number].ID, Configuration: fleet, Instances: func() int { return count }})
 	m.Register(newUpstreamSection(upstreams).section())
-	m.Register(demandSection(admission))
+	m.Register(newDemandSection(admission).section())
 	m.SetState(membership.Ready)
 	m.SetStanding(membership.Standing{Current: true, Head: 1, Held: 1})
 	running.Go(func() { _ = m.Run(ctx) })
--- a/internal/workspace/demand.go
+++ b/internal/workspace/demand.go
@@ -22,6 +22,12 @@
 	// demand the others have reduced their shares, and within 1 s more this
 	// instance knows which places they still hold; 3 s leave a margin.
 	shareWindow = 7
+	// reportInterval is the least time between two changes of what is reported,
+	// but for the begin and the end of a demand. The own share is computed from
+	// the reported demand too, so that shares agree in the meantime.
+	reportInterval = 2500 * time.Millisecond
+	// reportFloor is the change of a small demand that is not reported.
+	reportFloor = 0.1
 	// maxHeld bounds what a peer can report as held.
 	maxHeld = 1 << 20
 	// reportTolerance is the relative change of a demand that is not reported.
@@ -36,10 +42,11 @@
 // DemandEntry is the demand of a workspace at one instance. A steady demand is
 // reported with the same amounts, so that it need not be sent again.
 type DemandEntry struct {
-	Workspace  contract.WorkspaceID `cbor:"1,keyasint"`
-	Rate       float64              `cbor:"2,keyasint,omitempty"` // requests per second
-	Concurrent float64              `cbor:"3,keyasint,omitempty"` // generations wanted at a time
-	Held       int                  `cbor:"4,keyasint,omitempty"` // generations in progress
+	_          struct{} `cbor:",toarray"`
+	Workspace  contract.WorkspaceID
+	Rate       float64 // requests per second
+	Concurrent float64 // generations wanted at a time
+	Held       int     // generations in progress, if more than the own share of places, else 0
 }
 
 type learnedDemand struct {
@@ -69,11 +76,15 @@
 }
 
 func (s *state) entry() DemandEntry {
+	held := s.running.Load()
+	if held <= s.places.Load() {
+		held = 0 // within the share that the others grant anyway
+	}
 	return DemandEntry{
 		Workspace:  s.id,
 		Rate:       s.reportedRate,
 		Concurrent: s.reportedConcurrent,
-		Held:       int(s.running.Load()),
+		Held:       int(held),
 	}
 }
 
@@ -176,15 +187,26 @@
 		s.endedAt = now
 		s.rate, s.concurrent = 0, 0
 	}
-	s.reportedRate = report(s.reportedRate, s.rate)
-	s.reportedConcurrent = report(s.reportedConcurrent, s.concurrent)
+	s.report(active, now)
+}
+
+// report updates what the others are told.
+func (s *state) report(active bool, now time.Time) {
+	reported := s.reportedRate > 0 || s.reportedConcurrent > 0
+	if active && reported && now.Sub(s.reportedAt) < reportInterval {
+		return
+	}
+	rate, concurrent := report(s.reportedRate, s.rate), report(s.reportedConcurrent, s.concurrent)
+	if rate != s.reportedRate || concurrent != s.reportedConcurrent {
+		s.reportedRate, s.reportedConcurrent, s.reportedAt = rate, concurrent, now
+	}
 }
 
 // report returns what is reported of an amount: the same as before unless it
 // has changed much. While the reported demands stay the same, all instances
 // compute their shares from the same numbers.
 func report(before, now float64) float64 {
-	if before > 0 && now > 0 && math.Abs(now-before) <= reportTolerance*before {
+	if before > 0 && now > 0 && math.Abs(now-before) <= max(reportTolerance*before, reportFloor) {
 		return before
 	}
 	return roundDemand(now)
@@ -229,11 +251,13 @@
 	return rates, places
 }
 
-// roundDemand rounds to two digits.
+// roundDemand rounds to six binary digits: CBOR encodes such a number in three
+// bytes.
 func roundDemand(x float64) float64 {
+	const digits = 1 << 6
 	if x <= 0 {
 		return 0
 	}
-	unit := math.Pow(10, math.Floor(math.Log10(x))-1)
-	return math.Round(x/unit) * unit
+	fraction, exponent := math.Frexp(x)
+	return math.Ldexp(math.Round(fraction*digits)/digits, exponent)
 }
--- a/internal/workspace/state.go
+++ b/internal/workspace/state.go
@@ -64,8 +64,9 @@
 	endedAt     time.Time // when the demand ended
 	due         []due     // shares of the last refreshes, newest last
 
-	reportedRate       float64 // what the others are told of rate
-	reportedConcurrent float64 // what the others are told of concurrent
+	reportedRate       float64   // what the others are told of rate
+	reportedConcurrent float64   // what the others are told of concurrent
+	reportedAt         time.Time // when one of them last changed
 }
 
 func newState(id contract.WorkspaceID, l limits, instances int) *state {
