Send digests of repeated contacts alone every second heartbeat

Meanwhile some arrive from the peer itself or are replaced. News of any other kind goes with the next heartbeat as before. The number of a digest, of no use to the receiver, is not sent.

--- a/internal/instance/digest.go
+++ b/internal/instance/digest.go
@@ -24,6 +24,11 @@
 // name yet. A peer that was restarted tells by the run in its own digest.
 const fullDigestInterval = 10 * time.Minute
 
+// repeatInterval is the least time between two digests that hold nothing but
+// repeated contacts. Meanwhile some of them arrive from the peer itself or are
+// replaced by newer ones. It is a little less than two heartbeats.
+const repeatInterval = 850 * time.Millisecond
+
 // upstreamSection passes on what is known of upstreams: to each peer what has
 // changed since the last heartbeat that it acknowledged.
 type upstreamSection struct {
@@ -42,6 +47,7 @@
 	fullAt       time.Time
 	run          uint32 // of the peer's process, 0 if unknown
 	introduced   bool   // the peer knows the run of this process
+	repeatedAt   time.Time
 }
 
 func newUpstreamSection(upstreams *upstream.Upstreams) *upstreamSection {
@@ -57,15 +63,9 @@
 }
 
 func (s *upstreamSection) collect(peer contract.InstanceID) []byte {
-	digest := s.upstreams.DigestFor(peer, s.begin(peer, time.Now()))
-	s.mu.Lock()
-	progress := s.peers[peer]
-	progress.sent = digest.Seq
-	if !progress.introduced {
-		digest.Run = s.run
-	}
-	s.mu.Unlock()
-	if digest.Empty() && digest.Run == 0 {
+	now := time.Now()
+	digest := s.upstreams.DigestFor(peer, s.begin(peer, now))
+	if !s.prepare(peer, &digest, now) {
 		return nil
 	}
 	data, err := link.Encode(digest)
@@ -73,6 +73,23 @@
 	return data
 }
 
+// prepare completes a digest and reports whether it is to be sent now.
+func (s *upstreamSection) prepare(peer contract.InstanceID, digest *upstream.Digest, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	progress := s.progress(peer)
+	progress.sent = progress.acknowledged
+	if !progress.introduced {
+		digest.Run = s.run
+	}
+	if digest.OnlyRepeats() && now.Sub(progress.repeatedAt) < repeatInterval {
+		return false
+	}
+	progress.sent, progress.repeatedAt = digest.Seq, now
+	digest.Seq = 0 // of no use to the peer
+	return !digest.Empty() || digest.Run != 0
+}
+
 // begin returns the number after which the peer lacks changes.
 func (s *upstreamSection) begin(peer contract.InstanceID, now time.Time) uint64 {
 	s.mu.Lock()
--- a/internal/upstream/digest.go
+++ b/internal/upstream/digest.go
@@ -12,7 +12,7 @@
 type Digest struct {
 	// Seq is the number up to which the digest is complete, for the next call
 	// of Upstreams.Digest.
-	Seq         uint64            `cbor:"1,keyasint"`
+	Seq         uint64            `cbor:"1,keyasint,omitempty"`
 	Contacts    []ContactEntry    `cbor:"2,keyasint,omitempty"`
 	Failures    []FailureEntry    `cbor:"3,keyasint,omitempty"`
 	Leaving     []LeavingEntry    `cbor:"4,keyasint,omitempty"`
@@ -35,6 +35,13 @@
 		len(d.Deaths)+len(d.Acquittals)+len(d.Survivals)+len(d.SuspectRuns) == 0
 }
 
+// OnlyRepeats reports whether all entries are contacts that change no state.
+func (d Digest) OnlyRepeats() bool {
+	repeats := d.Repeats
+	d.Repeats = nil
+	return len(repeats) > 0 && d.Empty() && d.Run == 0
+}
+
 // ContactEntry is an answer of an upstream with its load.
 type ContactEntry struct {
 	_           struct{} `cbor:",toarray"`
