--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -131,7 +131,9 @@
 		w.rejudge, w.dirty = false, true
 		w.reportStandings(now)
 	}
-	w.reportStates(now)
+	for id := range w.edited {
+		w.reportState(id, w.entries[id], now)
+	}
 	if !w.dirty {
 		return nil
 	}
@@ -190,22 +192,28 @@
 	return events, kicks
 }
 
+// reportState reports the state of an upstream if it has changed.
+func (w *writer) reportState(id contract.UpstreamID, known *entry, now time.Time) {
+	state := known.health.State(now)
+	before, reported := w.states[id]
+	if !reported {
+		before = StateLive
+	}
+	if state == before {
+		return
+	}
+	w.states[id] = state
+	w.stats.StateChanges.Add(1)
+	w.events = append(w.events, timeline.Event{
+		Kind: timeline.UpstreamChanged, Upstream: id,
+		Detail: fmt.Sprintf("from=%s to=%s incarnation=%s", before, state, known.health.Incarnation),
+	})
+}
+
+// reportStates reports the changes of state that come with time alone.
 func (w *writer) reportStates(now time.Time) {
 	for id, known := range w.entries {
-		state := known.health.State(now)
-		before, reported := w.states[id]
-		if !reported {
-			before = StateLive
-		}
-		w.states[id] = state
-		if state == before {
-			continue
-		}
-		w.stats.StateChanges.Add(1)
-		w.events = append(w.events, timeline.Event{
-			Kind: timeline.UpstreamChanged, Upstream: id,
-			Detail: fmt.Sprintf("from=%s to=%s incarnation=%s", before, state, known.health.Incarnation),
-		})
+		w.reportState(id, known, now)
 	}
 	maps.DeleteFunc(w.states, func(id contract.UpstreamID, _ State) bool { return w.entries[id] == nil })
 }
@@ -251,6 +259,7 @@
 			delete(w.peerSuspects, id)
 		}
 	}
+	w.reportStates(now)
 	w.reportStandings(now) // a quarantine may have begun or ended
 	w.repeatSuspectRuns(now)
 	w.ledger.retain(w.entries, w.evidence, now)
