Name a workspace once per peer and report small changes of demand less often

An entry with a name that the peer has acknowledged carries its 4-byte label; labels that two names share stand for neither. A reported demand changes at most every 5 s and by more than 20% or 0.25; its first change still takes effect at once.

--- a/internal/instance/demand.go
+++ b/internal/instance/demand.go
@@ -1,9 +1,12 @@
 package instance
 
 import (
+	"maps"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtailhub.example/foxtailhub/internal/contract"
 	"foxtailhub.example/foxtailhub/internal/link"
 	"foxtailhub.example/foxtailhub/internal/membership"
@@ -19,14 +22,56 @@
 type demandSection struct {
 	admission *workspace.Admission
 
-	mu    sync.Mutex // guards peers
+	mu    sync.Mutex // guards all fields below
 	peers map[contract.InstanceID]*demandProgress
+	names map[contract.InstanceID]*demandNames
+}
+
+// demandNames are the names that a peer has sent. A label that two names share
+// stands for neither; it has the name "".
+type demandNames struct {
+	byLabel map[demandLabel]contract.WorkspaceID
+	at      time.Time // of the last digest
+}
+
+// demandNamesLifetime is how long names of a silent peer are kept. It must
+// exceed the time for which the peer takes them for known, labelLifetime.
+const (
+	demandNamesLifetime = 5 * time.Minute
+	labelLifetime       = 2 * demandRefresh
+)
+
+// maxDemandNames bounds the names that a faulty peer can make this instance keep.
+const maxDemandNames = 4096
+
+// demandLabel stands for the name of a workspace that the peer was sent before.
+type demandLabel uint32
+
+func labelOf(id contract.WorkspaceID) demandLabel {
+	return demandLabel(xxhash.Sum64String(string(id)))
+}
+
+// demandDigest is the section. Names are most of the bytes of an entry; they are
+// sent until the peer has acknowledged them.
+type demandDigest struct {
+	Named   []workspace.DemandEntry `cbor:"1,keyasint,omitempty"`
+	Labeled []labeledDemand         `cbor:"2,keyasint,omitempty"`
+}
+
+// labeledDemand is a workspace.DemandEntry with a label.
+type labeledDemand struct {
+	_          struct{} `cbor:",toarray"`
+	Workspace  demandLabel
+	Rate       float64
+	Concurrent float64
+	Held       int
 }
 
 // demandProgress is what a peer has been told.
 type demandProgress struct {
 	acknowledged map[contract.WorkspaceID]toldDemand
-	sent         []workspace.DemandEntry // waits for the acknowledgement
+	labels       map[demandLabel]contract.WorkspaceID // of acknowledged
+	sent         []workspace.DemandEntry              // waits for the acknowledgement
 	sentAt       time.Time
 }
 
@@ -36,7 +81,11 @@
 }
 
 func newDemandSection(admission *workspace.Admission) *demandSection {
-	return &demandSection{admission: admission, peers: map[contract.InstanceID]*demandProgress{}}
+	return &demandSection{
+		admission: admission,
+		peers:     map[contract.InstanceID]*demandProgress{},
+		names:     map[contract.InstanceID]*demandNames{},
+	}
 }
 
 func (s *demandSection) section() membership.Section {
@@ -48,18 +97,81 @@
 	if len(entries) == 0 {
 		return nil
 	}
-	data, err := link.Encode(entries)
+	data, err := link.Encode(s.digest(peer, entries))
 	contract.Invariant(err == nil, "demand can be encoded", "error", err)
 	return data
 }
 
+// digest returns the entries with labels where the peer knows them.
+func (s *demandSection) digest(peer contract.InstanceID, entries []workspace.DemandEntry) (digest demandDigest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	progress := s.peers[peer]
+	if progress == nil { // forgotten meanwhile
+		return demandDigest{Named: entries}
+	}
+	for _, e := range entries {
+		told, known := progress.acknowledged[e.Workspace]
+		known = known && progress.sentAt.Sub(told.at) <= labelLifetime
+		if label := labelOf(e.Workspace); known && progress.labels[label] == e.Workspace {
+			digest.Labeled = append(digest.Labeled, labeledDemand{Workspace: label, Rate: e.Rate, Concurrent: e.Concurrent, Held: e.Held})
+		} else {
+			digest.Named = append(digest.Named, e)
+		}
+	}
+	return digest
+}
+
+// named returns the entries of a digest with their names.
+func (s *demandSection) named(peer contract.InstanceID, digest demandDigest) []workspace.DemandEntry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := s.namesOf(peer, time.Now())
+	for _, e := range digest.Named {
+		if len(names) < maxDemandNames {
+			enter(names, e.Workspace)
+		}
+	}
+	entries := digest.Named
+	for _, e := range digest.Labeled {
+		if name := names[e.Workspace]; name != "" {
+			entries = append(entries, workspace.DemandEntry{Workspace: name, Rate: e.Rate, Concurrent: e.Concurrent, Held: e.Held})
+		}
+	}
+	return entries
+}
+
+// namesOf must be called with mu held.
+func (s *demandSection) namesOf(peer contract.InstanceID, now time.Time) map[demandLabel]contract.WorkspaceID {
+	if s.names[peer] == nil {
+		s.names[peer] = &demandNames{byLabel: map[demandLabel]contract.WorkspaceID{}}
+		maps.DeleteFunc(s.names, func(id contract.InstanceID, n *demandNames) bool {
+			return id != peer && now.Sub(n.at) > demandNamesLifetime
+		})
+	}
+	s.names[peer].at = now
+	return s.names[peer].byLabel
+}
+
+// enter notes the label of a name.
+func enter(names map[demandLabel]contract.WorkspaceID, name contract.WorkspaceID) {
+	label := labelOf(name)
+	if known, taken := names[label]; taken && known != name {
+		name = ""
+	}
+	names[label] = name
+}
+
 // changes returns the entries that the peer lacks.
 func (s *demandSection) changes(peer contract.InstanceID, entries []workspace.DemandEntry, now time.Time) []workspace.DemandEntry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	progress := s.peers[peer]
 	if progress == nil {
-		progress = &demandProgress{acknowledged: map[contract.WorkspaceID]toldDemand{}}
+		progress = &demandProgress{
+			acknowledged: map[contract.WorkspaceID]toldDemand{},
+			labels:       map[demandLabel]contract.WorkspaceID{},
+		}
 		s.peers[peer] = progress
 	}
 	progress.sent, progress.sentAt = nil, now
@@ -73,11 +185,11 @@
 }
 
 func (s *demandSection) learn(peer contract.InstanceID, data []byte) error {
-	var entries []workspace.DemandEntry
-	if err := link.Decode(data, &entries); err != nil {
+	var digest demandDigest
+	if err := link.Decode(data, &digest); err != nil {
 		return err
 	}
-	s.admission.Learn(peer, entries)
+	s.admission.Learn(peer, s.named(peer, digest))
 	return nil
 }
 
@@ -91,20 +203,31 @@
 		return
 	}
 	for _, entry := range progress.sent {
-		if delivered {
-			progress.acknowledged[entry.Workspace] = toldDemand{entry: entry, at: progress.sentAt}
-		} else {
-			delete(progress.acknowledged, entry.Workspace)
-		}
+		progress.settle(entry, delivered)
 	}
 	progress.sent = nil
 	for id, told := range progress.acknowledged {
-		if progress.sentAt.Sub(told.at) > 2*demandRefresh { // no longer active
-			delete(progress.acknowledged, id)
+		if progress.sentAt.Sub(told.at) > labelLifetime { // no longer active
+			progress.drop(id)
 		}
 	}
 }
 
+func (p *demandProgress) settle(entry workspace.DemandEntry, delivered bool) {
+	if !delivered {
+		p.drop(entry.Workspace)
+		return
+	}
+	p.acknowledged[entry.Workspace] = toldDemand{entry: entry, at: p.sentAt}
+	enter(p.labels, entry.Workspace)
+}
+
+// drop forgets an acknowledgement; the next entry carries the name. The label
+// stays with its name: the peer does not give it to another one either.
+func (p *demandProgress) drop(id contract.WorkspaceID) {
+	delete(p.acknowledged, id)
+}
+
 // forget drops what a peer has acknowledged: it was restarted.
 func (s *demandSection) forget(peer contract.InstanceID) {
 	s.mu.Lock()
--- a/internal/instance/demand_test.go
+++ b/internal/instance/demand_test.go
@@ -67,3 +67,42 @@
 	g.Expect(s.begin("peer", time.Now())).To(BeZero())
 	g.Expect(len(s.collect("peer"))).To(BeNumerically(">", len(contacted)))
 }
+
+// Guards against a demand that is attributed to another workspace or lost when
+// entries carry labels: at a peer that was restarted, of a workspace that was
+// silent, and of two names with one label.
+func TestDemandLabels(t *testing.T) {
+	g := NewWithT(t)
+	sender, receiver := newDemandSection(nil), newDemandSection(nil)
+	now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	rate := 1.0
+	send := func() (digest demandDigest, received []workspace.DemandEntry) {
+		now, rate = now.Add(time.Second), rate+1
+		entries := []workspace.DemandEntry{{Workspace: "small", Rate: rate}, {Workspace: "large", Held: int(rate)}}
+		digest = sender.digest("receiver", sender.changes("receiver", entries, now))
+		received = receiver.named("sender", digest)
+		sender.settled("receiver", true)
+		g.Expect(received).To(ConsistOf(entries))
+		return digest, received
+	}
+	digest, _ := send()
+	g.Expect(digest.Named).To(HaveLen(2))
+	digest, _ = send()
+	g.Expect(digest.Labeled).To(HaveLen(2))
+	now = now.Add(demandNamesLifetime)
+	digest, _ = send()
+	g.Expect(digest.Named).To(HaveLen(2))
+	receiver = newDemandSection(nil)
+	g.Expect(receiver.named("sender", demandDigest{Labeled: []labeledDemand{{Workspace: labelOf("small"), Rate: 9}}})).To(BeEmpty())
+	sender.forget("receiver")
+	send()
+
+	sender.peers["receiver"].labels[labelOf("small")] = "other"
+	digest, _ = send()
+	g.Expect(digest.Named).To(HaveLen(1))
+	send()
+	digest, _ = send()
+	g.Expect(digest.Named).To(HaveLen(1), "the label stands for neither name")
+	receiver.names["sender"].byLabel[labelOf("large")] = ""
+	g.Expect(receiver.named("sender", demandDigest{Labeled: []labeledDemand{{Workspace: labelOf("large"), Rate: 9}}})).To(BeEmpty())
+}
--- a/internal/workspace/demand.go
+++ b/internal/workspace/demand.go
@@ -25,9 +25,9 @@
 	// reportInterval is the least time between two changes of what is reported,
 	// but for the begin and the end of a demand. The own share is computed from
 	// the reported demand too, so that shares agree in the meantime.
-	reportInterval = 2500 * time.Millisecond
+	reportInterval = 5 * time.Second
 	// reportFloor is the change of a small demand that is not reported.
-	reportFloor = 0.1
+	reportFloor = 0.25
 	// maxHeld bounds what a peer can report as held.
 	maxHeld = 1 << 20
 	// reportTolerance is the relative change of a demand that is not reported.
