--- a/internal/instance/digest.go
+++ b/internal/instance/digest.go
@@ -10,7 +10,6 @@
 	"foxtailhub.example/foxtailhub/internal/link"
 	"foxtailhub.example/foxtailhub/internal/membership"
 	"foxtailhub.example/foxtailhub/internal/upstream"
-	"foxtailhub.example/foxtailhub/internal/workspace"
 )
 
 // Identifiers of the digest sections. They are part of the protocol between
@@ -25,11 +24,17 @@
 // name yet. A peer that was restarted tells by the run in its own digest.
 const fullDigestInterval = 10 * time.Minute
 
+// repeatInterval is the least time between two digests that hold nothing but
+// repeated contacts. Meanwhile some of them arrive from the peer itself or are
+// replaced by newer ones. It is a little less than two heartbeats.
+const repeatInterval = 850 * time.Millisecond
+
 // upstreamSection passes on what is known of upstreams: to each peer what has
 // changed since the last heartbeat that it acknowledged.
 type upstreamSection struct {
 	upstreams *upstream.Upstreams
-	run       uint32 // of this process, not 0
+	run       uint32                         // of this process, not 0
+	restarted func(peer contract.InstanceID) // told of peers that were restarted; optional
 
 	mu    sync.Mutex // guards peers
 	peers map[contract.InstanceID]*digestProgress
@@ -42,6 +47,7 @@
 	fullAt       time.Time
 	run          uint32 // of the peer's process, 0 if unknown
 	introduced   bool   // the peer knows the run of this process
+	repeatedAt   time.Time
 }
 
 func newUpstreamSection(upstreams *upstream.Upstreams) *upstreamSection {
@@ -57,15 +63,9 @@
 }
 
 func (s *upstreamSection) collect(peer contract.InstanceID) []byte {
-	digest := s.upstreams.DigestFor(peer, s.begin(peer, time.Now()))
-	s.mu.Lock()
-	progress := s.peers[peer]
-	progress.sent = digest.Seq
-	if !progress.introduced {
-		digest.Run = s.run
-	}
-	s.mu.Unlock()
-	if digest.Empty() && digest.Run == 0 {
+	now := time.Now()
+	digest := s.upstreams.DigestFor(peer, s.begin(peer, now))
+	if !s.prepare(peer, &digest, now) {
 		return nil
 	}
 	data, err := link.Encode(digest)
@@ -73,6 +73,23 @@
 	return data
 }
 
+// prepare completes a digest and reports whether it is to be sent now.
+func (s *upstreamSection) prepare(peer contract.InstanceID, digest *upstream.Digest, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	progress := s.progress(peer)
+	progress.sent = progress.acknowledged
+	if !progress.introduced {
+		digest.Run = s.run
+	}
+	if digest.OnlyRepeats() && now.Sub(progress.repeatedAt) < repeatInterval {
+		return false
+	}
+	progress.sent, progress.repeatedAt = digest.Seq, now
+	digest.Seq = 0 // of no use to the peer
+	return !digest.Empty() || digest.Run != 0
+}
+
 // begin returns the number after which the peer lacks changes.
 func (s *upstreamSection) begin(peer contract.InstanceID, now time.Time) uint64 {
 	s.mu.Lock()
@@ -100,25 +117,31 @@
 	if err := link.Decode(data, &digest); err != nil {
 		return err
 	}
-	s.noteRun(peer, digest.Run)
+	if s.noteRun(peer, digest.Run) {
+		s.upstreams.Restarted()
+		if s.restarted != nil {
+			s.restarted(peer)
+		}
+	}
 	s.upstreams.Learn(peer, digest)
 	return nil
 }
 
 // noteRun starts anew with a peer that was restarted: it has forgotten what it
 // acknowledged, and may have answered a digest with changes only.
-func (s *upstreamSection) noteRun(peer contract.InstanceID, run uint32) {
+func (s *upstreamSection) noteRun(peer contract.InstanceID, run uint32) (restarted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	progress := s.progress(peer)
 	if run == 0 || run == progress.run {
-		return
+		return false
 	}
-	if progress.run != 0 {
+	restarted = progress.run != 0
+	if restarted {
 		progress.acknowledged, progress.sent, progress.introduced = 0, 0, false
-		s.upstreams.Restarted()
 	}
 	progress.run = run
+	return restarted
 }
 
 // settled notes what the peer has learned. What a lost heartbeat carried is sent
@@ -136,27 +159,3 @@
 	}
 	progress.acknowledged, progress.introduced = progress.sent, true
 }
-
-// demandSection passes on this instance's demand per active workspace.
-func demandSection(admission *workspace.Admission) membership.Section {
-	return membership.Section{
-		ID: sectionDemand,
-		Collect: func(contract.InstanceID) []byte {
-			entries := admission.Demand()
-			if len(entries) == 0 {
-				return nil
-			}
-			data, err := link.Encode(entries)
-			contract.Invariant(err == nil, "demand can be encoded", "error", err)
-			return data
-		},
-		Learn: func(peer contract.InstanceID, data []byte) error {
-			var entries []workspace.DemandEntry
-			if err := link.Decode(data, &entries); err != nil {
-				return err
-			}
-			admission.Learn(peer, entries)
-			return nil
-		},
-	}
-}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -42,6 +42,7 @@
 	holder     *configuration.Holder
 	follower   *configuration.Follower
 	upstreams  *upstream.Upstreams
+	digests    *upstreamSection
 	admission  *workspace.Admission
 	caller     *dispatch.Caller
 	registry   *generation.Registry
--- a/internal/instance/traffic_test.go
+++ b/internal/instance/traffic_test.go
@@ -147,7 +147,7 @@
 	})
 	admission := workspace.NewAdmission(workspace.Config{Instance: members[number].ID, Configuration: fleet, Instances: func() int { return count }})
 	m.Register(newUpstreamSection(upstreams).section())
-	m.Register(demandSection(admission))
+	m.Register(newDemandSection(admission).section())
 	m.SetState(membership.Ready)
 	m.SetStanding(membership.Standing{Current: true, Head: 1, Held: 1})
 	running.Go(func() { _ = m.Run(ctx) })
@@ -205,5 +205,6 @@
 	perUpstream := (traffic(t, 6, 24, 0) - alone) / 24
 	perWorkspace := (traffic(t, 6, 0, 10) - alone) / 10
 	t.Logf("per upstream=%.1f B/s per workspace=%.1f B/s", perUpstream, perWorkspace)
-	g.Expect(perUpstream).To(BeNumerically("<", 10_000))
+	g.Expect(perUpstream).To(BeNumerically("<", 35))
+	g.Expect(perWorkspace).To(BeNumerically("<", 120))
 }
--- a/internal/instance/wiring.go
+++ b/internal/instance/wiring.go
@@ -130,7 +130,8 @@
 		Seed:          uint64(time.Now().UnixNano()),
 		OnDeath:       i.membership.Hasten,
 	})
-	i.membership.Register(newUpstreamSection(i.upstreams).section())
+	i.digests = newUpstreamSection(i.upstreams)
+	i.membership.Register(i.digests.section())
 }
 
 // liveInstances returns the other instances that were heard from and stay.
@@ -161,7 +162,9 @@
 		Capacity:      i.upstreams.Capacity,
 		Instances:     func() int { return len(i.liveInstances()) },
 	})
-	i.membership.Register(demandSection(i.admission))
+	demand := newDemandSection(i.admission)
+	i.digests.restarted = demand.forget
+	i.membership.Register(demand.section())
 	i.caller = dispatch.NewCaller(dispatch.Config{
 		Configuration: i.holder,
 		Router:        i.upstreams,
