Refuse tokens that are not valid UTF-8 and complete the statuses of refusals

JSON would replace invalid bytes, so that a text no longer matches its digest. A position that cannot be parsed was answered with 503 and is now a bad request. A broken relay is answered with unknown: the generation may run at its holder. An unconfirmed instance may lack the newest rules and no longer refuses a workspace or service as unknown.

--- a/internal/api/event.go
+++ b/internal/api/event.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"io"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	sse "github.com/tmaxmax/go-sse"
@@ -76,8 +77,15 @@
 // ErrEventInvalid reports an event that cannot be decoded.
 var ErrEventInvalid = errors.New("event of the stream is invalid")
 
+// ErrTextInvalid reports a token that is not valid UTF-8. JSON would replace its
+// bytes, and the text would no longer match its digest.
+var ErrTextInvalid = errors.New("text of a token is not valid UTF-8")
+
 // WriteEvent writes one event. payload is one of the event types above.
 func WriteEvent(w io.Writer, kind EventType, position contract.Position, payload any) error {
+	if token, ok := payload.(TokenEvent); ok && !utf8.ValidString(token.Text) {
+		return errors.Wrapf(ErrTextInvalid, "at %s", position)
+	}
 	data, err := json.Marshal(payload)
 	if err != nil {
 		return errors.Wrap(err, "encode event")
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -29,6 +29,9 @@
 	contract.ReasonDeadline:        http.StatusGatewayTimeout,
 	contract.ReasonUnknownService:  http.StatusNotFound,
 	contract.ReasonUnknownSpace:    http.StatusNotFound,
+	contract.ReasonNotHeld:         http.StatusConflict,
+	contract.ReasonAbandoned:       http.StatusConflict,
+	contract.ReasonInternal:        http.StatusInternalServerError,
 }
 
 // VerdictError returns the HTTP error for a verdict without an answer.
--- a/internal/contract/outcome.go
+++ b/internal/contract/outcome.go
@@ -44,6 +44,8 @@
 	ReasonAttempts        Reason = "attempts_exhausted" // the retry budget or the attempt limit is used up
 	ReasonNotHeld         Reason = "not_held"           // the text before the caller's position is not held anywhere
 	ReasonAbandoned       Reason = "abandoned"          // no caller was connected for the grace time
+	ReasonBadRequest      Reason = "bad_request"        // the request is malformed
+	ReasonInternal        Reason = "internal"           // an unexpected error at the instance; its log has the cause
 )
 
 // Verdict is the final answer to a request without its content.
--- a/internal/instance/calls.go
+++ b/internal/instance/calls.go
@@ -16,8 +16,8 @@
 	defer h.activity.begin(&h.activity.calls)()
 	id := contract.RequestID{Workspace: contract.WorkspaceID(params.Workspace), Key: string(params.IdempotencyKey)}
 	serviceID := contract.ServiceID(params.Service)
-	if _, verdict, ok := findRule(&h.source.Current().Document, id.Workspace, serviceID, configuration.KindService); !ok {
-		return nil, h.refuse(id, verdict)
+	if _, verdict, ok := h.findRule(id.Workspace, serviceID, configuration.KindService); !ok {
+		return nil, h.refuseUnlisted(id, verdict)
 	}
 	if !h.admitsNewWork() {
 		return nil, h.refuse(id, unconfirmed())
--- a/internal/instance/generations.go
+++ b/internal/instance/generations.go
@@ -18,16 +18,25 @@
 // balancer has noticed that this instance is unready.
 const unconfirmedRetry = time.Second
 
+// brokenRelayRetry is when a caller should send its request again after the link
+// to the holder of its generation broke.
+const brokenRelayRetry = 100 * time.Millisecond
+
 // StartGeneration serves POST .../generations.
 func (h *handler) StartGeneration(
 	ctx context.Context, body *oas.GenerationRequest, params oas.StartGenerationParams, w http.ResponseWriter,
 ) error {
 	defer h.activity.begin(&h.activity.generations)()
 	id := contract.RequestID{Workspace: contract.WorkspaceID(params.Workspace), Key: string(params.IdempotencyKey)}
+	resume, err := decodeResume(body.Resume)
+	if err != nil {
+		return badRequest("resume.position", err)
+	}
 	request, verdict, ok := h.generationRequest(id, contract.ServiceID(params.Service), body)
 	if !ok {
-		return h.refuse(id, verdict)
+		return h.refuseUnlisted(id, verdict)
 	}
+	request.Resume = resume
 	if request.Resume == nil && !h.admitsNewWork() {
 		return h.refuse(id, unconfirmed())
 	}
@@ -51,6 +60,9 @@
 		}
 		resume.Position = position
 	}
+	if _, verdict, ok := h.findRule(id.Workspace, contract.ServiceID(params.Service), configuration.KindEngine); !ok {
+		return h.refuseUnlisted(id, verdict)
+	}
 	subscription, verdict, ok := h.registry.Join(ctx, id, resume)
 	if !ok {
 		return h.refuse(id, verdict)
@@ -71,7 +83,8 @@
 		return h.refuse(id, first.Verdict)
 	}
 	if first.Kind == generation.EventBroken {
-		return h.refuse(id, unconfirmed())
+		// The generation may run at the instance to which the relay broke.
+		return h.refuse(id, contract.Verdict{Outcome: contract.Unknown, Reason: contract.ReasonInProgress, RetryAfter: brokenRelayRetry})
 	}
 	if err := newStreamWriter(w, id, &pace{metrics: h.metrics, start: arrived}).copy(ctx, subscription, first); err != nil {
 		h.log.WithField("request", id).WithError(err).Info("caller is gone")
@@ -107,16 +120,20 @@
 	if request.QueueUntil.After(request.Deadline) {
 		request.QueueUntil = request.Deadline
 	}
-	resume, set := body.Resume.Get()
+	return request, contract.Verdict{}, true
+}
+
+// decodeResume returns what a caller that reconnects holds, or nil.
+func decodeResume(body oas.OptResume) (*generation.Resume, error) {
+	resume, set := body.Get()
 	if !set {
-		return request, contract.Verdict{}, true
+		return nil, nil
 	}
 	position, err := contract.ParsePosition(resume.Position)
 	if err != nil {
-		return request, contract.Verdict{Outcome: contract.NotRun, Reason: reasonBadPosition}, false
+		return nil, err
 	}
-	request.Resume = &generation.Resume{Position: position, Locator: resume.Locator.Or(""), Received: resume.Received}
-	return request, contract.Verdict{}, true
+	return &generation.Resume{Position: position, Locator: resume.Locator.Or(""), Received: resume.Received}, nil
 }
 
 func priorityOf(rule configuration.Rule) upstream.Priority {
@@ -147,6 +164,22 @@
 	return configuration.Rule{}, contract.Verdict{Outcome: contract.NotRun, Reason: contract.ReasonUnknownService}, false
 }
 
+// findRule looks in the configuration in force.
+func (h *handler) findRule(
+	workspace contract.WorkspaceID, serviceID contract.ServiceID, kind configuration.Kind,
+) (configuration.Rule, contract.Verdict, bool) {
+	return findRule(&h.source.Current().Document, workspace, serviceID, kind)
+}
+
+// refuseUnlisted refuses a request for which there is no rule. An instance that
+// is not confirmed may lack a newer configuration that has one.
+func (h *handler) refuseUnlisted(id contract.RequestID, verdict contract.Verdict) error {
+	if !h.admitsNewWork() {
+		verdict = unconfirmed()
+	}
+	return h.refuse(id, verdict)
+}
+
 // refuse returns the HTTP error for a verdict and records it.
 func (h *handler) refuse(id contract.RequestID, verdict contract.Verdict) error {
 	h.record(timeline.Event{Kind: timeline.RequestRefused, Request: id, Detail: "reason=" + string(verdict.Reason)})
--- a/internal/instance/message.go
+++ b/internal/instance/message.go
@@ -29,7 +29,8 @@
 	contract.ReasonUnknownService:  "service: no rule lets this workspace use such a service",
 	contract.ReasonUnknownSpace:    "workspace: not in the configuration",
 	contract.ReasonAttempts:        "too many attempts failed",
-	reasonBadPosition:              "resume.position: " + contract.ErrPositionInvalid.Error(),
+	contract.ReasonNotHeld:         "the text before the position is not held here; send it in resume.received",
+	contract.ReasonAbandoned:       "no caller was connected for the grace time",
 }
 
 func refusalMessage(verdict contract.Verdict) string {
