Let the client bound the wait for an answer and never report a damaged text as complete

A paused instance accepts connections and answers nothing; the client waited for its headers without limit. A refusal is no longer reported as not run when an earlier submission may have run, a text that has begun is continued after the time that an instance asks for, the deadline no longer begins anew with each connection, and endpoints that refuse at once are asked less and less often.

--- a/internal/client/call.go
+++ b/internal/client/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,14 +14,22 @@
 // CallResult is the end of a call.
 type CallResult struct {
 	Verdict     contract.Verdict
+	Message     string // what an instance says of a refusal, in one line
 	Status      int
 	ContentType string
 	Body        string
+	BodyOmitted bool // the answer comes from a record that keeps only the status
 }
 
 // Call sends a call once to one endpoint. An error means that the outcome is
 // not known here: the same key may be sent again.
 func (c *Client) Call(ctx context.Context, request contract.RequestID, service contract.ServiceID, call oas.CallRequest) (CallResult, error) {
+	wait := callTimeout
+	if deadline, set := call.DeadlineMs.Get(); set {
+		wait = time.Duration(deadline)*time.Millisecond + answerGrace
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
 	answer, err := c.Endpoint().Call(ctx, &call, oas.CallParams{
 		Workspace:      oas.Name(request.Workspace),
 		Service:        oas.Name(service),
@@ -29,17 +38,19 @@
 	if err != nil {
 		var refused *oas.ErrorStatusCodeWithHeaders
 		if errors.As(err, &refused) {
-			return CallResult{Verdict: api.ErrorVerdict(refused)}, nil
+			return CallResult{Verdict: api.ErrorVerdict(refused), Message: refused.Response.Message}, nil
 		}
 		return CallResult{}, err
 	}
 	return CallResult{
 		Verdict: contract.Verdict{
-			Outcome: contract.Outcome(answer.Outcome),
-			Reason:  contract.Reason(answer.Reason.Or("")),
+			Outcome:    contract.Outcome(answer.Outcome),
+			Reason:     contract.Reason(answer.Reason.Or("")),
+			RetryAfter: time.Duration(answer.RetryAfterMs.Or(0)) * time.Millisecond,
 		},
 		Status:      answer.Status.Or(0),
 		ContentType: answer.ContentType.Or(""),
 		Body:        answer.Body.Or(""),
+		BodyOmitted: answer.BodyOmitted.Or(false),
 	}, nil
 }
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -6,8 +6,10 @@
 package client
 
 import (
+	"context"
 	"net"
 	"net/http"
+	neturl "net/url"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +22,8 @@
 // Errors of the client.
 var (
 	ErrNoEndpoint = errors.New("no endpoint given")
+	// ErrEndpointInvalid reports an endpoint that is no base URL.
+	ErrEndpointInvalid = errors.New("endpoint must have the form http://address:port")
 	// ErrIncomplete reports a text whose count or checksum does not match.
 	ErrIncomplete = errors.New("answer is incomplete or damaged")
 	// ErrGaveUp reports that the deadline passed before a final answer came.
@@ -32,9 +36,20 @@
 	// although it is open. It leaves half of the 3 s in which output must go on
 	// to the reconnection.
 	idleTimeout = 3 * api.KeepAliveInterval
-	// reconnectPause keeps a caller from hammering a balancer whose instances
-	// are all unready.
-	reconnectPause = 100 * time.Millisecond
+	// firstAnswerTimeout is longer than the default time in the queue of an engine
+	// service (10 s), so that a queued request keeps its place.
+	firstAnswerTimeout = 12 * time.Second
+	maxAnswerTimeout   = time.Minute
+	// reconnectPause doubles up to maxReconnectPause while no event arrives, so
+	// that endpoints that refuse at once are not hammered.
+	reconnectPause    = 100 * time.Millisecond
+	maxReconnectPause = time.Second
+	maxDoublings      = 10
+	// answerGrace is how long the client waits for the final answer after the
+	// request's deadline.
+	answerGrace = 2 * time.Second
+	// callTimeout bounds a call that names no deadline.
+	callTimeout = 10 * time.Minute
 )
 
 // Client sends requests to the endpoints in turn.
@@ -49,12 +64,19 @@
 	if len(urls) == 0 {
 		return nil, ErrNoEndpoint
 	}
-	transport := &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableKeepAlives: true,
-	}
+	return newClient(urls, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+// dialFunc opens a connection to an endpoint.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newClient(urls []string, dial dialFunc) (*Client, error) {
+	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true}
 	c := &Client{}
 	for _, url := range urls {
+		if parsed, err := neturl.Parse(url); err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+			return nil, errors.Wrapf(ErrEndpointInvalid, "%q", url)
+		}
 		endpoint, err := oas.NewClient(url, oas.WithClient(&http.Client{Transport: transport}))
 		if err != nil {
 			return nil, errors.Wrapf(err, "endpoint %q", url)
@@ -69,3 +91,6 @@
 	n := c.next.Add(1) - 1
 	return c.endpoints[n%uint64(len(c.endpoints))]
 }
+
+// Endpoints returns how many endpoints there are.
+func (c *Client) Endpoints() int { return len(c.endpoints) }
--- a/internal/client/generation.go
+++ b/internal/client/generation.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +27,7 @@
 // GenerationResult is the end of a generation.
 type GenerationResult struct {
 	Verdict    contract.Verdict
+	Message    string // what an instance says of a refusal, in one line
 	Tokens     []string
 	Checksum   string
 	Reconnects int           // connections after the first one
@@ -42,73 +41,87 @@
 	result     GenerationResult
 	digester   *contract.Digester
 	locator    string
+	joined     bool // the current connection has begun with a start event
 	started    time.Time
 	lastToken  time.Time
-	finished   bool
+	finished   bool // result holds the final verdict
+
+	mayHaveRun bool             // an earlier submission may still run
+	refusal    contract.Verdict // of the last instance that could not say more
+	retryAfter time.Duration    // wait before the next connection, if an instance named one
+	failures   int              // connections since the last event
 }
 
 // Generate runs a generation to its final answer. It reconnects with the last
-// position when a connection fails or goes silent. A refusal with a time to
-// come back ends it: the caller decides whether to come back.
+// position when a connection fails or goes silent. A refusal of a generation
+// that never ran ends it: the caller decides whether to come back. With an
+// error the outcome is not known, unless no submission can have run.
 func (c *Client) Generate(ctx context.Context, generation Generation) (GenerationResult, error) {
-	run := &generationRun{
-		generation: generation,
-		digester:   contract.NewDigester(),
-		started:    time.Now(),
+	if generation.Deadline > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, generation.Deadline+answerGrace)
+		defer cancel()
 	}
+	run := &generationRun{generation: generation, digester: contract.NewDigester(), started: time.Now()}
 	for connection := 0; ; connection++ {
 		run.result.Reconnects = connection
 		err := run.connect(ctx, c.Endpoint())
-		if run.finished {
-			return run.result, err
-		}
-		if ctx.Err() != nil {
-			return run.result, errors.Mark(errors.Wrapf(ctx.Err(), "after %d tokens", run.digester.Tokens()), ErrGaveUp)
-		}
-		if errors.Is(err, ErrIncomplete) {
-			return run.result, err
+		switch {
+		case run.finished:
+			return run.result, nil
+		case errors.Is(err, ErrIncomplete):
+			return run.failed(err)
+		case ctx.Err() != nil:
+			return run.failed(run.gaveUp(err))
 		}
-		if err := pause(ctx, reconnectPause); err != nil {
-			return run.result, errors.Mark(err, ErrGaveUp)
+		if pause(ctx, run.nextPause()) != nil {
+			return run.failed(run.gaveUp(err))
 		}
 	}
 }
 
+// failed returns the result of a run without a final answer.
+func (r *generationRun) failed(err error) (GenerationResult, error) {
+	r.result.Verdict = contract.Verdict{Outcome: contract.Unknown}
+	if r.refusal.Outcome == contract.NotRun && !r.mayHaveRun {
+		r.result.Verdict = r.refusal
+	}
+	return r.result, err
+}
+
+func (r *generationRun) gaveUp(last error) error {
+	return errors.Wrapf(ErrGaveUp, "%d tokens received, last: %v", r.digester.Tokens(), last)
+}
+
+// nextPause returns how long to wait before the next connection: as long as an
+// instance asked for, else twice as long after each connection without an event.
+func (r *generationRun) nextPause() time.Duration {
+	wait := min(reconnectPause<<min(r.failures, maxDoublings), maxReconnectPause)
+	r.failures++
+	wait = max(wait, r.retryAfter)
+	r.retryAfter = 0
+	return wait
+}
+
 func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
-	case <-time.After(d):
+	case <-timer.C:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
-func (r *generationRun) connect(ctx context.Context, endpoint *oas.Client) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	answer, err := endpoint.StartGeneration(ctx, r.body(), oas.StartGenerationParams{
-		Workspace:      oas.Name(r.generation.Request.Workspace),
-		Service:        oas.Name(r.generation.Service),
-		IdempotencyKey: oas.Key(r.generation.Request.Key),
-	})
-	if err != nil {
-		return r.refused(err)
-	}
-	stream, ok := answer.(*oas.StartGenerationOKRawTextEventStream)
-	if !ok {
-		return errors.Newf("unexpected answer %T", answer)
-	}
-	defer stream.Response.Body.Close() //nolint:errcheck // the stream was read or is given up
-	return r.read(newIdleReader(stream.Response, cancel))
-}
-
 func (r *generationRun) body() *oas.GenerationRequest {
 	body := &oas.GenerationRequest{Prompt: r.generation.Prompt}
-	if r.generation.MaxTokens > 0 {
+	if r.generation.MaxTokens != 0 {
 		body.MaxTokens.SetTo(r.generation.MaxTokens)
 	}
 	if r.generation.Deadline > 0 {
-		body.DeadlineMs.SetTo(r.generation.Deadline.Milliseconds())
+		left := r.generation.Deadline - time.Since(r.started)
+		body.DeadlineMs.SetTo(max(left.Milliseconds(), 1))
 	}
 	body.Temperature.SetTo(r.generation.Temperature)
 	body.Seed.SetTo(int64(r.generation.Seed))
@@ -127,106 +140,49 @@
 	return contract.Position{Offset: r.digester.Tokens(), Digest: r.digester.Prefix()}
 }
 
-// refused handles an answer without a stream. A refusal is final; any other
-// error leads to another connection.
+// errNotFinal reports an answer after which the same request is to be sent again.
+var errNotFinal = errors.New("answer is not final")
+
+// refused handles an answer without a stream. An error that is not an
+// instance's refusal leads to another connection.
 func (r *generationRun) refused(err error) error {
 	var answer *oas.ErrorStatusCodeWithHeaders
 	if !errors.As(err, &answer) {
+		r.mayHaveRun = r.mayHaveRun || !neverSent(err)
 		return err
 	}
-	r.result.Verdict = api.ErrorVerdict(answer)
-	// An instance that is unready, or on its way out, says nothing about the
-	// others: the balancer leads the next connection elsewhere.
-	if r.result.Verdict.Reason == contract.ReasonUnconfirmed {
-		return err
-	}
-	r.finished = true
-	return nil
-}
-
-func (r *generationRun) read(body io.Reader) error {
-	for event, err := range api.ReadEvents(body) {
-		if err != nil {
-			return err
+	r.result.Message = answer.Response.Message
+	verdict := api.ErrorVerdict(answer)
+	switch verdict.Reason {
+	case contract.ReasonUnconfirmed:
+		// An instance that is unready says nothing about the others.
+		r.refusal = verdict
+		return errors.Wrap(errNotFinal, answer.Response.Message)
+	case contract.ReasonInProgress:
+		r.mayHaveRun = true
+		r.retryAfter = verdict.RetryAfter
+		return errors.Wrap(errNotFinal, answer.Response.Message)
+	}
+	return r.conclude(verdict)
+}
+
+// conclude ends the run with a verdict. One that says that this submission was
+// not run says nothing of the earlier ones: a text that has begun is continued
+// when the instance asks for it, else its outcome is not "not run".
+func (r *generationRun) conclude(verdict contract.Verdict) error {
+	hasText := r.digester.Tokens() > 0
+	if verdict.Outcome == contract.NotRun && (hasText || r.mayHaveRun) {
+		if hasText && verdict.RetryAfter > 0 {
+			r.retryAfter = verdict.RetryAfter
+			return errors.Wrapf(errNotFinal, "not continued: %s", verdict.Reason)
 		}
-		if err := r.apply(event); err != nil || r.finished {
-			return err
+		verdict.Outcome = contract.Unknown
+		if hasText {
+			verdict.Outcome = contract.Interrupted
 		}
 	}
-	return io.ErrUnexpectedEOF
-}
-
-func (r *generationRun) apply(event api.Event) error {
-	switch event.Type {
-	case api.EventStart:
-		if event.Start.Request != r.generation.Request {
-			return errors.Wrapf(ErrIncomplete, "answer to another request: %s", event.Start.Request)
-		}
-		r.locator = event.Start.Locator
-	case api.EventAttempt:
-		r.locator = event.Attempt.Locator
-	case api.EventToken:
-		return r.token(event)
-	case api.EventEnd:
-		return r.end(event.End)
-	}
-	return nil
-}
-
-func (r *generationRun) token(event api.Event) error {
-	offset := r.digester.Tokens()
-	r.digester.Add(event.Token.Text)
-	if event.Position != r.position() {
-		return errors.Wrapf(ErrIncomplete, "token at %s, expected %s", event.Position, r.position())
-	}
-	now := time.Now()
-	if offset == 0 {
-		r.result.FirstToken = now.Sub(r.started)
-	} else {
-		r.result.LongestGap = max(r.result.LongestGap, now.Sub(r.lastToken))
-	}
-	r.lastToken = now
-	r.result.Tokens = append(r.result.Tokens, event.Token.Text)
-	if r.generation.OnToken != nil {
-		r.generation.OnToken(contract.Token{Offset: offset, Text: event.Token.Text})
-	}
-	return nil
-}
-
-func (r *generationRun) end(end api.EndEvent) error {
-	r.finished = true
+	r.result.Verdict = verdict
 	r.result.Checksum = r.digester.Checksum()
-	r.result.Verdict = contract.Verdict{
-		Outcome:    end.Outcome,
-		Reason:     end.Reason,
-		RetryAfter: time.Duration(end.RetryAfterMS) * time.Millisecond,
-	}
-	if end.Outcome != contract.Completed {
-		return nil
-	}
-	if end.Count != r.digester.Tokens() || end.SHA256 != r.result.Checksum {
-		return errors.Wrapf(ErrIncomplete, "received %d tokens, the end says %d", r.digester.Tokens(), end.Count)
-	}
+	r.finished = true
 	return nil
 }
-
-// idleReader gives up a connection on which nothing arrives for idleTimeout.
-type idleReader struct {
-	body  io.Reader
-	timer *time.Timer
-}
-
-func newIdleReader(response *http.Response, giveUp func()) *idleReader {
-	return &idleReader{body: response.Body, timer: time.AfterFunc(idleTimeout, giveUp)}
-}
-
-// Read reads from the connection and restarts the idle time.
-func (r *idleReader) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
-	if err != nil {
-		r.timer.Stop()
-		return n, err
-	}
-	r.timer.Reset(idleTimeout)
-	return n, nil
-}
