Report each operator error in one line and bound what commands wait for

Unexpected arguments were ignored, so that 'drain http://x' stopped another instance; drain now takes exactly one endpoint, and drain -wait succeeds when the instance has exited. A refusal shows the instance's message, bad input exits with 2, and a lost answer names the key or patch identifier to send again.

--- a/internal/cli/command.go
+++ b/internal/cli/command.go
@@ -12,6 +12,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -50,9 +51,13 @@
 	name    string
 	usage   string // arguments after the flags
 	summary string
+	timeout time.Duration // of the whole command; 0: none, or the command's own
 	setup   func(flags *flag.FlagSet) runner
 }
 
+// operatorTimeout bounds commands that ask one instance once: it may be paused.
+const operatorTimeout = 30 * time.Second
+
 type runner func(ctx context.Context, env Environment, c *client.Client, args []string) (ExitCode, error)
 
 // errUsage marks errors of the arguments.
@@ -89,12 +94,15 @@
 	case errors.Is(err, flag.ErrHelp):
 		return ExitOK
 	case errors.Is(err, errUsage):
-		fmt.Fprintf(env.Stderr, "foxtailhub %s: %v\n", selected.name, err)
+		fmt.Fprintf(env.Stderr, "foxtailhub %s: %s (-h shows the usage)\n", selected.name, oneLine(err))
 		return ExitUsage
 	case err != nil:
 		fmt.Fprintf(env.Stderr, "foxtailhub %s: %v\n", selected.name, oneLine(err))
 		if code == ExitOK {
-			return ExitFailed
+			code = ExitFailed
+		}
+		if code == ExitFailed && badRequest(err) {
+			code = ExitUsage
 		}
 	}
 	return code
@@ -133,26 +141,39 @@
 
 func (c *command) execute(ctx context.Context, env Environment, args []string) (ExitCode, error) {
 	flags := flag.NewFlagSet("foxtailhub "+c.name, flag.ContinueOnError)
-	flags.SetOutput(env.Stderr)
-	endpoints := flags.String("endpoints", defaultEndpoints(), "comma-separated base URLs of instances or balancers; default from "+endpointsVariable)
+	flags.SetOutput(io.Discard) // Run prints errors in one line
+	endpoints := flags.String("endpoints", defaultEndpoints(),
+		"comma-separated base `URLs` of instances or balancers; "+endpointsVariable+" changes the default")
 	run := c.setup(flags)
-	flags.Usage = func() {
-		fmt.Fprintf(env.Stderr, "usage: foxtailhub %s [flags] %s\n%s\n", c.name, c.usage, c.summary)
-		flags.PrintDefaults()
-	}
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
+			c.printHelp(env.Stdout, flags)
 			return ExitOK, flag.ErrHelp
 		}
 		return ExitUsage, errors.Mark(err, errUsage)
 	}
+	if c.usage == "" && flags.NArg() > 0 {
+		return ExitUsage, usageError("unexpected argument %q", flags.Arg(0))
+	}
 	connection, err := client.New(splitList(*endpoints))
 	if err != nil {
-		return ExitUsage, errors.Mark(err, errUsage)
+		return ExitUsage, usageError("-endpoints: %v", err)
+	}
+	if c.timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.timeout)
+		defer cancel()
 	}
 	return run(ctx, env, connection, flags.Args())
 }
 
+func (c *command) printHelp(out io.Writer, flags *flag.FlagSet) {
+	fmt.Fprintln(out, strings.TrimSpace(fmt.Sprintf("usage: foxtailhub %s [flags] %s", c.name, c.usage)))
+	fmt.Fprintln(out, c.summary)
+	flags.SetOutput(out)
+	flags.PrintDefaults()
+}
+
 func defaultEndpoints() string {
 	if value := os.Getenv(endpointsVariable); value != "" {
 		return value
@@ -170,14 +191,33 @@
 	return items
 }
 
-// oneLine returns the message of an error in one line; an instance's own
-// message is taken out of the HTTP error.
+// decodePrefix is what the generated client puts before an instance's error.
+const decodePrefix = "decode response: error: "
+
+// oneLine returns the message of an error in one line; an HTTP error is
+// replaced by the message of the instance.
 func oneLine(err error) string {
+	text := err.Error()
 	var answer *oas.ErrorStatusCodeWithHeaders
 	if errors.As(err, &answer) {
-		return answer.Response.Message
+		text = strings.Replace(text, decodePrefix, "", 1)
+		text = strings.Replace(text, answer.Error(), answer.Response.Message, 1)
+	}
+	return strings.ReplaceAll(text, "\n", " ")
+}
+
+// badRequest reports whether an instance refused malformed input.
+func badRequest(err error) bool {
+	var answer *oas.ErrorStatusCodeWithHeaders
+	return errors.As(err, &answer) && answer.Response.Reason == string(contract.ReasonBadRequest)
+}
+
+// exitForVerdict maps the end of a request to an exit code.
+func exitForVerdict(verdict contract.Verdict) ExitCode {
+	if verdict.Reason == contract.ReasonBadRequest {
+		return ExitUsage
 	}
-	return strings.ReplaceAll(err.Error(), "\n", " ")
+	return exitFor(verdict.Outcome)
 }
 
 // exitFor maps the outcome of a request to an exit code.
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -27,6 +27,7 @@
 func configGetCommand() command {
 	return command{
 		name:    "config get",
+		timeout: operatorTimeout,
 		summary: "Prints the configuration in force, or an accepted version.",
 		setup: func(flags *flag.FlagSet) runner {
 			version := flags.Int64("version", currentVersion, "accepted version; default the one in force")
@@ -62,6 +63,7 @@
 func configPatchCommand() command {
 	return command{
 		name:    "config patch",
+		timeout: operatorTimeout,
 		usage:   "FILE|-",
 		summary: "Submits a JSON Merge Patch, or with -whole a whole document, against a version.",
 		setup: func(flags *flag.FlagSet) runner {
@@ -122,13 +124,23 @@
 		return 0, nil, err
 	}
 	patch, err := jsonpatch.CreateMergePatch(configuration.Document, document)
-	return configuration.Version, patch, err
+	if err != nil {
+		return 0, nil, usageError("the document: %v", err)
+	}
+	return configuration.Version, patch, nil
 }
 
 func submitPatch(ctx context.Context, env Environment, c *client.Client, request *oas.PatchRequest) (ExitCode, error) {
 	result, err := c.Endpoint().SubmitPatch(ctx, request)
+	var refused *oas.ErrorStatusCodeWithHeaders
+	if errors.As(err, &refused) && refused.Response.Outcome == oas.OutcomeNotRun {
+		if badRequest(err) {
+			return ExitUsage, err
+		}
+		return ExitNotRun, err
+	}
 	if err != nil {
-		return ExitUnknown, errors.Wrapf(err, "patch %s may have been accepted: submit it again with -id %s", request.PatchID, request.PatchID)
+		return ExitUnknown, errors.Wrapf(err, "patch %s may have been accepted: submit it again with -id %s: last error", request.PatchID, request.PatchID)
 	}
 	fmt.Fprintf(env.Stdout, "status=%s version=%d patch_id=%s\n", result.Status, result.Version, request.PatchID)
 	if message := result.Message.Or(""); message != "" {
@@ -151,6 +163,7 @@
 func configDiffCommand() command {
 	return command{
 		name:    "config diff",
+		timeout: operatorTimeout,
 		usage:   "FILE|-",
 		summary: "Prints the merge patch that leads from a version to the document in FILE.",
 		setup: func(flags *flag.FlagSet) runner {
@@ -174,6 +187,7 @@
 func configHistoryCommand() command {
 	return command{
 		name:    "config history",
+		timeout: operatorTimeout,
 		summary: "Lists accepted versions, newest first.",
 		setup: func(flags *flag.FlagSet) runner {
 			limit := flags.Int("limit", 20, "number of versions")
@@ -196,6 +210,8 @@
 // waitInterval is the time between two looks at the versions in force.
 const waitInterval = 200 * time.Millisecond
 
+const statusTimeout = 2 * time.Second
+
 func configWaitCommand() command {
 	return command{
 		name:    "config wait",
@@ -208,8 +224,8 @@
 					return ExitUsage, usageError("one argument is required: the version")
 				}
 				version, err := strconv.ParseInt(args[0], 10, 64)
-				if err != nil {
-					return ExitUsage, usageError("VERSION %q is not a number", args[0])
+				if err != nil || version < 0 {
+					return ExitUsage, usageError("VERSION %q is not a version", args[0])
 				}
 				ctx, cancel := context.WithTimeout(ctx, *timeout)
 				defer cancel()
@@ -222,7 +238,7 @@
 func waitForVersion(ctx context.Context, env Environment, c *client.Client, version int64) (ExitCode, error) {
 	var lagging []string
 	for {
-		status, err := c.Endpoint().GetStatus(ctx)
+		status, err := readStatus(ctx, c)
 		if err == nil {
 			lagging = laggards(status, version)
 			if len(lagging) == 0 {
@@ -234,11 +250,21 @@
 			for _, line := range lagging {
 				fmt.Fprintln(env.Stderr, line)
 			}
+			if err != nil && lagging == nil {
+				return ExitFailed, errors.Wrap(err, "status cannot be read")
+			}
 			return ExitFailed, errors.Newf("version %d is not in force everywhere", version)
 		}
 	}
 }
 
+// readStatus asks the next endpoint, with a bound: it may be paused.
+func readStatus(ctx context.Context, c *client.Client) (*oas.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	return c.Endpoint().GetStatus(ctx)
+}
+
 // laggards returns a line for each instance whose version is lower.
 func laggards(status *oas.Status, version int64) []string {
 	var lines []string
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -6,9 +6,12 @@
 	"flag"
 	"fmt"
 	"io"
+	"syscall"
 	"text/tabwriter"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"foxtailhub.example/foxtailhub/internal/api/oas"
 	"foxtailhub.example/foxtailhub/internal/client"
 )
@@ -16,6 +19,7 @@
 func statusCommand() command {
 	return command{
 		name:    "status",
+		timeout: operatorTimeout,
 		summary: "Shows what an instance knows: itself, its peers, the upstreams, quarantined contents.",
 		setup: func(flags *flag.FlagSet) runner {
 			asJSON := flags.Bool("json", false, "print JSON")
@@ -57,10 +61,11 @@
 func timelineCommand() command {
 	return command{
 		name:    "timeline",
+		timeout: operatorTimeout,
 		summary: "Shows recent events of all instances in causal order.",
 		setup: func(flags *flag.FlagSet) runner {
 			request := flags.String("request", "", "only events of this request, as workspace/key")
-			since := flags.Duration("since", time.Minute, "only events of the last so long")
+			since := flags.Duration("since", time.Minute, "only events of this last period")
 			local := flags.Bool("local", false, "only events of the instance that answers")
 			asJSON := flags.Bool("json", false, "print JSON")
 			return func(ctx context.Context, env Environment, c *client.Client, _ []string) (ExitCode, error) {
@@ -107,11 +112,15 @@
 func drainCommand() command {
 	return command{
 		name:    "drain",
-		summary: "Starts the graceful shutdown of one instance and shows what is left.",
+		summary: "Starts the graceful shutdown of the instance that -endpoints names and shows what is in progress there.",
 		setup: func(flags *flag.FlagSet) runner {
-			wait := flags.Bool("wait", false, "wait until nothing is left or the instance has exited")
+			wait := flags.Bool("wait", false, "wait until nothing is in progress or the instance has exited")
 			return func(ctx context.Context, env Environment, c *client.Client, _ []string) (ExitCode, error) {
+				if c.Endpoints() != 1 {
+					return ExitUsage, usageError("-endpoints must name one instance, the one to stop")
+				}
 				endpoint := c.Endpoint()
+				exited := false
 				status, err := endpoint.Drain(ctx)
 				for err == nil {
 					fmt.Fprintf(env.Stdout, "draining=%t generations=%d calls=%d\n", status.Draining, status.Generations, status.Calls)
@@ -122,6 +131,11 @@
 						return ExitFailed, err
 					}
 					status, err = endpoint.GetDrain(ctx)
+					exited = errors.Is(err, syscall.ECONNREFUSED)
+				}
+				if exited {
+					fmt.Fprintln(env.Stdout, "exited")
+					return ExitOK, nil
 				}
 				return ExitFailed, err
 			}
--- a/internal/cli/request.go
+++ b/internal/cli/request.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"foxtailhub.example/foxtailhub/internal/api/oas"
 	"foxtailhub.example/foxtailhub/internal/client"
 	"foxtailhub.example/foxtailhub/internal/contract"
@@ -34,6 +36,9 @@
 	if f.workspace == "" || f.service == "" {
 		return contract.RequestID{}, usageError("-workspace and -service are required")
 	}
+	if f.deadline < 0 || (f.deadline > 0 && f.deadline < time.Millisecond) {
+		return contract.RequestID{}, usageError("-deadline must be at least 1ms")
+	}
 	if f.key == "" {
 		f.key = contract.NewKey()
 	}
@@ -92,24 +97,19 @@
 	generation.OnToken = func(token contract.Token) {
 		fmt.Fprint(env.Stdout, token.Text)
 	}
-	if generation.Deadline > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, generation.Deadline)
-		defer cancel()
-	}
 	result, err := c.Generate(ctx, generation)
 	fmt.Fprintln(env.Stdout)
 	fmt.Fprintf(env.Stderr, "request=%s outcome=%s%s tokens=%d sha256=%s reconnects=%d first_token_ms=%d longest_gap_ms=%d\n",
-		generation.Request, result.Verdict.Outcome, verdictDetail(result.Verdict), len(result.Tokens), result.Checksum,
+		generation.Request, result.Verdict.Outcome, verdictDetail(result.Verdict, result.Message), len(result.Tokens), result.Checksum,
 		result.Reconnects, result.FirstToken.Milliseconds(), result.LongestGap.Milliseconds())
 	if err != nil {
 		return ExitFailed, err
 	}
-	return exitFor(result.Verdict.Outcome), nil
+	return exitForVerdict(result.Verdict), nil
 }
 
-// verdictDetail returns reason and time to come back as " key=value" pairs.
-func verdictDetail(verdict contract.Verdict) string {
+// verdictDetail returns reason, message and time to come back as " key=value" pairs.
+func verdictDetail(verdict contract.Verdict, message string) string {
 	var b strings.Builder
 	if verdict.Reason != "" {
 		fmt.Fprintf(&b, " reason=%s", verdict.Reason)
@@ -117,6 +117,9 @@
 	if verdict.RetryAfter > 0 {
 		fmt.Fprintf(&b, " retry_after_ms=%d", verdict.RetryAfter.Milliseconds())
 	}
+	if message != "" {
+		fmt.Fprintf(&b, " message=%q", message)
+	}
 	return b.String()
 }
 
@@ -148,13 +151,13 @@
 				}
 				result, err := c.Call(ctx, id, contract.ServiceID(request.service), call)
 				if err != nil {
-					return ExitUnknown, err
+					return ExitUnknown, errors.Wrapf(err, "the call may have run: ask again with -key %s: last error", id.Key)
 				}
 				if result.Body != "" {
 					fmt.Fprintln(env.Stdout, strings.TrimRight(result.Body, "\n"))
 				}
-				fmt.Fprintf(env.Stderr, "request=%s outcome=%s%s status=%d\n", id, result.Verdict.Outcome, verdictDetail(result.Verdict), result.Status)
-				return exitFor(result.Verdict.Outcome), nil
+				fmt.Fprintf(env.Stderr, "request=%s outcome=%s%s status=%d\n", id, result.Verdict.Outcome, verdictDetail(result.Verdict, result.Message), result.Status)
+				return exitForVerdict(result.Verdict), nil
 			}
 		},
 	}
