--- /dev/null
+++ b/internal/instance/handler_test.go
@@ -0,0 +1,111 @@
+package instance
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/api/oas"
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/generation"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+	"foxtailhub.example/foxtailhub/internal/upstream/upstreamtest"
+)
+
+func testDocument() configuration.Document {
+	return configuration.Document{
+		Services: map[contract.ServiceID]configuration.Service{
+			"guides": {Kind: configuration.KindEngine, Model: "m", ModelVersion: "1"},
+			"stock":  {Kind: configuration.KindService},
+		},
+		Workspaces: map[contract.WorkspaceID]configuration.Workspace{"shop-a": {}, "shop-b": {}},
+		Rules: map[string]configuration.Rule{
+			"r1": {Workspace: "shop-a", Service: "guides"}, "r2": {Workspace: "shop-a", Service: "stock"},
+		},
+	}
+}
+
+// newTestHandler returns a handler without engines in a state of its life.
+func newTestHandler(confirmed, draining bool) *handler {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	holder := configuration.NewHolder()
+	holder.Advance(&configuration.Snapshot{Version: 1, Document: testDocument()})
+	l := &life{draining: make(chan struct{})}
+	l.confirmation.Store(&configuration.Confirmation{Confirmed: confirmed})
+	if draining {
+		l.drainStart.Store(time.Now().UnixNano())
+	}
+	router := upstreamtest.NewFakeRouter()
+	return &handler{
+		log: log, source: holder, holder: holder, life: l, activity: &activity{}, metrics: newMetrics(),
+		events:   timeline.NewLog("i1", timeline.NewClock(), 16),
+		registry: generation.NewRegistry(generation.Config{Instance: "i1", Router: router, Dialer: router}),
+	}
+}
+
+// Guards against an answer that differs from docs/api.md: callers act on status,
+// outcome and reason, and on the named path.
+func TestRefusals(t *testing.T) {
+	const (
+		ready = iota
+		unconfirmed
+		draining
+	)
+	guides := "/v1/workspaces/shop-a/services/guides/generations"
+	stock := "/v1/workspaces/shop-a/services/stock/calls"
+	fresh := `{"prompt":"p","deadline_ms":1}`
+	resumed := `{"prompt":"p","resume":{"position":"1-0123456789abcdef"}}`
+	for _, c := range []struct {
+		state  int
+		method string
+		path   string
+		body   string
+		status int
+		parts  string // of the answer, separated by |
+	}{
+		{ready, "POST", guides, `{"prompt":"p","resume":{"position":"1-xyz"}}`, 400, "not_run|bad_request|resume.position: "},
+		{ready, "GET", guides + "/k", "1-xyz", 400, "not_run|bad_request|Last-Event-ID: "},
+		{ready, "POST", guides, `{"prompt":""}`, 400, "not_run|bad_request|prompt"},
+		{ready, "POST", guides, `{"prompt":"p","other":1}`, 400, "not_run|bad_request|other"},
+		{ready, "POST", stock, `{"path":"x"}`, 400, "not_run|bad_request|path"},
+		{ready, "POST", strings.Replace(guides, "shop-a", "shop-c", 1), fresh, 404, "not_run|unknown_workspace"},
+		{ready, "POST", strings.Replace(guides, "guides", "none", 1), fresh, 404, "not_run|unknown_service"},
+		{ready, "GET", strings.Replace(guides, "shop-a", "shop-c", 1) + "/k", "", 404, "not_run|unknown_workspace"},
+		{ready, "POST", strings.Replace(stock, "stock", "guides", 1), `{}`, 404, "not_run|unknown_service"},
+		{ready, "GET", guides + "/k", "1-0123456789abcdef", 409, "interrupted|not_held"},
+		{ready, "POST", guides, resumed, 409, "interrupted|not_held"},
+		{unconfirmed, "POST", guides, fresh, 503, "not_run|unconfirmed|retry_after_ms"},
+		{unconfirmed, "POST", stock, `{}`, 503, "not_run|unconfirmed|retry_after_ms"},
+		{unconfirmed, "POST", strings.Replace(guides, "shop-a", "shop-c", 1), fresh, 503, "not_run|unconfirmed"},
+		{unconfirmed, "POST", guides, resumed, 409, "interrupted|not_held"}, // a text that has begun is not turned away
+		{draining, "POST", guides, fresh, 409, "not_run|version_gone"},      // served: refused for want of an engine only
+	} {
+		t.Run(c.method+c.path+c.body, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newTestHandler(c.state != unconfirmed, c.state == draining)
+			server, err := oas.NewServer(h, h, oas.WithErrorHandler(writeDecodeError))
+			g.Expect(err).NotTo(HaveOccurred())
+			request := httptest.NewRequest(c.method, c.path, strings.NewReader(c.body))
+			request.Header.Set("Content-Type", "application/json")
+			request.Header.Set("Idempotency-Key", "k")
+			if c.method == http.MethodGet && c.body != "" {
+				request.Header.Set("Last-Event-ID", c.body)
+			}
+			answer := httptest.NewRecorder()
+			server.ServeHTTP(answer, request)
+			g.Expect(answer.Code).To(Equal(c.status), answer.Body.String())
+			for part := range strings.SplitSeq(c.parts, "|") {
+				g.Expect(answer.Body.String()).To(ContainSubstring(part))
+			}
+			g.Expect(h.activity.generations.Load() + h.activity.calls.Load()).To(BeZero())
+		})
+	}
+}
--- a/internal/instance/message.go
+++ b/internal/instance/message.go
@@ -19,7 +19,7 @@
 	contract.ReasonQuarantined:     "this content has crashed several upstreams and is refused",
 	contract.ReasonDeadline:        "the deadline has passed",
 	contract.ReasonPrefixMismatch:  "the text received so far is not that of the generation; send it in resume.received",
-	contract.ReasonVersionGone:     "no engine serves the model version that the generation began with",
+	contract.ReasonVersionGone:     "no engine serves the required model version",
 	contract.ReasonKeyExpired:      "the idempotency key is older than the retention time of records",
 	contract.ReasonKeyNoTime:       contract.ErrKeyNoTime.Error(),
 	contract.ReasonMismatch:        "the idempotency key was used for another request",
--- /dev/null
+++ b/internal/instance/pure_test.go
@@ -0,0 +1,110 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	dto "github.com/prometheus/client_model/go"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/generation"
+)
+
+// Guards against an instance that admits work too early or leaves its drain.
+func TestLifeState(t *testing.T) {
+	g := NewWithT(t)
+	for _, confirmed := range []bool{false, true} {
+		g.Expect(lifeState(false, false, confirmed)).To(Equal(StateStarting))
+		g.Expect(lifeState(true, confirmed, confirmed)).To(Equal(StateDraining))
+	}
+	g.Expect(lifeState(false, true, false)).To(Equal(StateUnready))
+	g.Expect(lifeState(false, true, true)).To(Equal(StateReady))
+}
+
+// Guards against an exit that cuts off a request which runs or still arrives.
+func TestMayExit(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(1000, 0)
+	quiet := drainView{startedAt: start, lastRequest: start.Add(-time.Hour), linger: 5 * time.Second}
+	g.Expect(mayExit(start.Add(5*time.Second-1), quiet)).To(BeFalse())
+	g.Expect(mayExit(start.Add(5*time.Second), quiet)).To(BeTrue())
+	late := quiet
+	late.lastRequest = start.Add(3 * time.Second)
+	g.Expect(mayExit(start.Add(8*time.Second-1), late)).To(BeFalse())
+	g.Expect(mayExit(start.Add(8*time.Second), late)).To(BeTrue())
+	for _, busy := range []drainView{{startedAt: start, active: 1}, {startedAt: start, held: 1}} {
+		g.Expect(mayExit(start.Add(24*time.Hour), busy)).To(BeFalse())
+	}
+}
+
+// Guards against a workspace that uses a service without a rule, or a plain
+// service as an engine.
+func TestFindRule(t *testing.T) {
+	document := testDocument()
+	for _, c := range []struct {
+		workspace contract.WorkspaceID
+		service   contract.ServiceID
+		kind      configuration.Kind
+		reason    contract.Reason
+	}{
+		{"shop-a", "guides", configuration.KindEngine, ""},
+		{"shop-a", "stock", configuration.KindService, ""},
+		{"shop-a", "stock", configuration.KindEngine, contract.ReasonUnknownService},
+		{"shop-a", "none", configuration.KindEngine, contract.ReasonUnknownService},
+		{"shop-b", "guides", configuration.KindEngine, contract.ReasonUnknownService},
+		{"shop-c", "guides", configuration.KindEngine, contract.ReasonUnknownSpace},
+	} {
+		g := NewWithT(t)
+		_, verdict, ok := findRule(&document, c.workspace, c.service, c.kind)
+		g.Expect(ok).To(Equal(c.reason == ""))
+		g.Expect(verdict.Reason).To(Equal(c.reason))
+		if !ok {
+			g.Expect(verdict.Outcome).To(Equal(contract.NotRun))
+		}
+	}
+}
+
+// Guards against changes that a peer never gets: a lost heartbeat or a restart
+// of the peer must lead to a full digest.
+func TestDigestProgress(t *testing.T) {
+	g := NewWithT(t)
+	s := newUpstreamSection(nil)
+	now := time.Unix(1000, 0)
+	s.settled("b", true) // not begun: no effect
+	g.Expect(s.begin("b", now)).To(BeZero())
+	s.peers["b"].sent = 7
+	g.Expect(s.begin("b", now)).To(BeZero(), "sent is not acknowledged")
+	s.settled("b", true)
+	g.Expect(s.begin("b", now)).To(BeEquivalentTo(7))
+	g.Expect(s.begin("c", now)).To(BeZero(), "peers are independent")
+	s.settled("b", false)
+	g.Expect(s.begin("b", now)).To(BeZero())
+	s.settled("b", true)
+	g.Expect(s.begin("b", now.Add(fullDigestInterval-1))).To(BeEquivalentTo(7))
+	g.Expect(s.begin("b", now.Add(fullDigestInterval))).To(BeZero())
+}
+
+// Guards against a resume latency that counts ordinary gaps or hides a move.
+func TestPace(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	p := &pace{metrics: newMetrics(), start: now}
+	for _, step := range []struct {
+		after time.Duration
+		kind  generation.EventKind
+	}{
+		{0, generation.EventStart}, {2 * time.Second, generation.EventToken}, {time.Second, generation.EventToken},
+		{time.Second, generation.EventAttempt}, {2 * time.Second, generation.EventToken}, {time.Second, generation.EventToken},
+		{0, generation.EventEnd},
+	} {
+		now = now.Add(step.after)
+		p.observe(generation.Event{Kind: step.kind}, now)
+	}
+	var first, resume dto.Metric
+	g.Expect(p.metrics.firstToken.Write(&first)).To(Succeed())
+	g.Expect(p.metrics.resume.Write(&resume)).To(Succeed())
+	g.Expect([]float64{float64(first.Histogram.GetSampleCount()), first.Histogram.GetSampleSum()}).To(Equal([]float64{1, 2}))
+	g.Expect([]float64{float64(resume.Histogram.GetSampleCount()), resume.Histogram.GetSampleSum()}).To(Equal([]float64{1, 3}))
+}
--- /dev/null
+++ b/internal/instance/stream_test.go
@@ -0,0 +1,55 @@
+package instance
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/api"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/generation"
+)
+
+// play returns a subscription that yields events at an interval.
+func play(interval time.Duration, events ...generation.Event) *generation.Subscription {
+	return generation.NewSubscription(func(ctx context.Context) (generation.Event, error) {
+		if len(events) == 0 {
+			<-ctx.Done()
+			return generation.Event{}, ctx.Err()
+		}
+		time.Sleep(interval)
+		next := events[0]
+		events = events[1:]
+		return next, nil
+	}, func() {})
+}
+
+// Guards against a stream without keep-alives, which callers take for dead.
+func TestStreamKeepsTheConnectionAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		token := generation.Event{Kind: generation.EventToken, Text: "a", Position: contract.Position{Offset: 1, Digest: contract.DigestOf([]string{"a"})}}
+		start := generation.Event{Kind: generation.EventStart, Position: contract.Start()}
+		end := generation.Event{Kind: generation.EventEnd, Count: 1, Verdict: contract.Verdict{Outcome: contract.Completed}}
+		recorder := httptest.NewRecorder()
+		interval := 2*api.KeepAliveInterval + time.Millisecond
+		err := newTestHandler(true, false).stream(t.Context(), recorder, contract.RequestID{}, play(interval, start, token, end))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(recorder.Body.String()).To(MatchRegexp(`(?s)^.*event: start\n.*\n\n:\n\n:\n\n.*event: token\n.*\n\n:\n\n:\n\n.*event: end\n.*$`))
+	})
+}
+
+// Guards against "not run" for a generation that may run at its holder.
+func TestBrokenRelayIsNotCalledNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		broken := play(0, generation.Event{Kind: generation.EventBroken})
+		err := newTestHandler(true, false).stream(t.Context(), httptest.NewRecorder(), contract.RequestID{}, broken)
+		g.Expect(err).To(MatchError(ContainSubstring("in_progress")))
+		g.Expect(err).To(MatchError(And(ContainSubstring("unknown"), Not(ContainSubstring("not_run")))))
+	})
+}
