--- a/internal/instance/message.go
+++ b/internal/instance/message.go
@@ -19,7 +19,7 @@
 	contract.ReasonQuarantined:     "this content has crashed several upstreams and is refused",
 	contract.ReasonDeadline:        "the deadline has passed",
 	contract.ReasonPrefixMismatch:  "the text received so far is not that of the generation; send it in resume.received",
-	contract.ReasonVersionGone:     "no engine serves the model version that the generation began with",
+	contract.ReasonVersionGone:     "no engine serves the required model version",
 	contract.ReasonKeyExpired:      "the idempotency key is older than the retention time of records",
 	contract.ReasonKeyNoTime:       contract.ErrKeyNoTime.Error(),
 	contract.ReasonMismatch:        "the idempotency key was used for another request",
@@ -29,7 +29,8 @@
 	contract.ReasonUnknownService:  "service: no rule lets this workspace use such a service",
 	contract.ReasonUnknownSpace:    "workspace: not in the configuration",
 	contract.ReasonAttempts:        "too many attempts failed",
-	reasonBadPosition:              "resume.position: " + contract.ErrPositionInvalid.Error(),
+	contract.ReasonNotHeld:         "the text before the position is not held here; send it in resume.received",
+	contract.ReasonAbandoned:       "no caller was connected for the grace time",
 }
 
 func refusalMessage(verdict contract.Verdict) string {
