Name the bad value of a request in one line and list quarantined contents

Messages of the generated decoder named Go types and callbacks, and a bad resume.position was answered with 503. The tool printed no message for a refused request and ended with 3, not 2, on a wrong value. The status listed no quarantined contents.

--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -29,6 +29,8 @@
 	contract.ReasonDeadline:        http.StatusGatewayTimeout,
 	contract.ReasonUnknownService:  http.StatusNotFound,
 	contract.ReasonUnknownSpace:    http.StatusNotFound,
+	contract.ReasonBadRequest:      http.StatusBadRequest,
+	contract.ReasonBadPosition:     http.StatusBadRequest,
 }
 
 // VerdictError returns the HTTP error for a verdict without an answer.
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -52,11 +52,18 @@
 		fmt.Fprintln(w, "\nCONTENT\tDEATHS\tQUARANTINED\tUNTIL")
 	}
 	for _, q := range s.Quarantined {
-		fmt.Fprintf(w, "%s\t%d\t%t\t%s\n", q.Content, q.Deaths, q.Quarantined, q.Until.Or(time.Time{}).Format(time.RFC3339))
+		fmt.Fprintf(w, "%s\t%d\t%t\t%s\n", q.Content, q.Deaths, q.Quarantined, untilText(q.Until))
 	}
 	return w.Flush()
 }
 
+func untilText(until oas.OptDateTime) string {
+	if at, set := until.Get(); set {
+		return at.UTC().Format(time.RFC3339)
+	}
+	return "-"
+}
+
 func timelineCommand() command {
 	return command{
 		name:    "timeline",
--- a/internal/cli/request.go
+++ b/internal/cli/request.go
@@ -105,7 +105,19 @@
 	if err != nil {
 		return ExitFailed, err
 	}
-	return exitFor(result.Verdict.Outcome), nil
+	return refusal(env, result.Verdict, result.Message), nil
+}
+
+// refusal prints the message of a refusal and returns the exit code.
+func refusal(env Environment, verdict contract.Verdict, message string) ExitCode {
+	if verdict.Outcome == contract.Completed || message == "" {
+		return exitFor(verdict.Outcome)
+	}
+	fmt.Fprintln(env.Stderr, message)
+	if verdict.Reason == contract.ReasonBadRequest {
+		return ExitUsage
+	}
+	return exitFor(verdict.Outcome)
 }
 
 // verdictDetail returns reason and time to come back as " key=value" pairs.
@@ -154,7 +166,7 @@
 					fmt.Fprintln(env.Stdout, strings.TrimRight(result.Body, "\n"))
 				}
 				fmt.Fprintf(env.Stderr, "request=%s outcome=%s%s status=%d\n", id, result.Verdict.Outcome, verdictDetail(result.Verdict), result.Status)
-				return exitFor(result.Verdict.Outcome), nil
+				return refusal(env, result.Verdict, result.Message), nil
 			}
 		},
 	}
--- a/internal/client/call.go
+++ b/internal/client/call.go
@@ -13,6 +13,7 @@
 // CallResult is the end of a call.
 type CallResult struct {
 	Verdict     contract.Verdict
+	Message     string // one line on a refusal
 	Status      int
 	ContentType string
 	Body        string
@@ -29,7 +30,7 @@
 	if err != nil {
 		var refused *oas.ErrorStatusCodeWithHeaders
 		if errors.As(err, &refused) {
-			return CallResult{Verdict: api.ErrorVerdict(refused)}, nil
+			return CallResult{Verdict: api.ErrorVerdict(refused), Message: refused.Response.Message}, nil
 		}
 		return CallResult{}, err
 	}
--- a/internal/client/generation.go
+++ b/internal/client/generation.go
@@ -29,6 +29,7 @@
 // GenerationResult is the end of a generation.
 type GenerationResult struct {
 	Verdict    contract.Verdict
+	Message    string // one line on a refusal
 	Tokens     []string
 	Checksum   string
 	Reconnects int           // connections after the first one
@@ -135,6 +136,7 @@
 		return err
 	}
 	r.result.Verdict = api.ErrorVerdict(answer)
+	r.result.Message = answer.Response.Message
 	// An instance that is unready, or on its way out, says nothing about the
 	// others: the balancer leads the next connection elsewhere.
 	if r.result.Verdict.Reason == contract.ReasonUnconfirmed {
--- a/internal/contract/outcome.go
+++ b/internal/contract/outcome.go
@@ -41,6 +41,8 @@
 	ReasonUpstreamRefused Reason = "upstream_refused" // the upstream refused before running
 	ReasonUnknownService  Reason = "unknown_service"  // the configuration has no such service
 	ReasonUnknownSpace    Reason = "unknown_workspace"
+	ReasonBadRequest      Reason = "bad_request"        // a value of the request is missing or wrong
+	ReasonBadPosition     Reason = "bad_position"       // the position of a resumption cannot be parsed
 	ReasonAttempts        Reason = "attempts_exhausted" // the retry budget or the attempt limit is used up
 	ReasonNotHeld         Reason = "not_held"           // the text before the caller's position is not held anywhere
 	ReasonAbandoned       Reason = "abandoned"          // no caller was connected for the grace time
--- /dev/null
+++ b/internal/instance/decode.go
@@ -0,0 +1,134 @@
+package instance
+
+import (
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/ogen-go/ogen/ogenerrors"
+	"github.com/ogen-go/ogen/validate"
+
+	"foxtailhub.example/foxtailhub/internal/api/oas"
+)
+
+// The generated decoder reports errors as text that names Go types and
+// functions. These are the parts of it that a caller needs.
+var (
+	fieldOf    = regexp.MustCompile(`decode field "([^"]+)"`)
+	unknownOf  = regexp.MustCompile(`unexpected field "([^"]+)"`)
+	invalidOf  = regexp.MustCompile(`invalid: (\S+) \((.*)\)$`)
+	lowerBound = regexp.MustCompile(`value \S+ less than (\S+)$`)
+	upperBound = regexp.MustCompile(`value \S+ greater than (\S+)$`)
+	leastSize  = regexp.MustCompile(`len \d+ less than minimum (\d+)$`)
+	mostSize   = regexp.MustCompile(`len \d+ greater than maximum (\d+)$`)
+	patternOf  = regexp.MustCompile(`no regex match: (.*)$`)
+)
+
+// fieldTypes are the types of the interface's fields, for a value of another type.
+var fieldTypes = map[string]string{
+	"prompt": "string", "max_tokens": "integer", "deadline_ms": "integer", "temperature": "number", "seed": "integer",
+	"resume": "object", "resume.position": "string", "resume.locator": "string", "resume.received": "array of strings",
+	"method": "string", "path": "string", "body": "string",
+	"patch_id": "string", "base_version": "integer", "dry_run": "boolean",
+}
+
+// decodeMessage returns one line with the path of the bad value and the reason.
+func decodeMessage(err error) string {
+	var parameter *ogenerrors.DecodeParamError
+	if errors.As(err, &parameter) {
+		return parameter.Name + ": " + parameterReason(parameter.Err)
+	}
+	var contentType *validate.InvalidContentTypeError
+	if errors.As(err, &contentType) {
+		return "Content-Type: must be application/json"
+	}
+	var body *ogenerrors.DecodeRequestError
+	if errors.As(err, &body) {
+		err = body.Err
+	}
+	return bodyMessage(strings.ReplaceAll(err.Error(), "\n", " "))
+}
+
+func parameterReason(err error) string {
+	if errors.Is(err, strconv.ErrSyntax) || errors.Is(err, strconv.ErrRange) {
+		return "must be of type integer"
+	}
+	text := err.Error()
+	if m := invalidOf.FindStringSubmatch(text); m != nil {
+		text = m[2]
+	}
+	return reason("", text)
+}
+
+// bodyMessage translates the decoder's text on a request body.
+func bodyMessage(text string) string {
+	var path []string
+	for _, m := range fieldOf.FindAllStringSubmatch(text, -1) {
+		path = append(path, m[1])
+	}
+	if m := unknownOf.FindStringSubmatch(text); m != nil {
+		return strings.Join(append(path, m[1]), ".") + ": is not a known field"
+	}
+	if m := invalidOf.FindStringSubmatch(text); m != nil {
+		field := strings.Join(append(path, m[1]), ".")
+		return field + ": " + reason(field, m[2])
+	}
+	field := strings.Join(path, ".")
+	switch {
+	case strings.HasSuffix(text, "body required"):
+		return "request body: is required"
+	case strings.Contains(text, "value out of range"):
+		return field + ": is out of range"
+	case strings.HasSuffix(text, "EOF"):
+		return "request body: is not valid JSON"
+	case fieldTypes[field] != "":
+		return field + ": must be of type " + fieldTypes[field]
+	case strings.Contains(text, `"{" expected`):
+		return "request body: must be a JSON object"
+	}
+	return "request body: is not valid JSON"
+}
+
+// reason translates the decoder's text on one value.
+func reason(field, text string) string {
+	for _, rule := range []struct {
+		form   *regexp.Regexp
+		prefix string
+		suffix string
+	}{
+		{lowerBound, "must be at least ", ""},
+		{upperBound, "must be at most ", ""},
+		{leastSize, "must have at least ", " characters"},
+		{mostSize, "must have at most ", " characters"},
+		{patternOf, "must match ", ""},
+	} {
+		if m := rule.form.FindStringSubmatch(text); m != nil {
+			return rule.prefix + plainNumber(m[1]) + rule.suffix
+		}
+	}
+	switch {
+	case text == validate.ErrFieldRequired.Error():
+		return "is required"
+	case field == "method":
+		return "must be one of " + methods()
+	default:
+		return "is not valid"
+	}
+}
+
+// plainNumber drops the zeros of a number with decimals, as in 2.000000.
+func plainNumber(text string) string {
+	if f, err := strconv.ParseFloat(text, 64); err == nil {
+		return strconv.FormatFloat(f, 'f', -1, 64)
+	}
+	return text
+}
+
+func methods() string {
+	var names []string
+	for _, method := range oas.CallRequestMethod("").AllValues() {
+		names = append(names, string(method))
+	}
+	return strings.Join(names, ", ")
+}
--- a/internal/instance/generations.go
+++ b/internal/instance/generations.go
@@ -113,7 +113,7 @@
 	}
 	position, err := contract.ParsePosition(resume.Position)
 	if err != nil {
-		return request, contract.Verdict{Outcome: contract.NotRun, Reason: reasonBadPosition}, false
+		return request, contract.Verdict{Outcome: contract.NotRun, Reason: contract.ReasonBadPosition}, false
 	}
 	request.Resume = &generation.Resume{Position: position, Locator: resume.Locator.Or(""), Received: resume.Received}
 	return request, contract.Verdict{}, true
--- a/internal/instance/handler.go
+++ b/internal/instance/handler.go
@@ -20,9 +20,6 @@
 	"foxtailhub.example/foxtailhub/internal/upstream"
 )
 
-// reasonBadPosition is the reason for a position that cannot be parsed.
-const reasonBadPosition contract.Reason = "bad_position"
-
 // handler serves the operations of the HTTP interface.
 type handler struct {
 	log        logrus.FieldLogger
@@ -68,14 +65,14 @@
 func badRequest(path string, err error) error {
 	return &oas.ErrorStatusCodeWithHeaders{
 		StatusCode: http.StatusBadRequest,
-		Response:   oas.Error{Outcome: oas.OutcomeNotRun, Reason: "bad_request", Message: path + ": " + err.Error()},
+		Response:   oas.Error{Outcome: oas.OutcomeNotRun, Reason: string(contract.ReasonBadRequest), Message: path + ": " + err.Error()},
 	}
 }
 
 // writeDecodeError answers requests that do not match the interface's schema.
 func writeDecodeError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
 	status := ogenerrors.ErrorCode(err)
-	answer := oas.Error{Outcome: oas.OutcomeNotRun, Reason: "bad_request", Message: decodeMessage(err)}
+	answer := oas.Error{Outcome: oas.OutcomeNotRun, Reason: string(contract.ReasonBadRequest), Message: decodeMessage(err)}
 	data, encodeErr := answer.MarshalJSON()
 	if encodeErr != nil {
 		http.Error(w, "bad request", status)
--- a/internal/instance/message.go
+++ b/internal/instance/message.go
@@ -1,11 +1,6 @@
 package instance
 
 import (
-	"strings"
-
-	"github.com/cockroachdb/errors"
-	"github.com/ogen-go/ogen/ogenerrors"
-
 	"foxtailhub.example/foxtailhub/internal/contract"
 )
 
@@ -29,7 +24,7 @@
 	contract.ReasonUnknownService:  "service: no rule lets this workspace use such a service",
 	contract.ReasonUnknownSpace:    "workspace: not in the configuration",
 	contract.ReasonAttempts:        "too many attempts failed",
-	reasonBadPosition:              "resume.position: " + contract.ErrPositionInvalid.Error(),
+	contract.ReasonBadPosition:     "resume.position: " + contract.ErrPositionInvalid.Error(),
 }
 
 func refusalMessage(verdict contract.Verdict) string {
@@ -38,17 +33,3 @@
 	}
 	return string(verdict.Reason)
 }
-
-// decodeMessage returns one line with the path of the bad value. The wrapping
-// layers of the decoder name Go functions and are left out.
-func decodeMessage(err error) string {
-	var decode *ogenerrors.DecodeRequestError
-	if errors.As(err, &decode) {
-		err = decode.Err
-	}
-	var params *ogenerrors.DecodeParamsError
-	if errors.As(err, &params) {
-		err = params.Err
-	}
-	return strings.ReplaceAll(err.Error(), "\n", " ")
-}
--- a/internal/instance/operator.go
+++ b/internal/instance/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -117,9 +118,25 @@
 			Upstream: string(u.ID), FailureDomain: string(u.FailureDomain), State: string(u.State), Running: u.Running, Slots: u.Slots,
 		})
 	}
+	status.Quarantined = append(status.Quarantined, h.suspicions()...)
 	return status, nil
 }
 
+// suspicions returns the contents that crashed upstreams.
+func (h *handler) suspicions() []oas.QuarantineStatus {
+	var all []oas.QuarantineStatus
+	for _, s := range h.upstreams.Suspicions() {
+		listed := oas.QuarantineStatus{
+			Content: fmt.Sprintf("%x", s.Content), Deaths: s.Standing.Deaths, Quarantined: s.Standing.Quarantined,
+		}
+		if s.Standing.Quarantined {
+			listed.Until.SetTo(s.Standing.Until)
+		}
+		all = append(all, listed)
+	}
+	return all
+}
+
 // GetTimeline serves GET /v1/timeline.
 func (h *handler) GetTimeline(ctx context.Context, params oas.GetTimelineParams) (*oas.Timeline, error) {
 	query := timeline.Query{SinceMS: time.Now().Add(-milliseconds(params.SinceMs.Or(60_000))).UnixMilli()}
--- a/internal/upstream/status.go
+++ b/internal/upstream/status.go
@@ -54,6 +54,25 @@
 	return all
 }
 
+// Suspicion is what operators see of one content that crashed upstreams.
+type Suspicion struct {
+	Content  ContentKey
+	Standing Standing
+}
+
+// Suspicions returns the contents with deaths that count, sorted by content.
+func (u *Upstreams) Suspicions() []Suspicion {
+	now := u.config.Now()
+	var all []Suspicion
+	for content, judgement := range u.current().judgements {
+		if standing := judgement.Standing(now); standing.Deaths > 0 || standing.Quarantined {
+			all = append(all, Suspicion{Content: content, Standing: standing})
+		}
+	}
+	slices.SortFunc(all, func(a, b Suspicion) int { return compareContents(a.Content, b.Content) })
+	return all
+}
+
 // QuarantinedContents returns how many contents are quarantined now.
 func (u *Upstreams) QuarantinedContents() int {
 	now, count := u.config.Now(), 0
