--- a/internal/configuration/acceptor.go
+++ b/internal/configuration/acceptor.go
@@ -147,11 +147,10 @@
 	return s.commit(ctx, revision, next)
 }
 
-// prepare checks what must hold before a commit and builds the next version.
+// prepare checks what must hold before a commit and builds the next version. A
+// patch that can never be accepted is invalid at each instance, also at one that
+// may not accept patches now.
 func (s *submission) prepare(ctx context.Context) (*Snapshot, Result, bool) {
-	if ok, reason := s.acceptor.cfg.MayAccept(); !ok {
-		return nil, s.notSettled(errors.Newf("this instance may not accept patches now: %s", reason)), false
-	}
 	base, err := s.base(ctx)
 	if err != nil {
 		return nil, s.notSettled(err), false
@@ -160,6 +159,9 @@
 	if err != nil {
 		return nil, invalid(s.patch, err), false
 	}
+	if ok, reason := s.acceptor.cfg.MayAccept(); !ok {
+		return nil, s.notSettled(errors.Newf("this instance may not accept patches now: %s", reason)), false
+	}
 	next := &Snapshot{Version: s.patch.Base + 1, PatchID: s.patch.ID, Accepted: time.Now().UTC(), Document: document}
 	return next, Result{}, true
 }
--- a/internal/configuration/document_test.go
+++ b/internal/configuration/document_test.go
@@ -146,6 +146,21 @@
 	g.Expect(err).To(MatchError("configuration version 3 was asked for, got version 4"))
 }
 
+// Guards against an operator who is told to come back with a patch that can never
+// be accepted, and against acceptance without a majority.
+func TestInvalidPatchIsNamedWithoutMajority(t *testing.T) {
+	g := NewWithT(t)
+	acceptor := configuration.NewAcceptor(configuration.AcceptorConfig{
+		Store: configuration.NewStore(newFakeTable()), Holder: configuration.NewHolder(), Log: quietLog(),
+		MayAccept: func() (bool, string) { return false, "no majority" },
+	})
+	bad := configuration.Patch{ID: "bad", Body: []byte(`{"service":{}}`)}
+	result := acceptor.Submit(t.Context(), bad)
+	g.Expect(result.Status).To(Equal(configuration.StatusInvalid))
+	g.Expect(result.Message).To(ContainSubstring("service: is not a known field"))
+	g.Expect(acceptor.Submit(t.Context(), workspacePatch("good", 0, "w")).Status).To(Equal(configuration.StatusUnavailable))
+}
+
 // Guards against a panic, a refusal of several lines, a result that the schema
 // refuses when it is read again, and a difference from the library's merge.
 func FuzzPatch(f *testing.F) {
