--- a/internal/e2e/quarantine_test.go
+++ b/internal/e2e/quarantine_test.go
@@ -122,6 +122,7 @@
 		w.Expect(result.Verdict.Reason).To(Equal(contract.ReasonQuarantined))
 		w.Expect(result.Verdict.RetryAfter).To(BeNumerically(">", 0))
 		w.Expect(took).To(BeNumerically("<", usualRefusal))
+		w.Expect(w.tool(i, "", "status").stdout).To(MatchRegexp(`\nCONTENT[^\n]*\n(.*\n)*[0-9a-f]{32} +3 +true +20`))
 	}
 }
 
