--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -65,6 +65,7 @@
 	binaries  string
 	settings  []*settings.Settings
 	authority *tlskeys.Authority
+	foreign   []*Process
 }
 
 // Start starts all processes and puts a configuration in force. dir must be an
@@ -200,10 +201,28 @@
 }
 
 func (c *Cluster) newSettings(i int, keys string) (*settings.Settings, error) {
+	s, err := c.baseSettings(contract.InstanceID(fmt.Sprintf("instance-%d", i)), keys)
+	if err != nil {
+		return nil, err
+	}
+	s.FailureDomain = domains[i%len(domains)]
+	if c.options.Adjust != nil {
+		c.options.Adjust(s)
+	}
+	return s, issue(c.authority, keys, s)
+}
+
+func issue(authority *tlskeys.Authority, keys string, s *settings.Settings) error {
+	addresses := []netip.Addr{netip.MustParseAddr("127.0.0.1")}
+	return authority.Issue(keys, tlskeys.Instance{ID: s.Instance, Region: s.Region, Addresses: addresses})
+}
+
+// baseSettings returns settings for an instance with free addresses.
+func (c *Cluster) baseSettings(id contract.InstanceID, keys string) (*settings.Settings, error) {
 	s := settings.Defaults()
-	s.Instance = contract.InstanceID(fmt.Sprintf("instance-%d", i))
+	s.Instance = id
 	s.Region = Region
-	s.FailureDomain = domains[i%len(domains)]
+	s.FailureDomain = domains[0]
 	var err error
 	if s.APIAddress, err = freeAddress(); err != nil {
 		return nil, err
@@ -220,27 +239,47 @@
 	s.Platform.ObjectStoreAddress = c.Platform.URL()
 	s.Platform.ListAddress = c.Platform.URL()
 	s.DrainLingerMS = 500
-	if c.options.Adjust != nil {
-		c.options.Adjust(&s)
+	return &s, nil
+}
+
+// StartForeignInstance starts an instance whose certificate is of another
+// authority. It is not one of Instances.
+func (c *Cluster) StartForeignInstance(id contract.InstanceID) (*Process, error) {
+	keys := filepath.Join(c.dir, "foreign-keys")
+	authority, err := tlskeys.CreateAuthority(keys)
+	if err != nil {
+		return nil, err
+	}
+	s, err := c.baseSettings(id, keys)
+	if err != nil {
+		return nil, err
+	}
+	if err := issue(authority, keys, s); err != nil {
+		return nil, err
 	}
-	issue := tlskeys.Instance{ID: s.Instance, Region: s.Region, Addresses: []netip.Addr{netip.MustParseAddr("127.0.0.1")}}
-	return &s, c.authority.Issue(keys, issue)
+	p, err := c.startInstance(s)
+	c.foreign = append(c.foreign, p)
+	return p, err
 }
 
 // StartInstance starts instance i, again after it ended.
 func (c *Cluster) StartInstance(i int) error {
-	s := c.settings[i]
+	p, err := c.startInstance(c.settings[i])
+	c.Instances[i] = p
+	return err
+}
+
+func (c *Cluster) startInstance(s *settings.Settings) (*Process, error) {
 	data, err := json.MarshalIndent(s, "", "  ")
 	if err != nil {
-		return err
+		return nil, err
 	}
 	file := filepath.Join(c.dir, string(s.Instance)+".json")
 	if err := os.WriteFile(file, data, 0o600); err != nil {
-		return err
+		return nil, err
 	}
-	c.Instances[i], err = startProcess(c.dir, string(s.Instance), s.APIAddress,
+	return startProcess(c.dir, string(s.Instance), s.APIAddress,
 		filepath.Join(c.binaries, "foxtailhubd"), "-settings", file)
-	return err
 }
 
 // AwaitReady waits until the instances are ready.
@@ -342,6 +381,7 @@
 	all := append([]*Process{c.Platform}, c.Engines...)
 	all = append(all, c.Services...)
 	all = append(all, c.Instances...)
+	all = append(all, c.foreign...)
 	for _, p := range all {
 		if p != nil {
 			p.kill()
