Judge an old confirmation anew before work is admitted

Ports of test clusters now lie below the range of outgoing connections, one of which had taken the port of a link.

--- a/internal/instance/life.go
+++ b/internal/instance/life.go
@@ -15,7 +15,9 @@
 	// confirmInterval is how often the confirmation rule is applied. It is a
 	// small part of the window of 2 s in which a head read or a contact counts.
 	confirmInterval = 100 * time.Millisecond
-	drainInterval   = 100 * time.Millisecond
+	// maxConfirmationAge exceeds confirmInterval by the delays of a busy machine.
+	maxConfirmationAge = 3 * confirmInterval
+	drainInterval      = 100 * time.Millisecond
 )
 
 // life keeps the state of the instance in its life cycle.
@@ -24,17 +26,25 @@
 	follower   *configuration.Follower
 	membership *membership.Membership
 
-	confirmation atomic.Pointer[configuration.Confirmation]
+	judge        func(now time.Time, initialized bool) configuration.Confirmation
+	confirmation atomic.Pointer[judgedConfirmation]
 	state        atomic.Pointer[State]
 	drainStart   atomic.Int64  // Unix nanoseconds; 0 while not draining
 	draining     chan struct{} // closed when the drain begins
 }
 
+// judgedConfirmation is a result of the confirmation rule and its time.
+type judgedConfirmation struct {
+	configuration.Confirmation
+	at time.Time
+}
+
 func newLife(log logrus.FieldLogger, follower *configuration.Follower, members *membership.Membership) *life {
 	l := &life{log: log, follower: follower, membership: members, draining: make(chan struct{})}
 	starting := StateStarting
 	l.state.Store(&starting)
-	l.confirmation.Store(&configuration.Confirmation{Reason: "starting"})
+	l.confirmation.Store(&judgedConfirmation{Confirmation: configuration.Confirmation{Reason: "starting"}})
+	l.judge = l.confirm
 	return l
 }
 
@@ -55,24 +65,40 @@
 // update applies the confirmation rule once.
 func (l *life) update(now time.Time) {
 	before := l.confirmation.Load()
+	after := l.judge(now, before.Initialized)
+	l.confirmation.Store(&judgedConfirmation{Confirmation: after, at: now})
+	if before.Confirmed != after.Confirmed {
+		l.log.WithField("confirmed", after.Confirmed).WithField("reason", after.Reason).Warn("confirmation changed")
+	}
+	l.setState(lifeState(l.isDraining(), after.Initialized, after.Confirmed))
+}
+
+// fresh returns the confirmation, judged anew if it is old: a process that was
+// paused must not admit work by what held before the pause.
+func (l *life) fresh() *judgedConfirmation {
+	now := time.Now()
+	if now.Sub(l.confirmation.Load().at) > maxConfirmationAge {
+		l.update(now)
+	}
+	return l.confirmation.Load()
+}
+
+// confirm judges by the configuration's follower and the membership.
+func (l *life) confirm(now time.Time, initialized bool) configuration.Confirmation {
 	standing := l.follower.Standing()
 	view := l.membership.View()
 	after := configuration.Confirm(configuration.ConfirmInput{
 		Now:         now,
-		Initialized: before.Initialized,
+		Initialized: initialized,
 		HeadRead:    standing.HeadRead,
 		BehindSince: standing.BehindSince,
 		Uninformed:  !view.Informed(),
 		Others:      knownInstances(view, now),
 	})
-	l.confirmation.Store(&after)
 	l.membership.SetStanding(membership.Standing{
 		Current: after.Current, Head: int64(standing.Verified), Held: int64(standing.Held),
 	})
-	if before.Confirmed != after.Confirmed {
-		l.log.WithField("confirmed", after.Confirmed).WithField("reason", after.Reason).Warn("confirmation changed")
-	}
-	l.setState(lifeState(l.isDraining(), after.Initialized, after.Confirmed))
+	return after
 }
 
 // knownInstances translates the membership for the confirmation rule.
@@ -109,10 +135,10 @@
 func (l *life) current() State { return *l.state.Load() }
 
 // confirmed reports whether new work may be admitted.
-func (l *life) confirmed() bool { return l.confirmation.Load().Confirmed }
+func (l *life) confirmed() bool { return l.fresh().Confirmed }
 
 func (l *life) mayAccept() (bool, string) {
-	c := l.confirmation.Load()
+	c := l.fresh()
 	return c.MayAccept, c.Reason
 }
 
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -6,10 +6,13 @@
 package testcluster
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -83,12 +86,38 @@
 // ResidentBytes returns the resident memory of the process.
 func (p *Process) ResidentBytes() (int64, error) { return processResident(p.PID()) }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// Ports below the range from which the system takes those of outgoing
+// connections: one of these could take a port between its choice and its use.
+const (
+	firstPort = 12_000
+	portCount = 20_000
+)
+
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(portCount)) }
+
+// freeAddress returns a loopback address whose TCP and UDP ports were free a
+// moment ago. Each call returns another one.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		if isFree(address) {
+			return address, nil
+		}
+	}
+	return "", errors.New("no free port")
+}
+
+func isFree(address string) bool {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", err
+		return false
 	}
 	defer listener.Close() //nolint:errcheck // only the address is needed
-	return listener.Addr().String(), nil
+	packets, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return packets.Close() == nil
 }
