--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -32,6 +32,7 @@
 	contract.ReasonNotHeld:         http.StatusConflict,
 	contract.ReasonAbandoned:       http.StatusConflict,
 	contract.ReasonInternal:        http.StatusInternalServerError,
+	contract.ReasonBadRequest:      http.StatusBadRequest,
 }
 
 // VerdictError returns the HTTP error for a verdict without an answer.
--- a/internal/instance/message.go
+++ b/internal/instance/message.go
@@ -1,11 +1,6 @@
 package instance
 
 import (
-	"strings"
-
-	"github.com/cockroachdb/errors"
-	"github.com/ogen-go/ogen/ogenerrors"
-
 	"foxtailhub.example/foxtailhub/internal/contract"
 )
 
@@ -39,17 +34,3 @@
 	}
 	return string(verdict.Reason)
 }
-
-// decodeMessage returns one line with the path of the bad value. The wrapping
-// layers of the decoder name Go functions and are left out.
-func decodeMessage(err error) string {
-	var decode *ogenerrors.DecodeRequestError
-	if errors.As(err, &decode) {
-		err = decode.Err
-	}
-	var params *ogenerrors.DecodeParamsError
-	if errors.As(err, &params) {
-		err = params.Err
-	}
-	return strings.ReplaceAll(err.Error(), "\n", " ")
-}
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -95,35 +96,35 @@
 // ResidentBytes returns the resident memory of the process.
 func (p *Process) ResidentBytes() (int64, error) { return processResident(p.PID()) }
 
+// Ports below the range from which the system takes those of outgoing
+// connections: one of these could take a port between its choice and its use.
 const (
-	// Ports below the range from which the system takes those of outgoing
-	// connections and sockets, so that none of them takes a chosen port before
-	// its process binds it.
-	firstPort = 20000
-	lastPort  = 32000
-	portTries = 100
+	firstPort = 12_000
+	portCount = 20_000
 )
 
-var errNoPort = errors.New("no free port found")
+var nextPort atomic.Uint32
 
-// freeAddress returns a loopback address that was free for TCP and UDP a moment
-// ago.
+func init() { nextPort.Store(rand.Uint32N(portCount)) }
+
+// freeAddress returns a loopback address whose TCP and UDP ports were free a
+// moment ago. Each call returns another one.
 func freeAddress() (string, error) {
-	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
 		if isFree(address) {
 			return address, nil
 		}
 	}
-	return "", errNoPort
+	return "", errors.New("no free port")
 }
 
 func isFree(address string) bool {
-	stream, err := net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return false
 	}
-	defer stream.Close() //nolint:errcheck // only the address is needed
+	defer listener.Close() //nolint:errcheck // only the address is needed
 	packets, err := net.ListenPacket("udp", address)
 	if err != nil {
 		return false
@@ -131,28 +132,15 @@
 	return packets.Close() == nil
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago. They are
-// held together, so that none is returned twice.
+// freeAddresses returns loopback addresses that were free a moment ago.
 func freeAddresses(count int) ([]string, error) {
-	var addresses []string
+	addresses := make([]string, 0, count)
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := freeAddress()
 		if err != nil {
 			return nil, err
 		}
-		defer listener.Close() //nolint:errcheck // only the address is needed
-		addresses = append(addresses, listener.Addr().String())
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
-
-// freeLinkAddress returns a loopback address whose UDP port was free a moment
-// ago; a free TCP port may be in use for UDP.
-func freeLinkAddress() (string, error) {
-	connection, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer connection.Close() //nolint:errcheck // only the address is needed
-	return connection.LocalAddr().String(), nil
-}
