--- a/internal/cli/request.go
+++ b/internal/cli/request.go
@@ -157,6 +157,9 @@
 					fmt.Fprintln(env.Stdout, strings.TrimRight(result.Body, "\n"))
 				}
 				fmt.Fprintf(env.Stderr, "request=%s outcome=%s%s status=%d\n", id, result.Verdict.Outcome, verdictDetail(result.Verdict, result.Message), result.Status)
+				if result.BodyOmitted {
+					fmt.Fprintln(env.Stderr, "the body of the answer is missing: it was too large to record or is not text")
+				}
 				return exitForVerdict(result.Verdict), nil
 			}
 		},
--- a/internal/instance/calls.go
+++ b/internal/instance/calls.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"time"
+	"unicode/utf8"
 
 	"foxtailhub.example/foxtailhub/internal/api/oas"
 	"foxtailhub.example/foxtailhub/internal/configuration"
 	"foxtailhub.example/foxtailhub/internal/contract"
 	"foxtailhub.example/foxtailhub/internal/dispatch"
-
-	"time"
 )
 
 // Call serves POST .../calls.
@@ -53,8 +53,15 @@
 	if verdict.Outcome == contract.Completed {
 		answer.Status.SetTo(result.Response.Status)
 		answer.ContentType.SetTo(result.Response.ContentType)
-		answer.Body.SetTo(string(result.Response.Body))
-		answer.BodyOmitted.SetTo(result.BodyOmitted)
+		// JSON would replace the bytes of a body that is not text.
+		omitted := result.BodyOmitted || !utf8.Valid(result.Response.Body)
+		answer.BodyOmitted.SetTo(omitted)
+		if !omitted {
+			answer.Body.SetTo(string(result.Response.Body))
+		}
+	}
+	if verdict.RetryAfter > 0 {
+		answer.RetryAfterMs.SetTo(verdict.RetryAfter.Milliseconds())
 	}
 	return answer, nil
 }
--- a/internal/instance/generations.go
+++ b/internal/instance/generations.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
 
 	"foxtailhub.example/foxtailhub/internal/api"
 	"foxtailhub.example/foxtailhub/internal/api/oas"
@@ -28,6 +32,9 @@
 ) error {
 	defer h.activity.begin(&h.activity.generations)()
 	id := contract.RequestID{Workspace: contract.WorkspaceID(params.Workspace), Key: string(params.IdempotencyKey)}
+	if path := invalidText(body); path != "" {
+		return badRequest(path, errNotUTF8)
+	}
 	resume, err := decodeResume(body.Resume)
 	if err != nil {
 		return badRequest("resume.position", err)
@@ -123,6 +130,22 @@
 	return request, contract.Verdict{}, true
 }
 
+// errNotUTF8 refuses a text that JSON encoders on its way would change.
+var errNotUTF8 = errors.New("must be valid UTF-8")
+
+// invalidText returns the path of a text that is not valid UTF-8, or "".
+func invalidText(body *oas.GenerationRequest) string {
+	if !utf8.ValidString(body.Prompt) {
+		return "prompt"
+	}
+	for i, text := range body.Resume.Value.Received {
+		if !utf8.ValidString(text) {
+			return fmt.Sprintf("resume.received[%d]", i)
+		}
+	}
+	return ""
+}
+
 // decodeResume returns what a caller that reconnects holds, or nil.
 func decodeResume(body oas.OptResume) (*generation.Resume, error) {
 	resume, set := body.Get()
--- a/internal/instance/handler_test.go
+++ b/internal/instance/handler_test.go
@@ -14,8 +14,10 @@
 	"foxtailhub.example/foxtailhub/internal/api/oas"
 	"foxtailhub.example/foxtailhub/internal/configuration"
 	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/dispatch"
 	"foxtailhub.example/foxtailhub/internal/generation"
 	"foxtailhub.example/foxtailhub/internal/timeline"
+	"foxtailhub.example/foxtailhub/internal/upstream"
 	"foxtailhub.example/foxtailhub/internal/upstream/upstreamtest"
 )
 
@@ -74,6 +76,8 @@
 		{ready, "POST", guides, `{"prompt":"p","resume":{"position":"1-xyz"}}`, 400, "not_run|bad_request|resume.position: "},
 		{ready, "GET", guides + "/k", "1-xyz", 400, "not_run|bad_request|Last-Event-ID: "},
 		{ready, "POST", guides, `{"prompt":""}`, 400, "not_run|bad_request|prompt"},
+		{ready, "POST", guides, "{\"prompt\":\"\xff\"}", 400, "not_run|bad_request|prompt: must be valid UTF-8"},
+		{ready, "POST", guides, "{\"prompt\":\"p\",\"resume\":{\"position\":\"1-0123456789abcdef\",\"received\":[\"\xff\"]}}", 400, "not_run|bad_request|resume.received[0]: "},
 		{ready, "POST", guides, `{"prompt":"p","other":1}`, 400, "not_run|bad_request|other"},
 		{ready, "POST", stock, `{"path":"x"}`, 400, "not_run|bad_request|path"},
 		{ready, "POST", strings.Replace(guides, "shop-a", "shop-c", 1), fresh, 404, "not_run|unknown_workspace"},
@@ -109,3 +113,22 @@
 		})
 	}
 }
+
+// Guards against a body whose bytes change on the way, and against an answer
+// that hides when to ask again.
+func TestCallResult(t *testing.T) {
+	g := NewWithT(t)
+	h := newTestHandler(true, false)
+	whole := dispatch.Result{Verdict: contract.Verdict{Outcome: contract.Completed}, Response: upstream.CallResponse{Status: 200, Body: []byte("é")}}
+	answer, err := h.callResult(contract.RequestID{}, whole)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect([]any{answer.Body.Value, answer.BodyOmitted.Value}).To(Equal([]any{"é", false}))
+	whole.Response.Body = []byte("\xff\xfe")
+	answer, err = h.callResult(contract.RequestID{}, whole)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect([]any{answer.Body.Set, answer.BodyOmitted.Value, answer.Status.Value}).To(Equal([]any{false, true, 200}))
+	running := contract.Verdict{Outcome: contract.Unknown, Reason: contract.ReasonInProgress, RetryAfter: time.Second}
+	answer, err = h.callResult(contract.RequestID{}, dispatch.Result{Verdict: running})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect([]any{answer.Outcome, answer.RetryAfterMs.Value}).To(Equal([]any{oas.OutcomeUnknown, int64(1000)}))
+}
--- a/internal/instance/pure_test.go
+++ b/internal/instance/pure_test.go
@@ -10,6 +10,7 @@
 	"foxtailhub.example/foxtailhub/internal/configuration"
 	"foxtailhub.example/foxtailhub/internal/contract"
 	"foxtailhub.example/foxtailhub/internal/generation"
+	"foxtailhub.example/foxtailhub/internal/membership"
 )
 
 // Guards against an instance that admits work too early or leaves its drain.
@@ -108,3 +109,23 @@
 	g.Expect([]float64{float64(first.Histogram.GetSampleCount()), first.Histogram.GetSampleSum()}).To(Equal([]float64{1, 2}))
 	g.Expect([]float64{float64(resume.Histogram.GetSampleCount()), resume.Histogram.GetSampleSum()}).To(Equal([]float64{1, 3}))
 }
+
+// Guards against an acceptance that counts instances which hold no version or
+// leave, or that shrinks the denominator by an instance which is only silent.
+func TestHolders(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	known := now.Add(time.Hour)
+	holding, all := holders(nil, 5, now)
+	g.Expect([]int{holding, all}).To(Equal([]int{1, 1}))
+	holding, all = holders([]membership.MemberView{
+		{KnownUntil: known, Held: 5, State: membership.Ready},
+		{KnownUntil: known, Held: 6, State: membership.Unready},
+		{KnownUntil: known, Held: 4, State: membership.Ready},
+		{KnownUntil: known}, // silent
+		{KnownUntil: known, Held: 5, State: membership.Draining},
+		{KnownUntil: now, Held: 5}, // departed
+		{Held: 5},
+	}, 5, now)
+	g.Expect([]int{holding, all}).To(Equal([]int{3, 5}))
+}
--- a/internal/instance/spread.go
+++ b/internal/instance/spread.go
@@ -64,7 +64,7 @@
 	ticker := time.NewTicker(publishInterval)
 	defer ticker.Stop()
 	for {
-		holding, known := holders(s.membership.View(), int64(snapshot.Version), time.Now())
+		holding, known := holders(s.membership.View().Members(), int64(snapshot.Version), time.Now())
 		if 2*holding > known {
 			return nil
 		}
@@ -78,9 +78,9 @@
 
 // holders counts the known instances that hold a version, this one included.
 // Leaving instances admit no work, so they do not count.
-func holders(view *membership.View, version int64, now time.Time) (holding, known int) {
+func holders(members []membership.MemberView, version int64, now time.Time) (holding, known int) {
 	holding, known = 1, 1
-	for _, m := range view.Members() {
+	for _, m := range members {
 		if !now.Before(m.KnownUntil) || m.State == membership.Draining {
 			continue
 		}
