--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -253,9 +253,11 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, instance := range instances {
-		err := Await(ctx, func() bool { return status(ctx, instance.URL()+"/readyz") == http.StatusOK })
-		if err != nil {
-			return errors.Wrapf(err, "%s is not ready, see %s", instance.Name, c.LogFile(instance))
+		err := Await(ctx, func() bool {
+			return instance.ExitCode() >= 0 || status(ctx, instance.URL()+"/readyz") == http.StatusOK
+		})
+		if err != nil || instance.ExitCode() >= 0 {
+			return errors.Newf("%s is not ready: %v, exit code %d, see %s", instance.Name, err, instance.ExitCode(), c.LogFile(instance))
 		}
 	}
 	return nil
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -6,10 +6,13 @@
 package testcluster
 
 import (
+	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -83,14 +86,48 @@
 // ResidentBytes returns the resident memory of the process.
 func (p *Process) ResidentBytes() (int64, error) { return processResident(p.PID()) }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// Ports below the range that the system gives to outgoing connections, which
+// come and go between the choice of a port and its use.
+const (
+	lowestPort  = 10000
+	highestPort = 32000
+	portTries   = 100
+)
+
+var errNoFreePort = errors.New("no free port found")
+
+// freePort tries random ports until one can be bound.
+func freePort(bind func(address string) (io.Closer, error)) (string, io.Closer, error) {
+	for range portTries {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(lowestPort+rand.IntN(highestPort-lowestPort)))
+		if bound, err := bind(address); err == nil {
+			return address, bound, nil
+		}
+	}
+	return "", nil, errNoFreePort
+}
+
+func bindTCP(address string) (io.Closer, error) { return net.Listen("tcp", address) }
+
+func bindUDP(address string) (io.Closer, error) { return net.ListenPacket("udp", address) }
+
+// freeAddress returns a loopback address whose TCP port was free a moment ago.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, bound, err := freePort(bindTCP)
 	if err != nil {
 		return "", err
 	}
-	defer listener.Close() //nolint:errcheck // only the address is needed
-	return listener.Addr().String(), nil
+	return address, bound.Close()
+}
+
+// freeLinkAddress returns a loopback address whose UDP port was free a moment
+// ago; a free TCP port may be in use for UDP.
+func freeLinkAddress() (string, error) {
+	address, bound, err := freePort(bindUDP)
+	if err != nil {
+		return "", err
+	}
+	return address, bound.Close()
 }
 
 // freeAddresses returns loopback addresses that were free a moment ago. They are
@@ -98,23 +135,12 @@
 func freeAddresses(count int) ([]string, error) {
 	var addresses []string
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, bound, err := freePort(bindTCP)
 		if err != nil {
 			return nil, err
 		}
-		defer listener.Close() //nolint:errcheck // only the address is needed
-		addresses = append(addresses, listener.Addr().String())
+		defer bound.Close() //nolint:errcheck // only the address is needed
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
-
-// freeLinkAddress returns a loopback address whose UDP port was free a moment
-// ago; a free TCP port may be in use for UDP.
-func freeLinkAddress() (string, error) {
-	connection, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer connection.Close() //nolint:errcheck // only the address is needed
-	return connection.LocalAddr().String(), nil
-}
