--- a/internal/instance/demand.go
+++ b/internal/instance/demand.go
@@ -13,9 +13,9 @@
 	"foxtailhub.example/foxtailhub/internal/workspace"
 )
 
-// demandRefresh is how often an unchanged demand is sent again. Half of the time
-// after which workspace drops a demand leaves room for a lost heartbeat.
-const demandRefresh = 15 * time.Second
+// demandRefresh is how often an unchanged demand is sent again. A third of the
+// time after which workspace drops it (30 s) is left for lost heartbeats.
+const demandRefresh = 20 * time.Second
 
 // demandSection passes on this instance's demand per active workspace: to each
 // peer what has changed since it acknowledged it.
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -19,7 +19,7 @@
 	contactRefresh = 5 * time.Second
 	// loadRefresh is how old a passed-on contact gets although its load has
 	// changed by a step.
-	loadRefresh = time.Second
+	loadRefresh = 2 * time.Second
 	// watcherStagger is the time in which a contact that one watcher passes on
 	// reaches the others.
 	watcherStagger = 2500 * time.Millisecond
