--- a/internal/instance/demand.go
+++ b/internal/instance/demand.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"foxtailhub.example/foxtailhub/internal/contract"
 	"foxtailhub.example/foxtailhub/internal/link"
 	"foxtailhub.example/foxtailhub/internal/membership"
@@ -44,29 +42,6 @@
 // maxDemandNames bounds the names that a faulty peer can make this instance keep.
 const maxDemandNames = 4096
 
-// demandLabel stands for the name of a workspace that the peer was sent before.
-type demandLabel uint32
-
-func labelOf(id contract.WorkspaceID) demandLabel {
-	return demandLabel(xxhash.Sum64String(string(id)))
-}
-
-// demandDigest is the section. Names are most of the bytes of an entry; they are
-// sent until the peer has acknowledged them.
-type demandDigest struct {
-	Named   []workspace.DemandEntry `cbor:"1,keyasint,omitempty"`
-	Labeled []labeledDemand         `cbor:"2,keyasint,omitempty"`
-}
-
-// labeledDemand is a workspace.DemandEntry with a label.
-type labeledDemand struct {
-	_          struct{} `cbor:",toarray"`
-	Workspace  demandLabel
-	Rate       float64
-	Concurrent float64
-	Held       int
-}
-
 // demandProgress is what a peer has been told.
 type demandProgress struct {
 	acknowledged map[contract.WorkspaceID]toldDemand
@@ -114,7 +89,7 @@
 		told, known := progress.acknowledged[e.Workspace]
 		known = known && progress.sentAt.Sub(told.at) <= labelLifetime
 		if label := labelOf(e.Workspace); known && progress.labels[label] == e.Workspace {
-			digest.Labeled = append(digest.Labeled, labeledDemand{Workspace: label, Rate: e.Rate, Concurrent: e.Concurrent, Held: e.Held})
+			digest.addLabeled(label, e)
 		} else {
 			digest.Named = append(digest.Named, e)
 		}
@@ -132,13 +107,7 @@
 			enter(names, e.Workspace)
 		}
 	}
-	entries := digest.Named
-	for _, e := range digest.Labeled {
-		if name := names[e.Workspace]; name != "" {
-			entries = append(entries, workspace.DemandEntry{Workspace: name, Rate: e.Rate, Concurrent: e.Concurrent, Held: e.Held})
-		}
-	}
-	return entries
+	return append(digest.Named, digest.labeled(names)...)
 }
 
 // namesOf must be called with mu held.
@@ -153,15 +122,6 @@
 	return s.names[peer].byLabel
 }
 
-// enter notes the label of a name.
-func enter(names map[demandLabel]contract.WorkspaceID, name contract.WorkspaceID) {
-	label := labelOf(name)
-	if known, taken := names[label]; taken && known != name {
-		name = ""
-	}
-	names[label] = name
-}
-
 // changes returns the entries that the peer lacks.
 func (s *demandSection) changes(peer contract.InstanceID, entries []workspace.DemandEntry, now time.Time) []workspace.DemandEntry {
 	s.mu.Lock()
@@ -189,6 +149,9 @@
 	if err := link.Decode(data, &digest); err != nil {
 		return err
 	}
+	if err := digest.check(); err != nil {
+		return err
+	}
 	s.admission.Learn(peer, s.named(peer, digest))
 	return nil
 }
--- a/internal/instance/demand_test.go
+++ b/internal/instance/demand_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/link"
 	"foxtailhub.example/foxtailhub/internal/upstream"
 	"foxtailhub.example/foxtailhub/internal/workspace"
 )
@@ -88,12 +89,16 @@
 	digest, _ := send()
 	g.Expect(digest.Named).To(HaveLen(2))
 	digest, _ = send()
-	g.Expect(digest.Labeled).To(HaveLen(2))
+	g.Expect(digest.Rate).To(HaveLen(2))
 	now = now.Add(demandNamesLifetime)
 	digest, _ = send()
 	g.Expect(digest.Named).To(HaveLen(2))
 	receiver = newDemandSection(nil)
-	g.Expect(receiver.named("sender", demandDigest{Labeled: []labeledDemand{{Workspace: labelOf("small"), Rate: 9}}})).To(BeEmpty())
+	labeled := func(name contract.WorkspaceID) (d demandDigest) {
+		d.addLabeled(labelOf(name), workspace.DemandEntry{Rate: 9})
+		return d
+	}
+	g.Expect(receiver.named("sender", labeled("small"))).To(BeEmpty())
 	sender.forget("receiver")
 	send()
 
@@ -104,5 +109,10 @@
 	digest, _ = send()
 	g.Expect(digest.Named).To(HaveLen(1), "the label stands for neither name")
 	receiver.names["sender"].byLabel[labelOf("large")] = ""
-	g.Expect(receiver.named("sender", demandDigest{Labeled: []labeledDemand{{Workspace: labelOf("large"), Rate: 9}}})).To(BeEmpty())
+	g.Expect(receiver.named("sender", labeled("large"))).To(BeEmpty())
+	wrong := labeled("small")
+	wrong.Labels = wrong.Labels[1:]
+	data, err := link.Encode(wrong)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(receiver.learn("sender", data)).To(MatchError(errDemandInvalid))
 }
--- /dev/null
+++ b/internal/instance/demanddigest.go
@@ -0,0 +1,76 @@
+package instance
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/workspace"
+)
+
+// demandLabel stands for the name of a workspace that the peer was sent before.
+type demandLabel uint32
+
+func labelOf(id contract.WorkspaceID) demandLabel {
+	return demandLabel(xxhash.Sum64String(string(id)))
+}
+
+// demandDigest is the section. Names are most of the bytes of an entry; they are
+// sent until the peer has acknowledged them. The fields of entries with labels
+// are columns, which saves CBOR's heads.
+type demandDigest struct {
+	Named      []workspace.DemandEntry `cbor:"1,keyasint,omitempty"`
+	Labels     []byte                  `cbor:"2,keyasint,omitempty"` // 4 bytes each
+	Rate       []float64               `cbor:"3,keyasint,omitempty"`
+	Concurrent []float64               `cbor:"4,keyasint,omitempty"`
+	Held       map[int]int             `cbor:"5,keyasint,omitempty"` // by index, where not 0
+}
+
+const demandLabelSize = 4
+
+// errDemandInvalid reports columns of different lengths.
+var errDemandInvalid = errors.New("digest of demand is invalid")
+
+func (d *demandDigest) check() error {
+	count := len(d.Rate)
+	if len(d.Labels) != demandLabelSize*count || len(d.Concurrent) != count || len(d.Held) > count {
+		return errors.Wrapf(errDemandInvalid, "labels=%d rates=%d concurrent=%d held=%d", len(d.Labels), count, len(d.Concurrent), len(d.Held))
+	}
+	return nil
+}
+
+// addLabeled adds an entry whose name the peer knows.
+func (d *demandDigest) addLabeled(label demandLabel, e workspace.DemandEntry) {
+	if e.Held != 0 {
+		if d.Held == nil {
+			d.Held = map[int]int{}
+		}
+		d.Held[len(d.Rate)] = e.Held
+	}
+	d.Labels = binary.BigEndian.AppendUint32(d.Labels, uint32(label))
+	d.Rate = append(d.Rate, e.Rate)
+	d.Concurrent = append(d.Concurrent, e.Concurrent)
+}
+
+// labeled returns the entries with labels whose names are known.
+func (d *demandDigest) labeled(names map[demandLabel]contract.WorkspaceID) []workspace.DemandEntry {
+	var entries []workspace.DemandEntry
+	for i, rate := range d.Rate {
+		label := demandLabel(binary.BigEndian.Uint32(d.Labels[demandLabelSize*i:]))
+		if name := names[label]; name != "" {
+			entries = append(entries, workspace.DemandEntry{Workspace: name, Rate: rate, Concurrent: d.Concurrent[i], Held: d.Held[i]})
+		}
+	}
+	return entries
+}
+
+// enter notes the label of a name.
+func enter(names map[demandLabel]contract.WorkspaceID, name contract.WorkspaceID) {
+	label := labelOf(name)
+	if known, taken := names[label]; taken && known != name {
+		name = ""
+	}
+	names[label] = name
+}
