--- a/internal/instance/traffic_test.go
+++ b/internal/instance/traffic_test.go
@@ -35,13 +35,16 @@
 // trafficFleet is a platform and upstreams for instances in virtual time.
 type trafficFleet struct {
 	snapshot configuration.Snapshot
-	mu       sync.Mutex // guards random and loads
+	mu       sync.Mutex // guards the fields below
 	random   *rand.Rand
 	loads    map[contract.UpstreamID]int
+	leaving  map[contract.UpstreamID]bool
+	paused   map[contract.UpstreamID]bool
 }
 
 func newTrafficFleet(upstreams, workspaces int) *trafficFleet {
 	f := &trafficFleet{random: rand.New(rand.NewPCG(1, 1)), loads: map[contract.UpstreamID]int{}}
+	f.leaving, f.paused = map[contract.UpstreamID]bool{}, map[contract.UpstreamID]bool{}
 	f.snapshot.Version = 1
 	f.snapshot.Document.Upstreams = map[contract.UpstreamID]configuration.Upstream{}
 	f.snapshot.Document.Services = map[contract.ServiceID]configuration.Service{"notes": {Kind: configuration.KindEngine}}
@@ -76,14 +79,20 @@
 	id    contract.UpstreamID
 }
 
-func (e trafficEngine) Load(context.Context) (upstream.LoadReport, error) {
+func (e trafficEngine) Load(ctx context.Context) (upstream.LoadReport, error) {
 	e.fleet.mu.Lock()
+	if e.fleet.paused[e.id] {
+		e.fleet.mu.Unlock()
+		<-ctx.Done()
+		return upstream.LoadReport{}, ctx.Err()
+	}
 	defer e.fleet.mu.Unlock()
 	e.fleet.loads[e.id] = min(max(e.fleet.loads[e.id]+e.fleet.random.IntN(4)/3-e.fleet.random.IntN(4)/3, 0), 16)
 	return upstream.LoadReport{
 		Incarnation: upstream.Incarnation("0f2d6c1e-7a53-4b8f-9d20-" + string(e.id[len(e.id)-4:])), Slots: 8,
 		Running: min(e.fleet.loads[e.id], 8), Queued: max(e.fleet.loads[e.id]-8, 0),
-		Models: []upstream.ModelPin{{Model: "fitting-notes", Version: "2026-11"}},
+		Leaving: e.fleet.leaving[e.id],
+		Models:  []upstream.ModelPin{{Model: "fitting-notes", Version: "2026-11"}},
 	}, nil
 }
 
@@ -98,7 +107,8 @@
 		var running sync.WaitGroup
 		var all []*membership.Membership
 		for i := range instances {
-			all = append(all, startTraffic(ctx, t, &running, fleet, network, i, instances))
+			m, _ := startTraffic(ctx, t, &running, fleet, network, i, instances)
+			all = append(all, m)
 		}
 		total := func() (bytes int64) {
 			for _, m := range all {
@@ -118,7 +128,7 @@
 }
 
 // startTraffic starts the parts of an instance that exchange digests.
-func startTraffic(ctx context.Context, t *testing.T, running *sync.WaitGroup, fleet *trafficFleet, network *linktest.Network, number, count int) *membership.Membership {
+func startTraffic(ctx context.Context, t *testing.T, running *sync.WaitGroup, fleet *trafficFleet, network *linktest.Network, number, count int) (*membership.Membership, *upstream.Upstreams) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	member := func(i int) membership.Member {
@@ -156,7 +166,7 @@
 	for id := range fleet.snapshot.Document.Workspaces {
 		running.Go(func() { generate(ctx, admission, id) })
 	}
-	return m
+	return m, upstreams
 }
 
 // generate runs generations of a workspace one after the other.
@@ -208,3 +218,59 @@
 	g.Expect(perUpstream).To(BeNumerically("<", 35))
 	g.Expect(perWorkspace).To(BeNumerically("<", 120))
 }
+
+// Guards against marks that wait for loads or get lost in the short forms: with
+// more instances than a full mesh has, every instance must know of a leaving
+// upstream within 3 s (P6), of one that pauses and of its return.
+func TestMarksReachAllInstances(t *testing.T) {
+	instances := 20
+	if os.Getenv(trafficEnvironment) != "" {
+		instances = 80
+	}
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		fleet := newTrafficFleet(30, 0)
+		network := linktest.NewNetwork(1)
+		network.SetDelay(func(_, _ contract.InstanceID) time.Duration { return 2 * time.Millisecond })
+		var running sync.WaitGroup
+		var all []*upstream.Upstreams
+		for i := range instances {
+			_, u := startTraffic(ctx, t, &running, fleet, network, i, instances)
+			all = append(all, u)
+		}
+		time.Sleep(trafficSettle)
+		until := func(number int, state upstream.State) time.Duration {
+			for begin := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+				known := 0
+				for _, u := range all {
+					if u.Status()[number].State == state {
+						known++
+					}
+				}
+				if known == instances || time.Since(begin) > time.Minute {
+					return time.Since(begin)
+				}
+			}
+		}
+		set := func(marks map[contract.UpstreamID]bool, number int, on bool) {
+			fleet.mu.Lock()
+			defer fleet.mu.Unlock()
+			marks[contract.UpstreamID(fmt.Sprintf("engine-oulu-a-%04d", number))] = on
+		}
+		for number := range 5 {
+			set(fleet.leaving, number, true)
+			leaving := until(number, upstream.StateLeaving)
+			set(fleet.paused, 10+number, true)
+			down := until(10+number, upstream.StateDown)
+			set(fleet.paused, 10+number, false)
+			up := until(10+number, upstream.StateLive)
+			t.Logf("all %d instances: leaving after %s, down after %s, up after %s", instances, leaving, down, up)
+			g.Expect(leaving).To(BeNumerically("<=", 3*time.Second))
+			g.Expect(down).To(BeNumerically("<=", 6*time.Second))
+			g.Expect(up).To(BeNumerically("<=", 5*time.Second))
+		}
+		cancel()
+		running.Wait()
+	})
+}
