--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -16,8 +16,8 @@
 	// failures. It keeps a single watcher that is cut off from an upstream from
 	// marking it down everywhere: within this time the first failure reaches the
 	// other watchers and their next success comes back. Two polls without an
-	// answer take 2.5 s, three 3.5 s.
-	peerDownGrace = 2800 * time.Millisecond
+	// answer take 2.0 s, three 2.75 s.
+	peerDownGrace = 2300 * time.Millisecond
 	// failuresUntilDown is how many polls in a row must stay without an answer.
 	failuresUntilDown = 2
 	// unattributedLeavingLifetime bounds a leaving mark of an unknown
--- a/internal/upstream/poll.go
+++ b/internal/upstream/poll.go
@@ -13,7 +13,7 @@
 const (
 	pollInterval    = 500 * time.Millisecond
 	maxPollInterval = 2 * time.Second // of an upstream that cannot be reached
-	pollTimeout     = time.Second
+	pollTimeout     = 750 * time.Millisecond
 	pollTick        = 50 * time.Millisecond
 	// pollJitter is the share of an interval by which polls are spread, so that
 	// the watchers of an upstream do not poll in step.
