--- a/internal/api/oas/oas_schemas_gen.go
+++ b/internal/api/oas/oas_schemas_gen.go
@@ -131,7 +131,8 @@
 	ContentType OptString `json:"content_type"`
 	// Body of the service's answer.
 	Body OptString `json:"body"`
-	// The answer comes from a record whose body was too large to keep; only the status is valid.
+	// The body is not text, or the answer comes from a record whose body was too large to keep; only the
+	// status is valid.
 	BodyOmitted OptBool `json:"body_omitted"`
 }
 
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -81,6 +81,10 @@
 					if err != nil {
 						return ExitFailed, err
 					}
+					if string(patch) == "{}" {
+						fmt.Fprintf(env.Stdout, "nothing differs from version=%d\n", *base)
+						return ExitOK, nil
+					}
 				}
 				if *base == currentVersion {
 					return ExitUsage, usageError("-base is required")
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -47,10 +47,10 @@
 	if reason := checkKey(request.ID.Key, time.Now(), o.config.Retention); reason != "" {
 		return refused(reason, 0)
 	}
+	key := RecordKey(request.ID)
 	if standing := o.config.Router.Standing(ContentOf(request)); standing.Quarantined {
-		return quarantined(standing, time.Now())
+		return o.runQuarantined(ctx, request, key, standing)
 	}
-	key := RecordKey(request.ID)
 	for range claimRounds {
 		record := Record{
 			State:       Dispatched,
@@ -75,6 +75,16 @@
 	return refused(contract.ReasonInProgress, inProgressRetry)
 }
 
+// runQuarantined answers for a quarantined content. An earlier submission may
+// have run before the quarantine; its recorded outcome comes first.
+func (o *onceRunner) runQuarantined(ctx context.Context, request Request, key string, standing upstream.Standing) Result {
+	existing, found := o.recorder.lookup(ctx, key)
+	if !found || existing.State == Released {
+		return quarantined(standing, time.Now())
+	}
+	return recordedResult(existing, FingerprintOf(request))
+}
+
 func (o *onceRunner) notRecorded(ctx context.Context, c claim) Result {
 	if ctx.Err() != nil {
 		return refused(contract.ReasonDeadline, 0)
--- a/internal/dispatch/once_test.go
+++ b/internal/dispatch/once_test.go
@@ -330,6 +330,9 @@
 		g.Expect(verdict.Outcome).To(Equal(contract.Quarantined))
 		g.Expect(verdict.RetryAfter).To(Equal(time.Minute))
 		g.Expect(table.Rows()).To(HaveLen(1))
+		again := c.Call(context.Background(), request)
+		g.Expect(again.Verdict.Outcome).To(Equal(contract.Completed), "its outcome was recorded before the quarantine")
+		g.Expect(again.Recorded).To(BeTrue())
 
 		// Old records of both key forms and of another workspace.
 		for _, key := range []string{"clinic/" + contract.NewKey(), "atelier/" + newKey()} {
--- a/internal/dispatch/recorder.go
+++ b/internal/dispatch/recorder.go
@@ -43,6 +43,19 @@
 	}
 }
 
+// lookup reads a record. It reports false if there is none or the store does not
+// answer in time.
+func (r *recorder) lookup(ctx context.Context, key string) (Record, bool) {
+	ctx, cancel := context.WithTimeout(ctx, r.storeWait)
+	defer cancel()
+	row, err := r.table.Read(ctx, key)
+	if err != nil {
+		return Record{}, false
+	}
+	record, err := decodeRecord(row.Value)
+	return record, err == nil
+}
+
 // await reads another's dispatched record until it has changed or ctx ends. It
 // returns the last state read.
 func (r *recorder) await(ctx context.Context, key string, last Record) Record {
--- a/internal/generation/registry.go
+++ b/internal/generation/registry.go
@@ -109,6 +109,10 @@
 	return r.create(ctx, request, joined)
 }
 
+// concurrentRetry is the retry-after time of a submission that collided with
+// another one of the same request.
+const concurrentRetry = 100 * time.Millisecond
+
 // Join subscribes to the generation with an identifier if it is held here or
 // by a peer. If ok is false the verdict is final.
 func (r *Registry) Join(
@@ -274,7 +278,7 @@
 	if joined.subscription != nil || joined.refused {
 		return joined.subscription, joined.verdict, !joined.refused
 	}
-	return refuse(contract.Interrupted, contract.ReasonInProgress, 0)
+	return refuse(contract.Unknown, contract.ReasonInProgress, concurrentRetry)
 }
 
 // insert registers, subscribes to and runs a new generation if the held one is
