--- a/internal/instance/handler_test.go
+++ b/internal/instance/handler_test.go
@@ -63,7 +63,7 @@
 	)
 	guides := "/v1/workspaces/shop-a/services/guides/generations"
 	stock := "/v1/workspaces/shop-a/services/stock/calls"
-	fresh := `{"prompt":"p","deadline_ms":1}`
+	fresh := `{"prompt":"p"}`
 	resumed := `{"prompt":"p","resume":{"position":"1-0123456789abcdef"}}`
 	for _, c := range []struct {
 		state  int
