--- a/internal/instance/calls.go
+++ b/internal/instance/calls.go
@@ -16,12 +16,14 @@
 	defer h.activity.begin(&h.activity.calls)()
 	id := contract.RequestID{Workspace: contract.WorkspaceID(params.Workspace), Key: string(params.IdempotencyKey)}
 	serviceID := contract.ServiceID(params.Service)
-	if _, verdict, ok := findRule(&h.source.Current().Document, id.Workspace, serviceID, configuration.KindService); !ok {
-		return nil, h.refuse(id, verdict)
-	}
+	// The configuration is read after the confirmation: one read before could be
+	// from before a pause that the confirmation has caught up with.
 	if !h.admitsNewWork() {
 		return nil, h.refuse(id, unconfirmed())
 	}
+	if _, verdict, ok := findRule(&h.source.Current().Document, id.Workspace, serviceID, configuration.KindService); !ok {
+		return nil, h.refuse(id, verdict)
+	}
 	request := dispatch.Request{
 		ID:      id,
 		Service: serviceID,
--- a/internal/instance/generations.go
+++ b/internal/instance/generations.go
@@ -24,11 +24,13 @@
 ) error {
 	defer h.activity.begin(&h.activity.generations)()
 	id := contract.RequestID{Workspace: contract.WorkspaceID(params.Workspace), Key: string(params.IdempotencyKey)}
+	// The configuration is read after the confirmation; see Call.
+	admits := h.admitsNewWork()
 	request, verdict, ok := h.generationRequest(id, contract.ServiceID(params.Service), body)
 	if !ok {
 		return h.refuse(id, verdict)
 	}
-	if request.Resume == nil && !h.admitsNewWork() {
+	if request.Resume == nil && !admits {
 		return h.refuse(id, unconfirmed())
 	}
 	subscription, verdict, ok := h.registry.Open(ctx, request)
--- a/internal/instance/life.go
+++ b/internal/instance/life.go
@@ -62,25 +62,26 @@
 	}
 }
 
-// update applies the confirmation rule once.
-func (l *life) update(now time.Time) {
+// update applies the confirmation rule once and returns its result.
+func (l *life) update(now time.Time) *judgedConfirmation {
 	before := l.confirmation.Load()
-	after := l.judge(now, before.Initialized)
-	l.confirmation.Store(&judgedConfirmation{Confirmation: after, at: now})
+	after := &judgedConfirmation{Confirmation: l.judge(now, before.Initialized), at: now}
+	l.confirmation.Store(after)
 	if before.Confirmed != after.Confirmed {
 		l.log.WithField("confirmed", after.Confirmed).WithField("reason", after.Reason).Warn("confirmation changed")
 	}
 	l.setState(lifeState(l.isDraining(), after.Initialized, after.Confirmed))
+	return after
 }
 
 // fresh returns the confirmation, judged anew if it is old: a process that was
 // paused must not admit work by what held before the pause.
 func (l *life) fresh() *judgedConfirmation {
-	now := time.Now()
-	if now.Sub(l.confirmation.Load().at) > maxConfirmationAge {
-		l.update(now)
+	current := l.confirmation.Load()
+	if now := time.Now(); now.Sub(current.at) > maxConfirmationAge {
+		return l.update(now)
 	}
-	return l.confirmation.Load()
+	return current
 }
 
 // confirm judges by the configuration's follower and the membership.
