--- a/internal/e2e/call_test.go
+++ b/internal/e2e/call_test.go
@@ -220,12 +220,15 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			w := start(t, testcluster.Options{})
-			w.fault(w.cluster.Platform, standin.Fault{SlowMS: 600})
+			w.fault(w.cluster.Platform, standin.Fault{SlowMS: 800})
 			key := contract.NewKey()
 			began := time.Now()
 			before := w.transactions()
 			done := w.startCharge(deadline, 0, key)
 			w.awaitEvent(key, "request_admitted")
+			// By now the record is on its way; its answer comes after 800 ms.
+			admitted := time.Now()
+			w.Eventually(func() bool { return time.Since(admitted) > 200*time.Millisecond }).Should(BeTrue())
 			w.signal(w.cluster.Instances[0], syscall.SIGSTOP)
 			w.Eventually(w.transactions).Should(BeNumerically(">", before))
 			w.fault(w.cluster.Platform, standin.Fault{})
--- a/internal/e2e/configuration_test.go
+++ b/internal/e2e/configuration_test.go
@@ -218,7 +218,6 @@
 	w.signal(w.cluster.Instances[2], syscall.SIGCONT)
 	a := w.callWithin(callDeadline, 2, testcluster.Lookups, contract.NewKey())
 	w.Expect(a.err).NotTo(HaveOccurred())
-	w.Expect(a.Verdict.Outcome).To(Equal(contract.NotRun), "%+v", a)
+	w.Expect(a.Verdict.Outcome).To(Equal(contract.NotRun), "%+v\n%s", a, w.tool(2, "", "timeline", "-local").stdout)
 	w.awaitInForce(version, time.Now())
-	w.t.Logf("first answer after the pause: %+v", a.Verdict)
 }
