Answer conflict to an operator who lost a race at an instance that lags

An instance that lacks the version that won has no majority and answered unavailable, although the patch can never be accepted. It now looks at the head once more.

--- a/internal/configuration/acceptor.go
+++ b/internal/configuration/acceptor.go
@@ -107,6 +107,7 @@
 	patch       Patch
 	fingerprint string
 	uncertain   bool // a commit of this submission may still take effect
+	refused     bool // this instance might not accept patches in a former round
 }
 
 func (s *submission) run(ctx context.Context) Result {
@@ -144,12 +145,19 @@
 	if !ok {
 		return result, true
 	}
+	if ok, reason := s.acceptor.cfg.MayAccept(); !ok {
+		// An instance that lacks a version accepted meanwhile has no majority: the
+		// next round finds that version and answers conflict.
+		again := !s.refused
+		s.refused = true
+		return s.notSettled(errors.Newf("this instance may not accept patches now: %s", reason)), !again
+	}
 	return s.commit(ctx, revision, next)
 }
 
-// prepare checks what must hold before a commit and builds the next version. A
-// patch that can never be accepted is invalid at each instance, also at one that
-// may not accept patches now.
+// prepare builds the next version. It comes before the check whether this
+// instance may accept patches: one that can never be accepted is invalid
+// everywhere.
 func (s *submission) prepare(ctx context.Context) (*Snapshot, Result, bool) {
 	base, err := s.base(ctx)
 	if err != nil {
@@ -159,9 +167,6 @@
 	if err != nil {
 		return nil, invalid(s.patch, err), false
 	}
-	if ok, reason := s.acceptor.cfg.MayAccept(); !ok {
-		return nil, s.notSettled(errors.Newf("this instance may not accept patches now: %s", reason)), false
-	}
 	next := &Snapshot{Version: s.patch.Base + 1, PatchID: s.patch.ID, Accepted: time.Now().UTC(), Document: document}
 	return next, Result{}, true
 }
--- a/internal/configuration/document_test.go
+++ b/internal/configuration/document_test.go
@@ -161,6 +161,27 @@
 	g.Expect(acceptor.Submit(t.Context(), workspacePatch("good", 0, "w")).Status).To(Equal(configuration.StatusUnavailable))
 }
 
+// Guards against an operator who lost a race and is told to come back with the
+// same patch: the version that won takes the majority from an instance that lacks it.
+func TestLostRaceIsAConflictWithoutMajority(t *testing.T) {
+	g := NewWithT(t)
+	store := configuration.NewStore(newFakeTable())
+	newAcceptor := func(may func() (bool, string)) *configuration.Acceptor {
+		return configuration.NewAcceptor(configuration.AcceptorConfig{
+			Store: store, Holder: configuration.NewHolder(), Log: quietLog(), MayAccept: may,
+			Publish: func(context.Context, *configuration.Snapshot) error { return nil },
+		})
+	}
+	winner := newAcceptor(func() (bool, string) { return true, "" })
+	loser := newAcceptor(func() (bool, string) {
+		winner.Submit(t.Context(), workspacePatch("winner", 0, "a"))
+		return false, "no majority"
+	})
+	result := loser.Submit(t.Context(), workspacePatch("loser", 0, "b"))
+	g.Expect(result.Status).To(Equal(configuration.StatusConflict), result.Message)
+	g.Expect(result.Version).To(Equal(configuration.Version(1)))
+}
+
 // Guards against a panic, a refusal of several lines, a result that the schema
 // refuses when it is read again, and a difference from the library's merge.
 func FuzzPatch(f *testing.F) {
