--- a/internal/e2e/configuration_test.go
+++ b/internal/e2e/configuration_test.go
@@ -62,6 +62,21 @@
 	return version
 }
 
+// submitUntilSettled sends a patch again, as the answer asks for, while the
+// instance can neither accept nor refuse it. It returns nil when time is up.
+func (w *world) submitUntilSettled(instance int, patch *oas.PatchRequest) *oas.PatchResult {
+	var result *oas.PatchResult
+	err := testcluster.Await(w.ctx, func() bool {
+		answer, err := w.clientOf(instance).Endpoint().SubmitPatch(w.ctx, patch)
+		result = answer
+		return err == nil && answer.Status != oas.PatchResultStatusUnavailable && answer.Status != oas.PatchResultStatusUnknown
+	})
+	if err != nil {
+		return nil
+	}
+	return result
+}
+
 // version returns the version that an instance shows, -1 if it does not answer.
 func (w *world) version(instance int) int64 {
 	var shown struct {
@@ -100,7 +115,7 @@
 		results := make([]*oas.PatchResult, 2)
 		var group sync.WaitGroup
 		for i := range results {
-			group.Go(func() { results[i], _ = w.clientOf(i).Endpoint().SubmitPatch(w.ctx, patchOf(base, int(base)*10+i+1)) })
+			group.Go(func() { results[i] = w.submitUntilSettled(i, patchOf(base, int(base)*10+i+1)) })
 		}
 		group.Wait()
 		accepted := time.Now()
