--- a/internal/instance/generations.go
+++ b/internal/instance/generations.go
@@ -39,12 +39,14 @@
 	if err != nil {
 		return badRequest("resume.position", err)
 	}
+	// The configuration is read after the confirmation; see Call.
+	admits := h.admitsNewWork()
 	request, verdict, ok := h.generationRequest(id, contract.ServiceID(params.Service), body)
 	if !ok {
 		return h.refuseUnlisted(id, verdict)
 	}
 	request.Resume = resume
-	if request.Resume == nil && !h.admitsNewWork() {
+	if request.Resume == nil && !admits {
 		return h.refuse(id, unconfirmed())
 	}
 	subscription, verdict, ok := h.registry.Open(ctx, request)
