End the draining state of a restarted instance

Instances passed on a draining state with the time of their last contact, and the platform's list renewed it with each read. The state now keeps the time at which it was reported.

--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -52,7 +52,7 @@
 		return false
 	}
 	c := t.claims[r.slot]
-	return c.at != never && c.at.after(newsMargin) >= r.contact && c.state == r.state && c.held >= r.held
+	return c.at != never && c.at.after(newsMargin) >= r.reported() && c.state == r.state && c.held >= r.held
 }
 
 // writeAnswer fills in the part of the table that the peer lacks and the
@@ -81,7 +81,7 @@
 		if r == nil || r.contact == never || r.member.ID == peer || t.holds(l.epoch, r) {
 			continue
 		}
-		if age, ok := encodeAge(now.since(r.contact)); ok {
+		if age, ok := encodeAge(now.since(r.reported())); ok {
 			w.add(i, r.state, age)
 			if r.held != a.Status.Held {
 				w.held = append(w.held, held{Index: i, Version: r.held})
--- a/internal/membership/ledger.go
+++ b/internal/membership/ledger.go
@@ -57,9 +57,12 @@
 	lastSeen  instant
 	departed  instant // never: has not departed
 	listed    bool
-	seed      bool
-	head      int64 // of peers only
-	held      int64 // configuration version that it is known to hold
+	// entryState and entryAt are those of the entry in the list.
+	entryState platform.ListedState
+	entryAt    time.Time
+	seed       bool
+	head       int64 // of peers only
+	held       int64 // configuration version that it is known to hold
 }
 
 // ledger holds the records of all other instances and decides who is known,
@@ -127,7 +130,11 @@
 			continue
 		}
 		r.member, r.listed, r.lastSeen = m, true, now
-		if e.State == platform.ListedLeaving {
+		// An entry counts once: that of an earlier process stays in the list while
+		// its successor cannot reach the list.
+		news := e.State != r.entryState || !e.UpdatedAt.Equal(r.entryAt)
+		r.entryState, r.entryAt = e.State, e.UpdatedAt
+		if news && e.State == platform.ListedLeaving {
 			r.report(Draining, now)
 		}
 	}
@@ -147,7 +154,12 @@
 	if at < limit {
 		return
 	}
-	r.state, r.stateAt = state, max(at, r.stateAt)
+	if state == r.state {
+		at = max(at, r.stateAt)
+	}
+	// Another state counts from its own time: a draining report that takes the
+	// time of what it replaces would never grow old.
+	r.state, r.stateAt = state, at
 	if state != Draining {
 		r.departed = never
 	}
@@ -162,6 +174,17 @@
 	r.report(state, at)
 }
 
+// reported returns the time of the contact that is passed on with the state. A
+// draining state that a later contact did not end keeps the time at which it was
+// reported: with the time of the later contact, instances would renew it for
+// each other for as long as the restarted instance lives.
+func (r *record) reported() instant {
+	if r.state == Draining {
+		return min(r.contact, r.stateAt)
+	}
+	return r.contact
+}
+
 // sweep marks and removes the instances that have left by the time now.
 func (l *ledger) sweep(now instant) {
 	for id, r := range l.byID {
--- /dev/null
+++ b/internal/membership/restart_test.go
@@ -0,0 +1,29 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a draining state that instances renew for each other after the
+// drained instance was restarted: it would stay out of the denominator, and an
+// instance that is cut off would be a majority of its own.
+func TestRestartEndsDrainingStateEverywhere(t *testing.T) {
+	inCluster(t, 4, nil, func(g *WithT, c *cluster) {
+		advance(5 * time.Second)
+		drained := c.nodes[3]
+		drained.SetState(Draining)
+		advance(2 * time.Second)
+		c.crash(drained)
+		advance(time.Second)
+		c.start(t, 3)
+		advance(3 * stateMargin)
+		for _, n := range c.nodes[:3] {
+			m, _ := n.View().Member(drained.id)
+			g.Expect(m.State).To(Equal(Ready))
+			g.Expect(n.known()).To(Equal(4))
+		}
+	})
+}
