--- a/internal/instance/calls.go
+++ b/internal/instance/calls.go
@@ -17,7 +17,7 @@
 	id := contract.RequestID{Workspace: contract.WorkspaceID(params.Workspace), Key: string(params.IdempotencyKey)}
 	serviceID := contract.ServiceID(params.Service)
 	if _, verdict, ok := findRule(&h.source.Current().Document, id.Workspace, serviceID, configuration.KindService); !ok {
-		return nil, h.refuse(id, verdict)
+		return nil, h.refuse(id, h.ruleVerdict(verdict))
 	}
 	if !h.admitsNewWork() {
 		return nil, h.refuse(id, unconfirmed())
--- a/internal/instance/generations.go
+++ b/internal/instance/generations.go
@@ -26,17 +26,36 @@
 	id := contract.RequestID{Workspace: contract.WorkspaceID(params.Workspace), Key: string(params.IdempotencyKey)}
 	request, verdict, ok := h.generationRequest(id, contract.ServiceID(params.Service), body)
 	if !ok {
-		return h.refuse(id, verdict)
+		return h.refuse(id, h.ruleVerdict(verdict))
 	}
 	if request.Resume == nil && !h.admitsNewWork() {
 		return h.refuse(id, unconfirmed())
 	}
 	subscription, verdict, ok := h.registry.Open(ctx, request)
 	if !ok {
-		return h.refuse(id, verdict)
+		return h.refuse(id, resumedVerdict(request.Resume, verdict))
 	}
 	defer subscription.Close()
-	return h.stream(ctx, w, id, subscription)
+	return h.stream(ctx, w, id, request.Resume, subscription)
+}
+
+// resumedVerdict returns the verdict for a caller that may hold a part of the
+// text: such a generation has run, so it was interrupted.
+func resumedVerdict(resume *generation.Resume, verdict contract.Verdict) contract.Verdict {
+	if resume != nil && resume.Position.Offset > 0 && verdict.Outcome == contract.NotRun {
+		verdict.Outcome = contract.Interrupted
+	}
+	return verdict
+}
+
+// ruleVerdict returns the verdict for a request that no rule allows. An instance
+// without a confirmed configuration, as after a restart, cannot tell.
+func (h *handler) ruleVerdict(verdict contract.Verdict) contract.Verdict {
+	unknown := verdict.Reason == contract.ReasonUnknownSpace || verdict.Reason == contract.ReasonUnknownService
+	if unknown && !h.admitsNewWork() {
+		return unconfirmed()
+	}
+	return verdict
 }
 
 // ContinueGeneration serves GET .../generations/{key}.
@@ -56,18 +75,20 @@
 		return h.refuse(id, verdict)
 	}
 	defer subscription.Close()
-	return h.stream(ctx, w, id, subscription)
+	return h.stream(ctx, w, id, resume, subscription)
 }
 
 // stream writes the subscription to the caller. A generation that ended before
 // it reached an engine is answered by an HTTP error.
-func (h *handler) stream(ctx context.Context, w http.ResponseWriter, id contract.RequestID, subscription *generation.Subscription) error {
+func (h *handler) stream(
+	ctx context.Context, w http.ResponseWriter, id contract.RequestID, resume *generation.Resume, subscription *generation.Subscription,
+) error {
 	first, err := subscription.Next(ctx)
 	if err != nil {
 		return h.refuse(id, contract.Verdict{Outcome: contract.Unknown, Reason: contract.ReasonInProgress})
 	}
 	if first.Kind == generation.EventEnd && first.Count == 0 && first.Verdict.Outcome != contract.Completed {
-		return h.refuse(id, first.Verdict)
+		return h.refuse(id, resumedVerdict(resume, first.Verdict))
 	}
 	if first.Kind == generation.EventBroken {
 		return h.refuse(id, unconfirmed())
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -206,6 +207,28 @@
 		}
 		h.mu.Unlock()
 	}
+	w.explain()
+}
+
+// explain notes, for the first violation, what each instance knows of the others.
+func (w *world) explain() {
+	w.mu.Lock()
+	due := len(w.violations) > 0 && !w.explained
+	w.explained = w.explained || due
+	w.mu.Unlock()
+	if !due {
+		return
+	}
+	for _, n := range w.nodes {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		status, err := w.client(string(n.id)).Endpoint().GetStatus(ctx)
+		cancel()
+		if err != nil {
+			w.note("%s: %v", n.id, err)
+			continue
+		}
+		w.note("%s: %s version %d peers %+v", n.id, status.State, status.Version, status.Peers)
+	}
 }
 
 func (w *world) checkKiller(g client.Generation, result client.GenerationResult, err error, started time.Time) {
