--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -139,6 +139,7 @@
 	}
 	s.draining.Add(1)
 	s.note("drain %s", n.id)
+	s.disturb(&s.splitAt, 0)
 	s.tasks.Go(func() {
 		n.drainAndStop()
 		time.Sleep(time.Second)
@@ -168,6 +169,7 @@
 func (w *world) disturb(end *time.Time, d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.lossAt = append(w.lossAt, time.Now())
 	if at := time.Now().Add(d); at.After(*end) {
 		*end = at
 	}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -61,8 +61,9 @@
 	violations []string
 	explained  bool
 	counts     map[string]int
-	pausedAt   time.Time // end of the last pause; the future while one lasts
-	splitAt    time.Time // end of the last fault of the links, as pausedAt
+	pausedAt   time.Time   // end of the last pause; the future while one lasts
+	splitAt    time.Time   // end of the last fault of the links, as pausedAt
+	lossAt     []time.Time // begins of faults of instances and links
 	history    history
 }
 
