--- a/internal/client/generation.go
+++ b/internal/client/generation.go
@@ -166,16 +166,17 @@
 	return r.conclude(verdict)
 }
 
-// conclude ends the run with a verdict. One that says that this submission was
-// not run says nothing of the earlier ones: a text that has begun is continued
-// when the instance asks for it, else its outcome is not "not run".
+// conclude ends the run with a verdict. A text that has begun is continued when
+// the instance names a time to come back. A verdict that this submission was not
+// run says nothing of the earlier ones: then the outcome is not "not run".
 func (r *generationRun) conclude(verdict contract.Verdict) error {
 	hasText := r.digester.Tokens() > 0
+	transient := verdict.Outcome == contract.NotRun || verdict.Outcome == contract.Interrupted
+	if transient && hasText && verdict.RetryAfter > 0 {
+		r.retryAfter = verdict.RetryAfter
+		return errors.Wrapf(errNotFinal, "not continued: %s", verdict.Reason)
+	}
 	if verdict.Outcome == contract.NotRun && (hasText || r.mayHaveRun) {
-		if hasText && verdict.RetryAfter > 0 {
-			r.retryAfter = verdict.RetryAfter
-			return errors.Wrapf(errNotFinal, "not continued: %s", verdict.Reason)
-		}
 		verdict.Outcome = contract.Unknown
 		if hasText {
 			verdict.Outcome = contract.Interrupted
--- a/internal/membership/ledger.go
+++ b/internal/membership/ledger.go
@@ -53,13 +53,17 @@
 	direct    instant // last round trip of this instance itself
 	state     State
 	stateAt   instant // contact that reported the state
+	stayed    instant // last answer of the instance itself that it is not draining
 	firstSeen instant
 	lastSeen  instant
 	departed  instant // never: has not departed
 	listed    bool
-	seed      bool
-	head      int64 // of peers only
-	held      int64 // configuration version that it is known to hold
+	// entryState and entryAt are those of the entry in the list.
+	entryState platform.ListedState
+	entryAt    time.Time
+	seed       bool
+	head       int64 // of peers only
+	held       int64 // configuration version that it is known to hold
 }
 
 // ledger holds the records of all other instances and decides who is known,
@@ -88,7 +92,7 @@
 	}
 	r := &record{
 		member: m, slot: len(l.table), contact: never, direct: never, state: Unready,
-		stateAt: never, firstSeen: now, lastSeen: now, departed: never,
+		stateAt: never, stayed: never, firstSeen: now, lastSeen: now, departed: never,
 	}
 	l.byID[m.ID] = r
 	l.table = append(l.table, r)
@@ -127,7 +131,11 @@
 			continue
 		}
 		r.member, r.listed, r.lastSeen = m, true, now
-		if e.State == platform.ListedLeaving {
+		// An entry counts once: that of an earlier process stays in the list while
+		// its successor cannot reach the list.
+		news := e.State != r.entryState || !e.UpdatedAt.Equal(r.entryAt)
+		r.entryState, r.entryAt = e.State, e.UpdatedAt
+		if news && e.State == platform.ListedLeaving {
 			r.report(Draining, now)
 		}
 	}
@@ -135,6 +143,9 @@
 
 // report applies a state that was reported by a contact at the given time.
 func (r *record) report(state State, at instant) {
+	if state == Draining && at <= r.stayed {
+		return
+	}
 	limit := r.stateAt
 	if r.stateAt != never && state != r.state {
 		if state == Draining {
@@ -147,12 +158,28 @@
 	if at < limit {
 		return
 	}
-	r.state, r.stateAt = state, max(at, r.stateAt)
+	if state == r.state {
+		at = max(at, r.stateAt)
+	}
+	// Another state counts from its own time: a draining report that takes the
+	// time of what it replaces would never grow old.
+	r.state, r.stateAt = state, at
 	if state != Draining {
 		r.departed = never
 	}
 }
 
+// answered applies the state that r itself answered to a request sent at the
+// given time. It needs no margin: an instance that drained before is another
+// process now.
+func (r *record) answered(state State, at instant) {
+	if state != Draining && at >= r.stateAt {
+		r.state, r.stateAt, r.stayed, r.departed = state, at, at, never
+		return
+	}
+	r.report(state, at)
+}
+
 // hear applies a contact with r at the given time, direct or through others.
 func (r *record) hear(state State, at instant) {
 	if at > r.contact {
@@ -162,6 +189,17 @@
 	r.report(state, at)
 }
 
+// reported returns the time of the contact that is passed on with the state. A
+// draining state that a later contact did not end keeps the time at which it was
+// reported: with the time of the later contact, instances would renew it for
+// each other for as long as the restarted instance lives.
+func (r *record) reported() instant {
+	if r.state == Draining {
+		return min(r.contact, r.stateAt)
+	}
+	return r.contact
+}
+
 // sweep marks and removes the instances that have left by the time now.
 func (l *ledger) sweep(now instant) {
 	for id, r := range l.byID {
