Contradict the failures of a cut-off watcher in time at any size

With 80 instances, some took the upstream of a cut-off watcher for down for a moment. A watcher now polls at once when it learns of a failure, passes its successes on every second for 10 s after one, and these do not wait with other repeated contacts.

--- a/internal/instance/demand_test.go
+++ b/internal/instance/demand_test.go
@@ -46,7 +46,7 @@
 	fleet := newTrafficFleet(3, 0)
 	empty := func() *upstream.Upstreams {
 		return upstream.New(upstream.Config{
-			Self: upstream.Member{ID: "self"}, Configuration: fleet, List: fleet, Engines: fleet,
+			Self: upstream.Member{ID: "self"}, Configuration: fleet, List: fleet, Engines: trafficDialer{fleet: fleet},
 			Instances: func() []upstream.Member { return nil },
 		})
 	}
--- a/internal/instance/traffic_test.go
+++ b/internal/instance/traffic_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -40,11 +41,13 @@
 	loads    map[contract.UpstreamID]int
 	leaving  map[contract.UpstreamID]bool
 	paused   map[contract.UpstreamID]bool
+	cutOff   map[contract.UpstreamID]int // number of the instance whose polls get no answer
 }
 
 func newTrafficFleet(upstreams, workspaces int) *trafficFleet {
 	f := &trafficFleet{random: rand.New(rand.NewPCG(1, 1)), loads: map[contract.UpstreamID]int{}}
 	f.leaving, f.paused = map[contract.UpstreamID]bool{}, map[contract.UpstreamID]bool{}
+	f.cutOff = map[contract.UpstreamID]int{}
 	f.snapshot.Version = 1
 	f.snapshot.Document.Upstreams = map[contract.UpstreamID]configuration.Upstream{}
 	f.snapshot.Document.Services = map[contract.ServiceID]configuration.Service{"notes": {Kind: configuration.KindEngine}}
@@ -68,8 +71,14 @@
 
 func (f *trafficFleet) Withdraw(context.Context, string) error { return nil }
 
-func (f *trafficFleet) Engine(target upstream.Target) upstream.Engine {
-	return trafficEngine{fleet: f, id: target.ID}
+// trafficDialer reaches the fleet from one instance.
+type trafficDialer struct {
+	fleet  *trafficFleet
+	number int
+}
+
+func (d trafficDialer) Engine(target upstream.Target) upstream.Engine {
+	return trafficEngine{fleet: d.fleet, id: target.ID, from: d.number}
 }
 
 // trafficEngine reports a load that wanders by one request every second poll.
@@ -77,11 +86,12 @@
 	upstream.Engine
 	fleet *trafficFleet
 	id    contract.UpstreamID
+	from  int
 }
 
 func (e trafficEngine) Load(ctx context.Context) (upstream.LoadReport, error) {
 	e.fleet.mu.Lock()
-	if e.fleet.paused[e.id] {
+	if from, cut := e.fleet.cutOff[e.id]; e.fleet.paused[e.id] || cut && from == e.from {
 		e.fleet.mu.Unlock()
 		<-ctx.Done()
 		return upstream.LoadReport{}, ctx.Err()
@@ -152,7 +162,7 @@
 		t.Fatal(err)
 	}
 	upstreams := upstream.New(upstream.Config{
-		Self: members[number], Configuration: fleet, List: fleet, Engines: fleet, Recorder: timeline.Discard{},
+		Self: members[number], Configuration: fleet, List: fleet, Engines: trafficDialer{fleet, number}, Recorder: timeline.Discard{},
 		Instances: func() []upstream.Member { return members }, Logger: log, Seed: uint64(number) + 1,
 	})
 	admission := workspace.NewAdmission(workspace.Config{Instance: members[number].ID, Configuration: fleet, Instances: func() int { return count }})
@@ -270,7 +280,37 @@
 			g.Expect(down).To(BeNumerically("<=", 4*time.Second))
 			g.Expect(up).To(BeNumerically("<=", 4*time.Second))
 		}
+		cutOffWatcher(g, fleet, all, instances)
 		cancel()
 		running.Wait()
 	})
 }
+
+// cutOffWatcher cuts one watcher after the other off from an upstream: no other
+// instance may take the upstream for down.
+func cutOffWatcher(g *WithT, fleet *trafficFleet, all []*upstream.Upstreams, instances int) {
+	var members []upstream.Member
+	for i := range instances {
+		members = append(members, upstream.Member{
+			ID: contract.InstanceID(fmt.Sprintf("instance-%03d", i)), FailureDomain: contract.FailureDomainID(fmt.Sprint("domain-", i%4)),
+		})
+	}
+	for rank := range 3 {
+		number := 20 + rank
+		id := contract.UpstreamID(fmt.Sprintf("engine-oulu-a-%04d", number))
+		watcher := upstream.Watchers(id, members)[rank]
+		cut := slices.IndexFunc(members, func(m upstream.Member) bool { return m.ID == watcher })
+		fleet.mu.Lock()
+		fleet.cutOff[id] = cut
+		fleet.mu.Unlock()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for i, u := range all {
+				if i != cut {
+					g.Expect(u.Status()[number].State).To(Equal(upstream.StateLive), "instance %d, rank %d", i, rank)
+				}
+			}
+		}
+		g.Expect(all[cut].Status()[number].State).To(Equal(upstream.StateDown))
+	}
+}
--- a/internal/upstream/learn.go
+++ b/internal/upstream/learn.go
@@ -116,6 +116,10 @@
 	}
 	edited := l.edit(news.Upstream)
 	edited.health = edited.health.PeerFailed(news.series())
+	if _, watched := l.ranks[news.Upstream]; watched {
+		// The peer may be cut off: a success must reach the others in time.
+		l.kicks = append(l.kicks, news.Upstream)
+	}
 	put(l.ledger, l.ledger.failures, news.Upstream, news, l.peer)
 }
 
--- a/internal/upstream/observe.go
+++ b/internal/upstream/observe.go
@@ -290,6 +290,8 @@
 		return false
 	case old.Incarnation != next.Incarnation || old.Leaving != next.Leaving || w.contradicts(edited, old):
 		return true
+	case w.ledger.contested(next):
+		return age >= failureRefresh
 	case hasLoad && edited.loadStep(old, next):
 		return age >= loadRefresh+w.stagger(edited.target.ID)
 	default:
@@ -304,6 +306,13 @@
 		edited.health.diedAt.After(time.UnixMilli(passed.AtMS))
 }
 
+// contested reports whether contacts of another instance failed recently. One
+// that is cut off goes on failing: successes must reach all others between its
+// failures.
+func (l *ledger) contested(contact ContactEntry) bool {
+	return contact.AtMS-l.failures[contact.Upstream].value.AtMS < contestedPeriod.Milliseconds()
+}
+
 // loadStep reports whether two loads differ enough to matter for a choice.
 func (e *entry) loadStep(old, next ContactEntry) bool {
 	before, now := old.Running+old.Queued, next.Running+next.Queued
--- a/internal/upstream/repeat.go
+++ b/internal/upstream/repeat.go
@@ -78,11 +78,12 @@
 }
 
 // splitContacts divides contacts into those to be sent in full and those whose
-// process the receiver of changes after seq has learned before.
+// process the receiver of changes after seq has learned before. Short ones may
+// wait; a contact that contradicts a failure must not.
 func (l *ledger) splitContacts(contacts []ContactEntry, seq uint64) (full, short []ContactEntry) {
 	for _, contact := range contacts {
 		known := l.processes[contact.Upstream]
-		if known.seq > seq || known.ambiguous || contact.Leaving || contact.AtMS-known.sinceMS < newProcessMS {
+		if l.contested(contact) || known.seq > seq || known.ambiguous || contact.Leaving || contact.AtMS-known.sinceMS < newProcessMS {
 			full = append(full, contact)
 		} else {
 			short = append(short, contact)
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -34,6 +34,9 @@
 	// show the upstream down to all, knownFailureRefresh afterwards.
 	failureRefresh      = time.Second
 	knownFailureRefresh = 30 * time.Second
+	// contestedPeriod is how long successes are passed on often after a failure.
+	// It must exceed the time between two polls of a cut-off watcher.
+	contestedPeriod = 10 * time.Second
 	// servedRefresh is how old a passed-on list of models may get,
 	// newServedRefresh in the first time of a process: instances whose
 	// configuration does not name the upstream yet cannot take the first one.
