--- a/internal/workspace/admission_test.go
+++ b/internal/workspace/admission_test.go
@@ -276,17 +276,16 @@
 }
 
 // Guards against a refusal of a workspace that uses less than its share because
-// of the queue of another one, and against requests of the other one that wait
-// until their deadline although their turn has moved out of reach (P10).
+// of the queue of another one.
 func TestOverloadOfOneWorkspaceLeavesTheOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		unlimited := configuration.Workspace{RequestsPerSecond: 1e6, ConcurrentGenerations: 1e6}
 		a := single(t, 4, map[contract.WorkspaceID]configuration.Workspace{"heavy": unlimited, "light": unlimited})
 		var lightRefused, heavyRefused, slowRefusals atomic.Int64
-		request := func(id contract.WorkspaceID, refused *atomic.Int64) {
+		request := func(id contract.WorkspaceID, wait time.Duration, refused *atomic.Int64) {
 			began := time.Now()
-			release, _, ok := a.Admit(context.Background(), ask(id, "notes", upstream.PriorityInteractive, 4*time.Second))
+			release, _, ok := a.Admit(context.Background(), ask(id, "notes", upstream.PriorityInteractive, wait))
 			if !ok {
 				refused.Add(1)
 				if time.Since(began) > 3*time.Second {
@@ -299,11 +298,11 @@
 		}
 		var group sync.WaitGroup
 		for n := range 600 { // 10 a second for a capacity of 4 a second
-			id, refused := contract.WorkspaceID("heavy"), &heavyRefused
-			if n%6 == 0 {
-				id, refused = "light", &lightRefused
+			id, wait, refused := contract.WorkspaceID("heavy"), 4*time.Second, &heavyRefused
+			if n > 100 && n%6 == 0 {
+				id, wait, refused = "light", 2*time.Second, &lightRefused
 			}
-			group.Go(func() { request(id, refused) })
+			group.Go(func() { request(id, wait, refused) })
 			time.Sleep(100 * time.Millisecond)
 		}
 		group.Wait()
@@ -312,3 +311,43 @@
 		g.Expect(slowRefusals.Load()).To(BeNumerically("<", heavyRefused.Load()/20))
 	})
 }
+
+// Guards against a request that waits until its deadline although others with an
+// earlier turn have moved its own out of reach (P10).
+func TestRequestOutOfReachIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		limits := configuration.Workspace{RequestsPerSecond: 1e6, ConcurrentGenerations: 1e6}
+		favoured := limits
+		favoured.Weight = 10
+		a := single(t, 1, map[contract.WorkspaceID]configuration.Workspace{"heavy": limits, "light": favoured})
+		var group sync.WaitGroup
+		hold := func(id contract.WorkspaceID, wait time.Duration) {
+			release, _, ok := a.Admit(context.Background(), ask(id, "notes", upstream.PriorityInteractive, wait))
+			if ok {
+				time.Sleep(time.Second)
+				release()
+			}
+		}
+		hold("heavy", time.Minute) // a place is held for 1 s
+		for range 2 {              // one runs, one waits
+			group.Go(func() { hold("heavy", time.Minute) })
+			synctest.Wait()
+		}
+		var refusedAfter time.Duration
+		group.Go(func() {
+			began := time.Now()
+			_, verdict, ok := a.Admit(context.Background(), ask("heavy", "notes", upstream.PriorityInteractive, 4*time.Second))
+			refusedAfter = time.Since(began)
+			g.Expect(ok).To(BeFalse())
+			g.Expect(verdict.RetryAfter).To(BeNumerically(">", 4*time.Second))
+		})
+		synctest.Wait()
+		for range 6 {
+			group.Go(func() { hold("light", time.Minute) })
+		}
+		group.Wait()
+		g.Expect(refusedAfter).To(BeNumerically(">", 0), "it could have waited at first")
+		g.Expect(refusedAfter).To(BeNumerically("<", 200*time.Millisecond))
+	})
+}
