--- /dev/null
+++ b/internal/instance/generations_test.go
@@ -0,0 +1,20 @@
+package instance
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/generation"
+)
+
+// Guards against not_run for a generation of which the caller holds a part.
+func TestRefusedResumeIsInterrupted(t *testing.T) {
+	g := NewWithT(t)
+	refused := contract.Verdict{Outcome: contract.NotRun, Reason: contract.ReasonOverloaded}
+	held := &generation.Resume{Position: contract.Position{Offset: 3}}
+	g.Expect(resumedVerdict(held, refused).Outcome).To(Equal(contract.Interrupted))
+	g.Expect(resumedVerdict(&generation.Resume{}, refused)).To(Equal(refused))
+	g.Expect(resumedVerdict(nil, refused)).To(Equal(refused))
+}
--- /dev/null
+++ b/internal/soak/starting_test.go
@@ -0,0 +1,26 @@
+package soak
+
+import (
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/platform/platformtest"
+)
+
+// Guards against a final refusal by an instance that knows no configuration
+// since its restart: unknown_workspace would end the caller's request.
+func TestStartingInstanceIsUnconfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 3)
+		w.table.Set(platformtest.Faults{Unavailable: true})
+		result, err := w.submit(lookups, "key", callTimeout)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Verdict.Outcome).To(Equal(contract.NotRun))
+		g.Expect(result.Verdict.Reason).To(Equal(contract.ReasonUnconfirmed))
+		w.shutDown()
+	})
+}
