--- a/internal/configuration/confirm.go
+++ b/internal/configuration/confirm.go
@@ -22,8 +22,8 @@
 	ID contract.InstanceID
 	// Permanent is true while the platform's list or the settings name it.
 	Permanent bool
-	// Leaving is true if its last known state is leaving. It admits no work and
-	// counts neither as known nor as heard.
+	// Leaving is true if its last known state is leaving. It counts neither as
+	// known nor as heard, not even for itself (ConfirmInput.Draining).
 	Leaving bool
 	// LastKnown is when it was last heard from or seen in the list. It matters
 	// when Permanent is false.
@@ -50,6 +50,10 @@
 	// BehindSince is when this instance learned of a version newer than the one
 	// it holds; zero if it holds the newest version that it knows of.
 	BehindSince time.Time
+	// Draining is true while this instance stops. It still admits work, but the
+	// others no longer count it: without this, instances that all drain at once
+	// would each be a majority of one.
+	Draining bool
 	// Uninformed is true while this instance may not know of all others, as
 	// after a start without the platform's list. There is no majority then.
 	Uninformed    bool
@@ -102,8 +106,10 @@
 // not initialized does not count itself as heard: after a restart it knows
 // nothing, so more than half of the known instances must be others.
 func (in ConfirmInput) count(initialized bool) (known, heard int) {
-	known = 1
-	if initialized {
+	if !in.Draining {
+		known = 1
+	}
+	if initialized && !in.Draining {
 		heard = 1
 	}
 	for _, other := range in.Others {
--- a/internal/configuration/confirm_test.go
+++ b/internal/configuration/confirm_test.go
@@ -36,6 +36,9 @@
 		"heard before it was behind":   {configuration.ConfirmInput{Initialized: true, Others: others(heard), BehindSince: ago(999 * time.Millisecond)}, true, false},
 		"heard since it is behind":     {configuration.ConfirmInput{Initialized: true, Others: others(heard), BehindSince: ago(time.Second)}, false, false},
 		"leaving does not count":       {configuration.ConfirmInput{Initialized: true, Others: others(leaving, silent)}, false, false},
+		"draining and alone":           {configuration.ConfirmInput{Initialized: true, Draining: true, Others: others(leaving)}, false, false},
+		"draining beside a majority":   {configuration.ConfirmInput{Initialized: true, Draining: true, Others: others(heard, heard, silent)}, true, false},
+		"draining with the store":      {configuration.ConfirmInput{HeadRead: now, Draining: true}, true, false},
 		"departed stays in the count":  {configuration.ConfirmInput{HeadRead: now, Others: others(departed)}, true, false},
 		"departed for a day":           {configuration.ConfirmInput{HeadRead: now, Others: others(forgotten)}, true, true},
 	} {
--- a/internal/instance/life.go
+++ b/internal/instance/life.go
@@ -97,6 +97,7 @@
 		Initialized: initialized,
 		HeadRead:    standing.HeadRead,
 		BehindSince: standing.BehindSince,
+		Draining:    l.isDraining(),
 		Uninformed:  !view.Informed(),
 		Others:      knownInstances(view, now),
 	})
--- a/internal/instance/spread.go
+++ b/internal/instance/spread.go
@@ -31,6 +31,7 @@
 	holder     *configuration.Holder
 	transport  link.Transport
 	membership *membership.Membership
+	draining   func() bool
 	update     func() // applies the confirmation rule, which also sets the head of heartbeats
 }
 
@@ -64,7 +65,7 @@
 	ticker := time.NewTicker(publishInterval)
 	defer ticker.Stop()
 	for {
-		holding, known := holders(s.membership.View().Members(), int64(snapshot.Version), time.Now())
+		holding, known := holders(s.membership.View().Members(), int64(snapshot.Version), s.draining(), time.Now())
 		if 2*holding > known {
 			return nil
 		}
@@ -77,9 +78,11 @@
 }
 
 // holders counts the known instances that hold a version, this one included.
-// Leaving instances admit no work, so they do not count.
-func holders(members []membership.MemberView, version int64, now time.Time) (holding, known int) {
-	holding, known = 1, 1
+// Draining instances do not count, as for the confirmation.
+func holders(members []membership.MemberView, version int64, draining bool, now time.Time) (holding, known int) {
+	if !draining {
+		holding, known = 1, 1
+	}
 	for _, m := range members {
 		if !now.Before(m.KnownUntil) || m.State == membership.Draining {
 			continue
--- a/internal/instance/wiring.go
+++ b/internal/instance/wiring.go
@@ -104,6 +104,7 @@
 		Log:          i.log,
 	})
 	i.life = newLife(i.log, i.follower, i.membership)
+	spread.draining = i.life.isDraining
 	spread.update = func() { i.life.update(time.Now()) }
 	i.holder.Subscribe(func(*configuration.Snapshot) { i.membership.Push() })
 	return configuration.NewAcceptor(configuration.AcceptorConfig{
