--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -35,7 +35,7 @@
 
 var refusals = map[oas.Name]contract.Verdict{
 	"busy":    {Outcome: contract.NotRun, Reason: contract.ReasonOverloaded, RetryAfter: 1500 * time.Millisecond},
-	"killer":  {Outcome: contract.Quarantined, Reason: contract.ReasonQuarantined},
+	"poison":  {Outcome: contract.Quarantined, Reason: contract.ReasonQuarantined},
 	"strange": {Outcome: contract.NotRun, Reason: contract.ReasonBadRequest},
 }
 
@@ -149,7 +149,7 @@
 		"generate " + send + "guides -":                           {ExitOK, "input text\n", "outcome=completed"},
 		"generate " + send + "damaged p":                          {ExitFailed, "p text\n", "foxtailhub generate: received 2 tokens, the end says 3"},
 		"generate " + send + "busy p":                             {ExitNotRun, "", `reason=overloaded retry_after_ms=1500 message="said why"`},
-		"generate " + send + "killer p":                           {ExitFailed, "", "outcome=quarantined"},
+		"generate " + send + "poison p":                           {ExitFailed, "", "outcome=quarantined"},
 		"generate " + send + "strange p":                          {ExitUsage, "", `message="said why"`},
 		"call " + send + "stock {}":                               {ExitOK, "{}\n", "outcome=completed status=200"},
 		"call " + send + "busy {}":                                {ExitNotRun, "", "retry_after_ms=1500"},
--- a/internal/instance/handler_test.go
+++ b/internal/instance/handler_test.go
@@ -41,7 +41,7 @@
 	holder := configuration.NewHolder()
 	holder.Advance(&configuration.Snapshot{Version: 1, Document: testDocument()})
 	l := &life{draining: make(chan struct{})}
-	l.confirmation.Store(&judgedConfirmation{Confirmation: configuration.Confirmation{Confirmed: confirmed}, at: time.Now().Add(time.Hour)})
+	l.confirmation.Store(&timedConfirmation{Confirmation: configuration.Confirmation{Confirmed: confirmed}, at: time.Now().Add(time.Hour)})
 	if draining {
 		l.drainStart.Store(time.Now().UnixNano())
 	}
--- a/internal/instance/life.go
+++ b/internal/instance/life.go
@@ -28,15 +28,15 @@
 	membership *membership.Membership
 
 	updating     sync.Mutex // held during update, so that results replace each other in order
-	judge        func(now time.Time, initialized bool) configuration.Confirmation
-	confirmation atomic.Pointer[judgedConfirmation]
+	assess       func(now time.Time, initialized bool) configuration.Confirmation
+	confirmation atomic.Pointer[timedConfirmation]
 	state        atomic.Pointer[State]
 	drainStart   atomic.Int64  // Unix nanoseconds; 0 while not draining
 	draining     chan struct{} // closed when the drain begins
 }
 
-// judgedConfirmation is a result of the confirmation rule and its time.
-type judgedConfirmation struct {
+// timedConfirmation is a result of the confirmation rule and its time.
+type timedConfirmation struct {
 	configuration.Confirmation
 	at time.Time
 }
@@ -45,8 +45,8 @@
 	l := &life{log: log, follower: follower, membership: members, draining: make(chan struct{})}
 	starting := StateStarting
 	l.state.Store(&starting)
-	l.confirmation.Store(&judgedConfirmation{Confirmation: configuration.Confirmation{Reason: "starting"}})
-	l.judge = l.confirm
+	l.confirmation.Store(&timedConfirmation{Confirmation: configuration.Confirmation{Reason: "starting"}})
+	l.assess = l.confirm
 	return l
 }
 
@@ -65,11 +65,11 @@
 }
 
 // update applies the confirmation rule once and returns its result.
-func (l *life) update(now time.Time) *judgedConfirmation {
+func (l *life) update(now time.Time) *timedConfirmation {
 	l.updating.Lock()
 	defer l.updating.Unlock()
 	before := l.confirmation.Load()
-	after := &judgedConfirmation{Confirmation: l.judge(now, before.Initialized), at: now}
+	after := &timedConfirmation{Confirmation: l.assess(now, before.Initialized), at: now}
 	l.confirmation.Store(after)
 	if before.Confirmed != after.Confirmed {
 		l.log.WithField("confirmed", after.Confirmed).WithField("reason", after.Reason).Warn("confirmation changed")
@@ -78,9 +78,9 @@
 	return after
 }
 
-// fresh returns the confirmation, judged anew if it is old: a process that was
+// fresh returns the confirmation, assessed anew if it is old: a process that was
 // paused must not admit work by what held before the pause.
-func (l *life) fresh() *judgedConfirmation {
+func (l *life) fresh() *timedConfirmation {
 	current := l.confirmation.Load()
 	if now := time.Now(); now.Sub(current.at) > maxConfirmationAge {
 		return l.update(now)
@@ -88,7 +88,7 @@
 	return current
 }
 
-// confirm judges by the configuration's follower and the membership.
+// confirm assesses by the configuration's follower and the membership.
 func (l *life) confirm(now time.Time, initialized bool) configuration.Confirmation {
 	standing := l.follower.Standing()
 	view := l.membership.View()
--- a/internal/instance/life_test.go
+++ b/internal/instance/life_test.go
@@ -24,7 +24,7 @@
 		draining := StateDraining
 		l.state.Store(&draining)
 		headRead := time.Now()
-		l.judge = func(now time.Time, initialized bool) configuration.Confirmation {
+		l.assess = func(now time.Time, initialized bool) configuration.Confirmation {
 			other := configuration.KnownInstance{ID: "instance-1", Permanent: true, Heard: headRead}
 			return configuration.Confirm(configuration.ConfirmInput{
 				Now: now, Initialized: initialized, HeadRead: headRead, Others: []configuration.KnownInstance{other},
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -34,12 +34,12 @@
 	accepted map[configuration.Version]string
 	told     map[configuration.Version]time.Time
 	answers  map[string][]contract.Outcome // of non-idempotent calls, by key; "" for no answer
-	killers  map[string]*killerHistory
+	poisons  map[string]*poisonHistory
 	inForce  map[string]inForce // by node
 	unrun    []string           // generations that were refused
 }
 
-type killerHistory struct {
+type poisonHistory struct {
 	senders     int
 	from, until time.Time
 	quarantined time.Time // first such answer
@@ -55,14 +55,14 @@
 	return history{
 		patches: map[string][]oas.PatchResultStatus{}, accepted: map[configuration.Version]string{},
 		told: map[configuration.Version]time.Time{}, answers: map[string][]contract.Outcome{},
-		killers: map[string]*killerHistory{}, inForce: map[string]inForce{},
+		poisons: map[string]*poisonHistory{}, inForce: map[string]inForce{},
 	}
 }
 
-func (h *history) addKiller(prompt string, senders int, from, until time.Time) {
+func (h *history) addPoison(prompt string, senders int, from, until time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.killers[prompt] = &killerHistory{senders: senders, from: from, until: until}
+	h.poisons[prompt] = &poisonHistory{senders: senders, from: from, until: until}
 }
 
 // undisturbed reports whether no link was cut and no instance stood still since.
@@ -233,18 +233,18 @@
 	}
 }
 
-func (w *world) checkKiller(g client.Generation, result client.GenerationResult, err error, started time.Time) {
+func (w *world) checkPoison(g client.Generation, result client.GenerationResult, err error, started time.Time) {
 	h := &w.history
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	k := h.killers[g.Prompt]
+	k := h.poisons[g.Prompt]
 	outcome := result.Verdict.Outcome
 	if err != nil {
 		outcome = "gave up"
 	}
-	w.count("killer " + string(outcome) + " " + string(result.Verdict.Reason))
+	w.count("poison " + string(outcome) + " " + string(result.Verdict.Reason))
 	if outcome == contract.Completed || len(result.Tokens) > 0 {
-		w.violation("killer %s has an answer", g.Request)
+		w.violation("poison %s has an answer", g.Request)
 	}
 	took := time.Since(started)
 	if outcome == contract.Quarantined && k.quarantined.IsZero() {
@@ -253,7 +253,7 @@
 	}
 	known := !k.quarantined.IsZero() && started.Sub(k.quarantined) > spreadBound && w.undisturbed(k.from)
 	if known && err == nil && result.Reconnects == 0 && (outcome != contract.Quarantined || took > 500*time.Millisecond) {
-		w.violation("killer %s: %+v after %s, quarantined %s before", g.Request, result.Verdict, took, started.Sub(k.quarantined))
+		w.violation("poison %s: %+v after %s, quarantined %s before", g.Request, result.Verdict, took, started.Sub(k.quarantined))
 	}
 }
 
@@ -338,7 +338,7 @@
 			deaths[prompt]++
 		}
 	}
-	for prompt, k := range w.history.killers {
+	for prompt, k := range w.history.poisons {
 		bound := quarantineDeaths + k.senders - 1
 		bound *= 1 + w.losses(k.from.Add(-lossLead), k.until)
 		w.note("%q crashed %d engines, bound %d", prompt, deaths[prompt], bound)
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -21,8 +21,8 @@
 type schedule struct {
 	*world
 	lastKill time.Time
-	killers  int
-	lethal   bool // sends killers
+	poisons  int
+	lethal   bool // sends poison prompts
 	draining atomic.Int32
 }
 
@@ -39,7 +39,7 @@
 	faults := []func(){
 		s.killEngine, s.pauseEngine, s.cutEngine, s.silenceEngine, s.leaveEngine, s.garbleEngine,
 		s.crashNode, s.drainNode, s.pauseNode, s.splitLinks, s.loseMessages,
-		s.breakTable, s.severNode, s.breakList, s.breakService, s.sendKillers,
+		s.breakTable, s.severNode, s.breakList, s.breakService, s.sendPoison,
 	}
 	faults[s.rng.IntN(len(faults))]()
 }
@@ -235,16 +235,16 @@
 	s.after(d, func() { s.services.set(id, serviceWell) })
 }
 
-// sendKillers sends one or two killer contents at the same time.
-func (s *schedule) sendKillers() {
+// sendPoison sends one or two poison prompts at the same time.
+func (s *schedule) sendPoison() {
 	if !s.lethal || !s.mayKill() {
 		return
 	}
 	for range 1 + s.rng.IntN(2) {
-		s.killers++
-		name, senders := fmt.Sprintf("k%d", s.killers), 1+s.rng.IntN(3)
-		s.note("killer %s by %d senders", name, senders)
-		s.killer(name, senders, 8*time.Second)
+		s.poisons++
+		name, senders := fmt.Sprintf("k%d", s.poisons), 1+s.rng.IntN(3)
+		s.note("poison %s by %d senders", name, senders)
+		s.poison(name, senders, 8*time.Second)
 	}
 }
 
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -138,11 +138,11 @@
 	}
 }
 
-// killer sends a content that crashes every engine, again and again.
-func (w *world) killer(name string, senders int, span time.Duration) {
-	g := client.Generation{Service: sparing, Prompt: killerText + " " + name, MaxTokens: 30, Seed: 1}
+// poison sends a content that crashes every engine, again and again.
+func (w *world) poison(name string, senders int, span time.Duration) {
+	g := client.Generation{Service: sparing, Prompt: poisonText + " " + name, MaxTokens: 30, Seed: 1}
 	began := time.Now()
-	w.history.addKiller(g.Prompt, senders, began, began.Add(span))
+	w.history.addPoison(g.Prompt, senders, began, began.Add(span))
 	for sender := range senders {
 		w.tasks.Go(func() {
 			for n := 0; time.Since(began) < span; n++ {
@@ -152,7 +152,7 @@
 				started := time.Now()
 				result, err := w.client(balancer).Generate(ctx, g)
 				cancel()
-				w.checkKiller(g, result, err, started)
+				w.checkPoison(g, result, err, started)
 				time.Sleep(150 * time.Millisecond)
 			}
 		})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,9 +33,9 @@
 // of faults that no test of a single part makes.
 func TestSoak(t *testing.T) { soakSeeds(t, false) }
 
-// TestSoakKillers guards the same with contents that crash every engine: the
+// TestSoakPoisonPrompts guards the same with contents that crash every engine: the
 // engines that they crash are bounded, and nothing else is quarantined.
-func TestSoakKillers(t *testing.T) { soakSeeds(t, true) }
+func TestSoakPoisonPrompts(t *testing.T) { soakSeeds(t, true) }
 
 func soakSeeds(t *testing.T, lethal bool) {
 	seeds, span := []uint64{1, 2, 3, 4}, shortSpan
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -34,7 +34,7 @@
 	engineCount                       = 6
 	serviceCount                      = 2
 	queueMS                           = 2000
-	killerText                        = "crashes every engine"
+	poisonText                        = "crashes every engine"
 	firstToken                        = 200 * time.Millisecond
 	interval                          = 40 * time.Millisecond
 )
@@ -80,7 +80,7 @@
 			Target: upstream.Target{ID: engineID(i)}, Pin: pin, Nonce: uint64(i + 1), Greedy: true,
 			FirstToken: firstToken, Interval: interval, Slots: 8,
 		})
-		e.CrashOn(killerText)
+		e.CrashOn(poisonText)
 		w.engines = append(w.engines, e)
 	}
 	w.dialer = upstreamtest.NewFakeRouter(w.engines...)
--- a/internal/upstream/judgement.go
+++ b/internal/upstream/assessment.go
@@ -8,8 +8,8 @@
 	"foxtailhub.example/foxtailhub/internal/contract"
 )
 
-// Judgement is what the evidence says about one content, for any later time.
-type Judgement struct {
+// Assessment is what the evidence says about one content, for any later time.
+type Assessment struct {
 	charges []charge  // sorted by time
 	from    time.Time // begin of the quarantine; zero if there is none
 	until   time.Time
@@ -26,7 +26,7 @@
 }
 
 // Standing returns the standing at a time.
-func (j Judgement) Standing(now time.Time) Standing {
+func (j Assessment) Standing(now time.Time) Standing {
 	standing := Standing{Deaths: incidents(j.counting(now))}
 	if !j.from.IsZero() && !now.Before(j.from) && now.Before(j.until) {
 		standing.Quarantined = true
@@ -36,7 +36,7 @@
 }
 
 // recent returns the charges that are not too old.
-func (j Judgement) recent(now time.Time) []charge {
+func (j Assessment) recent(now time.Time) []charge {
 	first := slices.IndexFunc(j.charges, func(c charge) bool { return now.Sub(c.at) <= quarantineTime })
 	if first < 0 {
 		return nil
@@ -45,7 +45,7 @@
 }
 
 // counting returns the recent charges that count against the content.
-func (j Judgement) counting(now time.Time) []charge {
+func (j Assessment) counting(now time.Time) []charge {
 	return slices.DeleteFunc(slices.Clone(j.recent(now)), func(c charge) bool { return !c.counts })
 }
 
@@ -82,71 +82,71 @@
 }
 
 // quarantinePeriod is the time for which a content is refused.
-type quarantinePeriod struct{ condemnedAt, until time.Time }
+type quarantinePeriod struct{ identifiedAt, until time.Time }
 
-// judge computes judgements from sorted deaths.
-type judge struct {
-	deaths    []Death
-	byContent map[ContentKey][]int // indices of the deaths that count against a content
-	condemned map[ContentKey]quarantinePeriod
+// assessor computes assessments from sorted deaths.
+type assessor struct {
+	deaths     []Death
+	byContent  map[ContentKey][]int // indices of the deaths that count against a content
+	identified map[ContentKey]quarantinePeriod
 }
 
-// Judge returns the judgement of each content that ran on an upstream when it
+// Assess returns the assessment of each content that ran on an upstream when it
 // died. The result depends only on the evidence.
 //
-// Contents are condemned in the order of time, with the deaths known up to then.
-// A death is explained by a condemned content that ran there: it counts neither
-// against others nor as correlated with other deaths. Without that, two killers
+// Contents are identified in the order of time, with the deaths known up to then.
+// A death is explained by an identified content that ran there: it counts neither
+// against others nor as correlated with other deaths. Without that, two poison prompts
 // that are active at the same time would clear each other.
-func (e *Evidence) Judge() map[ContentKey]Judgement {
-	j := judge{
-		deaths:    e.provenDeaths(),
-		byContent: make(map[ContentKey][]int),
-		condemned: make(map[ContentKey]quarantinePeriod),
+func (e *Evidence) Assess() map[ContentKey]Assessment {
+	j := assessor{
+		deaths:     e.provenDeaths(),
+		byContent:  make(map[ContentKey][]int),
+		identified: make(map[ContentKey]quarantinePeriod),
 	}
 	for i, death := range j.deaths {
 		for _, content := range death.Contents {
-			if e.acquitted[content].Before(death.At) {
+			if e.cleared[content].Before(death.At) {
 				j.byContent[content] = append(j.byContent[content], i)
 			}
 		}
 	}
-	j.condemn()
-	return j.judgements()
+	j.identify()
+	return j.assessments()
 }
 
-// condemn finds the contents that the deaths condemn.
-func (j *judge) condemn() {
+// identify finds the contents that the deaths identify.
+func (j *assessor) identify() {
 	candidates := j.candidates()
 	for _, now := range j.instants(candidates) {
-		// A condemned content explains deaths that hid those of another one.
+		// An identified content explains deaths that hid those of another one.
 		for found := true; found; {
-			found = j.condemnAt(candidates, now)
+			found = j.identifyAt(candidates, now)
 		}
 	}
 }
 
-// condemnAt finds the contents that are condemned by now and reports whether one
+// identifyAt finds the contents that are identified by now and reports whether one
 // is new. Those found in one pass do not explain each other's deaths.
-func (j *judge) condemnAt(candidates []ContentKey, now time.Time) (found bool) {
-	condemned := make(map[ContentKey]quarantinePeriod)
+func (j *assessor) identifyAt(candidates []ContentKey, now time.Time) (found bool) {
+	identified := make(map[ContentKey]quarantinePeriod)
 	for _, content := range candidates {
 		until, reached := quarantine(j.charges(content, now))
-		known, again := j.condemned[content]
+		known, again := j.identified[content]
 		switch {
 		case reached && again:
-			condemned[content] = quarantinePeriod{condemnedAt: known.condemnedAt, until: until}
+			identified[content] = quarantinePeriod{identifiedAt: known.identifiedAt, until: until}
 		case reached:
-			condemned[content] = quarantinePeriod{condemnedAt: now, until: until}
+			identified[content] = quarantinePeriod{identifiedAt: now, until: until}
 			found = true
 		}
 	}
-	maps.Copy(j.condemned, condemned)
+	maps.Copy(j.identified, identified)
 	return found
 }
 
 // candidates returns the contents that ran on enough upstreams, sorted.
-func (j *judge) candidates() []ContentKey {
+func (j *assessor) candidates() []ContentKey {
 	var candidates []ContentKey
 	for content, indices := range j.byContent {
 		upstreams := make(map[contract.UpstreamID]bool)
@@ -161,8 +161,8 @@
 	return candidates
 }
 
-// instants returns the times at which a candidate may become condemned.
-func (j *judge) instants(candidates []ContentKey) []time.Time {
+// instants returns the times at which a candidate may become identified.
+func (j *assessor) instants(candidates []ContentKey) []time.Time {
 	var instants []time.Time
 	for _, content := range candidates {
 		for _, i := range j.byContent[content] {
@@ -173,25 +173,25 @@
 	return slices.CompactFunc(instants, time.Time.Equal)
 }
 
-// judgements returns the result with all deaths.
-func (j *judge) judgements() map[ContentKey]Judgement {
-	judgements := make(map[ContentKey]Judgement, len(j.byContent))
+// assessments returns the result with all deaths.
+func (j *assessor) assessments() map[ContentKey]Assessment {
+	assessments := make(map[ContentKey]Assessment, len(j.byContent))
 	for content := range j.byContent {
-		judgement := Judgement{charges: j.charges(content, j.deaths[len(j.deaths)-1].At)}
-		if period, condemned := j.condemned[content]; condemned {
+		assessment := Assessment{charges: j.charges(content, j.deaths[len(j.deaths)-1].At)}
+		if period, identified := j.identified[content]; identified {
 			// Until then, evidence that clears the content may arrive from the
 			// other instances; the content is held back.
-			judgement.from, judgement.until = period.condemnedAt.Add(evidenceDelay), period.until
+			assessment.from, assessment.until = period.identifiedAt.Add(evidenceDelay), period.until
 		}
-		if len(judgement.charges) > 0 || !judgement.from.IsZero() {
-			judgements[content] = judgement
+		if len(assessment.charges) > 0 || !assessment.from.IsZero() {
+			assessments[content] = assessment
 		}
 	}
-	return judgements
+	return assessments
 }
 
 // charges returns the deaths up to a time that no other content explains.
-func (j *judge) charges(content ContentKey, now time.Time) []charge {
+func (j *assessor) charges(content ContentKey, now time.Time) []charge {
 	var charges []charge
 	for _, i := range j.byContent[content] {
 		death := j.deaths[i]
@@ -207,11 +207,11 @@
 	return charges
 }
 
-// explained reports whether a content that is condemned by now, other than the
+// explained reports whether a content that is identified by now, other than the
 // given one, ran on the upstream that died.
-func (j *judge) explained(death Death, content ContentKey, now time.Time) bool {
-	for other, period := range j.condemned {
-		if other != content && !period.condemnedAt.After(now) && ranOn(death, other) {
+func (j *assessor) explained(death Death, content ContentKey, now time.Time) bool {
+	for other, period := range j.identified {
+		if other != content && !period.identifiedAt.After(now) && ranOn(death, other) {
 			return true
 		}
 	}
@@ -220,7 +220,7 @@
 
 // related returns the deaths up to a time of other upstreams in the failure
 // domain of a death within the correlation window, without explained ones.
-func (j *judge) related(index int, content ContentKey, now time.Time) []Death {
+func (j *assessor) related(index int, content ContentKey, now time.Time) []Death {
 	death := j.deaths[index]
 	var related []Death
 	add := func(other Death) {
--- a/internal/upstream/digest.go
+++ b/internal/upstream/digest.go
@@ -18,7 +18,7 @@
 	Leaving     []LeavingEntry    `cbor:"4,keyasint,omitempty"`
 	Served      []ServedEntry     `cbor:"5,keyasint,omitempty"`
 	Deaths      []DeathEntry      `cbor:"6,keyasint,omitempty"`
-	Acquittals  []AcquittalEntry  `cbor:"7,keyasint,omitempty"`
+	Completions []CompletionEntry `cbor:"7,keyasint,omitempty"`
 	Survivals   []SurvivalEntry   `cbor:"8,keyasint,omitempty"`
 	SuspectRuns []SuspectRunEntry `cbor:"9,keyasint,omitempty"`
 	// Run identifies the run of the sender's process, until the receiver has
@@ -32,7 +32,7 @@
 // Empty reports whether the digest has no entries.
 func (d Digest) Empty() bool {
 	return len(d.Contacts)+len(d.Repeats)+len(d.Failures)+len(d.Leaving)+len(d.Served)+
-		len(d.Deaths)+len(d.Acquittals)+len(d.Survivals)+len(d.SuspectRuns) == 0
+		len(d.Deaths)+len(d.Completions)+len(d.Survivals)+len(d.SuspectRuns) == 0
 }
 
 // OnlyRepeats reports whether all entries are contacts that change no state.
@@ -103,8 +103,8 @@
 	Contents      []ContentKey
 }
 
-// AcquittalEntry is the completion of a content that was charged.
-type AcquittalEntry struct {
+// CompletionEntry is the completion of a content that was charged.
+type CompletionEntry struct {
 	_       struct{} `cbor:",toarray"`
 	Content ContentKey
 	AtMS    int64
@@ -152,7 +152,7 @@
 	leaving     map[contract.UpstreamID]stamped[LeavingEntry]
 	served      map[contract.UpstreamID]stamped[ServedEntry]
 	deaths      map[Start]stamped[DeathEntry]
-	acquittals  map[ContentKey]stamped[AcquittalEntry]
+	completions map[ContentKey]stamped[CompletionEntry]
 	survivals   map[Start]stamped[SurvivalEntry]
 	suspectRuns map[suspectRun]stamped[SuspectRunEntry]
 }
@@ -167,7 +167,7 @@
 		leaving:     make(map[contract.UpstreamID]stamped[LeavingEntry]),
 		served:      make(map[contract.UpstreamID]stamped[ServedEntry]),
 		deaths:      make(map[Start]stamped[DeathEntry]),
-		acquittals:  make(map[ContentKey]stamped[AcquittalEntry]),
+		completions: make(map[ContentKey]stamped[CompletionEntry]),
 		survivals:   make(map[Start]stamped[SurvivalEntry]),
 		suspectRuns: make(map[suspectRun]stamped[SuspectRunEntry]),
 	}
@@ -203,7 +203,7 @@
 		Leaving:     changes(l.leaving, seq, last, holder),
 		Served:      changes(l.served, seq, last, holder),
 		Deaths:      changes(l.deaths, seq, last, holder),
-		Acquittals:  changes(l.acquittals, seq, last, holder),
+		Completions: changes(l.completions, seq, last, holder),
 		Survivals:   changes(l.survivals, seq, last, holder),
 		SuspectRuns: changes(l.suspectRuns, seq, last, holder),
 	}
@@ -229,7 +229,7 @@
 	removeKeys(l.leaving, unknown)
 	removeKeys(l.served, unknown)
 	removeKeys(l.deaths, func(start Start) bool { _, found := evidence.deaths[start]; return !found })
-	removeKeys(l.acquittals, func(content ContentKey) bool { return evidence.acquitted[content].IsZero() })
+	removeKeys(l.completions, func(content ContentKey) bool { return evidence.cleared[content].IsZero() })
 	removeKeys(l.survivals, func(start Start) bool { return evidence.alive[start].IsZero() })
 	for key, entry := range l.suspectRuns {
 		if now.Sub(time.UnixMilli(entry.value.AtMS)) > suspectMarkLifetime {
--- a/internal/upstream/digest_test.go
+++ b/internal/upstream/digest_test.go
@@ -126,9 +126,9 @@
 			domain := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain")
 			evidence.AddDeath(death(fmt.Sprint("u", i), domain, rapid.Float64Range(0, 20).Draw(t, "second"), contents...))
 		}
-		for key, judgement := range evidence.Judge() {
+		for key, assessment := range evidence.Assess() {
 			now := at(20).Add(evidenceDelay)
-			if standing := judgement.Standing(now); standing.Deaths >= quarantineDeaths && !standing.Quarantined {
+			if standing := assessment.Standing(now); standing.Deaths >= quarantineDeaths && !standing.Quarantined {
 				t.Fatalf("content %s has %d deaths and no quarantine", key, standing.Deaths)
 			}
 		}
--- a/internal/upstream/enginehttp/engine_test.go
+++ b/internal/upstream/enginehttp/engine_test.go
@@ -340,9 +340,9 @@
 	innocent, err := f.engine.Start(f.ctx, request("innocent", 1_000_000))
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.read(innocent, 0, 1)
-	killer, err := f.engine.Start(f.ctx, request("poison", 10))
+	poison, err := f.engine.Start(f.ctx, request("poison", 10))
 	f.g.Expect(err).NotTo(HaveOccurred())
-	_, err = killer.Next(f.ctx)
+	_, err = poison.Next(f.ctx)
 	f.g.Expect(err).To(MatchError(upstream.ErrConnectionLost))
 	for err = nil; err == nil; {
 		_, err = innocent.Next(f.ctx)
--- a/internal/upstream/enginehttp/upstreams_test.go
+++ b/internal/upstream/enginehttp/upstreams_test.go
@@ -84,8 +84,8 @@
 	engines["engine-1"].model.Faults().Set(standin.Fault{Leaving: true, LagMS: 1})
 	g.Eventually(state("engine-1"), 3*time.Second).Should(Equal(upstream.StateLeaving))
 
-	killer := upstream.Need{Service: "notes", Pin: pin, Content: upstream.ContentKey{1}}
-	placement, _, ok := u.Place(killer)
+	poison := upstream.Need{Service: "notes", Pin: pin, Content: upstream.ContentKey{1}}
+	placement, _, ok := u.Place(poison)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(placement.Target.ID).To(BeEquivalentTo("engine-2"))
 	f := engines["engine-2"]
@@ -96,5 +96,5 @@
 	g.Expect(err).To(MatchError(upstream.ErrConnectionLost))
 	placement.Done(upstream.Observation{Kind: upstream.ObservedLost, Incarnation: stream.Incarnation()})
 	g.Eventually(state("engine-2"), patience).Should(Equal(upstream.StateDown))
-	g.Eventually(func() int { return u.Standing(killer.Content).Deaths }, patience).Should(Equal(1))
+	g.Eventually(func() int { return u.Standing(poison.Content).Deaths }, patience).Should(Equal(1))
 }
--- a/internal/upstream/learn.go
+++ b/internal/upstream/learn.go
@@ -65,8 +65,8 @@
 	for _, entry := range digest.Deaths {
 		l.death(entry)
 	}
-	for _, entry := range digest.Acquittals {
-		l.acquittal(entry)
+	for _, entry := range digest.Completions {
+		l.completion(entry)
 	}
 	for _, entry := range digest.Survivals {
 		l.survival(entry)
@@ -173,11 +173,11 @@
 	l.recordDeath(Death{Start: start, FailureDomain: news.FailureDomain, At: at, Contents: contents}, from)
 }
 
-func (l learner) acquittal(news AcquittalEntry) {
+func (l learner) completion(news CompletionEntry) {
 	at, ok := l.time(news.AtMS, evidenceLifetime)
-	if ok && l.evidence.AddAcquittal(news.Content, at) {
-		l.rejudge = true
-		put(l.ledger, l.ledger.acquittals, news.Content, news, l.peer)
+	if ok && l.evidence.AddCompletion(news.Content, at) {
+		l.reassess = true
+		put(l.ledger, l.ledger.completions, news.Content, news, l.peer)
 	}
 }
 
--- a/internal/upstream/observe.go
+++ b/internal/upstream/observe.go
@@ -24,7 +24,7 @@
 		switch observation.Kind {
 		case ObservedOK:
 			w.usedWell(id, now, observation.Incarnation)
-			w.acquit(content, now)
+			w.clear(content, now)
 		case ObservedRefused:
 			w.usedWell(id, now, observation.Incarnation)
 		case ObservedLeaving:
@@ -237,22 +237,22 @@
 	}
 }
 
-// acquit records that a content ran to its end, if that matters.
-func (w *writer) acquit(content ContentKey, now time.Time) {
-	_, charged := w.judgements[content]
+// clear records that a content ran to its end, if that matters.
+func (w *writer) clear(content ContentKey, now time.Time) {
+	_, charged := w.assessments[content]
 	if !charged && len(w.unconfirmedByContent()[content]) == 0 {
 		return
 	}
-	if w.evidence.AddAcquittal(content, now) {
-		w.rejudge = true
-		put(w.ledger, w.ledger.acquittals, content, AcquittalEntry{Content: content, AtMS: now.UnixMilli()}, "")
+	if w.evidence.AddCompletion(content, now) {
+		w.reassess = true
+		put(w.ledger, w.ledger.completions, content, CompletionEntry{Content: content, AtMS: now.UnixMilli()}, "")
 	}
 }
 
 // survived records that a process answered after its supposed death.
 func (w *writer) survived(start Start, at time.Time, from contract.InstanceID) {
 	if w.evidence.AddAlive(start, at) {
-		w.rejudge = true
+		w.reassess = true
 		put(w.ledger, w.ledger.survivals, start,
 			SurvivalEntry{Upstream: start.Upstream, Incarnation: start.Incarnation, AtMS: at.UnixMilli()}, from)
 	}
--- a/internal/upstream/killer_test.go
+++ b/internal/upstream/poison_test.go
@@ -43,34 +43,34 @@
 	return "gave up"
 }
 
-// Guards against a killer that is not stopped after three deaths, or that is
+// Guards against a poison prompt that is not stopped after three deaths, or that is
 // stopped at one instance only (P9).
-func TestKillerIsQuarantinedEverywhere(t *testing.T) {
+func TestPoisonPromptIsQuarantinedEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := newWorld(4, "oulu-a", "oulu-b", "kemi-c")
 		c := newCluster(w, 3, 2)
 		defer c.stop()
 		time.Sleep(2 * time.Second)
-		killer := Need{Content: content("killer"), Prefix: "killer"}
-		g.Expect(submit(c, 0, killer, time.Minute, true)).To(Equal("quarantined"))
+		poison := Need{Content: content("poison"), Prefix: "poison"}
+		g.Expect(submit(c, 0, poison, time.Minute, true)).To(Equal("quarantined"))
 		g.Expect(w.deathCount()).To(Equal(quarantineDeaths))
 		time.Sleep(time.Second)
 		for i, u := range c.instances {
-			standing := u.Standing(killer.Content)
+			standing := u.Standing(poison.Content)
 			g.Expect(standing.Quarantined).To(BeTrue())
 			g.Expect(standing.Deaths).To(Equal(quarantineDeaths))
 			begin := time.Now()
 			for range 100 {
-				g.Expect(submit(c, i, killer, time.Minute, true)).To(Equal("quarantined"))
+				g.Expect(submit(c, i, poison, time.Minute, true)).To(Equal("quarantined"))
 			}
 			g.Expect(time.Since(begin)).To(BeZero(), "the final answer must come at once")
-			_, _, ok := u.Place(Need{Service: "notes", Pin: testPin, Content: killer.Content})
+			_, _, ok := u.Place(Need{Service: "notes", Pin: testPin, Content: poison.Content})
 			g.Expect(ok).To(BeFalse())
 		}
 		g.Expect(w.deathCount()).To(Equal(quarantineDeaths))
 		time.Sleep(quarantineTime)
-		g.Expect(c.instances[1].Standing(killer.Content).Quarantined).To(BeFalse())
+		g.Expect(c.instances[1].Standing(poison.Content).Quarantined).To(BeFalse())
 	})
 }
 
@@ -83,7 +83,7 @@
 		c := newCluster(w, 4, 2)
 		defer c.stop()
 		time.Sleep(2 * time.Second)
-		need := Need{Service: "notes", Pin: testPin, Content: content("killer")}
+		need := Need{Service: "notes", Pin: testPin, Content: content("poison")}
 		for i := range quarantineDeaths {
 			u := c.instances[i%2]
 			placement, _, ok := u.Place(need)
@@ -170,8 +170,8 @@
 	})
 }
 
-// Guards, over random histories, against killers that go on killing and
-// innocents that are condemned: beside killers, in lost failure domains and
+// Guards, over random histories, against poison prompts that go on killing and
+// harmless contents that are quarantined: beside poison prompts, in lost failure domains and
 // after cuts (P9).
 func TestSoakQuarantine(t *testing.T) {
 	for _, seed := range seeds(t, 4) {
@@ -184,7 +184,7 @@
 func soakQuarantine(t *testing.T, seed uint64) {
 	const (
 		length  = 3 * time.Minute
-		killers = 2
+		poisons = 2
 	)
 	g := NewWithT(t)
 	random := rand.New(rand.NewPCG(seed, 0))
@@ -202,9 +202,9 @@
 		defer mu.Unlock()
 		outcomes[fmt.Sprint(kills, " ", outcome)]++
 	}
-	for i := range killers {
+	for i := range poisons {
 		first := time.Duration(random.IntN(60)) * time.Second
-		need := Need{Content: content(fmt.Sprint("killer ", i)), Prefix: fmt.Sprint("killer ", i)}
+		need := Need{Content: content(fmt.Sprint("poison ", i)), Prefix: fmt.Sprint("poison ", i)}
 		instances := random.Perm(len(c.instances))
 		callers.Go(func() {
 			time.Sleep(first)
@@ -252,8 +252,8 @@
 	g.Expect(outcomes["false quarantined"]).To(BeZero())
 	g.Expect(outcomes["false gave up"]).To(BeZero())
 	g.Expect(outcomes["true completed"] + outcomes["true gave up"]).To(BeZero())
-	// Deaths of two killers that strike in one failure domain within the
+	// Deaths of two poison prompts that strike in one failure domain within the
 	// correlation window at different instances hide each other at first.
 	const hidden = 2
-	g.Expect(w.deathCount() - lossDeaths).To(BeNumerically("<=", killers*quarantineDeaths+hidden))
+	g.Expect(w.deathCount() - lossDeaths).To(BeNumerically("<=", poisons*quarantineDeaths+hidden))
 }
--- a/internal/upstream/quarantine.go
+++ b/internal/upstream/quarantine.go
@@ -21,10 +21,10 @@
 	// correlationWindow is the time within which deaths in one failure domain
 	// are taken to have a common cause.
 	correlationWindow = 2 * time.Second
-	// maxDeaths, maxContentsPerDeath and maxAcquittals bound the evidence.
+	// maxDeaths, maxContentsPerDeath and maxCompletions bound the evidence.
 	maxDeaths           = 512
 	maxContentsPerDeath = 256
-	maxAcquittals       = 1024
+	maxCompletions      = 1024
 )
 
 // Start names one run of an upstream process.
@@ -47,9 +47,9 @@
 // times. It is not safe for concurrent use and reads no clock.
 type Evidence struct {
 	deaths map[Start]Death
-	// acquitted holds the newest completion of contents that were charged: a
+	// cleared holds the newest completion of contents that were charged: a
 	// content that runs to its end is not the cause of earlier deaths.
-	acquitted map[ContentKey]time.Time
+	cleared map[ContentKey]time.Time
 	// alive holds processes that answered after their supposed death, as after
 	// a network partition.
 	alive map[Start]time.Time
@@ -58,9 +58,9 @@
 // NewEvidence returns an empty set.
 func NewEvidence() *Evidence {
 	return &Evidence{
-		deaths:    make(map[Start]Death),
-		acquitted: make(map[ContentKey]time.Time),
-		alive:     make(map[Start]time.Time),
+		deaths:  make(map[Start]Death),
+		cleared: make(map[ContentKey]time.Time),
+		alive:   make(map[Start]time.Time),
 	}
 }
 
@@ -89,9 +89,9 @@
 	return merged, len(merged.Contents) != len(known.Contents) || !merged.At.Equal(known.At)
 }
 
-// AddAcquittal records that a content ran to its end.
-func (e *Evidence) AddAcquittal(content ContentKey, at time.Time) (changed bool) {
-	return addNewest(e.acquitted, content, at, maxAcquittals)
+// AddCompletion records that a content ran to its end.
+func (e *Evidence) AddCompletion(content ContentKey, at time.Time) (changed bool) {
+	return addNewest(e.cleared, content, at, maxCompletions)
 }
 
 // AddAlive records that a process answered a request sent at the given time.
@@ -101,15 +101,15 @@
 
 // Expire forgets what no longer matters.
 func (e *Evidence) Expire(now time.Time) (changed bool) {
-	before := len(e.deaths) + len(e.acquitted) + len(e.alive)
+	before := len(e.deaths) + len(e.cleared) + len(e.alive)
 	for start, death := range e.deaths {
 		if now.Sub(death.At) > evidenceLifetime {
 			delete(e.deaths, start)
 		}
 	}
-	expireTimes(e.acquitted, now)
+	expireTimes(e.cleared, now)
 	expireTimes(e.alive, now)
-	return len(e.deaths)+len(e.acquitted)+len(e.alive) != before
+	return len(e.deaths)+len(e.cleared)+len(e.alive) != before
 }
 
 func expireTimes[K comparable](times map[K]time.Time, now time.Time) {
--- a/internal/upstream/quarantine_test.go
+++ b/internal/upstream/quarantine_test.go
@@ -50,13 +50,13 @@
 	return len(upstreams)
 }
 
-// Guards against a killer that is not stopped and an innocent that is, one row
+// Guards against a poison prompt that is not stopped and an innocent that is, one row
 // per rule (P9).
-func TestJudgement(t *testing.T) {
+func TestAssessment(t *testing.T) {
 	three := []Death{
-		death("u1", "oulu-a", 0, "killer", "neighbour"),
-		death("u2", "kemi-c", 10, "killer"),
-		death("u3", "rova-d", 20, "killer"),
+		death("u1", "oulu-a", 0, "poison", "neighbour"),
+		death("u2", "kemi-c", 10, "poison"),
+		death("u3", "rova-d", 20, "poison"),
 	}
 	rows := []struct {
 		name        string
@@ -66,13 +66,13 @@
 		deaths      int
 		quarantined bool
 	}{
-		{"three upstreams", evidenceOf(three...), "killer", 21.5, 3, true},
-		{"three upstreams, evidence on its way", evidenceOf(three...), "killer", 21.4, 3, false},
+		{"three upstreams", evidenceOf(three...), "poison", 21.5, 3, true},
+		{"three upstreams, evidence on its way", evidenceOf(three...), "poison", 21.4, 3, false},
 		{"neighbour of one death", evidenceOf(three[:2]...), "neighbour", 20, 1, false},
 		{"neighbour of one death, explained", evidenceOf(three...), "neighbour", 20, 0, false},
-		{"end of the quarantine", evidenceOf(three...), "killer", 621, 0, false},
-		{"near the end of the quarantine", evidenceOf(three...), "killer", 619, 1, true},
-		{"two upstreams", evidenceOf(three[:2]...), "killer", 20, 2, false},
+		{"end of the quarantine", evidenceOf(three...), "poison", 621, 0, false},
+		{"near the end of the quarantine", evidenceOf(three...), "poison", 619, 1, true},
+		{"two upstreams", evidenceOf(three[:2]...), "poison", 20, 2, false},
 		{"one upstream three times", evidenceOf(
 			death("u1", "oulu-a", 0, "x"), death("u1", "oulu-a", 10, "x"), death("u1", "oulu-a", 20, "x"),
 		), "x", 20, 1, false},
@@ -88,11 +88,11 @@
 		{"domain lost, on all its upstreams", evidenceOf(
 			death("u1", "oulu-a", 0, "x"), death("u2", "oulu-a", 0.5, "x", "y"), death("u3", "oulu-a", 1, "x"),
 		), "x", 3, 1, false},
-		{"two killers at the same time", evidenceOf(
+		{"two poisons at the same time", evidenceOf(
 			death("u1", "oulu-a", 0, "x"), death("u2", "kemi-c", 0.1, "x"), death("u3", "rova-d", 0.2, "x"),
 			death("u4", "oulu-a", 1, "z"), death("u5", "kemi-c", 1.1, "z"), death("u6", "rova-d", 1.2, "z"),
 		), "z", 3, 3, true},
-		{"killer that came first of two", evidenceOf(
+		{"poison that came first of two", evidenceOf(
 			death("u1", "oulu-a", 0, "x"), death("u2", "kemi-c", 0.1, "x"), death("u3", "rova-d", 0.2, "x"),
 			death("u4", "oulu-a", 1, "z"), death("u5", "kemi-c", 1.1, "z"), death("u6", "rova-d", 1.2, "z"),
 		), "x", 2, 3, true},
@@ -102,7 +102,7 @@
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
-			standing := row.evidence.Judge()[content(row.content)].Standing(at(row.second))
+			standing := row.evidence.Assess()[content(row.content)].Standing(at(row.second))
 			g := NewWithT(t)
 			g.Expect(standing.Deaths).To(Equal(row.deaths))
 			g.Expect(standing.Quarantined).To(Equal(row.quarantined))
@@ -112,21 +112,21 @@
 
 // Guards against a content that stays charged although it has run to its end,
 // and against a death that never happened.
-func TestAcquittalAndSurvival(t *testing.T) {
+func TestCompletionAndSurvival(t *testing.T) {
 	g := NewWithT(t)
 	deaths := []Death{death("u1", "a", 0, "x"), death("u2", "b", 10, "x"), death("u3", "c", 20, "x")}
-	acquitted := evidenceOf(deaths...)
-	acquitted.AddAcquittal(content("x"), at(15))
-	g.Expect(acquitted.Judge()[content("x")].Standing(at(20)).Deaths).To(Equal(1))
+	cleared := evidenceOf(deaths...)
+	cleared.AddCompletion(content("x"), at(15))
+	g.Expect(cleared.Assess()[content("x")].Standing(at(20)).Deaths).To(Equal(1))
 	survived := evidenceOf(deaths...)
 	survived.AddAlive(deaths[1].Start, at(12))
 	survived.AddAlive(deaths[2].Start, at(19))
-	g.Expect(survived.Judge()[content("x")].Standing(at(20)).Deaths).To(Equal(2), "an answer from before the death refutes nothing")
+	g.Expect(survived.Assess()[content("x")].Standing(at(20)).Deaths).To(Equal(2), "an answer from before the death refutes nothing")
 }
 
-// Guards against the condemnation of what ran in a lost failure domain; the
-// naive rule condemns it.
-func TestLossOfADomainCondemnsNobody(t *testing.T) {
+// Guards against the identification of what ran in a lost failure domain; the
+// naive rule identifies it.
+func TestLossOfADomainQuarantinesNobody(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(4, 8).Draw(t, "upstreams")
 		deaths := make([]Death, count)
@@ -141,13 +141,13 @@
 		evidence := NewEvidence()
 		for _, i := range rapid.Permutation(indices(count)).Draw(t, "order") {
 			evidence.AddDeath(deaths[i])
-			standing := evidence.Judge()[content("popular")].Standing(at(1.9))
+			standing := evidence.Assess()[content("popular")].Standing(at(1.9))
 			if standing.Quarantined {
-				t.Fatal("condemned while the loss becomes known")
+				t.Fatal("identified while the loss becomes known")
 			}
 		}
 		naive := naiveDeaths(deaths, content("popular"))
-		got := evidence.Judge()[content("popular")].Standing(at(10)).Deaths
+		got := evidence.Assess()[content("popular")].Standing(at(10)).Deaths
 		if got > 1 || idle >= 0 && got > 0 || naive < quarantineDeaths {
 			t.Fatalf("deaths=%d naive=%d idle=%d", got, naive, idle)
 		}
@@ -172,7 +172,7 @@
 			d.At = at(rapid.Float64Range(0, 100).Draw(t, "second"))
 			when := at(rapid.Float64Range(0, 100).Draw(t, "when"))
 			news = append(news, func(e *Evidence) { e.AddDeath(d) })
-			news = append(news, func(e *Evidence) { e.AddAcquittal(content("x"), when) })
+			news = append(news, func(e *Evidence) { e.AddCompletion(content("x"), when) })
 			news = append(news, func(e *Evidence) { e.AddAlive(d.Start, when) })
 		}
 		one, two := NewEvidence(), NewEvidence()
@@ -193,13 +193,13 @@
 	evidence := NewEvidence()
 	for i := range 2 * maxDeaths {
 		evidence.AddDeath(death(fmt.Sprint("u", i), "a", float64(i)/10, "x"))
-		evidence.AddAcquittal(content(fmt.Sprint(i)), at(float64(i)))
-		evidence.AddAcquittal(content(fmt.Sprint("c", i)), at(float64(i)))
+		evidence.AddCompletion(content(fmt.Sprint(i)), at(float64(i)))
+		evidence.AddCompletion(content(fmt.Sprint("c", i)), at(float64(i)))
 	}
 	g.Expect(evidence.deaths).To(HaveLen(maxDeaths))
-	g.Expect(len(evidence.acquitted)).To(Equal(maxAcquittals))
+	g.Expect(len(evidence.cleared)).To(Equal(maxCompletions))
 	_, newest := evidence.Death(death(fmt.Sprint("u", 2*maxDeaths-1), "a", float64(2*maxDeaths-1)/10).Start)
 	g.Expect(newest).To(BeTrue())
 	g.Expect(evidence.Expire(epoch.Add(24 * time.Hour))).To(BeTrue())
-	g.Expect(len(evidence.deaths) + len(evidence.acquitted)).To(BeZero())
+	g.Expect(len(evidence.deaths) + len(evidence.cleared)).To(BeZero())
 }
--- a/internal/upstream/share.go
+++ b/internal/upstream/share.go
@@ -49,7 +49,7 @@
 	forgetHolders(l.leaving)
 	forgetHolders(l.served)
 	forgetHolders(l.deaths)
-	forgetHolders(l.acquittals)
+	forgetHolders(l.completions)
 	forgetHolders(l.survivals)
 	forgetHolders(l.suspectRuns)
 }
@@ -80,7 +80,7 @@
 	all = sizedChanges(all, l.leaving, seq, holder, nil)
 	all = sizedChanges(all, l.served, seq, holder, func(s ServedEntry) int { return modelSize * len(s.Models) })
 	all = sizedChanges(all, l.deaths, seq, holder, func(d DeathEntry) int { return contentSize * len(d.Contents) })
-	all = sizedChanges(all, l.acquittals, seq, holder, nil)
+	all = sizedChanges(all, l.completions, seq, holder, nil)
 	all = sizedChanges(all, l.survivals, seq, holder, nil)
 	all = sizedChanges(all, l.suspectRuns, seq, holder, nil)
 	total := 0
--- a/internal/upstream/status.go
+++ b/internal/upstream/status.go
@@ -64,8 +64,8 @@
 func (u *Upstreams) Suspicions() []Suspicion {
 	now := u.config.Now()
 	var all []Suspicion
-	for content, judgement := range u.current().judgements {
-		if standing := judgement.Standing(now); standing.Deaths > 0 || standing.Quarantined {
+	for content, assessment := range u.current().assessments {
+		if standing := assessment.Standing(now); standing.Deaths > 0 || standing.Quarantined {
 			all = append(all, Suspicion{Content: content, Standing: standing})
 		}
 	}
@@ -76,8 +76,8 @@
 // QuarantinedContents returns how many contents are quarantined now.
 func (u *Upstreams) QuarantinedContents() int {
 	now, count := u.config.Now(), 0
-	for _, judgement := range u.current().judgements {
-		if judgement.Standing(now).Quarantined {
+	for _, assessment := range u.current().assessments {
+		if assessment.Standing(now).Quarantined {
 			count++
 		}
 	}
--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -211,7 +211,7 @@
 
 // Standing implements Router.
 func (u *Upstreams) Standing(content ContentKey) Standing {
-	return u.current().judgements[content].Standing(u.config.Now())
+	return u.current().assessments[content].Standing(u.config.Now())
 }
 
 // Capacity returns this instance's share of the slots of the service's live
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -30,10 +30,10 @@
 // View is an immutable picture of all upstreams. The path of a request reads
 // the newest one without a lock.
 type View struct {
-	config     *configuration.Snapshot
-	entries    map[contract.UpstreamID]*entry
-	allowed    map[grant]map[contract.UpstreamID]bool // restrictions by rules
-	judgements map[ContentKey]Judgement
+	config      *configuration.Snapshot
+	entries     map[contract.UpstreamID]*entry
+	allowed     map[grant]map[contract.UpstreamID]bool // restrictions by rules
+	assessments map[ContentKey]Assessment
 	// unconfirmed holds, for each content, the upstreams that may have died
 	// while running it.
 	unconfirmed map[ContentKey][]contract.UpstreamID
@@ -228,13 +228,13 @@
 // charged returns how many deaths count against a content, unconfirmed ones
 // included.
 func (v *View) charged(content ContentKey, now time.Time) int {
-	return v.judgements[content].Standing(now).Deaths + len(v.unconfirmed[content])
+	return v.assessments[content].Standing(now).Deaths + len(v.unconfirmed[content])
 }
 
 // died returns the upstreams that died while running a content, for whatever
 // cause, and those that may have died.
 func (v *View) died(content ContentKey, now time.Time) []contract.UpstreamID {
-	ids := distinctUpstreams(v.judgements[content].recent(now))
+	ids := distinctUpstreams(v.assessments[content].recent(now))
 	for _, id := range v.unconfirmed[content] {
 		if !slices.Contains(ids, id) {
 			ids = append(ids, id)
@@ -251,8 +251,8 @@
 // heavySuspect reports whether upstreams died repeatedly while running a
 // content, even if each death coincided with others.
 func (v *View) heavySuspect(content ContentKey, now time.Time) bool {
-	judgement := v.judgements[content]
-	repeated := max(incidents(judgement.recent(now)), len(distinctUpstreams(judgement.counting(now))))
+	assessment := v.assessments[content]
+	repeated := max(incidents(assessment.recent(now)), len(distinctUpstreams(assessment.counting(now))))
 	return repeated+len(v.unconfirmed[content]) >= heavyIncidents
 }
 
@@ -263,19 +263,19 @@
 	if content == (ContentKey{}) {
 		return false
 	}
-	judgement := v.judgements[content]
-	if judgement.Standing(now).Quarantined || v.charged(content, now) >= quarantineDeaths {
+	assessment := v.assessments[content]
+	if assessment.Standing(now).Quarantined || v.charged(content, now) >= quarantineDeaths {
 		return true
 	}
-	recent := judgement.recent(now)
+	recent := assessment.recent(now)
 	return len(recent) > 0 && v.heavySuspect(content, now) && now.Sub(recent[len(recent)-1].at) < evidenceDelay
 }
 
 // rivals returns the heavy suspects other than a content.
 func (v *View) rivals(content ContentKey, now time.Time) []ContentKey {
 	var rivals []ContentKey
-	for other, judgement := range v.judgements {
-		if other != content && v.heavySuspect(other, now) && !judgement.Standing(now).Quarantined {
+	for other, assessment := range v.assessments {
+		if other != content && v.heavySuspect(other, now) && !assessment.Standing(now).Quarantined {
 			rivals = append(rivals, other)
 		}
 	}
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -64,8 +64,8 @@
 	allowed      map[grant]map[contract.UpstreamID]bool
 	ledger       *ledger
 	evidence     *Evidence
-	judgements   map[ContentKey]Judgement
-	rejudge      bool
+	assessments  map[ContentKey]Assessment
+	reassess     bool
 	unconfirmed  map[Start]unconfirmedDeath
 	peerSuspects map[contract.UpstreamID]map[ContentKey]time.Time
 
@@ -130,9 +130,9 @@
 
 // publish returns the new view, nil if nothing has changed.
 func (w *writer) publish(now time.Time) *View {
-	if w.rejudge {
-		w.judgements = w.evidence.Judge()
-		w.rejudge, w.dirty = false, true
+	if w.reassess {
+		w.assessments = w.evidence.Assess()
+		w.reassess, w.dirty = false, true
 		w.reportStandings(now)
 	}
 	for id := range w.edited {
@@ -146,7 +146,7 @@
 		config:       w.config,
 		entries:      w.entries,
 		allowed:      w.allowed,
-		judgements:   w.judgements,
+		assessments:  w.assessments,
 		unconfirmed:  w.unconfirmedByContent(),
 		lastDeaths:   w.lastDeaths(),
 		peerSuspects: w.clonePeerSuspects(),
@@ -223,8 +223,8 @@
 }
 
 func (w *writer) reportStandings(now time.Time) {
-	for content, judgement := range w.judgements {
-		standing := judgement.Standing(now)
+	for content, assessment := range w.assessments {
+		standing := assessment.Standing(now)
 		before := w.standings[content]
 		w.standings[content] = standing
 		switch {
@@ -235,7 +235,7 @@
 		}
 	}
 	maps.DeleteFunc(w.standings, func(content ContentKey, _ Standing) bool {
-		_, found := w.judgements[content]
+		_, found := w.assessments[content]
 		return !found
 	})
 }
@@ -249,7 +249,7 @@
 // maintain forgets what has expired and repeats the marks of suspects.
 func (w *writer) maintain(now time.Time) {
 	if w.evidence.Expire(now) {
-		w.rejudge = true
+		w.reassess = true
 	}
 	for start, death := range w.unconfirmed {
 		if now.Sub(death.at) > unconfirmedDeathLifetime {
@@ -271,14 +271,14 @@
 
 // repeatSuspectRuns marks the places of the suspects that run here.
 func (w *writer) repeatSuspectRuns(now time.Time) {
-	if len(w.judgements)+len(w.unconfirmed) == 0 {
+	if len(w.assessments)+len(w.unconfirmed) == 0 {
 		return
 	}
 	unconfirmed := w.unconfirmedByContent()
 	for id, known := range w.entries {
 		known.use.residents.Range(func(_, value any) bool {
 			content := value.(ContentKey)
-			if len(w.judgements[content].recent(now))+len(unconfirmed[content]) > 0 {
+			if len(w.assessments[content].recent(now))+len(unconfirmed[content]) > 0 {
 				w.markSuspectRun(id, content, now)
 			}
 			return true
@@ -307,7 +307,7 @@
 	if len(merged.Contents) != len(death.Contents) || !merged.At.Equal(death.At) {
 		from = "" // more than the peer knows: it has to learn the rest
 	}
-	w.rejudge, w.died = true, true
+	w.reassess, w.died = true, true
 	put(w.ledger, w.ledger.deaths, death.Start, DeathEntry{
 		Upstream:      merged.Start.Upstream,
 		Incarnation:   merged.Start.Incarnation,
