--- a/internal/soak/differential_test.go
+++ b/internal/soak/differential_test.go
@@ -25,7 +25,7 @@
 func TestNaiveGivesTheSameAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		w := newWorld(t, 1, 3)
+		w := newWorld(t, 1, 3, platformtest.Faults{})
 		w.putDocument()
 		for i := range 20 {
 			asked := client.Generation{
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,6 +16,7 @@
 	"foxtailhub.example/foxtailhub/internal/api/oas"
 	"foxtailhub.example/foxtailhub/internal/configuration"
 	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/platform/platformtest"
 )
 
 const (
@@ -55,7 +56,7 @@
 }
 
 func soak(t *testing.T, seed uint64, span time.Duration, lethal bool) {
-	w := newWorld(t, seed, 3+int(seed%3))
+	w := newWorld(t, seed, 3+int(seed%3), platformtest.Faults{})
 	defer w.report(seed)
 	stopped := make(chan struct{})
 	var loops sync.WaitGroup
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -67,7 +67,7 @@
 	history    history
 }
 
-func newWorld(t *testing.T, seed uint64, size int) *world {
+func newWorld(t *testing.T, seed uint64, size int, atStart platformtest.Faults) *world {
 	w := &world{
 		t: t, began: time.Now(), rng: rand.New(rand.NewPCG(seed, 1)), network: linktest.NewNetwork(seed),
 		table: platformtest.NewSeededTable(seed), list: platformtest.NewInstances(), services: newServices(seed),
@@ -75,6 +75,7 @@
 	}
 	w.network.SetDelay(func(_, _ contract.InstanceID) time.Duration { return 500 * time.Microsecond })
 	w.list.SetLag(time.Second)
+	w.table.Set(atStart)
 	for i := range engineCount {
 		e := upstreamtest.NewFakeEngine(upstreamtest.EngineConfig{
 			Target: upstream.Target{ID: engineID(i)}, Pin: pin, Nonce: uint64(i + 1), Greedy: true,
