Let suspects share upstreams after one second instead of waiting for a free one

Cause: after the crash of an engine all generations that ran there are suspects, and no two suspects shared an upstream.

Ruled out: sharing at once.

A suspect now waits 1 s for an upstream of its own, by when a poison prompt has become a heavy suspect, which never runs beside others. TestSuspectsAreSeparated and TestChooseFilters check the new rule.

--- a/internal/upstream/choose.go
+++ b/internal/upstream/choose.go
@@ -29,6 +29,7 @@
 	Slots         int
 	Doubted       bool // a connection failed there and no contact has succeeded since
 	BesideSuspect bool // a suspect with another content runs there
+	BesideHeavy   bool // a heavy suspect with another content runs there
 	BusyDomain    bool // a death in its failure domain could not be attributed now
 }
 
@@ -41,6 +42,7 @@
 	Need         Need
 	Suspect      bool                       // the content may have killed an upstream
 	HeavySuspect bool                       // upstreams died repeatedly while running it
+	MayShare     bool                       // a suspect that has waited for an upstream without other suspects
 	Died         []contract.UpstreamID      // upstreams that died while running the content
 	Rivals       []ContentKey               // other heavy suspects
 	AvoidDomains []contract.FailureDomainID // failure domains of Need.Avoid and Died
@@ -51,10 +53,14 @@
 //
 // Upstreams to avoid are used only if there is no other, and never for a
 // suspect. Other failure domains than those of the upstreams to avoid come
-// first. A suspect is never placed beside another suspect nor on an upstream
-// that died with it, and all copies of it go to the same upstream, so that they
-// kill one upstream and not several. A heavy suspect waits for a failure domain
-// in which a further death can be attributed to it.
+// first. A suspect is never placed beside a heavy suspect nor on an upstream that
+// died with it, and all copies of it go to the same upstream, so that they kill
+// one upstream and not several. Beside another suspect it is placed only after it
+// has waited: a crash makes suspects of all generations that ran there, and they
+// must go on within the bound of resume latency, but until then a poison prompt
+// among them has mostly become a heavy suspect. A heavy suspect is never placed
+// beside any suspect, and waits for a failure domain in which a further death can
+// be attributed to it.
 func Choose(choice Choice, random *rand.Rand) (index int, ok bool) {
 	eligible := eligibleCandidates(choice)
 	if len(eligible) == 0 {
@@ -62,11 +68,6 @@
 	}
 	switch {
 	case choice.Suspect:
-		if choice.Need.Resumed && !choice.HeavySuspect {
-			// A crash makes suspects of all generations that ran there; they must
-			// not wait behind others where a slot is free.
-			eligible = prefer(eligible, func(i int) bool { return choice.Candidates[i].hasFreeSlot() })
-		}
 		return byRendezvous(choice, eligible, string(choice.Need.Content[:])), true
 	case choice.Need.Prefix != "" && !choice.Need.Resumed:
 		return byAffinity(choice, eligible, random), true
@@ -81,7 +82,10 @@
 	all := make([]int, 0, len(choice.Candidates))
 	for i := range choice.Candidates {
 		candidate := &choice.Candidates[i]
-		if choice.Suspect && (candidate.BesideSuspect || slices.Contains(choice.Died, candidate.Target.ID)) {
+		if choice.Suspect && (candidate.BesideHeavy || slices.Contains(choice.Died, candidate.Target.ID)) {
+			continue
+		}
+		if choice.Suspect && candidate.BesideSuspect && !choice.MayShare {
 			continue
 		}
 		if choice.HeavySuspect && (candidate.BusyDomain || !owned[candidate.Target.ID]) {
@@ -97,6 +101,12 @@
 		}
 		return all
 	}
+	if choice.Suspect && choice.Need.Resumed && !choice.HeavySuspect {
+		fresh = prefer(fresh, func(i int) bool { return choice.Candidates[i].hasFreeSlot() })
+	}
+	if choice.Suspect {
+		fresh = prefer(fresh, func(i int) bool { return !choice.Candidates[i].BesideSuspect })
+	}
 	fresh = prefer(fresh, func(i int) bool { return !choice.Candidates[i].Doubted })
 	fresh = prefer(fresh, func(i int) bool { return !choice.Candidates[i].BusyDomain })
 	return prefer(fresh, func(i int) bool {
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -17,6 +17,9 @@
 	loadLifetime = 12 * time.Second
 	// suspectMarkLifetime is how long a peer's mark of a suspect's place holds.
 	suspectMarkLifetime = 3 * time.Second
+	// separationWait is how long a suspect waits for an upstream without other
+	// suspects. It leaves most of the 3 s in which output has to go on.
+	separationWait = time.Second
 	// heavyIncidents is how many incidents make a heavy suspect.
 	heavyIncidents = 2
 	// evidenceDelay is the time in which evidence reaches the other instances: a
@@ -194,11 +197,13 @@
 	var busy map[contract.FailureDomainID]bool
 	if choice.Suspect {
 		choice.HeavySuspect = v.heavySuspect(need.Content, now)
+		choice.MayShare = !choice.HeavySuspect && v.waited(need.Content, now)
 		choice.Died = v.died(need.Content, now)
 		choice.Rivals = v.rivals(need.Content, now)
 		busy = v.busyDomains(need.Content, now)
 	}
 	suspected := func(other ContentKey) bool { return v.suspect(other, now) }
+	heavy := func(other ContentKey) bool { return v.heavySuspect(other, now) }
 	pin := v.configuredPin(need.Service)
 	eligible := v.eligible(need.Service, need.Workspace)
 	candidates := make([]*entry, 0, len(eligible))
@@ -214,6 +219,7 @@
 			Slots:         known.slots,
 			Doubted:       known.health.Doubted(),
 			BesideSuspect: choice.Suspect && v.runsSuspect(known, need.Content, now, suspected),
+			BesideHeavy:   choice.Suspect && v.runsSuspect(known, need.Content, now, heavy),
 			BusyDomain:    busy[known.target.FailureDomain],
 		})
 	}
@@ -248,6 +254,13 @@
 	return content != ContentKey{} && (v.charged(content, now) > 0 || v.heavySuspect(content, now))
 }
 
+// waited reports whether the last confirmed death of a content is so long ago
+// that it may be placed beside other suspects.
+func (v *View) waited(content ContentKey, now time.Time) bool {
+	recent := v.assessments[content].recent(now)
+	return len(recent) > 0 && now.Sub(recent[len(recent)-1].at) >= separationWait
+}
+
 // heavySuspect reports whether upstreams died repeatedly while running a
 // content, even if each death coincided with others.
 func (v *View) heavySuspect(content ContentKey, now time.Time) bool {
