--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -7,80 +7,84 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
 )
 
-// Guards against a key whose age is misjudged: an old key could then be run
-// again after its record was deleted.
-func TestKeyTime(t *testing.T) {
-	g := NewWithT(t)
-	before := time.Now().Add(-time.Second)
-	created, err := contract.KeyTime(contract.NewKey())
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(created).To(BeTemporally("~", before.Add(time.Second), time.Second))
+func TestContract(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "contract")
+}
 
-	created, err = contract.KeyTime("1796353728057-demo")
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(created).To(Equal(time.UnixMilli(1796353728057)))
+var _ = Describe("what a request is promised", func() {
+	// Guards against a key whose age is misjudged: an old key could then be run
+	// again after its record was deleted.
+	It("reads the creation time of idempotency keys", func() {
+		before := time.Now().Add(-time.Second)
+		created, err := contract.KeyTime(contract.NewKey())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(created).To(BeTemporally("~", before.Add(time.Second), time.Second))
 
-	for _, key := range []string{"", "demo", "179635372805-short", "1796353728057", "1796353728057-", "6ba7b810-9dad-11d1-80b4-00c04fd430c8"} {
-		_, err := contract.KeyTime(key)
-		g.Expect(err).To(MatchError(contract.ErrKeyNoTime), key)
-	}
-}
+		created, err = contract.KeyTime("1796353728057-demo")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(created).To(Equal(time.UnixMilli(1796353728057)))
 
-// Guards against keys that would break paths of the table service or headers.
-func TestCheckKey(t *testing.T) {
-	g := NewWithT(t)
-	g.Expect(contract.CheckKey("a.b_c:d-9")).To(Succeed())
-	for _, key := range []string{"", "a/b", "a b", "a\nb", strings.Repeat("x", 129)} {
-		g.Expect(contract.CheckKey(key)).To(MatchError(contract.ErrKeyInvalid), key)
-	}
-}
+		for _, key := range []string{"", "demo", "179635372805-short", "1796353728057", "1796353728057-", "6ba7b810-9dad-11d1-80b4-00c04fd430c8"} {
+			_, err := contract.KeyTime(key)
+			Expect(err).To(MatchError(contract.ErrKeyNoTime), key)
+		}
+	})
 
-// Guards against two texts that get one digest because of how they are cut into
-// tokens, and against a digest that a caller cannot compute with plain SHA-256.
-func TestDigestIsThatOfTheText(t *testing.T) {
-	rapid.Check(t, func(r *rapid.T) {
-		g := NewWithT(r)
-		texts := rapid.SliceOf(rapid.String()).Draw(r, "texts")
-		sum := sha256.Sum256([]byte(strings.Join(texts, "")))
-		digester := contract.NewDigester()
-		for _, text := range texts {
-			digester.Add(text)
+	// Guards against keys that would break paths of the table service or headers.
+	It("refuses keys that would break paths or headers", func() {
+		Expect(contract.CheckKey("a.b_c:d-9")).To(Succeed())
+		for _, key := range []string{"", "a/b", "a b", "a\nb", strings.Repeat("x", 129)} {
+			Expect(contract.CheckKey(key)).To(MatchError(contract.ErrKeyInvalid), key)
 		}
-		g.Expect(digester.Tokens()).To(Equal(int64(len(texts))))
-		g.Expect(digester.Checksum()).To(Equal(hex.EncodeToString(sum[:])))
-		g.Expect(digester.Checksum()).To(HavePrefix(string(contract.DigestOf(texts))))
 	})
-}
 
-// Guards against positions that change on their way to the caller and back, and
-// against malformed ones that are accepted.
-func TestPosition(t *testing.T) {
-	rapid.Check(t, func(r *rapid.T) {
-		g := NewWithT(r)
-		position := contract.Position{
-			Offset: rapid.Int64Min(0).Draw(r, "offset"), Digest: contract.DigestOf([]string{rapid.String().Draw(r, "text")}),
+	// Guards against two texts that get one digest because of how they are cut into
+	// tokens, and against a digest that a caller cannot compute with plain SHA-256.
+	It("digests the text, however it is cut into tokens", func() {
+		rapid.Check(GinkgoT(), func(r *rapid.T) {
+			g := NewWithT(r)
+			texts := rapid.SliceOf(rapid.String()).Draw(r, "texts")
+			sum := sha256.Sum256([]byte(strings.Join(texts, "")))
+			digester := contract.NewDigester()
+			for _, text := range texts {
+				digester.Add(text)
+			}
+			g.Expect(digester.Tokens()).To(Equal(int64(len(texts))))
+			g.Expect(digester.Checksum()).To(Equal(hex.EncodeToString(sum[:])))
+			g.Expect(digester.Checksum()).To(HavePrefix(string(contract.DigestOf(texts))))
+		})
+	})
+
+	// Guards against positions that change on their way to the caller and back, and
+	// against malformed ones that are accepted.
+	It("brings positions to the caller and back unchanged", func() {
+		rapid.Check(GinkgoT(), func(r *rapid.T) {
+			g := NewWithT(r)
+			position := contract.Position{
+				Offset: rapid.Int64Min(0).Draw(r, "offset"), Digest: contract.DigestOf([]string{rapid.String().Draw(r, "text")}),
+			}
+			parsed, err := contract.ParsePosition(position.String())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(parsed).To(Equal(position))
+		})
+		for _, s := range []string{"", "1", "1-", "-1-e3b0c44298fc1c14", "x-e3b0c44298fc1c14", "1-e3b0c44298fc1c1", "1-e3b0c44298fc1c1z", "1-e3b0c44298fc1c144"} {
+			_, err := contract.ParsePosition(s)
+			Expect(err).To(MatchError(contract.ErrPositionInvalid), s)
 		}
-		parsed, err := contract.ParsePosition(position.String())
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(parsed).To(Equal(position))
 	})
-	g := NewWithT(t)
-	for _, s := range []string{"", "1", "1-", "-1-e3b0c44298fc1c14", "x-e3b0c44298fc1c14", "1-e3b0c44298fc1c1", "1-e3b0c44298fc1c1z", "1-e3b0c44298fc1c144"} {
-		_, err := contract.ParsePosition(s)
-		g.Expect(err).To(MatchError(contract.ErrPositionInvalid), s)
-	}
-}
 
-// Guards against a broken invariant that is passed over or that does not say why.
-func TestInvariant(t *testing.T) {
-	g := NewWithT(t)
-	g.Expect(func() { contract.Invariant(true, "fine") }).NotTo(Panic())
-	g.Expect(func() { contract.Invariant(false, "offset is wrong", "offset", 3, "expected", 2) }).To(PanicWith(
-		contract.InvariantViolation{Message: "offset is wrong", State: "offset=3 expected=2"}))
-}
+	// Guards against a broken invariant that is passed over or that does not say why.
+	It("stops on a broken invariant and says why", func() {
+		Expect(func() { contract.Invariant(true, "fine") }).NotTo(Panic())
+		Expect(func() { contract.Invariant(false, "offset is wrong", "offset", 3, "expected", 2) }).To(PanicWith(
+			contract.InvariantViolation{Message: "offset is wrong", State: "offset=3 expected=2"}))
+	})
+})
