--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -155,6 +155,12 @@
 	return generationFailure(r.result, r.err)
 }
 
+func (l *load) finishedGenerations() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.generations
+}
+
 // generationFailure says what a caller saw of a planned stop, "" for nothing.
 func generationFailure(result client.GenerationResult, err error) string {
 	switch {
@@ -197,6 +203,8 @@
 		w.Expect(w.cluster.StartInstance(i)).To(Succeed())
 		w.Expect(w.cluster.AwaitReady(w.ctx, w.cluster.Instances[i])).To(Succeed())
 	}
+	// A fast replacement must not end the load before it is worth the check.
+	w.Eventually(l.finishedGenerations).Should(BeNumerically(">", 20))
 	close(l.stop)
 	l.workers.Wait()
 	w.t.Logf("generations=%d calls=%d", l.generations, l.calls)
