Let the stand-in engine exit before it ends its streams

The engine closed its streams and then exited, so a caller that had lost its stream could still reach the port and got a reset or an end of file instead of a refused connection. Conclusion: a process that dies must be gone before its callers notice.

--- a/internal/standin/engine_fault.go
+++ b/internal/standin/engine_fault.go
@@ -67,9 +67,11 @@
 	}
 }
 
+// die exits before it ends the streams: otherwise callers that have lost them
+// still reach the port of a process that is gone.
 func (e *Engine) die() {
-	e.Close()
 	e.config.Exit(exitCode)
+	e.Close()
 }
 
 // faulty applies the faults that concern whole requests.
