Keep heavy suspects apart and release contents that poison prompts explain

Cause of the two known red tests, from the traces of failed runs: - A harmless generation that shared two deaths with a poison prompt was placed on the same third upstream: it owned none in the division of the upstreams among heavy suspects and then could use all. Both were identified, explained each other's deaths, and were not held until their quarantine began, so the prompt crashed three more engines. - Where a harmless content reached three deaths first, it explained the deaths of two poison prompts, stayed in quarantine, and the prompts needed three further deaths each. Now the division gives each heavy suspect an upstream as long as there are enough, an identified content is held from that moment on, a content all of whose deaths others explain is released, and the place of a suspect is told to the peers at once. Ruled out: counting only deaths without an identified content in the order of their number (it hides the poison prompts behind a harmless content with more deaths), and releasing a content by the number of its unexplained deaths (failed TestAssessment, two poisons at the same time).

--- a/internal/instance/wiring.go
+++ b/internal/instance/wiring.go
@@ -129,7 +129,7 @@
 		Instances:     i.liveInstances,
 		Logger:        i.log,
 		Seed:          uint64(time.Now().UnixNano()),
-		OnDeath:       i.membership.Hasten,
+		OnUrgent:      i.membership.Hasten,
 	})
 	i.digests = newUpstreamSection(i.upstreams)
 	i.membership.Register(i.digests.section())
--- a/internal/upstream/assessment.go
+++ b/internal/upstream/assessment.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -35,6 +36,12 @@
 	return standing
 }
 
+// identified reports whether deaths have identified the content and its
+// quarantine has begun or is about to.
+func (j Assessment) identified(now time.Time) bool {
+	return !j.from.IsZero() && now.Before(j.until)
+}
+
 // recent returns the charges that are not too old.
 func (j Assessment) recent(now time.Time) []charge {
 	first := slices.IndexFunc(j.charges, func(c charge) bool { return now.Sub(c.at) <= quarantineTime })
@@ -128,23 +135,107 @@
 
 // identifyAt finds the contents that are identified by now and reports whether one
 // is new. Those found in one pass do not explain each other's deaths.
+//
+// A content that was identified earlier is released if others explain all of its
+// deaths: a harmless content may move over the upstreams that several poison
+// prompts crash and reach the limit before they do. It would then explain their
+// deaths, and they would go on.
 func (j *assessor) identifyAt(candidates []ContentKey, now time.Time) (found bool) {
-	identified := make(map[ContentKey]quarantinePeriod)
-	for _, content := range candidates {
-		until, reached := quarantine(j.charges(content, now))
-		known, again := j.identified[content]
+	suspects := j.reached(candidates, now)
+	known, released := j.withoutExplained(suspects, now)
+	identified := maps.Clone(known)
+	for content := range suspects {
+		until, reached := quarantine(j.chargesWith(content, now, known))
+		before, again := known[content]
 		switch {
 		case reached && again:
-			identified[content] = quarantinePeriod{identifiedAt: known.identifiedAt, until: until}
-		case reached:
+			identified[content] = quarantinePeriod{identifiedAt: before.identifiedAt, until: until}
+		case reached && !released[content]:
 			identified[content] = quarantinePeriod{identifiedAt: now, until: until}
 			found = true
 		}
 	}
-	maps.Copy(j.identified, identified)
+	for content := range released {
+		period, before := j.identified[content]
+		if before && !j.explainedBy(identified, content, now) {
+			identified[content] = period
+		}
+	}
+	j.identified = identified
 	return found
 }
 
+// reached returns the contents that have enough deaths by now, whether others
+// explain these or not, and those that are identified.
+func (j *assessor) reached(candidates []ContentKey, now time.Time) map[ContentKey]quarantinePeriod {
+	suspects := maps.Clone(j.identified)
+	for _, content := range candidates {
+		if _, found := suspects[content]; found {
+			continue
+		}
+		if _, reached := quarantine(j.chargesWith(content, now, nil)); reached {
+			suspects[content] = quarantinePeriod{identifiedAt: now}
+		}
+	}
+	return suspects
+}
+
+// withoutExplained returns the identified contents of which some death is not
+// explained by another suspect, and the suspects that are explained.
+func (j *assessor) withoutExplained(suspects map[ContentKey]quarantinePeriod, now time.Time) (known map[ContentKey]quarantinePeriod, released map[ContentKey]bool) {
+	known, released = make(map[ContentKey]quarantinePeriod), make(map[ContentKey]bool)
+	left := maps.Clone(suspects)
+	order := slices.SortedFunc(maps.Keys(suspects), func(a, b ContentKey) int {
+		return cmp.Or(j.deathsBy(a, now)-j.deathsBy(b, now), compareContents(a, b))
+	})
+	for _, content := range order {
+		if j.explainedBy(left, content, now) {
+			delete(left, content)
+			released[content] = true
+		} else if period, before := j.identified[content]; before {
+			known[content] = period
+		}
+	}
+	return known, released
+}
+
+// explainedBy reports whether in each death of a content by now one of the
+// others had a part that also had a part in a death without the content. Of
+// contents with the same deaths, none is known to be harmless.
+func (j *assessor) explainedBy(others map[ContentKey]quarantinePeriod, content ContentKey, now time.Time) bool {
+	var explaining []ContentKey
+	for other := range others {
+		if other != content && j.ranWithout(other, content, now) {
+			explaining = append(explaining, other)
+		}
+	}
+	for _, i := range j.byContent[content][:j.deathsBy(content, now)] {
+		ran := func(other ContentKey) bool { return ranOn(j.deaths[i], other) }
+		if !slices.ContainsFunc(explaining, ran) {
+			return false
+		}
+	}
+	return true
+}
+
+// ranWithout reports whether one content ran on an upstream that died by now
+// without the other one.
+func (j *assessor) ranWithout(content, other ContentKey, now time.Time) bool {
+	return slices.ContainsFunc(j.byContent[content][:j.deathsBy(content, now)], func(i int) bool {
+		return !ranOn(j.deaths[i], other)
+	})
+}
+
+// deathsBy returns the number of deaths by now that count against a content.
+func (j *assessor) deathsBy(content ContentKey, now time.Time) int {
+	indices := j.byContent[content]
+	later := slices.IndexFunc(indices, func(i int) bool { return j.deaths[i].At.After(now) })
+	if later < 0 {
+		return len(indices)
+	}
+	return later
+}
+
 // candidates returns the contents that ran on enough upstreams, sorted.
 func (j *assessor) candidates() []ContentKey {
 	var candidates []ContentKey
@@ -192,10 +283,16 @@
 
 // charges returns the deaths up to a time that no other content explains.
 func (j *assessor) charges(content ContentKey, now time.Time) []charge {
+	return j.chargesWith(content, now, j.identified)
+}
+
+// chargesWith returns the deaths up to a time in which no other one of the
+// given contents had a part.
+func (j *assessor) chargesWith(content ContentKey, now time.Time, others map[ContentKey]quarantinePeriod) []charge {
 	var charges []charge
-	for _, i := range j.byContent[content] {
+	for _, i := range j.byContent[content][:j.deathsBy(content, now)] {
 		death := j.deaths[i]
-		if death.At.After(now) || j.explained(death, content, now) {
+		if explains(others, death, content, now) {
 			continue
 		}
 		c := charge{upstream: death.Start.Upstream, domain: death.FailureDomain, at: death.At, counts: true}
@@ -207,10 +304,10 @@
 	return charges
 }
 
-// explained reports whether a content that is identified by now, other than the
-// given one, ran on the upstream that died.
-func (j *assessor) explained(death Death, content ContentKey, now time.Time) bool {
-	for other, period := range j.identified {
+// explains reports whether one of the identified contents, other than the given
+// one, ran on the upstream that died.
+func explains(identified map[ContentKey]quarantinePeriod, death Death, content ContentKey, now time.Time) bool {
+	for other, period := range identified {
 		if other != content && !period.identifiedAt.After(now) && ranOn(death, other) {
 			return true
 		}
@@ -225,7 +322,7 @@
 	var related []Death
 	add := func(other Death) {
 		sameDomain := other.FailureDomain == death.FailureDomain && other.Start.Upstream != death.Start.Upstream
-		if sameDomain && !other.At.After(now) && !j.explained(other, content, now) {
+		if sameDomain && !other.At.After(now) && !explains(j.identified, other, content, now) {
 			related = append(related, other)
 		}
 	}
--- a/internal/upstream/choose.go
+++ b/internal/upstream/choose.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -44,11 +45,17 @@
 	HeavySuspect bool                       // upstreams died repeatedly while running it
 	MayShare     bool                       // a suspect that has waited for an upstream without other suspects
 	Died         []contract.UpstreamID      // upstreams that died while running the content
-	Rivals       []ContentKey               // other heavy suspects
+	Rivals       []Rival                    // other heavy suspects
 	AvoidDomains []contract.FailureDomainID // failure domains of Need.Avoid and Died
 	Candidates   []Candidate
 }
 
+// Rival is another heavy suspect.
+type Rival struct {
+	Content ContentKey
+	Died    []contract.UpstreamID // upstreams that died while running it
+}
+
 // Choose returns the index of the candidate for a request.
 //
 // Upstreams to avoid are used only if there is no other, and never for a
@@ -117,23 +124,34 @@
 // ownedUpstreams returns the upstreams that a heavy suspect may use. They are
 // divided among the heavy suspects: instances with the same evidence divide them
 // in the same way, so that two instances do not place two heavy suspects on one
-// upstream at the same time. One that owns none may use all.
+// upstream at the same time. A harmless content that shares all deaths of a poison
+// prompt cannot be told from it. With more heavy suspects than upstreams, one that
+// owns none may use all.
 func ownedUpstreams(choice Choice) map[contract.UpstreamID]bool {
 	if !choice.HeavySuspect {
 		return nil
 	}
-	own := string(choice.Need.Content[:])
-	contents := []string{own}
-	for _, rival := range choice.Rivals {
-		contents = append(contents, string(rival[:]))
+	own := choice.Need.Content
+	free := make(map[contract.UpstreamID]bool, len(choice.Candidates))
+	for _, candidate := range choice.Candidates {
+		free[candidate.Target.ID] = true
 	}
-	division := rendezvous.New(contents, xxhash.Sum64String)
-	all := make(map[contract.UpstreamID]bool)
+	all := maps.Clone(free)
 	owned := make(map[contract.UpstreamID]bool)
-	for _, candidate := range choice.Candidates {
-		all[candidate.Target.ID] = true
-		if division.Lookup(string(candidate.Target.ID)) == own {
-			owned[candidate.Target.ID] = true
+	suspects := append([]Rival{{Content: own, Died: choice.Died}}, choice.Rivals...)
+	slices.SortFunc(suspects, func(a, b Rival) int { return compareContents(a.Content, b.Content) })
+	for taken := true; taken; {
+		taken = false
+		for _, suspect := range suspects {
+			id, found := favourite(suspect, free)
+			if !found {
+				continue
+			}
+			taken = true
+			delete(free, id)
+			if suspect.Content == own {
+				owned[id] = true
+			}
 		}
 	}
 	if len(owned) == 0 {
@@ -142,6 +160,23 @@
 	return owned
 }
 
+// favourite returns the upstream with the highest rendezvous hash for a suspect
+// among those that did not die with it. Unlike turns in the order of names, this
+// keeps most of the division when instances see different upstreams.
+func favourite(suspect Rival, free map[contract.UpstreamID]bool) (best contract.UpstreamID, found bool) {
+	var highest uint64
+	for id := range free {
+		if slices.Contains(suspect.Died, id) {
+			continue
+		}
+		hash := xxhash.Sum64String(string(suspect.Content[:]) + string(id))
+		if !found || hash > highest || hash == highest && id < best {
+			best, highest, found = id, hash, true
+		}
+	}
+	return best, found
+}
+
 func keep(indices []int, wanted func(int) bool) []int {
 	kept := make([]int, 0, len(indices))
 	for _, i := range indices {
--- a/internal/upstream/quarantine_test.go
+++ b/internal/upstream/quarantine_test.go
@@ -58,6 +58,10 @@
 		death("u2", "kemi-c", 10, "poison"),
 		death("u3", "rova-d", 20, "poison"),
 	}
+	between := []Death{
+		death("u1", "oulu-a", 0, "harmless", "x"), death("u2", "kemi-c", 10, "harmless", "z"), death("u3", "rova-d", 20, "harmless", "x"),
+		death("u4", "oulu-b", 30, "x"), death("u5", "oulu-a", 40, "z"), death("u6", "rova-d", 50, "z"),
+	}
 	rows := []struct {
 		name        string
 		evidence    *Evidence
@@ -96,6 +100,9 @@
 			death("u1", "oulu-a", 0, "x"), death("u2", "kemi-c", 0.1, "x"), death("u3", "rova-d", 0.2, "x"),
 			death("u4", "oulu-a", 1, "z"), death("u5", "kemi-c", 1.1, "z"), death("u6", "rova-d", 1.2, "z"),
 		), "x", 2, 3, true},
+		{"harmless, identified before two poisons", evidenceOf(between[:3]...), "harmless", 22, 3, true},
+		{"harmless, explained by two poisons", evidenceOf(between...), "harmless", 52, 0, false},
+		{"poison behind a harmless content", evidenceOf(between...), "x", 52, 3, true},
 		{"same domain, far apart", evidenceOf(
 			death("u1", "oulu-a", 0, "x"), death("u2", "oulu-a", 3, "x"), death("u3", "oulu-a", 6, "x"),
 		), "x", 8, 3, true},
--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -37,10 +37,10 @@
 	Logger        logrus.FieldLogger
 	Seed          uint64           // of the random choices
 	Now           func() time.Time // default time.Now
-	// OnDeath is called after a death or more of its contents became known, so
-	// that the peers learn of it before they place the same content. It must not
-	// block. Optional.
-	OnDeath func()
+	// OnUrgent is called after a death, more of its contents or the place of a
+	// suspect became known, so that the peers learn of it before they place the
+	// same content or another suspect there. It must not block. Optional.
+	OnUrgent func()
 }
 
 // Upstreams implements Router. Its methods are safe for concurrent use.
@@ -107,11 +107,11 @@
 		u.view.Store(view)
 	}
 	events, kicks := u.writer.takeOutput()
-	died := u.writer.died
-	u.writer.died = false
+	urgent := u.writer.urgent
+	u.writer.urgent = false
 	u.mu.Unlock()
-	if died && u.config.OnDeath != nil {
-		u.config.OnDeath()
+	if urgent && u.config.OnUrgent != nil {
+		u.config.OnUrgent()
 	}
 	for _, event := range events {
 		u.report(event)
@@ -155,7 +155,10 @@
 	if !ok {
 		return Placement{}, heldBackWait, false
 	}
-	u.write(func(w *writer, now time.Time) { w.markSuspectRun(placement.Target.ID, need.Content, now) })
+	u.write(func(w *writer, now time.Time) {
+		w.markSuspectRun(placement.Target.ID, need.Content, now)
+		w.urgent = true
+	})
 	return placement, 0, true
 }
 
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -277,7 +277,7 @@
 		return false
 	}
 	assessment := v.assessments[content]
-	if assessment.Standing(now).Quarantined || v.charged(content, now) >= quarantineDeaths {
+	if assessment.identified(now) || v.charged(content, now) >= quarantineDeaths {
 		return true
 	}
 	recent := assessment.recent(now)
@@ -285,11 +285,11 @@
 }
 
 // rivals returns the heavy suspects other than a content.
-func (v *View) rivals(content ContentKey, now time.Time) []ContentKey {
-	var rivals []ContentKey
+func (v *View) rivals(content ContentKey, now time.Time) []Rival {
+	var rivals []Rival
 	for other, assessment := range v.assessments {
-		if other != content && v.heavySuspect(other, now) && !assessment.Standing(now).Quarantined {
-			rivals = append(rivals, other)
+		if other != content && v.heavySuspect(other, now) && !assessment.identified(now) {
+			rivals = append(rivals, Rival{Content: other, Died: v.died(other, now)})
 		}
 	}
 	return rivals
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -73,7 +73,7 @@
 	standings map[ContentKey]Standing       // as last reported
 	events    []timeline.Event
 	kicks     []contract.UpstreamID
-	died      bool // evidence of a death was added
+	urgent    bool // a death or the place of a suspect must reach the peers at once
 }
 
 // unconfirmedDeath is a lost connection that may have been a death.
@@ -307,7 +307,7 @@
 	if len(merged.Contents) != len(death.Contents) || !merged.At.Equal(death.At) {
 		from = "" // more than the peer knows: it has to learn the rest
 	}
-	w.reassess, w.died = true, true
+	w.reassess, w.urgent = true, true
 	put(w.ledger, w.ledger.deaths, death.Start, DeathEntry{
 		Upstream:      merged.Start.Upstream,
 		Incarnation:   merged.Start.Incarnation,
