Let a resumed generation look for an upstream every 200 ms

Cause: a harmless generation that had lost two engines to a poison prompt went on after 3.6 s (bound 3 s). The trace shows that it could have been placed 1.0 s earlier: the wait between two looks had doubled to 1 s. Ruled out: the wait for evidence (1.5 s) and for the failure domain (2 s), which had ended before. A look costs one choice among the engines of the service.

--- a/internal/generation/machine.go
+++ b/internal/generation/machine.go
@@ -22,6 +22,10 @@
 	// Bounds of the wait for a placement.
 	placementWaitMin = 50 * time.Millisecond
 	placementWaitMax = time.Second
+	// resumeWaitMax replaces placementWaitMax once an engine may have run the
+	// request: the caller's output must go on within 3 s of a loss, and an upstream
+	// may have become free just after the last look.
+	resumeWaitMax = 200 * time.Millisecond
 	// maxAttemptsAlive is the old attempt and its rival.
 	maxAttemptsAlive = 2
 )
@@ -253,8 +257,12 @@
 		m.finishQuarantined(now)
 		return
 	}
-	m.backoff = min(max(2*m.backoff, placementWaitMin), placementWaitMax)
-	wait := min(max(in.Wait, m.backoff), placementWaitMax)
+	longest := placementWaitMax
+	if m.mayRun() {
+		longest = resumeWaitMax
+	}
+	m.backoff = min(max(2*m.backoff, placementWaitMin), longest)
+	wait := min(max(in.Wait, m.backoff), longest)
 	if !m.mayRun() && (in.Gone || now.Add(wait).After(m.settings.QueueUntil)) {
 		m.finish(contract.NotRun, noPlacementReason(in), max(in.Wait, placementWaitMin))
 		return
--- a/internal/generation/machine_test.go
+++ b/internal/generation/machine_test.go
@@ -224,6 +224,22 @@
 	}
 }
 
+// Guards against a resumed generation that finds a free upstream too late,
+// because it has looked for one in vain several times.
+func TestResumedGenerationLooksOftenForAnUpstream(t *testing.T) {
+	b := newBench(t, nil)
+	b.step(generation.Input{Kind: generation.InputBegin})
+	b.step(generation.Input{Kind: generation.InputLost, Attempt: 1, Connection: 1})
+	b.m.Step(b.now, generation.Input{Kind: generation.InputUnreachable, Attempt: 1, Connection: 2})
+	for range 10 {
+		_, wake := b.m.Step(b.now, generation.Input{Kind: generation.InputNoPlacement, Attempt: 2})
+		b.g.Expect(wake.Sub(b.now)).To(And(BeNumerically(">", 0), BeNumerically("<=", 200*time.Millisecond)))
+		b.now = wake
+		actions, _ := b.m.Step(b.now, generation.Input{Kind: generation.InputTick})
+		b.g.Expect(kinds(actions)).To(ContainElement(generation.ActionStart))
+	}
+}
+
 // Guards against any sequence of inputs that breaks the order of tokens, the
 // limit of attempts or the single end.
 func TestMachineAnyInputs(t *testing.T) {
