Answer 503 to a new generation without an engine of its version

Cause: such a generation is not_run and carries a time to come back, but its status 409 tells balancers and usual HTTP clients not to send it again. An interrupted generation whose version is gone keeps 409. Ruled out: another reason for it; version_gone still says what is missing.

--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -37,12 +37,8 @@
 
 // VerdictError returns the HTTP error for a verdict without an answer.
 func VerdictError(verdict contract.Verdict, message string) *oas.ErrorStatusCodeWithHeaders {
-	status, ok := statusByReason[verdict.Reason]
-	if !ok {
-		status = http.StatusServiceUnavailable
-	}
 	answer := &oas.ErrorStatusCodeWithHeaders{
-		StatusCode: status,
+		StatusCode: statusOf(verdict),
 		Response: oas.Error{
 			Outcome: oas.Outcome(verdict.Outcome),
 			Reason:  string(verdict.Reason),
@@ -56,6 +52,15 @@
 	return answer
 }
 
+func statusOf(verdict contract.Verdict) int {
+	status, ok := statusByReason[verdict.Reason]
+	if !ok || verdict.Outcome == contract.NotRun && verdict.Reason == contract.ReasonVersionGone {
+		// A request that was not run can be sent again when an engine serves the version.
+		return http.StatusServiceUnavailable
+	}
+	return status
+}
+
 // ErrorVerdict returns the verdict that an HTTP error carries.
 func ErrorVerdict(answer *oas.ErrorStatusCodeWithHeaders) contract.Verdict {
 	return contract.Verdict{
