Mark the places of light suspects for 3 s only

Cause: the places of all contents with a recent charge were passed on every 500 ms for as long as they ran. At the target one engine has about 144 generations, 3% of them for minutes, and the loss of a failure domain leaves charges on some 22,000: at about 45 bytes a mark that is 13 KB/s after one engine and 2 MB/s after a domain, against a budget of 25 KB/s (computed, not run), and digests are sent in order, so that marks of leaving would wait behind. Contents whose deaths have a common cause are no suspects and need no mark. Before: TestMarksOfSuspectsEnd finds marks a minute after the death. After: none 7 s after it; heavy suspects are marked as long as they run.

--- a/internal/upstream/poison_test.go
+++ b/internal/upstream/poison_test.go
@@ -176,6 +176,38 @@
 	})
 }
 
+// Guards against marks of suspects that go on as long as these run: the loss of
+// an engine or failure domain would fill the digests for minutes.
+func TestMarksOfSuspectsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(3, "sapporo", "asahikawa", "obihiro")
+		c := newCluster(w, 7, 1)
+		defer c.stop()
+		time.Sleep(2 * time.Second)
+		u := c.instances[0]
+		resume := func(id contract.UpstreamID, victim Placement, name string) Placement {
+			incarnation := w.procs[id].incarnation
+			w.kill(id)
+			victim.Done(Observation{Kind: ObservedLost, Incarnation: incarnation})
+			var resumed Placement
+			g.Eventually(func() (ok bool) {
+				resumed, _, ok = u.Place(Need{Service: "notes", Pin: testPin, Resumed: true, Content: content(name)})
+				return ok
+			}).Should(BeTrue())
+			return resumed
+		}
+		light := resume("sapporo-0", u.occupy(u.view.Load().entries["sapporo-0"], content("light")), "light")
+		g.Expect(u.Digest(0).SuspectRuns).To(HaveLen(1))
+		time.Sleep(suspectMarkTime + suspectMarkLifetime + 2*maintainInterval)
+		g.Expect(u.Digest(0).SuspectRuns).To(BeEmpty())
+		heavy := resume(light.Target.ID, light, "light")
+		time.Sleep(time.Minute)
+		g.Expect(u.Digest(0).SuspectRuns).To(ConsistOf(HaveField("Upstream", heavy.Target.ID)))
+		heavy.Done(Observation{Kind: ObservedCancelled})
+	})
+}
+
 // Guards, over random histories, against poison prompts that go on killing and
 // harmless contents that are quarantined: beside poison prompts, in lost failure domains and
 // after cuts (P9).
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -17,6 +17,9 @@
 	loadLifetime = 12 * time.Second
 	// suspectMarkLifetime is how long a peer's mark of a suspect's place holds.
 	suspectMarkLifetime = 3 * time.Second
+	// suspectMarkTime is how long after its death a suspect's place is marked. By
+	// then the other suspects of the same death run elsewhere.
+	suspectMarkTime = 3 * time.Second
 	// separationWait is how long a suspect waits for an upstream without other
 	// suspects. It leaves most of the 3 s in which output has to go on.
 	separationWait = time.Second
@@ -269,6 +272,16 @@
 	return repeated+len(v.unconfirmed[content]) >= heavyIncidents
 }
 
+// marked reports whether the peers have to know where a content runs.
+func (v *View) marked(content ContentKey, now time.Time) bool {
+	if v.heavySuspect(content, now) {
+		return true
+	}
+	recent := v.assessments[content].recent(now)
+	fresh := len(recent) == 0 || now.Sub(recent[len(recent)-1].at) < suspectMarkTime
+	return fresh && v.suspect(content, now)
+}
+
 // held reports whether a content must not be placed now: it is quarantined or
 // about to be, or it is a heavy suspect and the evidence of its last death may
 // not have reached all instances.
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -269,16 +269,18 @@
 	w.ledger.retain(w.entries, w.evidence, now)
 }
 
-// repeatSuspectRuns marks the places of the suspects that run here.
+// repeatSuspectRuns marks the places of the suspects that run here: of heavy ones
+// as long as they run, of others for suspectMarkTime after the death. The loss of a
+// failure domain leaves charges on thousands of generations that run on for
+// minutes; marks of all of them would crowd out the rest of the digests.
 func (w *writer) repeatSuspectRuns(now time.Time) {
 	if len(w.assessments)+len(w.unconfirmed) == 0 {
 		return
 	}
-	unconfirmed := w.unconfirmedByContent()
+	view := &View{assessments: w.assessments, unconfirmed: w.unconfirmedByContent()}
 	for id, known := range w.entries {
 		known.use.residents.Range(func(_, value any) bool {
-			content := value.(ContentKey)
-			if len(w.assessments[content].recent(now))+len(unconfirmed[content]) > 0 {
+			if content := value.(ContentKey); view.marked(content, now) {
 				w.markSuspectRun(id, content, now)
 			}
 			return true
