--- a/internal/configuration/acceptor.go
+++ b/internal/configuration/acceptor.go
@@ -44,11 +44,12 @@
 type AcceptorConfig struct {
 	Store  *Store
 	Holder *Holder
-	// MayAccept reports whether this instance reaches the store and hears from
-	// a majority; see Confirm. Required.
-	MayAccept func() (ok bool, reason string)
+	// MayAccept reads the roster from the store and returns a condition that
+	// holds until it changes, or an error unless this instance hears from a
+	// majority of it; see Confirm. Required.
+	MayAccept func(ctx context.Context) (rosterUnchanged platform.Condition, err error)
 	// Publish passes an accepted version on and returns when a majority of the
-	// known instances holds it. Without that an operator could be told
+	// roster holds it. Without that an operator could be told
 	// "accepted" while a majority without the store never learns of the
 	// version. Required.
 	Publish func(ctx context.Context, snapshot *Snapshot) error
@@ -145,14 +146,15 @@
 	if !ok {
 		return result, true
 	}
-	if ok, reason := s.acceptor.cfg.MayAccept(); !ok {
+	rosterUnchanged, err := s.acceptor.cfg.MayAccept(ctx)
+	if err != nil {
 		// An instance that lacks a version accepted meanwhile has no majority: the
 		// next round finds that version and answers conflict.
 		again := !s.refused
 		s.refused = true
-		return s.notSettled(errors.Newf("this instance may not accept patches now: %s", reason)), !again
+		return s.notSettled(errors.Wrap(err, "this instance may not accept patches now")), !again
 	}
-	return s.commit(ctx, revision, next)
+	return s.commit(ctx, revision, rosterUnchanged, next)
 }
 
 // prepare builds the next version. It comes before the check whether this
@@ -177,9 +179,9 @@
 	return s.acceptor.cfg.Store.Version(ctx, s.patch.Base)
 }
 
-func (s *submission) commit(ctx context.Context, revision int64, next *Snapshot) (Result, bool) {
+func (s *submission) commit(ctx context.Context, revision int64, rosterUnchanged platform.Condition, next *Snapshot) (Result, bool) {
 	record := patchRecord{Version: next.Version, Base: s.patch.Base, Fingerprint: s.fingerprint}
-	applied, err := s.acceptor.cfg.Store.commit(ctx, revision, next, record)
+	applied, err := s.acceptor.cfg.Store.commit(ctx, revision, rosterUnchanged, next, record)
 	switch {
 	case err == nil && applied:
 		return s.publish(ctx, next), true
--- a/internal/configuration/cluster_test.go
+++ b/internal/configuration/cluster_test.go
@@ -36,17 +36,44 @@
 }
 
 func newCluster(t *testing.T, size int) *cluster {
+	return newGrowingCluster(t, size, size)
+}
+
+// newGrowingCluster returns a cluster of some started nodes, all in the roster,
+// and of others that a test starts later.
+func newGrowingCluster(t *testing.T, started, size int) *cluster {
 	c := &cluster{t: t, table: newFakeTable(), links: newLinkMatrix(size)}
 	for i := range size {
 		c.nodes = append(c.nodes, &realNode{index: i, cluster: c, way: &cutTable{TableService: c.table}})
 	}
-	for _, n := range c.nodes {
+	for _, n := range c.nodes[:started] {
 		n.start()
 	}
 	t.Cleanup(c.stop)
+	c.awaitRoster(started)
 	return c
 }
 
+// awaitRoster waits until all started nodes hold a roster of the given size.
+func (c *cluster) awaitRoster(size int) {
+	began := time.Now()
+	for !c.rosterIs(size) {
+		if time.Since(began) > time.Minute {
+			c.t.Fatalf("no roster of %d nodes after a minute", size)
+		}
+		time.Sleep(100 * time.Millisecond) // virtual time
+	}
+}
+
+func (c *cluster) rosterIs(size int) bool {
+	for _, n := range c.nodes {
+		if l := n.life.Load(); l != nil && len(l.keeper.Standing().Roster.Instances) != size {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *cluster) stop() {
 	for _, n := range c.nodes {
 		n.stop()
@@ -80,11 +107,15 @@
 	go func() {
 		defer close(n.done)
 		go l.heartbeats(ctx)
+		go l.keeper.Run(ctx)
 		_ = l.follower.Run(ctx)
 	}()
 }
 
 func (n *realNode) stop() {
+	if n.cancel == nil {
+		return // was never started
+	}
 	n.cancel()
 	<-n.done
 	n.cluster.links.setLife(n.index, nil)
--- a/internal/configuration/confirm_test.go
+++ b/internal/configuration/confirm_test.go
@@ -7,47 +7,63 @@
 	. "github.com/onsi/gomega"
 
 	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/roster"
 )
 
 // Guards against each way in which the confirmation rule could count too much.
 func TestConfirm(t *testing.T) {
 	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
 	ago := func(d time.Duration) time.Time { return now.Add(-d) }
-	heard := configuration.KnownInstance{Permanent: true, Heard: ago(time.Second)}
-	silent := configuration.KnownInstance{Permanent: true, Heard: ago(3 * time.Second)}
-	leaving := configuration.KnownInstance{Permanent: true, Leaving: true, Heard: now}
-	departed := configuration.KnownInstance{LastKnown: ago(23 * time.Hour)}
-	forgotten := configuration.KnownInstance{LastKnown: ago(25 * time.Hour)}
-	others := func(list ...configuration.KnownInstance) []configuration.KnownInstance { return list }
+	of := func(ids ...contract.InstanceID) roster.Standing {
+		return roster.Standing{Roster: roster.Roster{Sequence: 7, Version: 3, Instances: ids}, Read: true}
+	}
+	fetched := func(ids ...contract.InstanceID) roster.Standing {
+		return roster.Standing{Roster: of(ids...).Roster}
+	}
+	heard := func(ids ...contract.InstanceID) (list []configuration.KnownInstance) {
+		for _, id := range ids {
+			list = append(list, configuration.KnownInstance{ID: id, Heard: ago(time.Second)})
+		}
+		return list
+	}
+	silent := configuration.KnownInstance{ID: "b", Heard: ago(2001 * time.Millisecond)}
 
 	for name, c := range map[string]struct {
-		in                   configuration.ConfirmInput
-		confirmed, mayAccept bool
+		in                            configuration.ConfirmInput
+		confirmed, mayAccept, current bool
 	}{
-		"alone with the store":         {configuration.ConfirmInput{HeadRead: ago(time.Second)}, true, true},
-		"old head read":                {configuration.ConfirmInput{HeadRead: ago(2001 * time.Millisecond), Initialized: true, Others: others(silent)}, false, false},
-		"alone after start":            {configuration.ConfirmInput{}, false, false},
-		"half is no majority":          {configuration.ConfirmInput{Initialized: true, Others: others(heard, silent, silent)}, false, false},
-		"majority without store":       {configuration.ConfirmInput{Initialized: true, Others: others(heard, silent)}, true, false},
-		"store without majority":       {configuration.ConfirmInput{HeadRead: now, Others: others(silent, silent)}, true, false},
-		"not initialized":              {configuration.ConfirmInput{Others: others(heard, silent)}, false, false},
-		"initialized by others":        {configuration.ConfirmInput{Others: others(heard, heard)}, true, false},
-		"initialized by others behind": {configuration.ConfirmInput{Others: others(heard, heard), BehindSince: now}, false, false},
-		"heard before it was behind":   {configuration.ConfirmInput{Initialized: true, Others: others(heard), BehindSince: ago(999 * time.Millisecond)}, true, false},
-		"heard since it is behind":     {configuration.ConfirmInput{Initialized: true, Others: others(heard), BehindSince: ago(time.Second)}, false, false},
-		"leaving does not count":       {configuration.ConfirmInput{Initialized: true, Others: others(leaving, silent)}, false, false},
-		"draining and alone":           {configuration.ConfirmInput{Initialized: true, Draining: true, Others: others(leaving)}, false, false},
-		"draining beside a majority":   {configuration.ConfirmInput{Initialized: true, Draining: true, Others: others(heard, heard, silent)}, true, false},
-		"draining with the store":      {configuration.ConfirmInput{HeadRead: now, Draining: true}, true, false},
-		"departed stays in the count":  {configuration.ConfirmInput{HeadRead: now, Others: others(departed)}, true, false},
-		"departed for a day":           {configuration.ConfirmInput{HeadRead: now, Others: others(forgotten)}, true, true},
+		"alone with the store":         {configuration.ConfirmInput{HeadRead: ago(time.Second), Roster: of("a")}, true, true, true},
+		"store without a roster":       {configuration.ConfirmInput{HeadRead: now, Others: heard("b", "c")}, true, false, false},
+		"old head read":                {configuration.ConfirmInput{HeadRead: ago(2001 * time.Millisecond), Initialized: true, Roster: of("a", "b"), Others: []configuration.KnownInstance{silent}}, false, false, true},
+		"alone after start":            {configuration.ConfirmInput{Roster: fetched("a")}, false, false, false},
+		"no roster":                    {configuration.ConfirmInput{Initialized: true, Others: heard("b", "c")}, false, false, true},
+		"half is no majority":          {configuration.ConfirmInput{Initialized: true, Roster: of("a", "b", "c", "d"), Others: heard("b")}, false, false, true},
+		"majority without store":       {configuration.ConfirmInput{Initialized: true, Roster: of("a", "b", "c"), Others: heard("b")}, true, false, true},
+		"majority with store":          {configuration.ConfirmInput{HeadRead: now, Roster: of("a", "b", "c"), Others: heard("b")}, true, true, true},
+		"store without majority":       {configuration.ConfirmInput{HeadRead: now, Roster: of("a", "b", "c")}, true, false, true},
+		"strangers do not count":       {configuration.ConfirmInput{HeadRead: now, Roster: of("a", "b", "c"), Others: heard("x", "y", "z")}, true, false, true},
+		"not initialized":              {configuration.ConfirmInput{Roster: fetched("a", "b", "c"), Others: heard("b")}, false, false, false},
+		"store, but roster of a peer":  {configuration.ConfirmInput{HeadRead: now, Roster: fetched("a", "b", "c"), Others: heard("b")}, true, false, false},
+		"initialized by others":        {configuration.ConfirmInput{Roster: fetched("a", "b", "c"), Others: heard("b", "c")}, true, false, true},
+		"initialized too early":        {configuration.ConfirmInput{Started: ago(3999 * time.Millisecond), Roster: fetched("a", "b", "c"), Others: heard("b", "c")}, false, false, false},
+		"initialized by others behind": {configuration.ConfirmInput{Roster: fetched("a", "b", "c"), Others: heard("b", "c"), BehindSince: now}, false, false, false},
+		"heard before it was behind":   {configuration.ConfirmInput{Initialized: true, Roster: of("a", "b"), Others: heard("b"), BehindSince: ago(999 * time.Millisecond)}, true, false, false},
+		"heard since it is behind":     {configuration.ConfirmInput{Initialized: true, Roster: of("a", "b"), Others: heard("b"), BehindSince: ago(time.Second)}, false, false, false},
+		"lacks the roster's version":   {configuration.ConfirmInput{Initialized: true, Held: 2, Roster: of("a", "b"), Others: heard("b")}, false, false, false},
+		"not in the roster":            {configuration.ConfirmInput{Initialized: true, Roster: of("b", "c", "d"), Others: heard("b", "c")}, true, false, true},
+		"not in the roster, no other":  {configuration.ConfirmInput{Initialized: true, Roster: of("b"), Others: heard("c")}, false, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			c.in.Now = now
+			c.in.Now, c.in.Self = now, "a"
+			if c.in.Held == 0 {
+				c.in.Held = 3
+			}
 			got := configuration.Confirm(c.in)
 			g.Expect(got.Confirmed).To(Equal(c.confirmed), got.Reason)
 			g.Expect(got.MayAccept).To(Equal(c.mayAccept), got.Reason)
+			g.Expect(got.Current).To(Equal(c.current), got.Reason)
 			g.Expect(got.Reason == "").To(Equal(c.mayAccept))
 		})
 	}
--- a/internal/configuration/document_test.go
+++ b/internal/configuration/document_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	jsonpatch "github.com/evanphx/json-patch/v5"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -14,6 +15,7 @@
 	"foxtailhub.example/foxtailhub/internal/configuration"
 	"foxtailhub.example/foxtailhub/internal/contract"
 	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/roster"
 )
 
 const small = `{
@@ -120,6 +122,15 @@
 	})
 }
 
+// anyRoster lets an acceptor accept under a roster that never changes.
+func anyRoster(context.Context) (platform.Condition, error) {
+	return platform.Condition{Key: roster.Key}, nil
+}
+
+func noMajority(context.Context) (platform.Condition, error) {
+	return platform.Condition{}, errors.New("no majority")
+}
+
 // Guards against versions in the wrong order, a limit that is ignored, and a
 // wrong row that is taken for the version.
 func TestHistory(t *testing.T) {
@@ -128,7 +139,7 @@
 	store := configuration.NewStore(table)
 	holder := configuration.NewHolder()
 	acceptor := configuration.NewAcceptor(configuration.AcceptorConfig{Store: store, Holder: holder, Log: quietLog(),
-		MayAccept: func() (bool, string) { return true, "" },
+		MayAccept: anyRoster,
 		Publish:   func(context.Context, *configuration.Snapshot) error { return nil }})
 	for i := range 40 {
 		r := acceptor.Submit(t.Context(), workspacePatch(fmt.Sprintf("p%d", i), configuration.Version(i), "w"))
@@ -152,7 +163,7 @@
 	g := NewWithT(t)
 	acceptor := configuration.NewAcceptor(configuration.AcceptorConfig{
 		Store: configuration.NewStore(newFakeTable()), Holder: configuration.NewHolder(), Log: quietLog(),
-		MayAccept: func() (bool, string) { return false, "no majority" },
+		MayAccept: noMajority,
 	})
 	bad := configuration.Patch{ID: "bad", Body: []byte(`{"service":{}}`)}
 	result := acceptor.Submit(t.Context(), bad)
@@ -166,16 +177,16 @@
 func TestLostRaceIsAConflictWithoutMajority(t *testing.T) {
 	g := NewWithT(t)
 	store := configuration.NewStore(newFakeTable())
-	newAcceptor := func(may func() (bool, string)) *configuration.Acceptor {
+	newAcceptor := func(may func(context.Context) (platform.Condition, error)) *configuration.Acceptor {
 		return configuration.NewAcceptor(configuration.AcceptorConfig{
 			Store: store, Holder: configuration.NewHolder(), Log: quietLog(), MayAccept: may,
 			Publish: func(context.Context, *configuration.Snapshot) error { return nil },
 		})
 	}
-	winner := newAcceptor(func() (bool, string) { return true, "" })
-	loser := newAcceptor(func() (bool, string) {
+	winner := newAcceptor(anyRoster)
+	loser := newAcceptor(func(ctx context.Context) (platform.Condition, error) {
 		winner.Submit(t.Context(), workspacePatch("winner", 0, "a"))
-		return false, "no majority"
+		return noMajority(ctx)
 	})
 	result := loser.Submit(t.Context(), workspacePatch("loser", 0, "b"))
 	g.Expect(result.Status).To(Equal(configuration.StatusConflict), result.Message)
--- a/internal/configuration/fake_test.go
+++ b/internal/configuration/fake_test.go
@@ -20,7 +20,7 @@
 	mu              sync.Mutex // guards all fields
 	rows            map[string]platform.Row
 	revision        int64
-	commits         int
+	commits         int // of configuration versions
 	down            bool
 	downAfterCommit bool
 	loseNext        int           // commits that take effect and lose their answer
@@ -72,7 +72,9 @@
 	wait(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.commits++
+	if writes(transactions, "configuration/head") {
+		f.commits++
+	}
 	if f.down {
 		return nil, platform.ErrUnavailable
 	}
@@ -126,6 +128,21 @@
 	return results
 }
 
+// touch gives a row a new revision, as another writer does. The caller holds mu.
+func (f *fakeTable) touch(key string) {
+	f.revision++
+	row := f.rows[key]
+	row.Revision = f.revision
+	f.rows[key] = row
+}
+
+// writes reports whether a row is written.
+func writes(transactions []platform.Transaction, key string) bool {
+	return slices.ContainsFunc(transactions, func(t platform.Transaction) bool {
+		return slices.ContainsFunc(t.Writes, func(w platform.Write) bool { return w.Key == key })
+	})
+}
+
 // wait sleeps in virtual time until the latency has passed or ctx ends.
 func wait(ctx context.Context) {
 	select {
--- a/internal/configuration/http_test.go
+++ b/internal/configuration/http_test.go
@@ -52,7 +52,7 @@
 		acceptor := configuration.NewAcceptor(configuration.AcceptorConfig{
 			Store:     configuration.NewStore(platformhttp.NewTableService(platformhttp.Config{Address: server.URL})),
 			Holder:    configuration.NewHolder(),
-			MayAccept: func() (bool, string) { return true, "" },
+			MayAccept: anyRoster,
 			Publish:   func(context.Context, *configuration.Snapshot) error { return nil },
 			Log:       quietLog(),
 		})
--- a/internal/configuration/life_test.go
+++ b/internal/configuration/life_test.go
@@ -5,10 +5,17 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"foxtailhub.example/foxtailhub/internal/configuration"
 	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/roster"
 )
 
+// rosterHold is the silence after which an unlisted node leaves the roster.
+const rosterHold = time.Minute
+
 // linkMatrix says which nodes reach each other and who lives.
 type linkMatrix struct {
 	mu    sync.Mutex // guards the fields below
@@ -43,6 +50,14 @@
 	return m.lives[j]
 }
 
+// other is another node as one life of a node knows it.
+type other struct {
+	heard    time.Time
+	sequence int64
+	listed   bool
+	leaving  bool
+}
+
 // life is one life of a node, from start to stop.
 type life struct {
 	index    int
@@ -50,16 +65,19 @@
 	holder   *configuration.Holder
 	follower *configuration.Follower
 	acceptor *configuration.Acceptor
+	keeper   *roster.Keeper
+	started  time.Time
 
 	mu          sync.Mutex // guards the fields below
 	initialized bool
-	others      []configuration.KnownInstance
+	others      []other // by index; its own is unused
+	leaving     bool
 }
 
 func newLife(n *realNode) *life {
-	l := &life{index: n.index, links: n.cluster.links, holder: configuration.NewHolder()}
-	for i := range n.cluster.nodes {
-		l.others = append(l.others, configuration.KnownInstance{ID: nodeID(i), Permanent: true, Leaving: i == n.index})
+	l := &life{index: n.index, links: n.cluster.links, holder: configuration.NewHolder(), started: time.Now()}
+	for range n.cluster.links.group {
+		l.others = append(l.others, other{listed: true})
 	}
 	store := configuration.NewStore(n.way)
 	l.follower = configuration.NewFollower(configuration.FollowerConfig{
@@ -67,7 +85,14 @@
 	})
 	l.acceptor = configuration.NewAcceptor(configuration.AcceptorConfig{
 		Store: store, Holder: l.holder, Publish: l.publish, Log: quietLog(),
-		MayAccept: func() (bool, string) { c := l.confirm(); return c.MayAccept, c.Reason },
+		MayAccept: l.mayAccept,
+	})
+	l.keeper = roster.NewKeeper(roster.Config{
+		Self: nodeID(n.index), Table: n.way, Fetch: l.fetchRoster, Observe: l.observe, Log: quietLog(), Hold: rosterHold,
+		Head: func(ctx context.Context) (int64, platform.Condition, error) {
+			version, unchanged, err := store.HeadUnchanged(ctx)
+			return int64(version), unchanged, err
+		},
 	})
 	return l
 }
@@ -76,14 +101,53 @@
 	standing := l.follower.Standing()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := configuration.Confirm(configuration.ConfirmInput{
-		Now: time.Now(), Initialized: l.initialized, HeadRead: standing.HeadRead,
-		BehindSince: standing.BehindSince, Others: l.others,
-	})
+	in := configuration.ConfirmInput{
+		Now: time.Now(), Self: nodeID(l.index), Started: l.started, Initialized: l.initialized, HeadRead: standing.HeadRead,
+		Held: standing.Held, BehindSince: standing.BehindSince, Roster: l.keeper.Standing(),
+	}
+	for i, o := range l.others {
+		if i != l.index {
+			in.Others = append(in.Others, configuration.KnownInstance{ID: nodeID(i), Heard: o.heard})
+		}
+	}
+	c := configuration.Confirm(in)
 	l.initialized = c.Initialized
 	return c
 }
 
+func (l *life) mayAccept(ctx context.Context) (platform.Condition, error) {
+	r, unchanged, err := l.keeper.Read(ctx)
+	if err != nil {
+		return platform.Condition{}, err
+	}
+	if c := l.confirm(); !c.MayAccept || c.Sequence != r.Sequence {
+		return platform.Condition{}, errors.New(c.Reason)
+	}
+	return unchanged, nil
+}
+
+func (l *life) observe() roster.Observation {
+	c := l.confirm()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := roster.Observation{Reads: c.FromStore, Current: c.Current, Leaving: l.leaving}
+	for i, other := range l.others {
+		if i != l.index {
+			o.Others = append(o.Others, roster.Peer{
+				ID: nodeID(i), Heard: other.heard, Sequence: other.sequence, Listed: other.listed, Leaving: other.leaving,
+			})
+		}
+	}
+	return o
+}
+
+// setLeaving makes the node drain.
+func (l *life) setLeaving() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving = true
+}
+
 func (l *life) heartbeats(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
@@ -102,13 +166,37 @@
 }
 
 func (l *life) hear(i int, p *life) {
+	sequence, leaving, peerCurrent := p.keeper.Standing().Roster.Sequence, p.isLeaving(), p.confirm().Current
+	l.keeper.Announce(nodeID(i), sequence)
 	current := l.follower.Announce(p.follower.Standing().Verified, nodeID(i))
-	if !current || !p.confirm().Current {
-		return
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.others[i].leaving = leaving
+	if current && peerCurrent && sequence <= l.keeper.Standing().Roster.Sequence {
+		l.others[i].heard, l.others[i].sequence = time.Now(), sequence
 	}
+}
+
+// unlist removes a node from this one's view of the list.
+func (l *life) unlist(i int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.others[i].Heard = time.Now()
+	l.others[i].listed = false
+}
+
+func (l *life) isLeaving() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaving
+}
+
+func (l *life) fetchRoster(_ context.Context, id contract.InstanceID) ([]byte, error) {
+	for i := range l.others {
+		if p := l.links.peer(l.index, i); p != nil && nodeID(i) == id {
+			return p.keeper.Standing().Roster.Encode()
+		}
+	}
+	return nil, errCut
 }
 
 func (l *life) fetch(_ context.Context, id contract.InstanceID, _ configuration.Version) ([]byte, error) {
@@ -122,18 +210,23 @@
 
 func (l *life) publish(ctx context.Context, s *configuration.Snapshot) error {
 	for ctx.Err() == nil {
-		holding := 1
+		current := l.keeper.Standing().Roster
+		holding := 0
+		if current.Contains(nodeID(l.index)) {
+			holding = 1
+		}
 		for i := range l.others {
 			p := l.links.peer(l.index, i)
 			if p == nil {
 				continue
 			}
 			p.follower.Announce(s.Version, nodeID(l.index))
-			if p.holder.Current().Version >= s.Version {
+			held := p.holder.Current().Version >= s.Version
+			if held && current.Contains(nodeID(i)) && p.keeper.Standing().Roster.Sequence <= current.Sequence {
 				holding++
 			}
 		}
-		if 2*holding > l.confirm().Known {
+		if current.Majority(holding) {
 			return nil
 		}
 		time.Sleep(20 * time.Millisecond) // virtual time
--- a/internal/configuration/partition_test.go
+++ b/internal/configuration/partition_test.go
@@ -34,29 +34,42 @@
 	}
 }
 
-// Guards against a denominator that shrinks when instances disappear, and one
-// that does not shrink when they announced that they leave.
-func TestDepartedInstances(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		c := newCluster(t, 5)
-		time.Sleep(settle)
-		for _, n := range c.nodes[2:] {
-			n.cancel()
-			c.links.setLife(n.index, nil)
-		}
-		time.Sleep(settle)
-		p := workspacePatch("p", 0, "w")
-		g.Expect(c.nodes[0].Submit(t.Context(), p).Status).To(Equal(configuration.StatusUnavailable))
-		l := c.nodes[0].life.Load()
-		l.mu.Lock()
-		for i := 2; i < 5; i++ {
-			l.others[i].Leaving = true
+// vanish ends nodes without any announcement; the list forgets them.
+func (c *cluster) vanish(nodes ...*realNode) {
+	for _, gone := range nodes {
+		gone.cancel()
+		c.links.setLife(gone.index, nil)
+		for _, n := range c.nodes {
+			n.life.Load().unlist(gone.index)
 		}
-		l.mu.Unlock()
-		g.Expect(c.nodes[0].Submit(t.Context(), p).Status).To(Equal(configuration.StatusAccepted))
-		g.Expect(c.table.commits).To(Equal(1))
-	})
+	}
+}
+
+// Guards against a denominator that shrinks when a majority disappears, however
+// long ago, and one that does not shrink when instances drain.
+func TestDepartedInstances(t *testing.T) {
+	for _, drained := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCluster(t, 5)
+			if drained {
+				for _, n := range c.nodes[2:] {
+					n.life.Load().setLeaving()
+				}
+				c.awaitRoster(2)
+			}
+			c.vanish(c.nodes[2:]...)
+			time.Sleep(2 * rosterHold)
+			r := c.nodes[0].Submit(t.Context(), workspacePatch("p", 0, "w"))
+			if !drained {
+				g.Expect(r.Status).To(Equal(configuration.StatusUnavailable))
+				g.Expect(c.table.commits).To(BeZero())
+				return
+			}
+			g.Expect(r.Status).To(Equal(configuration.StatusAccepted), r.Message)
+			g.Expect(c.table.commits).To(Equal(1))
+		})
+	}
 }
 
 // Guards against a peer that sends anything else than a newer valid version.
@@ -135,7 +148,7 @@
 		time.Sleep(settle)
 		r := c.nodes[0].Submit(t.Context(), workspacePatch("p", 0, "w"))
 		g.Expect(r.Status).To(Equal(configuration.StatusUnavailable))
-		g.Expect(r.Message).To(ContainSubstring("heard from 2 of 5 known instances"))
+		g.Expect(r.Message).To(ContainSubstring("heard from 2 of 5 instances of the roster"))
 		g.Expect(c.table.commits).To(BeZero())
 		for _, n := range c.nodes {
 			g.Expect(n.MayAdmit()).To(BeTrue())
--- /dev/null
+++ b/internal/configuration/roster_test.go
@@ -0,0 +1,134 @@
+package configuration_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+)
+
+// Guards against two majorities: instances that join on the side of a partition
+// that reaches the store must not outvote the old ones, which go on without it.
+func TestJoiningInstancesDoNotOutvoteTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newGrowingCluster(t, 3, 6)
+		for _, n := range c.nodes[1:3] {
+			n.way.setCut(true)
+		}
+		c.links.split(0, 1, 1, 0, 0, 0)
+		for _, n := range c.nodes[3:] {
+			n.start()
+		}
+		time.Sleep(2 * rosterHold)
+		r := c.nodes[0].Submit(t.Context(), workspacePatch("p", 0, "w"))
+		g.Expect(r.Status).To(Equal(configuration.StatusUnavailable), "the pair admits work under version 0")
+		g.Expect(c.table.commits).To(BeZero())
+		for _, n := range c.nodes {
+			g.Expect(n.MayAdmit()).To(BeTrue())
+		}
+		c.links.split(0, 0, 0, 0, 0, 0)
+		c.awaitRoster(6)
+		g.Expect(c.nodes[0].Submit(t.Context(), workspacePatch("p", 0, "w")).Status).To(Equal(configuration.StatusAccepted))
+	})
+}
+
+// Guards against a second change before the first is known to a majority: the
+// old ones, without the store and the roster, would go on as their own majority.
+func TestEachChangeIsKnownToAMajorityBeforeTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newGrowingCluster(t, 3, 6)
+		for _, n := range c.nodes[1:3] {
+			n.way.setCut(true)
+		}
+		// Node 0 reaches the old ones until its first change is in the store.
+		c.table.set(func(f *fakeTable) { f.onCommit = func() { c.links.split(0, 1, 1, 0, 0, 0) } })
+		for _, n := range c.nodes[3:] {
+			n.start()
+		}
+		time.Sleep(2 * rosterHold)
+		g.Expect(c.nodes[0].life.Load().keeper.Standing().Roster.Instances).To(HaveLen(4))
+		g.Expect(c.nodes[0].Submit(t.Context(), workspacePatch("p", 0, "w")).Status).NotTo(Equal(configuration.StatusAccepted))
+		for _, n := range c.nodes[1:3] {
+			g.Expect(n.MayAdmit()).To(BeTrue())
+		}
+		g.Expect(c.table.commits).To(BeZero())
+	})
+}
+
+// Guards against an acceptance under a roster that changed meanwhile.
+func TestAcceptanceIsConditionalOnTheRoster(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 3)
+		time.Sleep(settle)
+		c.table.set(func(f *fakeTable) { f.onCommit = func() { f.touch("membership/roster") } })
+		r := c.nodes[0].Submit(t.Context(), workspacePatch("p", 0, "w"))
+		g.Expect(r.Status).To(Equal(configuration.StatusAccepted))
+		g.Expect(c.table.commits).To(Equal(2), "the first one met a changed roster")
+	})
+}
+
+// Guards against a roster that is changed twice, or not at all, when the store's
+// answer is lost or two instances write at once.
+func TestRosterWritesAreSettled(t *testing.T) {
+	for name, fault := range map[string]func(*fakeTable){
+		"applied":    func(f *fakeTable) { f.loseNext = 20 },
+		"dropped":    func(f *fakeTable) { f.dropNext = 3 },
+		"sent twice": func(f *fakeTable) { f.resendNext = true },
+		"takes long": func(f *fakeTable) { f.delayNext = 700 * time.Millisecond },
+		"overtaken":  func(f *fakeTable) { f.onCommit = func() { f.touch("membership/roster") } },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				c := newGrowingCluster(t, 3, 6)
+				first := c.nodes[0].life.Load().keeper.Standing().Roster.Sequence
+				c.table.set(fault)
+				for _, n := range c.nodes[3:] {
+					n.start()
+				}
+				c.awaitRoster(6)
+				time.Sleep(settle)
+				held := c.nodes[0].life.Load().keeper.Standing().Roster
+				g.Expect(held.Sequence).To(Equal(first + 3))
+			})
+		})
+	}
+}
+
+// Guards against announcements in the unauthenticated list that block patches:
+// a stranger is listed at every node, but was never in contact.
+func TestAnnouncedStrangersDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newGrowingCluster(t, 3, 9)
+		time.Sleep(2 * rosterHold)
+		g.Expect(c.nodes[0].life.Load().keeper.Standing().Roster.Instances).To(HaveLen(3))
+		g.Expect(c.nodes[0].Submit(t.Context(), workspacePatch("p", 0, "w")).Status).To(Equal(configuration.StatusAccepted))
+	})
+}
+
+// Guards against crashed nodes that stay in the denominator for good, and
+// against one that is removed although it is still listed.
+func TestSilentNodesLeaveTheRoster(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 5)
+		listed := c.nodes[3]
+		listed.cancel()
+		c.links.setLife(listed.index, nil)
+		c.vanish(c.nodes[4])
+		size := func() int { return len(c.nodes[0].life.Load().keeper.Standing().Roster.Instances) }
+		time.Sleep(rosterHold - time.Second)
+		g.Expect(size()).To(Equal(5))
+		time.Sleep(5 * time.Second)
+		g.Expect(size()).To(Equal(4))
+		time.Sleep(2 * rosterHold)
+		g.Expect(size()).To(Equal(4))
+	})
+}
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -138,10 +138,18 @@
 	return &record, nil
 }
 
-// commit writes the next version if the head's revision is unchanged and the
-// patch was not accepted before.
-func (s *Store) commit(ctx context.Context, headRevision int64, next *Snapshot, record patchRecord) (bool, error) {
-	transaction, err := acceptance(headRevision, next, record)
+// HeadUnchanged returns the accepted version and a condition that holds until
+// another one is accepted.
+func (s *Store) HeadUnchanged(ctx context.Context) (Version, platform.Condition, error) {
+	head, revision, err := s.head(ctx)
+	return head.Version, platform.Condition{Key: headKey, Revision: revision}, err
+}
+
+// commit writes the next version if the head's revision and the roster are
+// unchanged and the patch was not accepted before. Under an outdated roster a
+// majority could miss the version that another majority holds.
+func (s *Store) commit(ctx context.Context, headRevision int64, rosterUnchanged platform.Condition, next *Snapshot, record patchRecord) (bool, error) {
+	transaction, err := acceptance(headRevision, rosterUnchanged, next, record)
 	if err != nil {
 		return false, err
 	}
@@ -155,7 +163,7 @@
 	return results[0].Applied, nil
 }
 
-func acceptance(headRevision int64, next *Snapshot, record patchRecord) (platform.Transaction, error) {
+func acceptance(headRevision int64, rosterUnchanged platform.Condition, next *Snapshot, record patchRecord) (platform.Transaction, error) {
 	document, err := EncodeSnapshot(next)
 	if err != nil {
 		return platform.Transaction{}, err
@@ -171,6 +179,7 @@
 	return platform.Transaction{
 		Conditions: []platform.Condition{
 			{Key: headKey, Revision: headRevision},
+			rosterUnchanged,
 			{Key: patchKey(next.PatchID)},
 			{Key: versionKey(next.Version)},
 		},
--- a/internal/instance/gauges.go
+++ b/internal/instance/gauges.go
@@ -1,7 +1,5 @@
 package instance
 
-import "time"
-
 // registerMetrics adds what other parts count to the instance's metrics.
 func (i *Instance) registerMetrics() {
 	m := i.metrics
@@ -12,11 +10,11 @@
 		return boolGauge(i.life.confirmed())
 	})
 	m.gauge("draining", "1 during the graceful shutdown.", func() float64 { return boolGauge(i.life.isDraining()) })
-	m.gauge("instances_known", "Instances in the denominator of a majority, this one included.", func() float64 {
-		return float64(i.membership.View().Known(time.Now()))
+	m.gauge("instances_known", "Instances of the roster, the denominator of a majority.", func() float64 {
+		return float64(i.life.fresh().Known)
 	})
-	m.gauge("instances_heard", "Known instances heard from in the last 2 s, this one included.", func() float64 {
-		return float64(i.membership.View().Heard(time.Now()))
+	m.gauge("instances_heard", "Instances of the roster heard from in the last 2 s.", func() float64 {
+		return float64(i.life.fresh().Heard)
 	})
 	m.gauge("generations_active", "Generations that run at this instance.", func() float64 { return float64(i.registry.Active()) })
 	m.gauge("connections_active", "Callers' connections to generations.", func() float64 {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -16,6 +16,7 @@
 	"foxtailhub.example/foxtailhub/internal/dispatch"
 	"foxtailhub.example/foxtailhub/internal/generation"
 	"foxtailhub.example/foxtailhub/internal/membership"
+	"foxtailhub.example/foxtailhub/internal/roster"
 	"foxtailhub.example/foxtailhub/internal/settings"
 	"foxtailhub.example/foxtailhub/internal/timeline"
 	"foxtailhub.example/foxtailhub/internal/upstream"
@@ -41,6 +42,7 @@
 	membership *membership.Membership
 	holder     *configuration.Holder
 	follower   *configuration.Follower
+	keeper     *roster.Keeper
 	upstreams  *upstream.Upstreams
 	digests    *upstreamSection
 	admission  *workspace.Admission
@@ -98,7 +100,7 @@
 	group.Go(func() error { return ignoreEnd(i.transport.Run(ctx)) })
 	group.Go(func() error { return ignoreEnd(i.membership.Run(ctx)) })
 	group.Go(func() error { return ignoreEnd(i.follower.Run(ctx)) })
-	for _, run := range []func(context.Context){i.upstreams.Run, i.admission.Run, i.caller.Run, i.life.run} {
+	for _, run := range []func(context.Context){i.upstreams.Run, i.admission.Run, i.caller.Run, i.life.run, i.keeper.Run} {
 		group.Go(func() error {
 			run(ctx)
 			return nil
--- a/internal/instance/life.go
+++ b/internal/instance/life.go
@@ -6,10 +6,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
 	"foxtailhub.example/foxtailhub/internal/membership"
+	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/roster"
 )
 
 const (
@@ -24,8 +28,11 @@
 // life keeps the state of the instance in its life cycle.
 type life struct {
 	log        logrus.FieldLogger
+	self       contract.InstanceID
+	started    time.Time
 	follower   *configuration.Follower
 	membership *membership.Membership
+	keeper     *roster.Keeper // set before the instance runs
 
 	updating     sync.Mutex // held during update, so that results replace each other in order
 	assess       func(now time.Time, initialized bool) configuration.Confirmation
@@ -41,8 +48,8 @@
 	at time.Time
 }
 
-func newLife(log logrus.FieldLogger, follower *configuration.Follower, members *membership.Membership) *life {
-	l := &life{log: log, follower: follower, membership: members, draining: make(chan struct{})}
+func newLife(self contract.InstanceID, log logrus.FieldLogger, follower *configuration.Follower, members *membership.Membership) *life {
+	l := &life{self: self, started: time.Now(), log: log, follower: follower, membership: members, draining: make(chan struct{})}
 	starting := StateStarting
 	l.state.Store(&starting)
 	l.confirmation.Store(&timedConfirmation{Confirmation: configuration.Confirmation{Reason: "starting"}})
@@ -74,7 +81,7 @@
 	if before.Confirmed != after.Confirmed {
 		l.log.WithField("confirmed", after.Confirmed).WithField("reason", after.Reason).Warn("confirmation changed")
 	}
-	l.setState(lifeState(l.isDraining(), after.Initialized, after.Confirmed))
+	l.setState(lifeState(l.isDraining(), after.Initialized || after.Confirmed, after.Confirmed))
 	return after
 }
 
@@ -90,16 +97,21 @@
 
 // confirm assesses by the configuration's follower and the membership.
 func (l *life) confirm(now time.Time, initialized bool) configuration.Confirmation {
+	// The roster is read last: contacts under a roster count only with it or a
+	// newer one.
 	standing := l.follower.Standing()
 	view := l.membership.View()
+	held := l.keeper.Standing()
 	after := configuration.Confirm(configuration.ConfirmInput{
 		Now:         now,
+		Self:        l.self,
+		Started:     l.started,
 		Initialized: initialized,
 		HeadRead:    standing.HeadRead,
+		Held:        standing.Held,
 		BehindSince: standing.BehindSince,
-		Draining:    l.isDraining(),
-		Uninformed:  !view.Informed(),
-		Others:      knownInstances(view, now),
+		Roster:      held,
+		Others:      knownInstances(view),
 	})
 	l.membership.SetStanding(membership.Standing{
 		Current: after.Current, Head: int64(standing.Verified), Held: int64(standing.Held),
@@ -108,16 +120,11 @@
 }
 
 // knownInstances translates the membership for the confirmation rule.
-func knownInstances(view *membership.View, now time.Time) []configuration.KnownInstance {
+func knownInstances(view *membership.View) []configuration.KnownInstance {
 	members := view.Members()
 	known := make([]configuration.KnownInstance, 0, len(members))
 	for _, m := range members {
-		known = append(known, configuration.KnownInstance{
-			ID:        m.ID,
-			Permanent: now.Before(m.KnownUntil),
-			Leaving:   m.State == membership.Draining,
-			Heard:     m.Contact,
-		})
+		known = append(known, configuration.KnownInstance{ID: m.ID, Heard: m.Contact})
 	}
 	return known
 }
@@ -149,9 +156,44 @@
 // confirmed reports whether new work may be admitted.
 func (l *life) confirmed() bool { return l.fresh().Confirmed }
 
-func (l *life) mayAccept() (bool, string) {
+// mayAccept reads the roster and reports whether this instance may accept a
+// patch under it.
+func (l *life) mayAccept(ctx context.Context) (platform.Condition, error) {
+	current, unchanged, err := l.keeper.Read(ctx)
+	if err != nil {
+		return platform.Condition{}, err
+	}
+	return unchanged, l.mayAcceptUnder(current.Sequence)
+}
+
+func (l *life) mayAcceptUnder(sequence int64) error {
+	c := l.fresh()
+	if c.Sequence != sequence {
+		c = l.update(time.Now())
+	}
+	if c.Sequence != sequence {
+		return errors.Newf("the roster of the store has sequence %d, the held one %d", sequence, c.Sequence)
+	}
+	if !c.MayAccept {
+		return errors.New(c.Reason)
+	}
+	return nil
+}
+
+// observe returns what the roster's keeper looks at.
+func (l *life) observe() roster.Observation {
 	c := l.fresh()
-	return c.MayAccept, c.Reason
+	members := l.membership.View().Members()
+	o := roster.Observation{
+		Reads: c.FromStore, Current: c.Current, Leaving: l.isDraining(), Others: make([]roster.Peer, 0, len(members)),
+	}
+	for _, m := range members {
+		o.Others = append(o.Others, roster.Peer{
+			ID: m.ID, Heard: m.Contact, Sequence: m.Sequence, Listed: m.Listed,
+			Leaving: m.State == membership.Draining || m.KnownUntil.IsZero(),
+		})
+	}
+	return o
 }
 
 func (l *life) isDraining() bool { return l.drainStart.Load() != 0 }
--- a/internal/instance/life_test.go
+++ b/internal/instance/life_test.go
@@ -10,6 +10,8 @@
 	"github.com/sirupsen/logrus"
 
 	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/roster"
 )
 
 // Guards against an instance that was paused and admits work, or accepts a
@@ -19,24 +21,24 @@
 		g := NewWithT(t)
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		l := newLife(log, nil, nil)
+		l := newLife("instance-0", log, nil, nil)
 		l.drainStart.Store(1) // a draining instance tells no membership of its state
 		draining := StateDraining
 		l.state.Store(&draining)
 		headRead := time.Now()
 		l.assess = func(now time.Time, initialized bool) configuration.Confirmation {
-			other := configuration.KnownInstance{ID: "instance-1", Permanent: true, Heard: headRead}
+			other := configuration.KnownInstance{ID: "instance-1", Heard: headRead}
+			held := roster.Roster{Sequence: 1, Instances: []contract.InstanceID{"instance-0", "instance-1"}}
 			return configuration.Confirm(configuration.ConfirmInput{
-				Now: now, Initialized: initialized, HeadRead: headRead, Others: []configuration.KnownInstance{other},
+				Now: now, Self: "instance-0", Initialized: initialized, HeadRead: headRead,
+				Roster: roster.Standing{Roster: held, Read: true}, Others: []configuration.KnownInstance{other},
 			})
 		}
 		l.update(time.Now())
-		may, _ := l.mayAccept()
-		g.Expect(may).To(BeTrue())
+		g.Expect(l.mayAcceptUnder(1)).To(Succeed())
 		g.Expect(l.confirmed()).To(BeTrue())
 		time.Sleep(5 * time.Second) // no update meanwhile
-		may, _ = l.mayAccept()
-		g.Expect(may).To(BeFalse())
+		g.Expect(l.mayAcceptUnder(1)).NotTo(Succeed())
 		g.Expect(l.confirmed()).To(BeFalse())
 	})
 }
--- a/internal/instance/pure_test.go
+++ b/internal/instance/pure_test.go
@@ -11,6 +11,7 @@
 	"foxtailhub.example/foxtailhub/internal/contract"
 	"foxtailhub.example/foxtailhub/internal/generation"
 	"foxtailhub.example/foxtailhub/internal/membership"
+	"foxtailhub.example/foxtailhub/internal/roster"
 )
 
 // Guards against an instance that admits work too early or leaves its drain.
@@ -116,21 +117,18 @@
 }
 
 // Guards against an acceptance that counts instances which hold no version or
-// leave, or that shrinks the denominator by an instance which is only silent.
+// are not in the roster, however long it has not heard of those that are.
 func TestHolders(t *testing.T) {
 	g := NewWithT(t)
-	now := time.Unix(1000, 0)
-	known := now.Add(time.Hour)
-	holding, all := holders(nil, 5, false, now)
-	g.Expect([]int{holding, all}).To(Equal([]int{1, 1}))
-	holding, all = holders([]membership.MemberView{
-		{KnownUntil: known, Held: 5, State: membership.Ready},
-		{KnownUntil: known, Held: 6, State: membership.Unready},
-		{KnownUntil: known, Held: 4, State: membership.Ready},
-		{KnownUntil: known}, // silent
-		{KnownUntil: known, Held: 5, State: membership.Draining},
-		{KnownUntil: now, Held: 5}, // departed
-		{Held: 5},
-	}, 5, false, now)
-	g.Expect([]int{holding, all}).To(Equal([]int{3, 5}))
+	current := roster.Roster{Sequence: 1, Instances: []contract.InstanceID{"b", "c", "d", "e", "self"}}
+	members := []membership.MemberView{
+		{Member: membership.Member{ID: "a"}, Held: 5}, // not in the roster
+		{Member: membership.Member{ID: "b"}, Held: 5, State: membership.Draining},
+		{Member: membership.Member{ID: "c"}, Held: 6},
+		{Member: membership.Member{ID: "d"}, Held: 4},
+	}
+	g.Expect(holders(members, 5, "self", current)).To(Equal(3))
+	g.Expect(holders(members, 5, "other", current)).To(Equal(2))
+	g.Expect(current.Majority(holders(members, 6, "self", current))).To(BeFalse())
+	g.Expect(holders(members, 5, "self", roster.Roster{})).To(BeZero())
 }
--- a/internal/instance/spread.go
+++ b/internal/instance/spread.go
@@ -10,11 +10,15 @@
 	"foxtailhub.example/foxtailhub/internal/contract"
 	"foxtailhub.example/foxtailhub/internal/link"
 	"foxtailhub.example/foxtailhub/internal/membership"
+	"foxtailhub.example/foxtailhub/internal/roster"
 )
 
 // messageFetchConfiguration asks a peer for the configuration that it holds.
 const messageFetchConfiguration link.MessageType = "configuration/fetch"
 
+// messageFetchRoster asks a peer for the roster that it holds.
+const messageFetchRoster link.MessageType = "roster/fetch"
+
 // publishInterval is the time between two looks at who holds a version.
 const publishInterval = 20 * time.Millisecond
 
@@ -23,16 +27,17 @@
 	Version configuration.Version `cbor:"1,keyasint"`
 }
 
-// errNotHeld refuses a fetch of a version that is newer than the held one.
-var errNotHeld = errors.New("configuration version is not held here")
+// errNotHeld refuses a fetch of what is newer than what is held.
+var errNotHeld = errors.New("what was asked for is not held here")
 
 // spread passes configuration versions on between instances.
 type spread struct {
 	holder     *configuration.Holder
 	transport  link.Transport
 	membership *membership.Membership
-	draining   func() bool
-	update     func() // applies the confirmation rule, which also sets the head of heartbeats
+	self       contract.InstanceID
+	keeper     *roster.Keeper // set before the instance runs
+	update     func()         // applies the confirmation rule, which also sets the head of heartbeats
 }
 
 // answerFetch serves messageFetchConfiguration.
@@ -57,40 +62,53 @@
 	return s.transport.Request(ctx, peer, messageFetchConfiguration, body)
 }
 
-// publish pushes an accepted version and waits until a majority of the known
-// instances holds it.
+// answerRoster serves messageFetchRoster.
+func (s *spread) answerRoster(context.Context, contract.InstanceID, []byte) ([]byte, error) {
+	held := s.keeper.Standing().Roster
+	if held.Sequence == 0 {
+		return nil, errNotHeld
+	}
+	return held.Encode()
+}
+
+// fetchRoster asks a peer for the roster that it holds.
+func (s *spread) fetchRoster(ctx context.Context, peer contract.InstanceID) ([]byte, error) {
+	return s.transport.Request(ctx, peer, messageFetchRoster, nil)
+}
+
+// publish pushes an accepted version and waits until a majority of the roster
+// holds it.
 func (s *spread) publish(ctx context.Context, snapshot *configuration.Snapshot) error {
 	s.update()
 	s.membership.Push()
 	ticker := time.NewTicker(publishInterval)
 	defer ticker.Stop()
 	for {
-		holding, known := holders(s.membership.View().Members(), int64(snapshot.Version), s.draining(), time.Now())
-		if 2*holding > known {
+		members, current := s.membership.View().Members(), s.keeper.Standing().Roster
+		holding := holders(members, int64(snapshot.Version), s.self, current)
+		if current.Majority(holding) {
 			return nil
 		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "held by %d of %d known instances", holding, known)
+			return errors.Wrapf(ctx.Err(), "held by %d of %d instances of the roster", holding, len(current.Instances))
 		}
 	}
 }
 
-// holders counts the known instances that hold a version, this one included.
-// Draining instances do not count, as for the confirmation.
-func holders(members []membership.MemberView, version int64, draining bool, now time.Time) (holding, known int) {
-	if !draining {
-		holding, known = 1, 1
+// holders counts the instances of the roster that hold a version. This one does.
+// The roster must not be older than the members' view: a held version counts
+// only under the roster that its holder had, or a newer one.
+func holders(members []membership.MemberView, version int64, self contract.InstanceID, current roster.Roster) int {
+	holding := 0
+	if current.Contains(self) {
+		holding = 1
 	}
 	for _, m := range members {
-		if !now.Before(m.KnownUntil) || m.State == membership.Draining {
-			continue
-		}
-		known++
-		if m.Held >= version {
+		if m.Held >= version && current.Contains(m.ID) {
 			holding++
 		}
 	}
-	return holding, known
+	return holding
 }
--- a/internal/instance/wiring.go
+++ b/internal/instance/wiring.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,6 +12,7 @@
 	"foxtailhub.example/foxtailhub/internal/generation"
 	"foxtailhub.example/foxtailhub/internal/membership"
 	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/roster"
 	"foxtailhub.example/foxtailhub/internal/settings"
 	"foxtailhub.example/foxtailhub/internal/timeline"
 	"foxtailhub.example/foxtailhub/internal/upstream"
@@ -69,9 +71,9 @@
 		Announce: func(peer contract.InstanceID, head int64) bool {
 			return i.follower.Announce(configuration.Version(head), peer)
 		},
-		Interval:      milliseconds(s.HeartbeatIntervalMS),
-		ListInterval:  milliseconds(s.ListIntervalMS),
-		DepartureHold: milliseconds(s.DepartureHoldMS),
+		AnnounceRoster: func(peer contract.InstanceID, sequence int64) { i.keeper.Announce(peer, sequence) },
+		Interval:       milliseconds(s.HeartbeatIntervalMS),
+		ListInterval:   milliseconds(s.ListIntervalMS),
 	})
 	if err != nil {
 		return err
@@ -93,22 +95,24 @@
 
 // provisionConfiguration builds what keeps the configuration in force.
 func (i *Instance) provisionConfiguration(table platform.TableService, record timeline.Recorder) *configuration.Acceptor {
-	spread := &spread{holder: i.holder, transport: i.transport, membership: i.membership}
+	store := configuration.NewStore(table)
+	spread := &spread{holder: i.holder, transport: i.transport, membership: i.membership, self: i.settings.Instance}
 	i.transport.Handle(messageFetchConfiguration, spread.answerFetch)
+	i.transport.Handle(messageFetchRoster, spread.answerRoster)
 	i.follower = configuration.NewFollower(configuration.FollowerConfig{
-		Store:        configuration.NewStore(table),
+		Store:        store,
 		Holder:       i.holder,
 		Fetch:        spread.fetch,
 		PollInterval: milliseconds(i.settings.ConfigIntervalMS),
 		Recorder:     record,
 		Log:          i.log,
 	})
-	i.life = newLife(i.log, i.follower, i.membership)
-	spread.draining = i.life.isDraining
+	i.life = newLife(i.settings.Instance, i.log, i.follower, i.membership)
+	i.provisionRoster(table, store, spread)
 	spread.update = func() { i.life.update(time.Now()) }
 	i.holder.Subscribe(func(*configuration.Snapshot) { i.membership.Push() })
 	return configuration.NewAcceptor(configuration.AcceptorConfig{
-		Store:     configuration.NewStore(table),
+		Store:     store,
 		Holder:    i.holder,
 		MayAccept: i.life.mayAccept,
 		Publish:   spread.publish,
@@ -117,6 +121,25 @@
 	})
 }
 
+// provisionRoster builds what keeps the denominator of a majority.
+func (i *Instance) provisionRoster(table platform.TableService, store *configuration.Store, spread *spread) {
+	i.keeper = roster.NewKeeper(roster.Config{
+		Self:  i.settings.Instance,
+		Table: table,
+		Head: func(ctx context.Context) (int64, platform.Condition, error) {
+			version, unchanged, err := store.HeadUnchanged(ctx)
+			return int64(version), unchanged, err
+		},
+		Fetch:   spread.fetchRoster,
+		Observe: i.life.observe,
+		Adopted: i.membership.SetSequence,
+		Log:     i.log,
+		Hold:    milliseconds(i.settings.DepartureHoldMS),
+	})
+	i.life.keeper = i.keeper
+	spread.keeper = i.keeper
+}
+
 // provisionUpstreams builds what knows the upstreams.
 func (i *Instance) provisionUpstreams(parts Parts, record timeline.Recorder) {
 	i.upstreams = upstream.New(upstream.Config{
--- a/internal/membership/answer.go
+++ b/internal/membership/answer.go
@@ -57,6 +57,7 @@
 	a := m.compileAnswer(peer, h)
 	m.learnSections(peer, h.Sections)
 	m.announceHead(peer, h.Status.Head)
+	m.announceRoster(peer, h.Status.Sequence)
 	reply, err := link.Encode(a)
 	if err == nil {
 		m.counters.out(len(reply))
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -264,6 +264,7 @@
 		return false
 	}
 	m.updateClock(id, a.Status)
+	m.announceRoster(id, a.Status.Sequence)
 	m.merge(id, p, a, m.announceHead(id, a.Status.Head), sent)
 	return true
 }
@@ -283,7 +284,7 @@
 		return
 	}
 	p.greeted = true
-	m.ledger.readAnswer(a, r, &p.table, m.accepts, current, sent, m.now())
+	m.ledger.readAnswer(a, r, &p.table, m.accepts, current, m.status.Sequence, sent, m.now())
 	m.dirty = true
 	if a.Status.Informed && len(a.Names) < maxNames {
 		m.status.Informed = true
@@ -296,6 +297,16 @@
 	return m.config.Announce == nil || m.config.Announce(id, head)
 }
 
+// announceRoster passes the sequence of a newer roster on.
+func (m *Membership) announceRoster(id contract.InstanceID, sequence int64) {
+	m.mu.Lock()
+	newer := sequence > m.status.Sequence
+	m.mu.Unlock()
+	if newer && m.config.AnnounceRoster != nil {
+		m.config.AnnounceRoster(id, sequence)
+	}
+}
+
 func (m *Membership) updateClock(id contract.InstanceID, s status) {
 	if err := m.config.Clock.Update(s.At); err != nil {
 		m.refused(id, err)
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -36,7 +36,7 @@
 		table := &peerTable{}
 		if a, err := decodeAnswer(body); err == nil {
 			for range 2 {
-				mine.readAnswer(a, from, table, anyRegion, true, sent, now)
+				mine.readAnswer(a, from, table, anyRegion, true, 0, sent, now)
 			}
 			if len(mine.table) > maxMembers || len(table.names) > maxMembers {
 				t.Fatal("memory is not bounded")
@@ -95,7 +95,7 @@
 			b.writeAnswer(&reply, h, "a", &peerTable{}, now)
 			g.Expect(reply.check()).To(Succeed())
 			if rapid.Bool().Draw(r, "arrives") {
-				a.readAnswer(reply, fromB, table, anyRegion, true, now, now)
+				a.readAnswer(reply, fromB, table, anyRegion, true, 0, now, now)
 			}
 			for id, rec := range a.byID {
 				if id != "b" && rec.contact != never {
@@ -177,7 +177,7 @@
 		from := receiver.add(Member{ID: "relay"}, 0)
 		reply := answer{Status: status{Current: c.sender, Held: 5}}
 		relay.writeAnswer(&reply, heartbeat{}, "receiver", &peerTable{}, 0)
-		receiver.readAnswer(reply, from, &peerTable{}, anyRegion, c.receiver, 0, 0)
+		receiver.readAnswer(reply, from, &peerTable{}, anyRegion, c.receiver, 0, 0, 0)
 		g.Expect(from.contact != never).To(Equal(c.counted))
 		g.Expect(from.direct).To(Equal(instant(0)))
 		g.Expect(from.held).To(Equal(int64(5)))
@@ -188,3 +188,28 @@
 		}
 	}
 }
+
+// Guards against a contact, or a held version, that is counted under a roster
+// older than the one of the instance that it is with or that relays it; and
+// against a sequence that is attributed to another contact.
+func TestContactsUnderANewerRosterDoNotCount(t *testing.T) {
+	for mine, counted := range map[int64]bool{7: false, 8: true, 9: true} {
+		g := NewWithT(t)
+		relay, receiver := newLedger("relay", time.Hour, 1), newLedger("receiver", time.Hour, 2)
+		third := relay.add(memberNumber(1), 0)
+		third.hear(Ready, 0)
+		third.held, third.sequence = 4, 6
+		from := receiver.add(Member{ID: "relay"}, 0)
+		reply := answer{Status: status{Current: true, Held: 5, Sequence: 8}}
+		relay.writeAnswer(&reply, heartbeat{}, "receiver", &peerTable{}, 0)
+		g.Expect(reply.check()).To(Succeed())
+		receiver.readAnswer(reply, from, &peerTable{}, anyRegion, true, mine, 0, 0)
+		g.Expect(from.contact != never).To(Equal(counted))
+		g.Expect(from.held == 5).To(Equal(counted))
+		relayed := receiver.byID[third.member.ID]
+		g.Expect(relayed.contact != never).To(Equal(counted))
+		if counted {
+			g.Expect([]int64{from.sequence, relayed.sequence, relayed.held}).To(Equal([]int64{8, 6, 4}))
+		}
+	}
+}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -11,6 +11,8 @@
 	at    instant
 	state State
 	held  int64 // configuration version that it held
+	// sequence is that of the roster that it held.
+	sequence int64
 }
 
 // peerTable is this instance's copy of the table of a peer, with what the peer
@@ -52,7 +54,7 @@
 		return false
 	}
 	c := t.claims[r.slot]
-	return c.at != never && c.at.after(newsMargin) >= r.reported() && c.state == r.state && c.held >= r.held
+	return c.at != never && c.at.after(newsMargin) >= r.reported() && c.state == r.state && c.held >= r.held && c.sequence >= r.sequence
 }
 
 // writeAnswer fills in the part of the table that the peer lacks and the
@@ -86,6 +88,9 @@
 			if r.held != a.Status.Held {
 				w.held = append(w.held, held{Index: i, Version: r.held})
 			}
+			if r.sequence != a.Status.Sequence {
+				w.sequence = append(w.sequence, held{Index: i, Version: r.sequence})
+			}
 		}
 	}
 	w.store(a)
@@ -95,12 +100,19 @@
 // given time. An age counts back from that time, because the peer determined it
 // later than that. Contacts count only if the peer is current and this instance
 // lacks no version that it knows of.
-func (l *ledger) readAnswer(a answer, from *record, t *peerTable, accept func(region string) bool, current bool, sent, now instant) {
+//
+// The roster's sequence is that of this instance. An answer under a newer roster
+// proves neither a contact nor a held version: a majority of an outdated roster
+// need not share an instance with one of the newer roster.
+func (l *ledger) readAnswer(a answer, from *record, t *peerTable, accept func(region string) bool, current bool, sequence int64, sent, now instant) {
+	if a.Status.Sequence > sequence {
+		a = a.withoutContacts()
+	}
 	from.direct = max(from.direct, sent)
 	from.head, from.held = a.Status.Head, max(from.held, a.Status.Held)
 	from.lastSeen = max(from.lastSeen, sent)
-	if current && a.Status.Current {
-		from.contact = max(from.contact, sent)
+	if current && a.Status.Current && sent >= from.contact {
+		from.contact, from.sequence = sent, a.Status.Sequence
 	}
 	from.answered(a.Status.State, sent)
 	if t.epoch != a.Epoch || a.First > len(t.names) {
@@ -114,7 +126,7 @@
 	for _, e := range a.Names[held:] {
 		t.names = append(t.names, l.resolve(e, accept, now))
 	}
-	readVector(a, func(index int, state State, age time.Duration, version int64) {
+	readVector(a, func(index int, c claimed) {
 		if index >= len(t.names) || t.names[index] == nil {
 			return
 		}
@@ -125,15 +137,26 @@
 			}
 			t.names[index] = r
 		}
-		at := sent.after(-age)
-		r.held = max(r.held, version)
-		t.setClaim(l.epoch, r.slot, claim{at: at, state: state, held: version})
+		at := sent.after(-c.age)
+		r.held = max(r.held, c.held)
+		t.setClaim(l.epoch, r.slot, claim{at: at, state: c.state, held: c.held, sequence: c.sequence})
 		if current {
-			r.hear(state, at)
+			if at > r.contact {
+				r.sequence = c.sequence
+			}
+			r.hear(c.state, at)
 		}
 	})
 }
 
+// withoutContacts returns the answer without what it proves about contacts and
+// held versions.
+func (a answer) withoutContacts() answer {
+	a.Status.Current, a.Status.Held = false, 0
+	a.Marks, a.Ages, a.States, a.Held, a.Sequences = nil, nil, nil, nil, nil
+	return a
+}
+
 // silentSeconds returns the Silent of an entry for r.
 func (r *record) silentSeconds(now instant) uint32 {
 	if r.departed != never {
--- a/internal/membership/ledger.go
+++ b/internal/membership/ledger.go
@@ -64,6 +64,7 @@
 	seed       bool
 	head       int64 // of peers only
 	held       int64 // configuration version that it is known to hold
+	sequence   int64 // of the roster that it held at the last contact
 }
 
 // ledger holds the records of all other instances and decides who is known,
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -62,6 +62,9 @@
 	// contacts do not count. It must not block. Optional: without it every
 	// instance is current.
 	Announce func(peer contract.InstanceID, head int64) (current bool)
+	// AnnounceRoster is called with the sequence of a newer roster that a peer
+	// holds. It must not block. Optional.
+	AnnounceRoster func(peer contract.InstanceID, sequence int64)
 
 	Interval         time.Duration // between heartbeats to a peer
 	RequestTimeout   time.Duration // for the answer to a heartbeat
@@ -206,6 +209,16 @@
 	m.status.Held = max(m.status.Held, s.Held)
 }
 
+// SetSequence sets the sequence of the roster that this instance holds and tells
+// it to the peers. Contacts under a newer roster do not count. Lower sequences
+// than before are ignored.
+func (m *Membership) SetSequence(sequence int64) {
+	m.mu.Lock()
+	m.status.Sequence = max(m.status.Sequence, sequence)
+	m.mu.Unlock()
+	m.Push()
+}
+
 // Push sends a heartbeat without sections to all peers at once.
 func (m *Membership) Push() { signal(m.push) }
 
@@ -245,6 +258,7 @@
 			Member: r.member, State: r.state,
 			Contact: m.timeOf(r.contact), Direct: m.timeOf(r.direct), KnownUntil: m.timeOf(m.ledger.knownUntil(r, now)),
 			Peer: slices.Contains(m.peers, r.member.ID), Head: r.head, Held: r.held,
+			Sequence: r.sequence, Listed: r.listed || r.seed,
 		})
 	}
 	m.view.Store(v)
--- a/internal/membership/vector.go
+++ b/internal/membership/vector.go
@@ -34,6 +34,7 @@
 	states   []byte
 	allReady bool
 	held     []held
+	sequence []held // of the rosters
 }
 
 func newVectorWriter() *vectorWriter { return &vectorWriter{allReady: true} }
@@ -57,7 +58,7 @@
 // store puts the vector into an answer. States are left out in the usual case
 // that all are Ready.
 func (w *vectorWriter) store(a *answer) {
-	a.Marks, a.Ages, a.Held = w.marks, w.ages, w.held
+	a.Marks, a.Ages, a.Held, a.Sequences = w.marks, w.ages, w.held, w.sequence
 	if !w.allReady {
 		a.States = w.states
 	}
@@ -79,23 +80,42 @@
 	return State(states[position/statesPerByte] >> (2 * (position % statesPerByte)) & 3)
 }
 
+// claimed is what an answer tells about one member.
+type claimed struct {
+	state    State
+	age      time.Duration
+	held     int64
+	sequence int64
+}
+
+func byIndex(exceptions []held) map[int]int64 {
+	versions := make(map[int]int64, len(exceptions))
+	for _, h := range exceptions {
+		versions[h.Index] = h.Version
+	}
+	return versions
+}
+
 // readVector calls visit for each member with an age. The answer must have
 // passed check.
-func readVector(a answer, visit func(index int, state State, age time.Duration, version int64)) {
+func readVector(a answer, visit func(index int, c claimed)) {
 	position := 0
-	exceptions := make(map[int]int64, len(a.Held))
-	for _, h := range a.Held {
-		exceptions[h.Index] = h.Version
-	}
+	versions, sequences := byIndex(a.Held), byIndex(a.Sequences)
 	for i := range len(a.Marks) * marksPerByte {
 		if a.Marks[i/marksPerByte]>>(i%marksPerByte)&1 == 0 {
 			continue
 		}
-		version, found := exceptions[i]
-		if !found {
-			version = a.Status.Held
+		c := claimed{
+			state: stateAt(a.States, position), age: decodeAge(a.Ages[position]),
+			held: a.Status.Held, sequence: a.Status.Sequence,
+		}
+		if version, found := versions[i]; found {
+			c.held = version
+		}
+		if sequence, found := sequences[i]; found {
+			c.sequence = sequence
 		}
-		visit(i, stateAt(a.States, position), decodeAge(a.Ages[position]), version)
+		visit(i, c)
 		position++
 	}
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -22,6 +22,8 @@
 	Peer       bool  // this instance sends heartbeats to it
 	Head       int64 // newest configuration version it has verified, as it last told directly
 	Held       int64 // configuration version in force there, direct or through others
+	Sequence   int64 // of the roster that it held at Contact
+	Listed     bool  // the platform's list or the settings name it
 }
 
 // View is an immutable picture of the membership.
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -35,6 +35,7 @@
 	Informed bool
 	Head     int64 // newest configuration version that it has verified
 	Held     int64 // configuration version in force at the sender
+	Sequence int64 // of the roster that the sender holds; 0: none
 	At       timeline.Timestamp
 }
 
@@ -61,7 +62,8 @@
 	Data []byte
 }
 
-// held is the configuration version that a marked member holds.
+// held is the configuration version, or the roster's sequence, that a marked
+// member holds.
 type held struct {
 	_       struct{} `cbor:",toarray"`
 	Index   int
@@ -91,6 +93,9 @@
 	Ages   []byte  `cbor:"6,keyasint,omitempty"` // one byte per mark
 	States []byte  `cbor:"7,keyasint,omitempty"` // two bits per mark; empty: all are Ready
 	Held   []held  `cbor:"8,keyasint,omitempty"` // marks that hold another version than the sender, ascending
+	// Sequences are the marks that held another roster than the sender does,
+	// with its sequence, ascending.
+	Sequences []held `cbor:"9,keyasint,omitempty"`
 }
 
 func decodeHeartbeat(body []byte) (heartbeat, error) {
@@ -110,8 +115,8 @@
 }
 
 func (s status) check() error {
-	if s.State > Draining || s.Head < 0 || s.Held < 0 {
-		return errors.Wrapf(ErrHeartbeatInvalid, "state=%d head=%d", s.State, s.Head)
+	if s.State > Draining || s.Head < 0 || s.Held < 0 || s.Sequence < 0 {
+		return errors.Wrapf(ErrHeartbeatInvalid, "state=%d head=%d sequence=%d", s.State, s.Head, s.Sequence)
 	}
 	return nil
 }
@@ -155,12 +160,9 @@
 	if len(a.States) > 0 && len(a.States) != (len(a.Ages)+statesPerByte-1)/statesPerByte {
 		return errors.Wrapf(ErrHeartbeatInvalid, "ages=%d states=%d", len(a.Ages), len(a.States))
 	}
-	if len(a.Held) > len(a.Ages) {
-		return errors.Wrapf(ErrHeartbeatInvalid, "ages=%d held=%d", len(a.Ages), len(a.Held))
-	}
-	for _, h := range a.Held {
-		if h.Index < 0 || h.Index >= maxMembers || h.Version < 0 {
-			return errors.Wrapf(ErrHeartbeatInvalid, "index=%d version=%d", h.Index, h.Version)
+	for _, exceptions := range [][]held{a.Held, a.Sequences} {
+		if err := checkHeld(exceptions, len(a.Ages)); err != nil {
+			return err
 		}
 	}
 	for i := range a.Ages {
@@ -175,3 +177,16 @@
 	}
 	return nil
 }
+
+// checkHeld checks the exceptions among a number of marks.
+func checkHeld(exceptions []held, marks int) error {
+	if len(exceptions) > marks {
+		return errors.Wrapf(ErrHeartbeatInvalid, "ages=%d held=%d", marks, len(exceptions))
+	}
+	for _, h := range exceptions {
+		if h.Index < 0 || h.Index >= maxMembers || h.Version < 0 {
+			return errors.Wrapf(ErrHeartbeatInvalid, "index=%d version=%d", h.Index, h.Version)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/roster/scale_test.go
@@ -0,0 +1,119 @@
+package roster_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/link"
+	"foxtailhub.example/foxtailhub/internal/link/linktest"
+	"foxtailhub.example/foxtailhub/internal/membership"
+	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/platform/platformtest"
+	"foxtailhub.example/foxtailhub/internal/roster"
+	"foxtailhub.example/foxtailhub/internal/timeline"
+)
+
+// deployment is what its instances share.
+type deployment struct {
+	network *linktest.Network
+	table   *platformtest.Table
+	list    *platformtest.Instances
+	running sync.WaitGroup
+}
+
+// start starts the parts of an instance that follow and change the roster.
+func (d *deployment) start(ctx context.Context, t *testing.T, i int) *roster.Keeper {
+	const fetch link.MessageType = "roster/fetch"
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	id := contract.InstanceID(fmt.Sprintf("instance-%03d", i))
+	var keeper *roster.Keeper
+	transport := d.network.Transport(id)
+	members, err := membership.New(membership.Config{
+		Self: membership.Member{
+			ID: id, Address: string(id), Region: "pohjola", Domain: contract.FailureDomainID(fmt.Sprint("domain-", i%12)),
+		},
+		List: d.list, Transport: transport, Clock: timeline.NewClock(), Recorder: timeline.Discard{}, Log: log, Seed: uint64(i) + 1,
+		AnnounceRoster: func(peer contract.InstanceID, sequence int64) { keeper.Announce(peer, sequence) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	keeper = roster.NewKeeper(roster.Config{
+		Self: id, Table: d.table, Log: log, Adopted: members.SetSequence,
+		Head: func(context.Context) (int64, platform.Condition, error) {
+			return 0, platform.Condition{Key: "configuration/head"}, nil
+		},
+		Fetch: func(ctx context.Context, peer contract.InstanceID) ([]byte, error) {
+			return transport.Request(ctx, peer, fetch, nil)
+		},
+		Observe: func() roster.Observation { return observe(members.View(), keeper.Standing().Read) },
+	})
+	transport.Handle(fetch, func(context.Context, contract.InstanceID, []byte) ([]byte, error) {
+		return keeper.Standing().Roster.Encode()
+	})
+	members.SetState(membership.Ready)
+	d.running.Go(func() { _ = members.Run(ctx) })
+	d.running.Go(func() { keeper.Run(ctx) })
+	d.running.Go(func() {
+		for ctx.Err() == nil {
+			members.SetStanding(membership.Standing{Current: keeper.Standing().Read})
+			time.Sleep(100 * time.Millisecond) // virtual time
+		}
+	})
+	return keeper
+}
+
+func observe(view *membership.View, current bool) roster.Observation {
+	o := roster.Observation{Reads: true, Current: current}
+	for _, m := range view.Members() {
+		o.Others = append(o.Others, roster.Peer{ID: m.ID, Heard: m.Contact, Sequence: m.Sequence, Listed: m.Listed})
+	}
+	return o
+}
+
+// Guards against a start of many instances that takes long, and against more
+// writes and reads than the table service takes: 2,000 reads a second for all.
+func TestStartOfManyInstances(t *testing.T) {
+	for _, instances := range []int{9} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			d := &deployment{network: linktest.NewNetwork(1), table: platformtest.NewTable(), list: platformtest.NewInstances()}
+			d.network.SetDelay(func(_, _ contract.InstanceID) time.Duration { return 2 * time.Millisecond })
+			d.table.Set(platformtest.Faults{Slow: 10 * time.Millisecond})
+			reads := 0
+			d.table.Hook(func(op platformtest.Operation, after bool) {
+				if op == platformtest.OperationRead && !after {
+					reads++
+				}
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer d.running.Wait()
+			defer cancel()
+			var keepers []*roster.Keeper
+			for i := range instances {
+				keepers = append(keepers, d.start(ctx, t, i))
+			}
+			began := time.Now()
+			for len(keepers[0].Standing().Roster.Instances) < instances && time.Since(began) < 10*time.Minute {
+				time.Sleep(time.Second)
+				if s := time.Since(began); s%(10*time.Second) == 0 {
+					t.Logf("%s %d", s, len(keepers[0].Standing().Roster.Instances))
+				}
+			}
+			took := time.Since(began)
+			t.Logf("%d instances were in the roster after %s, %d commits, %d reads", instances, took, d.table.Commits(), reads)
+			g.Expect(took).To(BeNumerically("<=", time.Minute))
+			g.Expect(d.table.Commits()).To(BeNumerically("<", 2*instances+instances/2))
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,7 +44,7 @@
 	HeartbeatIntervalMS  int64                    `json:"heartbeat_interval_ms"`     // milliseconds, default 500
 	ListIntervalMS       int64                    `json:"list_interval_ms"`          // milliseconds, default 1000
 	ConfigIntervalMS     int64                    `json:"configuration_interval_ms"` // milliseconds, default 1000
-	DepartureHoldMS      int64                    `json:"departure_hold_ms"`         // milliseconds, default 24 h
+	DepartureHoldMS      int64                    `json:"departure_hold_ms"`         // milliseconds, default 10 min
 }
 
 // TLS names the files of the mutual TLS between instances. After Load the names
@@ -81,7 +81,7 @@
 		HeartbeatIntervalMS: 500,
 		ListIntervalMS:      1000,
 		ConfigIntervalMS:    1000,
-		DepartureHoldMS:     24 * 60 * 60 * 1000,
+		DepartureHoldMS:     10 * 60 * 1000,
 	}
 }
 
