--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -62,6 +62,9 @@
 	// contacts do not count. It must not block. Optional: without it every
 	// instance is current.
 	Announce func(peer contract.InstanceID, head int64) (current bool)
+	// AnnounceRoster is called with the sequence of a newer roster that a peer
+	// holds. It must not block. Optional.
+	AnnounceRoster func(peer contract.InstanceID, sequence int64)
 
 	Interval         time.Duration // between heartbeats to a peer
 	RequestTimeout   time.Duration // for the answer to a heartbeat
@@ -206,6 +209,16 @@
 	m.status.Held = max(m.status.Held, s.Held)
 }
 
+// SetSequence sets the sequence of the roster that this instance holds and tells
+// it to the peers. Contacts under a newer roster do not count. Lower sequences
+// than before are ignored.
+func (m *Membership) SetSequence(sequence int64) {
+	m.mu.Lock()
+	m.status.Sequence = max(m.status.Sequence, sequence)
+	m.mu.Unlock()
+	m.Push()
+}
+
 // Push sends a heartbeat without sections to all peers at once.
 func (m *Membership) Push() { signal(m.push) }
 
@@ -239,12 +252,13 @@
 // publish builds a view. The caller holds mu, except in New.
 func (m *Membership) publish() {
 	now := m.now()
-	v := &View{self: m.config.Self, window: m.config.HeardWindow, informed: m.status.Informed, members: make([]MemberView, 0, len(m.ledger.byID))}
+	v := &View{self: m.config.Self, window: m.config.HeardWindow, members: make([]MemberView, 0, len(m.ledger.byID))}
 	for _, r := range m.ledger.ordered() {
 		v.members = append(v.members, MemberView{
 			Member: r.member, State: r.state,
 			Contact: m.timeOf(r.contact), Direct: m.timeOf(r.direct), KnownUntil: m.timeOf(m.ledger.knownUntil(r, now)),
 			Peer: slices.Contains(m.peers, r.member.ID), Head: r.head, Held: r.held,
+			Sequence: r.sequence, Listed: r.listed || r.seed,
 		})
 	}
 	m.view.Store(v)
