Refuse on arrival what later arrivals will move out of reach

Cause: start-time fair queueing gives a request of a workspace below its share an earlier turn than the requests of a heavy one that wait already. The expected wait counted only what waited at the time, so with 16 and 4 requests a second for 10 places a second the wait of the heavy workspace came out at 1.7 times the forecast.

The forecast now counts what other streams are expected to put before the request: what waits with an earlier turn, and their measured rate of arrival up to the number of turns that are earlier, or up to what their own limit lets through. A request enters the queue if its turn comes in time with a margin for the spread of arrivals and of hold times. The first of its workspace and resumed generations need no margin.

Ruled out: a margin without a floor for the dispersion (9% late with equal holds, since places come free in bursts); a margin of 2 on the sum of both variances (light workspaces refused more often with long holds).

--- a/internal/workspace/admission.go
+++ b/internal/workspace/admission.go
@@ -142,9 +142,7 @@
 	}
 	if waiting != nil && !a.wait(ctx, g, e, waiting) {
 		e.countRefusal()
-		g.mu.Lock()
-		wait, reason := g.expectedWait(e)
-		g.mu.Unlock()
+		wait, reason := g.waitOf(e, time.Now())
 		return refuse(reason, max(wait, minRetryAfter))
 	}
 	return a.release(g, e, time.Now()), contract.Verdict{}, true
@@ -169,14 +167,12 @@
 	for {
 		select {
 		case <-w.admitted:
-			g.waited(w, time.Now())
 			return true
 		case now := <-review.C:
 			if !g.hopeless(w, e.deadline, now) {
 				continue
 			}
 		case <-timer.C:
-			g.waited(w, time.Now())
 		case <-ctx.Done():
 		}
 		return !g.abandon(w)
@@ -190,18 +186,19 @@
 			if e.generation {
 				e.state.running.Add(-1)
 			}
-			g.leave(time.Since(admitted))
+			now := time.Now()
+			g.leave(now.Sub(admitted), now)
 			if e.generation {
 				// The workspace's place may be what a request at another gate waits for.
-				a.kickAll()
+				a.kickAll(now)
 			}
 		})
 	}
 }
 
-func (a *Admission) kickAll() {
+func (a *Admission) kickAll(now time.Time) {
 	a.gates.Range(func(_, value any) bool {
-		value.(*gate).kick()
+		value.(*gate).kick(now)
 		return true
 	})
 }
@@ -221,7 +218,7 @@
 	g, _ := a.gates.LoadOrStore(service, &gate{
 		capacity: func() int { return a.config.Capacity(service) },
 		queue:    NewQueue(a.config.QueueLimit),
-		slowness: map[contract.WorkspaceID]float64{},
+		rates:    arrivalRates{},
 	})
 	return g.(*gate)
 }
--- a/internal/workspace/demand.go
+++ b/internal/workspace/demand.go
@@ -150,7 +150,7 @@
 		return true
 	})
 	a.mu.Unlock()
-	a.kickAll()
+	a.kickAll(now)
 }
 
 // expire must be called with a.mu held.
--- /dev/null
+++ b/internal/workspace/forecast.go
@@ -0,0 +1,99 @@
+package workspace
+
+import (
+	"math"
+	"time"
+)
+
+// competitor is what another workspace, or another priority of the same one,
+// puts before a waiting request.
+type competitor struct {
+	waiting int     // requests that wait and have an earlier turn
+	rate    float64 // requests expected per second
+	turns   float64 // how many of those can have an earlier turn; +Inf for a higher priority
+	served  float64 // requests per second that its own limit lets through; +Inf without one
+}
+
+// before returns how many requests of the competitor are expected to be
+// admitted in the first seconds of a wait of that length, and the variance of
+// this number: arrivals vary like a Poisson process until the turns run out.
+func (c competitor) before(seconds float64) (expected, variance float64) {
+	expected = float64(c.waiting)
+	if arriving := c.rate * seconds; arriving < c.turns {
+		expected += arriving
+		variance = arriving
+	} else {
+		expected += c.turns
+	}
+	if through := c.served * seconds; through < expected {
+		return through, 0
+	}
+	return expected, variance
+}
+
+// forecast predicts when a request gets its turn: after its workspace's
+// earlier requests and what the competitors put before it.
+type forecast struct {
+	limit       bool          // the place is one of the workspace's own limit
+	own         int           // earlier requests of the workspace that wait
+	pace        time.Duration // mean time between two places that come free
+	dispersion  float64       // variance by mean of the number of places that come free in a time
+	competitors []competitor
+}
+
+const (
+	// waitPrecision ends the search for an expected wait.
+	waitPrecision = time.Millisecond
+	// longestWait bounds an expected wait. Competitors of a higher priority that
+	// take all places would make it infinite.
+	longestWait = 10 * time.Minute
+)
+
+// margin is a safety margin in standard deviations: of the requests that arrive
+// and of the places that come free in a time.
+type margin struct{ arrivals, places float64 }
+
+// within reports whether the turn is expected within the time, with a margin.
+//
+// The expected number of requests with an earlier turn is concave in the time
+// and that of freed places is linear, so places that are expected to suffice
+// suffice for all longer times.
+func (f forecast) within(d time.Duration, m margin) bool {
+	if f.pace <= 0 {
+		return true
+	}
+	seconds := d.Seconds()
+	freed := seconds / f.pace.Seconds()
+	ahead := float64(f.own + 1)
+	variance := 0.0
+	for _, c := range f.competitors {
+		expected, varies := c.before(seconds)
+		ahead += expected
+		variance += varies
+	}
+	safety := m.arrivals*math.Sqrt(variance) + m.places*math.Sqrt(f.dispersion*freed)
+	return ahead+safety <= freed
+}
+
+// wait returns the expected wait.
+func (f forecast) wait() time.Duration {
+	if f.pace <= 0 {
+		return 0
+	}
+	low, high := time.Duration(0), f.pace
+	for !f.within(high, margin{}) {
+		if high >= longestWait {
+			return longestWait
+		}
+		low, high = high, min(2*high, longestWait)
+	}
+	for high-low > waitPrecision {
+		middle := (low + high) / 2
+		if f.within(middle, margin{}) {
+			high = middle
+		} else {
+			low = middle
+		}
+	}
+	return high
+}
--- a/internal/workspace/gate.go
+++ b/internal/workspace/gate.go
@@ -1,6 +1,7 @@
 package workspace
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,19 +10,10 @@
 	"foxtailhub.example/foxtailhub/internal/upstream"
 )
 
-// holdWeight is the weight of the newest observation in the mean time that a
-// request holds its place.
-const holdWeight = 0.1
-
-// Bounds and weight of the correction of expected waits.
-const (
-	slownessWeight = 0.3
-	slownessFloor  = 1
-	slownessLimit  = 8
-	// entryMargin is by how much the expected wait may grow after a request has
-	// entered the queue. A refusal after a wait is worse than one at once.
-	entryMargin = 1.4
-)
+// entryMargin keeps nearly all queued requests within reach of their turn: with
+// equal and with exponential hold times, at most 4% of the refusals come later
+// than on arrival. Larger margins refuse more requests of light workspaces.
+var entryMargin = margin{arrivals: 2.5, places: 1.5}
 
 // gate limits how many requests of a service run at this instance at a time.
 type gate struct {
@@ -31,11 +23,8 @@
 	mu      sync.Mutex // guards the fields below; one per service, held for a few steps in memory
 	running int
 	queue   *Queue
-	hold    time.Duration // mean time that a request holds its place
-
-	// slowness is how many times longer than expected requests of a workspace
-	// waited of late: those of others that come later may have an earlier turn.
-	slowness map[contract.WorkspaceID]float64
+	holds   holdTimes
+	rates   arrivalRates
 }
 
 // entry is one request at a gate.
@@ -70,15 +59,22 @@
 
 // enter admits the request, queues it, or refuses it at once with the time
 // after which it would have been admitted.
+//
+// A request is queued if its turn comes before its deadline with a margin, so
+// that others with an earlier turn that arrive later rarely move it out of
+// reach. The first one of its workspace needs no margin, since without a queue
+// places would stand idle and turns would not be fair, and neither does a resumed
+// generation, which is lost when it is refused.
 func (g *gate) enter(e entry, now time.Time) (w *Waiting, wait time.Duration, refusal contract.Reason) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.rates.add(e, now, g.queue.holds)
 	if g.queue.Len() == 0 && g.hasRoom() && e.take() {
-		g.running++
+		g.admit(now)
 		return nil, 0, ""
 	}
-	wait, reason := g.expectedWait(e)
-	if now.Add(time.Duration(entryMargin * float64(wait))).After(e.deadline) {
+	if !g.reachable(e, now) {
+		wait, reason := g.expectedWait(e, now)
 		return nil, wait, reason
 	}
 	w = &Waiting{
@@ -89,35 +85,109 @@
 		limited:    !e.exempt(),
 		generation: e.generation,
 		admitted:   make(chan struct{}),
-		queued:     now,
-		expected:   wait,
 	}
 	if !g.queue.Push(w) {
+		wait, _ := g.expectedWait(e, now)
 		return nil, max(wait, minRetryAfter), contract.ReasonOverloaded
 	}
-	g.dispatch()
+	g.dispatch(now)
 	return w, 0, ""
 }
 
+// reachable reports whether a new request's turn comes before its deadline. It
+// must be called with g.mu held.
+func (g *gate) reachable(e entry, now time.Time) bool {
+	available := e.deadline.Sub(now)
+	for _, f := range g.forecasts(e, now) {
+		m := entryMargin
+		if f.own == 0 || e.priority >= upstream.PriorityResumed {
+			m = margin{}
+		}
+		if !f.within(available, m) {
+			return false
+		}
+	}
+	return true
+}
+
+// waitOf returns how long the request would wait if it came now, and for what.
+func (g *gate) waitOf(e entry, now time.Time) (time.Duration, contract.Reason) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.expectedWait(e, now)
+}
+
 // expectedWait must be called with g.mu held.
-func (g *gate) expectedWait(e entry) (time.Duration, contract.Reason) {
+func (g *gate) expectedWait(e entry, now time.Time) (time.Duration, contract.Reason) {
 	var wait time.Duration
 	reason := contract.ReasonOverloaded
+	for _, f := range g.forecasts(e, now) {
+		wait = max(wait, f.wait())
+		if f.limit {
+			reason = contract.ReasonLimit
+		}
+	}
+	return wait, reason
+}
+
+// forecasts returns the forecasts for what a new request waits for: a place at
+// the gate, a place of its workspace. It must be called with g.mu held.
+func (g *gate) forecasts(e entry, now time.Time) []forecast {
+	var all []forecast
 	if !g.hasRoom() {
-		wait = ExpectedWait(g.queue.Before(e.state.id, e.priority), g.capacity(), g.hold)
-		wait = time.Duration(max(slownessFloor, g.slowness[e.state.id]) * float64(wait))
+		all = append(all, g.forecast(e.state.id, e.priority, g.queue.tag(e.state.id, e.priority), now))
+	}
+	if !e.exempt() && !e.state.hasRoom() {
+		all = append(all, g.limitForecast(e.state, g.queue.AheadOf(e.state.id, e.priority), now))
+	}
+	return all
+}
+
+// limitForecast returns the forecast for one of the workspace's own places. It
+// must be called with g.mu held.
+func (g *gate) limitForecast(s *state, own int, now time.Time) forecast {
+	return forecast{
+		limit:      true,
+		own:        own,
+		pace:       g.holds.mean(now) / time.Duration(max(1, s.places.Load())),
+		dispersion: g.holds.dispersion(),
 	}
-	if e.exempt() || e.state.hasRoom() {
-		return wait, reason
+}
+
+// forecast returns the forecast for a place at the gate for a request with the
+// given start tag. It must be called with g.mu held.
+func (g *gate) forecast(id contract.WorkspaceID, priority upstream.Priority, start float64, now time.Time) forecast {
+	hold := g.holds.mean(now)
+	f := forecast{pace: hold / time.Duration(max(1, g.capacity())), dispersion: g.holds.dispersion()}
+	for key, known := range g.rates {
+		waiting, turns := g.queue.before(key, known.weight, priority, start)
+		if key == (stream{workspace: id, priority: priority}) {
+			f.own = waiting
+			continue
+		}
+		if waiting == 0 && turns == 0 {
+			continue
+		}
+		c := competitor{waiting: waiting, turns: turns, served: math.Inf(1)}
+		if turns > 0 {
+			c.rate = known.rate(now)
+		}
+		if known.limited && hold > 0 {
+			c.served = float64(known.state.places.Load()) / hold.Seconds()
+		}
+		f.competitors = append(f.competitors, c)
 	}
-	places := int(e.state.places.Load())
-	limited := ExpectedWait(g.queue.AheadOf(e.state.id, e.priority), places, g.hold)
-	return max(wait, limited), contract.ReasonLimit
+	return f
+}
+
+func (g *gate) admit(now time.Time) {
+	g.running++
+	g.holds.begin(now)
 }
 
 // dispatch admits waiting requests while there is room. It must be called with
 // g.mu held.
-func (g *gate) dispatch() {
+func (g *gate) dispatch(now time.Time) {
 	for g.hasRoom() {
 		w, ok := g.queue.Pop(eligible)
 		if !ok {
@@ -129,7 +199,7 @@
 			g.queue.Restore(w)
 			break
 		}
-		g.running++
+		g.admit(now)
 		close(w.admitted)
 	}
 	g.waiters.Store(int64(g.queue.Len()))
@@ -139,24 +209,6 @@
 	return !w.limited || w.state.hasRoom()
 }
 
-// waited learns from the end of a wait.
-func (g *gate) waited(w *Waiting, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.learn(w, now)
-}
-
-// learn must be called with g.mu held.
-func (g *gate) learn(w *Waiting, now time.Time) {
-	known := max(slownessFloor, g.slowness[w.Workspace])
-	if w.expected <= 0 {
-		return
-	}
-	observed := known * float64(now.Sub(w.queued)) / float64(w.expected)
-	known += slownessWeight * (observed - known)
-	g.slowness[w.Workspace] = min(max(known, slownessFloor), slownessLimit)
-}
-
 // hopeless reports whether a waiting request is no longer expected to be
 // admitted before its deadline.
 func (g *gate) hopeless(w *Waiting, deadline, now time.Time) bool {
@@ -165,13 +217,13 @@
 	if w.gone || w.Priority >= upstream.PriorityResumed {
 		return false
 	}
-	wait := ExpectedWait(g.queue.BeforeWaiting(w), g.capacity(), g.hold)
-	wait = time.Duration(max(slownessFloor, g.slowness[w.Workspace]) * float64(wait))
-	if !now.Add(wait).After(deadline) {
-		return false
+	available := deadline.Sub(now)
+	f := g.forecast(w.Workspace, w.Priority, w.start, now)
+	f.own-- // w itself
+	if !g.hasRoom() && !f.within(available, margin{}) {
+		return true
 	}
-	g.learn(w, now.Add(wait))
-	return true
+	return !eligible(w) && !g.limitForecast(w.state, f.own, now).within(available, margin{})
 }
 
 // abandon takes a request out of the queue. It returns false if the request
@@ -185,23 +237,20 @@
 }
 
 // leave ends an admitted request.
-func (g *gate) leave(held time.Duration) {
+func (g *gate) leave(held time.Duration, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.running--
-	if g.hold == 0 {
-		g.hold = held
-	}
-	g.hold += time.Duration(holdWeight * float64(held-g.hold))
-	g.dispatch()
+	g.holds.end(held)
+	g.dispatch(now)
 }
 
 // kick admits requests that have room now.
-func (g *gate) kick() {
+func (g *gate) kick(now time.Time) {
 	if g.waiters.Load() == 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.dispatch()
+	g.dispatch(now)
 }
--- a/internal/workspace/queue.go
+++ b/internal/workspace/queue.go
@@ -1,6 +1,7 @@
 package workspace
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -19,8 +20,6 @@
 	generation bool          // counts as a concurrent generation
 	admitted   chan struct{} // closed by the gate
 	gone       bool          // taken out of the queue
-	queued     time.Time
-	expected   time.Duration // wait that was expected then
 	start      float64       // start tag
 }
 
@@ -119,51 +118,61 @@
 	return q.take(c, w)
 }
 
-// Before returns how many waiting requests would be served before a new one of
-// the workspace: those of a higher priority, and of its own priority those with
-// an earlier turn.
-func (q *Queue) Before(workspace contract.WorkspaceID, priority upstream.Priority) int {
-	n := 0
+// tag returns the start tag that a new request of the workspace would get.
+func (q *Queue) tag(workspace contract.WorkspaceID, priority upstream.Priority) float64 {
 	for _, c := range q.classes {
-		switch {
-		case c.priority > priority:
-			n += c.size
-		case c.priority == priority:
-			n += c.before(workspace)
+		if c.priority == priority {
+			return c.nextTag(workspace)
 		}
 	}
-	return n
+	return 0
 }
 
-// BeforeWaiting returns how many waiting requests would be served before w.
-func (q *Queue) BeforeWaiting(w *Waiting) int {
-	n := 0
-	for _, c := range q.classes {
-		switch {
-		case c.priority > w.Priority:
-			n += c.size
-		case c.priority == w.Priority:
-			n += max(0, c.upTo(w.start)-1)
+func (c *class) nextTag(workspace contract.WorkspaceID) float64 {
+	if f := c.flows[workspace]; f != nil {
+		return max(c.virtual, f.finish)
+	}
+	return c.virtual
+}
+
+// before returns how many requests of a workspace and priority wait that are
+// served before a request of the given priority and start tag, and how many
+// later ones of them could still be.
+func (q *Queue) before(s stream, weight float64, priority upstream.Priority, start float64) (waiting int, turns float64) {
+	if s.priority < priority {
+		return 0, 0
+	}
+	c := q.class(s.priority)
+	f := c.flows[s.workspace]
+	if s.priority > priority {
+		if f != nil {
+			waiting = len(f.items)
 		}
+		return waiting, math.Inf(1)
 	}
-	return n
+	if f != nil {
+		waiting = f.upTo(start)
+	}
+	if next := c.nextTag(s.workspace); next <= start {
+		turns = (start-next)*max(weight, minWeight) + 1
+	}
+	return waiting, turns
 }
 
-func (c *class) before(workspace contract.WorkspaceID) int {
-	start := c.virtual
-	if f := c.flows[workspace]; f != nil {
-		start = max(start, f.finish)
+// holds reports whether a request of a workspace and priority waits.
+func (q *Queue) holds(s stream) bool {
+	for _, c := range q.classes {
+		if c.priority == s.priority {
+			f := c.flows[s.workspace]
+			return f != nil && len(f.items) > 0
+		}
 	}
-	return c.upTo(start)
+	return false
 }
 
 // upTo returns how many requests have a start tag up to the given one.
-func (c *class) upTo(start float64) int {
-	n := 0
-	for _, f := range c.flows {
-		n += sort.Search(len(f.items), func(i int) bool { return f.items[i].start > start })
-	}
-	return n
+func (f *flow) upTo(start float64) int {
+	return sort.Search(len(f.items), func(i int) bool { return f.items[i].start > start })
 }
 
 // AheadOf returns how many requests of the workspace of at least the priority wait.
