Keep slots free for the loss of an upstream or failure domain

Service setting loss_headroom (none, upstream, failure_domain): new generations are admitted only into the slots that remain if the largest live upstream or failure domain of the service is lost; resumed ones may use all. Default upstream: the loss of an engine is a daily event and costs 1 of about 20 engines, that of a failure domain is rare and would cost a quarter to a third. Test clusters use none unless told otherwise, so that earlier measurements stay comparable.

The measurement resume has -loss-headroom and -full (more generations are wanted than there is room for).

--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -86,6 +86,13 @@
 	return longest, before
 }
 
+// begunBefore reports whether a token came before the time.
+func (s *stream) begunBefore(at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.arrivals) > 0 && s.arrivals[0].Before(at)
+}
+
 // gaps records the times between tokens.
 func (s *stream) gaps(into durations) {
 	s.mu.Lock()
--- a/internal/bench/resume.go
+++ b/internal/bench/resume.go
@@ -21,10 +21,14 @@
 // with a lag, so a burst would fill some of them beyond their slots.
 const launchPause = 30 * time.Millisecond
 
+// begunTokens is how many tokens show that a generation is in progress.
+const begunTokens = 10
+
 // resumeMeasurement measures how long callers wait after an engine's fault and
 // what the engines compute in vain.
 type resumeMeasurement struct {
-	variants, faults                          string
+	variants, faults, headroom                string
+	full                                      bool
 	runs, generations, engines, slots, length int
 	interval                                  time.Duration
 }
@@ -32,6 +36,8 @@
 func (m *resumeMeasurement) flags(set *flag.FlagSet) {
 	set.StringVar(&m.variants, "variants", "naive,sparing,fast", "variants to compare")
 	set.StringVar(&m.faults, "faults", "killed,paused,silent,cut", "faults of the engine")
+	set.StringVar(&m.headroom, "loss-headroom", "none", "loss_headroom of the service")
+	set.BoolVar(&m.full, "full", false, "more generations are wanted than there is room for: wait until no further one begins instead of for all")
 	set.IntVar(&m.runs, "runs", 3, "runs of each variant and fault; run n has seed+n")
 	set.IntVar(&m.generations, "generations", 60, "generations in progress")
 	set.IntVar(&m.engines, "engines", 6, "engines")
@@ -46,13 +52,16 @@
 	useful   durations // from the fault to the first token that the caller did not have
 	affected int
 	damaged  int
+	refused  int
+	running  int   // generations in progress before the fault
+	slots    int   // of all engines
 	tokens   int64 // useful tokens: the length of all generations
 	counters standin.EngineCounters
 	started  int64
 }
 
 var resumeColumns = []string{
-	"variant", "fault", "affected", "p50 ms", "p95 ms", "p99 ms", "max ms", "p50 of runs", "max of runs", "useful p50 ms", "useful max ms", "damaged",
+	"variant", "fault", "slots unused", "refused", "affected", "p50 ms", "p95 ms", "p99 ms", "max ms", "p50 of runs", "max of runs", "useful p50 ms", "useful max ms", "damaged",
 }
 
 var costColumns = []string{
@@ -77,7 +86,7 @@
 				vain = append(vain, 100*float64(one.vain())/float64(one.tokens))
 			}
 			latencies = append(latencies, []any{
-				variant, fault, total.affected, total.pauses.ms(50), total.pauses.ms(95), total.pauses.ms(99), total.pauses.maxMS(),
+				variant, fault, share(int64(max(0, total.slots-total.running)), int64(total.slots)), total.refused, total.affected, total.pauses.ms(50), total.pauses.ms(95), total.pauses.ms(99), total.pauses.maxMS(),
 				spread(medians), spread(longest), total.useful.ms(50), total.useful.maxMS(), total.damaged,
 			})
 			costs = append(costs, append([]any{variant, fault}, append(total.costs(), spread(vain)+"%")...))
@@ -93,6 +102,9 @@
 	r.useful.merge(o.useful)
 	r.affected += o.affected
 	r.damaged += o.damaged
+	r.refused += o.refused
+	r.running += o.running
+	r.slots += o.slots
 	r.tokens += o.tokens
 	r.started += o.started
 	addCounters(&r.counters, o.counters)
@@ -118,6 +130,7 @@
 	}
 	cluster, err := e.start(ctx, testcluster.Options{
 		Engines: m.engines, Slots: m.slots, TokenInterval: m.interval, ResumePolicy: policy,
+		LossHeadroom: configuration.LossHeadroom(m.headroom),
 	})
 	if err != nil {
 		return resumeRun{}, err
@@ -128,7 +141,7 @@
 		return resumeRun{}, err
 	}
 	random := rand.New(rand.NewPCG(seed, 0))
-	if err := awaitAll(ctx, streams, 10); err != nil {
+	if err := m.awaitBegun(ctx, streams); err != nil {
 		return resumeRun{}, err
 	}
 	if err := waitFor(ctx, time.Duration(500+random.IntN(1000))*time.Millisecond); err != nil {
@@ -142,6 +155,35 @@
 	return m.fail(ctx, cluster, streams, placed, fault, random.IntN(m.engines), seed, variant)
 }
 
+// awaitBegun waits until each generation, or each for which there is room, has
+// yielded a few tokens.
+func (m *resumeMeasurement) awaitBegun(ctx context.Context, streams []*stream) error {
+	if !m.full {
+		return awaitAll(ctx, streams, begunTokens)
+	}
+	for before := -1; ; {
+		now := begun(streams)
+		if now == before {
+			return nil
+		}
+		before = now
+		if err := waitFor(ctx, time.Second); err != nil {
+			return err
+		}
+	}
+}
+
+// begun returns how many streams have yielded a few tokens.
+func begun(streams []*stream) int {
+	n := 0
+	for _, s := range streams {
+		if s.tokens() >= begunTokens {
+			n++
+		}
+	}
+	return n
+}
+
 // launch starts all generations and returns, for the naive version, where they run.
 func (m *resumeMeasurement) launch(
 	ctx context.Context, cluster *testcluster.Cluster, variant string, seed uint64,
@@ -194,6 +236,8 @@
 			return r, err
 		}
 	}
+	r.running = begun(streams)
+	r.slots = m.engines * m.slots
 	at := time.Now()
 	if err := inject(ctx, fault, cluster.Engines[engine]); err != nil {
 		return r, err
@@ -202,11 +246,16 @@
 		<-s.done
 	}
 	for _, s := range streams {
+		if m.full && s.err == nil && s.result.Verdict.Outcome == contract.NotRun {
+			r.refused++
+			r.started--
+			continue
+		}
 		r.tokens += int64(s.length)
 		if !s.correct(seed, variant) {
 			r.damaged++
 		}
-		if on, known := placed[s.request.Key]; known && on == engine {
+		if on, known := placed[s.request.Key]; known && on == engine && s.begunBefore(at) {
 			r.affected++
 			r.observe(s, at, variant)
 		}
--- a/internal/configuration/defaults.go
+++ b/internal/configuration/defaults.go
@@ -31,6 +31,7 @@
 	deadline, queue := int64(DefaultServiceDeadlineMS), int64(DefaultServiceQueueMS)
 	if s.Kind == KindEngine {
 		deadline, queue = DefaultEngineDeadlineMS, DefaultEngineQueueMS
+		setDefault(&s.LossHeadroom, HeadroomUpstream)
 	}
 	setDefault(&s.ResumePolicy, ResumeSparing)
 	setDefault(&s.DeadlineMS, deadline)
--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -34,6 +34,19 @@
 	ResumeFast ResumePolicy = "fast"
 )
 
+// LossHeadroom is which loss the slots of a service provide for.
+type LossHeadroom string
+
+// The headrooms.
+const (
+	// HeadroomNone admits new generations into all slots.
+	HeadroomNone LossHeadroom = "none"
+	// HeadroomUpstream keeps as many slots free as the largest upstream has.
+	HeadroomUpstream LossHeadroom = "upstream"
+	// HeadroomFailureDomain keeps as many slots free as the largest failure domain has.
+	HeadroomFailureDomain LossHeadroom = "failure_domain"
+)
+
 // Document is a whole configuration.
 type Document struct {
 	Services   map[contract.ServiceID]Service     `json:"services"`
@@ -53,6 +66,12 @@
 	Adapter      string `json:"adapter,omitempty"`
 	// ResumePolicy is "sparing" or "fast". Default "sparing".
 	ResumePolicy ResumePolicy `json:"resume_policy,omitempty"`
+	// LossHeadroom is "none", "upstream" or "failure_domain": new generations are
+	// admitted only into the slots that remain if the live upstream or failure
+	// domain with the most slots of this service is lost, so that resumed ones
+	// need not wait for a slot. Default "upstream": engines crash often, and one
+	// of them is a small part of a fleet. Engines only.
+	LossHeadroom LossHeadroom `json:"loss_headroom,omitempty"`
 	// DeadlineMS is the time for a whole request, in milliseconds. Default 600000 for engines, 10000 for plain services.
 	DeadlineMS int64 `json:"deadline_ms,omitempty"`
 	// QueueMS is the longest wait for admission, in milliseconds. Default 10000 for engines, 1000 for plain services.
--- a/internal/configuration/document_test.go
+++ b/internal/configuration/document_test.go
@@ -78,7 +78,7 @@
 	document := smallDocument(t)
 	d := configuration.WithDefaults(document)
 	g.Expect(d.Services["notes"]).To(And(HaveField("DeadlineMS", int64(600000)), HaveField("QueueMS", int64(10000)),
-		HaveField("ResumePolicy", configuration.ResumeSparing), HaveField("MaxTokens", int64(32768)),
+		HaveField("ResumePolicy", configuration.ResumeSparing), HaveField("LossHeadroom", configuration.HeadroomUpstream), HaveField("MaxTokens", int64(32768)),
 		HaveField("DetachGraceMS", int64(30000)), HaveField("MaxAttempts", 8)))
 	g.Expect(d.Services["stock"]).To(And(HaveField("DeadlineMS", int64(10000)), HaveField("QueueMS", int64(1000))))
 	g.Expect(d.Upstreams["e1"].Slots).To(Equal(8))
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -74,6 +74,9 @@
 	if s.Kind == KindService && s.Model+s.ModelVersion+s.Adapter != "" {
 		return &Fault{Path: path, Reason: "model, model_version and adapter apply to kind engine only"}
 	}
+	if s.Kind == KindService && s.LossHeadroom != "" {
+		return &Fault{Path: path + ".loss_headroom", Reason: "applies to kind engine only"}
+	}
 	if s.QueueMS > 0 && s.DeadlineMS > 0 && s.QueueMS > s.DeadlineMS {
 		return &Fault{Path: path + ".queue_ms", Reason: "must not exceed deadline_ms"}
 	}
--- a/internal/instance/wiring.go
+++ b/internal/instance/wiring.go
@@ -161,6 +161,7 @@
 		Instance:      i.settings.Instance,
 		Configuration: i.holder,
 		Capacity:      i.upstreams.Capacity,
+		NewCapacity:   i.upstreams.CapacityForNew,
 		Instances:     func() int { return len(i.liveInstances()) },
 	})
 	demand := newDemandSection(i.admission)
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -51,6 +51,7 @@
 	Slots         int // of each engine, default 8
 	TokenInterval time.Duration
 	ResumePolicy  configuration.ResumePolicy // default sparing
+	LossHeadroom  configuration.LossHeadroom // default none: tests and measurements fill all slots
 	Adjust        func(*settings.Settings)   // changes the settings of each instance; may be nil
 	Document      func(*Cluster, *configuration.Document)
 	Binaries      string // directory of the built programs; "": they are built
@@ -95,6 +96,9 @@
 	if o.ResumePolicy == "" {
 		o.ResumePolicy = configuration.ResumeSparing
 	}
+	if o.LossHeadroom == "" {
+		o.LossHeadroom = configuration.HeadroomNone
+	}
 	return o
 }
 
--- a/internal/testcluster/document.go
+++ b/internal/testcluster/document.go
@@ -46,7 +46,7 @@
 	d.Services = map[contract.ServiceID]configuration.Service{
 		Generations: {
 			Kind: configuration.KindEngine, Model: Model, ModelVersion: ModelVersion,
-			ResumePolicy: c.options.ResumePolicy, Upstreams: engines,
+			ResumePolicy: c.options.ResumePolicy, LossHeadroom: c.options.LossHeadroom, Upstreams: engines,
 		},
 		Charges: {Kind: configuration.KindService, Upstreams: services},
 		Lookups: {Kind: configuration.KindService, Idempotent: true, Upstreams: services},
--- /dev/null
+++ b/internal/upstream/headroom.go
@@ -0,0 +1,69 @@
+package upstream
+
+import (
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+// LiveSlots are the slots of a live upstream of a service.
+type LiveSlots struct {
+	FailureDomain contract.FailureDomainID
+	Slots         int
+}
+
+// SlotsForNew returns into how many of the slots new generations are admitted:
+// those that remain if the upstream or failure domain with the most slots is
+// lost. If all are in one failure domain, nothing would remain of it, and the
+// loss of an upstream is provided for instead; with a single upstream, none is.
+func SlotsForNew(live []LiveSlots, headroom configuration.LossHeadroom) int {
+	all, largestUpstream, largestDomain := 0, 0, 0
+	domains := make(map[contract.FailureDomainID]int)
+	for _, l := range live {
+		all += l.Slots
+		domains[l.FailureDomain] += l.Slots
+		largestUpstream = max(largestUpstream, l.Slots)
+		largestDomain = max(largestDomain, domains[l.FailureDomain])
+	}
+	switch {
+	case headroom == configuration.HeadroomFailureDomain && len(domains) > 1:
+		return all - largestDomain
+	case headroom != configuration.HeadroomNone && headroom != "" && len(live) > 1:
+		return all - largestUpstream
+	default:
+		return all
+	}
+}
+
+// liveSlots returns the slots of the live upstreams of a service that serve
+// what it is configured for.
+func (v *View) liveSlots(service contract.ServiceID, now time.Time) []LiveSlots {
+	ids := v.config.Document.Services[service].Upstreams
+	pin := v.configuredPin(service)
+	live := make([]LiveSlots, 0, len(ids))
+	for _, id := range ids {
+		known := v.entries[id]
+		if known != nil && known.health.State(now) == StateLive && known.serves(pin, pin) {
+			live = append(live, LiveSlots{FailureDomain: known.target.FailureDomain, Slots: known.slots})
+		}
+	}
+	return live
+}
+
+// CapacityForNew returns this instance's share of the slots into which new
+// generations of a service are admitted. Unlike Capacity it is rounded down, so
+// that the shares of all instances leave the headroom free, but an instance
+// with a share has at least one place.
+func (u *Upstreams) CapacityForNew(service contract.ServiceID) int {
+	view := u.current()
+	headroom := view.config.Document.Services[service].LossHeadroom
+	if headroom == configuration.HeadroomNone || headroom == "" {
+		return u.Capacity(service)
+	}
+	slots := SlotsForNew(view.liveSlots(service, u.config.Now()), headroom)
+	if slots == 0 {
+		return 0
+	}
+	return max(1, slots/len(sortedMembers(u.config.Instances(), u.config.Self)))
+}
--- a/internal/workspace/admission.go
+++ b/internal/workspace/admission.go
@@ -30,6 +30,9 @@
 	// Capacity returns how many requests of a service run at this instance at a
 	// time; 0 means no limit. nil: no limit for any service.
 	Capacity func(contract.ServiceID) int
+	// NewCapacity returns how many of them may run when a request is admitted
+	// that is not a resumed generation. nil: as Capacity.
+	NewCapacity func(contract.ServiceID) int
 	// Instances returns the number of instances that are known. nil: one.
 	Instances func() int
 	// QueueLimit is the largest number of requests that wait for one service. Default 1024.
@@ -53,6 +56,9 @@
 	if config.Capacity == nil {
 		config.Capacity = func(contract.ServiceID) int { return 0 }
 	}
+	if config.NewCapacity == nil {
+		config.NewCapacity = config.Capacity
+	}
 	if config.Instances == nil {
 		config.Instances = func() int { return 1 }
 	}
@@ -216,9 +222,10 @@
 		return g.(*gate)
 	}
 	g, _ := a.gates.LoadOrStore(service, &gate{
-		capacity: func() int { return a.config.Capacity(service) },
-		queue:    NewQueue(a.config.QueueLimit),
-		rates:    arrivalRates{},
+		capacity:    func() int { return a.config.Capacity(service) },
+		newCapacity: func() int { return a.config.NewCapacity(service) },
+		queue:       NewQueue(a.config.QueueLimit),
+		rates:       arrivalRates{},
 	})
 	return g.(*gate)
 }
--- a/internal/workspace/admission_test.go
+++ b/internal/workspace/admission_test.go
@@ -149,6 +149,40 @@
 	})
 }
 
+// Guards against new generations that take the places kept for resumed ones,
+// and against a wait behind them that ends before there is room for new ones.
+func TestNewGenerationsLeaveHeadroom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a := workspace.NewAdmission(workspace.Config{
+			Configuration: source(map[contract.WorkspaceID]configuration.Workspace{"a": {}}),
+			Capacity:      func(contract.ServiceID) int { return 6 },
+			NewCapacity:   func(contract.ServiceID) int { return 4 },
+		})
+		admit := func(priority upstream.Priority, n int) (releases []func()) {
+			for range n {
+				if release, _, ok := a.Admit(context.Background(), ask("a", "notes", priority, 0)); ok {
+					releases = append(releases, release)
+				}
+			}
+			return releases
+		}
+		began := admit(upstream.PriorityInteractive, 1)
+		time.Sleep(time.Second)
+		began[0]()
+		began = admit(upstream.PriorityInteractive, 8)
+		g.Expect(began).To(HaveLen(4))
+		resumed := admit(upstream.PriorityResumed, 8)
+		g.Expect(resumed).To(HaveLen(2))
+		resumed[0]()
+		g.Expect(admit(upstream.PriorityInteractive, 1)).To(BeEmpty())
+		began[0]()
+		g.Expect(admit(upstream.PriorityInteractive, 1)).To(BeEmpty(), "as many run as new ones may")
+		began[1]()
+		g.Expect(admit(upstream.PriorityInteractive, 2)).To(HaveLen(1))
+	})
+}
+
 // Guards against a place that is lost when a waiting request gives up or when
 // its place comes free at another service.
 func TestPlacesAreNotLost(t *testing.T) {
--- a/internal/workspace/forecast.go
+++ b/internal/workspace/forecast.go
@@ -35,6 +35,7 @@
 // earlier requests and what the competitors put before it.
 type forecast struct {
 	limit       bool          // the place is one of the workspace's own limit
+	excess      int           // places that come free before one is given to a request
 	own         int           // earlier requests of the workspace that wait
 	pace        time.Duration // mean time between two places that come free
 	dispersion  float64       // variance by mean of the number of places that come free in a time
@@ -64,7 +65,7 @@
 	}
 	seconds := d.Seconds()
 	freed := seconds / f.pace.Seconds()
-	ahead := float64(f.own + 1)
+	ahead := float64(f.excess + f.own + 1)
 	variance := 0.0
 	for _, c := range f.competitors {
 		expected, varies := c.before(seconds)
--- a/internal/workspace/gate.go
+++ b/internal/workspace/gate.go
@@ -17,8 +17,9 @@
 
 // gate limits how many requests of a service run at this instance at a time.
 type gate struct {
-	capacity func() int   // requests at a time; 0: no limit
-	waiters  atomic.Int64 // length of the queue, readable without the lock
+	capacity    func() int   // requests at a time; 0: no limit
+	newCapacity func() int   // the part of it that is not kept for resumed generations
+	waiters     atomic.Int64 // length of the queue, readable without the lock
 
 	mu      sync.Mutex // guards the fields below; one per service, held for a few steps in memory
 	running int
@@ -52,9 +53,18 @@
 	return e.state.acquire()
 }
 
-func (g *gate) hasRoom() bool {
-	capacity := g.capacity()
-	return capacity <= 0 || g.running < capacity
+// places returns how many requests may run at a time when one of the priority
+// is admitted; 0: no limit.
+func (g *gate) places(priority upstream.Priority) int {
+	if priority >= upstream.PriorityResumed {
+		return g.capacity()
+	}
+	return g.newCapacity()
+}
+
+func (g *gate) hasRoom(priority upstream.Priority) bool {
+	places := g.places(priority)
+	return places <= 0 || g.running < places
 }
 
 // enter admits the request, queues it, or refuses it at once with the time
@@ -69,7 +79,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rates.add(e, now, g.queue.holds)
-	if g.queue.Len() == 0 && g.hasRoom() && e.take() {
+	if g.queue.Len() == 0 && g.hasRoom(e.priority) && e.take() {
 		g.admit(now)
 		return nil, 0, ""
 	}
@@ -134,7 +144,7 @@
 // the gate, a place of its workspace. It must be called with g.mu held.
 func (g *gate) forecasts(e entry, now time.Time) []forecast {
 	var all []forecast
-	if !g.hasRoom() {
+	if !g.hasRoom(e.priority) {
 		all = append(all, g.forecast(e.state.id, e.priority, g.queue.tag(e.state.id, e.priority), now))
 	}
 	if !e.exempt() && !e.state.hasRoom() {
@@ -158,7 +168,12 @@
 // given start tag. It must be called with g.mu held.
 func (g *gate) forecast(id contract.WorkspaceID, priority upstream.Priority, start float64, now time.Time) forecast {
 	hold := g.holds.mean(now)
-	f := forecast{pace: hold / time.Duration(max(1, g.capacity())), dispersion: g.holds.dispersion()}
+	places := max(1, g.places(priority))
+	f := forecast{
+		pace:       hold / time.Duration(places),
+		dispersion: g.holds.dispersion(),
+		excess:     max(0, g.running-places),
+	}
 	for key, known := range g.rates {
 		waiting, turns := g.queue.before(key, known.weight, priority, start)
 		if key == (stream{workspace: id, priority: priority}) {
@@ -188,8 +203,8 @@
 // dispatch admits waiting requests while there is room. It must be called with
 // g.mu held.
 func (g *gate) dispatch(now time.Time) {
-	for g.hasRoom() {
-		w, ok := g.queue.Pop(eligible)
+	for g.hasRoom(upstream.PriorityResumed) {
+		w, ok := g.queue.Pop(g.admissible)
 		if !ok {
 			break
 		}
@@ -205,6 +220,11 @@
 	g.waiters.Store(int64(g.queue.Len()))
 }
 
+func (g *gate) admissible(w *Waiting) bool {
+	return g.hasRoom(w.Priority) && eligible(w)
+}
+
+// eligible reports whether the workspace's own limit lets the request through.
 func eligible(w *Waiting) bool {
 	return !w.limited || w.state.hasRoom()
 }
@@ -220,7 +240,7 @@
 	available := deadline.Sub(now)
 	f := g.forecast(w.Workspace, w.Priority, w.start, now)
 	f.own-- // w itself
-	if !g.hasRoom() && !f.within(available, margin{}) {
+	if !g.hasRoom(w.Priority) && !f.within(available, margin{}) {
 		return true
 	}
 	return !eligible(w) && !g.limitForecast(w.state, f.own, now).within(available, margin{})
