Grade the margin at entry by the excess over the fair share

It now grows from nothing at the fair share (max-min over the measured rates) to its full size at 1.25 times the share. A request that waits is refused when its turn has become unlikely instead of at an even chance.

--- a/internal/workspace/forecast.go
+++ b/internal/workspace/forecast.go
@@ -1,7 +1,9 @@
 package workspace
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -45,15 +47,55 @@
 const (
 	// waitPrecision ends the search for an expected wait.
 	waitPrecision = time.Millisecond
-	// longestWait bounds an expected wait. Competitors of a higher priority that
-	// take all places would make it infinite.
-	longestWait = 10 * time.Minute
+	// longestWait bounds the search. Competitors of a higher priority that take all
+	// places would make the wait infinite, but their rate is known only from the
+	// last seconds.
+	longestWait = time.Minute
 )
 
+// fullExcess is by how much of its fair share a stream's rate exceeds the share
+// when the full margin applies to it.
+const fullExcess = 0.25
+
+// demand is the rate at which the requests of a stream arrive, by its weight.
+type demand struct{ rate, weight float64 }
+
+func (d demand) level() float64 { return d.rate / d.weight }
+
+// excess returns how far a stream is above its fair share of the places that
+// come free per second: 0 up to the share, 1 from fullExcess above it. Streams
+// below the fair level get what they ask for, the others share the rest by weight.
+func excess(own demand, others []demand, perSecond float64) float64 {
+	all := append([]demand{own}, others...)
+	slices.SortFunc(all, func(a, b demand) int { return cmp.Compare(a.level(), b.level()) })
+	weights := 0.0
+	for _, d := range all {
+		weights += d.weight
+	}
+	for _, d := range all {
+		fair := max(0, perSecond) / weights
+		if d.level() <= fair {
+			perSecond -= d.rate
+			weights -= d.weight
+			continue
+		}
+		return min(max(0, own.level()/max(fair, math.SmallestNonzeroFloat64)-1)/fullExcess, 1)
+	}
+	return 0
+}
+
 // margin is a safety margin in standard deviations: of the requests that arrive
 // and of the places that come free in a time.
 type margin struct{ arrivals, places float64 }
 
+// towards returns the margin at the given part of the way to the other.
+func (m margin) towards(other margin, part float64) margin {
+	return margin{
+		arrivals: m.arrivals + part*(other.arrivals-m.arrivals),
+		places:   m.places + part*(other.places-m.places),
+	}
+}
+
 // within reports whether the turn is expected within the time, with a margin.
 //
 // The expected number of requests with an earlier turn is concave in the time
--- a/internal/workspace/gate.go
+++ b/internal/workspace/gate.go
@@ -13,7 +13,14 @@
 // entryMargin keeps nearly all queued requests within reach of their turn: with
 // equal and with exponential hold times, at most 4% of the refusals come later
 // than on arrival. Larger margins refuse more requests of light workspaces.
-var entryMargin = margin{arrivals: 2.5, places: 1.5}
+//
+// It grows with the excess of the workspace's arrivals over its fair share. One
+// that stays within its share is not moved back by others, and it is refused
+// only when its turn has become unlikely.
+var (
+	entryMargin = margin{arrivals: 2.5, places: 1.5}
+	laxMargin   = margin{arrivals: -0.5, places: -0.5}
+)
 
 // gate limits how many requests of a service run at this instance at a time.
 type gate struct {
@@ -109,9 +116,9 @@
 func (g *gate) reachable(e entry, now time.Time) bool {
 	available := e.deadline.Sub(now)
 	for _, f := range g.forecasts(e, now) {
-		m := entryMargin
+		m := laxMargin.towards(entryMargin, g.excess(e, now))
 		if f.own == 0 || e.priority >= upstream.PriorityResumed {
-			m = margin{}
+			m = laxMargin
 		}
 		if !f.within(available, m) {
 			return false
@@ -120,6 +127,26 @@
 	return true
 }
 
+// excess returns how far the request's stream is above its fair share. It must
+// be called with g.mu held.
+func (g *gate) excess(e entry, now time.Time) float64 {
+	perSecond := float64(max(1, g.places(e.priority))) / max(g.holds.mean(now).Seconds(), minHold.Seconds())
+	var own demand
+	var others []demand
+	for key, known := range g.rates {
+		d := demand{rate: known.rate(now), weight: max(known.weight, minWeight)}
+		switch {
+		case key == (stream{workspace: e.state.id, priority: e.priority}):
+			own = d
+		case key.priority == e.priority:
+			others = append(others, d)
+		case key.priority > e.priority:
+			perSecond -= d.rate
+		}
+	}
+	return excess(own, others, perSecond)
+}
+
 // waitOf returns how long the request would wait if it came now, and for what.
 func (g *gate) waitOf(e entry, now time.Time) (time.Duration, contract.Reason) {
 	g.mu.Lock()
@@ -229,7 +256,7 @@
 	return !w.limited || w.state.hasRoom()
 }
 
-// hopeless reports whether a waiting request is no longer expected to be
+// hopeless reports whether a waiting request is no longer likely to be
 // admitted before its deadline.
 func (g *gate) hopeless(w *Waiting, deadline, now time.Time) bool {
 	g.mu.Lock()
@@ -240,10 +267,10 @@
 	available := deadline.Sub(now)
 	f := g.forecast(w.Workspace, w.Priority, w.start, now)
 	f.own-- // w itself
-	if !g.hasRoom(w.Priority) && !f.within(available, margin{}) {
+	if !g.hasRoom(w.Priority) && !f.within(available, laxMargin) {
 		return true
 	}
-	return !eligible(w) && !g.limitForecast(w.state, f.own, now).within(available, margin{})
+	return !eligible(w) && !g.limitForecast(w.state, f.own, now).within(available, laxMargin)
 }
 
 // abandon takes a request out of the queue. It returns false if the request
--- a/internal/workspace/hold.go
+++ b/internal/workspace/hold.go
@@ -12,6 +12,8 @@
 	// minDispersion covers places that come free in bursts although the times are
 	// equal: requests that were admitted together also end together.
 	minDispersion = 0.4
+	// minHold keeps rates finite before any request has held a place.
+	minHold = time.Millisecond
 	// maxDispersion bounds the effect of a few very long times.
 	maxDispersion = 4
 )
