--- a/internal/workspace/queue.go
+++ b/internal/workspace/queue.go
@@ -26,10 +26,16 @@
 // minWeight keeps a workspace with a tiny weight from never being served.
 const minWeight = 0.01
 
+// burstCredit is how far the start tags of a workspace may lag behind the
+// virtual time, in requests per unit of weight: a workspace that has used less
+// than its share may make up for this much of it. Without it, one that stays
+// just below its share would wait as long as one at it.
+const burstCredit = 8
+
 // Queue orders requests by priority and, within a priority, fairly between
 // workspaces by start-time fair queueing: each request gets a start tag, the
-// larger of the virtual time and the finish tag of its workspace's request
-// before it; the smallest start tag goes first. It is not safe for concurrent
+// larger of the virtual time, less a credit, and the finish tag of its
+// workspace's request before it; the smallest start tag goes first. It is not safe for concurrent
 // use; it does no I/O and reads no clock.
 type Queue struct {
 	limit   int
@@ -65,10 +71,10 @@
 	c := q.class(w.Priority)
 	f := c.flows[w.Workspace]
 	if f == nil {
-		f = &flow{}
+		f = &flow{finish: c.virtual}
 		c.flows[w.Workspace] = f
 	}
-	w.start = max(c.virtual, f.finish)
+	w.start = c.nextTag(w.Workspace)
 	f.finish = w.start + 1/max(w.Weight, minWeight)
 	f.items = append(f.items, w)
 	c.size++
@@ -130,7 +136,7 @@
 
 func (c *class) nextTag(workspace contract.WorkspaceID) float64 {
 	if f := c.flows[workspace]; f != nil {
-		return max(c.virtual, f.finish)
+		return max(c.virtual-burstCredit, f.finish)
 	}
 	return c.virtual
 }
