--- a/internal/configuration/document_test.go
+++ b/internal/configuration/document_test.go
@@ -40,6 +40,8 @@
 		`{"services":{"notes":{"deadline":1}}}`:                            "services.notes.deadline: is not a known field",
 		`{"services":{"notes":{"max_attempts":1.5}}}`:                      "services.notes.max_attempts: must be of type integer, not number",
 		`{"services":{"notes":{"resume_policy":"slow"}}}`:                  `services.notes.resume_policy: must be one of "sparing", "fast"`,
+		`{"services":{"notes":{"loss_headroom":"slot"}}}`:                  `services.notes.loss_headroom: must be one of "none", "upstream", "failure_domain"`,
+		`{"services":{"stock":{"loss_headroom":"none"}}}`:                  "services.stock.loss_headroom: applies to kind engine only",
 		`{"services":{"notes":{"model_version":null}}}`:                    "services.notes.model_version: is required for kind engine",
 		`{"services":{"notes":{"upstreams":["e1","e1"]}}}`:                 "services.notes.upstreams: items 0 and 1 are equal",
 		`{"services":{"notes":{"upstreams":["gone"]}}}`:                    "services.notes.upstreams[0]: upstream gone does not exist",
--- a/internal/upstream/headroom.go
+++ b/internal/upstream/headroom.go
@@ -62,8 +62,8 @@
 		return u.Capacity(service)
 	}
 	slots := SlotsForNew(view.liveSlots(service, u.config.Now()), headroom)
-	if slots == 0 {
-		return 0
+	if slots == 0 { // nothing live serves it: placement refuses what is admitted
+		return u.Capacity(service)
 	}
 	return max(1, slots/len(sortedMembers(u.config.Instances(), u.config.Self)))
 }
