--- a/internal/configuration/document_test.go
+++ b/internal/configuration/document_test.go
@@ -42,6 +42,8 @@
 		`{"services":{"notes":{"deadline":1}}}`:                            "services.notes.deadline: is not a known field",
 		`{"services":{"notes":{"max_attempts":1.5}}}`:                      "services.notes.max_attempts: must be of type integer, not number",
 		`{"services":{"notes":{"resume_policy":"slow"}}}`:                  `services.notes.resume_policy: must be one of "sparing", "fast"`,
+		`{"services":{"notes":{"loss_headroom":"slot"}}}`:                  `services.notes.loss_headroom: must be one of "none", "upstream", "failure_domain"`,
+		`{"services":{"stock":{"loss_headroom":"none"}}}`:                  "services.stock.loss_headroom: applies to kind engine only",
 		`{"services":{"notes":{"model_version":null}}}`:                    "services.notes.model_version: is required for kind engine",
 		`{"services":{"notes":{"upstreams":["e1","e1"]}}}`:                 "services.notes.upstreams: items 0 and 1 are equal",
 		`{"services":{"notes":{"upstreams":["gone"]}}}`:                    "services.notes.upstreams[0]: upstream gone does not exist",
@@ -80,7 +82,7 @@
 	document := smallDocument(t)
 	d := configuration.WithDefaults(document)
 	g.Expect(d.Services["notes"]).To(And(HaveField("DeadlineMS", int64(600000)), HaveField("QueueMS", int64(10000)),
-		HaveField("ResumePolicy", configuration.ResumeSparing), HaveField("MaxTokens", int64(32768)),
+		HaveField("ResumePolicy", configuration.ResumeSparing), HaveField("LossHeadroom", configuration.HeadroomUpstream), HaveField("MaxTokens", int64(32768)),
 		HaveField("DetachGraceMS", int64(30000)), HaveField("MaxAttempts", 8)))
 	g.Expect(d.Services["stock"]).To(And(HaveField("DeadlineMS", int64(10000)), HaveField("QueueMS", int64(1000))))
 	g.Expect(d.Upstreams["e1"].Slots).To(Equal(8))
--- a/internal/workspace/admission.go
+++ b/internal/workspace/admission.go
@@ -30,6 +30,9 @@
 	// Capacity returns how many requests of a service run at this instance at a
 	// time; 0 means no limit. nil: no limit for any service.
 	Capacity func(contract.ServiceID) int
+	// NewCapacity returns how many of them may run when a request is admitted
+	// that is not a resumed generation. nil: as Capacity.
+	NewCapacity func(contract.ServiceID) int
 	// Instances returns the number of instances that are known. nil: one.
 	Instances func() int
 	// QueueLimit is the largest number of requests that wait for one service. Default 1024.
@@ -53,6 +56,9 @@
 	if config.Capacity == nil {
 		config.Capacity = func(contract.ServiceID) int { return 0 }
 	}
+	if config.NewCapacity == nil {
+		config.NewCapacity = config.Capacity
+	}
 	if config.Instances == nil {
 		config.Instances = func() int { return 1 }
 	}
@@ -142,9 +148,7 @@
 	}
 	if waiting != nil && !a.wait(ctx, g, e, waiting) {
 		e.countRefusal()
-		g.mu.Lock()
-		wait, reason := g.expectedWait(e)
-		g.mu.Unlock()
+		wait, reason := g.waitOf(e, time.Now())
 		return refuse(reason, max(wait, minRetryAfter))
 	}
 	return a.release(g, e, time.Now()), contract.Verdict{}, true
@@ -169,14 +173,12 @@
 	for {
 		select {
 		case <-w.admitted:
-			g.waited(w, time.Now())
 			return true
 		case now := <-review.C:
 			if !g.hopeless(w, e.deadline, now) {
 				continue
 			}
 		case <-timer.C:
-			g.waited(w, time.Now())
 		case <-ctx.Done():
 		}
 		return !g.abandon(w)
@@ -190,18 +192,19 @@
 			if e.generation {
 				e.state.running.Add(-1)
 			}
-			g.leave(time.Since(admitted))
+			now := time.Now()
+			g.leave(now.Sub(admitted), now)
 			if e.generation {
 				// The workspace's place may be what a request at another gate waits for.
-				a.kickAll()
+				a.kickAll(now)
 			}
 		})
 	}
 }
 
-func (a *Admission) kickAll() {
+func (a *Admission) kickAll(now time.Time) {
 	a.gates.Range(func(_, value any) bool {
-		value.(*gate).kick()
+		value.(*gate).kick(now)
 		return true
 	})
 }
@@ -219,9 +222,10 @@
 		return g.(*gate)
 	}
 	g, _ := a.gates.LoadOrStore(service, &gate{
-		capacity: func() int { return a.config.Capacity(service) },
-		queue:    NewQueue(a.config.QueueLimit),
-		slowness: map[contract.WorkspaceID]float64{},
+		capacity:    func() int { return a.config.Capacity(service) },
+		newCapacity: func() int { return a.config.NewCapacity(service) },
+		queue:       NewQueue(a.config.QueueLimit),
+		rates:       arrivalRates{},
 	})
 	return g.(*gate)
 }
--- a/internal/workspace/queue.go
+++ b/internal/workspace/queue.go
@@ -1,6 +1,7 @@
 package workspace
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -19,18 +20,22 @@
 	generation bool          // counts as a concurrent generation
 	admitted   chan struct{} // closed by the gate
 	gone       bool          // taken out of the queue
-	queued     time.Time
-	expected   time.Duration // wait that was expected then
 	start      float64       // start tag
 }
 
 // minWeight keeps a workspace with a tiny weight from never being served.
 const minWeight = 0.01
 
+// burstCredit is how far the start tags of a workspace may lag behind the
+// virtual time, in requests per unit of weight: a workspace that has used less
+// than its share may make up for this much of it. Without it, one that stays
+// just below its share would wait as long as one at it.
+const burstCredit = 8
+
 // Queue orders requests by priority and, within a priority, fairly between
 // workspaces by start-time fair queueing: each request gets a start tag, the
-// larger of the virtual time and the finish tag of its workspace's request
-// before it; the smallest start tag goes first. It is not safe for concurrent
+// larger of the virtual time, less a credit, and the finish tag of its
+// workspace's request before it; the smallest start tag goes first. It is not safe for concurrent
 // use; it does no I/O and reads no clock.
 type Queue struct {
 	limit   int
@@ -66,10 +71,10 @@
 	c := q.class(w.Priority)
 	f := c.flows[w.Workspace]
 	if f == nil {
-		f = &flow{}
+		f = &flow{finish: c.virtual}
 		c.flows[w.Workspace] = f
 	}
-	w.start = max(c.virtual, f.finish)
+	w.start = c.nextTag(w.Workspace)
 	f.finish = w.start + 1/max(w.Weight, minWeight)
 	f.items = append(f.items, w)
 	c.size++
@@ -119,51 +124,61 @@
 	return q.take(c, w)
 }
 
-// Before returns how many waiting requests would be served before a new one of
-// the workspace: those of a higher priority, and of its own priority those with
-// an earlier turn.
-func (q *Queue) Before(workspace contract.WorkspaceID, priority upstream.Priority) int {
-	n := 0
+// tag returns the start tag that a new request of the workspace would get.
+func (q *Queue) tag(workspace contract.WorkspaceID, priority upstream.Priority) float64 {
 	for _, c := range q.classes {
-		switch {
-		case c.priority > priority:
-			n += c.size
-		case c.priority == priority:
-			n += c.before(workspace)
+		if c.priority == priority {
+			return c.nextTag(workspace)
 		}
 	}
-	return n
+	return 0
 }
 
-// BeforeWaiting returns how many waiting requests would be served before w.
-func (q *Queue) BeforeWaiting(w *Waiting) int {
-	n := 0
-	for _, c := range q.classes {
-		switch {
-		case c.priority > w.Priority:
-			n += c.size
-		case c.priority == w.Priority:
-			n += max(0, c.upTo(w.start)-1)
+func (c *class) nextTag(workspace contract.WorkspaceID) float64 {
+	if f := c.flows[workspace]; f != nil {
+		return max(c.virtual-burstCredit, f.finish)
+	}
+	return c.virtual
+}
+
+// before returns how many requests of a workspace and priority wait that are
+// served before a request of the given priority and start tag, and how many
+// later ones of them could still be.
+func (q *Queue) before(s stream, weight float64, priority upstream.Priority, start float64) (waiting int, turns float64) {
+	if s.priority < priority {
+		return 0, 0
+	}
+	c := q.class(s.priority)
+	f := c.flows[s.workspace]
+	if s.priority > priority {
+		if f != nil {
+			waiting = len(f.items)
 		}
+		return waiting, math.Inf(1)
 	}
-	return n
+	if f != nil {
+		waiting = f.upTo(start)
+	}
+	if next := c.nextTag(s.workspace); next <= start {
+		turns = (start-next)*max(weight, minWeight) + 1
+	}
+	return waiting, turns
 }
 
-func (c *class) before(workspace contract.WorkspaceID) int {
-	start := c.virtual
-	if f := c.flows[workspace]; f != nil {
-		start = max(start, f.finish)
+// holds reports whether a request of a workspace and priority waits.
+func (q *Queue) holds(s stream) bool {
+	for _, c := range q.classes {
+		if c.priority == s.priority {
+			f := c.flows[s.workspace]
+			return f != nil && len(f.items) > 0
+		}
 	}
-	return c.upTo(start)
+	return false
 }
 
 // upTo returns how many requests have a start tag up to the given one.
-func (c *class) upTo(start float64) int {
-	n := 0
-	for _, f := range c.flows {
-		n += sort.Search(len(f.items), func(i int) bool { return f.items[i].start > start })
-	}
-	return n
+func (f *flow) upTo(start float64) int {
+	return sort.Search(len(f.items), func(i int) bool { return f.items[i].start > start })
 }
 
 // AheadOf returns how many requests of the workspace of at least the priority wait.
