--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -63,6 +63,7 @@
 	counts     map[string]int
 	pausedAt   time.Time   // end of the last pause; the future while one lasts
 	splitAt    time.Time   // end of the last fault of the links, as pausedAt
+	answersAt  time.Time   // end of the last pause of an engine
 	lossAt     []time.Time // begins of faults of instances and links
 	history    history
 }
