--- a/internal/configuration/fake_test.go
+++ b/internal/configuration/fake_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/roster"
 )
 
 // tableLatency makes concurrent operators overlap.
@@ -20,7 +21,8 @@
 	mu              sync.Mutex // guards all fields
 	rows            map[string]platform.Row
 	revision        int64
-	commits         int
+	commits         int             // of configuration versions
+	rosters         []roster.Roster // applied, in order
 	down            bool
 	downAfterCommit bool
 	loseNext        int           // commits that take effect and lose their answer
@@ -72,7 +74,9 @@
 	wait(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.commits++
+	if writes(transactions, "configuration/head") {
+		f.commits++
+	}
 	if f.down {
 		return nil, platform.ErrUnavailable
 	}
@@ -119,6 +123,9 @@
 			f.revision++
 			for _, w := range t.Writes {
 				f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Revision: f.revision}
+				if r, err := roster.Decode(w.Value); w.Key == roster.Key && err == nil {
+					f.rosters = append(f.rosters, r)
+				}
 			}
 		}
 		results = append(results, platform.CommitResult{Applied: holds, Revision: f.revision})
@@ -126,6 +133,21 @@
 	return results
 }
 
+// touch gives a row a new revision, as another writer does. The caller holds mu.
+func (f *fakeTable) touch(key string) {
+	f.revision++
+	row := f.rows[key]
+	row.Revision = f.revision
+	f.rows[key] = row
+}
+
+// writes reports whether a row is written.
+func writes(transactions []platform.Transaction, key string) bool {
+	return slices.ContainsFunc(transactions, func(t platform.Transaction) bool {
+		return slices.ContainsFunc(t.Writes, func(w platform.Write) bool { return w.Key == key })
+	})
+}
+
 // wait sleeps in virtual time until the latency has passed or ctx ends.
 func wait(ctx context.Context) {
 	select {
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -21,6 +21,7 @@
 	table   peerTable
 	greeted bool // the peer has answered: it knows the entry of this instance
 	regular bool // a heartbeat with sections waits for its answer
+	again   bool // news came meanwhile that the next one must carry at once
 	pushes  int  // heartbeats without sections that wait for their answers
 }
 
@@ -45,19 +46,21 @@
 		now := m.now()
 		if now >= nextBeat || beatDue && now >= nextHastened {
 			nextBeat = now.after(m.jitter(m.config.Interval))
-			beatDue, nextHastened = false, now.after(pushInterval)
 			m.maintain(now)
-			m.beatAll(ctx)
+			m.beatAll(ctx, beatDue)
+			beatDue, nextHastened = false, now.after(pushInterval)
 		}
 		if pushDue && now >= nextPush {
 			pushDue, nextPush = false, now.after(pushInterval)
 			m.pushAll(ctx)
 		}
-		due := nextBeat
-		if pushDue || beatDue {
-			due = now
+		wait := untilTick(now.since(begin), nextBeat.since(begin))
+		if pushDue {
+			wait = min(wait, nextPush.since(now))
+		} else if beatDue {
+			wait = min(wait, nextHastened.since(now))
 		}
-		timer.Reset(untilTick(now.since(begin), due.since(begin)))
+		timer.Reset(wait)
 	}
 }
 
@@ -132,9 +135,15 @@
 
 // beatAll sends a regular heartbeat to each peer and to one silent instance:
 // without the latter, the two sides of a partition would never find each other again.
-func (m *Membership) beatAll(ctx context.Context) {
+// A peer that has not answered the last one yet gets hastened news after its answer.
+func (m *Membership) beatAll(ctx context.Context, hastened bool) {
 	m.mu.Lock()
 	targets := slices.Clone(m.peers)
+	for _, id := range targets {
+		if p := m.links[id]; p != nil {
+			p.again = p.again || hastened && p.regular
+		}
+	}
 	if id, found := m.nextProbe(); found {
 		targets = append(targets, id)
 	}
@@ -200,6 +209,10 @@
 		defer m.mu.Unlock()
 		if regular {
 			p.regular = false
+			if p.again {
+				p.again = false
+				m.Hasten()
+			}
 		} else {
 			p.pushes--
 		}
@@ -253,6 +266,7 @@
 		return false
 	}
 	m.updateClock(id, a.Status)
+	m.announceRoster(id, a.Status.Sequence)
 	m.merge(id, p, a, m.announceHead(id, a.Status.Head), sent)
 	return true
 }
@@ -272,11 +286,8 @@
 		return
 	}
 	p.greeted = true
-	m.ledger.readAnswer(a, r, &p.table, m.accepts, current, sent, m.now())
+	m.ledger.readAnswer(a, r, &p.table, m.accepts, current, m.status.Sequence, sent, m.now())
 	m.dirty.Store(true)
-	if a.Status.Informed && len(a.Names) < maxNames {
-		m.status.Informed = true
-	}
 }
 
 // announceHead passes the head version of a peer on and reports whether this
@@ -285,6 +296,16 @@
 	return m.config.Announce == nil || m.config.Announce(id, head)
 }
 
+// announceRoster passes the sequence of a newer roster on.
+func (m *Membership) announceRoster(id contract.InstanceID, sequence int64) {
+	m.mu.Lock()
+	newer := sequence > m.status.Sequence
+	m.mu.Unlock()
+	if newer && m.config.AnnounceRoster != nil {
+		m.config.AnnounceRoster(id, sequence)
+	}
+}
+
 func (m *Membership) updateClock(id contract.InstanceID, s status) {
 	if err := m.config.Clock.Update(s.At); err != nil {
 		m.refused(id, err)
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -27,14 +27,12 @@
 
 // status is the sender's own state.
 type status struct {
-	_       struct{} `cbor:",toarray"`
-	State   State
-	Current bool // the sender's contacts prove that it misses no configuration version
-	// Informed tells that the sender knows of all instances: it has read the
-	// platform's list, or has received the table of an instance that is informed.
-	Informed bool
+	_        struct{} `cbor:",toarray"`
+	State    State
+	Current  bool  // the sender's contacts prove that it misses no configuration version
 	Head     int64 // newest configuration version that it has verified
 	Held     int64 // configuration version in force at the sender
+	Sequence int64 // of the roster that the sender holds; 0: none
 	At       timeline.Timestamp
 }
 
@@ -46,8 +44,7 @@
 	Domain  contract.FailureDomainID
 	Region  string
 	// Silent is the time since the last news of the instance, in seconds, or
-	// departedEntry. It lets the receiver keep the instance in the denominator
-	// exactly as long as the sender does.
+	// departedEntry. The receiver then forgets the instance when the sender does.
 	Silent uint32
 }
 
@@ -61,7 +58,8 @@
 	Data []byte
 }
 
-// held is the configuration version that a marked member holds.
+// held is the configuration version, or the roster's sequence, that a marked
+// member holds.
 type held struct {
 	_       struct{} `cbor:",toarray"`
 	Index   int
@@ -91,6 +89,9 @@
 	Ages   []byte  `cbor:"6,keyasint,omitempty"` // one byte per mark
 	States []byte  `cbor:"7,keyasint,omitempty"` // two bits per mark; empty: all are Ready
 	Held   []held  `cbor:"8,keyasint,omitempty"` // marks that hold another version than the sender, ascending
+	// Sequences are the marks that held another roster than the sender does,
+	// with its sequence, ascending.
+	Sequences []held `cbor:"9,keyasint,omitempty"`
 }
 
 func decodeHeartbeat(body []byte) (heartbeat, error) {
@@ -110,8 +111,8 @@
 }
 
 func (s status) check() error {
-	if s.State > Draining || s.Head < 0 || s.Held < 0 {
-		return errors.Wrapf(ErrHeartbeatInvalid, "state=%d head=%d", s.State, s.Head)
+	if s.State > Draining || s.Head < 0 || s.Held < 0 || s.Sequence < 0 {
+		return errors.Wrapf(ErrHeartbeatInvalid, "state=%d head=%d sequence=%d", s.State, s.Head, s.Sequence)
 	}
 	return nil
 }
@@ -155,12 +156,9 @@
 	if len(a.States) > 0 && len(a.States) != (len(a.Ages)+statesPerByte-1)/statesPerByte {
 		return errors.Wrapf(ErrHeartbeatInvalid, "ages=%d states=%d", len(a.Ages), len(a.States))
 	}
-	if len(a.Held) > len(a.Ages) {
-		return errors.Wrapf(ErrHeartbeatInvalid, "ages=%d held=%d", len(a.Ages), len(a.Held))
-	}
-	for _, h := range a.Held {
-		if h.Index < 0 || h.Index >= maxMembers || h.Version < 0 {
-			return errors.Wrapf(ErrHeartbeatInvalid, "index=%d version=%d", h.Index, h.Version)
+	for _, exceptions := range [][]held{a.Held, a.Sequences} {
+		if err := checkHeld(exceptions, len(a.Ages)); err != nil {
+			return err
 		}
 	}
 	for i := range a.Ages {
@@ -175,3 +173,16 @@
 	}
 	return nil
 }
+
+// checkHeld checks the exceptions among a number of marks.
+func checkHeld(exceptions []held, marks int) error {
+	if len(exceptions) > marks {
+		return errors.Wrapf(ErrHeartbeatInvalid, "ages=%d held=%d", marks, len(exceptions))
+	}
+	for _, h := range exceptions {
+		if h.Index < 0 || h.Index >= maxMembers || h.Version < 0 {
+			return errors.Wrapf(ErrHeartbeatInvalid, "index=%d version=%d", h.Index, h.Version)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,168 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"foxtailhub.example/foxtailhub/internal/contract"
+)
+
+var (
+	now  = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	base = Roster{Sequence: 7, Version: 3, Instances: []contract.InstanceID{"a", "b", "c"}}
+)
+
+// input is that of instance a, which may write and hears from its peers.
+func input(others ...Peer) Input {
+	return Input{
+		Observation: Observation{Reads: true, Current: true, Others: others},
+		Now:         now, Self: "a", Roster: base, Window: DefaultWindow, Hold: DefaultHold,
+		Seen: map[contract.InstanceID]time.Time{"a": now, "b": now, "c": now},
+	}
+}
+
+func heard(id contract.InstanceID) Peer {
+	return Peer{ID: id, Heard: now.Add(-time.Second), Sequence: 7, Listed: true}
+}
+
+func with(p Peer, change func(*Peer)) Peer {
+	change(&p)
+	return p
+}
+
+func ids(list ...contract.InstanceID) []contract.InstanceID { return list }
+
+// Guards against each change that must not be made, and against a change that is
+// never made.
+func TestPropose(t *testing.T) {
+	b, c, d, e := heard("b"), heard("c"), heard("d"), heard("e")
+	unlisted := func(p *Peer) { p.Listed = false }
+	silent := func(p *Peer) { p.Heard = now.Add(-3 * time.Second) }
+	leaving := func(p *Peer) { p.Leaving = true }
+	older := func(p *Peer) { p.Sequence = 6 }
+	goneFor := func(d time.Duration, in Input) Input {
+		in.Seen["c"] = now.Add(-d)
+		return in
+	}
+	change := func(in Input, f func(*Input)) Input {
+		f(&in)
+		return in
+	}
+	joint := func(in *Input) { in.Roster.Previous = ids("a", "x", "y") }
+	for name, c := range map[string]struct {
+		in   Input
+		want []contract.InstanceID // nil: no change
+	}{
+		"nothing is due":         {input(b, c), nil},
+		"adds":                   {input(b, c, d), ids("a", "b", "c", "d")},
+		"adds two":               {input(b, c, e, d), ids("a", "b", "c", "d", "e")},
+		"adds fewer than half":   {input(b, c, heard("f"), e, d), ids("a", "b", "c", "d", "e")},
+		"one at a time at least": {input(b, with(c, silent), e, d), ids("a", "b", "c", "d")},
+		"adds itself":            {change(input(b, c), func(in *Input) { in.Self = "0"; in.Others = append(in.Others, heard("a")) }), ids("0", "a", "b", "c")},
+		"only announced":         {input(b, c, with(d, func(p *Peer) { p.Heard = time.Time{} })), nil},
+		"only in contact":        {input(b, c, with(d, unlisted)), nil},
+		"joining and leaving":    {input(b, c, with(d, leaving)), nil},
+		"no majority":            {input(with(b, silent), with(c, silent), d), nil},
+		"majority is older":      {input(with(b, older), with(c, older), d), nil},
+		"strangers are many":     {input(d, e, heard("f")), nil},
+		"removes leaving":        {input(b, with(c, leaving)), ids("a", "b")},
+		"others leave":           {input(with(b, leaving), with(c, leaving)), ids("a")},
+		"all leave":              {change(input(with(b, leaving), with(c, leaving)), func(in *Input) { in.Leaving = true }), nil},
+		"the rest is silent":     {input(with(b, leaving), with(c, silent)), nil},
+		"joins and leaves":       {input(b, with(c, leaving), d), ids("a", "b", "d")},
+		"removes gone":           {goneFor(DefaultHold+1, input(b)), ids("a", "b")},
+		"not gone yet":           {goneFor(DefaultHold, input(b)), nil},
+		"gone without majority":  {goneFor(DefaultHold+1, input(with(b, silent))), nil},
+		"does not read":          {change(input(b, c, d), func(in *Input) { in.Reads = false }), nil},
+		"is not current":         {change(input(b, c, d), func(in *Input) { in.Current = false }), nil},
+		"has no roster":          {change(input(b, c, d), func(in *Input) { in.Roster = Roster{} }), nil},
+		"itself silent for long": {change(input(b, c), func(in *Input) { in.Seen["a"] = now.Add(-time.Hour) }), nil},
+		"ends a larger change":   {change(input(b, c, d, heard("x")), joint), ids("a", "b", "c")},
+		"half of the previous":   {change(input(b, c, d), joint), nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			got, due := Propose(c.in)
+			g.Expect(due).To(Equal(c.want != nil))
+			if due {
+				g.Expect(got).To(Equal(c.want))
+			}
+		})
+	}
+}
+
+// Guards against many writers at once: only staying instances in contact have a turn.
+func TestRank(t *testing.T) {
+	g := NewWithT(t)
+	in := input(heard("a"), heard("b"), with(heard("c"), func(p *Peer) { p.Leaving = true }),
+		with(heard("d"), func(p *Peer) { p.Heard = time.Time{} }), heard("f"))
+	in.Self = "e"
+	g.Expect(Rank(in)).To(Equal(2))
+}
+
+// Guards against a change after which two majorities share no instance, and
+// against a roster that is not read back as it was written.
+func TestMajoritiesOfNeighboursIntersect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		universe := ids("a", "b", "c", "d", "e", "f")
+		subset := rapid.Custom(func(t *rapid.T) []contract.InstanceID {
+			var set []contract.InstanceID
+			for _, id := range universe {
+				if rapid.Bool().Draw(t, "in") {
+					set = append(set, id)
+				}
+			}
+			return set
+		})
+		nonempty := subset.Filter(func(set []contract.InstanceID) bool { return len(set) > 0 })
+		r := Roster{Sequence: 1, Instances: nonempty.Draw(t, "first")}
+		for range 4 {
+			target := nonempty.Draw(t, "target")
+			if len(r.Previous) > 0 {
+				target = r.Instances
+			}
+			next := r.next(target, 9)
+			data, err := next.Encode()
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(Decode(data)).To(Equal(next))
+			one := subset.Draw(t, "one")
+			var rest []contract.InstanceID
+			for _, id := range universe {
+				if !contains(one, id) {
+					rest = append(rest, id)
+				}
+			}
+			g.Expect(r.Majority(one) && next.Majority(rest)).To(BeFalse())
+			r = next
+		}
+	})
+}
+
+// Guards against a row or a message outside the bounds.
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{
+		`{"sequence":1,"instances":["a","b"]}`, `{"sequence":0,"instances":["a"]}`, `{"sequence":1}`, `{"sequence":1,"version":-1,"instances":["a"]}`,
+		`{"sequence":1,"instances":["b","a"]}`, `{"sequence":1,"instances":["a","a"]}`, `{"sequence":1,"instances":[""]}`, `{`,
+		`{"sequence":1,"instances":["a"],"previous":["b","c"]}`, `{"sequence":1,"instances":["a"],"previous":["c","b"]}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		g := NewWithT(t)
+		r, err := Decode(data)
+		if err != nil {
+			g.Expect(r).To(Equal(Roster{}))
+			return
+		}
+		g.Expect(r.Sequence).To(BeNumerically(">", 0))
+		for i, id := range r.Instances {
+			g.Expect(id).NotTo(BeEmpty())
+			g.Expect(i == 0 || r.Instances[i-1] < id).To(BeTrue())
+		}
+		g.Expect(r.Instances).NotTo(BeEmpty())
+	})
+}
