--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,6 +52,7 @@
 	life       *life
 	activity   *activity
 	metrics    *metrics
+	live       atomic.Pointer[liveSet]
 	handler    *handler
 }
 
--- a/internal/membership/listing.go
+++ b/internal/membership/listing.go
@@ -72,6 +72,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.ledger.applyList(list.Instances, m.accepts, m.now())
-	m.dirty = true
+	m.dirty.Store(true)
 	return false
 }
