--- a/internal/upstream/observe.go
+++ b/internal/upstream/observe.go
@@ -206,7 +206,7 @@
 		w.survived(current, sentAt, "")
 	}
 	for start, death := range w.unconfirmed {
-		if start.Upstream != id || sentAt.Before(death.at) {
+		if start.Upstream != id || !sentAt.After(death.at) {
 			continue
 		}
 		if start.Incarnation == incarnation || start.Incarnation == "" || incarnation == "" {
