--- a/internal/instance/gauges.go
+++ b/internal/instance/gauges.go
@@ -13,6 +13,9 @@
 	m.gauge("instances_known", "Instances of the roster, the denominator of a majority.", func() float64 {
 		return float64(i.life.fresh().Known)
 	})
+	m.gauge("roster_changing", "1 while a larger change of the roster needs a majority of the old and the new one.", func() float64 {
+		return boolGauge(len(i.keeper.Standing().Roster.Previous) > 0)
+	})
 	m.gauge("instances_heard", "Instances of the roster heard from in the last 2 s.", func() float64 {
 		return float64(i.life.fresh().Heard)
 	})
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -314,18 +314,20 @@
 	return nil
 }
 
-// awaitContacts waits until each instance has heard from all others. Before
-// that it may be ready through the store and yet hear no majority.
+// awaitContacts waits until each instance has heard from all others and all are in
+// the roster. Before that it may be ready through the store and yet hear no
+// majority, or a fault of one instance could take the majority of a small roster.
 func (c *Cluster) awaitContacts(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, instance := range c.Instances {
 		var status oas.Status
 		err := Await(ctx, func() bool {
-			return GetJSON(ctx, instance.URL()+"/v1/status", &status) == nil && heardAll(status, len(c.Instances)-1)
+			return GetJSON(ctx, instance.URL()+"/v1/status", &status) == nil && heardAll(status, len(c.Instances)-1) &&
+				rosterSettled(ctx, instance.URL(), len(c.Instances))
 		})
 		if err != nil {
-			return errors.Wrapf(err, "%s has not heard from all others, see %s", instance.Name, c.LogFile(instance))
+			return errors.Wrapf(err, "%s has not heard from all others or has no roster of all, see %s", instance.Name, c.LogFile(instance))
 		}
 	}
 	return nil
@@ -341,6 +343,14 @@
 	return heard >= others
 }
 
+// rosterSettled reports whether the metrics of an instance show a roster of the
+// given size that is not being changed.
+func rosterSettled(ctx context.Context, url string, size int) bool {
+	data, err := get(ctx, url+"/metrics")
+	settled := fmt.Sprintf("\nfoxtailhub_instances_known %d\n", size)
+	return err == nil && strings.Contains(string(data), settled) && strings.Contains(string(data), "\nfoxtailhub_roster_changing 0\n")
+}
+
 // LogFile returns the name of a process's log.
 func (c *Cluster) LogFile(p *Process) string { return filepath.Join(c.dir, p.Name+".log") }
 
@@ -394,20 +404,24 @@
 
 // GetJSON reads a JSON answer of a stand-in, such as its counters.
 func GetJSON(ctx context.Context, url string, into any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	data, err := get(ctx, url)
 	if err != nil {
 		return err
 	}
-	answer, err := http.DefaultClient.Do(request)
+	return json.Unmarshal(data, into)
+}
+
+func get(ctx context.Context, url string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer answer.Body.Close() //nolint:errcheck // it was read
-	data, err := io.ReadAll(answer.Body)
+	answer, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return json.Unmarshal(data, into)
+	defer answer.Body.Close() //nolint:errcheck // it was read
+	return io.ReadAll(answer.Body)
 }
 
 // URLs returns the base URLs of the instances.
