--- a/internal/workspace/demand.go
+++ b/internal/workspace/demand.go
@@ -114,15 +114,6 @@
 	}
 }
 
-// Forget drops the demand of an instance that is gone.
-func (a *Admission) Forget(instance contract.InstanceID) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, others := range a.others {
-		delete(others, instance)
-	}
-}
-
 // validDemand guards the shares against a peer that reports nonsense.
 func validDemand(e DemandEntry) bool {
 	return finite(e.Rate) && finite(e.Concurrent) && e.Held >= 0 && e.Held < maxHeld
