Revert the placement of heavy suspects beside light ones

A harmless heavy suspect beside a poison prompt that has one death so far gets its third one there. Conclusion: a quarantined draft is lost, one that goes on after 3.2 s is late; the first weighs more.

--- a/internal/upstream/choose.go
+++ b/internal/upstream/choose.go
@@ -65,8 +65,10 @@
 // one upstream and not several. Beside another suspect it is placed only after it
 // has waited: a crash makes suspects of all generations that ran there, and they
 // must go on within the bound of resume latency, but until then a poison prompt
-// among them has mostly become a heavy suspect. A heavy suspect waits longer, and
-// for a failure domain in which a further death can be attributed to it.
+// among them has mostly become a heavy suspect. A heavy suspect is never placed
+// beside any suspect, although it may then wait longer than the bound of resume
+// latency, and waits for a failure domain in which a further death can be
+// attributed to it.
 func Choose(choice Choice, random *rand.Rand) (index int, ok bool) {
 	eligible := eligibleCandidates(choice)
 	if len(eligible) == 0 {
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -23,10 +23,6 @@
 	// separationWait is how long a suspect waits for an upstream without other
 	// suspects. It leaves most of the 3 s in which output has to go on.
 	separationWait = time.Second
-	// heavySeparationWait is the same for a heavy suspect. It must exceed
-	// correlationWindow, so that its next death can be attributed to it, and leave
-	// time for an attempt within the 3 s.
-	heavySeparationWait = 2200 * time.Millisecond
 	// heavyIncidents is how many incidents make a heavy suspect.
 	heavyIncidents = 2
 	// evidenceDelay is the time in which evidence reaches the other instances: a
@@ -204,7 +200,7 @@
 	var busy map[contract.FailureDomainID]bool
 	if choice.Suspect {
 		choice.HeavySuspect = v.heavySuspect(need.Content, now)
-		choice.MayShare = v.waited(need.Content, now, choice.HeavySuspect)
+		choice.MayShare = !choice.HeavySuspect && v.waited(need.Content, now)
 		choice.Died = v.died(need.Content, now)
 		choice.Rivals = v.rivals(need.Content, now)
 		busy = v.busyDomains(need.Content, now)
@@ -262,14 +258,10 @@
 }
 
 // waited reports whether the last confirmed death of a content is so long ago
-// that it may be placed beside light suspects.
-func (v *View) waited(content ContentKey, now time.Time, heavy bool) bool {
-	wait := separationWait
-	if heavy {
-		wait = heavySeparationWait
-	}
+// that it may be placed beside other suspects.
+func (v *View) waited(content ContentKey, now time.Time) bool {
 	recent := v.assessments[content].recent(now)
-	return len(recent) > 0 && now.Sub(recent[len(recent)-1].at) >= wait
+	return len(recent) > 0 && now.Sub(recent[len(recent)-1].at) >= separationWait
 }
 
 // heavySuspect reports whether upstreams died repeatedly while running a
