--- a/internal/generation/fault_test.go
+++ b/internal/generation/fault_test.go
@@ -34,7 +34,7 @@
 	{"cut", func(w *world, c *caller) { w.serving(c.request).Cut() }},
 	{"silent connection", func(w *world, c *caller) { w.serving(c.request).Silence() }},
 	{"token of an old stream", func(w *world, c *caller) { w.serving(c.request).CrossStream() }},
-	{"gap", func(w *world, c *caller) { w.serving(c.request).Skip() }},
+	{"gap", func(w *world, c *caller) { w.serving(c.request).SkipToken() }},
 	{"duplicated token", func(w *world, c *caller) { w.serving(c.request).Repeat() }},
 	{"event of another request", func(w *world, c *caller) { w.serving(c.request).CrossRequest() }},
 	{"only a busy engine has the version", func(w *world, c *caller) {
--- a/internal/generation/soak_test.go
+++ b/internal/generation/soak_test.go
@@ -127,7 +127,7 @@
 	case 3:
 		e.Silence()
 	case 4:
-		e.Skip()
+		e.SkipToken()
 	case 5:
 		e.Repeat()
 	case 6:
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -88,7 +88,7 @@
 func (s *schedule) garbleEngine() {
 	e := s.engine()
 	s.note("garble %s", e.Config().Target.ID)
-	[]func(){e.Skip, e.Repeat, e.CrossRequest, e.CrossStream}[s.rng.IntN(4)]()
+	[]func(){e.SkipToken, e.Repeat, e.CrossRequest, e.CrossStream}[s.rng.IntN(4)]()
 }
 
 func (s *schedule) leaveEngine() {
--- a/internal/upstream/upstreamtest/fault.go
+++ b/internal/upstream/upstreamtest/fault.go
@@ -54,8 +54,8 @@
 // Silence makes the connections that are open now silent for good; new ones work.
 func (e *FakeEngine) Silence() { e.each(func(c *connection) { c.silent = true }) }
 
-// Skip leaves out the next token on each open connection.
-func (e *FakeEngine) Skip() { e.each(func(c *connection) { c.skip = true }) }
+// SkipToken leaves out the next token on each open connection.
+func (e *FakeEngine) SkipToken() { e.each(func(c *connection) { c.skip = true }) }
 
 // Repeat sends the next token twice on each open connection.
 func (e *FakeEngine) Repeat() { e.each(func(c *connection) { c.repeat = true }) }
