Do not choose a server again whose address another one has

Ruled out: full engines (109 refusals were 421 or copies that did not exist). A 421 now marks the server until its entry changes and costs no refusal, no copy is asked for before the first event, and a stream goes on in another failure domain than the one that failed it.

--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -15,13 +15,14 @@
 	Answered    Result = iota // the server answered, with any status
 	NotSent                   // no connection was made
 	NotRun                    // the server states that it did not run the request
+	Misplaced                 // another server has the address, and did not run the request
 	Failed                    // it may have run: reset, cut, or an answer of something else
 	ServerError               // the server answered with a failure of its own
 )
 
 // String returns the name used in logs.
 func (r Result) String() string {
-	return [...]string{"answered", "not_sent", "not_run", "failed", "server_error"}[r]
+	return [...]string{"answered", "not_sent", "not_run", "misplaced", "failed", "server_error"}[r]
 }
 
 // State is what a request has been through, for the decision on its next step.
@@ -38,7 +39,7 @@
 const (
 	// maxRefusals bounds how many servers a request is offered to that do not run
 	// it: when that many are full or gone, others are too.
-	maxRefusals = 4
+	maxRefusals = 6
 	// minTimeToSend is the shortest time left in which a server can answer.
 	minTimeToSend = 10 * time.Millisecond
 )
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -245,6 +245,10 @@
 		m.Lose(time.Now())
 	case NotRun:
 		x.state.Refused++
+	case Misplaced:
+		// The request cost nothing and the server is not chosen again, so that
+		// such answers, many after a failure domain has restarted, are bounded.
+		m.Replace()
 	case Failed, ServerError:
 		x.state.MayHaveRun++
 		m.Failed()
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -91,7 +91,9 @@
 	switch {
 	case answer.RequestID != "" && answer.RequestID != x.meta.ID:
 		return Failed, errForeignAnswer
-	case answer.NotRun || answer.Misplaced:
+	case answer.Misplaced:
+		return Misplaced, nil
+	case answer.NotRun:
 		return NotRun, nil
 	case answer.Encoded:
 		return Failed, errEncoded
@@ -154,7 +156,7 @@
 	if err == nil && len(body) > maxAnswerBytes {
 		err = errLongAnswer
 	}
-	if err != nil && r.result != NotRun {
+	if err != nil && r.result != NotRun && r.result != Misplaced {
 		return reply{result: Failed, err: err}
 	}
 	r.body = body
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,15 +21,16 @@
 
 // relay carries one stream from its servers to its caller.
 type relay struct {
-	f       *Forwarder
-	x       *exchange
-	head    bool      // the head of the answer was written
-	last    int64     // number of the last event that the caller has
-	events  int       // delivered by this instance
-	copy    *heldCopy // copy of the memory of the run that failed last
-	failure *reply    // a server's own failure, for the caller if nothing better comes
-	longest time.Duration
-	lastAt  time.Time // of the last event; zero before the first
+	f             *Forwarder
+	x             *exchange
+	head          bool      // the head of the answer was written
+	last          int64     // number of the last event that the caller has
+	events        int       // delivered by this instance
+	copy          *heldCopy // copy of the memory of the run that failed last
+	failure       *reply    // a server's own failure, for the caller if nothing better comes
+	failedDomains []string  // failure domains of the servers that failed
+	longest       time.Duration
+	lastAt        time.Time // of the last event; zero before the first
 }
 
 // heldCopy is a copy of a run's memory and the server that keeps it.
@@ -66,7 +67,7 @@
 // plan chooses the server of the next sending and the one that keeps a copy.
 func (s *relay) plan() (*pool.Member, Sending, bool) {
 	x := s.x
-	need := pool.Need{}
+	need := pool.Need{AvoidDomains: s.failedDomains}
 	if s.copy != nil {
 		need.Prefer = s.copy.serverID
 	}
@@ -90,10 +91,14 @@
 	return m, sending, true
 }
 
-// keepCopy notes where a copy of the memory of the failed run may lie.
+// keepCopy notes where a copy of the memory of the failed run may lie. A run is
+// copied from its first event on.
 func (s *relay) keepCopy(result Result, m *pool.Member, sending Sending) {
 	s.copy = nil
-	if result == Failed && sending.Backup != nil {
+	if result == Failed || result == NotSent {
+		s.failedDomains = append(s.failedDomains, m.FailureDomain)
+	}
+	if result == Failed && sending.Backup != nil && s.last > sending.LastEvent {
 		s.copy = &heldCopy{
 			Copy:     Copy{Address: sending.Backup.Address, Run: s.x.meta.ID},
 			serverID: sending.Backup.ID,
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -37,6 +37,7 @@
 	Copies     int           // copies of memory kept for streams of this instance
 	ErrorShare float64       // recent share of failed requests, 0 to 1
 	SinceLoss  time.Duration // since the server was last lost
+	Replaced   bool          // another server answers at its address
 }
 
 // Need is what a request needs of a server.
@@ -54,7 +55,7 @@
 func Choose(candidates []Candidate, need Need, random *rand.Rand) (int, bool) {
 	eligible := make([]int, 0, len(candidates))
 	for i, c := range candidates {
-		if !c.Draining && !slices.Contains(need.Avoid, c.ID) {
+		if !c.Draining && !c.Replaced && !slices.Contains(need.Avoid, c.ID) {
 			eligible = append(eligible, i)
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,6 +34,7 @@
 	errors   atomic.Int64              // recent share of failed requests, in 1/1000
 	lostAt   atomic.Pointer[time.Time] // last loss, with its monotonic reading; nil: none
 	lost     atomic.Pointer[chan struct{}]
+	replaced atomic.Bool // another server answers at its address
 }
 
 func newMember(s Server) *Member {
@@ -83,6 +84,11 @@
 // Lost returns a channel that is closed when the server is next lost.
 func (o *observed) Lost() <-chan struct{} { return *o.lost.Load() }
 
+// Replace notes that another server answers at the address. A restarted server
+// mostly has a new ID, and the list shows it later, or not at all while the
+// store is down.
+func (o *observed) Replace() { o.replaced.Store(true) }
+
 // candidate returns the inputs of a choice.
 func (m *Member) candidate(now time.Time) Candidate {
 	c := Candidate{
@@ -92,6 +98,7 @@
 		Copies:     int(m.copies.Load()),
 		ErrorShare: float64(m.errors.Load()) / 1000,
 		SinceLoss:  never,
+		Replaced:   m.replaced.Load(),
 	}
 	if at := m.lostAt.Load(); at != nil {
 		c.SinceLoss = now.Sub(*at)
