Make a stream's memory copy anew when the server that keeps it is lost

Ruled out: slow detection (340 ms) and full engines. The run's memory is now copied to another live server when its keeper is no longer listed, leaves or was lost, and again after 0.6 of a copy's life.

--- a/cmd/foxtailhubd/gateway.go
+++ b/cmd/foxtailhubd/gateway.go
@@ -55,11 +55,13 @@
 }
 
 func onPlatform(settings *gateway.Settings) gateway.Platform {
+	servers := platform.NewServers(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
 	return gateway.Platform{
 		Store:         platform.NewStore(settings.StoreAddress, &http.Client{Transport: &http.Transport{}}),
 		Decoder:       platform.Decoder{},
 		Protocol:      platform.Protocol{},
-		Prober:        platform.NewProber(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}),
+		Prober:        servers,
+		Copier:        servers,
 		ReadinessPath: platform.ReadinessPath,
 	}
 }
--- /dev/null
+++ b/internal/forward/backup.go
@@ -0,0 +1,130 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/pool"
+)
+
+const (
+	// copyTimeout bounds one copy of a run's memory. 8,000 tokens take a few
+	// milliseconds on a free link, and copies wait for each other.
+	copyTimeout = 1500 * time.Millisecond
+	// copyRenewal is the part of a copy's life after which it is made anew.
+	copyRenewal = 0.6
+	// copyRetry is the pause after a copy that could not be made.
+	copyRetry = 500 * time.Millisecond
+)
+
+// Copier copies the memory of runs between servers.
+type Copier interface {
+	// CopyMemory copies the memory of a run to another server while the run goes
+	// on, and returns the name of the copy.
+	CopyMemory(ctx context.Context, source, run, to string) (name string, err error)
+}
+
+// heldCopy is a copy of a run's memory and the server that keeps it.
+type heldCopy struct {
+	Copy
+	serverID string
+}
+
+// backup sees to it that a copy of a run's memory lies on a live server. The
+// server that the sending named keeps it up to date by itself; when that server
+// is lost, copies are made on another one until the run ends.
+type backup struct {
+	run     *run
+	keeper  *pool.Member // server of the newest copy; nil: none
+	held    *heldCopy    // the newest copy; nil: none
+	since   time.Time    // when the copy was begun
+	nextAt  time.Time    // when the copy has to be made again; zero: the server keeps it up to date
+	copying bool
+	copied  chan copyResult
+	release func() // ends the count of the copy at its keeper
+}
+
+type copyResult struct {
+	keeper *pool.Member
+	name   string
+	err    error
+	began  time.Time
+}
+
+// newBackup returns the backup of a run whose sending named the keeper.
+func newBackup(r *run, keeper *pool.Member, now time.Time) *backup {
+	b := &backup{run: r, copied: make(chan copyResult, 1)}
+	if keeper != nil {
+		b.keep(keeper, Copy{Address: keeper.Address, Run: r.x.meta.ID}, now)
+	}
+	return b
+}
+
+func (b *backup) keep(keeper *pool.Member, c Copy, began time.Time) {
+	b.drop()
+	b.keeper = keeper
+	b.held = &heldCopy{Copy: c, serverID: keeper.ID}
+	b.since = began
+	b.release = keeper.KeepCopy()
+}
+
+// drop forgets the copy.
+func (b *backup) drop() {
+	if b.release != nil {
+		b.release()
+		b.release = nil
+	}
+	b.keeper = nil
+	b.held = nil
+	b.nextAt = time.Time{}
+}
+
+// check makes a new copy if there is none on a live server. It is called while
+// events arrive, since a run has memory to copy from its first event on.
+func (b *backup) check(ctx context.Context, now time.Time) {
+	life := b.run.copyLife()
+	if life == 0 || b.copying {
+		return
+	}
+	if b.keeper != nil && !b.run.f.Pool.Serves(b.keeper, b.since) {
+		b.run.x.log.WithFields(logrus.Fields{"copy_at": b.keeper.ID, "domain": b.keeper.FailureDomain}).Info("copy of the stream's memory is lost")
+		b.drop()
+		b.nextAt = now
+	}
+	if b.nextAt.IsZero() || now.Before(b.nextAt) {
+		return
+	}
+	keeper, ok := b.keeper, true
+	if keeper == nil {
+		keeper, ok = b.run.pickKeeper(b.run.member)
+	}
+	if !ok {
+		b.nextAt = now.Add(copyRetry)
+		return
+	}
+	b.copying = true
+	go b.copy(ctx, keeper, now)
+}
+
+func (b *backup) copy(ctx context.Context, keeper *pool.Member, began time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	name, err := b.run.f.Copier.CopyMemory(ctx, b.run.member.Address, b.run.x.meta.ID, keeper.Address)
+	b.copied <- copyResult{keeper: keeper, name: name, err: err, began: began}
+}
+
+// take notes the result of a copy.
+func (b *backup) take(r copyResult, now time.Time) {
+	b.copying = false
+	fields := logrus.Fields{"copy_at": r.keeper.ID, "domain": r.keeper.FailureDomain, "took_ms": now.Sub(r.began).Milliseconds()}
+	if r.err != nil {
+		b.run.x.log.WithFields(fields).WithError(r.err).Info("stream's memory was not copied")
+		b.nextAt = now.Add(copyRetry)
+		return
+	}
+	b.run.x.log.WithFields(fields).Info("stream's memory copied")
+	b.keep(r.keeper, Copy{Address: b.run.member.Address, Run: r.name}, r.began)
+	b.nextAt = now.Add(time.Duration(copyRenewal * float64(b.run.copyLife())))
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -43,6 +43,7 @@
 	Pool     *pool.Pool
 	Protocol Protocol
 	Prober   Prober
+	Copier   Copier
 	Budgets  *Budgets
 	Log      logrus.FieldLogger
 	Metrics  *Metrics
@@ -226,16 +227,6 @@
 	return pool.Pick(f.Pool.Members(x.service.Name), need, time.Now())
 }
 
-// keepCopy counts a copy of memory at a server until the returned function is called.
-func (f *Forwarder) keepCopy(s pool.Server) (release func()) {
-	for _, m := range f.Pool.Members(s.Service) {
-		if m.ID == s.ID {
-			return m.KeepCopy()
-		}
-	}
-	return func() {}
-}
-
 // note updates what is known of the request and its server after a sending.
 func (f *Forwarder) note(x *exchange, m *pool.Member, result Result) {
 	x.state.Last = result
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -33,25 +33,18 @@
 	lastAt        time.Time // of the last event; zero before the first
 }
 
-// heldCopy is a copy of a run's memory and the server that keeps it.
-type heldCopy struct {
-	Copy
-	serverID string
-}
-
 // stream forwards a request whose answer is a stream of events.
 func (f *Forwarder) stream(ctx context.Context, x *exchange) {
 	s := &relay{f: f, x: x, last: x.meta.LastEvent}
 	for {
-		m, sending, ok := s.plan()
+		m, keeper, sending, ok := s.plan()
 		if !ok {
 			break
 		}
-		result := s.attempt(ctx, m, sending)
+		result := s.attempt(ctx, m, keeper, sending)
 		if result == Answered {
 			return
 		}
-		s.keepCopy(result, m, sending)
 		x.state.Left = x.left()
 		if ctx.Err() != nil || !x.state.Again() {
 			break
@@ -64,66 +57,76 @@
 	s.end(ctx)
 }
 
-// plan chooses the server of the next sending and the one that keeps a copy.
-func (s *relay) plan() (*pool.Member, Sending, bool) {
+// plan chooses the server of the next sending and the one that keeps a copy, or
+// nil for the latter.
+func (s *relay) plan() (m, keeper *pool.Member, sending Sending, ok bool) {
 	x := s.x
 	need := pool.Need{AvoidDomains: s.failedDomains}
 	if s.copy != nil {
 		need.Prefer = s.copy.serverID
 	}
-	m, ok := s.f.pick(x, need)
+	m, ok = s.f.pick(x, need)
 	if !ok {
-		return nil, Sending{}, false
+		return nil, nil, sending, false
 	}
 	x.tried = append(x.tried, m.ID)
-	sending := Sending{Server: m.Server, Workspace: x.workspace.Name, LastEvent: s.last}
+	sending = Sending{Server: m.Server, Workspace: x.workspace.Name, LastEvent: s.last}
 	if s.copy != nil && m.ID == s.copy.serverID {
 		sending.From = &s.copy.Copy
 	}
-	engine := x.service.Engine
-	if engine == nil || !engine.KeepsCopies || !x.route.Resumable {
-		return m, sending, true
-	}
-	backup, ok := s.f.pick(x, pool.Need{Copy: true, AvoidDomains: []string{m.FailureDomain}})
-	if ok {
-		sending.Backup = &backup.Server
+	if s.copyLife() > 0 {
+		if keeper, ok = s.pickKeeper(m); ok {
+			sending.Backup = &keeper.Server
+		}
 	}
-	return m, sending, true
+	return m, keeper, sending, true
+}
+
+// copyLife returns how long a copy of the stream's memory lasts, 0 if its
+// servers keep none.
+func (s *relay) copyLife() time.Duration {
+	engine := s.x.service.Engine
+	if engine == nil || !engine.KeepsCopies || !s.x.route.Resumable {
+		return 0
+	}
+	return engine.CopyLife
+}
+
+// pickKeeper chooses a server in another failure domain for a copy of the memory.
+func (s *relay) pickKeeper(m *pool.Member) (*pool.Member, bool) {
+	return s.f.pick(s.x, pool.Need{Copy: true, Avoid: []string{m.ID}, AvoidDomains: []string{m.FailureDomain}})
 }
 
-// keepCopy notes where a copy of the memory of the failed run may lie. A run is
-// copied from its first event on.
-func (s *relay) keepCopy(result Result, m *pool.Member, sending Sending) {
+// keepCopy notes what the next server can go on from. A run is copied from its
+// first event on.
+func (s *relay) keepCopy(result Result, r *run, after int64) {
 	s.copy = nil
 	if result == Failed || result == NotSent {
-		s.failedDomains = append(s.failedDomains, m.FailureDomain)
+		s.failedDomains = append(s.failedDomains, r.member.FailureDomain)
 	}
-	if result == Failed && sending.Backup != nil && s.last > sending.LastEvent {
-		s.copy = &heldCopy{
-			Copy:     Copy{Address: sending.Backup.Address, Run: s.x.meta.ID},
-			serverID: sending.Backup.ID,
-		}
+	if result == Failed && s.last > after {
+		s.copy = r.backup.held
 	}
 }
 
 // attempt runs the stream on one server until its end or failure. Answered
 // means that the caller has its whole answer.
-func (s *relay) attempt(ctx context.Context, m *pool.Member, sending Sending) Result {
+func (s *relay) attempt(ctx context.Context, m, keeper *pool.Member, sending Sending) Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the run at a server that is given up
 	defer m.Use()()
 	sending.Left = s.x.left()
 	began := time.Now()
 	run := &run{relay: s, member: m, watch: NewWatch(began, s.x.route.PauseGoal)}
-	defer run.markPrefilled()
+	run.backup = newBackup(run, keeper, began)
+	defer run.backup.drop()
 	run.prefilled = m.Prefill()
-	if sending.Backup != nil {
-		defer s.f.keepCopy(*sending.Backup)()
-	}
+	defer run.markPrefilled()
 	items := make(chan item, eventBuffer)
 	go s.f.sender.pump(ctx, s.x, sending, items)
 	result, err := run.follow(ctx, items)
 	s.note(m, sending, result, err, began)
+	s.keepCopy(result, run, sending.LastEvent)
 	return result
 }
 
@@ -242,6 +245,7 @@
 	*relay
 	member    *pool.Member
 	watch     Watch
+	backup    *backup
 	response  *http.Response
 	prefilled func()
 }
@@ -268,6 +272,11 @@
 			if ended {
 				return result, err
 			}
+			if it.head == nil {
+				r.backup.check(ctx, time.Now())
+			}
+		case copied := <-r.backup.copied:
+			r.backup.take(copied, time.Now())
 		case <-lost:
 			lost = r.member.Lost()
 			r.watch.Suspect(time.Now())
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -146,5 +146,16 @@
 // Members returns the servers of a service.
 func (p *Pool) Members(service string) []*Member { return p.view.Load().byService[service] }
 
+// Serves reports whether a server is still listed, does not leave, and was not
+// lost since a time.
+func (p *Pool) Serves(m *Member, since time.Time) bool {
+	current, listed := p.view.Load().byID[m.ID]
+	if !listed || current.observed != m.observed || current.Draining || m.replaced.Load() {
+		return false
+	}
+	at := m.lostAt.Load()
+	return at == nil || at.Before(since)
+}
+
 // Size returns the number of servers.
 func (p *Pool) Size() int { return len(p.view.Load().byID) }
