Send a continued stream to the engine that keeps its prompt

Ruled out: rendezvous hashing of the prompt over the engines (4 of 17 found: streams had moved before, and restarted engines have new names; reverted).

--- a/cmd/foxtailhubd/gateway.go
+++ b/cmd/foxtailhubd/gateway.go
@@ -62,6 +62,7 @@
 		Protocol:      platform.Protocol{},
 		Prober:        servers,
 		Copier:        servers,
+		Finder:        servers,
 		ReadinessPath: platform.ReadinessPath,
 	}
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -44,6 +44,7 @@
 	Protocol Protocol
 	Prober   Prober
 	Copier   Copier
+	Finder   Finder
 	Budgets  *Budgets
 	Log      logrus.FieldLogger
 	Metrics  *Metrics
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -21,6 +21,7 @@
 	Key          string        // API key; empty: none
 	Deadline     time.Duration // how long the caller waits; 0: not said
 	LastEvent    int64         // the caller holds the events up to this number; 0: none
+	PromptPart   string        // the part of the prompt that is the request's own; empty: not said
 	PromptTokens int
 	OutputTokens int // at most
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -25,6 +25,7 @@
 	x             *exchange
 	head          bool      // the head of the answer was written
 	last          int64     // number of the last event that the caller has
+	promptAt      string    // server that keeps the prompt; empty: unknown
 	events        int       // delivered by this instance
 	copy          *heldCopy // copy of the memory of the run that failed last
 	failure       *reply    // a server's own failure, for the caller if nothing better comes
@@ -35,7 +36,7 @@
 
 // stream forwards a request whose answer is a stream of events.
 func (f *Forwarder) stream(ctx context.Context, x *exchange) {
-	s := &relay{f: f, x: x, last: x.meta.LastEvent}
+	s := &relay{f: f, x: x, last: x.meta.LastEvent, promptAt: f.findPrompt(ctx, x)}
 	for {
 		m, keeper, sending, ok := s.plan()
 		if !ok {
@@ -61,7 +62,7 @@
 // nil for the latter.
 func (s *relay) plan() (m, keeper *pool.Member, sending Sending, ok bool) {
 	x := s.x
-	need := pool.Need{AvoidDomains: s.failedDomains}
+	need := pool.Need{AvoidDomains: s.failedDomains, Prefer: s.promptAt}
 	if s.copy != nil {
 		need.Prefer = s.copy.serverID
 	}
