Free copies that are no longer needed; ask the store less often

Copies are freed when their run ends. Calls for the configuration are held for up to 15 s, on connections whose keep-alive probes find silence within 2 s; the list of servers is read every 0.6 of the time in which a server that leaves must get no more requests.

--- a/cmd/foxtailhubd/gateway.go
+++ b/cmd/foxtailhubd/gateway.go
@@ -4,10 +4,12 @@
 	"context"
 	"flag"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -57,7 +59,7 @@
 func onPlatform(settings *gateway.Settings) gateway.Platform {
 	servers := platform.NewServers(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
 	return gateway.Platform{
-		Store:         platform.NewStore(settings.StoreAddress, &http.Client{Transport: &http.Transport{}}),
+		Store:         platform.NewStore(settings.StoreAddress, &http.Client{Transport: storeTransport()}),
 		Decoder:       platform.Decoder{},
 		Protocol:      platform.Protocol{},
 		Prober:        servers,
@@ -67,6 +69,20 @@
 	}
 }
 
+// storeProbes finds a connection to the store that has gone silent within two
+// seconds, the finest that the kernel's unit of one second allows: a call for
+// the configuration may be held much longer than a change may take.
+var storeProbes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1}
+
+func storeTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: storeDialTimeout, KeepAliveConfig: storeProbes}
+	return &http.Transport{DialContext: dialer.DialContext}
+}
+
+// storeDialTimeout bounds the wait for a connection to the store, which accepts
+// within a few milliseconds.
+const storeDialTimeout = 500 * time.Millisecond
+
 // reloadOnHangup reads the settings again at SIGHUP. Only the log level changes
 // in a running process; the rest takes effect at the next start.
 func reloadOnHangup(path string, log *logrus.Logger) {
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -24,6 +24,8 @@
 	// CopyMemory copies the memory of a run to another server while the run goes
 	// on, and returns the name of the copy.
 	CopyMemory(ctx context.Context, source, run, to string) (name string, err error)
+	// DropCopy frees a copy that CopyMemory made, at both of its servers.
+	DropCopy(ctx context.Context, source, name string) error
 }
 
 // heldCopy is a copy of a run's memory and the server that keeps it.
@@ -70,6 +72,24 @@
 	b.release = keeper.KeepCopy()
 }
 
+// end ends the backup together with its run. A copy that was made by a call
+// takes memory and a slot of its keeper, so it is freed unless the stream goes
+// on from it.
+func (b *backup) end(goesOn bool) {
+	if !goesOn && b.held != nil && !b.nextAt.IsZero() {
+		go b.run.f.dropCopy(b.run.x.log, b.held.Copy)
+	}
+	b.drop()
+}
+
+func (f *Forwarder) dropCopy(log logrus.FieldLogger, c Copy) {
+	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+	defer cancel()
+	if err := f.Copier.DropCopy(ctx, c.Address, c.Run); err != nil {
+		log.WithError(err).Info("copy was not freed; it ends by itself")
+	}
+}
+
 // drop forgets the copy.
 func (b *backup) drop() {
 	if b.release != nil {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -120,7 +120,6 @@
 	began := time.Now()
 	run := &run{relay: s, member: m, watch: NewWatch(began, s.x.route.PauseGoal)}
 	run.backup = newBackup(run, keeper, began)
-	defer run.backup.drop()
 	run.prefilled = m.Prefill()
 	defer run.markPrefilled()
 	items := make(chan item, eventBuffer)
@@ -128,6 +127,7 @@
 	result, err := run.follow(ctx, items)
 	s.note(m, sending, result, err, began)
 	s.keepCopy(result, run, sending.LastEvent)
+	run.backup.end(s.copy != nil)
 	return result
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,14 @@
 	// idleTimeout keeps callers' connections open. Callers reuse connections that
 	// have been idle for up to four fifths of the configuration's limit.
 	idleTimeout = 60 * time.Second
+	// configurationWait is how long the store may hold a call for the
+	// configuration. Calls are priced; a connection that has gone silent shows by
+	// its keep-alive probes.
+	configurationWait = 15 * time.Second
+	// listShare is the part of the time in which a server that leaves must get no
+	// new requests that may pass between reads of the list. The rest is for the
+	// answer of a slow store.
+	listShare = 0.6
 	// balancerLag is the time after which a balancer that asks once a second has
 	// seen two refusals, and sends no new connections.
 	balancerLag = 2500 * time.Millisecond
@@ -129,8 +137,8 @@
 
 // follow starts the followers of the store.
 func (g *Gateway) follow(ctx context.Context, group *errgroup.Group) {
-	configuration := discovery.Rhythm{Wait: milliseconds(g.settings.ConfigurationMS) / 2}
-	servers := discovery.Rhythm{Pause: milliseconds(g.settings.LeavingMS) / 2}
+	configuration := discovery.Rhythm{Wait: configurationWait}
+	servers := discovery.Rhythm{Pause: time.Duration(listShare * float64(milliseconds(g.settings.LeavingMS)))}
 	for _, f := range []*discovery.Follower{
 		discovery.NewFollower(g.platform.Store, discovery.Configuration, configuration, g.log, g.configurations.Apply),
 		discovery.NewFollower(g.platform.Store, discovery.Servers, servers, g.log, g.servers.Apply),
