Identify restarted engines by their own answers; choose keepers by reports

Ruled out: sending without the expected ID, since an address may pass to another service. A report whose start time differs marks the server, and where one service alone has engines its ID is asked for between two reports. The server for a copy comes from the same reports, so it is known to be alive.

--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -38,14 +38,15 @@
 // server that the sending named keeps it up to date by itself; when that server
 // is lost, copies are made on another one until the run ends.
 type backup struct {
-	run     *run
-	keeper  *pool.Member // server of the newest copy; nil: none
-	held    *heldCopy    // the newest copy; nil: none
-	since   time.Time    // when the copy was begun
-	nextAt  time.Time    // when the copy has to be made again; zero: the server keeps it up to date
-	copying bool
-	copied  chan copyResult
-	release func() // ends the count of the copy at its keeper
+	run      *run
+	keeper   *pool.Member  // server of the newest copy; nil: none
+	identity pool.Identity // of the keeper when the copy was begun
+	held     *heldCopy     // the newest copy; nil: none
+	since    time.Time     // when the copy was begun
+	nextAt   time.Time     // when the copy has to be made again; zero: the server keeps it up to date
+	copying  bool
+	copied   chan copyResult
+	release  func() // ends the count of the copy at its keeper
 }
 
 type copyResult struct {
@@ -67,6 +68,7 @@
 func (b *backup) keep(keeper *pool.Member, c Copy, began time.Time) {
 	b.drop()
 	b.keeper = keeper
+	b.identity = pool.Identity{ID: keeper.Current().ID}
 	b.held = &heldCopy{Copy: c, serverID: keeper.ID}
 	b.since = began
 	b.release = keeper.KeepCopy()
@@ -108,7 +110,7 @@
 	if life == 0 || b.copying {
 		return
 	}
-	if b.keeper != nil && !b.run.f.Pool.Serves(b.keeper, b.since) {
+	if b.keeper != nil && !b.run.f.Pool.Serves(b.keeper, b.identity, b.since) {
 		b.run.x.log.WithFields(logrus.Fields{"copy_at": b.keeper.ID, "domain": b.keeper.FailureDomain}).Info("copy of the stream's memory is lost")
 		b.drop()
 		b.nextAt = now
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -85,7 +85,7 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	began := time.Now()
-	r := f.sender.send(ctx, x, Sending{Server: m.Server, Workspace: x.workspace.Name, Left: x.left()}).readAll()
+	r := f.sender.send(ctx, x, Sending{Server: m.Current(), Workspace: x.workspace.Name, Left: x.left()}).readAll()
 	results <- sent{member: m, reply: r, began: began}
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,12 +26,6 @@
 	retryNoServer = 400 * time.Millisecond
 	// retryLeaving sends a caller to another instance at once.
 	retryLeaving = 10 * time.Millisecond
-	// reportsAsked is how many servers are asked for their load before a prompt is
-	// placed. The best of a few is nearly as good as the best of all, and random
-	// choices keep instances with the same stale reports from choosing the same server.
-	reportsAsked = 4
-	// reportTimeout bounds the wait for reports, which take a few milliseconds.
-	reportTimeout = 100 * time.Millisecond
 	// defaultDeadline bounds requests for which neither caller nor route does.
 	defaultDeadline = time.Minute
 	// defaultBodyBytes bounds a body if the configuration does not.
@@ -235,38 +228,6 @@
 	return pool.Pick(f.Pool.Members(x.service.Name), need, time.Now())
 }
 
-// pickByReport chooses the server of a new prompt by the newest reports of a few.
-func (f *Forwarder) pickByReport(ctx context.Context, x *exchange, need pool.Need) (*pool.Member, bool) {
-	need.Avoid = append(need.Avoid, x.tried...)
-	some := pool.PickSome(f.Pool.Members(x.service.Name), need, reportsAsked, time.Now())
-	if len(some) == 1 {
-		return some[0], true
-	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	reports := make([]*pool.Report, len(some))
-	var asked sync.WaitGroup
-	for i, m := range some {
-		asked.Go(func() {
-			report, err := f.Reporter.Report(ctx, m.Address)
-			if err != nil {
-				x.log.WithField("server", m.ID).WithError(err).Info("server did not report its load")
-				m.Lose(time.Now())
-				return
-			}
-			reports[i] = &report
-		})
-	}
-	asked.Wait()
-	if i, ok := pool.ChooseByReport(reports); ok {
-		x.log.WithFields(logrus.Fields{
-			"server": some[i].ID, "writing": reports[i].Writing, "reading": reports[i].Reading, "waiting": reports[i].Waiting, "asked": len(some),
-		}).Info("server chosen by its report")
-		return some[i], true
-	}
-	return f.pick(x, need)
-}
-
 // note updates what is known of the request and its server after a sending.
 func (f *Forwarder) note(x *exchange, m *pool.Member, result Result) {
 	x.state.Last = result
@@ -279,7 +240,8 @@
 	case Misplaced:
 		// The request cost nothing and the server is not chosen again, so that
 		// such answers, many after a failure domain has restarted, are bounded.
-		m.Replace()
+		m.Displace(0)
+		f.identify(x, m)
 	case Failed, ServerError:
 		x.state.MayHaveRun++
 		m.Failed()
--- /dev/null
+++ b/internal/forward/place.go
@@ -0,0 +1,130 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/pool"
+)
+
+const (
+	// reportsAsked is how many servers are asked for their load before a prompt is
+	// placed. The best of a few is nearly as good as the best of all, and random
+	// choices keep instances with the same stale reports from choosing the same server.
+	reportsAsked = 4
+	// reportTimeout bounds the wait for reports, which take a few milliseconds.
+	reportTimeout = 100 * time.Millisecond
+	// identifyTimeout bounds the question for the identity of a restarted server.
+	identifyTimeout = 500 * time.Millisecond
+)
+
+// Reporter asks a model server about itself. An answer also shows that the
+// server is alive.
+type Reporter interface {
+	// Report returns the load of the server at an address.
+	Report(ctx context.Context, address string) (pool.Report, error)
+	// Identify returns the ID of the server at an address.
+	Identify(ctx context.Context, address, healthPath string) (id string, err error)
+}
+
+// placement is where a prompt goes: its server and the one that keeps a copy of
+// its memory, or nil for the latter.
+type placement struct {
+	server *pool.Member
+	keeper *pool.Member
+}
+
+// placeByReport places a new prompt by the newest reports of a few servers.
+func (f *Forwarder) placeByReport(ctx context.Context, x *exchange, need pool.Need) (placement, bool) {
+	need.Avoid = append(need.Avoid, x.tried...)
+	some := pool.PickSome(f.Pool.Members(x.service.Name), need, reportsAsked, time.Now())
+	reports := f.reports(ctx, x, some)
+	i, ok := pool.ChooseByReport(reports, func(i int) bool { return !some[i].Replaced() })
+	if !ok {
+		m, found := f.pick(x, need)
+		return placement{server: m}, found
+	}
+	p := placement{server: some[i]}
+	x.log.WithFields(logrus.Fields{
+		"server": some[i].ID, "writing": reports[i].Writing, "reading": reports[i].Reading, "waiting": reports[i].Waiting, "asked": len(some),
+	}).Info("server chosen by its report")
+	// The other servers that answered are known to be alive, whatever the list says.
+	if j, ok := pool.ChooseByReport(reports, func(j int) bool {
+		return j != i && !some[j].Replaced() && some[j].FailureDomain != some[i].FailureDomain
+	}); ok {
+		p.keeper = some[j]
+	}
+	return p, true
+}
+
+// reports asks servers for their load; the report of one that does not answer is nil.
+func (f *Forwarder) reports(ctx context.Context, x *exchange, members []*pool.Member) []*pool.Report {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	reports := make([]*pool.Report, len(members))
+	var asked sync.WaitGroup
+	for i, m := range members {
+		asked.Go(func() {
+			report, err := f.Reporter.Report(ctx, m.Address)
+			if err != nil {
+				x.log.WithField("server", m.ID).WithError(err).Info("server did not report its load")
+				m.Lose(time.Now())
+				return
+			}
+			reports[i] = &report
+			if !m.BornAt(report.Born) {
+				f.identify(x, m)
+			}
+		})
+	}
+	asked.Wait()
+	return reports
+}
+
+// identify asks a restarted server for its new ID, so that it is of use before
+// the list shows it. Its address may have passed to a server of another service
+// instead. Only model servers report, so where one service alone has them, the
+// server that reports is one of that service.
+func (f *Forwarder) identify(x *exchange, m *pool.Member) {
+	table := f.Tables.Current()
+	if !table.OnlyEngines(m.Service) || !m.Ask() {
+		return
+	}
+	healthPath := table.Service(m.Service).HealthPath
+	log := x.log.WithFields(logrus.Fields{"server": m.ID, "address": m.Address})
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
+		defer cancel()
+		identity, err := f.identity(ctx, m.Address, healthPath)
+		m.Asked(identity)
+		if err != nil {
+			log.WithError(err).Info("restarted server was not identified")
+			return
+		}
+		log.WithFields(logrus.Fields{"new_id": identity.ID, "born": identity.Born}).Info("restarted server identified")
+	}()
+}
+
+// identity asks for the ID between two reports of the same process, so that all
+// of them come from one model server.
+func (f *Forwarder) identity(ctx context.Context, address, healthPath string) (pool.Identity, error) {
+	before, err := f.Reporter.Report(ctx, address)
+	if err != nil {
+		return pool.Identity{}, err
+	}
+	id, err := f.Reporter.Identify(ctx, address, healthPath)
+	if err != nil {
+		return pool.Identity{}, err
+	}
+	after, err := f.Reporter.Report(ctx, address)
+	if err != nil {
+		return pool.Identity{}, err
+	}
+	if before.Born == 0 || before.Born != after.Born {
+		return pool.Identity{}, errRestarted
+	}
+	return pool.Identity{ID: id, Born: after.Born}, nil
+}
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -8,7 +8,6 @@
 package forward
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -66,9 +65,3 @@
 	// SetRetryAfter says when the caller may come back.
 	SetRetryAfter(header http.Header, after time.Duration)
 }
-
-// Reporter asks a model server for its load. An answer also shows that the
-// server is alive.
-type Reporter interface {
-	Report(ctx context.Context, address string) (pool.Report, error)
-}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -67,7 +67,8 @@
 		need.Prefer = s.copy.serverID
 	}
 	if x.service.Engine != nil && need.Prefer == "" {
-		m, ok = s.f.pickByReport(ctx, x, need)
+		p, placed := s.f.placeByReport(ctx, x, need)
+		m, keeper, ok = p.server, p.keeper, placed
 	} else {
 		m, ok = s.f.pick(x, need)
 	}
@@ -75,12 +76,15 @@
 		return nil, nil, sending, false
 	}
 	x.tried = append(x.tried, m.ID)
-	sending = Sending{Server: m.Server, Workspace: x.workspace.Name, LastEvent: s.last}
+	sending = Sending{Server: m.Current(), Workspace: x.workspace.Name, LastEvent: s.last}
 	if s.copy != nil && m.ID == s.copy.serverID {
 		sending.From = &s.copy.Copy
 	}
 	if s.copyLife() > 0 {
-		if keeper, ok = s.pickKeeper(m); ok {
+		if keeper == nil {
+			keeper, _ = s.pickKeeper(m)
+		}
+		if keeper != nil {
 			sending.Backup = &keeper.Server
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,7 +34,8 @@
 	errors   atomic.Int64              // recent share of failed requests, in 1/1000
 	lostAt   atomic.Pointer[time.Time] // last loss, with its monotonic reading; nil: none
 	lost     atomic.Pointer[chan struct{}]
-	replaced atomic.Bool // another server answers at its address
+	identity atomic.Pointer[Identity] // of the process at the address; nil: that of the entry
+	asking   atomic.Bool              // the identity is being asked for
 }
 
 func newMember(s Server) *Member {
@@ -84,21 +85,65 @@
 // Lost returns a channel that is closed when the server is next lost.
 func (o *observed) Lost() <-chan struct{} { return *o.lost.Load() }
 
-// Replace notes that another server answers at the address. A restarted server
-// mostly has a new ID, and the list shows it later, or not at all while the
-// store is down.
-func (o *observed) Replace() { o.replaced.Store(true) }
+// Identity names one start of a server.
+type Identity struct {
+	ID   string // empty: unknown
+	Born int64  // Unix milliseconds; 0: unknown
+}
+
+// Current returns the server with the identity of the process at its address.
+func (m *Member) Current() Server {
+	s := m.Server
+	if identity := m.identity.Load(); identity != nil {
+		s.ID, s.Born = identity.ID, identity.Born
+	}
+	return s
+}
+
+// Replaced reports whether another process, not known by name, has the address.
+func (m *Member) Replaced() bool { return m.Current().ID == "" }
+
+// Displace notes that another process answers at the address. A restarted server
+// mostly has a new ID, and the list shows it later, or not at all while the store
+// is down.
+func (m *Member) Displace(born int64) { m.identity.Store(&Identity{Born: born}) }
+
+// BornAt notes when the process at the address says that it started, and
+// reports whether that is the known one.
+func (m *Member) BornAt(born int64) bool {
+	known := m.Current()
+	if born == 0 || known.Born == 0 || born == known.Born {
+		return !m.Replaced()
+	}
+	m.Displace(born)
+	return false
+}
+
+// Ask reports whether the caller has to ask for the identity of the process at
+// the address, and may then call Asked.
+func (m *Member) Ask() bool { return m.Replaced() && m.asking.CompareAndSwap(false, true) }
+
+// Asked takes the answer; an empty ID means that there was none. Observations of
+// the process before do not hold for this one.
+func (m *Member) Asked(identity Identity) {
+	if identity.ID != "" {
+		m.identity.Store(&identity)
+		m.lostAt.Store(nil)
+		m.errors.Store(0)
+	}
+	m.asking.Store(false)
+}
 
 // candidate returns the inputs of a choice.
 func (m *Member) candidate(now time.Time) Candidate {
 	c := Candidate{
-		Server:     m.Server,
+		Server:     m.Current(),
 		Active:     int(m.active.Load()),
 		Prefilling: int(m.prefills.Load()),
 		Copies:     int(m.copies.Load()),
 		ErrorShare: float64(m.errors.Load()) / 1000,
 		SinceLoss:  never,
-		Replaced:   m.replaced.Load(),
+		Replaced:   m.Replaced(),
 	}
 	if at := m.lostAt.Load(); at != nil {
 		c.SinceLoss = now.Sub(*at)
@@ -146,11 +191,14 @@
 // Members returns the servers of a service.
 func (p *Pool) Members(service string) []*Member { return p.view.Load().byService[service] }
 
-// Serves reports whether a server is still listed, does not leave, and was not
-// lost since a time.
-func (p *Pool) Serves(m *Member, since time.Time) bool {
+// Serves reports whether the process with an identity is still listed, does not
+// leave, and was not lost since a time.
+func (p *Pool) Serves(m *Member, identity Identity, since time.Time) bool {
 	current, listed := p.view.Load().byID[m.ID]
-	if !listed || current.observed != m.observed || current.Draining || m.replaced.Load() {
+	if !listed || current.observed != m.observed || current.Draining || m.Replaced() {
+		return false
+	}
+	if now := m.Current(); now.ID != identity.ID {
 		return false
 	}
 	at := m.lostAt.Load()
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -7,6 +7,7 @@
 	Reading int // streams whose prompt is being read
 	Waiting int // streams that wait
 	Leaving bool
+	Born    int64 // Unix milliseconds of the start of the server; 0: not said
 }
 
 // readingWeight is the load of a prompt that is or will be read before a new
@@ -15,15 +16,17 @@
 // produces events is only delayed.
 const readingWeight = 1.6
 
-func (r Report) load() float64 { return float64(r.Writing) + readingWeight*float64(r.Reading+r.Waiting) }
+func (r Report) load() float64 {
+	return float64(r.Writing) + readingWeight*float64(r.Reading+r.Waiting)
+}
 
 // ChooseByReport returns the index of the server that a new prompt delays least
 // and that delays it least. A nil report is of a server that did not answer; it
-// is never chosen.
-func ChooseByReport(reports []*Report) (int, bool) {
+// is never chosen. usable tells of other reasons not to choose one.
+func ChooseByReport(reports []*Report, usable func(i int) bool) (int, bool) {
 	best, found := 0, false
 	for i, r := range reports {
-		if r == nil || r.Leaving {
+		if r == nil || r.Leaving || !usable(i) {
 			continue
 		}
 		if !found || r.load() < reports[best].load() {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -84,6 +84,7 @@
 // Service is a set of servers that answer the same requests.
 type Service struct {
 	Name           string
+	HealthPath     string
 	MaxConnections int     // per server, from all callers together; 0: unknown
 	Engine         *Engine // nil for a plain service
 }
@@ -170,6 +171,19 @@
 	return w, known || r.Public
 }
 
+// OnlyEngines reports whether a service has model servers and no other has.
+func (t *Table) OnlyEngines(name string) bool {
+	if t.Service(name).Engine == nil {
+		return false
+	}
+	for _, s := range t.services {
+		if s.Engine != nil && s.Name != name {
+			return false
+		}
+	}
+	return true
+}
+
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
