--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,251 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/pool"
+	"foxtailhub.example/foxtailhub/internal/route"
+)
+
+// textDecoder reads configurations that consist of their version, and servers
+// that consist of their state.
+type textDecoder struct{}
+
+var errUnreadable = errors.New("unreadable")
+
+func (textDecoder) Configuration(row Row) (route.Document, bool, error) {
+	version, err := strconv.ParseInt(string(row.Value), 10, 64)
+	if err != nil {
+		return route.Document{}, true, errUnreadable
+	}
+	return route.Document{Version: version}, row.Key == "config", nil
+}
+
+func (textDecoder) Server(row Row) (pool.Server, error) {
+	state := string(row.Value)
+	if state != "ready" && state != "leaving" {
+		return pool.Server{}, errUnreadable
+	}
+	return pool.Server{ID: row.Key, Service: "s", Address: row.Key, Draining: state == "leaving"}, nil
+}
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func row(key, value string, version int64) Row {
+	return Row{Key: key, Value: []byte(value), Version: version}
+}
+
+func gone(key string, version int64) Row { return Row{Key: key, Version: version, Deleted: true} }
+
+// Guards against a return to an older configuration, and against the loss of
+// the one in force by one that cannot be read.
+func TestConfigurationNeverReverts(t *testing.T) {
+	g := NewWithT(t)
+	c := NewConfigurations(textDecoder{}, quiet())
+	g.Expect(c.Current()).To(BeNil())
+	for _, step := range []struct {
+		row  Row
+		want int64
+	}{
+		{row("config", "7", 1), 7},
+		{row("config", "12", 2), 12},
+		{row("config", "9", 3), 12},
+		{row("config", "broken", 4), 12},
+		{gone("config", 5), 12},
+		{row("other", "99", 6), 12},
+		{row("config", "13", 7), 13},
+	} {
+		c.Apply(Batch{Rows: []Row{step.row}}, false, 0)
+		g.Expect(c.Current().Version).To(Equal(step.want))
+	}
+}
+
+func names(p *pool.Pool) string {
+	var all []string
+	for _, m := range p.Members("s") {
+		name := m.ID
+		if m.Draining {
+			name += "-"
+		}
+		all = append(all, name)
+	}
+	return strings.Join(all, " ")
+}
+
+// Guards against servers that are used after they have left, and against
+// entries of other writers that hide those of servers.
+func TestServerList(t *testing.T) {
+	g := NewWithT(t)
+	p := pool.New()
+	l := NewServerList(p, textDecoder{}, quiet())
+	l.Apply(Batch{Rows: []Row{row("a", "ready", 1), row("b", "ready", 2), row("x", "{", 3)}}, true, 0)
+	g.Expect(names(p)).To(Equal("a b"))
+	l.Apply(Batch{Rows: []Row{row("a", "leaving", 4)}}, false, time.Second)
+	g.Expect(names(p)).To(Equal("a- b"))
+	l.Apply(Batch{Rows: []Row{gone("a", 5), row("b", "unheard of", 6), row("c", "ready", 7)}}, false, time.Second)
+	g.Expect(names(p)).To(Equal("c"))
+	l.Apply(Batch{Rows: []Row{row("d", "ready", 8)}}, true, time.Second)
+	g.Expect(names(p)).To(Equal("d"), "what a whole read lacks is gone")
+}
+
+// Guards against the loss of all servers when their entries lapse while the
+// store is away, and against servers that stay although they do not come back.
+func TestEntriesThatLapsedInAnOutage(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	p := pool.New()
+	l := NewServerList(p, textDecoder{}, quiet())
+	l.now = func() time.Time { return now }
+	l.Apply(Batch{Rows: []Row{row("a", "ready", 1), row("b", "ready", 2), row("c", "leaving", 3)}}, true, 0)
+
+	l.Apply(Batch{Rows: []Row{gone("a", 4), gone("b", 5), gone("c", 6)}}, false, 8*time.Second)
+	g.Expect(names(p)).To(Equal("a b"), "one that was leaving has left")
+	now = now.Add(time.Second)
+	l.Apply(Batch{Rows: []Row{row("a", "ready", 7)}}, false, time.Second)
+	now = now.Add(900 * time.Millisecond)
+	l.Apply(Batch{}, false, time.Second)
+	g.Expect(names(p)).To(Equal("a b"))
+	now = now.Add(100 * time.Millisecond)
+	l.Apply(Batch{}, false, time.Second)
+	g.Expect(names(p)).To(Equal("a"))
+	now = now.Add(time.Second)
+	l.Apply(Batch{Rows: []Row{gone("a", 8)}}, false, time.Second)
+	g.Expect(names(p)).To(BeEmpty(), "a departure well after the outage")
+}
+
+// fakeStore answers from a script.
+type fakeStore struct {
+	mu      sync.Mutex // guards the fields below
+	version int64
+	rows    []Row
+	err     error
+	dropped bool // the history
+	silent  bool
+	reads   int
+	changes int
+	since   []int64
+}
+
+func (s *fakeStore) answer(ctx context.Context) (Batch, error) {
+	s.mu.Lock()
+	silent, err, batch := s.silent, s.err, Batch{Rows: s.rows, Version: s.version}
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	}
+	return batch, err
+}
+
+func (s *fakeStore) Read(ctx context.Context, _ Topic) (Batch, error) {
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
+	return s.answer(ctx)
+}
+
+func (s *fakeStore) Changes(ctx context.Context, _ Topic, after int64, wait time.Duration) (Batch, error) {
+	s.mu.Lock()
+	s.changes++
+	s.since = append(s.since, after)
+	dropped := s.dropped
+	s.mu.Unlock()
+	if dropped {
+		return Batch{}, ErrHistoryGone
+	}
+	batch, err := s.answer(ctx)
+	if err != nil {
+		return batch, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return batch, nil
+	case <-ctx.Done():
+		return Batch{}, ctx.Err()
+	}
+}
+
+func (s *fakeStore) set(change func(s *fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+// follow runs a follower in a bubble and returns the batches that it applied.
+func follow(t *testing.T, store Store, rhythm Rhythm) *[]Batch {
+	var applied []Batch
+	f := NewFollower(store, Servers, rhythm, quiet(), func(batch Batch, _ bool, _ time.Duration) {
+		applied = append(applied, batch)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return &applied
+}
+
+// Guards against a follower that stays behind after the store has dropped its
+// history, or that takes an answer older than what it knows.
+func TestFollowerReadsAnewWhenHistoryIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := &fakeStore{version: 10}
+		applied := follow(t, store, Rhythm{Pause: time.Second})
+		time.Sleep(1500 * time.Millisecond)
+		store.set(func(s *fakeStore) { g.Expect(s.since).To(Equal([]int64{10})); s.version = 4 })
+		time.Sleep(time.Second)
+		synctest.Wait()
+		g.Expect(*applied).To(HaveLen(2), "a stale answer")
+		store.set(func(s *fakeStore) { s.dropped = true; s.version = 20 })
+		time.Sleep(1500 * time.Millisecond)
+		store.set(func(s *fakeStore) {
+			g.Expect(s.reads).To(Equal(2)) // at the start and for the call that found no history
+			s.err = ErrHistoryGone         // also for the whole read
+		})
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		g.Expect((*applied)[len(*applied)-1].Version).To(BeEquivalentTo(20))
+	})
+}
+
+// Guards against calls without pause at a store that refuses them, and against
+// a connection that has fallen silent and holds a follower for good.
+func TestFollowerBearsOutages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := &fakeStore{version: 10}
+		applied := follow(t, store, Rhythm{Pause: time.Second})
+		time.Sleep(100 * time.Millisecond)
+		store.set(func(s *fakeStore) { s.err = errors.New("429") })
+		time.Sleep(10 * time.Second)
+		store.set(func(s *fakeStore) { g.Expect(s.changes).To(BeNumerically("<", 60)); s.err = nil; s.silent = true })
+		time.Sleep(5 * time.Second)
+		store.set(func(s *fakeStore) { s.silent = false; s.version = 11 })
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		g.Expect((*applied)[len(*applied)-1].Version).To(BeEquivalentTo(11))
+	})
+}
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -64,7 +64,7 @@
 func (f *Follower) step(ctx context.Context) error {
 	whole := !f.synced
 	batch, err := f.call(ctx, whole)
-	if errors.Is(err, ErrHistoryGone) {
+	if errors.Is(err, ErrHistoryGone) && !whole {
 		f.log.WithField("after", f.after).Info("the store dropped its history; reading all rows")
 		f.synced = false
 		return f.step(ctx)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -25,12 +25,14 @@
 	defer cancel() // ends a sending that is no longer needed
 	results := make(chan sent, maxRefusals+x.state.MaxAttempts)
 	flying := 0
+	var asked []*pool.Member
 	start := func() bool {
 		m, ok := f.pick(x, pool.Need{})
 		if !ok {
 			return false
 		}
 		x.tried = append(x.tried, m.ID)
+		asked = append(asked, m)
 		flying++
 		go f.sendCall(f.callContext(ctx, x), x, m, results)
 		return true
@@ -41,12 +43,14 @@
 	}
 	hedge := time.NewTimer(HedgeAfter(x.route.LatencyGoal, x.left()))
 	defer hedge.Stop()
+	stuck := time.NewTimer(StuckAfter(x.route.LatencyGoal))
+	defer stuck.Stop()
 	var last sent
 	for flying > 0 {
 		select {
 		case last = <-results:
 			flying--
-			f.note(x, last.member, last.reply.result)
+			f.note(ctx, x, last.member, last.reply.result)
 			x.logSent(last.member, last.reply, last.began)
 			if last.reply.result == Answered {
 				f.deliver(x, last.reply)
@@ -61,6 +65,11 @@
 				x.log.WithField("age_ms", time.Since(x.arrived).Milliseconds()).Info("request hedged")
 				start()
 			}
+		case <-stuck.C:
+			for _, m := range asked {
+				m.Doubt()
+			}
+			f.checkDoubted(x)
 		case <-ctx.Done():
 			x.state.MayHaveRun += flying
 			f.giveUp(ctx, x)
--- /dev/null
+++ b/internal/forward/call_test.go
@@ -0,0 +1,260 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/route"
+)
+
+var (
+	once       = route.Route{Name: "once", Kind: route.AtMostOnce, MaxAttempts: 1, Timeout: time.Second}
+	idempotent = route.Route{Name: "idempotent", Kind: route.Idempotent, MaxAttempts: 2, Timeout: time.Second}
+)
+
+// Guards against a refusal, which promises that the request has not run, after
+// a connection was made: a reset looks like a failed dial.
+func TestResetIsNoRefusal(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, once, false, "a", "b")
+		w.set(reset, "a", "b")
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.status).To(Equal(http.StatusBadGateway))
+		w.g.Expect(w.visited()).To(HaveLen(1))
+	})
+}
+
+// Guards against a request that is lost although no server has run it.
+func TestUnsentRequestGoesToAnotherServer(t *testing.T) {
+	for name, first := range map[string]server{"refused connection": nil, "not run": notRun, "misplaced": answer(http.StatusMisdirectedRequest, "")} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				w := newWorld(t, once, false, "a", "b")
+				w.set(func(v visit) (*http.Response, error) {
+					if first != nil && len(w.visited()) == 1 {
+						return first(v)
+					}
+					return response(http.StatusOK, "answer"), nil
+				}, "a", "b")
+				if first == nil {
+					w.set(nil, "a")
+				}
+				got := w.ask(t.Context(), nil)
+				w.g.Expect(got.status).To(Equal(http.StatusOK))
+				w.g.Expect(got.body).To(Equal("answer"))
+			})
+		})
+	}
+}
+
+// Guards against a request that waits although no server can take it, and
+// against a refusal without a time to come back.
+func TestRefusalComesAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, once, false, "a", "b", "c")
+		w.set(notRun, "a", "b", "c")
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		w.g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		w.g.Expect(got.took).To(BeZero())
+	})
+}
+
+// Guards against a status of a server that would tell the caller that its
+// request has not run, while the server does not state that.
+func TestUnstatedRefusalIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout} {
+		inBubble(t, func(t *testing.T) {
+			w := newWorld(t, once, false, "a")
+			w.set(answer(status, ""), "a")
+			w.g.Expect(w.ask(t.Context(), nil).status).To(Equal(http.StatusBadGateway))
+		})
+	}
+}
+
+// Guards against a second run of a request that must not repeat, whatever the
+// first server did after it got the request.
+func TestAtMostOnceIsSentOnce(t *testing.T) {
+	cut := func(visit) (*http.Response, error) {
+		r := response(http.StatusOK, "")
+		r.Body = io.NopCloser(io.MultiReader(strings.NewReader("half"), errorReader{errReset}))
+		return r, nil
+	}
+	foreign := func(visit) (*http.Response, error) {
+		r := response(http.StatusOK, "answer to another request")
+		r.Header.Set("Id", "request-2")
+		return r, nil
+	}
+	unsigned := func(visit) (*http.Response, error) {
+		r := response(http.StatusOK, "answer")
+		r.Header.Del("Signature")
+		return r, nil
+	}
+	encoded := func(visit) (*http.Response, error) {
+		r := response(http.StatusOK, "answer")
+		r.Header.Set("Content-Encoding", "gzip")
+		return r, nil
+	}
+	for name, behave := range map[string]server{"reset": reset, "cut answer": cut, "foreign answer": foreign, "unsigned answer": unsigned, "encoded answer": encoded} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				w := newWorld(t, once, false, "a", "b")
+				w.set(behave, "a", "b")
+				got := w.ask(t.Context(), nil)
+				w.g.Expect(got.status).To(Equal(http.StatusBadGateway))
+				w.g.Expect(got.body).NotTo(ContainSubstring("answer"))
+				w.g.Expect(w.visited()).To(HaveLen(1))
+			})
+		})
+	}
+}
+
+type errorReader struct{ err error }
+
+func (r errorReader) Read([]byte) (int, error) { return 0, r.err }
+
+// Guards against an idempotent request that fails with its first server, and
+// against more runs than the route allows.
+func TestIdempotentIsRepeated(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, idempotent, false, "a", "b", "c")
+		w.set(func(v visit) (*http.Response, error) {
+			if len(w.visited()) == 1 {
+				return response(http.StatusInternalServerError, "broken"), nil
+			}
+			return response(http.StatusOK, "answer"), nil
+		}, "a", "b", "c")
+		w.g.Expect(w.ask(t.Context(), nil).body).To(Equal("answer"))
+		w.g.Expect(w.visited()).To(HaveLen(2))
+
+		w.set(answer(http.StatusInternalServerError, "broken"), "a", "b", "c")
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.status).To(Equal(http.StatusInternalServerError))
+		w.g.Expect(got.header.Get("Signature")).To(Equal("signed"))
+		w.g.Expect(w.visited()).To(HaveLen(4))
+	})
+}
+
+// Guards against an idempotent request that waits for a silent server beyond its
+// goal, and against a hedge of one that must not repeat.
+func TestHedge(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, idempotent, false, "a", "b")
+		w.set(func(v visit) (*http.Response, error) {
+			if len(w.visited()) == 1 {
+				return silence(v)
+			}
+			return response(http.StatusOK, "answer"), nil
+		}, "a", "b")
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.body).To(Equal("answer"))
+		w.g.Expect(got.took).To(BeNumerically("<", testGoal))
+	})
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, once, false, "a", "b")
+		w.set(silence, "a", "b")
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.status).To(Equal(http.StatusGatewayTimeout))
+		w.g.Expect(got.took).To(Equal(time.Second))
+		w.g.Expect(w.visited()).To(HaveLen(1))
+	})
+}
+
+// Guards against requests that must not repeat and go to a server that has
+// fallen silent, one after the other until each one's deadline.
+func TestSilentServerIsDoubted(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, once, false, "a", "b")
+		w.set(answer(http.StatusOK, "answer"), "b")
+		w.set(silence, "a")
+		w.silent["a"] = true
+		lost := 0
+		for range 60 {
+			go func() {
+				if w.ask(t.Context(), nil).status != http.StatusOK {
+					lost++
+				}
+			}()
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		// Those that are sent until the first has had no answer for twice the goal.
+		w.g.Expect(lost).To(BeNumerically("<=", 4))
+
+		w.silent["a"] = false
+		w.set(answer(http.StatusOK, "answer"), "a")
+		w.ask(t.Context(), nil)
+		time.Sleep(time.Second)
+		visits := len(w.visited())
+		for range 20 {
+			w.ask(t.Context(), nil)
+		}
+		w.g.Expect(w.visited()[visits:]).To(ContainElement("a"))
+	})
+}
+
+// Guards against servers that go on with a request whose caller has left, and
+// against the loss of the effect of one that must not repeat.
+func TestCallerLeaves(t *testing.T) {
+	for _, c := range []struct {
+		route     route.Route
+		cancelled bool
+	}{{idempotent, true}, {once, false}} {
+		inBubble(t, func(t *testing.T) {
+			w := newWorld(t, c.route, false, "a")
+			w.set(silence, "a")
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+			defer cancel()
+			got := w.ask(ctx, nil)
+			w.g.Expect(got.aborted).To(BeTrue())
+			synctest.Wait()
+			w.g.Expect(w.visit(0).ctx.Err() != nil).To(Equal(c.cancelled))
+			time.Sleep(2 * time.Second)
+		})
+	}
+}
+
+// Guards against a request that is changed on its way or gets more time than
+// its caller has.
+func TestRequestIsUnchanged(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, once, false, "a")
+		w.set(answer(http.StatusOK, "answer"), "a")
+		w.ask(t.Context(), map[string]string{"Deadline": "700", "Other": "kept"})
+		v := w.visit(0)
+		w.g.Expect(v.uri).To(Equal("/path/%2f?query=1"))
+		w.g.Expect(v.body).To(Equal("body"))
+		w.g.Expect(v.header.Get("Other")).To(Equal("kept"))
+		w.g.Expect(v.header.Get("Left")).To(Equal("700"))
+		w.g.Expect(v.header.Get("Server")).To(Equal("a"))
+	})
+}
+
+// Guards against answers to requests that no configuration allows.
+func TestRequestsThatAreNotAllowed(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, once, false, "a")
+		w.set(answer(http.StatusOK, "answer"), "a")
+		current := w.table
+		w.table = nil
+		w.g.Expect(w.ask(t.Context(), nil).status).To(Equal(http.StatusServiceUnavailable))
+		w.table = route.NewTable(route.Document{Version: 2})
+		w.g.Expect(w.ask(t.Context(), nil).status).To(Equal(http.StatusNotFound))
+		matched, _ := current.Match("host", "/")
+		w.table = route.NewTable(route.Document{
+			Version: 3, Routes: []route.Route{*matched},
+			Workspaces: map[string]route.Workspace{"key": {Name: "workspace"}},
+		})
+		w.g.Expect(w.ask(t.Context(), map[string]string{"Key": "other"}).status).To(Equal(http.StatusUnauthorized))
+		w.g.Expect(w.ask(t.Context(), map[string]string{"Key": "key"}).status).To(Equal(http.StatusOK))
+		w.g.Expect(w.visited()).To(HaveLen(1))
+	})
+}
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -140,6 +140,18 @@
 // sent to a second server, so that this one can still answer in time.
 const hedgeShare = 0.6
 
+// stuckShare is the time without an answer, in latency goals, after which a
+// server is doubted. stuckMin keeps servers from being doubted for the longest of
+// ordinary answers.
+const (
+	stuckShare = 2
+	stuckMin   = 250 * time.Millisecond
+)
+
+// StuckAfter returns how long a call may be without an answer before its server
+// is doubted.
+func StuckAfter(goal time.Duration) time.Duration { return max(stuckShare*goal, stuckMin) }
+
 // HedgeAfter returns how long to wait for an answer before the call is sent to
 // a second server.
 func HedgeAfter(goal, left time.Duration) time.Duration {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -49,6 +49,8 @@
 	Log      logrus.FieldLogger
 	Metrics  *Metrics
 	Leaving  *Leaving
+	// Transport carries requests to servers; nil: HTTP/1.1 over TCP.
+	Transport http.RoundTripper
 }
 
 // Forwarder is the HTTP handler for callers.
@@ -60,7 +62,7 @@
 
 // New returns a forwarder.
 func New(config Config) *Forwarder {
-	return &Forwarder{Config: config, sender: newSender(config.Protocol)}
+	return &Forwarder{Config: config, sender: newSender(config.Protocol, config.Transport)}
 }
 
 // Active returns the number of requests in progress.
@@ -225,31 +227,41 @@
 // pick chooses a server for the next sending.
 func (f *Forwarder) pick(x *exchange, need pool.Need) (*pool.Member, bool) {
 	need.Avoid = append(need.Avoid, x.tried...)
+	need.Once = x.route.Kind == route.AtMostOnce
+	f.checkDoubted(x)
 	return pool.Pick(f.Pool.Members(x.service.Name), need, time.Now())
 }
 
 // note updates what is known of the request and its server after a sending.
-func (f *Forwarder) note(x *exchange, m *pool.Member, result Result) {
+func (f *Forwarder) note(ctx context.Context, x *exchange, m *pool.Member, result Result) {
+	f.Metrics.sent(x, result)
 	x.state.Last = result
 	switch result {
-	case NotSent:
-		x.state.Refused++
-		m.Lose(time.Now())
-	case NotRun:
+	case NotSent, NotRun:
 		x.state.Refused++
 	case Misplaced:
 		// The request cost nothing and the server is not chosen again, so that
 		// such answers, many after a failure domain has restarted, are bounded.
+	default:
+		x.state.MayHaveRun++
+	}
+	if ctx.Err() != nil {
+		return // the caller left or the time is over: that says nothing of the server
+	}
+	switch result {
+	case NotSent:
+		m.Lose(time.Now())
+	case Misplaced:
 		m.Displace(0)
 		f.identify(x, m)
-	case Failed, ServerError:
-		x.state.MayHaveRun++
+	case Failed:
+		m.Failed()
+		m.Doubt()
+	case ServerError:
 		m.Failed()
 	case Answered:
-		x.state.MayHaveRun++
 		m.Succeeded()
 	}
-	f.Metrics.sent(x, result)
 }
 
 // logSent writes the line of one sending.
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -19,6 +19,9 @@
 	reportTimeout = 100 * time.Millisecond
 	// identifyTimeout bounds the question for the identity of a restarted server.
 	identifyTimeout = 500 * time.Millisecond
+	// checkInterval is the time between checks of a doubted server by this instance.
+	// Checks take a place at the server like requests.
+	checkInterval = 500 * time.Millisecond
 )
 
 // Reporter asks a model server about itself. An answer also shows that the
@@ -69,11 +72,15 @@
 	for i, m := range members {
 		asked.Go(func() {
 			report, err := f.Reporter.Report(ctx, m.Address)
+			if ctx.Err() == context.Canceled {
+				return // the caller left
+			}
 			if err != nil {
 				x.log.WithField("server", m.ID).WithError(err).Info("server did not report its load")
 				m.Lose(time.Now())
 				return
 			}
+			m.Alive()
 			reports[i] = &report
 			if !m.BornAt(report.Born) {
 				f.identify(x, m)
@@ -108,6 +115,36 @@
 	}()
 }
 
+// checkDoubted asks the doubted servers of a plain service whether they are back.
+func (f *Forwarder) checkDoubted(x *exchange) {
+	if x.service.Engine != nil {
+		return // reports tell it
+	}
+	now := time.Now()
+	for _, m := range f.Pool.Members(x.service.Name) {
+		if m.Check(now, checkInterval) {
+			go f.check(x, m)
+		}
+	}
+}
+
+func (f *Forwarder) check(x *exchange, m *pool.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
+	defer cancel()
+	log := f.Log.WithFields(logrus.Fields{"server": m.ID, "address": m.Address, "cause_request": x.meta.ID})
+	id, err := f.Reporter.Identify(ctx, m.Address, x.service.HealthPath)
+	switch {
+	case err != nil:
+		log.WithError(err).Info("doubted server did not answer")
+	case id != m.Current().ID:
+		m.Displace(0)
+		log.WithField("new_id", id).Info("doubted server was replaced")
+	default:
+		m.Alive()
+		log.Info("doubted server is back")
+	}
+}
+
 // identity asks for the ID between two reports of the same process, so that all
 // of them come from one model server.
 func (f *Forwarder) identity(ctx context.Context, address, healthPath string) (pool.Identity, error) {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -42,16 +42,16 @@
 	transport http.RoundTripper
 }
 
-func newSender(protocol Protocol) *sender {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &sender{
-		protocol: protocol,
-		transport: &http.Transport{
+func newSender(protocol Protocol, transport http.RoundTripper) *sender {
+	if transport == nil {
+		dialer := &net.Dialer{Timeout: dialTimeout}
+		transport = &http.Transport{
 			DialContext:        dialer.DialContext,
 			DisableKeepAlives:  true, // also keeps the transport from repeating requests by itself
 			DisableCompression: true,
-		},
+		}
 	}
+	return &sender{protocol: protocol, transport: transport}
 }
 
 // reply is the outcome of one sending.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -25,7 +25,7 @@
 	x             *exchange
 	head          bool      // the head of the answer was written
 	last          int64     // number of the last event that the caller has
-	promptAt      string    // server that keeps the prompt; empty: unknown
+	promptAt      string    // server that keeps the prompt, for the first sending; empty: unknown
 	events        int       // delivered by this instance
 	copy          *heldCopy // copy of the memory of the run that failed last
 	failure       *reply    // a server's own failure, for the caller if nothing better comes
@@ -63,6 +63,7 @@
 func (s *relay) plan(ctx context.Context) (m, keeper *pool.Member, sending Sending, ok bool) {
 	x := s.x
 	need := pool.Need{AvoidDomains: s.failedDomains, Prefer: s.promptAt}
+	s.promptAt = ""
 	if s.copy != nil {
 		need.Prefer = s.copy.serverID
 	}
@@ -133,14 +134,14 @@
 	items := make(chan item, eventBuffer)
 	go s.f.sender.pump(ctx, s.x, sending, items)
 	result, err := run.follow(ctx, items)
-	s.note(m, sending, result, err, began)
+	s.note(ctx, m, sending, result, err, began)
 	s.keepCopy(result, run, sending.LastEvent)
 	run.backup.end(s.copy != nil)
 	return result
 }
 
-func (s *relay) note(m *pool.Member, sending Sending, result Result, err error, began time.Time) {
-	s.f.note(s.x, m, result)
+func (s *relay) note(ctx context.Context, m *pool.Member, sending Sending, result Result, err error, began time.Time) {
+	s.f.note(ctx, s.x, m, result)
 	fields := logrus.Fields{
 		"server": m.ID, "domain": m.FailureDomain, "route": s.x.route.Name, "configuration": s.x.version, "result": result,
 		"after_event": sending.LastEvent, "last_event": s.last, "took_ms": time.Since(began).Milliseconds(),
@@ -299,6 +300,9 @@
 			}
 		case err := <-probed:
 			probing = false
+			if ctx.Err() != nil {
+				return Failed, ctx.Err()
+			}
 			if err != nil && !r.heardSince(probeTimeout) {
 				r.member.Lose(time.Now())
 				return Failed, errors.Mark(err, errSilent)
--- /dev/null
+++ b/internal/forward/stream_test.go
@@ -0,0 +1,324 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/pool"
+	"foxtailhub.example/foxtailhub/internal/route"
+)
+
+var streaming = route.Route{
+	Name: "streaming", Kind: route.Stream, Resumable: true, MaxAttempts: 5, Timeout: 25 * time.Second,
+	LatencyGoal: 4500 * time.Millisecond, PauseGoal: 700 * time.Millisecond,
+}
+
+// lossy makes the first server that gets the stream end it early after some
+// events, and all others complete it.
+func (w *world) lossy(events, total int, interval time.Duration, end error, names ...string) {
+	first := true
+	w.set(func(v visit) (*http.Response, error) {
+		if first {
+			first = false
+			return stream(events, interval, end)(v)
+		}
+		return stream(total, interval, nil)(v)
+	}, names...)
+}
+
+// Guards against missing, repeated or joined events when a server crashes, and
+// against reading the prompt again although a copy of the memory lies elsewhere.
+func TestStreamGoesOnFromCopy(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b", "c")
+		w.lossy(40, 130, 30*time.Millisecond, errReset, "a", "b", "c")
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.status).To(Equal(http.StatusOK))
+		w.g.Expect(got.aborted).To(BeFalse())
+		w.g.Expect(got.body).To(Equal(eventsText(1, 130)))
+		first, second := w.visit(0), w.visit(1)
+		w.g.Expect(second.server).To(Equal(first.header.Get("Backup")))
+		w.g.Expect(second.header.Get("From")).To(Equal(second.server + "/request-1"))
+		w.g.Expect(second.header.Get("Last")).To(Equal("40"))
+		w.g.Expect(second.header.Get("Backup")).NotTo(Or(BeEmpty(), Equal(first.server)))
+	})
+}
+
+// Guards against an event that is passed on although the server broke off
+// within it.
+func TestCutEventIsNotPassedOn(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b")
+		first := true
+		w.set(func(v visit) (*http.Response, error) {
+			if first {
+				first = false
+				return response(http.StatusOK, eventsText(1, 3)+"id: 4\ndata: ev"), nil
+			}
+			return stream(6, time.Millisecond, nil)(v)
+		}, "a", "b")
+		w.g.Expect(w.ask(t.Context(), nil).body).To(Equal(eventsText(1, 6)))
+	})
+}
+
+// Guards against a stream that waits longer than its route's pause for a server
+// that has fallen silent.
+func TestSilentServerIsLeft(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b", "c")
+		var gaps []time.Duration
+		last := time.Now()
+		w.lossy(40, 130, 30*time.Millisecond, errSilence, "a", "b", "c")
+		behave := w.servers["a"]
+		w.set(func(v visit) (*http.Response, error) {
+			if len(w.visited()) == 1 {
+				time.AfterFunc(40*30*time.Millisecond, func() {
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					w.silent[v.server] = true
+					last = time.Now()
+				})
+			} else {
+				gaps = append(gaps, time.Since(last))
+			}
+			return behave(v)
+		}, "a", "b", "c")
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.body).To(Equal(eventsText(1, 130)))
+		w.g.Expect(gaps).To(HaveLen(1))
+		// The next server needs up to 200 ms for its first event.
+		w.g.Expect(gaps[0]).To(BeNumerically("<=", 500*time.Millisecond))
+		w.g.Expect(w.visit(0).ctx.Err()).To(HaveOccurred(), "the silent server's run was not ended")
+	})
+}
+
+// Guards against a stream that leaves a live server which reads a long prompt
+// or delays its events for the prompts of others.
+func TestSlowServerIsKept(t *testing.T) {
+	for name, behave := range map[string]server{
+		"long prompt": after(4*time.Second, stream(30, 30*time.Millisecond, nil)),
+		"slow events": stream(30, 600*time.Millisecond, nil),
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				w := newWorld(t, streaming, true, "a", "b")
+				w.set(behave, "a", "b")
+				w.g.Expect(w.ask(t.Context(), nil).body).To(Equal(eventsText(1, 30)))
+				w.g.Expect(w.visited()).To(HaveLen(1))
+			})
+		})
+	}
+}
+
+// Guards against a stream on a connection that is dead while its server lives.
+func TestDeadConnectionIsLeft(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b")
+		w.lossy(10, 30, 30*time.Millisecond, errSilence, "a", "b")
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.body).To(Equal(eventsText(1, 30)))
+		w.g.Expect(got.took).To(BeNumerically("<", 3*time.Second))
+	})
+}
+
+// Guards against a prompt that is read again because the server of its only
+// copy was lost before its own server.
+func TestLostCopyIsMadeAnew(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b", "c")
+		w.lossy(60, 130, 30*time.Millisecond, errReset, "a", "b", "c")
+		time.AfterFunc(time.Second, func() {
+			keeper := w.visit(0).header.Get("Backup")
+			for _, m := range w.pool.Members("service") {
+				if m.ID == keeper {
+					m.Lose(time.Now())
+				}
+			}
+		})
+		w.g.Expect(w.ask(t.Context(), nil).body).To(Equal(eventsText(1, 130)))
+		first, second := w.visit(0), w.visit(1)
+		w.g.Expect(w.copies).NotTo(BeEmpty())
+		w.g.Expect(w.copies[0]).To(HavePrefix(first.server + " request-1 "))
+		w.g.Expect(w.copies[0]).To(HaveSuffix(" " + second.server))
+		w.g.Expect(second.server).NotTo(Equal(first.header.Get("Backup")))
+		w.g.Expect(second.header.Get("From")).To(HavePrefix(first.server + "/copy-"))
+	})
+}
+
+// Guards against copies that stay at their servers after the end of their run.
+func TestCopyIsFreed(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b", "c")
+		w.set(stream(130, 30*time.Millisecond, nil), "a", "b", "c")
+		time.AfterFunc(time.Second, func() {
+			for _, m := range w.pool.Members("service") {
+				if m.ID == w.visit(0).header.Get("Backup") {
+					m.Lose(time.Now())
+				}
+			}
+		})
+		w.ask(t.Context(), nil)
+		synctest.Wait()
+		w.g.Expect(w.copies).NotTo(BeEmpty())
+		w.g.Expect(w.dropped).To(HaveLen(1))
+	})
+}
+
+// Guards against a stream that ends because restarted servers answer under new
+// names, and against asking them again and again.
+func TestRestartedServersAreIdentified(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b", "c", "d")
+		for _, name := range []string{"a", "b", "c", "d"} {
+			w.born[name] = 2 // the list says 1
+			w.ids[name] = name + "-new"
+		}
+		w.set(func(v visit) (*http.Response, error) {
+			if v.header.Get("Server") != v.server+"-new" {
+				return response(http.StatusMisdirectedRequest, ""), nil
+			}
+			return stream(10, 30*time.Millisecond, nil)(v)
+		}, "a", "b", "c", "d")
+		w.ask(t.Context(), nil)
+		synctest.Wait()
+		visits := len(w.visited())
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.body).To(Equal(eventsText(1, 10)))
+		w.g.Expect(w.visited()).To(HaveLen(visits + 1))
+	})
+}
+
+// Guards against a restarted server that is taken for one of the service by its
+// address alone, where another service has model servers too.
+func TestOtherEnginesAreNotIdentified(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a")
+		matched, _ := w.table.Match("host", "/")
+		engine := &route.Engine{KeepsCopies: true, CopyLife: time.Second}
+		w.table = route.NewTable(route.Document{Version: 2, Routes: []route.Route{*matched}, Services: []route.Service{
+			{Name: "service", Engine: engine}, {Name: "other", Engine: engine},
+		}})
+		w.born["a"], w.ids["a"] = 2, "a-new"
+		w.set(stream(10, time.Millisecond, nil), "a")
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		synctest.Wait()
+		w.g.Expect(w.ask(t.Context(), nil).status).To(Equal(http.StatusServiceUnavailable))
+		w.g.Expect(w.visited()).To(BeEmpty())
+	})
+}
+
+// Guards against a missing event that is passed over.
+func TestMissingEventMovesTheStream(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b")
+		first := true
+		w.set(func(v visit) (*http.Response, error) {
+			if first {
+				first = false
+				return response(http.StatusOK, eventsText(1, 3)+eventsText(5, 6)), nil
+			}
+			return stream(6, time.Millisecond, nil)(v)
+		}, "a", "b")
+		w.g.Expect(w.ask(t.Context(), nil).body).To(Equal(eventsText(1, 6)))
+	})
+}
+
+// Guards against an answer that ends early and looks complete, and against a
+// second run of a stream that may not be resumed.
+func TestStreamThatCannotGoOnIsBrokenOff(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		r := streaming
+		r.Resumable = false
+		w := newWorld(t, r, true, "a", "b")
+		w.lossy(10, 20, time.Millisecond, errReset, "a", "b")
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.aborted).To(BeTrue())
+		w.g.Expect(got.body).To(Equal(eventsText(1, 10)))
+		w.g.Expect(w.visited()).To(HaveLen(1))
+	})
+}
+
+// Guards against a stream that runs on after its caller has left.
+func TestStreamEndsWithItsCaller(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b")
+		w.set(stream(130, 30*time.Millisecond, nil), "a", "b")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		w.g.Expect(w.ask(ctx, nil).aborted).To(BeTrue())
+		synctest.Wait()
+		w.g.Expect(w.visited()).To(HaveLen(1))
+		w.g.Expect(w.visit(0).ctx.Err()).To(HaveOccurred())
+		for _, m := range w.pool.Members("service") {
+			w.g.Expect(w.pool.Serves(m, pool.Identity{ID: m.ID}, time.Now())).To(BeTrue())
+		}
+	})
+}
+
+// Guards against an answer beyond the route's time.
+func TestStreamEndsAtTimeout(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b")
+		w.set(stream(10_000, 30*time.Millisecond, nil), "a", "b")
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.aborted).To(BeTrue())
+		w.g.Expect(got.took).To(Equal(streaming.Timeout))
+	})
+}
+
+// Guards against reading a prompt again that a server still keeps, after the
+// instance before was lost.
+func TestContinuedStreamGoesToItsPrompt(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b", "c", "d", "e", "f")
+		w.set(stream(130, time.Millisecond, nil), "a", "b", "c", "d", "e", "f")
+		w.held["d"] = 8000
+		got := w.ask(t.Context(), map[string]string{"Last": "60", "Prompt": "part"})
+		w.g.Expect(got.body).To(Equal(eventsText(61, 130)))
+		w.g.Expect(w.visited()).To(Equal([]string{"d"}))
+	})
+}
+
+// Guards against a new stream at an instance that ends before it.
+func TestLeavingInstanceRefusesStreams(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a")
+		w.set(stream(10, time.Millisecond, nil), "a")
+		w.f.Leaving.Begin(time.Now().Add(8 * time.Second))
+		w.g.Expect(w.ask(t.Context(), nil).status).To(Equal(http.StatusOK))
+		time.Sleep(3 * time.Second)
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		w.g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		w.g.Expect(w.visited()).To(HaveLen(1))
+	})
+}
+
+// Guards against a failed request whose log does not tell what was decided, on
+// which inputs.
+func TestStreamIsExplainedByItsLog(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b", "c")
+		w.lossy(40, 130, 30*time.Millisecond, errReset, "a", "b", "c")
+		w.ask(t.Context(), nil)
+		var told []string
+		for _, line := range strings.Split(w.log.String(), "\n") {
+			if strings.Contains(line, "request=request-1") {
+				told = append(told, line)
+			}
+		}
+		w.g.Expect(told).To(ContainElements(
+			ContainSubstring("server chosen by its report"),
+			And(ContainSubstring("stream sent"), ContainSubstring("result=failed"), ContainSubstring("last_event=40")),
+			And(ContainSubstring("stream sent"), ContainSubstring("from_copy=true")),
+			And(ContainSubstring("stream ended"), ContainSubstring("events=130"), ContainSubstring("longest_pause_ms")),
+		))
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,13 +77,14 @@
 	forwarder      *forward.Forwarder
 	leaving        *forward.Leaving
 	left           atomic.Bool // SIGTERM has come
+	listen         func(network, address string) (net.Listener, error)
 }
 
 // New provisions a gateway.
 func New(settings *Settings, platform Platform, log *logrus.Logger) *Gateway {
 	g := &Gateway{
 		settings: settings, platform: platform, log: log,
-		registry: prometheus.NewRegistry(), pool: pool.New(), leaving: &forward.Leaving{},
+		registry: prometheus.NewRegistry(), pool: pool.New(), leaving: &forward.Leaving{}, listen: net.Listen,
 	}
 	g.configurations = discovery.NewConfigurations(platform.Decoder, log)
 	g.servers = discovery.NewServerList(g.pool, platform.Decoder, log)
@@ -110,7 +111,7 @@
 		servers[&http.Server{Handler: g.metrics(), ReadHeaderTimeout: headerTimeout}] = g.settings.MetricsAddress
 	}
 	for server, address := range servers {
-		listener, err := net.Listen("tcp", address)
+		listener, err := g.listen("tcp", address)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -39,6 +39,7 @@
 	ErrorShare float64       // recent share of failed requests, 0 to 1
 	SinceLoss  time.Duration // since the server was last lost
 	Replaced   bool          // another server answers at its address
+	Doubted    bool          // it was lost or silent, and no contact has succeeded since
 }
 
 // Need is what a request needs of a server.
@@ -47,6 +48,7 @@
 	AvoidDomains []string // failure domains to avoid if there are others
 	Prefer       string   // server that holds a copy of the request's memory
 	Copy         bool     // a place for a copy, not for a run
+	Once         bool     // the request cannot be sent again
 }
 
 // Choose returns the index of the best candidate, or false if no server is
@@ -92,6 +94,11 @@
 			return []int{i}, true
 		}
 	}
+	if need.Once {
+		// Whether a doubted server is back is found out by a check, not by a request
+		// that is lost if it is not.
+		eligible = prefer(eligible, func(i int) bool { return !candidates[i].Doubted })
+	}
 	down := lostDomains(candidates)
 	eligible = prefer(eligible, func(i int) bool { return candidates[i].SinceLoss > lossMemory })
 	eligible = prefer(eligible, func(i int) bool { return !slices.Contains(down, candidates[i].FailureDomain) })
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,8 +34,10 @@
 	errors   atomic.Int64              // recent share of failed requests, in 1/1000
 	lostAt   atomic.Pointer[time.Time] // last loss, with its monotonic reading; nil: none
 	lost     atomic.Pointer[chan struct{}]
-	identity atomic.Pointer[Identity] // of the process at the address; nil: that of the entry
-	asking   atomic.Bool              // the identity is being asked for
+	identity atomic.Pointer[Identity]  // of the process at the address; nil: that of the entry
+	asking   atomic.Bool               // the identity is being asked for
+	doubted  atomic.Bool               // it was lost or silent, and no contact has succeeded since
+	checkAt  atomic.Pointer[time.Time] // when it may be checked next; nil: now
 }
 
 func newMember(s Server) *Member {
@@ -64,7 +66,10 @@
 const errorMemory = 8
 
 // Succeeded notes a request that the server answered properly.
-func (o *observed) Succeeded() { o.observe(0) }
+func (o *observed) Succeeded() {
+	o.doubted.Store(false)
+	o.observe(0)
+}
 
 // Failed notes a request that the server failed while it went on running.
 func (o *observed) Failed() { o.observe(1000) }
@@ -78,10 +83,29 @@
 // silent. All who wait on Lost are told.
 func (o *observed) Lose(now time.Time) {
 	o.lostAt.Store(&now)
+	o.doubted.Store(true)
 	next := make(chan struct{})
 	close(*o.lost.Swap(&next))
 }
 
+// Doubt notes that the server leaves a request without an answer for longer than
+// it usually takes.
+func (o *observed) Doubt() { o.doubted.Store(true) }
+
+// Alive notes that the server has answered a question about itself.
+func (o *observed) Alive() { o.doubted.Store(false) }
+
+// Check reports whether the caller has to check a doubted server now, at most
+// once in an interval.
+func (o *observed) Check(now time.Time, interval time.Duration) bool {
+	at := o.checkAt.Load()
+	if !o.doubted.Load() || at != nil && now.Before(*at) {
+		return false
+	}
+	next := now.Add(interval)
+	return o.checkAt.CompareAndSwap(at, &next)
+}
+
 // Lost returns a channel that is closed when the server is next lost.
 func (o *observed) Lost() <-chan struct{} { return *o.lost.Load() }
 
@@ -130,6 +154,7 @@
 		m.identity.Store(&identity)
 		m.lostAt.Store(nil)
 		m.errors.Store(0)
+		m.doubted.Store(false)
 	}
 	m.asking.Store(false)
 }
@@ -137,13 +162,14 @@
 // candidate returns the inputs of a choice.
 func (m *Member) candidate(now time.Time) Candidate {
 	c := Candidate{
-		Server:     m.Current(),
+		Server:     m.Server,
 		Active:     int(m.active.Load()),
 		Prefilling: int(m.prefills.Load()),
 		Copies:     int(m.copies.Load()),
 		ErrorShare: float64(m.errors.Load()) / 1000,
 		SinceLoss:  never,
 		Replaced:   m.Replaced(),
+		Doubted:    m.doubted.Load(),
 	}
 	if at := m.lostAt.Load(); at != nil {
 		c.SinceLoss = now.Sub(*at)
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,182 @@
+package pool
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func server(id, domain string) Server {
+	return Server{ID: id, Service: "service", Address: id, FailureDomain: domain, Slots: 8, Born: 1}
+}
+
+func candidate(id, domain string) Candidate {
+	return Candidate{Server: server(id, domain), SinceLoss: never}
+}
+
+// Guards against a request at a server that leaves, has another process at its
+// address or has failed the request already, whatever else is known.
+func TestUnfitServersAreNeverChosen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		var candidates []Candidate
+		need := Need{Once: rapid.Bool().Draw(t, "once"), Copy: rapid.Bool().Draw(t, "copy")}
+		fit := map[string]bool{}
+		for i := range rapid.IntRange(0, 8).Draw(t, "servers") {
+			c := candidate(string(rune('a'+i)), rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "domain"))
+			c.Draining = rapid.Bool().Draw(t, "draining")
+			c.Replaced = rapid.Bool().Draw(t, "replaced")
+			c.Doubted = rapid.Bool().Draw(t, "doubted")
+			c.SinceLoss = time.Duration(rapid.IntRange(0, 4000).Draw(t, "since")) * time.Millisecond
+			c.Active = rapid.IntRange(0, 9).Draw(t, "active")
+			failed := rapid.Bool().Draw(t, "failed")
+			if failed {
+				need.Avoid = append(need.Avoid, c.ID)
+			}
+			fit[c.ID] = !c.Draining && !c.Replaced && !failed
+			candidates = append(candidates, c)
+		}
+		if len(candidates) > 0 {
+			need.Prefer = rapid.SampledFrom(candidates).Draw(t, "prefer").ID
+		}
+		random := rand.New(rand.NewPCG(1, 2))
+		i, ok := Choose(candidates, need, random)
+		any := false
+		for _, f := range fit {
+			any = any || f
+		}
+		g.Expect(ok).To(Equal(any))
+		if ok {
+			g.Expect(fit[candidates[i].ID]).To(BeTrue())
+		}
+		for _, i := range Shortlist(candidates, need, 3, random) {
+			g.Expect(fit[candidates[i].ID]).To(BeTrue())
+		}
+	})
+}
+
+// Guards against requests at servers of a failure domain that is just losing
+// them, one dial after the other.
+func TestLostFailureDomainIsAvoided(t *testing.T) {
+	g := NewWithT(t)
+	candidates := []Candidate{candidate("a1", "a"), candidate("a2", "a"), candidate("a3", "a"), candidate("b1", "b")}
+	candidates[0].SinceLoss = 100 * time.Millisecond
+	candidates[1].SinceLoss = 100 * time.Millisecond
+	candidates[3].Active = 7
+	i, ok := Choose(candidates, Need{}, rand.New(rand.NewPCG(1, 2)))
+	g.Expect(ok).To(BeTrue())
+	g.Expect(candidates[i].ID).To(Equal("b1"))
+}
+
+// Guards against a request that must not repeat at a server of which nothing is
+// known since it fell silent.
+func TestDoubtedServerGetsNoUnrepeatableRequest(t *testing.T) {
+	g := NewWithT(t)
+	candidates := []Candidate{candidate("a", "a"), candidate("b", "b")}
+	candidates[0].Doubted = true
+	candidates[1].Active = 7
+	i, _ := Choose(candidates, Need{Once: true}, rand.New(rand.NewPCG(1, 2)))
+	g.Expect(candidates[i].ID).To(Equal("b"))
+}
+
+// Guards against most requests at a server that fails half of them while its
+// health check is good.
+func TestFailingServerIsUsedLess(t *testing.T) {
+	g := NewWithT(t)
+	m := newMember(server("a", "a"))
+	for range 8 {
+		m.Failed()
+		m.Succeeded()
+	}
+	candidates := []Candidate{m.candidate(time.Now()), candidate("b", "b")}
+	candidates[1].Active = 2
+	i, _ := Choose(candidates, Need{}, rand.New(rand.NewPCG(1, 2)))
+	g.Expect(candidates[i].ID).To(Equal("b"))
+}
+
+// Guards against losing what was observed of a server when its entry changes,
+// and against keeping it when another process has its name.
+func TestReplaceKeepsObservations(t *testing.T) {
+	g := NewWithT(t)
+	p := New()
+	p.Replace([]Server{server("a", "a")})
+	first := p.Members("service")[0]
+	done := first.Use()
+	began := time.Now()
+
+	changed := server("a", "a")
+	changed.Slots = 16
+	p.Replace([]Server{changed})
+	g.Expect(p.Members("service")[0].candidate(time.Now()).Active).To(Equal(1))
+	g.Expect(p.Serves(first, Identity{ID: "a"}, began)).To(BeTrue())
+	done()
+	g.Expect(p.Members("service")[0].candidate(time.Now()).Active).To(BeZero())
+
+	changed.Born = 2
+	p.Replace([]Server{changed})
+	g.Expect(p.Serves(first, Identity{ID: "a"}, began)).To(BeFalse())
+	p.Replace(nil)
+	g.Expect(p.Size()).To(BeZero())
+}
+
+// Guards against a restarted server that is used under its old name, and against
+// one that stays unused after its new name is known.
+func TestRestartedServer(t *testing.T) {
+	g := NewWithT(t)
+	m := newMember(server("a", "a"))
+	g.Expect(m.BornAt(0)).To(BeTrue(), "a report that does not say when")
+	g.Expect(m.BornAt(1)).To(BeTrue())
+	m.Lose(time.Now())
+	g.Expect(m.BornAt(2)).To(BeFalse())
+	g.Expect(m.Replaced()).To(BeTrue())
+	g.Expect(m.Ask()).To(BeTrue())
+	g.Expect(m.Ask()).To(BeFalse(), "asked by two requests at a time")
+	m.Asked(Identity{})
+	g.Expect(m.Replaced()).To(BeTrue())
+	g.Expect(m.Ask()).To(BeTrue())
+	m.Asked(Identity{ID: "b", Born: 2})
+	g.Expect(m.Current().ID).To(Equal("b"))
+	g.Expect(m.BornAt(2)).To(BeTrue())
+	g.Expect(m.candidate(time.Now()).SinceLoss).To(Equal(never), "the loss of the process before")
+}
+
+// Guards against a doubted server that is checked by each request, or never.
+func TestDoubtedServerIsCheckedOnceInAnInterval(t *testing.T) {
+	g := NewWithT(t)
+	m := newMember(server("a", "a"))
+	now := time.Now()
+	g.Expect(m.Check(now, time.Second)).To(BeFalse())
+	m.Doubt()
+	g.Expect(m.Check(now, time.Second)).To(BeTrue())
+	g.Expect(m.Check(now.Add(900*time.Millisecond), time.Second)).To(BeFalse())
+	g.Expect(m.Check(now.Add(time.Second), time.Second)).To(BeTrue())
+	m.Alive()
+	g.Expect(m.Check(now.Add(time.Minute), time.Second)).To(BeFalse())
+}
+
+// Guards against a prompt that waits behind others while a server is free, and
+// against one at a server that did not answer or leaves.
+func TestChooseByReport(t *testing.T) {
+	g := NewWithT(t)
+	all := func(int) bool { return true }
+	for _, c := range []struct {
+		reports []*Report
+		want    int
+	}{
+		{[]*Report{{Waiting: 1}, {Writing: 1}, {Reading: 1}}, 1},
+		{[]*Report{nil, {Writing: 9}}, 1},
+		{[]*Report{{Leaving: true}, {Writing: 9}}, 1},
+		{[]*Report{{Writing: 2}, {Reading: 1}}, 1},
+	} {
+		i, ok := ChooseByReport(c.reports, all)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(i).To(Equal(c.want))
+	}
+	_, ok := ChooseByReport([]*Report{nil, {Leaving: true}}, all)
+	g.Expect(ok).To(BeFalse())
+	_, ok = ChooseByReport([]*Report{{}}, func(int) bool { return false })
+	g.Expect(ok).To(BeFalse())
+}
