Ask keepers whether they still hold copies; let failures of a server fade

Each keeper is asked every 1.5 s unless it has answered meanwhile; a restart under the same name counts; a search ends with the first good answer.

--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -15,6 +15,10 @@
 	copyTimeout = 1500 * time.Millisecond
 	// copyRenewal is the part of a copy's life after which it is made anew.
 	copyRenewal = 0.6
+	// keeperCheck is the time between questions to a keeper whether it still is the
+	// process that got the copy. The list shows restarts seconds later, and a
+	// failure domain may crash a few seconds after another.
+	keeperCheck = 1500 * time.Millisecond
 	// copyRetry is the pause after a copy that could not be made.
 	copyRetry = 500 * time.Millisecond
 )
@@ -42,6 +46,7 @@
 	keeper   *pool.Member  // server of the newest copy; nil: none
 	identity pool.Identity // of the keeper when the copy was begun
 	held     *heldCopy     // the newest copy; nil: none
+	checkAt  time.Time     // when the keeper is asked next
 	since    time.Time     // when the copy was begun
 	nextAt   time.Time     // when the copy has to be made again; zero: the server keeps it up to date
 	copying  bool
@@ -68,9 +73,10 @@
 func (b *backup) keep(keeper *pool.Member, c Copy, began time.Time) {
 	b.drop()
 	b.keeper = keeper
-	b.identity = pool.Identity{ID: keeper.Current().ID}
+	b.identity = keeper.Identity()
 	b.held = &heldCopy{Copy: c, serverID: keeper.ID}
 	b.since = began
+	b.checkAt = began.Add(keeperCheck)
 	b.release = keeper.KeepCopy()
 }
 
@@ -115,6 +121,9 @@
 		b.drop()
 		b.nextAt = now
 	}
+	if b.keeper != nil {
+		b.checkKeeper(ctx, now)
+	}
 	if b.nextAt.IsZero() || now.Before(b.nextAt) {
 		return
 	}
@@ -130,6 +139,18 @@
 	go b.copy(ctx, keeper, now)
 }
 
+// checkKeeper asks the keeper for a report if it has not answered lately.
+func (b *backup) checkKeeper(ctx context.Context, now time.Time) {
+	if now.Before(b.checkAt) {
+		return
+	}
+	b.checkAt = now.Add(keeperCheck)
+	if b.keeper.AliveSince(now.Add(-keeperCheck)) {
+		return // another stream has asked
+	}
+	go b.run.f.reports(ctx, b.run.x, []*pool.Member{b.keeper})
+}
+
 func (b *backup) copy(ctx context.Context, keeper *pool.Member, began time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
--- a/internal/forward/find.go
+++ b/internal/forward/find.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -10,9 +9,10 @@
 	"foxtailhub.example/foxtailhub/internal/pool"
 )
 
-// findTimeout bounds the search for a prompt. A server that is up answers within
-// a few milliseconds; reading 8,000 tokens again takes a second.
-const findTimeout = 100 * time.Millisecond
+// findTimeout bounds the search for a prompt. Reading 8,000 tokens again takes a
+// second, and an instance with a fifth of a core needs about 200 ms to ask a
+// hundred servers.
+const findTimeout = 300 * time.Millisecond
 
 // Finder asks servers which prompts they keep.
 type Finder interface {
@@ -31,17 +31,19 @@
 	defer cancel()
 	began := time.Now()
 	members := f.Pool.Members(x.service.Name)
-	held := make([]int, len(members))
-	var asked sync.WaitGroup
-	for i, m := range members {
-		asked.Go(func() { held[i] = f.heldTokens(ctx, x, m) })
+	found := make(chan heldPrompt, len(members))
+	for _, m := range members {
+		go func() { found <- heldPrompt{serverID: m.ID, tokens: f.heldTokens(ctx, x, m)} }()
 	}
-	asked.Wait()
 	most := 0
-	for i, tokens := range held {
-		if tokens > most {
-			most = tokens
-			serverID = members[i].ID
+	for range members {
+		held := <-found
+		if held.tokens > most {
+			most = held.tokens
+			serverID = held.serverID
+		}
+		if most > x.meta.PromptTokens/2 {
+			break // no other server saves much more
 		}
 	}
 	x.log.WithFields(logrus.Fields{
@@ -50,6 +52,12 @@
 	return serverID
 }
 
+// heldPrompt is how much of a prompt a server keeps.
+type heldPrompt struct {
+	serverID string
+	tokens   int
+}
+
 func (f *Forwarder) heldTokens(ctx context.Context, x *exchange, m *pool.Member) int {
 	tokens, err := f.Finder.HeldTokens(ctx, m.Address, x.meta.PromptPart)
 	if err != nil {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -217,7 +217,7 @@
 		panic(http.ErrAbortHandler)
 	case x.state.MayHaveRun == 0:
 		f.refuse(x, http.StatusServiceUnavailable, "no server could take the request", retryNoServer)
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || x.left() <= 0:
 		f.fail(x, http.StatusGatewayTimeout, "no answer in time")
 	default:
 		f.fail(x, http.StatusBadGateway, "the server failed")
@@ -255,12 +255,12 @@
 		m.Displace(0)
 		f.identify(x, m)
 	case Failed:
-		m.Failed()
+		m.Failed(time.Now())
 		m.Doubt()
 	case ServerError:
-		m.Failed()
+		m.Failed(time.Now())
 	case Answered:
-		m.Succeeded()
+		m.Succeeded(time.Now())
 	}
 }
 
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -80,7 +80,7 @@
 				m.Lose(time.Now())
 				return
 			}
-			m.Alive()
+			m.Alive(time.Now())
 			reports[i] = &report
 			if !m.BornAt(report.Born) {
 				f.identify(x, m)
@@ -140,7 +140,7 @@
 		m.Displace(0)
 		log.WithField("new_id", id).Info("doubted server was replaced")
 	default:
-		m.Alive()
+		m.Alive(time.Now())
 		log.Info("doubted server is back")
 	}
 }
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -322,3 +322,22 @@
 		))
 	})
 }
+
+// Guards against a copy at a server that has restarted meanwhile, which only
+// that server itself tells while the store is away.
+func TestRestartOfTheKeeperIsNoticed(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b", "c", "d")
+		w.lossy(150, 200, 30*time.Millisecond, errReset, "a", "b", "c", "d")
+		time.AfterFunc(time.Second, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			keeper := w.visits[0].header.Get("Backup")
+			w.born[keeper], w.ids[keeper] = 2, keeper+"-new"
+		})
+		w.g.Expect(w.ask(t.Context(), nil).body).To(Equal(eventsText(1, 200)))
+		w.g.Expect(w.copies).NotTo(BeEmpty())
+		w.g.Expect(w.visited()).To(HaveLen(2))
+		w.g.Expect(w.visit(1).header.Get("From")).To(HavePrefix(w.visit(0).server + "/copy-"))
+	})
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -4,6 +4,7 @@
 package pool
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 )
@@ -31,12 +32,13 @@
 	active   atomic.Int64              // requests in flight from this instance
 	prefills atomic.Int64              // streams in flight that have produced no event yet
 	copies   atomic.Int64              // streams that keep a copy of their memory here
-	errors   atomic.Int64              // recent share of failed requests, in 1/1000
+	failures atomic.Pointer[failures]  // recent share of failed requests; nil: none
 	lostAt   atomic.Pointer[time.Time] // last loss, with its monotonic reading; nil: none
 	lost     atomic.Pointer[chan struct{}]
 	identity atomic.Pointer[Identity]  // of the process at the address; nil: that of the entry
 	asking   atomic.Bool               // the identity is being asked for
 	doubted  atomic.Bool               // it was lost or silent, and no contact has succeeded since
+	aliveAt  atomic.Pointer[time.Time] // when it last answered a question about itself; nil: never
 	checkAt  atomic.Pointer[time.Time] // when it may be checked next; nil: now
 }
 
@@ -61,22 +63,46 @@
 	return func() { counter.Add(-1) }
 }
 
-// errorMemory is the number of requests over which the share of failed requests
-// is averaged: a server that fails often shows after a few.
-const errorMemory = 8
+const (
+	// errorMemory is the number of requests over which the share of failed requests
+	// is averaged: a server that fails often shows after a few.
+	errorMemory = 8
+	// errorHalfLife is the time in which the share halves by itself. Without it, a
+	// server that is well again would not be chosen while others are idle.
+	errorHalfLife = 3 * time.Second
+	// errorFloor is the share that counts as none.
+	errorFloor = 0.05
+)
+
+// failures is the share of failed requests at one moment.
+type failures struct {
+	share float64
+	at    time.Time
+}
+
+func (f *failures) now(now time.Time) float64 {
+	if f == nil {
+		return 0
+	}
+	share := f.share * math.Exp2(-now.Sub(f.at).Seconds()/errorHalfLife.Seconds())
+	if share < errorFloor {
+		return 0
+	}
+	return share
+}
 
 // Succeeded notes a request that the server answered properly.
-func (o *observed) Succeeded() {
+func (o *observed) Succeeded(now time.Time) {
 	o.doubted.Store(false)
-	o.observe(0)
+	o.observe(now, 0)
 }
 
 // Failed notes a request that the server failed while it went on running.
-func (o *observed) Failed() { o.observe(1000) }
+func (o *observed) Failed(now time.Time) { o.observe(now, 1) }
 
-func (o *observed) observe(outcome int64) {
-	old := o.errors.Load()
-	o.errors.Store(old + (outcome-old)/errorMemory)
+func (o *observed) observe(now time.Time, outcome float64) {
+	share := o.failures.Load().now(now)
+	o.failures.Store(&failures{share: share + (outcome-share)/errorMemory, at: now})
 }
 
 // Lose notes that the server stopped: its connections were reset or it fell
@@ -93,7 +119,17 @@
 func (o *observed) Doubt() { o.doubted.Store(true) }
 
 // Alive notes that the server has answered a question about itself.
-func (o *observed) Alive() { o.doubted.Store(false) }
+func (o *observed) Alive(now time.Time) {
+	o.doubted.Store(false)
+	o.aliveAt.Store(&now)
+}
+
+// AliveSince reports whether the server has answered a question about itself
+// since a time.
+func (o *observed) AliveSince(t time.Time) bool {
+	at := o.aliveAt.Load()
+	return at != nil && !at.Before(t)
+}
 
 // Check reports whether the caller has to check a doubted server now, at most
 // once in an interval.
@@ -147,13 +183,19 @@
 // the address, and may then call Asked.
 func (m *Member) Ask() bool { return m.Replaced() && m.asking.CompareAndSwap(false, true) }
 
+// Identity returns the identity of the process at the address.
+func (m *Member) Identity() Identity {
+	s := m.Current()
+	return Identity{ID: s.ID, Born: s.Born}
+}
+
 // Asked takes the answer; an empty ID means that there was none. Observations of
 // the process before do not hold for this one.
 func (m *Member) Asked(identity Identity) {
 	if identity.ID != "" {
 		m.identity.Store(&identity)
 		m.lostAt.Store(nil)
-		m.errors.Store(0)
+		m.failures.Store(nil)
 		m.doubted.Store(false)
 	}
 	m.asking.Store(false)
@@ -166,7 +208,7 @@
 		Active:     int(m.active.Load()),
 		Prefilling: int(m.prefills.Load()),
 		Copies:     int(m.copies.Load()),
-		ErrorShare: float64(m.errors.Load()) / 1000,
+		ErrorShare: m.failures.Load().now(now),
 		SinceLoss:  never,
 		Replaced:   m.Replaced(),
 		Doubted:    m.doubted.Load(),
@@ -224,7 +266,7 @@
 	if !listed || current.observed != m.observed || current.Draining || m.Replaced() {
 		return false
 	}
-	if now := m.Current(); now.ID != identity.ID {
+	if now := m.Current(); now.ID != identity.ID || identity.Born != 0 && now.Born != identity.Born {
 		return false
 	}
 	at := m.lostAt.Load()
