--- a/internal/discovery/configurations.go
+++ b/internal/discovery/configurations.go
@@ -45,7 +45,7 @@
 func (c *Configurations) put(document route.Document, rowVersion int64) {
 	old := c.current.Load()
 	fields := logrus.Fields{
-		"version": document.Version, "row_version": rowVersion, "routes": len(document.Routes), "services": len(document.Services),
+		"version": document.Version, "row_version": rowVersion, "routes": len(document.Routes), "services": len(document.Services), "keys": len(document.Workspaces),
 	}
 	if old != nil {
 		fields["before"] = old.Version
--- a/internal/discovery/servers.go
+++ b/internal/discovery/servers.go
@@ -67,6 +67,7 @@
 	if changed {
 		l.publish()
 	}
+	l.pool.Confirm(now)
 }
 
 // entry takes the entry of a server. One that cannot be read names no server.
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -51,7 +51,7 @@
 		case last = <-results:
 			flying--
 			f.note(ctx, x, last.member, last.reply.result)
-			x.logSent(last.member, last.reply, last.began)
+			f.logSent(x, last.member, last.reply, last.began)
 			if last.reply.result == Answered {
 				f.deliver(x, last.reply)
 				return
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -12,7 +12,8 @@
 
 // Results of a sending.
 const (
-	Answered    Result = iota // the server answered, with any status
+	NoResult    Result = iota // nothing was sent
+	Answered                  // the server answered, with any status
 	NotSent                   // no connection was made
 	NotRun                    // the server states that it did not run the request
 	Misplaced                 // another server has the address, and did not run the request
@@ -22,7 +23,7 @@
 
 // String returns the name used in logs.
 func (r Result) String() string {
-	return [...]string{"answered", "not_sent", "not_run", "misplaced", "failed", "server_error"}[r]
+	return [...]string{"none", "answered", "not_sent", "not_run", "misplaced", "failed", "server_error"}[r]
 }
 
 // State is what a request has been through, for the decision on its next step.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -185,7 +185,8 @@
 	f.Metrics.ended(x, "refused")
 	x.log.WithFields(logrus.Fields{
 		"status": status, "reason": reason, "retry_after_ms": after.Milliseconds(), "configuration": x.version,
-		"age_ms": time.Since(x.arrived).Milliseconds(), "offered": x.state.Refused,
+		"age_ms": time.Since(x.arrived).Milliseconds(), "offered": x.state.Refused, "last": x.state.Last.String(),
+		"list_age_ms": f.Pool.Age(time.Now()).Milliseconds(),
 	}).Info("request refused")
 	writeError(x.writer, status, reason)
 }
@@ -194,7 +195,7 @@
 func (f *Forwarder) fail(x *exchange, status int, reason string) {
 	f.Metrics.ended(x, "failed")
 	x.log.WithFields(logrus.Fields{
-		"status": status, "reason": reason, "servers": x.tried, "last": x.state.Last,
+		"status": status, "reason": reason, "servers": x.tried, "last": x.state.Last.String(), "may_have_run": x.state.MayHaveRun,
 		"age_ms": time.Since(x.arrived).Milliseconds(),
 	}).Warn("request failed")
 	writeError(x.writer, status, reason)
@@ -265,10 +266,11 @@
 }
 
 // logSent writes the line of one sending.
-func (x *exchange) logSent(m *pool.Member, r reply, started time.Time) {
+func (f *Forwarder) logSent(x *exchange, m *pool.Member, r reply, started time.Time) {
 	fields := logrus.Fields{
 		"server": m.ID, "domain": m.FailureDomain, "route": x.route.Name, "result": r.result,
-		"took_ms": time.Since(started).Milliseconds(), "configuration": x.version,
+		"took_ms": time.Since(started).Milliseconds(), "configuration": x.version, "list_age_ms": f.Pool.Age(started).Milliseconds(),
+		"attempt": len(x.tried), "left_ms": x.left().Milliseconds(),
 	}
 	if r.response != nil {
 		fields["status"] = r.response.StatusCode
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -145,7 +145,7 @@
 	fields := logrus.Fields{
 		"server": m.ID, "domain": m.FailureDomain, "route": s.x.route.Name, "configuration": s.x.version, "result": result,
 		"after_event": sending.LastEvent, "last_event": s.last, "took_ms": time.Since(began).Milliseconds(),
-		"from_copy": sending.From != nil,
+		"from_copy": sending.From != nil, "attempt": len(s.x.tried), "list_age_ms": s.f.Pool.Age(began).Milliseconds(),
 	}
 	if sending.Backup != nil {
 		fields["copy_at"] = sending.Backup.ID
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,7 @@
 	forwarder      *forward.Forwarder
 	leaving        *forward.Leaving
 	left           atomic.Bool // SIGTERM has come
+	saidReady      atomic.Bool // the last answer to the balancer
 	listen         func(network, address string) (net.Listener, error)
 }
 
@@ -174,7 +175,13 @@
 func (g *Gateway) readiness() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !g.ready() {
+		ready := g.ready()
+		if g.saidReady.Swap(ready) != ready {
+			g.log.WithFields(logrus.Fields{
+				"ready": ready, "leaving": g.left.Load(), "configuration_known": g.configurations.Current() != nil, "servers": g.pool.Size(),
+			}).Info("readiness changed")
+		}
+		if !ready {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -227,7 +227,8 @@
 
 // Pool holds the current view.
 type Pool struct {
-	view atomic.Pointer[View]
+	view      atomic.Pointer[View]
+	confirmed atomic.Pointer[time.Time] // when the list was last confirmed
 }
 
 // New returns a pool without servers.
@@ -273,5 +274,17 @@
 	return at == nil || at.Before(since)
 }
 
+// Confirm notes that the list is that of the store at a time.
+func (p *Pool) Confirm(now time.Time) { p.confirmed.Store(&now) }
+
+// Age returns the time since the list was last confirmed, 0 if it never was.
+func (p *Pool) Age(now time.Time) time.Duration {
+	at := p.confirmed.Load()
+	if at == nil {
+		return 0
+	}
+	return now.Sub(*at)
+}
+
 // Size returns the number of servers.
 func (p *Pool) Size() int { return len(p.view.Load().byID) }
