--- a/internal/cli/command.go
+++ b/internal/cli/command.go
@@ -78,6 +78,7 @@
 		configWaitCommand(),
 		statusCommand(),
 		timelineCommand(),
+		explainCommand(),
 		drainCommand(),
 		keysCommand(),
 	}
--- /dev/null
+++ b/internal/cli/explain_test.go
@@ -0,0 +1,52 @@
+package cli
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	logOfOne = `time="2026-12-04T10:00:00.000Z" level=info msg="server listed" instance=one server=s-1
+time="2026-12-04T10:00:05.000Z" level=info msg="stream sent" instance=one request=r-1 result=failed server=s-1 copy_at=s-2
+time="2026-12-04T10:00:05.100Z" level=info msg="stream sent" instance=one request=r-2 server=s-1
+time="2026-12-04T10:00:05.200Z" level=info msg="server gone" instance=one server=s-9
+time="2026-12-04T10:00:06.000Z" level=info msg="stream ended" instance=one request=r-1 servers="[s-1 s-3]"
+time="2026-12-04T10:00:07.000Z" level=info msg="server gone" instance=one server=s-1
+not a line of an instance
+`
+	logOfTwo = `time="2026-12-04T10:00:05.500Z" level=warning msg="the store is lost" instance=two
+time="2026-12-04T10:00:04.000Z" level=warning msg="the store is lost" instance=one
+`
+)
+
+// Guards against a request whose cause stands in another line or process than
+// its own, and against lines that have nothing to do with it.
+func TestExplain(t *testing.T) {
+	g := NewWithT(t)
+	directory := t.TempDir()
+	one, two := filepath.Join(directory, "one.log"), filepath.Join(directory, "two.log")
+	g.Expect(os.WriteFile(one, []byte(logOfOne), 0o600)).To(Succeed())
+	g.Expect(os.WriteFile(two, []byte(logOfTwo), 0o600)).To(Succeed())
+	var out, errors bytes.Buffer
+	env := Environment{Stdin: strings.NewReader(logOfOne), Stdout: &out, Stderr: &errors}
+	g.Expect(Run(t.Context(), env, []string{"explain", "-request", "r-1", one, two})).To(Equal(ExitOK))
+	var messages []string
+	for _, line := range strings.Split(strings.TrimRight(out.String(), "\n"), "\n") {
+		messages = append(messages, line[:9]+" "+strings.Split(line, `"`)[3])
+	}
+	g.Expect(messages).To(Equal([]string{
+		"   -5.000 server listed", "   -1.000 the store is lost", "   +0.000 stream sent", "   +1.000 stream ended",
+	}))
+
+	out.Reset()
+	g.Expect(Run(t.Context(), env, []string{"explain", "-request", "r-2"})).To(Equal(ExitOK))
+	g.Expect(out.String()).To(ContainSubstring("request=r-2"))
+	g.Expect(Run(t.Context(), env, []string{"explain", "-request", "r-7", one})).To(Equal(ExitFailed))
+	g.Expect(errors.String()).To(ContainSubstring("no line is about request r-7"))
+	g.Expect(Run(t.Context(), env, []string{"explain"})).To(Equal(ExitUsage))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,7 +69,7 @@
 type Gateway struct {
 	settings       *Settings
 	platform       Platform
-	log            *logrus.Logger
+	log            logrus.FieldLogger
 	registry       *prometheus.Registry
 	configurations *discovery.Configurations
 	servers        *discovery.ServerList
@@ -82,7 +82,8 @@
 }
 
 // New provisions a gateway.
-func New(settings *Settings, platform Platform, log *logrus.Logger) *Gateway {
+func New(settings *Settings, platform Platform, logger *logrus.Logger) *Gateway {
+	log := logger.WithField("instance", settings.Instance)
 	g := &Gateway{
 		settings: settings, platform: platform, log: log,
 		registry: prometheus.NewRegistry(), pool: pool.New(), leaving: &forward.Leaving{}, listen: net.Listen,
@@ -125,7 +126,7 @@
 		})
 	}
 	g.log.WithFields(logrus.Fields{
-		"instance": g.settings.Instance, "domain": g.settings.FailureDomain, "front": g.settings.FrontAddress, "store": g.settings.StoreAddress,
+		"domain": g.settings.FailureDomain, "front": g.settings.FrontAddress, "store": g.settings.StoreAddress,
 	}).Info("gateway started")
 	select {
 	case <-ctx.Done():
