Choose servers with room for the prompt, and live ones for new copies

Ruled out: silence that is noticed late. The server for a new copy is one of two that have just reported, and prompts and copies go where reports show room for them.

--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -55,25 +55,26 @@
 }
 
 type copyResult struct {
-	keeper *pool.Member
-	name   string
-	err    error
-	began  time.Time
+	keeper   *pool.Member // nil: no server was found
+	identity pool.Identity
+	name     string
+	err      error
+	began    time.Time
 }
 
 // newBackup returns the backup of a run whose sending named the keeper.
 func newBackup(r *run, keeper *pool.Member, now time.Time) *backup {
 	b := &backup{run: r, copied: make(chan copyResult, 1)}
 	if keeper != nil {
-		b.keep(keeper, Copy{Address: keeper.Address, Run: r.x.meta.ID}, now)
+		b.keep(keeper, keeper.Identity(), Copy{Address: keeper.Address, Run: r.x.meta.ID}, now)
 	}
 	return b
 }
 
-func (b *backup) keep(keeper *pool.Member, c Copy, began time.Time) {
+func (b *backup) keep(keeper *pool.Member, identity pool.Identity, c Copy, began time.Time) {
 	b.drop()
 	b.keeper = keeper
-	b.identity = keeper.Identity()
+	b.identity = identity
 	b.held = &heldCopy{Copy: c, serverID: keeper.ID}
 	b.since = began
 	b.checkAt = began.Add(keeperCheck)
@@ -127,16 +128,8 @@
 	if b.nextAt.IsZero() || now.Before(b.nextAt) {
 		return
 	}
-	keeper, ok := b.keeper, true
-	if keeper == nil {
-		keeper, ok = b.run.pickKeeper(b.run.member)
-	}
-	if !ok {
-		b.nextAt = now.Add(copyRetry)
-		return
-	}
 	b.copying = true
-	go b.copy(ctx, keeper, now)
+	go b.copy(ctx, b.keeper, now)
 }
 
 // checkKeeper asks the keeper for a report if it has not answered lately.
@@ -151,23 +144,36 @@
 	go b.run.f.reports(ctx, b.run.x, []*pool.Member{b.keeper})
 }
 
+// copy copies the memory to the keeper, or to a live server if it is nil.
 func (b *backup) copy(ctx context.Context, keeper *pool.Member, began time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
+	if keeper == nil {
+		found, ok := b.run.f.findKeeper(ctx, b.run.x, b.run.member)
+		if !ok {
+			b.copied <- copyResult{err: errNoKeeper, began: began}
+			return
+		}
+		keeper = found
+	}
+	identity := keeper.Identity()
 	name, err := b.run.f.Copier.CopyMemory(ctx, b.run.member.Address, b.run.x.meta.ID, keeper.Address)
-	b.copied <- copyResult{keeper: keeper, name: name, err: err, began: began}
+	b.copied <- copyResult{keeper: keeper, identity: identity, name: name, err: err, began: began}
 }
 
 // take notes the result of a copy.
 func (b *backup) take(r copyResult, now time.Time) {
 	b.copying = false
-	fields := logrus.Fields{"copy_at": r.keeper.ID, "domain": r.keeper.FailureDomain, "took_ms": now.Sub(r.began).Milliseconds()}
+	fields := logrus.Fields{"took_ms": now.Sub(r.began).Milliseconds()}
+	if r.keeper != nil {
+		fields["copy_at"], fields["domain"] = r.keeper.ID, r.keeper.FailureDomain
+	}
 	if r.err != nil {
 		b.run.x.log.WithFields(fields).WithError(r.err).Info("stream's memory was not copied")
 		b.nextAt = now.Add(copyRetry)
 		return
 	}
 	b.run.x.log.WithFields(fields).Info("stream's memory copied")
-	b.keep(r.keeper, Copy{Address: b.run.member.Address, Run: r.name}, r.began)
+	b.keep(r.keeper, r.identity, Copy{Address: b.run.member.Address, Run: r.name}, r.began)
 	b.nextAt = now.Add(time.Duration(copyRenewal * float64(b.run.copyLife())))
 }
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -14,9 +14,10 @@
 
 // sent is the outcome of one sending of a call.
 type sent struct {
-	member *pool.Member
-	reply  reply
-	began  time.Time
+	member  *pool.Member
+	reply   reply
+	began   time.Time
+	listAge time.Duration // of the list of servers when this one was chosen
 }
 
 // call forwards a request whose answer is one whole body.
@@ -51,7 +52,7 @@
 		case last = <-results:
 			flying--
 			f.note(ctx, x, last.member, last.reply.result)
-			f.logSent(x, last.member, last.reply, last.began)
+			x.logSent(last)
 			if last.reply.result == Answered {
 				f.deliver(x, last.reply)
 				return
@@ -94,8 +95,9 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	began := time.Now()
+	listAge := f.Pool.Age(began)
 	r := f.sender.send(ctx, x, Sending{Server: m.Current(), Workspace: x.workspace.Name, Left: x.left()}).readAll()
-	results <- sent{member: m, reply: r, began: began}
+	results <- sent{member: m, reply: r, began: began, listAge: listAge}
 }
 
 // deliver passes an answer on unchanged.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -266,10 +266,11 @@
 }
 
 // logSent writes the line of one sending.
-func (f *Forwarder) logSent(x *exchange, m *pool.Member, r reply, started time.Time) {
+func (x *exchange) logSent(last sent) {
+	m, r := last.member, last.reply
 	fields := logrus.Fields{
 		"server": m.ID, "domain": m.FailureDomain, "route": x.route.Name, "result": r.result,
-		"took_ms": time.Since(started).Milliseconds(), "configuration": x.version, "list_age_ms": f.Pool.Age(started).Milliseconds(),
+		"took_ms": time.Since(last.began).Milliseconds(), "configuration": x.version, "list_age_ms": last.listAge.Milliseconds(),
 		"attempt": len(x.tried), "left_ms": x.left().Milliseconds(),
 	}
 	if r.response != nil {
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -15,6 +15,8 @@
 	// placed. The best of a few is nearly as good as the best of all, and random
 	// choices keep instances with the same stale reports from choosing the same server.
 	reportsAsked = 4
+	// keepersAsked is how many servers are asked before a copy is made on one.
+	keepersAsked = 2
 	// reportTimeout bounds the wait for reports, which take a few milliseconds.
 	reportTimeout = 100 * time.Millisecond
 	// identifyTimeout bounds the question for the identity of a restarted server.
@@ -45,24 +47,51 @@
 	need.Avoid = append(need.Avoid, x.tried...)
 	some := pool.PickSome(f.Pool.Members(x.service.Name), need, reportsAsked, time.Now())
 	reports := f.reports(ctx, x, some)
-	i, ok := pool.ChooseByReport(reports, func(i int) bool { return !some[i].Replaced() })
+	i, ok := chooseReported(x, some, reports, func(int) bool { return true })
 	if !ok {
 		m, found := f.pick(x, need)
 		return placement{server: m}, found
 	}
-	p := placement{server: some[i]}
 	x.log.WithFields(logrus.Fields{
-		"server": some[i].ID, "writing": reports[i].Writing, "reading": reports[i].Reading, "waiting": reports[i].Waiting, "asked": len(some),
+		"server": some[i].ID, "writing": reports[i].Writing, "reading": reports[i].Reading, "waiting": reports[i].Waiting,
+		"memory_used": reports[i].MemoryUsed, "asked": len(some),
 	}).Info("server chosen by its report")
+	p := placement{server: some[i]}
 	// The other servers that answered are known to be alive, whatever the list says.
-	if j, ok := pool.ChooseByReport(reports, func(j int) bool {
-		return j != i && !some[j].Replaced() && some[j].FailureDomain != some[i].FailureDomain
-	}); ok {
+	if j, ok := chooseReported(x, some, reports, func(j int) bool { return some[j].FailureDomain != some[i].FailureDomain }); ok {
 		p.keeper = some[j]
 	}
 	return p, true
 }
 
+// findKeeper returns a live server for a copy of the memory of a run.
+func (f *Forwarder) findKeeper(ctx context.Context, x *exchange, m *pool.Member) (*pool.Member, bool) {
+	need := keeperNeed(m)
+	need.Avoid = append(need.Avoid, x.tried...)
+	some := pool.PickSome(f.Pool.Members(x.service.Name), need, keepersAsked, time.Now())
+	i, ok := chooseReported(x, some, f.reports(ctx, x, some), func(int) bool { return true })
+	if !ok {
+		return nil, false
+	}
+	return some[i], true
+}
+
+// keeperNeed asks for a server in another failure domain than that of a run.
+func keeperNeed(m *pool.Member) pool.Need {
+	return pool.Need{Copy: true, Avoid: []string{m.ID}, AvoidDomains: []string{m.FailureDomain}}
+}
+
+// chooseReported returns the index of the server with the least load among
+// those with room for the request, or among all that answered.
+func chooseReported(x *exchange, members []*pool.Member, reports []*pool.Report, wanted func(i int) bool) (int, bool) {
+	usable := func(i int) bool { return !members[i].Replaced() && wanted(i) }
+	tokens := x.meta.PromptTokens + x.meta.OutputTokens
+	if i, ok := pool.ChooseByReport(reports, func(i int) bool { return usable(i) && reports[i].Fits(tokens) }); ok {
+		return i, true
+	}
+	return pool.ChooseByReport(reports, usable)
+}
+
 // reports asks servers for their load; the report of one that does not answer is nil.
 func (f *Forwarder) reports(ctx context.Context, x *exchange, members []*pool.Member) []*pool.Report {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -30,6 +30,7 @@
 	errLongAnswer    = errors.New("the answer is too long")
 	errSilent        = errors.New("the server is silent")
 	errStalled       = errors.New("the stream has stalled")
+	errNoKeeper      = errors.New("no server was found for a copy")
 	errRestarted     = errors.New("the server restarted meanwhile")
 	errOutOfOrder    = errors.New("an event is missing")
 )
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -31,7 +31,8 @@
 	failure       *reply    // a server's own failure, for the caller if nothing better comes
 	failedDomains []string  // failure domains of the servers that failed
 	longest       time.Duration
-	lastAt        time.Time // of the last event; zero before the first
+	listAge       time.Duration // of the list of servers when the last one was chosen
+	lastAt        time.Time     // of the last event; zero before the first
 }
 
 // stream forwards a request whose answer is a stream of events.
@@ -104,7 +105,7 @@
 
 // pickKeeper chooses a server in another failure domain for a copy of the memory.
 func (s *relay) pickKeeper(m *pool.Member) (*pool.Member, bool) {
-	return s.f.pick(s.x, pool.Need{Copy: true, Avoid: []string{m.ID}, AvoidDomains: []string{m.FailureDomain}})
+	return s.f.pick(s.x, keeperNeed(m))
 }
 
 // keepCopy notes what the next server can go on from. A run is copied from its
@@ -127,6 +128,7 @@
 	defer m.Use()()
 	sending.Left = s.x.left()
 	began := time.Now()
+	s.listAge = s.f.Pool.Age(began)
 	run := &run{relay: s, member: m, watch: NewWatch(began, s.x.route.PauseGoal)}
 	run.backup = newBackup(run, keeper, began)
 	run.prefilled = m.Prefill()
@@ -145,7 +147,7 @@
 	fields := logrus.Fields{
 		"server": m.ID, "domain": m.FailureDomain, "route": s.x.route.Name, "configuration": s.x.version, "result": result,
 		"after_event": sending.LastEvent, "last_event": s.last, "took_ms": time.Since(began).Milliseconds(),
-		"from_copy": sending.From != nil, "attempt": len(s.x.tried), "list_age_ms": s.f.Pool.Age(began).Milliseconds(),
+		"from_copy": sending.From != nil, "attempt": len(s.x.tried), "list_age_ms": s.listAge.Milliseconds(),
 	}
 	if sending.Backup != nil {
 		fields["copy_at"] = sending.Backup.ID
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -180,6 +180,9 @@
 		g.Expect(ok).To(BeTrue())
 		g.Expect(i).To(Equal(c.want))
 	}
+	g.Expect(Report{MemoryUsed: 60_000, MemoryTotal: 88_000, Waiting: 1}.Fits(9000)).To(BeTrue())
+	g.Expect(Report{MemoryUsed: 60_000, MemoryTotal: 88_000, Waiting: 3}.Fits(9000)).To(BeFalse())
+	g.Expect(Report{MemoryUsed: 60_000}.Fits(9000)).To(BeTrue(), "a server that does not say")
 	_, ok := ChooseByReport([]*Report{nil, {Leaving: true}}, all)
 	g.Expect(ok).To(BeFalse())
 	_, ok = ChooseByReport([]*Report{{}}, func(int) bool { return false })
