Count only sendings that reached a server as repeats; burst by kind of service

Ruled out: a larger share for all, since plain servers that refuse would get the repeats of all instances. Streams may repeat 16 times in a burst, plain calls 4 times.

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -4,30 +4,44 @@
 	"sync"
 
 	"foxtailhub.example/foxtailhub/internal/dispatch"
+	"foxtailhub.example/foxtailhub/internal/route"
+)
+
+// Repeats that an instance may send in a burst, beyond its share.
+const (
+	// engineBurst lets the streams of an instance go on when a failure domain
+	// crashes: a few at each instance, each with up to three sendings.
+	engineBurst = 16
+	// plainBurst is smaller, because the calls of all instances reach the same few
+	// servers when those refuse them.
+	plainBurst = 4
 )
 
 // Budgets holds the retry budget of each service.
 type Budgets struct {
-	share    float64
-	capacity float64
-	mu       sync.Mutex // guards budgets
-	budgets  map[string]*dispatch.Budget
+	share   float64
+	mu      sync.Mutex // guards budgets
+	budgets map[string]*dispatch.Budget
 }
 
 // NewBudgets returns budgets that allow, for each service, share repeats for
-// each request, and a burst of capacity.
-func NewBudgets(share, capacity float64) *Budgets {
-	return &Budgets{share: share, capacity: capacity, budgets: map[string]*dispatch.Budget{}}
+// each request, and a burst.
+func NewBudgets(share float64) *Budgets {
+	return &Budgets{share: share, budgets: map[string]*dispatch.Budget{}}
 }
 
 // Of returns the budget of a service.
-func (b *Budgets) Of(service string) *dispatch.Budget {
+func (b *Budgets) Of(service route.Service) *dispatch.Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	budget, ok := b.budgets[service]
+	budget, ok := b.budgets[service.Name]
 	if !ok {
-		budget = dispatch.NewBudgetOf(b.share, b.capacity)
-		b.budgets[service] = budget
+		burst := plainBurst
+		if service.Engine != nil {
+			burst = engineBurst
+		}
+		budget = dispatch.NewBudgetOf(b.share, float64(burst))
+		b.budgets[service.Name] = budget
 	}
 	return budget
 }
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -58,7 +58,7 @@
 				return
 			}
 			x.state.Left = x.left()
-			if flying == 0 && ctx.Err() == nil && x.state.Again() && x.budget.Take() {
+			if flying == 0 && ctx.Err() == nil && x.state.Again() && x.mayRepeat() {
 				start()
 			}
 		case <-hedge.C:
--- a/internal/forward/call_test.go
+++ b/internal/forward/call_test.go
@@ -258,3 +258,26 @@
 		w.g.Expect(w.visited()).To(HaveLen(1))
 	})
 }
+
+// Guards against repeats without bound when servers refuse or fail all
+// requests, and against a budget that is spent on servers that were not reached.
+func TestRetryBudget(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, idempotent, false, "a", "b", "c", "d")
+		w.f.Budgets = NewBudgets(0.5)
+		w.set(notRun, "a", "b", "c", "d")
+		for range 100 {
+			w.ask(t.Context(), nil)
+		}
+		w.g.Expect(len(w.visited())).To(BeNumerically("<=", 100+50+plainBurst))
+	})
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, idempotent, false, "a", "b", "c", "d")
+		w.f.Budgets = NewBudgets(0)
+		w.set(answer(http.StatusOK, "answer"), "d")
+		for range 2 * plainBurst {
+			w.g.Expect(w.ask(t.Context(), nil).status).To(Equal(http.StatusOK))
+			time.Sleep(2 * time.Second) // the unreachable servers are tried again
+		}
+	})
+}
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -32,7 +32,8 @@
 	Resumable   bool
 	MaxAttempts int           // servers that may run it
 	MayHaveRun  int           // servers that may have run it
-	Refused     int           // servers that did not run it
+	Refused     int           // servers that could not be reached or did not run it
+	Arrivals    int           // servers that it has reached
 	Last        Result        // of the last sending
 	Left        time.Duration // until its deadline
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -129,7 +129,7 @@
 		return false
 	}
 	x.service = table.Service(matched.Pick(rand.Float64()))
-	x.budget = f.Budgets.Of(x.service.Name)
+	x.budget = f.Budgets.Of(x.service)
 	x.deadline = x.arrived.Add(longest(x.meta.Deadline, matched.Timeout))
 	x.state = State{Kind: matched.Kind, Resumable: matched.Resumable, MaxAttempts: max(1, matched.MaxAttempts)}
 	if matched.Kind == route.Stream && !f.Leaving.TimeForStream() {
@@ -225,6 +225,16 @@
 	}
 }
 
+// mayRepeat takes the next sending from the retry budget. One that follows
+// sendings that reached no server is no repeat.
+func (x *exchange) mayRepeat() bool {
+	if x.state.Arrivals == 0 || x.budget.Take() {
+		return true
+	}
+	x.log.WithField("arrivals", x.state.Arrivals).Warn("retry budget is used up")
+	return false
+}
+
 // pick chooses a server for the next sending.
 func (f *Forwarder) pick(x *exchange, need pool.Need) (*pool.Member, bool) {
 	need.Avoid = append(need.Avoid, x.tried...)
@@ -237,6 +247,9 @@
 func (f *Forwarder) note(ctx context.Context, x *exchange, m *pool.Member, result Result) {
 	f.Metrics.sent(x, result)
 	x.state.Last = result
+	if result != NotSent {
+		x.state.Arrivals++
+	}
 	switch result {
 	case NotSent, NotRun:
 		x.state.Refused++
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -126,7 +126,7 @@
 	log.SetOutput(&lockedWriter{w: w.log})
 	w.f = New(Config{
 		Tables: w, Pool: w.pool, Protocol: testProtocol{}, Reporter: w, Copier: w, Finder: w,
-		Budgets: NewBudgets(1, 100), Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Leaving: &Leaving{}, Transport: w,
+		Budgets: NewBudgets(1), Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Leaving: &Leaving{}, Transport: w,
 	})
 	return w
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -48,11 +48,7 @@
 			return
 		}
 		x.state.Left = x.left()
-		if ctx.Err() != nil || !x.state.Again() {
-			break
-		}
-		if !x.budget.Take() {
-			x.log.Warn("retry budget is used up")
+		if ctx.Err() != nil || !x.state.Again() || !x.mayRepeat() {
 			break
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,9 +45,6 @@
 	balancerLag = 2500 * time.Millisecond
 	// quietInterval is the time between looks for requests in progress.
 	quietInterval = 50 * time.Millisecond
-	// burstRepeats is how many repeats an instance may send beyond its share
-	// within a short time: the streams that one crash of a failure domain cuts.
-	burstRepeats = 12
 	// retryShareUsed keeps the sum of all instances within the limit when some
 	// have had fewer requests than repeats.
 	retryShareUsed = 0.75
@@ -92,7 +89,7 @@
 	g.servers = discovery.NewServerList(g.pool, platform.Decoder, log)
 	g.forwarder = forward.New(forward.Config{
 		Tables: g.configurations, Pool: g.pool, Protocol: platform.Protocol, Reporter: platform.Reporter, Copier: platform.Copier, Finder: platform.Finder,
-		Budgets: forward.NewBudgets(settings.RetryShare*retryShareUsed, burstRepeats),
+		Budgets: forward.NewBudgets(settings.RetryShare * retryShareUsed),
 		Log:     log, Metrics: forward.NewMetrics(g.registry), Leaving: g.leaving,
 	})
 	return g
