Emulate the platform; soak real gateways under random faults

internal/emulator plays store, engines, plain servers and a network with faults; internal/gatewaysoak kills, pauses, restarts and stops processes, delays, resets, cuts and silences connections, makes the store fail, and checks answers, runs and configurations from what callers and servers see.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 SEED ?= 1
 
-.PHONY: build test lint generate generate-check demo soak e2e fuzz clean known-red
+.PHONY: build test lint generate generate-check demo soak gateway-soak e2e fuzz clean known-red
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -50,7 +50,14 @@
 
 e2e:
 	$(if $(KNOWN_RED),@echo "passed over (see KNOWN-RED.txt): $(KNOWN_RED)")
-	$(GO) test -tags e2e -count 1 -parallel 4 -timeout 10m $(SKIP) ./internal/e2e
+	$(GO) test -tags e2e -count 1 -parallel 4 -timeout 10m $(SKIP) ./internal/e2e ./internal/gatewaysoak
+
+# Real gateways under random faults: make gateway-soak SEEDS=3,4,5
+SEEDS ?= 1
+SOAK_SECONDS ?= 8
+gateway-soak:
+	FOXTAILHUB_SEED=$(SEEDS) FOXTAILHUB_SOAK_SECONDS=$(SOAK_SECONDS) \
+		$(GO) test -tags e2e -count 1 -timeout 60m -v -run TestGatewaySoak ./internal/gatewaysoak
 
 # Runs each fuzz test for FUZZTIME.
 FUZZTIME ?= 20s
--- a/cmd/foxtailhub-standin/main.go
+++ b/cmd/foxtailhub-standin/main.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"foxtailhub.example/foxtailhub/internal/emulator"
 	"foxtailhub.example/foxtailhub/internal/standin"
 	"foxtailhub.example/foxtailhub/internal/upstream"
 )
@@ -29,11 +30,12 @@
 	token   time.Duration
 	prefill time.Duration
 	ttl     time.Duration
+	routed  emulator.ServerConfig
 }
 
 func main() {
 	var o options
-	flag.StringVar(&o.role, "role", "", "platform, engine or service (required)")
+	flag.StringVar(&o.role, "role", "", "platform, engine, service, routed-store, routed-engine or routed-service (required)")
 	flag.StringVar(&o.listen, "listen", "127.0.0.1:0", "listen address")
 	flag.StringVar(&o.also, "also", "", "comma-separated further listen addresses of the same stand-in, without connection faults")
 	flag.StringVar(&o.models, "models", "", "engine: comma-separated models as name@version or name@version+adapter")
@@ -41,6 +43,13 @@
 	flag.DurationVar(&o.token, "token-interval", 20*time.Millisecond, "engine: time between two tokens of a stream")
 	flag.DurationVar(&o.prefill, "prefill-per-token", 50*time.Microsecond, "engine: time to compute one prompt token")
 	flag.DurationVar(&o.ttl, "entry-ttl", standin.DefaultEntryTTL, "platform: lifetime of a list entry that is not repeated")
+	flag.StringVar(&o.routed.ID, "id", "", "routed roles: ID of the server")
+	flag.StringVar(&o.routed.Service, "service", "", "routed roles: service of the server")
+	flag.StringVar(&o.routed.FailureDomain, "failure-domain", "", "routed roles: failure domain of the server")
+	flag.StringVar(&o.routed.Address, "address", "", "routed roles: address under which others reach the server")
+	flag.StringVar(&o.routed.Store, "store", "", "routed roles: address of the store")
+	flag.DurationVar(&o.routed.Work, "work", 20*time.Millisecond, "routed roles: time for a call or a prompt")
+	flag.DurationVar(&o.routed.Beat, "beat", 300*time.Millisecond, "routed roles: time between entries in the store")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -56,7 +65,7 @@
 		return err
 	}
 	listener := standin.NewListener(inner)
-	handler, err := newHandler(o, listener)
+	handler, err := newHandler(ctx, o, listener)
 	if err != nil {
 		return err
 	}
@@ -87,7 +96,7 @@
 	return nil
 }
 
-func newHandler(o options, listener *standin.Listener) (http.Handler, error) {
+func newHandler(ctx context.Context, o options, listener *standin.Listener) (http.Handler, error) {
 	switch o.role {
 	case "platform":
 		return standin.NewPlatform(standin.PlatformConfig{EntryTTL: o.ttl}), nil
@@ -102,8 +111,17 @@
 		}), nil
 	case "service":
 		return standin.NewService(standin.ServiceConfig{Slots: o.slots, Connections: listener}), nil
+	case "routed-store":
+		return emulator.NewStore(), nil
+	case "routed-engine", "routed-service":
+		config := o.routed
+		config.Engine = o.role == "routed-engine"
+		config.Slots, config.Interval, config.Ran = o.slots, o.token, os.Stdout
+		server := emulator.NewServer(config)
+		go server.Register(ctx)
+		return server, nil
 	default:
-		return nil, fmt.Errorf("-role must be platform, engine or service, not %q", o.role)
+		return nil, fmt.Errorf("-role must be one of the roles that -h names, not %q", o.role)
 	}
 }
 
--- /dev/null
+++ b/internal/emulator/engine.go
@@ -0,0 +1,204 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// tokensPerEvent is the number of output tokens in one event.
+	tokensPerEvent = 10
+	// copyInterval is the time between parts of a run's copy.
+	copyInterval = 200 * time.Millisecond
+)
+
+// serveEngineCall answers the calls that only model servers know.
+func (s *Server) serveEngineCall(w http.ResponseWriter, r *http.Request) bool {
+	switch {
+	case r.URL.Path == "/v1/report":
+		s.report(w)
+	case r.URL.Path == "/v1/kv-list":
+		s.list(w)
+	case r.URL.Path == "/v1/kv-move":
+		s.move(w, r)
+	case strings.HasPrefix(r.URL.Path, "/v1/kv-handle/"):
+		s.mu.Lock()
+		delete(s.copies, strings.TrimPrefix(r.URL.Path, "/v1/kv-handle/"))
+		s.mu.Unlock()
+	case r.URL.Path == "/emulator/copy":
+		s.takeCopy(w, r)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *Server) report(w http.ResponseWriter) {
+	s.mu.Lock()
+	runs := [][]any{}
+	for id, run := range s.runs {
+		runs = append(runs, []any{id, 0, run.events, 5})
+	}
+	state := "ready"
+	if s.draining {
+		state = "draining"
+	}
+	report := map[string]any{
+		"running": s.reading + len(runs), "waiting": s.waiting, "runs": runs, "state": state, "born": s.born,
+		"kv_used": 0, "kv_total": 88_000,
+	}
+	s.mu.Unlock()
+	answer(w, report)
+}
+
+func (s *Server) list(w http.ResponseWriter) {
+	s.mu.Lock()
+	held := [][]any{}
+	for part, tokens := range s.prompts {
+		held = append(held, []any{"", part, tokens, "m"})
+	}
+	s.mu.Unlock()
+	answer(w, map[string]any{"epoch": s.born, "next": 1, "held": held})
+}
+
+// move copies a run to another server while it goes on.
+func (s *Server) move(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		ID string `json:"id"`
+		To string `json:"to"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	run, known := s.runs[order.ID]
+	events := 0
+	if known {
+		events = run.events
+	}
+	s.mu.Unlock()
+	if !known {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	name := "copy-" + order.ID
+	if !s.sendCopy(r.Context(), order.To, name, events) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	answer(w, map[string]any{"handle": name, "created": events})
+}
+
+func (s *Server) sendCopy(ctx context.Context, to, name string, events int) bool {
+	url := "http://" + to + "/emulator/copy?name=" + name + "&events=" + strconv.Itoa(events)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (s *Server) takeCopy(w http.ResponseWriter, r *http.Request) {
+	events, err := strconv.Atoi(r.URL.Query().Get("events"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copies[r.URL.Query().Get("name")] = events
+}
+
+// stream runs a request with a prompt, from a copy of its memory if it names one.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, body []byte) {
+	name, fromCopy := "", false
+	if from := r.Header.Get("Kv-From"); from != "" {
+		name = from[strings.LastIndex(from, "/")+1:]
+		s.mu.Lock()
+		_, fromCopy = s.copies[name]
+		delete(s.copies, name)
+		s.mu.Unlock()
+		if !fromCopy {
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if it is not given
+	_, output, _ := strings.Cut(r.Header.Get("X-Token-Counts"), ",")
+	tokens, _ := strconv.Atoi(output)
+	if !fromCopy && !s.read(r) {
+		return
+	}
+	run := &runState{events: last}
+	s.mu.Lock()
+	s.runs[id] = run
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.runs, id)
+	}()
+	s.logRun(r, id, body)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Server-Stamp", s.config.ID)
+	s.writeEvents(w, r, id, body, run, tokens/tokensPerEvent)
+}
+
+// read reads the prompt, one at a time.
+func (s *Server) read(r *http.Request) bool {
+	parts := strings.Split(r.Header.Get("X-Prompt-Prefix"), ",")
+	part, size, _ := strings.Cut(parts[len(parts)-1], ":")
+	s.mu.Lock()
+	_, kept := s.prompts[part]
+	s.reading++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.reading--
+	}()
+	if !kept && !pause(r, s.config.Work) {
+		return false
+	}
+	n, _ := strconv.Atoi(size)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prompts[part] = n
+	return true
+}
+
+// writeEvents writes the events of a run.
+func (s *Server) writeEvents(w http.ResponseWriter, r *http.Request, id string, body []byte, run *runState, total int) {
+	backup := r.Header.Get("X-Kv-Backup")
+	copied := time.Time{}
+	for number := run.events + 1; number <= total; number++ {
+		if !pause(r, s.config.Interval) {
+			return
+		}
+		if _, err := io.WriteString(w, Event(body, number)); err != nil {
+			return
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+		s.mu.Lock()
+		run.events = number
+		s.mu.Unlock()
+		if backup != "" && time.Since(copied) >= copyInterval {
+			copied = time.Now()
+			go s.sendCopy(context.WithoutCancel(r.Context()), backup, id, number)
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulator/server.go
@@ -0,0 +1,210 @@
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ServerConfig describes a server of the platform.
+type ServerConfig struct {
+	ID            string
+	Service       string
+	FailureDomain string
+	Address       string // under which others reach it
+	Store         string // address of the store
+	Engine        bool
+	Slots         int
+	Work          time.Duration // of a call; of a prompt at a model server
+	Interval      time.Duration // between events
+	Beat          time.Duration // between entries in the store
+	Ran           io.Writer     // gets a line for each request that runs
+}
+
+// Server is a plain server or a model server.
+type Server struct {
+	config ServerConfig
+	born   int64
+	client *http.Client
+
+	mu       sync.Mutex // guards the fields below
+	draining bool
+	active   int
+	reading  int
+	waiting  int
+	runs     map[string]*runState // by request ID
+	copies   map[string]int       // events covered by the copies kept here, by name
+	prompts  map[string]int       // tokens of the prompts kept here, by their last part
+}
+
+// runState is a run at a model server.
+type runState struct {
+	events int
+}
+
+// NewServer returns a server that started now.
+func NewServer(config ServerConfig) *Server {
+	return &Server{
+		config: config, born: time.Now().UnixMilli(), client: &http.Client{Timeout: time.Second},
+		runs: map[string]*runState{}, copies: map[string]int{}, prompts: map[string]int{},
+	}
+}
+
+// Register keeps the server's entry in the store until ctx ends.
+func (s *Server) Register(ctx context.Context) {
+	ticker := time.NewTicker(s.config.Beat)
+	defer ticker.Stop()
+	for {
+		_ = s.write(ctx) // the next beat follows
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) write(ctx context.Context) error {
+	s.mu.Lock()
+	state := "ready"
+	if s.draining {
+		state = "draining"
+	}
+	s.mu.Unlock()
+	entry, err := json.Marshal(map[string]any{
+		"service": s.config.Service, "address": s.config.Address, "zone": s.config.FailureDomain,
+		"slots": s.config.Slots, "state": state, "born": s.born,
+	})
+	if err != nil {
+		return err
+	}
+	return Transact(ctx, s.client, s.config.Store, "servers", s.config.ID, entry)
+}
+
+// Drain makes the server say that it leaves.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+// Transact writes a row of the store, or removes it if the value is nil.
+func Transact(ctx context.Context, client *http.Client, store, table, key string, value []byte) error {
+	tx := transaction{Set: []row{{Table: table, Key: key, Value: value}}}
+	if value == nil {
+		tx = transaction{Remove: []row{{Table: table, Key: key}}}
+	}
+	body, err := json.Marshal(tx)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+store+"/v1/rows-tx", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("the store answered %d", response.StatusCode)
+	}
+	return nil
+}
+
+// ServeHTTP answers requests, health checks and the calls of model servers.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Instance-Id", s.config.ID)
+	switch {
+	case r.URL.Path == "/healthz":
+		s.health(w)
+	case s.config.Engine && s.serveEngineCall(w, r):
+	default:
+		s.run(w, r)
+	}
+}
+
+func (s *Server) health(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// run runs a request unless it is meant for another server or there is no slot.
+func (s *Server) run(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", id)
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.config.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if !s.enter() {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.leave()
+	if s.config.Engine {
+		s.stream(w, r, id, body)
+		return
+	}
+	s.logRun(r, id, body)
+	if !pause(r, s.config.Work) {
+		return
+	}
+	w.Header().Set("X-Server-Stamp", s.config.ID)
+	_, _ = io.WriteString(w, Answer(body, r.URL.RequestURI())) // an error means that the caller has left
+}
+
+// logRun writes the line that shows, also after a kill, that the request ran.
+func (s *Server) logRun(r *http.Request, id string, body []byte) {
+	_, _ = fmt.Fprintf(s.config.Ran, "ran request=%s server=%s workspace=%q path=%q digest=%s forged=%q\n",
+		id, s.config.ID, r.Header.Get("X-Tenant"), r.URL.RequestURI(), Digest(body), r.Header.Get("X-Hold")+r.Header.Get("Authorization"))
+}
+
+func (s *Server) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active >= s.config.Slots {
+		return false
+	}
+	s.active++
+	return true
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+}
+
+// Digest identifies a body.
+func Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:8])
+}
+
+// Answer is what each plain server answers to a request.
+func Answer(body []byte, path string) string { return "answer " + path + " " + Digest(body) + "\n" }
+
+// Event is the event of a number that each model server writes for a body.
+func Event(body []byte, number int) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%s %d", Digest(body), number))
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", number, hex.EncodeToString(sum[:12]))
+}
--- /dev/null
+++ b/internal/gatewaysoak/single_test.go
@@ -0,0 +1,117 @@
+//go:build e2e
+
+package gatewaysoak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/emulator"
+)
+
+// pauseGoal is the longest pause of a stream that is on time.
+const pauseGoal = 700 * time.Millisecond
+
+// Guards against a caller that notices the crash or silence of an engine: the
+// stream goes on within the pause of its route, without the caller's help.
+func TestStreamSurvivesItsEngine(t *testing.T) {
+	for name, fail := range map[string]func(n *node){
+		"killed": func(n *node) { n.kill() },
+		"paused": func(n *node) { n.signal(syscall.SIGSTOP) },
+		"cut":    func(n *node) { n.proxy.Set(emulator.ProxyFault{Silence: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			l := newLedger()
+			var streams sync.WaitGroup
+			for i := range 4 * len(w.engines) {
+				streams.Go(func() { w.stream(l, fmt.Sprint("stream-", i)) })
+			}
+			pauseFor(t.Context(), 700*time.Millisecond)
+			fail(w.engines[0])
+			streams.Wait()
+			t.Logf("%v, longest pause %v", l.counts, l.longest)
+			w.g.Expect(l.violations).To(BeEmpty())
+			w.g.Expect(l.counts).To(Equal(map[string]int{"stream complete": 4 * len(w.engines)}))
+			w.g.Expect(l.longest).To(BeNumerically("<", pauseGoal))
+		})
+	}
+}
+
+// Guards against a planned stop that cuts a request, and against a process that
+// does not end when its last request has.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	w := newWorld(t)
+	l := newLedger()
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	var failed atomic.Int64
+	for c := range 6 {
+		callers.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				if !w.call(l, fmt.Sprintf("call-%d-%d", c, n), c%2 == 0) {
+					failed.Add(1)
+				}
+				pauseFor(ctx, 20*time.Millisecond)
+			}
+		})
+		callers.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				w.stream(l, fmt.Sprintf("stream-%d-%d", c, n))
+			}
+		})
+	}
+	for _, n := range w.gateways {
+		process := n.current()
+		n.signal(syscall.SIGHUP)
+		n.signal(syscall.SIGTERM)
+		n.signal(syscall.SIGTERM)
+		w.g.Eventually(process.Exited(), 10*time.Second).Should(BeClosed())
+		w.g.Expect(process.ExitCode()).To(BeZero())
+		w.g.Expect(n.restart()).To(Succeed())
+		w.g.Eventually(w.readyGateways, 10*time.Second, 50*time.Millisecond).Should(HaveLen(gatewayCount))
+	}
+	cancel()
+	callers.Wait()
+	w.checkRuns(l)
+	t.Logf("%v", l.counts)
+	w.g.Expect(l.violations).To(BeEmpty())
+	w.g.Expect(failed.Load()).To(BeZero())
+	w.g.Expect(l.counts).NotTo(HaveKey("stream attempt broken off"))
+	w.g.Expect(l.counts).NotTo(HaveKey("stream attempt without an answer"))
+}
+
+// Guards against a gateway that is ready, or answers 404 or 401, before it knows
+// a configuration, and against one that loses it when the store is away.
+func TestStoreAway(t *testing.T) {
+	w := newWorld(t)
+	l := newLedger()
+	for _, n := range w.gateways {
+		n.proxy.Set(emulator.ProxyFault{Silence: true})
+		n.proxy.Reset()
+	}
+	w.g.Expect(w.gateways[0].restart()).To(Succeed())
+	w.g.Eventually(w.readyGateways, 5*time.Second, 50*time.Millisecond).Should(HaveLen(gatewayCount - 1))
+	response, err := w.requestAt(t.Context(), w.gateways[0].address, "early", http.MethodGet, "/read/x", "", nil)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	_ = response.Body.Close()
+	w.g.Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	w.g.Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+	pauseFor(t.Context(), 4*time.Second)
+	for n := range 20 {
+		w.g.Expect(w.call(l, fmt.Sprint("call-", n), n%2 == 0)).To(BeTrue())
+	}
+	for _, n := range w.gateways {
+		n.proxy.Set(emulator.ProxyFault{})
+	}
+	w.g.Eventually(w.readyGateways, bound, 50*time.Millisecond).Should(HaveLen(gatewayCount))
+	w.g.Expect(l.violations).To(BeEmpty())
+}
--- /dev/null
+++ b/internal/gatewaysoak/soak_test.go
@@ -0,0 +1,281 @@
+//go:build e2e
+
+package gatewaysoak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/emulator"
+)
+
+const (
+	// soakTime is the time with faults; FOXTAILHUB_SOAK_SECONDS changes it.
+	soakTime      = 8 * time.Second
+	streamCallers = 10
+	callCallers   = 6
+	// restartMin and restartSpread bound how long a killed process stays down.
+	restartMin    = 200 * time.Millisecond
+	restartSpread = 1500 * time.Millisecond
+)
+
+// ciSeeds are the seeds of CI and every seed that ever failed, each with a line
+// on the cause.
+var ciSeeds = []uint64{1, 2}
+
+func seeds() []uint64 {
+	list := os.Getenv("FOXTAILHUB_SEED")
+	if list == "" {
+		return ciSeeds
+	}
+	var chosen []uint64
+	for text := range strings.SplitSeq(list, ",") {
+		if seed, err := strconv.ParseUint(text, 10, 64); err == nil {
+			chosen = append(chosen, seed)
+		}
+	}
+	return chosen
+}
+
+func duration() time.Duration {
+	if s, err := strconv.Atoi(os.Getenv("FOXTAILHUB_SOAK_SECONDS")); err == nil {
+		return time.Duration(s) * time.Second
+	}
+	return soakTime
+}
+
+// Guards against any broken promise while processes are killed, paused,
+// restarted and stopped, connections are delayed, reset, cut one way or
+// silenced, the store fails in its ways and the configuration changes, in
+// random order and overlapping.
+func TestGatewaySoak(t *testing.T) {
+	for _, seed := range seeds() {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			w := newWorld(t)
+			l := newLedger()
+			ctx, cancel := context.WithTimeout(t.Context(), duration())
+			defer cancel()
+			callers := w.startCallers(ctx, l)
+			s := &soak{world: w, random: rand.New(rand.NewPCG(seed, seed))}
+			s.run(ctx)
+			s.heal()
+			callers.Wait()
+			w.checkRecovery(l)
+			w.checkRuns(l)
+			t.Logf("seed %d: %v, longest pause %v", seed, l.counts, l.longest)
+			w.g.Expect(l.violations).To(BeEmpty())
+			w.g.Expect(l.counts["stream complete"]).To(BeNumerically(">", 0))
+		})
+	}
+}
+
+// startCallers starts callers that go on until ctx ends, and then finish what
+// they have begun.
+func (w *world) startCallers(ctx context.Context, l *ledger) *sync.WaitGroup {
+	var callers sync.WaitGroup
+	for c := range streamCallers {
+		callers.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				w.stream(l, fmt.Sprintf("stream-%d-%d", c, n))
+			}
+		})
+	}
+	for c := range callCallers {
+		callers.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				w.call(l, fmt.Sprintf("call-%d-%d", c, n), n%2 == 0)
+				pauseFor(ctx, 30*time.Millisecond)
+			}
+		})
+	}
+	return &callers
+}
+
+// pauseFor waits, or until ctx ends.
+func pauseFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// soak injects faults.
+type soak struct {
+	*world
+	random  *rand.Rand
+	pending sync.WaitGroup // ends of faults
+}
+
+// run injects faults until ctx ends; several may last at a time.
+func (s *soak) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pauseFor(ctx, time.Duration(200+s.random.IntN(500))*time.Millisecond)
+		fault := faults[s.random.IntN(len(faults))]
+		s.t.Logf("%s", fault.name)
+		fault.inject(s)
+	}
+}
+
+// later ends a fault after some time.
+func (s *soak) later(end func()) {
+	d := restartMin + time.Duration(s.random.Int64N(int64(restartSpread)))
+	s.pending.Go(func() {
+		pauseFor(context.Background(), d)
+		end()
+	})
+}
+
+func (s *soak) pick(nodes []*node) *node { return nodes[s.random.IntN(len(nodes))] }
+
+// faults are what may happen; each ends by itself.
+var faults = []struct {
+	name   string
+	inject func(s *soak)
+}{
+	{"engine killed", func(s *soak) { s.killOne(s.pick(s.engines)) }},
+	{"engine killed", func(s *soak) { s.killOne(s.pick(s.engines)) }},
+	{"engine paused", func(s *soak) { s.stop(s.pick(s.engines)) }},
+	{"plain server killed", func(s *soak) { s.killOne(s.pick(s.plain)) }},
+	{"plain server paused", func(s *soak) { s.stop(s.pick(s.plain)) }},
+	{"failure domain of engines killed", func(s *soak) {
+		d := s.random.IntN(domains)
+		for _, n := range s.engines[d*enginesEach : (d+1)*enginesEach] {
+			s.killOne(n)
+		}
+	}},
+	{"gateway killed", func(s *soak) { s.killOne(s.pick(s.gateways)) }},
+	{"gateway paused", func(s *soak) { s.stop(s.pick(s.gateways)) }},
+	{"gateway told to leave", func(s *soak) { s.leave(s.pick(s.gateways)) }},
+	{"gateway told to reload", func(s *soak) { s.pick(s.gateways).signal(syscall.SIGHUP) }},
+	{"connections reset", func(s *soak) { s.pick(s.all()).proxy.Reset() }},
+	{"open connections silent", func(s *soak) { s.pick(s.all()).proxy.Set(emulator.ProxyFault{Silence: true, OnlyOpen: true}) }},
+	{"server unreachable", func(s *soak) { s.proxyFault(emulator.ProxyFault{Silence: true}) }},
+	{"answers lost", func(s *soak) { s.proxyFault(emulator.ProxyFault{OneWay: true}) }},
+	{"connections refused", func(s *soak) { s.proxyFault(emulator.ProxyFault{Refuse: true}) }},
+	{"connections slow", func(s *soak) { s.proxyFault(emulator.ProxyFault{Delay: 60 * time.Millisecond}) }},
+	{"store refuses", func(s *soak) { s.storeFault(emulator.StoreFault{Status: http.StatusServiceUnavailable}) }},
+	{"store limits", func(s *soak) { s.storeFault(emulator.StoreFault{Status: http.StatusTooManyRequests}) }},
+	{"store silent", func(s *soak) { s.storeFault(emulator.StoreFault{SilentMS: 5000}) }},
+	{"store slow", func(s *soak) { s.storeFault(emulator.StoreFault{SilentMS: 300}) }},
+	{"store forgets history", func(s *soak) { s.storeFault(emulator.StoreFault{DropHistory: true}) }},
+	{"route added", func(s *soak) { s.changeRoutes(true); s.writeConfiguration() }},
+	{"route removed", func(s *soak) { s.changeRoutes(false); s.writeConfiguration() }},
+	{"strange entry", func(s *soak) {
+		_ = emulator.Transact(context.Background(), s.client, s.store.address, "servers", "strange", []byte(`{"service":7}`)) // the store may be down
+	}},
+}
+
+func (s *soak) killOne(n *node) {
+	n.signal(syscall.SIGCONT)
+	n.kill()
+	s.later(func() {
+		if err := n.restart(); err != nil {
+			s.t.Errorf("restart %s: %v", n.name, err)
+		}
+	})
+}
+
+func (s *soak) stop(n *node) {
+	process := n.current()
+	_ = process.Signal(syscall.SIGSTOP) // it may have ended
+	s.later(func() { _ = process.Signal(syscall.SIGCONT) })
+}
+
+// leave stops a gateway as planned and starts it again when it has ended, or
+// kills it after the grace time as the platform does.
+func (s *soak) leave(n *node) {
+	process := n.current()
+	_ = process.Signal(syscall.SIGTERM)
+	s.pending.Go(func() {
+		select {
+		case <-process.Exited():
+		case <-time.After(8 * time.Second):
+		}
+		if n.current() == process {
+			if err := n.restart(); err != nil {
+				s.t.Errorf("restart %s: %v", n.name, err)
+			}
+		}
+	})
+}
+
+func (s *soak) proxyFault(fault emulator.ProxyFault) {
+	proxy := s.pick(s.all()).proxy
+	proxy.Set(fault)
+	s.later(func() { proxy.Set(emulator.ProxyFault{}) })
+}
+
+func (s *soak) storeFault(fault emulator.StoreFault) {
+	s.setStore(fault)
+	if !fault.DropHistory {
+		s.later(func() { s.setStore(emulator.StoreFault{}) })
+	}
+}
+
+func (s *soak) setStore(fault emulator.StoreFault) {
+	body, err := json.Marshal(fault)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	response, err := http.Post("http://"+s.store.address+"/fault", "application/json", bytes.NewReader(body))
+	s.g.Expect(err).NotTo(HaveOccurred())
+	_ = response.Body.Close()
+}
+
+// heal ends all faults and writes the configuration again.
+func (s *soak) heal() {
+	s.pending.Wait()
+	s.setStore(emulator.StoreFault{})
+	for _, n := range s.all() {
+		n.proxy.Set(emulator.ProxyFault{})
+		n.signal(syscall.SIGCONT)
+	}
+	s.g.Expect(s.writeConfiguration()).To(BeTrue())
+}
+
+// checkRecovery checks that after the stated bound all gateways serve again, under
+// the last configuration.
+func (w *world) checkRecovery(l *ledger) {
+	pauseFor(context.Background(), bound)
+	w.g.Eventually(w.readyGateways, bound, 50*time.Millisecond).Should(HaveLen(gatewayCount))
+	for _, gateway := range w.gateways {
+		for _, prefix := range append(w.addedRoutes(), "/removed/") {
+			w.checkRoute(l, gateway, prefix)
+		}
+	}
+	for n := range 10 {
+		if !w.stream(l, fmt.Sprintf("last-stream-%d", n)) {
+			l.violation("a stream after the faults was not served")
+		}
+		if !w.call(l, fmt.Sprintf("last-call-%d", n), true) {
+			l.violation("a call after the faults was not served")
+		}
+	}
+}
+
+func (w *world) checkRoute(l *ledger, gateway *node, prefix string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callDeadline)
+	defer cancel()
+	response, err := w.requestAt(ctx, gateway.address, "probe", http.MethodGet, prefix+"x", "", nil)
+	if err != nil {
+		l.violation("%s does not answer after the faults: %v", gateway.name, err)
+		return
+	}
+	defer response.Body.Close()
+	if known := response.StatusCode != http.StatusNotFound; known != (prefix != "/removed/") {
+		l.violation("%s answers %d on the route %s after the last change", gateway.name, response.StatusCode, prefix)
+	}
+}
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -53,6 +53,17 @@
 	return p, nil
 }
 
+// StartProgram starts a program whose output goes to <dir>/<name>.log.
+func StartProgram(dir, name, address, binary string, args ...string) (*Process, error) {
+	return startProcess(dir, name, address, binary, args...)
+}
+
+// Kill ends the process and waits for it.
+func (p *Process) Kill() { p.kill() }
+
+// FreeAddress returns a loopback address whose ports were free a moment ago.
+func FreeAddress() (string, error) { return freeAddress() }
+
 // URL returns the base URL of the HTTP interface.
 func (p *Process) URL() string { return "http://" + p.Address }
 
