--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -136,6 +136,7 @@
 	err     error
 	dropped bool // the history
 	silent  bool
+	deaf    bool // calls that are held now are never answered
 	reads   int
 	changes int
 	since   []int64
@@ -174,11 +175,27 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return batch, nil
-	case <-ctx.Done():
-		return Batch{}, ctx.Err()
+	for {
+		select {
+		case <-timer.C:
+			return batch, nil
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+		s.mu.Lock()
+		deaf, changed := s.deaf, s.version > after
+		if changed {
+			batch.Version = s.version
+		}
+		s.mu.Unlock()
+		switch {
+		case deaf:
+			<-ctx.Done()
+			return Batch{}, ctx.Err()
+		case changed:
+			return batch, nil
+		}
 	}
 }
 
@@ -220,7 +237,7 @@
 		synctest.Wait()
 		g.Expect(*applied).To(HaveLen(2), "a stale answer")
 		store.set(func(s *fakeStore) { s.dropped = true; s.version = 20 })
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(time.Second) // between two calls
 		store.set(func(s *fakeStore) {
 			g.Expect(s.reads).To(Equal(2)) // at the start and for the call that found no history
 			s.err = ErrHistoryGone         // also for the whole read
@@ -249,3 +266,29 @@
 		g.Expect((*applied)[len(*applied)-1].Version).To(BeEquivalentTo(11))
 	})
 }
+
+// Guards against a configuration that is missed for as long as the store may
+// hold a call, because the connection of the call has gone silent.
+func TestHeldCallIsInterrupted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := &fakeStore{version: 10}
+		var applied []Batch
+		held := NewFollower(store, Configuration, Rhythm{Wait: 15 * time.Second}, quiet(), func(batch Batch, _ bool, _ time.Duration) {
+			applied = append(applied, batch)
+		})
+		polling := NewFollower(store, Servers, Rhythm{Pause: time.Second}, quiet(), func(Batch, bool, time.Duration) {})
+		polling.OnTrouble(held.Interrupt)
+		ctx, cancel := context.WithCancel(t.Context())
+		go held.Run(ctx)
+		go polling.Run(ctx)
+		time.Sleep(1500 * time.Millisecond)
+		store.set(func(s *fakeStore) { s.deaf, s.silent = true, true })
+		time.Sleep(1500 * time.Millisecond)
+		store.set(func(s *fakeStore) { s.deaf, s.silent, s.version = false, false, 11 })
+		time.Sleep(2 * time.Second)
+		cancel()
+		synctest.Wait()
+		g.Expect(applied[len(applied)-1].Version).To(BeEquivalentTo(11))
+	})
+}
--- a/internal/forward/call_test.go
+++ b/internal/forward/call_test.go
@@ -245,7 +245,14 @@
 		w.set(answer(http.StatusOK, "answer"), "a")
 		current := w.table
 		w.table = nil
-		w.g.Expect(w.ask(t.Context(), nil).status).To(Equal(http.StatusServiceUnavailable))
+		early := w.ask(t.Context(), map[string]string{"Deadline": "25000"})
+		w.g.Expect(early.status).To(Equal(http.StatusServiceUnavailable))
+		w.g.Expect(early.header.Get("Retry-After")).To(Equal(comeBackSoon.String()))
+		w.away = true
+		for deadline, want := range map[string]string{"25000": "2s", "1000": "300ms", "": "2s"} {
+			got := w.ask(t.Context(), map[string]string{"Deadline": deadline})
+			w.g.Expect(got.header.Get("Retry-After")).To(Equal(want))
+		}
 		w.table = route.NewTable(route.Document{Version: 2})
 		w.g.Expect(w.ask(t.Context(), nil).status).To(Equal(http.StatusNotFound))
 		matched, _ := current.Match("host", "/")
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -62,6 +62,29 @@
 	return s.repeatable() && s.MayHaveRun < s.MaxAttempts && s.Refused < maxRefusals
 }
 
+// Times to come back to an instance that knows no configuration.
+const (
+	// comeBackSoon is about the time of a first read from the store.
+	comeBackSoon = 400 * time.Millisecond
+	// comeBackLater is for callers with enough time while the store is away: one
+	// whose answer is due in 4.5 s is still served in time afterwards.
+	comeBackLater = 2 * time.Second
+	// comeBackShare is the part of its time that a caller may wait before it comes back.
+	comeBackShare = 0.3
+)
+
+// ComeBackAfter returns when a caller with a deadline may come back to an
+// instance that knows no configuration.
+func ComeBackAfter(deadline time.Duration, storeAway bool) time.Duration {
+	if !storeAway {
+		return comeBackSoon
+	}
+	if deadline <= 0 {
+		return comeBackLater
+	}
+	return min(comeBackLater, time.Duration(comeBackShare*float64(deadline)))
+}
+
 // Times of the watch over a stream.
 const (
 	// suspectFloor and suspectCeiling bound the silence after which the server of
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// retryNoConfiguration is when a caller may come back to an instance that
-	// knows no configuration yet: about the time of a read from the store.
-	retryNoConfiguration = 500 * time.Millisecond
 	// retryNoServer is when a caller may come back if no server can take its
 	// request: a crashed server is back after a little over a second.
 	retryNoServer = 400 * time.Millisecond
@@ -49,6 +46,8 @@
 	Log      logrus.FieldLogger
 	Metrics  *Metrics
 	Leaving  *Leaving
+	// StoreAway reports whether the store, which tells the configuration, is away.
+	StoreAway func() bool
 	// Transport carries requests to servers; nil: HTTP/1.1 over TCP.
 	Transport http.RoundTripper
 }
@@ -113,7 +112,7 @@
 func (f *Forwarder) admit(x *exchange) bool {
 	table := f.Tables.Current()
 	if table == nil {
-		f.refuse(x, http.StatusServiceUnavailable, "no configuration is known yet", retryNoConfiguration)
+		f.refuse(x, http.StatusServiceUnavailable, "no configuration is known yet", ComeBackAfter(x.meta.Deadline, f.StoreAway()))
 		return false
 	}
 	x.version = table.Version
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -96,6 +96,7 @@
 	visits  []visit
 	copies  []string // copies made, "source run to"
 	dropped []string
+	away    bool // the store
 }
 
 const testGoal = 150 * time.Millisecond
@@ -126,7 +127,7 @@
 	log.SetOutput(&lockedWriter{w: w.log})
 	w.f = New(Config{
 		Tables: w, Pool: w.pool, Protocol: testProtocol{}, Reporter: w, Copier: w, Finder: w,
-		Budgets: NewBudgets(1), Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Leaving: &Leaving{}, Transport: w,
+		Budgets: NewBudgets(1), Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Leaving: &Leaving{}, Transport: w, StoreAway: func() bool { return w.away },
 	})
 	return w
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,13 +33,15 @@
 	// have been idle for up to four fifths of the configuration's limit.
 	idleTimeout = 60 * time.Second
 	// configurationWait is how long the store may hold a call for the
-	// configuration. Calls are priced; a connection that has gone silent shows by
-	// its keep-alive probes.
+	// configuration. Calls are priced. A connection that has gone silent shows by its
+	// keep-alive probes, or by the calls for the list of servers.
 	configurationWait = 15 * time.Second
 	// listShare is the part of the time in which a server that leaves must get no
 	// new requests that may pass between reads of the list. The rest is for the
 	// answer of a slow store.
 	listShare = 0.6
+	// firstRead is the time in which a store that is well answers the first read.
+	firstRead = 300 * time.Millisecond
 	// balancerLag is the time after which a balancer that asks once a second has
 	// seen two refusals, and sends no new connections.
 	balancerLag = 2500 * time.Millisecond
@@ -70,6 +72,8 @@
 	registry       *prometheus.Registry
 	configurations *discovery.Configurations
 	servers        *discovery.ServerList
+	followers      []*discovery.Follower // of the configuration, of the servers
+	started        time.Time
 	pool           *pool.Pool
 	forwarder      *forward.Forwarder
 	leaving        *forward.Leaving
@@ -83,7 +87,7 @@
 	log := logger.WithField("instance", settings.Instance)
 	g := &Gateway{
 		settings: settings, platform: platform, log: log,
-		registry: prometheus.NewRegistry(), pool: pool.New(), leaving: &forward.Leaving{}, listen: net.Listen,
+		registry: prometheus.NewRegistry(), pool: pool.New(), leaving: &forward.Leaving{}, listen: net.Listen, started: time.Now(),
 	}
 	g.configurations = discovery.NewConfigurations(platform.Decoder, log)
 	g.servers = discovery.NewServerList(g.pool, platform.Decoder, log)
@@ -91,16 +95,34 @@
 		Tables: g.configurations, Pool: g.pool, Protocol: platform.Protocol, Reporter: platform.Reporter, Copier: platform.Copier, Finder: platform.Finder,
 		Budgets: forward.NewBudgets(settings.RetryShare * retryShareUsed),
 		Log:     log, Metrics: forward.NewMetrics(g.registry), Leaving: g.leaving,
+		StoreAway: g.storeAway,
 	})
+	g.followers = []*discovery.Follower{
+		discovery.NewFollower(platform.Store, discovery.Configuration, discovery.Rhythm{Wait: configurationWait}, log, g.configurations.Apply),
+		discovery.NewFollower(platform.Store, discovery.Servers,
+			discovery.Rhythm{Pause: time.Duration(listShare * float64(milliseconds(settings.LeavingMS)))}, log, g.servers.Apply),
+	}
+	g.followers[1].OnTrouble(g.followers[0].Interrupt)
 	return g
 }
 
+// storeAway reports whether a first read from the store takes longer than it
+// does when the store is well.
+func (g *Gateway) storeAway() bool {
+	return g.followers[0].Failing() || time.Since(g.started) > firstRead
+}
+
 // Run serves until ctx ends and the requests in progress have ended.
 func (g *Gateway) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	g.follow(background, group)
+	for _, f := range g.followers {
+		group.Go(func() error {
+			f.Run(background)
+			return nil
+		})
+	}
 	readiness := &http.Server{Handler: g.readiness(), ReadHeaderTimeout: headerTimeout}
 	front := &http.Server{
 		Handler: g.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -135,21 +157,6 @@
 	return nil
 }
 
-// follow starts the followers of the store.
-func (g *Gateway) follow(ctx context.Context, group *errgroup.Group) {
-	configuration := discovery.Rhythm{Wait: configurationWait}
-	servers := discovery.Rhythm{Pause: time.Duration(listShare * float64(milliseconds(g.settings.LeavingMS)))}
-	for _, f := range []*discovery.Follower{
-		discovery.NewFollower(g.platform.Store, discovery.Configuration, configuration, g.log, g.configurations.Apply),
-		discovery.NewFollower(g.platform.Store, discovery.Servers, servers, g.log, g.servers.Apply),
-	} {
-		group.Go(func() error {
-			f.Run(ctx)
-			return nil
-		})
-	}
-}
-
 // leave waits until the balancer has noticed and the last request has ended.
 // Whoever stops the process ends it after the grace time.
 func (g *Gateway) leave(front *http.Server) {
--- a/internal/gatewaysoak/soak_test.go
+++ b/internal/gatewaysoak/soak_test.go
@@ -34,7 +34,10 @@
 
 // ciSeeds are the seeds of CI and every seed that ever failed, each with a line
 // on the cause.
-var ciSeeds = []uint64{1, 2}
+var ciSeeds = []uint64{
+	1, 2,
+	11, 39, // a held call on a silent connection hid the last configuration for up to 15 s
+}
 
 func seeds() []uint64 {
 	list := os.Getenv("FOXTAILHUB_SEED")
@@ -64,6 +67,7 @@
 func TestGatewaySoak(t *testing.T) {
 	for _, seed := range seeds() {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(t)
 			l := newLedger()
 			ctx, cancel := context.WithTimeout(t.Context(), duration())
--- a/internal/gatewaysoak/world_test.go
+++ b/internal/gatewaysoak/world_test.go
@@ -36,6 +36,28 @@
 	bound = 3 * time.Second
 )
 
+// binaries is the directory of the programs.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "foxtailhub-bin-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(directory) //nolint:errcheck // nothing depends on it
+	binaries = directory
+	if err := testcluster.Build(context.Background(), directory); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
 // node is a process that is stopped and started again in the course of a test.
 type node struct {
 	name    string
@@ -72,8 +94,7 @@
 		t: t, g: NewWithT(t), dir: t.TempDir(), ready: map[string]bool{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}},
 	}
-	w.binaries = filepath.Join(w.dir, "bin")
-	w.g.Expect(testcluster.Build(t.Context(), w.binaries)).To(Succeed())
+	w.binaries = binaries
 	w.store = w.newNode("store", func(n *node, _ int) []string {
 		return []string{"foxtailhub-standin", "-role", "routed-store", "-listen", n.address}
 	})
