Wait up to 3 s for a server when a stream has begun and none can go on

Ruled out: an engine that refused. A request that no server has run is still refused at once. make demo now also shows the gateway: a stream over the loss of its engine, explained from the logs.

--- a/Makefile
+++ b/Makefile
@@ -39,10 +39,11 @@
 		git status --porcelain -- internal/api/oas; exit 1; fi
 
 clean:
-	rm -rf $(BIN) .demo
+	rm -rf $(BIN) .demo .demo-gateway
 
 demo:
 	scripts/demo.sh
+	scripts/demo-gateway.sh
 
 # One longer run of whole instances in virtual time: make soak SEED=n
 soak:
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -32,7 +32,7 @@
 		if !ok {
 			return false
 		}
-		x.tried = append(x.tried, m.ID)
+		x.sendTo(m)
 		asked = append(asked, m)
 		flying++
 		go f.sendCall(f.callContext(ctx, x), x, m, results)
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -62,6 +62,12 @@
 	return s.repeatable() && s.MayHaveRun < s.MaxAttempts && s.Refused < maxRefusals
 }
 
+// MayWait reports whether a request that may have run can go on later at a
+// server that cannot take it now.
+func (s State) MayWait() bool {
+	return s.MayHaveRun > 0 && s.repeatable() && s.MayHaveRun < s.MaxAttempts && s.Left >= minTimeToSend
+}
+
 // Times to come back to an instance that knows no configuration.
 const (
 	// comeBackSoon is about the time of a first read from the store.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -81,7 +81,8 @@
 	deadline  time.Time
 	budget    *dispatch.Budget
 	log       logrus.FieldLogger
-	tried     []string // servers
+	tried     []string // servers that it was sent to, for the log
+	avoid     []string // of these, those that do not get it again
 	state     State
 }
 
@@ -224,6 +225,12 @@
 	}
 }
 
+// sendTo notes that the request is sent to a server.
+func (x *exchange) sendTo(m *pool.Member) {
+	x.tried = append(x.tried, m.ID)
+	x.avoid = append(x.avoid, m.ID)
+}
+
 // mayRepeat takes the next sending from the retry budget. One that follows
 // sendings that reached no server is no repeat.
 func (x *exchange) mayRepeat() bool {
@@ -236,7 +243,7 @@
 
 // pick chooses a server for the next sending.
 func (f *Forwarder) pick(x *exchange, need pool.Need) (*pool.Member, bool) {
-	need.Avoid = append(need.Avoid, x.tried...)
+	need.Avoid = append(need.Avoid, x.avoid...)
 	need.Once = x.route.Kind == route.AtMostOnce
 	f.checkDoubted(x)
 	return pool.Pick(f.Pool.Members(x.service.Name), need, time.Now())
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -44,7 +44,7 @@
 
 // placeByReport places a new prompt by the newest reports of a few servers.
 func (f *Forwarder) placeByReport(ctx context.Context, x *exchange, need pool.Need) (placement, bool) {
-	need.Avoid = append(need.Avoid, x.tried...)
+	need.Avoid = append(need.Avoid, x.avoid...)
 	some := pool.PickSome(f.Pool.Members(x.service.Name), need, reportsAsked, time.Now())
 	reports := f.reports(ctx, x, some)
 	i, ok := chooseReported(x, some, reports, func(int) bool { return true })
@@ -67,7 +67,7 @@
 // findKeeper returns a live server for a copy of the memory of a run.
 func (f *Forwarder) findKeeper(ctx context.Context, x *exchange, m *pool.Member) (*pool.Member, bool) {
 	need := keeperNeed(m)
-	need.Avoid = append(need.Avoid, x.tried...)
+	need.Avoid = append(need.Avoid, x.avoid...)
 	some := pool.PickSome(f.Pool.Members(x.service.Name), need, keepersAsked, time.Now())
 	i, ok := chooseReported(x, some, f.reports(ctx, x, some), func(int) bool { return true })
 	if !ok {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -15,6 +15,10 @@
 const (
 	// writeTimeout bounds one write to a caller that does not read.
 	writeTimeout = 10 * time.Second
+	// resumeWait is the bound within which a stream goes on after a loss, and
+	// resumePause the time between looks for a server meanwhile.
+	resumeWait  = 3 * time.Second
+	resumePause = 150 * time.Millisecond
 	// eventBuffer lets a server run ahead of its caller by a few events.
 	eventBuffer = 16
 )
@@ -33,6 +37,7 @@
 	longest       time.Duration
 	listAge       time.Duration // of the list of servers when the last one was chosen
 	lastAt        time.Time     // of the last event; zero before the first
+	stuck         time.Time     // since when no server can go on; zero: one does
 }
 
 // stream forwards a request whose answer is a stream of events.
@@ -41,6 +46,9 @@
 	for {
 		m, keeper, sending, ok := s.plan(ctx)
 		if !ok {
+			if s.await(ctx) {
+				continue
+			}
 			break
 		}
 		result := s.attempt(ctx, m, keeper, sending)
@@ -48,13 +56,37 @@
 			return
 		}
 		x.state.Left = x.left()
-		if ctx.Err() != nil || !x.state.Again() || !x.mayRepeat() {
+		if ctx.Err() != nil || !x.state.Again() && !s.await(ctx) || !x.mayRepeat() {
 			break
 		}
 	}
 	s.end(ctx)
 }
 
+// await waits a moment for a server when none can go on with a stream that has
+// begun. Its caller would lose what it has, and a server may come back or be
+// listed soon, so all servers are tried again.
+func (s *relay) await(ctx context.Context) bool {
+	x := s.x
+	now := time.Now()
+	if s.stuck.IsZero() {
+		s.stuck = now
+	}
+	if !x.state.MayWait() || now.Sub(s.stuck) >= resumeWait {
+		return false
+	}
+	timer := time.NewTimer(resumePause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	x.avoid = nil
+	x.state.Refused = 0
+	return true
+}
+
 // plan chooses the server of the next sending and the one that keeps a copy, or
 // nil for the latter.
 func (s *relay) plan(ctx context.Context) (m, keeper *pool.Member, sending Sending, ok bool) {
@@ -73,7 +105,7 @@
 	if !ok {
 		return nil, nil, sending, false
 	}
-	x.tried = append(x.tried, m.ID)
+	x.sendTo(m)
 	sending = Sending{Server: m.Current(), Workspace: x.workspace.Name, LastEvent: s.last}
 	if s.copy != nil && m.ID == s.copy.serverID {
 		sending.From = &s.copy.Copy
@@ -180,6 +212,7 @@
 		s.longest = max(s.longest, now.Sub(s.lastAt))
 	}
 	s.lastAt = now
+	s.stuck = time.Time{}
 	s.events++
 	if e.numbered {
 		s.last = e.id
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -341,3 +341,31 @@
 		w.g.Expect(w.visit(1).header.Get("From")).To(HavePrefix(w.visit(0).server + "/copy-"))
 	})
 }
+
+// Guards against a stream that is broken off because no other server is there
+// at the moment, while its own is back after a second.
+func TestStreamWaitsForItsOnlyServer(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a")
+		w.set(stream(10, 30*time.Millisecond, errReset), "a")
+		time.AfterFunc(200*time.Millisecond, func() { w.set(nil, "a") })
+		time.AfterFunc(1400*time.Millisecond, func() { w.set(stream(30, 30*time.Millisecond, nil), "a") })
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.aborted).To(BeFalse())
+		w.g.Expect(got.body).To(Equal(eventsText(1, 30)))
+	})
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a")
+		w.set(stream(10, 30*time.Millisecond, errReset), "a")
+		time.AfterFunc(200*time.Millisecond, func() { w.set(nil, "a") })
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.aborted).To(BeTrue())
+		w.g.Expect(got.took).To(BeNumerically("<", resumeWait+time.Second))
+	})
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a")
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		w.g.Expect(got.took).To(BeZero(), "a request that no server has run is refused at once")
+	})
+}
