Quarantine requests that crash each server that runs them, at all instances

A request that has crashed three servers, confirmed by a probe and not explained by the loss of a failure domain, is refused with 502 for a minute; a completion clears it. Crashes are rows of the store, one each, from the second on, or at once where a route allows fewer servers.

--- a/cmd/foxtailhub-standin/main.go
+++ b/cmd/foxtailhub-standin/main.go
@@ -117,6 +117,7 @@
 		config := o.routed
 		config.Engine = o.role == "routed-engine"
 		config.Slots, config.Interval, config.Ran = o.slots, o.token, os.Stdout
+		config.Exit = os.Exit
 		server := emulator.NewServer(config)
 		go server.Register(ctx)
 		return server, nil
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -199,6 +199,10 @@
 	}
 }
 
+func (s *fakeStore) Put(context.Context, Topic, string) error { return nil }
+
+func (s *fakeStore) Remove(context.Context, Topic, string) error { return nil }
+
 func (s *fakeStore) set(change func(s *fakeStore)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -40,18 +40,23 @@
 const (
 	Configuration Topic = iota
 	Servers
+	Crashes // of servers, while they ran a request; written by the instances
 )
 
 // String returns the name used in logs.
-func (t Topic) String() string { return [...]string{"configuration", "servers"}[t] }
+func (t Topic) String() string { return [...]string{"configuration", "servers", "crashes"}[t] }
 
-// Store reads the platform's store.
+// Store is the platform's store.
 type Store interface {
 	// Read returns all rows of a topic.
 	Read(ctx context.Context, topic Topic) (Batch, error)
 	// Changes returns the rows that changed after a version, as soon as there is
 	// one or the wait is over. It returns ErrHistoryGone if they are not known.
 	Changes(ctx context.Context, topic Topic, after int64, wait time.Duration) (Batch, error)
+	// Put writes a row without a value, and Remove removes it. Only rows of Crashes
+	// are the instances' to write.
+	Put(ctx context.Context, topic Topic, key string) error
+	Remove(ctx context.Context, topic Topic, key string) error
 }
 
 // Decoder reads the values of rows.
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -24,12 +24,19 @@
 	Store         string // address of the store
 	Engine        bool
 	Slots         int
-	Work          time.Duration // of a call; of a prompt at a model server
-	Interval      time.Duration // between events
-	Beat          time.Duration // between entries in the store
-	Ran           io.Writer     // gets a line for each request that runs
+	Work          time.Duration  // of a call; of a prompt at a model server
+	Interval      time.Duration  // between events
+	Beat          time.Duration  // between entries in the store
+	Ran           io.Writer      // gets a line for each request that runs
+	Exit          func(code int) // ends the process, for requests that crash it
 }
 
+// DeadlyBody begins the body of a request that crashes each server that runs it.
+const DeadlyBody = "deadly"
+
+// exitCrashed is the exit code of a server that a request has crashed.
+const exitCrashed = 3
+
 // Server is a plain server or a model server.
 type Server struct {
 	config ServerConfig
@@ -160,6 +167,10 @@
 		return
 	}
 	defer s.leave()
+	if bytes.HasPrefix(body, []byte(DeadlyBody)) {
+		s.logRun(r, id, body)
+		s.config.Exit(exitCrashed)
+	}
 	if s.config.Engine {
 		s.stream(w, r, id, body)
 		return
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -15,6 +15,7 @@
 // sent is the outcome of one sending of a call.
 type sent struct {
 	member  *pool.Member
+	server  pool.Server // as it was sent to
 	reply   reply
 	began   time.Time
 	listAge time.Duration // of the list of servers when this one was chosen
@@ -53,6 +54,9 @@
 			flying--
 			f.note(ctx, x, last.member, last.reply.result)
 			x.logSent(last)
+			if last.reply.result == Failed && ctx.Err() == nil {
+				go f.confirmCallCrash(x, last.member, last.server.ID)
+			}
 			if last.reply.result == Answered {
 				f.deliver(x, last.reply)
 				return
@@ -96,8 +100,9 @@
 	defer cancel()
 	began := time.Now()
 	listAge := f.Pool.Age(began)
-	r := f.sender.send(ctx, x, Sending{Server: m.Current(), Workspace: x.workspace.Name, Left: x.left()}).readAll()
-	results <- sent{member: m, reply: r, began: began, listAge: listAge}
+	server := m.Current()
+	r := f.sender.send(ctx, x, Sending{Server: server, Workspace: x.workspace.Name, Left: x.left()}).readAll()
+	results <- sent{member: m, server: server, reply: r, began: began, listAge: listAge}
 }
 
 // deliver passes an answer on unchanged.
--- /dev/null
+++ b/internal/forward/crash.go
@@ -0,0 +1,74 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/pool"
+)
+
+// sharedFrom is the number of crashes from which the other instances are told.
+// A stream that comes again crashes more servers at one instance alone; a crash
+// that is no part of a row needs no message.
+const sharedFrom = 2
+
+// refuseQuarantined answers a request that has crashed too many servers.
+func (f *Forwarder) refuseQuarantined(x *exchange) bool {
+	if !f.Quarantine.Holds(time.Now(), x.content) {
+		return false
+	}
+	f.fail(x, http.StatusBadGateway, "the request has crashed each server that ran it")
+	return true
+}
+
+// crashed notes that a server crashed while it ran a request. Crashes of a whole
+// failure domain are no evidence against a request.
+func (f *Forwarder) crashed(x *exchange, m *pool.Member, serverID string) {
+	if f.domainLost(m) {
+		return
+	}
+	crash := Crash{Content: x.content, Server: serverID}
+	count := f.Quarantine.Add(time.Now(), crash)
+	x.log.WithFields(logrus.Fields{"server": serverID, "crashes": count, "limit": crashLimit}).Warn("server crashed while it ran the request")
+	switch {
+	case count == sharedFrom:
+		for _, each := range f.Quarantine.Evidence(x.content) {
+			go f.Share(each) // the first was kept back
+		}
+	case count > sharedFrom || x.state.MaxAttempts < crashLimit:
+		go f.Share(crash)
+	}
+}
+
+// domainLost reports whether the failure domain of a server has just lost others.
+func (f *Forwarder) domainLost(m *pool.Member) bool {
+	return pool.DomainLost(f.Pool.Members(m.Service), m.FailureDomain, time.Now())
+}
+
+// confirmCallCrash asks a plain server that failed a call whether it is still
+// the process that got it.
+func (f *Forwarder) confirmCallCrash(x *exchange, m *pool.Member, serverID string) {
+	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
+	defer cancel()
+	id, err := f.Reporter.Identify(ctx, m.Address, x.service.HealthPath)
+	if err == nil && id == serverID {
+		return // only the connection or the answer was lost
+	}
+	f.crashed(x, m, serverID)
+}
+
+// confirmCrash asks the server of a run that ended without an event whether it
+// is still the process that ran it.
+func (f *Forwarder) confirmCrash(ctx context.Context, x *exchange, m *pool.Member, serverID string) {
+	if ctx.Err() != nil {
+		return
+	}
+	reports := f.reports(ctx, x, []*pool.Member{m})
+	if reports[0] != nil && m.Current().ID == serverID {
+		return // only the connection was lost
+	}
+	f.crashed(x, m, serverID)
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -48,6 +48,11 @@
 	Leaving  *Leaving
 	// StoreAway reports whether the store, which tells the configuration, is away.
 	StoreAway func() bool
+	// Quarantine holds the evidence against requests that crash servers; Share
+	// tells the other instances of a crash and does not return an error, since the
+	// evidence also counts here alone.
+	Quarantine *Quarantine
+	Share      func(Crash)
 	// Transport carries requests to servers; nil: HTTP/1.1 over TCP.
 	Transport http.RoundTripper
 }
@@ -73,6 +78,7 @@
 	writer    http.ResponseWriter
 	meta      Metadata
 	body      []byte
+	content   Content
 	route     *route.Route
 	service   route.Service
 	workspace route.Workspace
@@ -98,6 +104,10 @@
 	if !f.admit(x) || !f.readBody(x) {
 		return
 	}
+	x.content = newContent(x.workspace.Name, r.Method, r.RequestURI, x.body)
+	if f.refuseQuarantined(x) {
+		return
+	}
 	x.budget.Request()
 	ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, context.DeadlineExceeded)
 	defer cancel()
@@ -281,6 +291,7 @@
 		m.Failed(time.Now())
 	case Answered:
 		m.Succeeded(time.Now())
+		f.Quarantine.Clear(x.content)
 	}
 }
 
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -97,6 +97,7 @@
 	copies  []string // copies made, "source run to"
 	dropped []string
 	away    bool // the store
+	shared  []Crash
 }
 
 const testGoal = 150 * time.Millisecond
@@ -128,6 +129,7 @@
 	w.f = New(Config{
 		Tables: w, Pool: w.pool, Protocol: testProtocol{}, Reporter: w, Copier: w, Finder: w,
 		Budgets: NewBudgets(1), Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Leaving: &Leaving{}, Transport: w, StoreAway: func() bool { return w.away },
+		Quarantine: NewQuarantine(), Share: w.share,
 	})
 	return w
 }
@@ -162,6 +164,12 @@
 	return behave(v)
 }
 
+func (w *world) share(c Crash) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.shared = append(w.shared, c)
+}
+
 func (w *world) answering(address string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- /dev/null
+++ b/internal/forward/quarantine.go
@@ -0,0 +1,112 @@
+package forward
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"time"
+)
+
+const (
+	// crashLimit is how many servers a request may crash. Servers also crash by
+	// themselves, and mostly one of a request, rarely two.
+	crashLimit = 3
+	// QuarantineTime is how long a request that reached the limit is kept from
+	// servers, and how long evidence counts. Its caller sends it again within seconds.
+	QuarantineTime = time.Minute
+	// maxSuspects bounds the memory of the evidence.
+	maxSuspects = 10_000
+)
+
+// Content identifies what is asked for, over all attempts of its caller.
+type Content string
+
+// newContent returns the content of a request.
+func newContent(workspace, method, uri string, body []byte) Content {
+	hash := sha256.New()
+	for _, part := range []string{workspace, method, uri} {
+		_, _ = hash.Write(append([]byte(part), 0)) // never fails
+	}
+	_, _ = hash.Write(body)
+	return Content(hex.EncodeToString(hash.Sum(nil)[:16]))
+}
+
+// Crash is the evidence that a server crashed while it ran a content.
+type Crash struct {
+	Content Content
+	Server  string // ID of the process
+}
+
+// Quarantine keeps requests away from servers that crash whenever they run
+// them. The evidence of other instances is added by Add.
+type Quarantine struct {
+	mu       sync.Mutex                       // guards suspects
+	suspects map[Content]map[string]time.Time // when each server crashed
+}
+
+// NewQuarantine returns a quarantine without evidence.
+func NewQuarantine() *Quarantine { return &Quarantine{suspects: map[Content]map[string]time.Time{}} }
+
+// Add notes a crash and returns how many servers the content has crashed.
+func (q *Quarantine) Add(now time.Time, c Crash) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.expire(now)
+	servers := q.suspects[c.Content]
+	if servers == nil {
+		if len(q.suspects) >= maxSuspects {
+			return 0
+		}
+		servers = map[string]time.Time{}
+		q.suspects[c.Content] = servers
+	}
+	servers[c.Server] = now
+	return len(servers)
+}
+
+// Evidence returns the crashes of a content.
+func (q *Quarantine) Evidence(content Content) []Crash {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var crashes []Crash
+	for server := range q.suspects[content] {
+		crashes = append(crashes, Crash{Content: content, Server: server})
+	}
+	return crashes
+}
+
+// expire forgets old evidence.
+func (q *Quarantine) expire(now time.Time) {
+	for content, servers := range q.suspects {
+		for server, at := range servers {
+			if now.Sub(at) >= QuarantineTime {
+				delete(servers, server)
+			}
+		}
+		if len(servers) == 0 {
+			delete(q.suspects, content)
+		}
+	}
+}
+
+// Clear forgets the evidence against a content that a server has completed.
+func (q *Quarantine) Clear(content Content) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.suspects) > 0 {
+		delete(q.suspects, content)
+	}
+}
+
+// Holds reports whether a content is kept away from servers.
+func (q *Quarantine) Holds(now time.Time, content Content) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	crashed := 0
+	for _, at := range q.suspects[content] {
+		if now.Sub(at) < QuarantineTime {
+			crashed++
+		}
+	}
+	return crashed >= crashLimit
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -56,6 +56,9 @@
 			return
 		}
 		x.state.Left = x.left()
+		if !s.head && f.refuseQuarantined(x) {
+			return
+		}
 		if ctx.Err() != nil || !x.state.Again() && !s.await(ctx) || !x.mayRepeat() {
 			break
 		}
@@ -165,6 +168,9 @@
 	go s.f.sender.pump(ctx, s.x, sending, items)
 	result, err := run.follow(ctx, items)
 	s.note(ctx, m, sending, result, err, began)
+	if result == Failed && s.last == sending.LastEvent {
+		s.f.confirmCrash(ctx, s.x, m, sending.Server.ID)
+	}
 	s.keepCopy(result, run, sending.LastEvent)
 	run.backup.end(s.copy != nil)
 	return result
--- /dev/null
+++ b/internal/gateway/crashes.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/discovery"
+	"foxtailhub.example/foxtailhub/internal/forward"
+)
+
+const (
+	// crashesWait is how long the store may hold a call for crashes, which are rare.
+	crashesWait = 15 * time.Second
+	// crashTimeout bounds the write of a crash.
+	crashTimeout = 2 * time.Second
+	// crashSeparator joins content and server in the key of a row; neither has it.
+	crashSeparator = "/"
+)
+
+// crashes shares with the other instances which requests crashed which servers.
+// Each crash is a row of its own, so that writers do not conflict.
+type crashes struct {
+	store      discovery.Store
+	quarantine *forward.Quarantine
+	log        logrus.FieldLogger
+}
+
+// share tells the other instances of a crash. Without the store each instance
+// has its own evidence only.
+func (c *crashes) share(crash forward.Crash) {
+	key := string(crash.Content) + crashSeparator + crash.Server
+	log := c.log.WithFields(logrus.Fields{"content": crash.Content, "server": crash.Server})
+	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
+	defer cancel()
+	if err := c.store.Put(ctx, discovery.Crashes, key); err != nil {
+		log.WithError(err).Warn("crash was not shared")
+		return
+	}
+	log.Info("crash shared")
+	time.AfterFunc(forward.QuarantineTime, func() { c.remove(key, log) })
+}
+
+func (c *crashes) remove(key string, log logrus.FieldLogger) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
+	defer cancel()
+	if err := c.store.Remove(ctx, discovery.Crashes, key); err != nil {
+		log.WithError(err).Info("old crash was not removed; it counts for an instance that starts")
+	}
+}
+
+// apply takes the crashes that instances have shared.
+func (c *crashes) apply(batch discovery.Batch, _ bool, _ time.Duration) {
+	for _, row := range batch.Rows {
+		content, server, ok := strings.Cut(row.Key, crashSeparator)
+		if row.Deleted || !ok {
+			continue
+		}
+		count := c.quarantine.Add(time.Now(), forward.Crash{Content: forward.Content(content), Server: server})
+		c.log.WithFields(logrus.Fields{
+			"content": content, "server": server, "crashes": count, "row_version": row.Version,
+		}).Info("crash learned")
+	}
+}
--- /dev/null
+++ b/internal/gateway/crashes_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/discovery"
+	"foxtailhub.example/foxtailhub/internal/forward"
+)
+
+// rowStore keeps the keys of rows.
+type rowStore struct {
+	discovery.Store
+	mu   sync.Mutex // guards keys
+	keys map[string]bool
+}
+
+func (s *rowStore) Put(_ context.Context, _ discovery.Topic, key string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keys[key] = true
+	return nil
+}
+
+func (s *rowStore) Remove(_ context.Context, _ discovery.Topic, key string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.keys, key)
+	return nil
+}
+
+func (s *rowStore) batch() discovery.Batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := discovery.Batch{Rows: []discovery.Row{{Key: "of another writer"}}}
+	for key := range s.keys {
+		batch.Rows = append(batch.Rows, discovery.Row{Key: key})
+	}
+	return batch
+}
+
+// Guards against a request that crashes three servers at each instance, and
+// against rows that stay in the store for good.
+func TestCrashesReachOtherInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		store := &rowStore{keys: map[string]bool{}}
+		one := &crashes{store: store, quarantine: forward.NewQuarantine(), log: log}
+		two := &crashes{store: store, quarantine: forward.NewQuarantine(), log: log}
+		for _, server := range []string{"a", "b"} {
+			one.share(forward.Crash{Content: "content", Server: server})
+		}
+		two.quarantine.Add(time.Now(), forward.Crash{Content: "content", Server: "c"})
+		two.apply(store.batch(), false, 0)
+		two.apply(store.batch(), true, 0) // the same rows again
+		g.Expect(two.quarantine.Holds(time.Now(), "content")).To(BeTrue())
+		g.Expect(one.quarantine.Holds(time.Now(), "content")).To(BeFalse())
+		time.Sleep(forward.QuarantineTime + time.Second)
+		g.Expect(store.keys).To(BeEmpty())
+		g.Expect(two.quarantine.Holds(time.Now(), "content")).To(BeFalse())
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,7 @@
 	registry       *prometheus.Registry
 	configurations *discovery.Configurations
 	servers        *discovery.ServerList
-	followers      []*discovery.Follower // of the configuration, of the servers
+	followers      []*discovery.Follower // of the configuration, the servers and the crashes
 	started        time.Time
 	pool           *pool.Pool
 	forwarder      *forward.Forwarder
@@ -91,18 +91,24 @@
 	}
 	g.configurations = discovery.NewConfigurations(platform.Decoder, log)
 	g.servers = discovery.NewServerList(g.pool, platform.Decoder, log)
+	quarantine := forward.NewQuarantine()
+	shared := &crashes{store: platform.Store, quarantine: quarantine, log: log}
 	g.forwarder = forward.New(forward.Config{
 		Tables: g.configurations, Pool: g.pool, Protocol: platform.Protocol, Reporter: platform.Reporter, Copier: platform.Copier, Finder: platform.Finder,
 		Budgets: forward.NewBudgets(settings.RetryShare * retryShareUsed),
 		Log:     log, Metrics: forward.NewMetrics(g.registry), Leaving: g.leaving,
-		StoreAway: g.storeAway,
+		StoreAway: g.storeAway, Quarantine: quarantine, Share: shared.share,
 	})
 	g.followers = []*discovery.Follower{
 		discovery.NewFollower(platform.Store, discovery.Configuration, discovery.Rhythm{Wait: configurationWait}, log, g.configurations.Apply),
 		discovery.NewFollower(platform.Store, discovery.Servers,
 			discovery.Rhythm{Pause: time.Duration(listShare * float64(milliseconds(settings.LeavingMS)))}, log, g.servers.Apply),
+		discovery.NewFollower(platform.Store, discovery.Crashes, discovery.Rhythm{Wait: crashesWait}, log, shared.apply),
 	}
-	g.followers[1].OnTrouble(g.followers[0].Interrupt)
+	g.followers[1].OnTrouble(func() {
+		g.followers[0].Interrupt()
+		g.followers[2].Interrupt()
+	})
 	return g
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -64,12 +64,15 @@
 	server string // address
 }
 
-func (p *fakePlatform) Read(context.Context, discovery.Topic) (discovery.Batch, error) {
+func (p *fakePlatform) Read(_ context.Context, topic discovery.Topic) (discovery.Batch, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.known {
 		return discovery.Batch{Version: 1}, nil
 	}
+	if topic == discovery.Crashes {
+		return discovery.Batch{Version: 2, Rows: []discovery.Row{{Key: "content/server", Version: 2}}}, nil
+	}
 	return discovery.Batch{Version: 2, Rows: []discovery.Row{{Key: p.server, Version: 2}}}, nil
 }
 
@@ -82,6 +85,10 @@
 	}
 }
 
+func (p *fakePlatform) Put(context.Context, discovery.Topic, string) error { return nil }
+
+func (p *fakePlatform) Remove(context.Context, discovery.Topic, string) error { return nil }
+
 func (p *fakePlatform) Configuration(discovery.Row) (route.Document, bool, error) {
 	return route.Document{Version: 1, Routes: []route.Route{{
 		Host: "127.0.0.1", Prefix: "/", Kind: route.Idempotent, MaxAttempts: 1, Timeout: 10 * time.Second,
--- a/internal/gatewaysoak/single_test.go
+++ b/internal/gatewaysoak/single_test.go
@@ -89,6 +89,43 @@
 	w.g.Expect(l.counts).NotTo(HaveKey("stream attempt without an answer"))
 }
 
+// Guards against a request that crashes one server after the other, at one
+// instance or at all of them.
+func TestDeadlyRequest(t *testing.T) {
+	w := newWorld(t)
+	l := newLedger()
+	send := func(gateway *node) int {
+		ctx, cancel := context.WithTimeout(t.Context(), callDeadline)
+		defer cancel()
+		response, err := w.requestAt(ctx, gateway.address, "deadly", http.MethodPost, "/draft/deadly", emulator.DeadlyBody, nil)
+		w.g.Expect(err).NotTo(HaveOccurred())
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	crashed := func() int {
+		n := 0
+		for _, engine := range w.engines {
+			select {
+			case <-engine.current().Exited():
+				n++
+			default:
+			}
+		}
+		return n
+	}
+	w.g.Expect(send(w.gateways[0])).To(Equal(http.StatusBadGateway))
+	w.g.Expect(crashed()).To(BeNumerically("<=", 3))
+	before := crashed()
+	pauseFor(t.Context(), bound) // until all instances have to know
+	for _, gateway := range w.gateways {
+		w.g.Expect(send(gateway)).To(Equal(http.StatusBadGateway))
+	}
+	w.g.Expect(crashed()).To(Equal(before))
+	for n := range 3 {
+		w.g.Expect(w.stream(l, fmt.Sprint("harmless-", n))).To(BeTrue())
+	}
+}
+
 // Guards against a gateway that is ready, or answers 404 or 401, before it knows
 // a configuration, and against one that loses it when the store is away.
 func TestStoreAway(t *testing.T) {
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -125,6 +125,11 @@
 	return down
 }
 
+// DomainLost reports whether a failure domain has lost several servers just now.
+func DomainLost(members []*Member, domain string, now time.Time) bool {
+	return slices.Contains(lostDomains(observe(members, now)), domain)
+}
+
 // prefer returns the wanted indices, or all if none is wanted.
 func prefer(indices []int, wanted func(int) bool) []int {
 	kept := make([]int, 0, len(indices))
