End the grace of lapsed entries on time

The instance kept entries that were missing after a cut, and looked at the end of their grace only with the next answer of the store. Ruled out and reverted: telling a cut from an outage by the number of changes. A timer ends the grace; failed calls are repeated after 0.6 s at most.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -106,26 +106,25 @@
 // Guards against the loss of all servers when their entries lapse while the
 // store is away, and against servers that stay although they do not come back.
 func TestEntriesThatLapsedInAnOutage(t *testing.T) {
-	g := NewWithT(t)
-	now := time.Now()
-	p := pool.New()
-	l := NewServerList(p, textDecoder{}, quiet())
-	l.now = func() time.Time { return now }
-	l.Apply(Batch{Rows: []Row{row("a", "ready", 1), row("b", "ready", 2), row("c", "leaving", 3)}}, true, 0)
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := pool.New()
+		l := NewServerList(p, textDecoder{}, quiet())
+		l.Apply(Batch{Rows: []Row{row("a", "ready", 1), row("b", "ready", 2), row("c", "leaving", 3)}}, true, 0)
 
-	l.Apply(Batch{Rows: []Row{gone("a", 4), gone("b", 5), gone("c", 6)}}, false, 8*time.Second)
-	g.Expect(names(p)).To(Equal("a b"), "one that was leaving has left")
-	now = now.Add(time.Second)
-	l.Apply(Batch{Rows: []Row{row("a", "ready", 7)}}, false, time.Second)
-	now = now.Add(900 * time.Millisecond)
-	l.Apply(Batch{}, false, time.Second)
-	g.Expect(names(p)).To(Equal("a b"))
-	now = now.Add(100 * time.Millisecond)
-	l.Apply(Batch{}, false, time.Second)
-	g.Expect(names(p)).To(Equal("a"))
-	now = now.Add(time.Second)
-	l.Apply(Batch{Rows: []Row{gone("a", 8)}}, false, time.Second)
-	g.Expect(names(p)).To(BeEmpty(), "a departure well after the outage")
+		l.Apply(Batch{Rows: []Row{gone("a", 4), gone("b", 5), gone("c", 6)}}, false, 8*time.Second)
+		g.Expect(names(p)).To(Equal("a b"), "one that was leaving has left")
+		time.Sleep(time.Second)
+		l.Apply(Batch{Rows: []Row{row("a", "ready", 7)}}, false, time.Second)
+		time.Sleep(lapseGrace - time.Second - time.Millisecond)
+		synctest.Wait()
+		g.Expect(names(p)).To(Equal("a b"))
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		g.Expect(names(p)).To(Equal("a"), "the end of the grace does not wait for the store")
+		l.Apply(Batch{Rows: []Row{gone("a", 8)}}, false, time.Second)
+		g.Expect(names(p)).To(BeEmpty(), "a departure well after the outage")
+	})
 }
 
 // fakeStore answers from a script.
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -18,7 +18,7 @@
 	// priced also while the store is away. One that knows nothing yet serves
 	// nobody, so it asks more often.
 	backoffMin      = 50 * time.Millisecond
-	backoffMax      = time.Second
+	backoffMax      = 600 * time.Millisecond
 	backoffUnsynced = 300 * time.Millisecond
 	// outageAfter is the time without an answer after which the store counts as
 	// lost: several calls in a row have failed.
--- a/internal/discovery/servers.go
+++ b/internal/discovery/servers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,14 +20,13 @@
 	lapseGrace = 2 * time.Second
 )
 
-// ServerList keeps the pool up to date with the entries of the store. Only one
-// goroutine may use it.
+// ServerList keeps the pool up to date with the entries of the store.
 type ServerList struct {
 	pool    *pool.Pool
 	decoder Decoder
 	log     logrus.FieldLogger
-	now     func() time.Time
 
+	mu         sync.Mutex             // guards the fields below
 	servers    map[string]pool.Server // by key
 	lapsed     map[string]time.Time   // entries that are missing since an outage, and when they count as gone
 	graceUntil time.Time              // until then missing entries may have lapsed
@@ -35,14 +35,16 @@
 // NewServerList returns an empty list.
 func NewServerList(p *pool.Pool, decoder Decoder, log logrus.FieldLogger) *ServerList {
 	return &ServerList{
-		pool: p, decoder: decoder, log: log, now: time.Now,
+		pool: p, decoder: decoder, log: log,
 		servers: map[string]pool.Server{}, lapsed: map[string]time.Time{},
 	}
 }
 
 // Apply takes a batch of entries.
 func (l *ServerList) Apply(batch Batch, whole bool, gap time.Duration) {
-	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
 	if gap > outageGap && len(l.servers) > 0 {
 		l.graceUntil = now.Add(lapseGrace)
 	}
@@ -105,6 +107,9 @@
 	}
 	if now.Before(l.graceUntil) && !s.Draining {
 		l.lapsed[key] = l.graceUntil
+		// The next answer of the store may come much later than the end of the grace,
+		// in which a server that has really left must get no more requests.
+		time.AfterFunc(l.graceUntil.Sub(now), l.expireLapsed)
 		l.log.WithFields(logrus.Fields{"server": s.ID, "grace_ms": l.graceUntil.Sub(now).Milliseconds()}).Info("server's entry lapsed during an outage of the store")
 		return false
 	}
@@ -112,6 +117,15 @@
 	return true
 }
 
+// expireLapsed removes the servers whose grace is over.
+func (l *ServerList) expireLapsed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.expire(time.Now()) {
+		l.publish()
+	}
+}
+
 // expire removes the servers whose entries have not come back.
 func (l *ServerList) expire(now time.Time) bool {
 	changed := false
