--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -52,6 +52,7 @@
 		w.deadly("a", "b", "c", "d")
 		w.ask(t.Context(), nil)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		w.g.Expect(w.shared).To(HaveLen(1))
 		for _, other := range []string{"x", "y"} {
 			w.f.Quarantine.Add(time.Now(), Crash{Content: w.shared[0].Content, Server: other})
@@ -92,6 +93,7 @@
 			return nil, errReset
 		}, names...)
 		w.ask(t.Context(), nil)
+		synctest.Wait()
 		w.g.Expect(w.f.Quarantine.Holds(time.Now(), newContent("", http.MethodPost, "http://host/path/%2f?query=1", []byte("body")))).To(BeFalse())
 		w.g.Expect(w.shared).To(BeEmpty())
 	})
