--- a/internal/forward/call_test.go
+++ b/internal/forward/call_test.go
@@ -288,3 +288,21 @@
 		}
 	})
 }
+
+// Guards against a call that is taken so shortly before the process ends that it
+// is cut off, and against refusals of calls that can still end.
+func TestLeavingInstanceRefusesLastCalls(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, once, false, "a")
+		w.set(answer(http.StatusOK, "answer"), "a")
+		w.f.Leaving.Begin(time.Now().Add(8 * time.Second))
+		time.Sleep(6500 * time.Millisecond)
+		w.g.Expect(w.ask(t.Context(), nil).status).To(Equal(http.StatusOK))
+		time.Sleep(500 * time.Millisecond)
+		got := w.ask(t.Context(), nil) // it may last a second
+		w.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		w.g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		w.g.Expect(w.ask(t.Context(), map[string]string{"Deadline": "500"}).status).To(Equal(http.StatusOK))
+		w.g.Expect(w.visited()).To(HaveLen(2))
+	})
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -142,7 +142,7 @@
 	x.budget = f.Budgets.Of(x.service)
 	x.deadline = x.arrived.Add(longest(x.meta.Deadline, matched.Timeout))
 	x.state = State{Kind: matched.Kind, Resumable: matched.Resumable, MaxAttempts: max(1, matched.MaxAttempts)}
-	if matched.Kind == route.Stream && !f.Leaving.TimeForStream() {
+	if !f.Leaving.TimeFor(matched.Kind, x.left()) {
 		f.refuse(x, http.StatusServiceUnavailable, "the instance is leaving", retryLeaving)
 		return false
 	}
