--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -12,7 +12,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
-	"foxtailhub.example/foxtailhub/internal/dispatch"
 	"foxtailhub.example/foxtailhub/internal/pool"
 	"foxtailhub.example/foxtailhub/internal/route"
 )
@@ -72,29 +71,6 @@
 // Active returns the number of requests in progress.
 func (f *Forwarder) Active() int { return int(f.active.Load()) }
 
-// exchange is one request of a caller and what is decided about it.
-type exchange struct {
-	request   *http.Request
-	writer    http.ResponseWriter
-	meta      Metadata
-	body      []byte
-	content   Content
-	route     *route.Route
-	service   route.Service
-	workspace route.Workspace
-	version   int64 // of the configuration that decided the route
-	arrived   time.Time
-	deadline  time.Time
-	budget    *dispatch.Budget
-	log       logrus.FieldLogger
-	tried     []string // servers that it was sent to, for the log
-	avoid     []string // of these, those that do not get it again
-	state     State
-}
-
-// left returns the time until the deadline.
-func (x *exchange) left() time.Duration { return time.Until(x.deadline) }
-
 // ServeHTTP answers one request of a caller.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
@@ -235,22 +211,6 @@
 	}
 }
 
-// sendTo notes that the request is sent to a server.
-func (x *exchange) sendTo(m *pool.Member) {
-	x.tried = append(x.tried, m.ID)
-	x.avoid = append(x.avoid, m.ID)
-}
-
-// mayRepeat takes the next sending from the retry budget. One that follows
-// sendings that reached no server is no repeat.
-func (x *exchange) mayRepeat() bool {
-	if x.state.Arrivals == 0 || x.budget.Take() {
-		return true
-	}
-	x.log.WithField("arrivals", x.state.Arrivals).Warn("retry budget is used up")
-	return false
-}
-
 // pick chooses a server for the next sending.
 func (f *Forwarder) pick(x *exchange, need pool.Need) (*pool.Member, bool) {
 	need.Avoid = append(need.Avoid, x.avoid...)
@@ -294,20 +254,3 @@
 		f.Quarantine.Clear(x.content)
 	}
 }
-
-// logSent writes the line of one sending.
-func (x *exchange) logSent(last sent) {
-	m, r := last.member, last.reply
-	fields := logrus.Fields{
-		"server": m.ID, "domain": m.FailureDomain, "route": x.route.Name, "result": r.result,
-		"took_ms": time.Since(last.began).Milliseconds(), "configuration": x.version, "list_age_ms": last.listAge.Milliseconds(),
-		"attempt": len(x.tried), "left_ms": x.left().Milliseconds(),
-	}
-	if r.response != nil {
-		fields["status"] = r.response.StatusCode
-	}
-	if r.err != nil {
-		fields["error"] = r.err.Error()
-	}
-	x.log.WithFields(fields).Info("request sent")
-}
