--- a/internal/discovery/upstreams.go
+++ b/internal/discovery/upstreams.go
@@ -51,6 +51,7 @@
 	if gap > outageGap && len(l.upstreams) > 0 {
 		l.graceUntil = now.Add(lapseGrace)
 	}
+	first := len(l.upstreams) == 0
 	present := map[string]bool{}
 	changed := false
 	for _, row := range batch.Rows {
@@ -59,7 +60,7 @@
 			changed = l.missing(row.Key, now) || changed
 			continue
 		}
-		changed = l.entry(row) || changed
+		changed = l.entry(row, !first) || changed
 	}
 	if whole {
 		for key := range l.upstreams {
@@ -69,14 +70,18 @@
 		}
 	}
 	changed = l.expire(now) || changed
+	if first && changed {
+		l.log.WithFields(logrus.Fields{"upstreams": len(l.upstreams), "version": batch.Version}).Info("first list of upstreams")
+	}
 	if changed {
 		l.publish()
 	}
 	l.pool.Confirm(now)
 }
 
-// entry takes the entry of an upstream. One that cannot be read names no upstream.
-func (l *UpstreamList) entry(row Row) bool {
+// entry takes the entry of an upstream. One that cannot be read names no
+// upstream. The entries of a first list are not logged one by one.
+func (l *UpstreamList) entry(row Row, logged bool) bool {
 	s, err := l.decoder.Upstream(row)
 	old, known := l.upstreams[row.Key]
 	if err != nil {
@@ -91,6 +96,9 @@
 		return false
 	}
 	l.upstreams[row.Key] = s
+	if !logged {
+		return true
+	}
 	l.log.WithFields(logrus.Fields{
 		"upstream": s.ID, "service": s.Service, "address": s.Address, "domain": s.FailureDomain, "leaving": s.Draining,
 		"born": s.Born, "new": !known, "row_version": row.Version,
--- a/internal/forward/find.go
+++ b/internal/forward/find.go
@@ -14,6 +14,10 @@
 // hundred upstreams.
 const findTimeout = 300 * time.Millisecond
 
+// maxSearched is the largest number of upstreams that are asked. Asking more costs
+// about as much as reading the prompt again.
+const maxSearched = 256
+
 // Finder asks upstreams which prompts they keep.
 type Finder interface {
 	// HeldTokens returns how many tokens of a part of a prompt an upstream keeps.
@@ -27,10 +31,13 @@
 	if x.meta.LastEvent == 0 || x.meta.PromptPart == "" || x.service.Engine == nil {
 		return ""
 	}
+	members := f.Pool.Members(x.service.Name)
+	if len(members) > maxSearched {
+		return ""
+	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	began := time.Now()
-	members := f.Pool.Members(x.service.Name)
 	found := make(chan heldPrompt, len(members))
 	for _, m := range members {
 		go func() { found <- heldPrompt{upstreamID: m.ID, tokens: f.heldTokens(ctx, x, m)} }()
