--- a/cmd/foxtailhub-standin/main.go
+++ b/cmd/foxtailhub-standin/main.go
@@ -15,8 +15,8 @@
 	"syscall"
 	"time"
 
-	"foxtailhub.example/foxtailhub/internal/emulator"
 	"foxtailhub.example/foxtailhub/internal/standin"
+	"foxtailhub.example/foxtailhub/internal/standin/emulator"
 	"foxtailhub.example/foxtailhub/internal/upstream"
 )
 
--- a/internal/gatewaysoak/callers_test.go
+++ b/internal/gatewaysoak/callers_test.go
@@ -20,7 +20,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"foxtailhub.example/foxtailhub/internal/emulator"
+	"foxtailhub.example/foxtailhub/internal/standin/emulator"
 )
 
 const (
--- a/internal/gatewaysoak/single_test.go
+++ b/internal/gatewaysoak/single_test.go
@@ -14,7 +14,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"foxtailhub.example/foxtailhub/internal/emulator"
+	"foxtailhub.example/foxtailhub/internal/standin/emulator"
 )
 
 // pauseGoal is the longest pause of a stream that is on time.
--- a/internal/gatewaysoak/world_test.go
+++ b/internal/gatewaysoak/world_test.go
@@ -17,7 +17,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"foxtailhub.example/foxtailhub/internal/emulator"
+	"foxtailhub.example/foxtailhub/internal/standin/emulator"
 	// The programs are built by the tests. This import makes a change of the
 	// product invalidate cached results.
 	_ "foxtailhub.example/foxtailhub/internal/gateway"
--- a/scripts/demo-gateway.sh
+++ b/scripts/demo-gateway.sh
@@ -13,45 +13,28 @@
 SERVICE=127.0.0.1:18501
 GATEWAYS=(127.0.0.1:18600 127.0.0.1:18601)
 EVENTS=200
-declare -a PIDS=() ENGINE_PIDS=()
-
-cleanup() {
-	[ ${#PIDS[@]} -eq 0 ] || kill -KILL "${PIDS[@]}" 2>/dev/null || true
-	wait 2>/dev/null || true
-}
-trap cleanup EXIT
-
-fail() {
-	echo "demo failed: $*; logs are in $DIR" >&2
-	exit 1
-}
-
-step() { printf '\n== %s\n' "$*"; }
-
-start() { # name command...
-	local name=$1
-	shift
-	"$@" >"$DIR/$name.log" 2>&1 &
-	PIDS+=("$!")
-}
+# shellcheck source=scripts/demo-lib.sh
+. scripts/demo-lib.sh
+declare -a ENGINE_PIDS=()
 
 write_row() { # table key value
 	curl -sSf "http://$STORE/v1/rows-tx" -d \
 		"{\"set_keys\":[{\"table\":\"$1\",\"part\":\"\",\"key\":\"$2\",\"value\":\"$(printf %s "$3" | base64 -w0)\"}]}" >/dev/null
 }
 
-step "build"
-go build -o "$BIN/" ./cmd/...
-rm -rf "$DIR" && mkdir -p "$DIR"
+build
 
 step "start the emulated platform: store, 3 engines, 1 plain server"
 start store "$BIN/foxtailhub-standin" -role routed-store -listen $STORE
+PIDS+=("$STARTED")
 for i in 0 1 2; do
 	start engine-$i "$BIN/foxtailhub-standin" -role routed-engine -listen "${ENGINES[$i]}" -address "${ENGINES[$i]}" -store $STORE \
 		-id engine-$i -service drafts -failure-domain domain-$i -token-interval 15ms
-	ENGINE_PIDS+=("${PIDS[-1]}")
+	PIDS+=("$STARTED")
+	ENGINE_PIDS+=("$STARTED")
 done
 start plain "$BIN/foxtailhub-standin" -role routed-service -listen $SERVICE -address $SERVICE -store $STORE -id plain-0 -service shop -failure-domain domain-0
+PIDS+=("$STARTED")
 for _ in $(seq 50); do
 	write_row op other '{}' 2>/dev/null && break
 	sleep 0.1
@@ -70,6 +53,7 @@
 	JSON
 	"$BIN/foxtailhubd" gateway -check -settings "$DIR/gateway-$i.json" >/dev/null
 	start gateway-$i "$BIN/foxtailhubd" gateway -settings "$DIR/gateway-$i.json"
+	PIDS+=("$STARTED")
 done
 for i in 0 1; do
 	for _ in $(seq 100); do
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,32 +12,10 @@
 ENGINES=(127.0.0.1:17401 127.0.0.1:17402 127.0.0.1:17403)
 SERVICE=127.0.0.1:17501
 DOMAINS=(sapporo asahikawa obihiro)
-declare -a PIDS=() INSTANCE_PIDS=()
+# shellcheck source=scripts/demo-lib.sh
+. scripts/demo-lib.sh
 
-cleanup() {
-	[ ${#PIDS[@]} -eq 0 ] || kill -KILL "${PIDS[@]}" 2>/dev/null || true
-	[ ${#INSTANCE_PIDS[@]} -eq 0 ] || kill -KILL "${INSTANCE_PIDS[@]}" 2>/dev/null || true
-	wait 2>/dev/null || true
-}
-trap cleanup EXIT
-
-fail() {
-	echo "demo failed: $*; logs are in $DIR" >&2
-	exit 1
-}
-
-step() { printf '\n== %s\n' "$*"; }
-
-start() { # name command...
-	local name=$1
-	shift
-	"$@" >"$DIR/$name.log" 2>&1 &
-	STARTED=$!
-}
-
-step "build"
-go build -o "$BIN/" ./cmd/...
-rm -rf "$DIR" && mkdir -p "$DIR"
+build
 
 step "start the stand-ins: platform, 3 engines, 1 plain service"
 start platform "$BIN/foxtailhub-standin" -role platform -listen $PLATFORM
