--- a/scripts/demo-gateway.sh
+++ b/scripts/demo-gateway.sh
@@ -45,6 +45,11 @@
  "services":[{"name":"drafts","health_path":"/healthz","engine":{"slots":8,"kv_tokens":88000,"backups":true,"handle_s":4}},{"name":"shop","health_path":"/healthz"}],
  "tenants":[{"name":"shop-a","api_keys":["demo-key"]}]}'
 
+for _ in $(seq 50); do # until all four have registered
+	[ "$(curl -sSf "http://$STORE/v1/rows-get?table=servers&part=" | grep -o '"key"' | wc -l)" = 4 ] && break
+	sleep 0.1
+done
+
 step "start 2 gateways"
 for i in 0 1; do
 	cat >"$DIR/gateway-$i.json" <<-JSON
