End a stream whose caller takes nothing; write the head of one without events

Found by reading: a failed write to the caller was taken for a failure of the upstream and the stream was sent to another; a continued stream with no event left was answered without the upstream's signature. Tests for both.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -116,7 +116,7 @@
 	}
 	x.service = table.Service(matched.Pick(rand.Float64()))
 	x.budget = f.Budgets.Of(x.service)
-	x.deadline = x.arrived.Add(longest(x.meta.Deadline, matched.Timeout))
+	x.deadline = x.arrived.Add(allowedTime(x.meta.Deadline, matched.Timeout))
 	x.state = State{Kind: matched.Kind, Resumable: matched.Resumable, MaxAttempts: max(1, matched.MaxAttempts)}
 	if !f.Leaving.TimeFor(matched.Kind, x.left()) {
 		f.refuse(x, http.StatusServiceUnavailable, "the instance is leaving", retryLeaving)
@@ -125,8 +125,8 @@
 	return true
 }
 
-// longest returns how long a request may take.
-func longest(deadline, timeout time.Duration) time.Duration {
+// allowedTime returns how long a request may take.
+func allowedTime(deadline, timeout time.Duration) time.Duration {
 	switch {
 	case deadline <= 0 && timeout <= 0:
 		return defaultDeadline
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -135,6 +135,7 @@
 	case it.head != nil:
 		return r.takeHead(it.head)
 	case errors.Is(it.err, io.EOF):
+		r.writeHead(r.response) // a stream may have no event left
 		r.finish("answered")
 		return Answered, true, nil
 	case it.err != nil:
@@ -151,6 +152,7 @@
 		return Failed, true, errOutOfOrder
 	}
 	if err := r.deliver(r.response, it.event, now); err != nil {
+		r.callerGone = true
 		return Failed, true, errors.Wrap(err, "write to the caller")
 	}
 	return 0, false, nil
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -24,6 +24,7 @@
 	f             *Forwarder
 	x             *exchange
 	head          bool      // the head of the answer was written
+	callerGone    bool      // the caller takes no more events
 	last          int64     // number of the last event that the caller has
 	promptAt      string    // upstream that keeps the prompt, for the first sending; empty: unknown
 	events        int       // delivered by this instance
@@ -55,7 +56,7 @@
 		if !s.head && f.refuseQuarantined(x) {
 			return
 		}
-		if ctx.Err() != nil || !x.state.Again() && !s.await(ctx) || !x.mayRepeat() {
+		if ctx.Err() != nil || s.callerGone || !x.state.Again() && !s.await(ctx) || !x.mayRepeat() {
 			break
 		}
 	}
@@ -163,6 +164,9 @@
 	items := make(chan item, eventBuffer)
 	go s.f.sender.pump(ctx, s.x, sending, items)
 	result, err := run.follow(ctx, items)
+	if s.callerGone {
+		cancel() // what follows says nothing of the upstream
+	}
 	s.note(ctx, m, sending, result, err, began)
 	if result == Failed && s.last == sending.LastEvent {
 		s.f.confirmCrash(ctx, s.x, m, sending.Upstream.ID)
@@ -191,19 +195,25 @@
 	s.x.log.WithFields(fields).Info("stream sent")
 }
 
+// writeHead passes the head of the first upstream's answer on, once.
+func (s *relay) writeHead(response *http.Response) {
+	if s.head {
+		return
+	}
+	s.head = true
+	header := s.x.writer.Header()
+	for name, values := range s.f.Protocol.AnswerHeader(response.Header) {
+		header[name] = values
+	}
+	s.x.writer.WriteHeader(response.StatusCode)
+	s.f.Metrics.latency(s.x)
+}
+
 // deliver passes an event on to the caller.
 func (s *relay) deliver(response *http.Response, e event, now time.Time) error {
 	controller := http.NewResponseController(s.x.writer)
 	_ = controller.SetWriteDeadline(now.Add(writeTimeout)) // not supported by test recorders
-	if !s.head {
-		s.head = true
-		header := s.x.writer.Header()
-		for name, values := range s.f.Protocol.AnswerHeader(response.Header) {
-			header[name] = values
-		}
-		s.x.writer.WriteHeader(response.StatusCode)
-		s.f.Metrics.latency(s.x)
-	}
+	s.writeHead(response)
 	if _, err := s.x.writer.Write(e.raw); err != nil {
 		return err
 	}
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -369,3 +370,38 @@
 		w.g.Expect(got.took).To(BeZero(), "a request that no upstream has run is refused at once")
 	})
 }
+
+// Guards against an answer without the upstream's head and signature when a
+// continued stream has no event left.
+func TestStreamWithoutFurtherEvents(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a")
+		w.set(stream(10, time.Millisecond, nil), "a")
+		got := w.ask(t.Context(), map[string]string{"Last": "10"})
+		w.g.Expect(got.status).To(Equal(http.StatusOK))
+		w.g.Expect(got.header.Get("Signature")).To(Equal("signed"))
+		w.g.Expect(got.body).To(BeEmpty())
+	})
+}
+
+// stalledWriter is a caller that takes no event.
+type stalledWriter struct {
+	*httptest.ResponseRecorder
+}
+
+func (stalledWriter) Write([]byte) (int, error) { return 0, errReset }
+
+// Guards against a stream that is sent to other upstreams, and upstreams that are
+// blamed, because its caller takes nothing.
+func TestCallerThatTakesNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b")
+		w.set(stream(10, time.Millisecond, nil), "a", "b")
+		r := httptest.NewRequest(http.MethodPost, "http://host/x", nil)
+		r.Header.Set("Id", "request-1")
+		w.g.Expect(func() { w.f.ServeHTTP(stalledWriter{httptest.NewRecorder()}, r) }).To(PanicWith(http.ErrAbortHandler))
+		synctest.Wait()
+		w.g.Expect(w.visited()).To(HaveLen(1))
+		w.g.Expect(w.f.Quarantine.suspects).To(BeEmpty())
+	})
+}
