Learn from reports that an engine leaves

Ruled out: no room (memory in use 20 to 56 of 88 thousand tokens), restarts (start times unchanged). A report that says so takes the engine out of choices, and its copies are made anew elsewhere.

--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -92,6 +92,7 @@
 	silent    map[string]bool // do not answer questions about themselves
 	born      map[string]int64
 	ids       map[string]string // by address, if not the address itself
+	leaving   map[string]bool   // by address
 	held      map[string]int    // tokens of the prompt, by address
 	visits    []visit
 	copies    []string // copies made, "source run to"
@@ -107,7 +108,7 @@
 func newWorld(t *testing.T, r route.Route, engine bool, names ...string) *world {
 	w := &world{
 		t: t, g: NewWithT(t), pool: pool.New(), log: &strings.Builder{},
-		upstreams: map[string]upstream{}, silent: map[string]bool{}, born: map[string]int64{}, ids: map[string]string{}, held: map[string]int{},
+		upstreams: map[string]upstream{}, silent: map[string]bool{}, born: map[string]int64{}, ids: map[string]string{}, leaving: map[string]bool{}, held: map[string]int{},
 	}
 	r.Host, r.Prefix = "host", "/"
 	r.Targets = []route.Target{{Service: "service", Weight: 1}}
@@ -183,7 +184,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return pool.Report{Born: w.born[address]}, nil
+	return pool.Report{Born: w.born[address], Leaving: w.leaving[address]}, nil
 }
 
 func (w *world) Identify(ctx context.Context, address, _ string) (string, error) {
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -110,6 +110,7 @@
 				return
 			}
 			m.Alive(time.Now())
+			m.Leaves(report.Leaving)
 			reports[i] = &report
 			if !m.BornAt(report.Born) {
 				f.identify(x, m)
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -405,3 +405,21 @@
 		w.g.Expect(w.f.Quarantine.suspects).To(BeEmpty())
 	})
 }
+
+// Guards against a copy at an upstream that leaves, which refuses to go on from
+// it; while the store is away only the upstream itself says that it leaves.
+func TestKeeperThatLeavesIsReplaced(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, streaming, true, "a", "b", "c", "d")
+		w.lossy(150, 200, 30*time.Millisecond, errReset, "a", "b", "c", "d")
+		time.AfterFunc(time.Second, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.leaving[w.visits[0].header.Get("Backup")] = true
+		})
+		w.g.Expect(w.ask(t.Context(), nil).body).To(Equal(eventsText(1, 200)))
+		w.g.Expect(w.visited()).To(HaveLen(2))
+		w.g.Expect(w.visit(1).upstream).NotTo(Equal(w.visit(0).header.Get("Backup")))
+		w.g.Expect(w.visit(1).header.Get("From")).To(HavePrefix(w.visit(0).upstream + "/copy-"))
+	})
+}
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -38,6 +38,7 @@
 	Copies     int           // copies of memory kept for streams of this instance
 	ErrorShare float64       // recent share of failed requests, 0 to 1
 	SinceLoss  time.Duration // since the upstream was last lost
+	Leaving    bool          // the list or the upstream itself says so
 	Replaced   bool          // another upstream answers at its address
 	Doubted    bool          // it was lost or silent, and no contact has succeeded since
 }
@@ -85,7 +86,7 @@
 func best(candidates []Candidate, need Need) (eligible []int, decided bool) {
 	eligible = make([]int, 0, len(candidates))
 	for i, c := range candidates {
-		if !c.Draining && !c.Replaced && !slices.Contains(need.Avoid, c.ID) {
+		if !c.Leaving && !c.Replaced && !slices.Contains(need.Avoid, c.ID) {
 			eligible = append(eligible, i)
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -36,6 +36,7 @@
 	lostAt   atomic.Pointer[time.Time] // last loss, with its monotonic reading; nil: none
 	lost     atomic.Pointer[chan struct{}]
 	identity atomic.Pointer[Identity]  // of the process at the address; nil: that of the entry
+	leaving  atomic.Bool               // it says itself that it leaves; the list says so later
 	asking   atomic.Bool               // the identity is being asked for
 	doubted  atomic.Bool               // it was lost or silent, and no contact has succeeded since
 	aliveAt  atomic.Pointer[time.Time] // when it last answered a question about itself; nil: never
@@ -124,6 +125,9 @@
 	o.aliveAt.Store(&now)
 }
 
+// Leaves notes whether the upstream says that it leaves.
+func (o *observed) Leaves(leaving bool) { o.leaving.Store(leaving) }
+
 // AliveSince reports whether the upstream has answered a question about itself
 // since a time.
 func (o *observed) AliveSince(t time.Time) bool {
@@ -197,6 +201,7 @@
 		m.lostAt.Store(nil)
 		m.failures.Store(nil)
 		m.doubted.Store(false)
+		m.leaving.Store(false)
 	}
 	m.asking.Store(false)
 }
@@ -205,6 +210,7 @@
 func (m *Member) candidate(now time.Time) Candidate {
 	c := Candidate{
 		Upstream:   m.Upstream,
+		Leaving:    m.Draining || m.leaving.Load(),
 		Active:     int(m.active.Load()),
 		Prefilling: int(m.prefills.Load()),
 		Copies:     int(m.copies.Load()),
@@ -264,7 +270,7 @@
 // leave, and was not lost since a time.
 func (p *Pool) Serves(m *Member, identity Identity, since time.Time) bool {
 	current, listed := p.view.Load().byID[m.ID]
-	if !listed || current.observed != m.observed || current.Draining || m.Replaced() {
+	if !listed || current.observed != m.observed || current.Draining || m.leaving.Load() || m.Replaced() {
 		return false
 	}
 	if now := m.Current(); now.ID != identity.ID || identity.Born != 0 && now.Born != identity.Born {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -27,7 +27,7 @@
 		fit := map[string]bool{}
 		for i := range rapid.IntRange(0, 8).Draw(t, "upstreams") {
 			c := candidate(string(rune('a'+i)), rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "domain"))
-			c.Draining = rapid.Bool().Draw(t, "draining")
+			c.Leaving = rapid.Bool().Draw(t, "draining")
 			c.Replaced = rapid.Bool().Draw(t, "replaced")
 			c.Doubted = rapid.Bool().Draw(t, "doubted")
 			c.SinceLoss = time.Duration(rapid.IntRange(0, 4000).Draw(t, "since")) * time.Millisecond
@@ -36,7 +36,7 @@
 			if failed {
 				need.Avoid = append(need.Avoid, c.ID)
 			}
-			fit[c.ID] = !c.Draining && !c.Replaced && !failed
+			fit[c.ID] = !c.Leaving && !c.Replaced && !failed
 			candidates = append(candidates, c)
 		}
 		if len(candidates) > 0 {
@@ -123,6 +123,12 @@
 	second.BornAt(3)
 	second.Asked(Identity{ID: "a", Born: 3})
 	g.Expect(p.Serves(second, Identity{ID: "a", Born: 2}, began)).To(BeFalse(), "a restart under the same name")
+	p.Replace([]Upstream{upstream("b", "b")})
+	third := p.Members("service")[0]
+	third.Leaves(true)
+	g.Expect(p.Serves(third, third.Identity(), began)).To(BeFalse(), "it says that it leaves")
+	_, ok := Pick(p.Members("service"), Need{}, time.Now())
+	g.Expect(ok).To(BeFalse())
 	p.Replace(nil)
 	g.Expect(p.Size()).To(BeZero())
 }
