--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -32,6 +32,8 @@
 type Rhythm struct {
 	Wait  time.Duration // how long the store may hold a call until something changes
 	Pause time.Duration // between calls
+	// Backoff is the longest pause after failed calls; 0: the usual one.
+	Backoff time.Duration
 }
 
 // Follower keeps up with one topic. Its fields are used by Run only, but for failing.
@@ -49,7 +51,7 @@
 	backoff  time.Duration
 	failing  atomic.Bool                        // the last call failed; also read by others
 	held     atomic.Pointer[context.CancelFunc] // interrupts the call in progress; also called by others
-	trouble  func()                             // called when a call fails, and at the first success afterwards
+	trouble  func()                             // called at the first of failed calls, and at the first success afterwards
 }
 
 // NewFollower returns a follower that gives each batch to apply. whole means
@@ -61,8 +63,8 @@
 // Failing reports whether the last call failed.
 func (f *Follower) Failing() bool { return f.failing.Load() }
 
-// OnTrouble sets what is called when a call fails, and at the first success
-// afterwards. It must be set before Run.
+// OnTrouble sets what is called at the first of failed calls, and at the first
+// success afterwards. It must be set before Run.
 func (f *Follower) OnTrouble(trouble func()) { f.trouble = trouble }
 
 // Interrupt makes the follower give up a call that the store holds and make
@@ -137,10 +139,11 @@
 		f.outage = true
 		f.log.WithError(err).WithField("silent_ms", time.Since(f.answered).Milliseconds()).Warn("the store is lost")
 	}
-	f.failing.Store(true)
-	f.trouble()
-	longest := backoffMax
-	if !f.synced && f.after == 0 {
+	if !f.failing.Swap(true) {
+		f.trouble()
+	}
+	longest := max(backoffMax, f.rhythm.Backoff)
+	if !f.synced && f.after == 0 && f.rhythm.Backoff == 0 {
 		longest = backoffUnsynced
 	}
 	f.backoff = min(max(2*f.backoff, backoffMin), longest)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,7 @@
 		discovery.NewFollower(platform.Store, discovery.Configuration, discovery.Rhythm{Wait: configurationWait}, log, g.configurations.Apply),
 		discovery.NewFollower(platform.Store, discovery.Upstreams,
 			discovery.Rhythm{Pause: time.Duration(listShare * float64(milliseconds(settings.LeavingMS)))}, log, g.upstreams.Apply),
-		discovery.NewFollower(platform.Store, discovery.Crashes, discovery.Rhythm{Wait: crashesWait}, log, shared.apply),
+		discovery.NewFollower(platform.Store, discovery.Crashes, discovery.Rhythm{Wait: crashesWait, Backoff: crashesBackoff}, log, shared.apply),
 	}
 	g.followers[1].OnTrouble(func() {
 		g.followers[0].Interrupt()
