Remove the gateway's setting configuration_ms

It was checked and had no effect since calls for the configuration are held by the store. A settings file that still has it is refused with its path, like any unknown field.

--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -26,7 +26,6 @@
 	StoreAddress     string  `json:"store_address"`
 	GraceMS          float64 `json:"grace_ms"`
 	LeavingMS        float64 `json:"leaving_ms"`
-	ConfigurationMS  float64 `json:"configuration_ms"`
 	RetryShare       float64 `json:"retry_share"`
 	LogLevel         string  `json:"log_level"`
 	LogLines         int     `json:"log_lines_per_second"`
@@ -46,7 +45,7 @@
 // ParseSettings decodes settings, checks them and applies the defaults.
 func ParseSettings(data []byte) (*Settings, error) {
 	s := Settings{
-		GraceMS: 8000, LeavingMS: 2000, ConfigurationMS: 2000, RetryShare: 0.8,
+		GraceMS: 8000, LeavingMS: 2000, RetryShare: 0.8,
 		LogLevel: "info", LogLines: 200,
 	}
 	if err := settingsSchema.Decode(data, &s); err != nil {
