Let callers wait for the first reads of a restarted instance

Cause: a balancer asks an instance once a second, so callers reach one that was killed and restarted before it has read the configuration and the list. It refused them with 503 and 400 ms to come back, although the reads were answered 15 to 95 ms later; clients repeat once. Ruled out: that the store was away or slow then (its first answer came after 14 ms, the list after 95 ms); a shorter Retry-After (it costs the only repeat). Change: requests wait until both topics are read, one of the two reads has failed, or 300 ms after the start, whichever is first. Tests: TestStartup, TestCallerOfAStartingInstanceWaits (503 before).

--- a/internal/forward/call_test.go
+++ b/internal/forward/call_test.go
@@ -238,6 +238,24 @@
 	})
 }
 
+// Guards against a refusal of a caller that comes to a restarted instance some
+// milliseconds before its first reads from the store are answered.
+func TestCallerOfAStartingInstanceWaits(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, idempotent, false, "a")
+		w.set(answer(http.StatusOK, "answer"), "a")
+		known, over := w.table, make(chan struct{})
+		w.table, w.f.Startup = nil, over
+		time.AfterFunc(90*time.Millisecond, func() {
+			w.table = known
+			close(over)
+		})
+		got := w.ask(t.Context(), nil)
+		w.g.Expect(got.status).To(Equal(http.StatusOK))
+		w.g.Expect(got.took).To(Equal(90 * time.Millisecond))
+	})
+}
+
 // Guards against answers to requests that no configuration allows.
 func TestRequestsThatAreNotAllowed(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -45,6 +45,10 @@
 	Log      logrus.FieldLogger
 	Metrics  *Metrics
 	Leaving  *Leaving
+	// Startup is closed when the instance has read the configuration and the list of
+	// upstreams for the first time, or does not get them soon. Requests wait for it;
+	// nil: they do not.
+	Startup <-chan struct{}
 	// StoreAway reports whether the store, which tells the configuration, is away.
 	StoreAway func() bool
 	// Quarantine holds the evidence against requests that crash upstreams; Share
@@ -77,6 +81,7 @@
 	defer f.active.Add(-1)
 	x := &exchange{request: r, writer: w, arrived: time.Now(), meta: f.Protocol.Metadata(r.Header)}
 	x.log = f.Log.WithField("request", x.meta.ID)
+	f.awaitStartup(r.Context())
 	if !f.admit(x) || !f.readBody(x) {
 		return
 	}
@@ -94,6 +99,17 @@
 	f.call(ctx, x)
 }
 
+// awaitStartup waits until the first reads are over or the caller has left.
+func (f *Forwarder) awaitStartup(ctx context.Context) {
+	if f.Startup == nil {
+		return
+	}
+	select {
+	case <-f.Startup:
+	case <-ctx.Done():
+	}
+}
+
 // admit finds the route and the workspace, and answers requests that the
 // configuration does not allow.
 func (f *Forwarder) admit(x *exchange) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,8 +40,6 @@
 	// new requests that may pass between reads of the list. The rest is for the
 	// answer of a slow store.
 	listShare = 0.6
-	// firstRead is the time in which a store that is well answers the first read.
-	firstRead = 300 * time.Millisecond
 	// balancerLag is the time after which a balancer that asks once a second has
 	// seen two refusals, and sends no new connections.
 	balancerLag = 2500 * time.Millisecond
@@ -91,21 +89,26 @@
 	}
 	g.configurations = discovery.NewConfigurations(platform.Decoder, log)
 	g.upstreams = discovery.NewUpstreamList(g.pool, platform.Decoder, log)
+	startup := newStartup(discovery.Configuration, discovery.Upstreams)
 	quarantine := forward.NewQuarantine()
 	shared := &crashes{store: platform.Store, quarantine: quarantine, log: log}
 	g.forwarder = forward.New(forward.Config{
 		Tables: g.configurations, Pool: g.pool, Protocol: platform.Protocol, Reporter: platform.Reporter, Copier: platform.Copier, Finder: platform.Finder,
 		Budgets: forward.NewBudgets(settings.RetryShare * retryShareUsed),
 		Log:     log, Metrics: forward.NewMetrics(g.registry), Leaving: g.leaving,
-		StoreAway: g.storeAway, Quarantine: quarantine, Share: shared.share,
+		Startup: startup.over, StoreAway: g.storeAway, Quarantine: quarantine, Share: shared.share,
 	})
 	g.followers = []*discovery.Follower{
-		discovery.NewFollower(platform.Store, discovery.Configuration, discovery.Rhythm{Wait: configurationWait}, log, g.configurations.Apply),
+		discovery.NewFollower(platform.Store, discovery.Configuration, discovery.Rhythm{Wait: configurationWait}, log,
+			startup.applied(discovery.Configuration, g.configurations.Apply)),
 		discovery.NewFollower(platform.Store, discovery.Upstreams,
-			discovery.Rhythm{Pause: time.Duration(listShare * float64(milliseconds(settings.LeavingMS)))}, log, g.upstreams.Apply),
+			discovery.Rhythm{Pause: time.Duration(listShare * float64(milliseconds(settings.LeavingMS)))}, log,
+			startup.applied(discovery.Upstreams, g.upstreams.Apply)),
 		discovery.NewFollower(platform.Store, discovery.Crashes, discovery.Rhythm{Wait: crashesWait, Backoff: crashesBackoff}, log, shared.apply),
 	}
+	g.followers[0].OnTrouble(startup.end)
 	g.followers[1].OnTrouble(func() {
+		startup.end()
 		g.followers[0].Interrupt()
 		g.followers[2].Interrupt()
 	})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -120,6 +120,22 @@
 
 func (p *fakePlatform) AnswerHeader(http.Header) http.Header { return http.Header{} }
 
+// testPlatform is what a gateway needs of a platform in tests.
+type testPlatform interface {
+	discovery.Store
+	discovery.Decoder
+	forward.Protocol
+	forward.Reporter
+}
+
+func newTestGateway(t *testing.T, fake testPlatform) *Gateway {
+	settings, err := ParseSettings([]byte(minimal))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(settings, Platform{Store: fake, Decoder: fake, Protocol: fake, Reporter: fake, ReadinessPath: "/ready"}, log)
+}
+
 // Guards against an instance that says it is ready before it knows a
 // configuration and upstreams or after SIGTERM, and against one that ends a
 // request because it leaves.
@@ -136,12 +152,9 @@
 	go func() { _ = server.Serve(listener) }()
 	defer server.Close()
 
-	settings, err := ParseSettings([]byte(minimal))
-	g.Expect(err).NotTo(HaveOccurred())
 	fake := &fakePlatform{upstream: listener.Addr().String()}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	gateway := New(settings, Platform{Store: fake, Decoder: fake, Protocol: fake, Reporter: fake, ReadinessPath: "/ready"}, log)
+	gateway := newTestGateway(t, fake)
+	settings := gateway.settings
 	addresses := map[string]string{}
 	var mu sync.Mutex
 	gateway.listen = func(network, address string) (net.Listener, error) {
--- /dev/null
+++ b/internal/gateway/startup_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/discovery"
+)
+
+// slowStore answers the first reads after a delay, or with an error.
+type slowStore struct {
+	fakePlatform
+	delay time.Duration
+	err   error
+}
+
+func (s *slowStore) Read(ctx context.Context, topic discovery.Topic) (discovery.Batch, error) {
+	select {
+	case <-time.After(s.delay):
+	case <-ctx.Done():
+		return discovery.Batch{}, ctx.Err()
+	}
+	if s.err != nil {
+		return discovery.Batch{}, s.err
+	}
+	return s.fakePlatform.Read(ctx, topic)
+}
+
+// Guards against an instance that refuses the callers who come in the first
+// moments after its restart although the store answers, and against one that holds
+// them although the store does not.
+func TestStartup(t *testing.T) {
+	for name, c := range map[string]struct {
+		delay time.Duration
+		err   error
+		want  time.Duration // until requests are no longer held
+	}{
+		"the store answers":           {delay: 90 * time.Millisecond, want: 90 * time.Millisecond},
+		"the store refuses":           {delay: 5 * time.Millisecond, err: errors.New("429"), want: 5 * time.Millisecond},
+		"the store is silent":         {delay: time.Minute, want: firstRead},
+		"the store takes quite long":  {delay: 2 * firstRead, want: firstRead},
+		"the store answers with rows": {delay: 0, want: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				store := &slowStore{delay: c.delay, err: c.err}
+				store.known = true
+				gateway := newTestGateway(t, store)
+				ctx, cancel := context.WithCancel(t.Context())
+				for _, f := range gateway.followers {
+					go f.Run(ctx)
+				}
+				began := time.Now()
+				<-gateway.forwarder.Startup
+				synctest.Wait()
+				g.Expect(time.Since(began)).To(Equal(c.want))
+				served := c.err == nil && c.delay <= firstRead
+				g.Expect(gateway.ready()).To(Equal(served))
+				cancel()
+				time.Sleep(2 * firstRead) // the followers end
+			})
+		})
+	}
+}
