Start the emulated platform from one package

The processes, the configuration and the callers of the gateway's soak move to internal/testfleet, so that a measurement can use the same ones. Ruled out: a second set of starters in internal/bench (the same logic twice).

--- a/internal/gatewaysoak/single_test.go
+++ b/internal/gatewaysoak/single_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"foxtailhub.example/foxtailhub/internal/standin/emulator"
+	"foxtailhub.example/foxtailhub/internal/testfleet"
 )
 
 // pauseGoal is the longest pause of a stream that is on time.
@@ -23,24 +24,24 @@
 // Guards against a caller that notices the crash or silence of an engine: the
 // stream goes on within the pause of its route, without the caller's help.
 func TestStreamSurvivesItsEngine(t *testing.T) {
-	for name, fail := range map[string]func(n *node){
-		"killed": func(n *node) { n.kill() },
-		"paused": func(n *node) { n.signal(syscall.SIGSTOP) },
-		"cut":    func(n *node) { n.proxy.Set(emulator.ProxyFault{Silence: true}) },
+	for name, fail := range map[string]func(n *testfleet.Node){
+		"killed": func(n *testfleet.Node) { n.Kill() },
+		"paused": func(n *testfleet.Node) { n.Signal(syscall.SIGSTOP) },
+		"cut":    func(n *testfleet.Node) { n.Proxy.Set(emulator.ProxyFault{Silence: true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t)
 			l := newLedger()
 			var streams sync.WaitGroup
-			for i := range 4 * len(w.engines) {
+			for i := range 4 * len(w.Engines) {
 				streams.Go(func() { w.stream(l, fmt.Sprint("stream-", i)) })
 			}
 			pauseFor(t.Context(), 700*time.Millisecond)
-			fail(w.engines[0])
+			fail(w.Engines[0])
 			streams.Wait()
 			t.Logf("%v, longest pause %v", l.counts, l.longest)
 			w.g.Expect(l.violations).To(BeEmpty())
-			w.g.Expect(l.counts).To(Equal(map[string]int{"stream complete": 4 * len(w.engines)}))
+			w.g.Expect(l.counts).To(Equal(map[string]int{"stream complete": 4 * len(w.Engines)}))
 			w.g.Expect(l.longest).To(BeNumerically("<", pauseGoal))
 		})
 	}
@@ -69,15 +70,15 @@
 			}
 		})
 	}
-	for _, n := range w.gateways {
-		process := n.current()
-		n.signal(syscall.SIGHUP)
-		n.signal(syscall.SIGTERM)
-		n.signal(syscall.SIGTERM)
+	for _, n := range w.Gateways {
+		process := n.Current()
+		n.Signal(syscall.SIGHUP)
+		n.Signal(syscall.SIGTERM)
+		n.Signal(syscall.SIGTERM)
 		w.g.Eventually(process.Exited(), 10*time.Second).Should(BeClosed())
 		w.g.Expect(process.ExitCode()).To(BeZero())
-		w.g.Expect(n.restart()).To(Succeed())
-		w.g.Eventually(w.readyGateways, 10*time.Second, 50*time.Millisecond).Should(HaveLen(gatewayCount))
+		w.g.Expect(n.Restart()).To(Succeed())
+		w.g.Eventually(w.Ready, 10*time.Second, 50*time.Millisecond).Should(HaveLen(gatewayCount))
 	}
 	cancel()
 	callers.Wait()
@@ -94,30 +95,30 @@
 func TestDeadlyRequest(t *testing.T) {
 	w := newWorld(t)
 	l := newLedger()
-	send := func(gateway *node) int {
-		ctx, cancel := context.WithTimeout(t.Context(), callDeadline)
+	send := func(gateway *testfleet.Node) int {
+		ctx, cancel := context.WithTimeout(t.Context(), testfleet.CallDeadline)
 		defer cancel()
-		response, err := w.requestAt(ctx, gateway.address, "deadly", http.MethodPost, "/draft/deadly", emulator.DeadlyBody, nil)
+		response, err := w.RequestAt(ctx, gateway.Address, "deadly", http.MethodPost, "/draft/deadly", emulator.DeadlyBody, nil)
 		w.g.Expect(err).NotTo(HaveOccurred())
 		_ = response.Body.Close()
 		return response.StatusCode
 	}
 	crashed := func() int {
 		n := 0
-		for _, engine := range w.engines {
+		for _, engine := range w.Engines {
 			select {
-			case <-engine.current().Exited():
+			case <-engine.Current().Exited():
 				n++
 			default:
 			}
 		}
 		return n
 	}
-	w.g.Expect(send(w.gateways[0])).To(Equal(http.StatusBadGateway))
+	w.g.Expect(send(w.Gateways[0])).To(Equal(http.StatusBadGateway))
 	w.g.Expect(crashed()).To(BeNumerically("<=", 3))
 	before := crashed()
 	pauseFor(t.Context(), bound) // until all instances have to know
-	for _, gateway := range w.gateways {
+	for _, gateway := range w.Gateways {
 		w.g.Expect(send(gateway)).To(Equal(http.StatusBadGateway))
 	}
 	w.g.Expect(crashed()).To(Equal(before))
@@ -131,13 +132,13 @@
 func TestStoreAway(t *testing.T) {
 	w := newWorld(t)
 	l := newLedger()
-	for _, n := range w.gateways {
-		n.proxy.Set(emulator.ProxyFault{Silence: true})
-		n.proxy.Reset()
+	for _, n := range w.Gateways {
+		n.Proxy.Set(emulator.ProxyFault{Silence: true})
+		n.Proxy.Reset()
 	}
-	w.g.Expect(w.gateways[0].restart()).To(Succeed())
-	w.g.Eventually(w.readyGateways, 5*time.Second, 50*time.Millisecond).Should(HaveLen(gatewayCount - 1))
-	response, err := w.requestAt(t.Context(), w.gateways[0].address, "early", http.MethodGet, "/read/x", "", nil)
+	w.g.Expect(w.Gateways[0].Restart()).To(Succeed())
+	w.g.Eventually(w.Ready, 5*time.Second, 50*time.Millisecond).Should(HaveLen(gatewayCount - 1))
+	response, err := w.RequestAt(t.Context(), w.Gateways[0].Address, "early", http.MethodGet, "/read/x", "", nil)
 	w.g.Expect(err).NotTo(HaveOccurred())
 	_ = response.Body.Close()
 	w.g.Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
@@ -146,9 +147,9 @@
 	for n := range 20 {
 		w.g.Expect(w.call(l, fmt.Sprint("call-", n), n%2 == 0)).To(BeTrue())
 	}
-	for _, n := range w.gateways {
-		n.proxy.Set(emulator.ProxyFault{})
+	for _, n := range w.Gateways {
+		n.Proxy.Set(emulator.ProxyFault{})
 	}
-	w.g.Eventually(w.readyGateways, bound, 50*time.Millisecond).Should(HaveLen(gatewayCount))
+	w.g.Eventually(w.Ready, bound, 50*time.Millisecond).Should(HaveLen(gatewayCount))
 	w.g.Expect(l.violations).To(BeEmpty())
 }
--- a/internal/gatewaysoak/soak_test.go
+++ b/internal/gatewaysoak/soak_test.go
@@ -20,6 +20,7 @@
 	. "github.com/onsi/gomega"
 
 	"foxtailhub.example/foxtailhub/internal/standin/emulator"
+	"foxtailhub.example/foxtailhub/internal/testfleet"
 )
 
 const (
@@ -144,30 +145,30 @@
 	})
 }
 
-func (s *soak) pick(nodes []*node) *node { return nodes[s.random.IntN(len(nodes))] }
+func (s *soak) pick(nodes []*testfleet.Node) *testfleet.Node { return nodes[s.random.IntN(len(nodes))] }
 
 // faults are what may happen; each ends by itself.
 var faults = []struct {
 	name   string
 	inject func(s *soak)
 }{
-	{"engine killed", func(s *soak) { s.killOne(s.pick(s.engines)) }},
-	{"engine killed", func(s *soak) { s.killOne(s.pick(s.engines)) }},
-	{"engine paused", func(s *soak) { s.stop(s.pick(s.engines)) }},
-	{"plain server killed", func(s *soak) { s.killOne(s.pick(s.plain)) }},
-	{"plain server paused", func(s *soak) { s.stop(s.pick(s.plain)) }},
+	{"engine killed", func(s *soak) { s.killOne(s.pick(s.Engines)) }},
+	{"engine killed", func(s *soak) { s.killOne(s.pick(s.Engines)) }},
+	{"engine paused", func(s *soak) { s.stop(s.pick(s.Engines)) }},
+	{"plain server killed", func(s *soak) { s.killOne(s.pick(s.Plain)) }},
+	{"plain server paused", func(s *soak) { s.stop(s.pick(s.Plain)) }},
 	{"failure domain of engines killed", func(s *soak) {
 		d := s.random.IntN(domains)
-		for _, n := range s.engines[d*enginesEach : (d+1)*enginesEach] {
+		for _, n := range s.Engines[d*enginesEach : (d+1)*enginesEach] {
 			s.killOne(n)
 		}
 	}},
-	{"gateway killed", func(s *soak) { s.killOne(s.pick(s.gateways)) }},
-	{"gateway paused", func(s *soak) { s.stop(s.pick(s.gateways)) }},
-	{"gateway told to leave", func(s *soak) { s.leave(s.pick(s.gateways)) }},
-	{"gateway told to reload", func(s *soak) { s.pick(s.gateways).signal(syscall.SIGHUP) }},
-	{"connections reset", func(s *soak) { s.pick(s.all()).proxy.Reset() }},
-	{"open connections silent", func(s *soak) { s.pick(s.all()).proxy.Set(emulator.ProxyFault{Silence: true, OnlyOpen: true}) }},
+	{"gateway killed", func(s *soak) { s.killOne(s.pick(s.Gateways)) }},
+	{"gateway paused", func(s *soak) { s.stop(s.pick(s.Gateways)) }},
+	{"gateway told to leave", func(s *soak) { s.leave(s.pick(s.Gateways)) }},
+	{"gateway told to reload", func(s *soak) { s.pick(s.Gateways).Signal(syscall.SIGHUP) }},
+	{"connections reset", func(s *soak) { s.pick(s.Nodes()).Proxy.Reset() }},
+	{"open connections silent", func(s *soak) { s.pick(s.Nodes()).Proxy.Set(emulator.ProxyFault{Silence: true, OnlyOpen: true}) }},
 	{"server unreachable", func(s *soak) { s.proxyFault(emulator.ProxyFault{Silence: true}) }},
 	{"answers lost", func(s *soak) { s.proxyFault(emulator.ProxyFault{OneWay: true}) }},
 	{"connections refused", func(s *soak) { s.proxyFault(emulator.ProxyFault{Refuse: true}) }},
@@ -177,49 +178,55 @@
 	{"store silent", func(s *soak) { s.storeFault(emulator.StoreFault{SilentMS: 5000}) }},
 	{"store slow", func(s *soak) { s.storeFault(emulator.StoreFault{SilentMS: 300}) }},
 	{"store forgets history", func(s *soak) { s.storeFault(emulator.StoreFault{DropHistory: true}) }},
-	{"route added", func(s *soak) { s.changeRoutes(true); s.writeConfiguration() }},
-	{"route removed", func(s *soak) { s.changeRoutes(false); s.writeConfiguration() }},
+	{"route added", func(s *soak) {
+		s.AddRoute()
+		_ = s.WriteConfiguration() // the store may be down
+	}},
+	{"route removed", func(s *soak) {
+		s.RemoveRoute()
+		_ = s.WriteConfiguration() // the store may be down
+	}},
 	{"strange entry", func(s *soak) {
-		_ = emulator.Transact(context.Background(), s.client, s.store.address, "servers", "strange", []byte(`{"service":7}`)) // the store may be down
+		_ = s.WriteRow("servers", "strange", []byte(`{"service":7}`)) // the store may be down
 	}},
 }
 
-func (s *soak) killOne(n *node) {
-	n.signal(syscall.SIGCONT)
-	n.kill()
+func (s *soak) killOne(n *testfleet.Node) {
+	n.Signal(syscall.SIGCONT)
+	n.Kill()
 	s.later(func() {
-		if err := n.restart(); err != nil {
-			s.t.Errorf("restart %s: %v", n.name, err)
+		if err := n.Restart(); err != nil {
+			s.t.Errorf("restart %s: %v", n.Name, err)
 		}
 	})
 }
 
-func (s *soak) stop(n *node) {
-	process := n.current()
+func (s *soak) stop(n *testfleet.Node) {
+	process := n.Current()
 	_ = process.Signal(syscall.SIGSTOP) // it may have ended
 	s.later(func() { _ = process.Signal(syscall.SIGCONT) })
 }
 
 // leave stops a gateway as planned and starts it again when it has ended, or
 // kills it after the grace time as the platform does.
-func (s *soak) leave(n *node) {
-	process := n.current()
+func (s *soak) leave(n *testfleet.Node) {
+	process := n.Current()
 	_ = process.Signal(syscall.SIGTERM)
 	s.pending.Go(func() {
 		select {
 		case <-process.Exited():
 		case <-time.After(8 * time.Second):
 		}
-		if n.current() == process {
-			if err := n.restart(); err != nil {
-				s.t.Errorf("restart %s: %v", n.name, err)
+		if n.Current() == process {
+			if err := n.Restart(); err != nil {
+				s.t.Errorf("restart %s: %v", n.Name, err)
 			}
 		}
 	})
 }
 
 func (s *soak) proxyFault(fault emulator.ProxyFault) {
-	proxy := s.pick(s.all()).proxy
+	proxy := s.pick(s.Nodes()).Proxy
 	proxy.Set(fault)
 	s.later(func() { proxy.Set(emulator.ProxyFault{}) })
 }
@@ -234,7 +241,7 @@
 func (s *soak) setStore(fault emulator.StoreFault) {
 	body, err := json.Marshal(fault)
 	s.g.Expect(err).NotTo(HaveOccurred())
-	response, err := http.Post("http://"+s.store.address+"/fault", "application/json", bytes.NewReader(body))
+	response, err := http.Post("http://"+s.Store.Address+"/fault", "application/json", bytes.NewReader(body))
 	s.g.Expect(err).NotTo(HaveOccurred())
 	_ = response.Body.Close()
 }
@@ -243,20 +250,20 @@
 func (s *soak) heal() {
 	s.pending.Wait()
 	s.setStore(emulator.StoreFault{})
-	for _, n := range s.all() {
-		n.proxy.Set(emulator.ProxyFault{})
-		n.signal(syscall.SIGCONT)
+	for _, n := range s.Nodes() {
+		n.Proxy.Set(emulator.ProxyFault{})
+		n.Signal(syscall.SIGCONT)
 	}
-	s.g.Expect(s.writeConfiguration()).To(BeTrue())
+	s.g.Expect(s.WriteConfiguration()).To(Succeed())
 }
 
 // checkRecovery checks that after the stated bound all gateways serve again, under
 // the last configuration.
 func (w *world) checkRecovery(l *ledger) {
 	pauseFor(context.Background(), bound)
-	w.g.Eventually(w.readyGateways, bound, 50*time.Millisecond).Should(HaveLen(gatewayCount))
-	for _, gateway := range w.gateways {
-		for _, prefix := range append(w.addedRoutes(), "/removed/") {
+	w.g.Eventually(w.Ready, bound, 50*time.Millisecond).Should(HaveLen(gatewayCount))
+	for _, gateway := range w.Gateways {
+		for _, prefix := range append(w.AddedRoutes(), "/removed/") {
 			w.checkRoute(l, gateway, prefix)
 		}
 	}
@@ -270,16 +277,16 @@
 	}
 }
 
-func (w *world) checkRoute(l *ledger, gateway *node, prefix string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callDeadline)
+func (w *world) checkRoute(l *ledger, gateway *testfleet.Node, prefix string) {
+	ctx, cancel := context.WithTimeout(context.Background(), testfleet.CallDeadline)
 	defer cancel()
-	response, err := w.requestAt(ctx, gateway.address, "probe", http.MethodGet, prefix+"x", "", nil)
+	response, err := w.RequestAt(ctx, gateway.Address, "probe", http.MethodGet, prefix+"x", "", nil)
 	if err != nil {
-		l.violation("%s does not answer after the faults: %v", gateway.name, err)
+		l.violation("%s does not answer after the faults: %v", gateway.Name, err)
 		return
 	}
 	defer response.Body.Close()
 	if known := response.StatusCode != http.StatusNotFound; known != (prefix != "/removed/") {
-		l.violation("%s answers %d on the route %s after the last change", gateway.name, response.StatusCode, prefix)
+		l.violation("%s answers %d on the route %s after the last change", gateway.Name, response.StatusCode, prefix)
 	}
 }
