Show a time line over all gateways from their logs

foxtailhub timeline -logs merges the logs of all processes in the order of time. Lines about single requests are left out (explain shows those); the same event at several instances within 3 s becomes one line with their number and spread. Cause: the product's own time line is asked from running daemons, which gateways do not serve; explain needs a request's identifier. Prefixes of log collectors are left out of the comparison; without that nothing was merged. Test: TestTimelineOfLogs.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -1,14 +1,10 @@
 package cli
 
 import (
-	"bufio"
-	"cmp"
 	"context"
 	"flag"
 	"fmt"
 	"io"
-	"os"
-	"regexp"
 	"slices"
 	"time"
 
@@ -17,23 +13,9 @@
 	"foxtailhub.example/foxtailhub/internal/client"
 )
 
-const (
-	// explainBefore is how long before a request's first line the events of its
-	// upstreams and instances are shown: an upstream that was lost then is avoided.
-	explainBefore = 10 * time.Second
-	// maxLogLine bounds one line of a log.
-	maxLogLine = 1 << 20
-)
-
-// Fields of a log line.
-var (
-	logTime      = regexp.MustCompile(`\btime="?([^" ]+)"?`)
-	logRequest   = regexp.MustCompile(`\b(?:cause_)?request=(\S+)`)
-	logUpstream  = regexp.MustCompile(`\b(?:upstream|copy_at)=(\S+)`)
-	logUpstreams = regexp.MustCompile(`\bupstreams="?\[([^\]]*)\]`)
-	logInstance  = regexp.MustCompile(`\binstance=(\S+)`)
-	logWord      = regexp.MustCompile(`\S+`)
-)
+// explainBefore is how long before a request's first line the events of its
+// upstreams and instances are shown: an upstream that was lost then is avoided.
+const explainBefore = 10 * time.Second
 
 func explainCommand() command {
 	return command{
@@ -54,60 +36,6 @@
 	}
 }
 
-// logLine is one line of a log.
-type logLine struct {
-	at       time.Time
-	request  string // empty: it is not about one
-	upstream string // empty: it is not about one
-	instance string
-	text     string
-}
-
-func readLogs(stdin io.Reader, files []string) ([]logLine, error) {
-	if len(files) == 0 {
-		return readLog(stdin)
-	}
-	var all []logLine
-	for _, name := range files {
-		file, err := os.Open(name)
-		if err != nil {
-			return nil, err
-		}
-		lines, err := readLog(file)
-		_ = file.Close() // it was only read
-		if err != nil {
-			return nil, errors.Wrap(err, name)
-		}
-		all = append(all, lines...)
-	}
-	return all, nil
-}
-
-// readLog reads the lines that have a time; others are not from an instance.
-func readLog(r io.Reader) ([]logLine, error) {
-	var lines []logLine
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLogLine)
-	for scanner.Scan() {
-		text := scanner.Text()
-		at, err := time.Parse(time.RFC3339Nano, field(logTime, text))
-		if err != nil {
-			continue
-		}
-		lines = append(lines, logLine{
-			at: at, request: field(logRequest, text), upstream: field(logUpstream, text), instance: field(logInstance, text), text: text,
-		})
-	}
-	return lines, scanner.Err()
-}
-
-func field(pattern *regexp.Regexp, text string) string {
-	if match := pattern.FindStringSubmatch(text); match != nil {
-		return match[1]
-	}
-	return ""
-}
-
 // explain prints, in the order of time, the lines of a request, and what else
 // its instances logged of its upstreams and of themselves meanwhile.
 func explain(out io.Writer, lines []logLine, request string) (ExitCode, error) {
@@ -141,7 +69,7 @@
 		return inTime && line.request == "" && instances[line.instance] && (line.upstream == "" || upstreams[line.upstream])
 	}
 	shown := slices.DeleteFunc(slices.Clone(lines), func(line logLine) bool { return !related(line) })
-	slices.SortStableFunc(shown, func(a, b logLine) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+	sortByTime(shown)
 	for _, line := range shown {
 		if _, err := fmt.Fprintf(out, "%+9.3f s  %s\n", line.at.Sub(from).Seconds(), line.text); err != nil {
 			return ExitFailed, err
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -50,3 +50,30 @@
 	g.Expect(errors.String()).To(ContainSubstring("no line is about request r-7"))
 	g.Expect(Run(t.Context(), env, []string{"explain"})).To(Equal(ExitUsage))
 }
+
+// Guards against a time line over all processes in which the same event at many
+// instances hides the others, or in which requests do.
+func TestTimelineOfLogs(t *testing.T) {
+	g := NewWithT(t)
+	logs := `time="2026-12-04T10:00:01.000Z" level=info msg="configuration in force" before=3 instance=one version=6
+time="2026-12-04T10:00:01.500Z" level=info msg="request sent" instance=one request=r-1 upstream=s-1
+time="2026-12-04T10:00:02.000Z" level=warning msg="the store is lost" error="dial \"x\": refused" instance=one silent_ms=2600
+collector-7 time="2026-12-04T10:00:01.040Z" level=info msg="configuration in force" before=3 instance=two version=6
+time="2026-12-04T10:00:02.100Z" level=warning msg="the store is lost" error=timeout instance=two silent_ms=2700
+time="2026-12-04T10:00:09.000Z" level=info msg="configuration in force" before=3 instance=three version=6
+time="2026-12-04T10:00:08.000Z" level=info msg="upstream gone" instance=two upstream=s-1
+time="2026-12-04T10:00:08.100Z" level=info msg="upstream gone" instance=two upstream=s-1
+`
+	var out, errors bytes.Buffer
+	env := Environment{Stdin: strings.NewReader(logs), Stdout: &out, Stderr: &errors}
+	g.Expect(Run(t.Context(), env, []string{"timeline", "-logs"})).To(Equal(ExitOK))
+	g.Expect(strings.Split(strings.TrimRight(out.String(), "\n"), "\n")).To(Equal([]string{
+		`   +0.000 s  2 instances within 40 ms: level=info msg="configuration in force" before=3 version=6`,
+		`   +1.000 s  2 instances within 100 ms: level=warning msg="the store is lost"`,
+		`   +7.000 s  time="2026-12-04T10:00:08.000Z" level=info msg="upstream gone" instance=two upstream=s-1`,
+		`   +7.100 s  time="2026-12-04T10:00:08.100Z" level=info msg="upstream gone" instance=two upstream=s-1`,
+		`   +8.000 s  time="2026-12-04T10:00:09.000Z" level=info msg="configuration in force" before=3 instance=three version=6`,
+	}))
+	env.Stdin = strings.NewReader("")
+	g.Expect(Run(t.Context(), env, []string{"timeline", "-logs"})).To(Equal(ExitFailed))
+}
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -69,13 +69,22 @@
 	return command{
 		name:    "timeline",
 		timeout: operatorTimeout,
-		summary: "Shows recent events of all instances in causal order.",
+		usage:   "[FILE...]",
+		summary: "Shows recent events of all instances in causal order, or with -logs those of gateways' logs.",
 		setup: func(flags *flag.FlagSet) runner {
 			request := flags.String("request", "", "only events of this request, as workspace/key")
 			since := flags.Duration("since", time.Minute, "only events of this last period")
 			local := flags.Bool("local", false, "only events of the instance that answers")
 			asJSON := flags.Bool("json", false, "print JSON")
-			return func(ctx context.Context, env Environment, c *client.Client, _ []string) (ExitCode, error) {
+			logs := flags.Bool("logs", false, "read gateways' logs (files, or standard input); the same event at several instances is shown once")
+			return func(ctx context.Context, env Environment, c *client.Client, args []string) (ExitCode, error) {
+				if *logs {
+					lines, err := readLogs(env.Stdin, args)
+					if err != nil {
+						return ExitFailed, err
+					}
+					return printLogTimeline(env.Stdout, lines)
+				}
 				params := oas.GetTimelineParams{SinceMs: oas.NewOptInt64(since.Milliseconds()), Local: oas.NewOptBool(*local)}
 				if *request != "" {
 					params.Request.SetTo(*request)
--- a/scripts/demo-gateway.sh
+++ b/scripts/demo-gateway.sh
@@ -92,3 +92,6 @@
 
 step "what happened, from the logs"
 "$BIN/foxtailhub" explain -request stream-1 "$DIR"/gateway-*.log | cut -c1-230
+
+step "the time line of both gateways"
+"$BIN/foxtailhub" timeline -logs "$DIR"/gateway-*.log | cut -c1-160
