Measure routed requests at gateways, with a plot

foxtailhub-bench routed starts the emulated platform, callers of streams and calls, and one of eight faults, and reports ends, first events, longest pauses, answers and worth over time as text or JSON, and as SVG, PNG or PDF by gonum/plot.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -16,7 +16,7 @@
 )
 
 // ErrUsage reports arguments that name no measurement.
-var ErrUsage = errors.New("usage: foxtailhub-bench resume|handover|latency|overload|control|upstreams|config [flags]")
+var ErrUsage = errors.New("usage: foxtailhub-bench resume|handover|latency|overload|control|upstreams|config|routed [flags]")
 
 // measurement is one subcommand.
 type measurement interface {
@@ -35,6 +35,7 @@
 		"control":   &controlMeasurement{},
 		"upstreams": &upstreamsMeasurement{},
 		"config":    &configMeasurement{},
+		"routed":    &routedMeasurement{},
 	}
 }
 
