Place prompts where another instance looks for them first

Cause: after the loss of an instance its callers come back anywhere, and all upstreams were asked which of them keeps the prompt: 112 questions on the grown sites (p50 109 ms, p90 179 ms of an instance with a fifth of a core), and none with more than 256 upstreams, where the prompt was read again (1 s). Change: with more than 32 upstreams the four that are asked for their load come from the eight that rank highest for the prompt; if all are busy with a prompt, four more are drawn at random. The search asks the twelve highest first, then the others of up to 256. Tests: TestPromptIsFoundAmongManyUpstreams (no upstream asked before), TestShortlistByAffinity, TestBusySessionIsSpread.

--- a/internal/forward/find.go
+++ b/internal/forward/find.go
@@ -14,9 +14,19 @@
 // hundred upstreams.
 const findTimeout = 300 * time.Millisecond
 
-// maxSearched is the largest number of upstreams that are asked. Asking more costs
-// about as much as reading the prompt again.
-const maxSearched = 256
+const (
+	// searchedAtOnce is the number of upstreams up to which all are asked at once, and
+	// prompts are placed at random: asking so few takes hardly longer than asking
+	// likelySearched of them.
+	searchedAtOnce = 32
+	// likelySearched is how many upstreams are asked first: those that rank highest
+	// for the prompt, among which it was placed, with room for members that were
+	// avoided then.
+	likelySearched = 3 * reportsAsked
+	// maxSearched is the largest number of upstreams of which all others are asked.
+	// Asking more costs about as much as reading the prompt again.
+	maxSearched = 256
+)
 
 // Finder asks upstreams which prompts they keep.
 type Finder interface {
@@ -32,31 +42,43 @@
 		return ""
 	}
 	members := f.Pool.Members(x.service.Name)
-	if len(members) > maxSearched {
-		return ""
+	likely, others := members, members[:0]
+	if len(members) > searchedAtOnce {
+		ranked := pool.Ranked(members, x.meta.PromptPart)
+		likely, others = ranked[:likelySearched], ranked[likelySearched:]
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	began := time.Now()
+	began, asked := time.Now(), len(likely)
+	held := f.searchPrompt(ctx, x, likely)
+	if !held.most(x) && len(members) <= maxSearched {
+		asked = len(members)
+		if other := f.searchPrompt(ctx, x, others); other.tokens > held.tokens {
+			held = other
+		}
+	}
+	x.log.WithFields(logrus.Fields{
+		"upstream": held.upstreamID, "tokens": held.tokens, "asked": asked, "took_ms": time.Since(began).Milliseconds(),
+	}).Info("prompt searched")
+	return held.upstreamID
+}
+
+// searchPrompt asks upstreams at the same time for a prompt and returns the one
+// that keeps the most of it, or the first that keeps most of it.
+func (f *Forwarder) searchPrompt(ctx context.Context, x *exchange, members []*pool.Member) (best heldPrompt) {
 	found := make(chan heldPrompt, len(members))
 	for _, m := range members {
 		go func() { found <- heldPrompt{upstreamID: m.ID, tokens: f.heldTokens(ctx, x, m)} }()
 	}
-	most := 0
 	for range members {
-		held := <-found
-		if held.tokens > most {
-			most = held.tokens
-			upstreamID = held.upstreamID
+		if held := <-found; held.tokens > best.tokens {
+			best = held
 		}
-		if most > x.meta.PromptTokens/2 {
-			break // no other upstream saves much more
+		if best.most(x) {
+			break
 		}
 	}
-	x.log.WithFields(logrus.Fields{
-		"upstream": upstreamID, "tokens": most, "asked": len(members), "took_ms": time.Since(began).Milliseconds(),
-	}).Info("prompt searched")
-	return upstreamID
+	return best
 }
 
 // heldPrompt is how much of a prompt an upstream keeps.
@@ -65,6 +87,9 @@
 	tokens     int
 }
 
+// most reports whether no other upstream saves much more.
+func (h heldPrompt) most(x *exchange) bool { return h.tokens > x.meta.PromptTokens/2 }
+
 func (f *Forwarder) heldTokens(ctx context.Context, x *exchange, m *pool.Member) int {
 	tokens, err := f.Finder.HeldTokens(ctx, m.Address, x.meta.PromptPart)
 	if err != nil {
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -97,7 +97,9 @@
 	visits    []visit
 	copies    []string // copies made, "source run to"
 	dropped   []string
-	away      bool // the store
+	waiting   map[string]int // streams that wait at an upstream
+	searched  int            // questions for a prompt
+	away      bool           // the store
 	shared    []Crash
 }
 
@@ -108,7 +110,7 @@
 func newWorld(t *testing.T, r route.Route, engine bool, names ...string) *world {
 	w := &world{
 		t: t, g: NewWithT(t), pool: pool.New(), log: &strings.Builder{},
-		upstreams: map[string]upstream{}, silent: map[string]bool{}, born: map[string]int64{}, ids: map[string]string{}, leaving: map[string]bool{}, held: map[string]int{},
+		upstreams: map[string]upstream{}, silent: map[string]bool{}, born: map[string]int64{}, ids: map[string]string{}, leaving: map[string]bool{}, held: map[string]int{}, waiting: map[string]int{},
 	}
 	r.Host, r.Prefix = "host", "/"
 	r.Targets = []route.Target{{Service: "service", Weight: 1}}
@@ -184,7 +186,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return pool.Report{Born: w.born[address], Leaving: w.leaving[address]}, nil
+	return pool.Report{Born: w.born[address], Leaving: w.leaving[address], Waiting: w.waiting[address]}, nil
 }
 
 func (w *world) Identify(ctx context.Context, address, _ string) (string, error) {
@@ -217,6 +219,7 @@
 func (w *world) HeldTokens(_ context.Context, address, _ string) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.searched++
 	return w.held[address], nil
 }
 
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -45,9 +45,25 @@
 // placeByReport places a new prompt by the newest reports of a few upstreams.
 func (f *Forwarder) placeByReport(ctx context.Context, x *exchange, need pool.Need) (placement, bool) {
 	need.Avoid = append(need.Avoid, x.avoid...)
-	some := pool.PickSome(f.Pool.Members(x.service.Name), need, reportsAsked, time.Now())
+	members := f.Pool.Members(x.service.Name)
+	if len(members) > searchedAtOnce {
+		need.Affinity = x.meta.PromptPart
+	}
+	some := pool.PickSome(members, need, reportsAsked, time.Now())
 	reports := f.reports(ctx, x, some)
-	i, ok := chooseReported(x, some, reports, func(int) bool { return true })
+	any := func(int) bool { return true }
+	i, ok := chooseReported(x, some, reports, any)
+	if need.Affinity != "" && (!ok || reports[i].Reading+reports[i].Waiting > 0) {
+		// The prompt would wait for another one there, and requests of one session all
+		// rank the same upstreams highest.
+		need.Affinity = ""
+		for _, m := range some {
+			need.Avoid = append(need.Avoid, m.ID)
+		}
+		others := pool.PickSome(members, need, reportsAsked, time.Now())
+		some, reports = append(some, others...), append(reports, f.reports(ctx, x, others)...)
+		i, ok = chooseReported(x, some, reports, any)
+	}
 	if !ok {
 		m, found := f.pick(x, need)
 		return placement{upstream: m}, found
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -287,6 +288,49 @@
 	})
 }
 
+// Guards against a search of all upstreams, or none, where there are many: the
+// instance before placed the prompt where this one looks first.
+func TestPromptIsFoundAmongManyUpstreams(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		var names []string
+		for n := range 2 * maxSearched {
+			names = append(names, fmt.Sprint("u", n))
+		}
+		w := newWorld(t, streaming, true, names...)
+		w.set(stream(130, time.Millisecond, nil), names...)
+		header := map[string]string{"Prompt": "part"}
+		w.g.Expect(w.ask(t.Context(), header).status).To(Equal(http.StatusOK))
+		placed := w.visited()[0]
+		w.held[placed] = 8000
+		header["Last"] = "60"
+		got := w.ask(t.Context(), header)
+		w.g.Expect(got.body).To(Equal(eventsText(61, 130)))
+		w.g.Expect(w.visited()).To(Equal([]string{placed, placed}))
+		w.g.Expect(w.searched).To(Equal(likelySearched))
+	})
+}
+
+// Guards against streams of one session that wait at the upstreams that rank
+// highest for it while others are free.
+func TestBusySessionIsSpread(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		var names []string
+		for n := range 400 { // so many that the second choice is hardly among the highest by chance
+			names = append(names, fmt.Sprint("u", n))
+		}
+		w := newWorld(t, streaming, true, names...)
+		w.set(stream(130, time.Millisecond, nil), names...)
+		highest := pool.Ranked(w.pool.Members("service"), "part")[:likelySearched]
+		for _, m := range highest {
+			w.waiting[m.Address] = 1
+		}
+		w.ask(t.Context(), map[string]string{"Prompt": "part"})
+		for _, m := range highest {
+			w.g.Expect(w.visited()).NotTo(ContainElement(m.ID))
+		}
+	})
+}
+
 // Guards against a new stream at an instance that ends before it.
 func TestLeavingInstanceRefusesStreams(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -50,8 +52,15 @@
 	Prefer       string   // upstream that holds a copy of the request's memory
 	Copy         bool     // a place for a copy, not for a run
 	Once         bool     // the request cannot be sent again
+	// Affinity is a key that ranks the upstreams in the same way at all instances, so
+	// that another instance finds where a prompt was placed; empty: none.
+	Affinity string
 }
 
+// affinityChoices is how many of the upstreams that rank highest for a key are
+// considered, in numbers wanted. The instance's own prompts decide among them.
+const affinityChoices = 2
+
 // Choose returns the index of the best candidate, or false if no upstream is
 // left. Upstreams that are leaving are never chosen. Those that failed the request
 // are not chosen again, and upstreams and failure domains with recent losses only
@@ -67,20 +76,40 @@
 	return leastLoaded(candidates, eligible, need, random), true
 }
 
-// Shortlist returns the indices of up to n candidates for a request, drawn at
-// random from the best group with the fewest prompts of this instance.
+// Shortlist returns the indices of up to n candidates for a request from the best
+// group, with the fewest prompts of this instance: drawn at random, or from those
+// that rank highest for the key of the request.
 func Shortlist(candidates []Candidate, need Need, n int, random *rand.Rand) []int {
 	eligible, decided := best(candidates, need)
 	if decided {
 		return eligible
 	}
-	random.Shuffle(len(eligible), func(i, j int) { eligible[i], eligible[j] = eligible[j], eligible[i] })
+	if need.Affinity != "" {
+		rank(eligible, need.Affinity, func(i int) string { return candidates[i].ID })
+		eligible = eligible[:min(affinityChoices*n, len(eligible))]
+	} else {
+		random.Shuffle(len(eligible), func(i, j int) { eligible[i], eligible[j] = eligible[j], eligible[i] })
+	}
 	slices.SortStableFunc(eligible, func(i, j int) int {
 		return cmp.Compare(candidates[i].Prefilling, candidates[j].Prefilling)
 	})
 	return eligible[:min(n, len(eligible))]
 }
 
+// rank sorts by the rendezvous hash of a key with the ID, highest first. A member
+// more or less changes the order of no others.
+func rank[T any](items []T, key string, id func(T) string) {
+	hash := func(item T) uint64 { return xxhash.Sum64String(key + "\x00" + id(item)) }
+	slices.SortFunc(items, func(a, b T) int { return cmp.Compare(hash(b), hash(a)) })
+}
+
+// Ranked returns the members in the order of a key, highest first.
+func Ranked(members []*Member, key string) []*Member {
+	ranked := slices.Clone(members)
+	rank(ranked, key, func(m *Member) string { return m.ID })
+	return ranked
+}
+
 // best returns the best group of candidates; decided means that it is the one
 // that the request asks for.
 func best(candidates []Candidate, need Need) (eligible []int, decided bool) {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -1,7 +1,9 @@
 package pool
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -194,3 +196,39 @@
 	_, ok = ChooseByReport([]*Report{{}}, func(int) bool { return false })
 	g.Expect(ok).To(BeFalse())
 }
+
+// Guards against a key that ranks upstreams differently at two instances, or that
+// sends all requests of one key to one upstream although it is busy there.
+func TestShortlistByAffinity(t *testing.T) {
+	g := NewWithT(t)
+	var candidates []Candidate
+	var members []*Member
+	for n := range 100 {
+		c := candidate(fmt.Sprint("u", n), fmt.Sprint("domain-", n%3))
+		candidates = append(candidates, c)
+		members = append(members, &Member{Upstream: c.Upstream})
+	}
+	chosen := map[string]int{}
+	for n := range 300 {
+		need := Need{Affinity: fmt.Sprint("prompt-", n)}
+		var likely []string
+		for _, m := range Ranked(members, need.Affinity)[:affinityChoices*4] {
+			likely = append(likely, m.ID)
+		}
+		here := Shortlist(candidates, need, 4, rand.New(rand.NewPCG(1, 2)))
+		reversed := slices.Clone(candidates)
+		slices.Reverse(reversed)
+		g.Expect(here).To(HaveLen(4))
+		for i, index := range Shortlist(reversed, need, 4, rand.New(rand.NewPCG(3, 4))) {
+			g.Expect(reversed[index].ID).To(Equal(candidates[here[i]].ID), "at another instance")
+			g.Expect(likely).To(ContainElement(reversed[index].ID))
+			chosen[reversed[index].ID]++
+		}
+	}
+	g.Expect(len(chosen)).To(Equal(100), "all upstreams get prompts")
+
+	need := Need{Affinity: "prompt"}
+	first := Shortlist(candidates, need, 4, nil)
+	candidates[first[0]].Prefilling = 1
+	g.Expect(Shortlist(candidates, need, 4, nil)).NotTo(ContainElement(first[0]), "it reads a prompt of this instance")
+}
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -27,8 +27,6 @@
 const (
 	// startTimeout bounds the start of all processes, on a busy machine too.
 	startTimeout = 10 * time.Second
-	// pollInterval is the time between looks for something that is awaited.
-	pollInterval = 20 * time.Millisecond
 	// readinessInterval and readinessTimeout are those of the checks by which
 	// callers find a gateway, as a balancer does.
 	readinessInterval = 200 * time.Millisecond
