--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -76,4 +76,6 @@
 	}))
 	env.Stdin = strings.NewReader("")
 	g.Expect(Run(t.Context(), env, []string{"timeline", "-logs"})).To(Equal(ExitFailed))
+	g.Expect(Run(t.Context(), env, []string{"timeline", "-logs", "-json"})).To(Equal(ExitUsage))
+	g.Expect(Run(t.Context(), env, []string{"timeline", "one.log"})).To(Equal(ExitUsage))
 }
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -78,7 +78,12 @@
 			asJSON := flags.Bool("json", false, "print JSON")
 			logs := flags.Bool("logs", false, "read gateways' logs (files, or standard input); the same event at several instances is shown once")
 			return func(ctx context.Context, env Environment, c *client.Client, args []string) (ExitCode, error) {
-				if *logs {
+				switch {
+				case !*logs && len(args) > 0:
+					return ExitUsage, usageError("files are read only with -logs")
+				case *logs && (*request != "" || *local || *asJSON):
+					return ExitUsage, usageError("-logs goes with none of -request (see explain), -local and -json")
+				case *logs:
 					lines, err := readLogs(env.Stdin, args)
 					if err != nil {
 						return ExitFailed, err
