Start the fleet's gateways when all servers have registered

Ruled out: the wait for the first reads (the list was read, and was true then). Change: the fleet waits until the store lists all servers, as the demo does.

--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -93,16 +94,48 @@
 	if err := f.WriteConfiguration(); err != nil {
 		return err
 	}
-	for _, n := range f.Nodes() {
-		if err := n.Restart(); err != nil {
-			return err
-		}
+	servers := append(slices.Clone(f.Engines), f.Plain...)
+	if err := restart(servers); err != nil {
+		return err
+	}
+	// A gateway that started before the last server would learn of it at its next
+	// look at the list only, which a test may prevent.
+	if err := testcluster.Await(ctx, func() bool { return f.registered() >= len(servers) }); err != nil {
+		return errors.Wrap(err, "the servers have not registered")
+	}
+	if err := restart(f.Gateways); err != nil {
+		return err
 	}
 	go f.checkReadiness(checks)
 	allReady := func() bool { return len(f.Ready()) == len(f.Gateways) }
 	return errors.Wrap(testcluster.Await(ctx, allReady), "the gateways are not ready")
 }
 
+func restart(nodes []*Node) error {
+	for _, n := range nodes {
+		if err := n.Restart(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// registered returns the number of servers in the store's list.
+func (f *Fleet) registered() int {
+	response, err := f.client.Get("http://" + f.Store.Address + "/v1/rows-get?table=servers&part=")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	var list struct {
+		Rows []struct{} `json:"rows"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+		return 0
+	}
+	return len(list.Rows)
+}
+
 // provision lays out all nodes without starting them.
 func (f *Fleet) provision() (err error) {
 	if f.Store, err = f.node("store", func(n *Node, _ int) []string {
