--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,18 +52,18 @@
 	}
 	some := pool.PickSome(members, need, reportsAsked, time.Now())
 	reports := f.reports(ctx, x, some)
-	any := func(int) bool { return true }
-	i, ok := chooseReported(x, some, reports, any)
+	whichever := func(int) bool { return true }
+	i, ok := chooseReported(x, some, reports, whichever)
 	if need.Affinity != "" && (!ok || reports[i].Reading+reports[i].Waiting > 0) {
 		// The prompt would wait for another one there, and requests of one session all
 		// rank the same upstreams highest.
-		need.Affinity = ""
+		further := pool.Need{Avoid: slices.Clone(need.Avoid), AvoidDomains: need.AvoidDomains, Prefer: need.Prefer}
 		for _, m := range some {
-			need.Avoid = append(need.Avoid, m.ID)
+			further.Avoid = append(further.Avoid, m.ID)
 		}
-		others := pool.PickSome(members, need, reportsAsked, time.Now())
+		others := pool.PickSome(members, further, reportsAsked, time.Now())
 		some, reports = append(some, others...), append(reports, f.reports(ctx, x, others)...)
-		i, ok = chooseReported(x, some, reports, any)
+		i, ok = chooseReported(x, some, reports, whichever)
 	}
 	if !ok {
 		m, found := f.pick(x, need)
