--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -57,7 +57,8 @@
 	if need.Affinity != "" && (!ok || reports[i].Reading+reports[i].Waiting > 0) {
 		// The prompt would wait for another one there, and requests of one session all
 		// rank the same upstreams highest.
-		further := pool.Need{Avoid: slices.Clone(need.Avoid), AvoidDomains: need.AvoidDomains, Prefer: need.Prefer}
+		further := need
+		further.Affinity, further.Avoid = "", slices.Clone(need.Avoid)
 		for _, m := range some {
 			further.Avoid = append(further.Avoid, m.ID)
 		}
