Write the headers of the platform's clients in the emulator

The callers of internal/testfleet named the platform's headers themselves. They fill in a type of the emulator now, which is the stand-in for that side. Same headers as before; the soak checks them (forged ones, order, resumption).

--- a/internal/testfleet/caller.go
+++ b/internal/testfleet/caller.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -48,30 +47,23 @@
 }
 
 // request sends one attempt of a caller to a ready gateway.
-func (f *Fleet) request(ctx context.Context, id, method, path, body string, header map[string]string) (*http.Response, error) {
+func (f *Fleet) request(ctx context.Context, id, method, path, body string, stream *emulator.StreamRequest) (*http.Response, error) {
 	ready := f.Ready()
 	if len(ready) == 0 {
 		return nil, errors.New("no gateway is ready")
 	}
-	return f.RequestAt(ctx, ready[rand.IntN(len(ready))], id, method, path, body, header)
+	return f.RequestAt(ctx, ready[rand.IntN(len(ready))], id, method, path, body, stream)
 }
 
 // RequestAt sends one request to the gateway at an address.
-func (f *Fleet) RequestAt(ctx context.Context, address, id, method, path, body string, header map[string]string) (*http.Response, error) {
+func (f *Fleet) RequestAt(ctx context.Context, address, id, method, path, body string, stream *emulator.StreamRequest) (*http.Response, error) {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	r.Host = Host
-	r.Header.Set("X-Attempt-Id", id)
-	r.Header.Set("Authorization", "Bearer "+apiKey)
-	r.Header.Set("X-Tenant", "forged")
-	r.Header.Set("X-Hold", "forged")
 	deadline, _ := ctx.Deadline()
-	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
-	for name, value := range header {
-		r.Header.Set(name, value)
-	}
+	emulator.Attempt{ID: id, Key: apiKey, Left: time.Until(deadline), Forged: "forged", Stream: stream}.SetHeader(r.Header)
 	return f.client.Do(r)
 }
 
@@ -149,13 +141,11 @@
 
 // attempt returns how the attempt ended, and whether the stream is complete.
 func (s *streamCaller) attempt(ctx context.Context, attempt int) (outcome string, complete bool) {
-	header := map[string]string{
-		"X-Model": "m", "X-Token-Counts": fmt.Sprintf("800,%d", 10*s.events), "X-Prompt-Prefix": "shared:100," + s.id + ":700",
-	}
-	if s.last > 0 {
-		header["Last-Event-Id"] = strconv.Itoa(s.last)
+	stream := &emulator.StreamRequest{
+		PromptTokens: 800, OutputTokens: 10 * s.events, LastEvent: s.last,
+		PromptParts: []emulator.PromptPart{{ID: "shared", Tokens: 100}, {ID: s.id, Tokens: 700}},
 	}
-	response, err := s.fleet.request(ctx, fmt.Sprintf("%s.%d", s.id, attempt), http.MethodPost, "/draft/"+s.id, s.body, header)
+	response, err := s.fleet.request(ctx, fmt.Sprintf("%s.%d", s.id, attempt), http.MethodPost, "/draft/"+s.id, s.body, stream)
 	if err != nil {
 		return "without an answer", false
 	}
