--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -16,6 +16,8 @@
 	latencies *prometheus.HistogramVec
 	limited   *prometheus.CounterVec
 	heldBack  prometheus.Counter
+	// unansweredProbes counts by moveObstacle.
+	unansweredProbes *prometheus.CounterVec
 }
 
 // purpose is why a request is sent to an upstream.
@@ -52,7 +54,10 @@
 	m.heldBack = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "foxtailhub_forward_rate_held_back_total", Help: "Choices of an upstream for which the stated request rate of one or more upstreams allowed no request.",
 	})
-	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack)
+	m.unansweredProbes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "foxtailhub_forward_unanswered_probes_total", Help: "Probes that the upstream of a stream did not answer, by what keeps the stream from moving to another upstream.",
+	}, []string{"obstacle"})
+	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.unansweredProbes)
 	return m
 }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -87,6 +87,7 @@
 	memberLost := r.member.Lost()
 	probeResult := make(chan error, 1)
 	probing := false
+	var probedAt time.Time
 	for {
 		select {
 		case it := <-items:
@@ -110,7 +111,7 @@
 				r.monitor.ExtendStall(now)
 			}
 			if !probing {
-				probing = true
+				probing, probedAt = true, time.Now()
 				go r.probe(ctx, probeResult)
 			}
 		case err := <-probeResult:
@@ -119,6 +120,7 @@
 				return Failed, ctx.Err()
 			}
 			if err != nil && !r.eventWithin(probeTimeout) {
+				r.recordSilence(time.Now(), probedAt, err)
 				r.member.MarkLost(time.Now())
 				return Failed, errors.Mark(err, errUnresponsive)
 			}
@@ -199,20 +201,6 @@
 // stream an event without a number does not.
 func (r *run) isProgress(e event) bool { return e.numbered || e.hasData && r.lastEventID == 0 }
 
-// canMove reports whether the stream could resume at another upstream. A slow stream
-// that cannot move stays, since its upstream is alive.
-func (r *run) canMove(now time.Time) bool {
-	next := r.x.state
-	next.MayHaveRun++
-	next.TimeLeft = r.x.timeLeft()
-	if !next.ShouldRetry() || r.unnumbered || !r.x.budget.Available() {
-		return false
-	}
-	need := pool.Requirements{Exclude: r.x.excluded}
-	_, ok := pool.Pick(r.f.Pool.Members(r.x.service.Name), need, now)
-	return ok
-}
-
 func (r *run) handleHead(head *attemptResult) (result Result, ended bool, err error) {
 	if head.result == Answered && head.response.StatusCode == http.StatusOK {
 		r.response = head.response
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -270,8 +270,13 @@
 
 func (s *relay) recordEnd(outcome string) {
 	s.f.Metrics.countOutcome(s.x, outcome)
-	s.x.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"outcome": outcome, "events": s.events, "last_event": s.lastEventID, "upstreams": s.x.attempted,
 		"longest_pause_ms": s.longestPause.Milliseconds(), "took_ms": time.Since(s.x.receivedAt).Milliseconds(),
-	}).Info("stream ended")
+		"configuration": s.x.version, "left_ms": s.x.timeLeft().Milliseconds(), "last": s.x.state.LastResult,
+	}
+	if table := s.f.Tables.Current(); table != nil {
+		fields["configuration_now"] = table.Version
+	}
+	s.x.log.WithFields(fields).Info("stream ended")
 }
