--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -105,6 +105,7 @@
 	queued           map[string]int // queued streams, by address
 	cacheLookups     int            // number of queries for a cached prompt
 	healthChecks     []string       // addresses of health checks
+	unansweredLoads  int            // number of queries for a load report without an answer
 	storeUnreachable bool
 	sharedCrashes    []Crash
 }
@@ -157,7 +158,18 @@
 	return l.w.Write(p)
 }
 
-func (h *harness) Current() *route.Table { return h.table }
+func (h *harness) Current() *route.Table {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table
+}
+
+// setTable puts another version of the configuration in force.
+func (h *harness) setTable(table *route.Table) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table = table
+}
 
 // RoundTrip passes a request to the upstream at its address.
 func (h *harness) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -190,6 +202,9 @@
 
 func (h *harness) Load(ctx context.Context, address string) (pool.LoadReport, error) {
 	if !h.isResponsive(address) {
+		h.mu.Lock()
+		h.unansweredLoads++
+		h.mu.Unlock()
 		<-ctx.Done()
 		return pool.LoadReport{}, ctx.Err()
 	}
