Keep a stream at a silent upstream unless another one can continue it

What callers saw: a stream, or a request before its first event, ended without the rest and without a refusal because its upstream was silent for a second.

Cause: a run whose probe was not answered within 120 ms ended at once, whether or not the stream could go on anywhere. A stalled stream was asked whether it can move (canMove), a silent one was not. The class: a suspicion about an upstream ends a caller's answer although nothing replaces it.

Change: the decision is one function (leavesUpstream). The stream leaves a silent upstream only if it may run again, an attempt and the retry budget are left, and another upstream has just answered a request for its load. Otherwise it stays until its upstream goes on, its connection ends or its deadline passes, and is probed every 400 ms, so that it moves once it can. One silence marks the upstream as lost once, not at each probe.

--- a/internal/forward/policy.go
+++ b/internal/forward/policy.go
@@ -175,6 +175,9 @@
 	m.probeAt = now.Add(prefillProbeInterval)
 }
 
+// ProbeUnanswered records that the upstream did not respond to a probe, but the stream stays.
+func (m *StreamMonitor) ProbeUnanswered(now time.Time) { m.probeAt = now.Add(prefillProbeInterval) }
+
 // ProbeNow schedules a probe immediately, because another stream lost this upstream.
 func (m *StreamMonitor) ProbeNow(now time.Time) { m.probeAt = now }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -69,6 +69,10 @@
 	endPrefill func()
 	// pushedBack is whether the upstream refused the request with a pushback time.
 	pushedBack bool
+	// silent is whether the upstream did not answer the last probe, and obstacle what kept
+	// the stream there.
+	silent   bool
+	obstacle moveObstacle
 }
 
 // markPrefilled records that the upstream has finished prefilling the prompt.
@@ -85,9 +89,8 @@
 	timer := time.NewTimer(time.Until(r.monitor.NextProbe()))
 	defer timer.Stop()
 	memberLost := r.member.Lost()
-	probeResult := make(chan error, 1)
+	probed := make(chan probeResult, 1)
 	probing := false
-	var probedAt time.Time
 	for {
 		select {
 		case it := <-items:
@@ -102,29 +105,28 @@
 			r.backup.handleCopyResult(copied, time.Now())
 		case <-memberLost:
 			memberLost = r.member.Lost()
-			r.monitor.ProbeNow(time.Now())
+			if !r.silent {
+				r.monitor.ProbeNow(time.Now())
+			}
 		case <-timer.C:
 			if now := time.Now(); !now.Before(r.monitor.StallDeadline()) {
-				if r.canMove(now) {
+				if !r.silent && r.canMove(now) {
 					return Failed, errStalled
 				}
 				r.monitor.ExtendStall(now)
 			}
 			if !probing {
-				probing, probedAt = true, time.Now()
-				go r.probe(ctx, probeResult)
+				probing = true
+				go r.probe(ctx, r.alternatives(time.Now()), probed)
 			}
-		case err := <-probeResult:
+		case p := <-probed:
 			probing = false
 			if ctx.Err() != nil {
 				return Failed, ctx.Err()
 			}
-			if err != nil && !r.eventWithin(probeTimeout) {
-				r.recordSilence(time.Now(), probedAt, err)
-				r.member.MarkLost(time.Now())
-				return Failed, errors.Mark(err, errUnresponsive)
+			if r.leavesUpstream(p) {
+				return Failed, errors.Mark(p.err, errUnresponsive)
 			}
-			r.monitor.ProbeSucceeded(time.Now())
 		case <-ctx.Done():
 			return Failed, ctx.Err()
 		}
@@ -136,16 +138,6 @@
 	}
 }
 
-// eventWithin reports whether an event has arrived within the duration.
-func (r *run) eventWithin(d time.Duration) bool { return r.monitor.SinceLastEvent(time.Now()) < d }
-
-func (r *run) probe(ctx context.Context, probeResult chan<- error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	_, err := r.f.Prober.Load(ctx, r.member.Address)
-	probeResult <- err
-}
-
 // handleItem handles an item received from the upstream.
 func (r *run) handleItem(it item) (result Result, ended bool, err error) {
 	switch {
@@ -183,6 +175,7 @@
 	}
 	now := time.Now()
 	if r.isProgress(e) {
+		r.endSilence(now)
 		r.monitor.ObserveEvent(now)
 		r.markPrefilled()
 		r.member.Accepted(now)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -47,17 +49,105 @@
 // that cannot move stays, since its upstream is alive.
 func (r *run) canMove(now time.Time) bool { return r.moveObstacle(now) == noObstacle }
 
-// recordSilence logs and counts a probe that the upstream did not answer.
-func (r *run) recordSilence(now, probedAt time.Time, err error) {
+// alternativeSampleSize is how many other upstreams are polled before a stream leaves one
+// that does not answer.
+const alternativeSampleSize = 2
+
+// probeResult is the outcome of a probe of the upstream of a run.
+type probeResult struct {
+	err         error
+	sentAt      time.Time
+	alternative bool // the upstream did not answer, but another one did
+}
+
+// alternatives returns other upstreams at which the stream could go on; none if it cannot
+// move.
+func (r *run) alternatives(now time.Time) []*pool.Member {
+	if !r.canMove(now) {
+		return nil
+	}
+	members := r.f.Pool.Members(r.x.service.Name)
+	need := pool.Requirements{Exclude: r.x.excluded, AvoidDomains: []string{r.member.FailureDomain}}
+	sample := pool.PickN(members, need, alternativeSampleSize, now)
+	if holder := r.backup.holder; holder != nil && !slices.Contains(sample, holder) {
+		sample = append(sample, holder)
+	}
+	return sample
+}
+
+// probe asks the upstream of the run for its load report, and the alternatives if it does
+// not answer.
+func (r *run) probe(ctx context.Context, alternatives []*pool.Member, probed chan<- probeResult) {
+	result := probeResult{sentAt: time.Now()}
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if _, result.err = r.f.Prober.Load(probeCtx, r.member.Address); result.err != nil {
+		result.alternative = r.anyResponds(ctx, alternatives)
+	}
+	probed <- result
+}
+
+// anyResponds reports whether one of the upstreams answers a request for its load report.
+func (r *run) anyResponds(ctx context.Context, members []*pool.Member) bool {
+	responds := make(chan bool, len(members))
+	for _, m := range members {
+		go func() { responds <- r.f.requestReports(ctx, r.x, []*pool.Member{m})[0] != nil }()
+	}
+	for range members {
+		if <-responds {
+			return true
+		}
+	}
+	return false
+}
+
+// leavesUpstream reports whether the stream leaves its upstream because of the outcome of
+// a probe. A silent upstream may go on, and a caller that lost its stream gets nothing
+// more: the stream stays unless another upstream can continue it.
+func (r *run) leavesUpstream(p probeResult) bool {
+	now := time.Now()
+	if p.err == nil || r.monitor.SinceLastEvent(now) < probeTimeout {
+		r.endSilence(now)
+		r.monitor.ProbeSucceeded(now)
+		return false
+	}
 	obstacle := r.moveObstacle(now)
+	if obstacle == noObstacle && !p.alternative {
+		obstacle = noOtherUpstream
+	}
+	r.recordSilence(now, p, obstacle)
+	if !r.silent {
+		r.member.MarkLost(now)
+	}
+	r.silent, r.obstacle = true, obstacle
+	r.monitor.ProbeUnanswered(now)
+	return obstacle == noObstacle
+}
+
+// endSilence records a sign of life of the upstream.
+func (r *run) endSilence(now time.Time) {
+	if !r.silent {
+		return
+	}
+	r.silent = false
+	r.member.MarkAlive(now)
+	r.x.log.WithField("upstream", r.member.ID).Info("silent upstream of a stream responds again")
+}
+
+// recordSilence counts a probe that the upstream did not answer, and logs the first of a
+// silence and those with another obstacle.
+func (r *run) recordSilence(now time.Time, p probeResult, obstacle moveObstacle) {
 	r.f.Metrics.unansweredProbes.WithLabelValues(string(obstacle)).Inc()
+	if r.silent && r.obstacle == obstacle {
+		return
+	}
 	fields := logrus.Fields{
 		"upstream": r.member.ID, "domain": r.member.FailureDomain, "silent_ms": r.monitor.SinceLastEvent(now).Milliseconds(),
-		"probe_ms": now.Sub(probedAt).Milliseconds(), "obstacle": obstacle, "events": r.events, "attempt": len(r.x.attempted),
+		"probe_ms": now.Sub(p.sentAt).Milliseconds(), "obstacle": obstacle, "events": r.events, "attempt": len(r.x.attempted),
 		"configuration": r.x.version, "left_ms": r.x.timeLeft().Milliseconds(),
 	}
 	if table := r.f.Tables.Current(); table != nil {
 		fields["configuration_now"] = table.Version
 	}
-	r.x.log.WithFields(fields).WithError(err).Info("upstream did not answer a probe")
+	r.x.log.WithFields(fields).WithError(p.err).Info("upstream did not answer a probe")
 }
