Take a move from the retry budget before its stream leaves the upstream

What callers saw: of many streams on one silent upstream, some were cut off with the retry budget used up, although their upstream went on a second later.

Cause: each stream asked whether the budget has room, gave up its run, and took from the budget only then. All streams of one upstream are probed at once and see the same room (check then act). The stall of a live upstream had the same fault.

Change: a stream takes its retry from the budget before it gives up the run, and stays if it gets none.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -31,6 +31,8 @@
 	attempted  []string // all attempted upstreams, for the log
 	excluded   []string // attempted upstreams that are not chosen again
 	state      RequestState
+	// retryReserved is whether the next attempt is already taken from the retry budget.
+	retryReserved bool
 }
 
 // timeLeft returns the time until the deadline.
@@ -55,6 +57,10 @@
 // allowRetry takes the next attempt from the retry budget. An attempt is not a retry if
 // no earlier one reached an upstream.
 func (x *exchange) allowRetry() bool {
+	if x.retryReserved {
+		x.retryReserved = false
+		return true
+	}
 	if x.state.Reached == 0 || x.budget.Take() {
 		return true
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -110,7 +110,7 @@
 			}
 		case <-timer.C:
 			if now := time.Now(); !now.Before(r.monitor.StallDeadline()) {
-				if !r.silent && r.canMove(now) {
+				if !r.silent && r.canMove(now) && r.reserveMove() {
 					return Failed, errStalled
 				}
 				r.monitor.ExtendStall(now)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -121,7 +121,14 @@
 	}
 	r.silent, r.obstacle = true, obstacle
 	r.monitor.ProbeUnanswered(now)
-	return obstacle == noObstacle
+	return obstacle == noObstacle && r.reserveMove()
+}
+
+// reserveMove takes the move from the retry budget before the run is given up: the streams
+// of one upstream all see the same room in the budget.
+func (r *run) reserveMove() bool {
+	r.x.retryReserved = r.x.budget.Take()
+	return r.x.retryReserved
 }
 
 // endSilence records a sign of life of the upstream.
