Keep a stream open that has left a silent upstream until its deadline

What callers saw: a stream was cut off 3 s after this instance had taken it from a silent upstream, since all others were full or the retry budget was empty.

Cause: the time to find another upstream (3 s) is meant for a stream whose upstream is lost. A stream that the instance itself took from an upstream with an open connection was ended by the same bound.

Change: such a stream, once begun, is ended only by its deadline. It tries one upstream at a time, after a pause that doubles from 150 ms to 1.2 s, since each refused attempt is taken from the retry budget of all streams; an empty budget is waited for. A stream whose connection broke is ended after 3 s as before: its caller can resume it at another instance.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -33,6 +33,7 @@
 	state      RequestState
 	// retryReserved is whether the next attempt is already taken from the retry budget.
 	retryReserved bool
+	budgetLogged  bool // the empty retry budget is logged
 }
 
 // timeLeft returns the time until the deadline.
@@ -64,7 +65,10 @@
 	if x.state.Reached == 0 || x.budget.Take() {
 		return true
 	}
-	x.log.WithField("arrivals", x.state.Reached).Warn("retry budget is used up")
+	if !x.budgetLogged {
+		x.budgetLogged = true
+		x.log.WithField("arrivals", x.state.Reached).Warn("retry budget is used up")
+	}
 	return false
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"foxtailhub.example/foxtailhub/internal/pool"
@@ -17,6 +18,10 @@
 	// resumeInterval is the time between tries meanwhile.
 	resumeTimeout  = 3 * time.Second
 	resumeInterval = 150 * time.Millisecond
+	// maxResumeInterval bounds that time for a stream that waits until its deadline; it
+	// doubles at most maxResumeDoublings times.
+	maxResumeInterval  = 1200 * time.Millisecond
+	maxResumeDoublings = 3
 )
 
 // relay forwards one stream from its upstreams to its caller.
@@ -36,6 +41,8 @@
 	upstreamListAge    time.Duration // age of the list of upstreams when the last one was chosen
 	lastProgressAt     time.Time     // time of the last event; zero before the first
 	blockedSince       time.Time     // since when no upstream can continue the stream; zero: not blocked
+	waits              int           // pauses since the last progress of a stream that stays open
+	leftUpstream       bool          // the last run was given up while its connection was open
 }
 
 // forwardStream forwards a request whose response is a stream of events.
@@ -57,13 +64,27 @@
 		if !s.headWritten && f.refuseQuarantined(x) {
 			return
 		}
-		if ctx.Err() != nil || s.callerDisconnected || s.unnumbered || !x.state.ShouldRetry() && !s.awaitUpstream(ctx) || !x.allowRetry() {
+		if ctx.Err() != nil || s.callerDisconnected || s.unnumbered || !s.awaitRetry(ctx) {
 			break
 		}
 	}
 	s.endUnfinished(ctx)
 }
 
+// awaitRetry reports whether the stream may be sent again, and takes that from the retry
+// budget. It pauses while no upstream can continue it.
+func (s *relay) awaitRetry(ctx context.Context) bool {
+	if !s.x.state.ShouldRetry() && !s.awaitUpstream(ctx) {
+		return false
+	}
+	for !s.x.allowRetry() {
+		if !s.staysOpen() || !s.awaitUpstream(ctx) {
+			return false
+		}
+	}
+	return true
+}
+
 // awaitUpstream pauses when no upstream can resume a stream that has begun, and then
 // allows all upstreams again. The caller would lose the events it has, and an upstream
 // may recover or be listed soon.
@@ -73,10 +94,15 @@
 	if s.blockedSince.IsZero() {
 		s.blockedSince = now
 	}
-	if !x.state.MayResumeLater() || now.Sub(s.blockedSince) >= resumeTimeout {
+	if !x.state.MayResumeLater() || now.Sub(s.blockedSince) >= resumeTimeout && !s.staysOpen() {
 		return false
 	}
-	timer := time.NewTimer(resumeInterval)
+	interval := resumeInterval
+	if s.staysOpen() {
+		interval = min(resumeInterval<<min(s.waits, maxResumeDoublings), maxResumeInterval)
+		s.waits++
+	}
+	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -85,9 +111,18 @@
 	}
 	x.excluded = nil
 	x.state.Refused = 0
+	if s.staysOpen() {
+		// Refused attempts use up the retry budget of all streams.
+		x.state.Refused = maxRefusals - 1
+	}
 	return true
 }
 
+// staysOpen reports whether only its deadline ends a stream that no upstream can continue.
+// After a loss its caller can resume it at another instance; a stream that this instance
+// took from a live upstream is not cut off for that.
+func (s *relay) staysOpen() bool { return s.leftUpstream && s.headWritten }
+
 // planAttempt chooses the upstream of the next attempt and the holder of its KV copy,
 // or nil for the latter.
 func (s *relay) planAttempt(ctx context.Context) (m, backupHolder *pool.Member, attempt Attempt, ok bool) {
@@ -178,6 +213,9 @@
 	if s.callerDisconnected {
 		cancel() // a failure from here on is no evidence against the upstream
 	}
+	if result == Failed {
+		s.leftUpstream = errors.IsAny(err, errUnresponsive, errStalled)
+	}
 	s.recordAttempt(ctx, run, attempt, result, err, startedAt)
 	if result == Failed && s.lastEventID == attempt.LastEventID {
 		s.f.confirmCrash(ctx, s.x, m, attempt.Upstream.ID)
@@ -247,7 +285,7 @@
 		s.longestPause = max(s.longestPause, now.Sub(s.lastProgressAt))
 	}
 	s.lastProgressAt = now
-	s.blockedSince = time.Time{}
+	s.blockedSince, s.waits = time.Time{}, 0
 	s.events++
 }
 
