--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -167,9 +167,13 @@
 func TestStreamThatLeftSilentUpstreamWaitsForRoom(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		h := newHarness(t, streaming, true, "a", "b", "c", "d")
+		var mu sync.Mutex // guards begun and full
 		begun, full := false, true
-		time.AfterFunc(6*time.Second, func() { full = false })
-		var mu sync.Mutex
+		time.AfterFunc(6*time.Second, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			full = false
+		})
 		h.setBehaviour(func(req receivedRequest) (*http.Response, error) {
 			mu.Lock()
 			defer mu.Unlock()
