Detect a machine that is gone by keep-alive probes on connections to upstreams

A stream that cannot move now waits at a silent upstream until its deadline. If the upstream's machine is gone, or has started again, nothing showed that for 15 s (the default of the library) and nothing closed the connection for two minutes. Keep-alive probes each second, six of them, close it: the caller can resume its stream then. The kernel answers them also while the process stands still, so a silent upstream is not left for them.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -21,6 +21,11 @@
 	// dialTimeout bounds connection establishment. An upstream that is up accepts
 	// within a few milliseconds.
 	dialTimeout = 300 * time.Millisecond
+	// keepAliveInterval is the time between keep-alive probes of an idle connection, and
+	// keepAliveCount the number of unanswered ones after which it is closed. They show a
+	// machine that is gone, and are answered also for a process that stands still.
+	keepAliveInterval = time.Second
+	keepAliveCount    = 6
 	// maxResponseHeadBytes bounds the head of a response, including interim (1xx)
 	// responses.
 	maxResponseHeadBytes = 64 << 10
@@ -54,7 +59,9 @@
 
 func newSender(protocol Protocol, transport http.RoundTripper) *sender {
 	if transport == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout}
+		dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
+		}}
 		transport = &http.Transport{
 			DialContext:        dialer.DialContext,
 			DisableKeepAlives:  true, // also prevents automatic retries by the transport
