Emulate a server that stands still and then goes on

The emulated servers had no fault in which a sound process answers nothing for a while: neither requests, streams, load reports nor health checks, while its connections stay open and nothing is lost. Only SIGSTOP from outside came near. The silence is set with a duration and ends by itself.

--- a/internal/standin/emulator/fault.go
+++ b/internal/standin/emulator/fault.go
@@ -41,6 +41,9 @@
 	Endless     string `json:"endless"`      // part of the response sent without end; empty: none
 	StallOutput string `json:"chatter"`      // output of stalled streams; empty: streams do not stall
 	RequestRate string `json:"request_rate"` // request rate stated in all responses, in requests a second; empty: none
+	// SilenceMS is how long the server stands still from now on, like a paused process.
+	// The silence ends by itself; other faults do not end it.
+	SilenceMS int `json:"silence_ms"`
 }
 
 // SetFault sets the fault of the server at an address.
@@ -57,6 +60,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = fault
+	if fault.SilenceMS > 0 {
+		s.silentUntil = time.Now().Add(time.Duration(fault.SilenceMS) * time.Millisecond)
+	}
 }
 
 func (s *Server) currentFault() ServerFault {
--- a/internal/standin/emulator/server.go
+++ b/internal/standin/emulator/server.go
@@ -48,6 +48,7 @@
 	mu            sync.Mutex // guards the fields below
 	draining      bool
 	fault         ServerFault
+	silentUntil   time.Time // zero: not silent so far
 	active        int
 	prefilling    int
 	queued        int
@@ -74,7 +75,9 @@
 	ticker := time.NewTicker(s.config.RegisterInterval)
 	defer ticker.Stop()
 	for {
-		_ = s.writeEntry(ctx) // retried at the next tick
+		if !s.isSilent() {
+			_ = s.writeEntry(ctx) // retried at the next tick
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -143,6 +146,9 @@
 		s.setFault(w, r)
 		return
 	}
+	s.awaitSilenceEnd()
+	defer s.awaitSilenceEnd() // net/http sends the end of the response after the return
+	w = &silenceableWriter{ResponseWriter: w, server: s}
 	fault := s.currentFault()
 	w.Header().Set("X-Instance-Id", s.config.ID)
 	if fault.Leaving {
