Play silent servers beside planned work in the gateway soak; both tests are known red

Callers saw: while a server stands still for 0.3 to 1.5 s and then goes on, streams are cut, and requests without an event get 502 after 0.6 s, although the server is sound and the deadline is far. Nothing is wrong with the connections.

TestSilentServerEndsNoStream lets one or all engines stand still for 1.2 s, in prefill and in the middle of streams, on a resumable route, one that is not resumable and one whose max_attempts is 1. TestPlannedWorkBesideSilenceLosesNothing lets one, most or all servers stand still beside changes of timeouts, limits, keys and routes, SIGHUP, and SIGTERM with restarts, in overlapping series, and adds plain calls. Its callers use an open connection until the gateway closes it. An attempt that ends without a complete answer counts if it reached a server, or a second after it was sent, unless its deadline has passed.

--- a/internal/bench/routed_test.go
+++ b/internal/bench/routed_test.go
@@ -27,7 +27,7 @@
 	r.addStream(seconds(0.2), complete)
 	r.addStream(seconds(0.9), late)
 	r.addStream(seconds(2.1), slow)
-	r.addStream(seconds(2.2), testfleet.StreamResult{FailedAttempts: []string{"broken off"}, Violation: "an event is missing"})
+	r.addStream(seconds(2.2), testfleet.StreamResult{FailedAttempts: []testfleet.FailedAttempt{{Outcome: testfleet.Cut}}, Violation: "an event is missing"})
 	r.addCall(seconds(0.3), true, testfleet.CallResult{Status: http.StatusOK, Latency: seconds(0.02)})
 	r.addCall(seconds(2.9), false, testfleet.CallResult{Status: http.StatusOK, Latency: seconds(0.2)})
 	r.addCall(seconds(2.9), false, testfleet.CallResult{Status: http.StatusServiceUnavailable, Latency: seconds(0.001)})
--- a/internal/gatewaysoak/callers_test.go
+++ b/internal/gatewaysoak/callers_test.go
@@ -70,8 +70,8 @@
 	if result.Violation != "" {
 		rec.violation("%s", result.Violation)
 	}
-	for _, outcome := range result.FailedAttempts {
-		rec.count("stream attempt " + outcome)
+	for _, attempt := range result.FailedAttempts {
+		rec.count("stream attempt " + attempt.Outcome)
 	}
 	if !result.Complete {
 		rec.count("stream abandoned")
--- a/internal/standin/emulator/server.go
+++ b/internal/standin/emulator/server.go
@@ -28,7 +28,7 @@
 	WorkDuration     time.Duration  // processing time of a call, or of prefill at a model server
 	EventInterval    time.Duration  // time between events of a stream
 	RegisterInterval time.Duration  // time between writes of the entry in the store
-	RunLog           io.Writer      // receives a line for each request that runs or is refused by pushback
+	RunLog           io.Writer      // receives a line for each request that arrives, runs or is refused by pushback
 	Exit             func(code int) // ends the process when a request crashes it
 }
 
@@ -193,6 +193,7 @@
 	if err != nil {
 		return
 	}
+	_, _ = fmt.Fprintf(s.config.RunLog, "arrived request=%s server=%s at_us=%d\n", id, s.config.ID, time.Now().UnixMicro())
 	fault := s.currentFault()
 	switch {
 	case fault.PushbackMS > 0:
--- a/internal/testfleet/configuration.go
+++ b/internal/testfleet/configuration.go
@@ -15,6 +15,14 @@
 	apiKey        = "key-1"
 )
 
+// Routes to the engine service, by what a gateway may do with a stream that breaks off.
+// The name of a route is also its path prefix.
+const (
+	ResumableRoute     = "draft"
+	NotResumableRoute  = "dictate"
+	SingleAttemptRoute = "jot" // resumable, but with only one attempt
+)
+
 // Configuration is the routing configuration that the operator writes to the store.
 // Its fields have the names that the platform prescribes.
 type Configuration struct {
@@ -22,10 +30,11 @@
 	Routes   []map[string]any `json:"routes"`
 	Services []map[string]any `json:"services"`
 	Tenants  []map[string]any `json:"tenants"`
+	Limits   map[string]any   `json:"limits,omitempty"`
 }
 
 // baseRoutes is the number of routes in baseConfiguration, which RemoveRoute keeps.
-const baseRoutes = 3
+const baseRoutes = 5
 
 func baseConfiguration(slots int) Configuration {
 	newRoute := func(name, routeType, service string, overrides map[string]any) map[string]any {
@@ -39,7 +48,9 @@
 	return Configuration{
 		Version: 1,
 		Routes: []map[string]any{
-			newRoute("draft", "streaming", EngineService, map[string]any{"resumable": true, "max_attempts": 8, "gap_target_ms": 700, "latency_goal_ms": 4500}),
+			newRoute(ResumableRoute, "streaming", EngineService, map[string]any{"resumable": true, "max_attempts": 8, "gap_target_ms": 700, "latency_goal_ms": 4500}),
+			newRoute(NotResumableRoute, "streaming", EngineService, map[string]any{"gap_target_ms": 700, "latency_goal_ms": 4500}),
+			newRoute(SingleAttemptRoute, "streaming", EngineService, map[string]any{"resumable": true, "max_attempts": 1, "gap_target_ms": 700, "latency_goal_ms": 4500}),
 			newRoute("book", "non_idempotent", PlainService, map[string]any{"timeout_ms": 2000, "max_attempts": 1}),
 			newRoute("read", "idempotent", PlainService, map[string]any{"timeout_ms": 2000}),
 		},
@@ -82,6 +93,45 @@
 	}
 }
 
+// ChangeTimeouts sets the timeouts and goals of all routes to 1 to 1.5 times their first values,
+// so that no timeout is shorter than the deadlines of callers. factor is from [0, 1).
+func (f *Fleet) ChangeTimeouts(factor float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	base := baseConfiguration(f.Slots).Routes
+	for i := range baseRoutes {
+		changed := maps.Clone(base[i])
+		for _, name := range []string{"timeout_ms", "latency_goal_ms", "gap_target_ms"} {
+			if value, ok := changed[name].(int); ok {
+				changed[name] = int((1 + factor/2) * float64(value))
+			}
+		}
+		f.configuration.Routes[i] = changed
+	}
+}
+
+// ChangeLimits sets the limits, with an idle timeout that no caller reaches. factor is from [0, 1).
+func (f *Fleet) ChangeLimits(factor float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configuration.Limits = map[string]any{
+		"max_header_bytes": int(16_384 * (1 + factor)), "max_body_bytes": int(4_194_304 * (1 + factor)),
+		"header_timeout_ms": int(3000 * (1 + factor)), "idle_timeout_ms": int(1500 + 15_000*factor),
+	}
+}
+
+// ChangeKeys replaces the further API keys of the workspace and adds or removes another workspace.
+func (f *Fleet) ChangeKeys() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	further := fmt.Sprintf("key-of-%d", f.configuration.Version)
+	tenants := []map[string]any{{"name": Workspace, "api_keys": []string{apiKey, further}}}
+	if len(f.configuration.Tenants) == 1 {
+		tenants = append(tenants, map[string]any{"name": "workspace-2", "api_keys": []string{"another-" + further}})
+	}
+	f.configuration.Tenants = tenants
+}
+
 // AddedRoutePrefixes returns the path prefixes of the routes that were added and not removed.
 func (f *Fleet) AddedRoutePrefixes() []string {
 	f.mu.Lock()
