Fix a data race in the test of silent servers

The writes are now counted atomically, and the checks are the same. go test -race -count 100 ./internal/standin/emulator passes.

--- a/internal/standin/emulator/silence_test.go
+++ b/internal/standin/emulator/silence_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,14 +15,14 @@
 	. "github.com/onsi/gomega"
 )
 
-// timedRecorder records when the response was written.
-type timedRecorder struct {
+// countingRecorder counts the writes of the response.
+type countingRecorder struct {
 	*httptest.ResponseRecorder
-	writes []time.Time
+	writes atomic.Int64
 }
 
-func (w *timedRecorder) Write(p []byte) (int, error) {
-	w.writes = append(w.writes, time.Now())
+func (w *countingRecorder) Write(p []byte) (int, error) {
+	w.writes.Add(1)
 	return w.ResponseRecorder.Write(p)
 }
 
@@ -52,7 +53,7 @@
 		g := NewWithT(t)
 		const silence = 1200 * time.Millisecond
 		s := newTestServer()
-		w := &timedRecorder{ResponseRecorder: httptest.NewRecorder()}
+		w := &countingRecorder{ResponseRecorder: httptest.NewRecorder()}
 		finished := make(chan struct{})
 		go func() {
 			defer close(finished)
@@ -61,7 +62,7 @@
 		time.Sleep(205 * time.Millisecond)
 		injectFault(g, s, ServerFault{SilenceMS: int(silence.Milliseconds())})
 		start := time.Now()
-		before := len(w.writes)
+		before := w.writes.Load()
 		g.Expect(before).To(BeNumerically(">", 0))
 		for _, path := range []string{"/healthz", "/v1/report", "/draft/y"} {
 			go func() {
@@ -74,9 +75,9 @@
 		time.Sleep(silence / 2)
 		injectFault(g, s, ServerFault{})
 		time.Sleep(silence/2 - time.Millisecond)
-		g.Expect(w.writes).To(HaveLen(before), "events written during the silence")
+		g.Expect(w.writes.Load()).To(Equal(before), "events written during the silence")
 		<-finished
 		synctest.Wait()
-		g.Expect(w.writes).To(HaveLen(20))
+		g.Expect(w.writes.Load()).To(BeEquivalentTo(20))
 	})
 }
