Emulate a prompt part that crashes each server that begins to write

A part of X-Prompt-Prefix whose ID begins with deadly-part ends a model server once the prompt is computed: before the head of the response, after the head or after the next event, depending on the body. The body alone decided this so far.

--- a/internal/standin/emulator/engine.go
+++ b/internal/standin/emulator/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -156,9 +157,37 @@
 	s.logRun(r, id, body)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Server-Stamp", s.config.ID)
+	if hasPoisonPart(r) {
+		s.crash(w, id, body, last)
+		return
+	}
 	s.writeEvents(w, r, id, body, run, tokens/tokensPerEvent)
 }
 
+func hasPoisonPart(r *http.Request) bool {
+	for part := range strings.SplitSeq(r.Header.Get("X-Prompt-Prefix"), ",") {
+		if strings.HasPrefix(part, PoisonPartPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// crash ends the process before the head of the response, after the head or after the
+// next event, depending on the body.
+func (s *Server) crash(w http.ResponseWriter, id string, body []byte, last int) {
+	stage := sha256.Sum256(body)[0] % 3
+	if stage > 0 {
+		w.WriteHeader(http.StatusOK)
+		if stage > 1 {
+			_, _ = io.WriteString(w, EventText(body, last+1)) // an error means that the caller disconnected
+		}
+		_ = http.NewResponseController(w).Flush() // likewise
+	}
+	s.logCrash(id)
+	s.config.Exit(exitCrashed)
+}
+
 // prefill computes the prompt unless it is cached. It returns false if the caller
 // disconnected.
 func (s *Server) prefill(r *http.Request) bool {
--- a/internal/standin/emulator/server.go
+++ b/internal/standin/emulator/server.go
@@ -36,6 +36,10 @@
 // them (poison prompts).
 const PoisonBodyPrefix = "deadly"
 
+// PoisonPartPrefix is the prefix of the IDs of prompt parts that crash each model server
+// that begins to write a response to a prompt with them.
+const PoisonPartPrefix = "deadly-part"
+
 // exitCrashed is the exit code of a server that a request crashed.
 const exitCrashed = 3
 
@@ -241,6 +245,11 @@
 		id, s.config.ID, r.Header.Get("X-Tenant"), r.URL.RequestURI(), Digest(body), r.Header.Get("X-Hold")+r.Header.Get("Authorization"))
 }
 
+// logCrash records that a request ends the process.
+func (s *Server) logCrash(id string) {
+	_, _ = fmt.Fprintf(s.config.RunLog, "crashed request=%s server=%s at_us=%d\n", id, s.config.ID, time.Now().UnixMicro())
+}
+
 // logArrival records the time at which a request or a health check arrives while the
 // server states a request rate.
 func (s *Server) logArrival(r *http.Request) {
--- a/internal/standin/emulator/silence_test.go
+++ b/internal/standin/emulator/silence_test.go
@@ -41,8 +41,8 @@
 	g.Expect(w.Code).To(Equal(http.StatusOK))
 }
 
-func streamRequest(ctx context.Context, events int, parts ...PromptPart) *http.Request {
-	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/draft/x", strings.NewReader("prompt"))
+func streamRequest(ctx context.Context, body string, events int, parts ...PromptPart) *http.Request {
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/draft/x", strings.NewReader(body))
 	Attempt{ID: "r", Stream: &StreamRequest{OutputTokens: events * tokensPerEvent, PromptParts: parts}}.SetHeader(r.Header)
 	return r
 }
@@ -57,7 +57,7 @@
 		finished := make(chan struct{})
 		go func() {
 			defer close(finished)
-			s.ServeHTTP(w, streamRequest(t.Context(), 20))
+			s.ServeHTTP(w, streamRequest(t.Context(), "prompt", 20))
 		}()
 		time.Sleep(205 * time.Millisecond)
 		injectFault(g, s, ServerFault{SilenceMS: int(silence.Milliseconds())})
