--- a/internal/gatewaysoak/harness_test.go
+++ b/internal/gatewaysoak/harness_test.go
@@ -66,11 +66,17 @@
 
 // newHarnessOfSize starts a fleet with gateways in gatewayDomains failure domains.
 func newHarnessOfSize(t *testing.T, gateways, gatewayDomains int) *harness {
-	h := &harness{t: t, g: NewWithT(t)}
-	fleet, err := testfleet.Start(t.Context(), testfleet.Options{
-		Binaries: binaries, Dir: t.TempDir(), Domains: domains, EnginesPerDomain: enginesEach, Gateways: gateways, GatewayDomains: gatewayDomains,
-		Slots: 64, TokenInterval: 15 * time.Millisecond, WorkDuration: 20 * time.Millisecond,
+	return newHarnessWith(t, testfleet.Options{
+		EnginesPerDomain: enginesEach, Gateways: gateways, GatewayDomains: gatewayDomains, WorkDuration: 20 * time.Millisecond,
 	})
+}
+
+// newHarnessWith starts a fleet with options, of which it sets those that all fleets share.
+func newHarnessWith(t *testing.T, options testfleet.Options) *harness {
+	h := &harness{t: t, g: NewWithT(t)}
+	options.Binaries, options.Dir, options.Domains = binaries, t.TempDir(), domains
+	options.Slots, options.TokenInterval = 64, 15*time.Millisecond
+	fleet, err := testfleet.Start(t.Context(), options)
 	h.g.Expect(err).NotTo(HaveOccurred())
 	h.Fleet = fleet
 	t.Cleanup(h.close)
--- a/internal/testfleet/caller.go
+++ b/internal/testfleet/caller.go
@@ -42,8 +42,10 @@
 
 // StreamResult is the result of one stream as its caller observed it, over all its attempts.
 type StreamResult struct {
-	Complete         bool
-	FailedAttempts   []FailedAttempt // the attempts that did not complete the stream
+	Complete       bool
+	FailedAttempts []FailedAttempt // the attempts that did not complete the stream
+	// BeganAtOnce is whether the first attempt delivered an event.
+	BeganAtOnce      bool
 	TimeToFirstEvent time.Duration
 	// LongestGap is the longest time between two events, also across attempts.
 	LongestGap time.Duration
@@ -174,11 +176,16 @@
 // Stream requests a stream, retries it after the last event received until it is
 // complete, and checks each event.
 func (f *Fleet) Stream(ctx context.Context, id string, events int) StreamResult {
-	return stream(ctx, f.request, StreamSpec{
+	return f.StreamWith(ctx, StreamSpec{
 		ID: id, Route: ResumableRoute, Events: events, Parts: []emulator.PromptPart{{ID: "shared", Tokens: 100}}, Attempts: maxAttempts,
 	})
 }
 
+// StreamWith requests a stream and retries it, each time at a random ready gateway.
+func (f *Fleet) StreamWith(ctx context.Context, spec StreamSpec) StreamResult {
+	return stream(ctx, f.request, spec)
+}
+
 func stream(ctx context.Context, send send, spec StreamSpec) StreamResult {
 	ctx, cancel := context.WithTimeout(ctx, streamDeadline)
 	defer cancel()
@@ -186,6 +193,9 @@
 	for attempt := range spec.Attempts {
 		sentAt := time.Now()
 		outcome, complete := s.attempt(ctx, attempt)
+		if attempt == 0 {
+			s.result.BeganAtOnce = s.lastEvent > 0
+		}
 		if complete || s.result.Violation != "" {
 			s.result.Complete = complete
 			if attempt == 0 {
