--- a/internal/gatewaysoak/serverfault_test.go
+++ b/internal/gatewaysoak/serverfault_test.go
@@ -135,3 +135,62 @@
 		})
 	}
 }
+
+// Guards against responses without a length that are lost, and against cut ones that look complete.
+func TestResponsesWithoutLength(t *testing.T) {
+	for _, kind := range []string{emulator.UnframedWhole, emulator.UnframedReset, emulator.UnframedCut} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			rec, u := newRecorder(), &unanswered{}
+			unframed := []*testfleet.Node{h.Engines[0], h.PlainServers[0]}
+			if kind == emulator.UnframedWhole {
+				unframed = append(append([]*testfleet.Node{}, h.Engines...), h.PlainServers...)
+			}
+			for _, n := range unframed {
+				h.g.Expect(h.SetFault(n, emulator.ServerFault{Unframed: kind})).To(Succeed())
+			}
+			const streamsEach = 12
+			var streams sync.WaitGroup
+			for _, route := range streamRoutes {
+				for i := range streamsEach {
+					streams.Go(func() {
+						caller := h.NewCaller()
+						defer caller.Close()
+						h.streamOnce(rec, u, caller, route, fmt.Sprint(route, "-", i))
+					})
+				}
+			}
+			h.runCallers(rec, 6, time.Second)
+			streams.Wait()
+			h.checkExecutions(rec)
+			t.Logf("%v", rec.counts)
+			h.expectNoViolations(rec)
+			h.g.Expect(rec.counts).To(HaveKeyWithValue(testfleet.ResumableRoute+" complete", streamsEach))
+			h.g.Expect(rec.counts).NotTo(HaveKey(testfleet.ResumableRoute + " " + testfleet.Cut))
+			if kind == emulator.UnframedWhole {
+				h.g.Expect(rec.counts).To(HaveLen(len(streamRoutes)+2), "requests without a complete response")
+			}
+		})
+	}
+}
+
+// Guards against a stream without a length that looks complete although its server was killed
+// between two events.
+func TestKilledServerEndsNoUnframedStreamAsComplete(t *testing.T) {
+	h := newHarness(t)
+	rec := newRecorder()
+	for _, n := range h.Engines {
+		h.g.Expect(h.SetFault(n, emulator.ServerFault{Unframed: emulator.UnframedWhole})).To(Succeed())
+	}
+	var streams sync.WaitGroup
+	for i := range 4 * len(h.Engines) {
+		streams.Go(func() { h.stream(rec, fmt.Sprint("stream-", i)) })
+	}
+	sleep(t.Context(), 700*time.Millisecond)
+	h.Engines[0].Kill()
+	streams.Wait()
+	t.Logf("%v", rec.counts)
+	h.expectNoViolations(rec)
+	h.g.Expect(rec.counts).To(Equal(map[string]int{"stream complete": 4 * len(h.Engines)}))
+}
--- a/internal/gatewaysoak/soak_test.go
+++ b/internal/gatewaysoak/soak_test.go
@@ -47,6 +47,9 @@
 // rateSeeds are the seeds of TestGatewaySoakWithRequestRates.
 var rateSeeds = []uint64{1, 2}
 
+// unframedSeeds are the seeds of TestGatewaySoakWithUnframedResponses.
+var unframedSeeds = []uint64{1}
+
 // selectSeeds returns the seeds in FOXTAILHUB_SEED, separated by commas, or the defaults.
 func selectSeeds(defaults []uint64) []uint64 {
 	list := os.Getenv("FOXTAILHUB_SEED")
@@ -85,6 +88,11 @@
 	soakGateways(t, selectSeeds(rateSeeds), slices.Concat(faults, rateFaults), func(t *testing.T) *harness { return newHarnessOfSize(t, 10, 2) })
 }
 
+// Like TestGatewaySoak, but servers also send responses without a length.
+func TestGatewaySoakWithUnframedResponses(t *testing.T) {
+	soakGateways(t, selectSeeds(unframedSeeds), slices.Concat(faults, unframedFaults), newHarness)
+}
+
 func soakGateways(t *testing.T, seeds []uint64, faults []fault, setUp func(t *testing.T) *harness) {
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
@@ -264,6 +272,22 @@
 	}},
 }, 3)
 
+// unframedFaults are responses that end with their connection.
+var unframedFaults = slices.Repeat([]fault{
+	{"responses without a length", func(f *faultInjector) {
+		f.injectFaultAtRandomServer(emulator.ServerFault{Unframed: emulator.UnframedWhole})
+	}},
+	{"responses without a length are reset", func(f *faultInjector) {
+		f.injectFaultAtRandomServer(emulator.ServerFault{Unframed: emulator.UnframedReset})
+	}},
+	{"streams without a length end inside an event", func(f *faultInjector) {
+		f.injectServerFault(f.pick(f.Engines), emulator.ServerFault{Unframed: emulator.UnframedCut})
+	}},
+	{"server stands still", func(f *faultInjector) {
+		f.setServerFault(f.pick(f.servers()), emulator.ServerFault{SilenceMS: 300 + f.rng.IntN(1200)})
+	}},
+}, 4)
+
 // rates are stated request rates, in requests a second, and values that are none.
 var rates = []string{"0", "0.3", "3.3", "40", "1e9", "-1", "many"}
 
--- a/internal/standin/emulator/fault.go
+++ b/internal/standin/emulator/fault.go
@@ -24,6 +24,15 @@
 	StallOldEvent = "old event"
 )
 
+// Responses with neither a length nor chunks, which end with their connection.
+const (
+	UnframedWhole = "whole"
+	// UnframedReset ends the connection with a reset in the middle of the response.
+	UnframedReset = "reset"
+	// UnframedCut closes the connection inside an event. Responses of plain servers are whole.
+	UnframedCut = "cut"
+)
+
 // eventsBeforeStall is the number of events after which a stream stalls at a
 // server with the fault StallOutput.
 const eventsBeforeStall = 10
@@ -41,6 +50,7 @@
 	Endless     string `json:"endless"`      // part of the response sent without end; empty: none
 	StallOutput string `json:"chatter"`      // output of stalled streams; empty: streams do not stall
 	RequestRate string `json:"request_rate"` // request rate stated in all responses, in requests a second; empty: none
+	Unframed    string `json:"unframed"`     // how responses without a length end; empty: responses are framed
 	// SilenceMS is how long the server stands still from now on, like a paused process.
 	// The silence ends by itself; other faults do not end it.
 	SilenceMS int `json:"silence_ms"`
--- a/internal/standin/emulator/server.go
+++ b/internal/standin/emulator/server.go
@@ -217,6 +217,15 @@
 		return
 	}
 	defer s.releaseSlot()
+	if fault.Unframed != "" {
+		unframed, err := newUnframedWriter(w, fault.Unframed, s.config.Engine)
+		if err != nil {
+			return
+		}
+		defer unframed.Close()
+		defer s.awaitSilenceEnd()
+		w = &silenceableWriter{ResponseWriter: unframed, server: s}
+	}
 	if bytes.HasPrefix(body, []byte(PoisonBodyPrefix)) {
 		s.logRun(r, id, body)
 		s.config.Exit(exitCrashed)
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Listener wraps a net.Listener and injects faults into its connections: they
@@ -181,6 +183,14 @@
 	return c.Conn.Write(p)
 }
 
+// SetLinger sets the behaviour of Close like that of a net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return errors.New("not a TCP connection")
+}
+
 // Close closes the connection. The peer of a silent connection sees it as open.
 func (c *conn) Close() error {
 	var err error
