Confirm the upstream's process before a response without a length counts as complete

Callers saw: a server is killed between two events of a stream with neither a length nor chunks, and the stream ends as if it were complete (event 39 of 100). A plain answer that is cut so looks whole as well.

Cause: only the end of the connection ends such a response, and the kernel closes the connection of a killed process like that of one that has finished.

Change: at the end of such a response the gateway asks who serves the address: an engine for its load report with the start time, a plain upstream for its health with the ID. If it is another process, or connections fail three times, the response is incomplete: a stream resumes or is aborted, a call has failed. A silent upstream is asked until the deadline; a stream that can move leaves it as before. The check is part of the body's reader, so it holds for streams, buffered answers and long ones alike.

Limits: a server that closes such a stream early between two events and goes on cannot be told from one that has finished. One that finishes its response and exits at once counts as cut.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -84,7 +84,9 @@
 
 // New returns a forwarder.
 func New(config Config) *Forwarder {
-	return &Forwarder{Config: config, sender: newSender(config.Protocol, config.Transport)}
+	f := &Forwarder{Config: config, sender: newSender(config.Protocol, config.Transport)}
+	f.sender.confirmProcess = f.confirmProcess
+	return f
 }
 
 // ActiveRequests returns the number of requests in progress.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -50,6 +50,8 @@
 type sender struct {
 	protocol  Protocol
 	transport http.RoundTripper
+	// confirmProcess returns an error if the process that received an attempt is gone.
+	confirmProcess func(ctx context.Context, x *exchange, sentTo pool.Upstream) error
 }
 
 func newSender(protocol Protocol, transport http.RoundTripper) *sender {
@@ -100,6 +102,9 @@
 		_ = response.Body.Close() // the response is not used
 		return attemptResult{result: result, err: err, leaving: head.Leaving && !errors.Is(err, errForeignResponse)}
 	}
+	if endsWithConnection(response) {
+		response.Body = &unframedBody{response.Body, func() error { return s.confirmProcess(ctx, x, attempt.Upstream) }}
+	}
 	r := attemptResult{result: result, response: response}
 	if result != Misdirected { // the state of another process is read when it is identified
 		r.leaving, r.retryAfter = head.Leaving, head.RetryAfter
