Send no confirmation after responses without a body

A response to HEAD without a length was taken for one that ends with its connection, so each cost the upstream a health check, and a failed one the caller the response. TestOnlyUnframedResponsesEndWithConnection failed for it before.

--- a/internal/forward/unframed.go
+++ b/internal/forward/unframed.go
@@ -24,7 +24,7 @@
 
 // endsWithConnection reports whether only the end of the connection ends a response.
 func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Close
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Close && response.Body != http.NoBody
 }
 
 // unframedBody is the body of a response that ends with its connection. The kernel also
