--- a/internal/standin/emulator/server.go
+++ b/internal/standin/emulator/server.go
@@ -28,7 +28,7 @@
 	WorkDuration     time.Duration  // processing time of a call, or of prefill at a model server
 	EventInterval    time.Duration  // time between events of a stream
 	RegisterInterval time.Duration  // time between writes of the entry in the store
-	RunLog           io.Writer      // receives a line for each request that runs or is refused by pushback
+	RunLog           io.Writer      // receives a line for each request that arrives, runs or is refused by pushback
 	Exit             func(code int) // ends the process when a request crashes it
 }
 
@@ -36,6 +36,10 @@
 // them (poison prompts).
 const PoisonBodyPrefix = "deadly"
 
+// PoisonPartPrefix is the prefix of the IDs of prompt parts that crash each model server
+// that begins to write a response to a prompt with them.
+const PoisonPartPrefix = "deadly-part"
+
 // exitCrashed is the exit code of a server that a request crashed.
 const exitCrashed = 3
 
@@ -48,6 +52,7 @@
 	mu            sync.Mutex // guards the fields below
 	draining      bool
 	fault         ServerFault
+	silentUntil   time.Time // zero: not silent so far
 	active        int
 	prefilling    int
 	queued        int
@@ -74,7 +79,9 @@
 	ticker := time.NewTicker(s.config.RegisterInterval)
 	defer ticker.Stop()
 	for {
-		_ = s.writeEntry(ctx) // retried at the next tick
+		if !s.isSilent() {
+			_ = s.writeEntry(ctx) // retried at the next tick
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -143,6 +150,9 @@
 		s.setFault(w, r)
 		return
 	}
+	s.awaitSilenceEnd()
+	defer s.awaitSilenceEnd() // net/http sends the end of the response after the return
+	w = &silenceableWriter{ResponseWriter: w, server: s}
 	fault := s.currentFault()
 	w.Header().Set("X-Instance-Id", s.config.ID)
 	if fault.Leaving {
@@ -187,6 +197,7 @@
 	if err != nil {
 		return
 	}
+	_, _ = fmt.Fprintf(s.config.RunLog, "arrived request=%s server=%s at_us=%d\n", id, s.config.ID, time.Now().UnixMicro())
 	fault := s.currentFault()
 	switch {
 	case fault.PushbackMS > 0:
@@ -206,6 +217,15 @@
 		return
 	}
 	defer s.releaseSlot()
+	if fault.Unframed != "" {
+		unframed, err := newUnframedWriter(w, fault.Unframed, s.config.Engine)
+		if err != nil {
+			return
+		}
+		defer unframed.Close()
+		defer s.awaitSilenceEnd()
+		w = &silenceableWriter{ResponseWriter: unframed, server: s}
+	}
 	if bytes.HasPrefix(body, []byte(PoisonBodyPrefix)) {
 		s.logRun(r, id, body)
 		s.config.Exit(exitCrashed)
@@ -234,6 +254,11 @@
 		id, s.config.ID, r.Header.Get("X-Tenant"), r.URL.RequestURI(), Digest(body), r.Header.Get("X-Hold")+r.Header.Get("Authorization"))
 }
 
+// logCrash records that a request ends the process.
+func (s *Server) logCrash(id string) {
+	_, _ = fmt.Fprintf(s.config.RunLog, "crashed request=%s server=%s at_us=%d\n", id, s.config.ID, time.Now().UnixMicro())
+}
+
 // logArrival records the time at which a request or a health check arrives while the
 // server states a request rate.
 func (s *Server) logArrival(r *http.Request) {
