Keep an answer without a length whose upstream cannot be identified

What callers would see: a plain answer with neither a length nor chunks was whole, and its caller got 502 or 504, because the upstream refused the health check that was to confirm its process (it waits for a slot like any request), or was silent.

Cause: each error of the check counted as the end of the process.

Change: only refused connections and another process do. For a plain answer any other outcome confirms it; a stream is asked about again until its deadline.

Measured: two cases of TestUnframedAnswerOfEndedProcessDoesNotLookComplete (an upstream that refuses the check) fail before and pass now.

--- a/internal/forward/unframed.go
+++ b/internal/forward/unframed.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +17,7 @@
 	// confirmInterval is the time between two tries to identify the process that sent a
 	// response without a length.
 	confirmInterval = 50 * time.Millisecond
-	// confirmTries is how many errors in a row, other than timeouts, mean that the process is gone.
+	// confirmTries is how many refused connections in a row mean that the process is gone.
 	confirmTries = 3
 )
 
@@ -50,9 +51,10 @@
 }
 
 // confirmProcess returns nil if the process that received an attempt still serves its
-// address. A process that does not answer may go on, so it is asked again until ctx ends.
+// address. A process that does not answer may go on, so that of a stream is asked again until
+// ctx ends. A plain answer is taken as complete unless the process is known to be gone.
 func (f *Forwarder) confirmProcess(ctx context.Context, x *exchange, sentTo pool.Upstream) error {
-	for failed := 0; ; {
+	for refused := 0; ; {
 		same, err := f.isSameProcess(ctx, x, sentTo)
 		switch {
 		case ctx.Err() != nil:
@@ -60,13 +62,15 @@
 		case err == nil && same:
 			return nil
 		case err == nil:
-			failed = confirmTries
-		case errors.Is(err, context.DeadlineExceeded):
-			failed = 0
+			refused = confirmTries
+		case errors.Is(err, syscall.ECONNREFUSED):
+			refused++
+		case x.service.Engine == nil:
+			return nil
 		default:
-			failed++
+			refused = 0
 		}
-		if failed >= confirmTries {
+		if refused >= confirmTries {
 			x.log.WithFields(logrus.Fields{"upstream": sentTo.ID}).WithError(err).Info("response without a length is incomplete, because its upstream is gone")
 			return errProcessGone
 		}
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,8 +25,11 @@
 type endingHarness struct {
 	*harness
 	ended map[string]bool // refuse connections
+	full  map[string]bool // refuse health checks
 }
 
+var errUnidentified = errors.New("status 503 without an ID")
+
 // after is what happens to an upstream after its first response.
 type after string
 
@@ -33,10 +38,11 @@
 	isSilent   after = "silent"
 	ends       after = "ended"
 	restarts   after = "restarted"
+	refuses    after = "full" // its health check is refused without an ID
 )
 
 func newEndingHarness(t *testing.T, r route.Route, engine bool) *endingHarness {
-	h := &endingHarness{harness: newHarness(t, r, engine, "a", "b"), ended: map[string]bool{}}
+	h := &endingHarness{harness: newHarness(t, r, engine, "a", "b"), ended: map[string]bool{}, full: map[string]bool{}}
 	h.startTimes = map[string]int64{"a": 1, "b": 1}
 	h.f.Prober = h
 	return h
@@ -50,14 +56,20 @@
 
 func (h *endingHarness) Load(ctx context.Context, address string) (pool.LoadReport, error) {
 	if h.hasEnded(address) {
-		return pool.LoadReport{}, errRefused
+		return pool.LoadReport{}, syscall.ECONNREFUSED
 	}
 	return h.harness.Load(ctx, address)
 }
 
 func (h *endingHarness) Health(ctx context.Context, address, path string) (pool.HealthStatus, error) {
 	if h.hasEnded(address) {
-		return pool.HealthStatus{}, errRefused
+		return pool.HealthStatus{}, syscall.ECONNREFUSED
+	}
+	h.mu.Lock()
+	full := h.full[address]
+	h.mu.Unlock()
+	if full {
+		return pool.HealthStatus{}, errUnidentified
 	}
 	return h.harness.Health(ctx, address, path)
 }
@@ -79,6 +91,8 @@
 			case what == isSilent:
 				h.unresponsive[req.upstream] = true
 				time.AfterFunc(testSilence, func() { h.setSilent(req.upstream, false) })
+			case what == refuses:
+				h.full[req.upstream] = true
 			case what == ends:
 				h.ended[req.upstream] = true
 			case what == restarts:
@@ -116,7 +130,7 @@
 // Guards against a truncated answer without a length that looks complete because its server has ended.
 func TestUnframedAnswerOfEndedProcessDoesNotLookComplete(t *testing.T) {
 	long := strings.Repeat("x", bufferedResponseBytes+1)
-	for _, what := range []after{staysSound, isSilent, ends, restarts} {
+	for _, what := range []after{staysSound, isSilent, ends, restarts, refuses} {
 		for _, text := range []string{"half", long} {
 			t.Run(fmt.Sprintf("%s, %d bytes", what, len(text)), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
@@ -126,7 +140,7 @@
 					h.respond(what, respondWith(http.StatusOK, text), respondWith(http.StatusOK, "whole"))
 					got := h.request(t.Context(), nil)
 					switch {
-					case what == staysSound:
+					case what == staysSound || what == refuses:
 						h.g.Expect(got.body).To(Equal(text))
 						h.g.Expect(got.aborted).To(BeFalse())
 					case what == isSilent && len(text) < bufferedResponseBytes:
