Log the parts of prompts whose upstream process ended at the start of an answer

Metadata has all parts now (bounded). A run whose connection ended before its first event or within 500 ms of it is followed by a probe; if the connection is refused or another process answers, a line names the parts (hashes, at most 8), whether the head had arrived, for how long the run had written and whether the failure domain lost others, and foxtailhub_forward_upstream_ends_total counts it. The line "stream sent" names the parts, the head and the time of writing for all runs, also good ones.

No decision depends on it yet.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -62,16 +62,3 @@
 	}
 	f.recordCrash(x, m, upstreamID)
 }
-
-// confirmCrash checks whether the upstream of a run that ended without an event is
-// still the same process, and records a crash if not.
-func (f *Forwarder) confirmCrash(ctx context.Context, x *exchange, m *pool.Member, upstreamID string) {
-	if ctx.Err() != nil {
-		return
-	}
-	reports := f.requestReports(ctx, x, []*pool.Member{m})
-	if reports[0] != nil && m.Current().ID == upstreamID {
-		return // only the connection was lost
-	}
-	f.recordCrash(x, m, upstreamID)
-}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"foxtailhub.example/foxtailhub/internal/dispatch"
+	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 	"foxtailhub.example/foxtailhub/internal/route"
 )
@@ -20,6 +21,7 @@
 	memory     *reservation  // memory for the body and for responses
 	done       chan struct{} // closed when the request has ended
 	content    ContentHash
+	prompt     poison.Prompt // parts of the prompt that others may share
 	route      *route.Route
 	service    route.Service
 	workspace  route.Workspace
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 	"foxtailhub.example/foxtailhub/internal/route"
 )
@@ -110,6 +111,7 @@
 		return
 	}
 	x.content = newContent(x.workspace.Name, r.Method, r.RequestURI, x.body)
+	x.prompt = poison.NewPrompt(x.meta.PromptParts)
 	if f.refuseQuarantined(x) {
 		return
 	}
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,7 +34,7 @@
 	last, _ := strconv.ParseInt(header.Get("Last"), 10, 64)
 	return Metadata{
 		ID: header.Get("Id"), APIKey: header.Get("Key"), Deadline: time.Duration(deadline) * time.Millisecond,
-		LastEventID: last, PromptPartID: header.Get("Prompt"), PromptTokens: 8000,
+		LastEventID: last, PromptPartID: header.Get("Prompt"), PromptParts: strings.Split(header.Get("Parts"), ","), PromptTokens: 8000,
 	}
 }
 
@@ -68,8 +70,8 @@
 }
 
 var (
-	errRefused = errors.New("connection refused")
-	errReset   = errors.New("connection reset")
+	errRefused = os.NewSyscallError("connect", syscall.ECONNREFUSED)
+	errReset   = os.NewSyscallError("read", syscall.ECONNRESET)
 )
 
 // receivedRequest is one request as an upstream received it.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -16,6 +16,7 @@
 	latencies *prometheus.HistogramVec
 	limited   *prometheus.CounterVec
 	heldBack  prometheus.Counter
+	ends      *prometheus.CounterVec
 }
 
 // purpose is why a request is sent to an upstream.
@@ -52,7 +53,10 @@
 	m.heldBack = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "foxtailhub_forward_rate_held_back_total", Help: "Choices of an upstream for which the stated request rate of one or more upstreams allowed no request.",
 	})
-	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack)
+	m.ends = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "foxtailhub_forward_upstream_ends_total", Help: "Upstream processes that ended at the start of an answer, once for each request there, by how far the answer had come.",
+	}, []string{"progress"})
+	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.ends)
 	return m
 }
 
@@ -63,6 +67,8 @@
 	}
 }
 
+func (m *Metrics) countUpstreamEnd(p progress) { m.ends.WithLabelValues(string(p)).Inc() }
+
 func (m *Metrics) countOutcome(x *exchange, outcome string) {
 	m.outcomes.WithLabelValues(x.kindLabel(), outcome).Inc()
 }
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -121,37 +121,41 @@
 	reports := make([]*pool.LoadReport, len(members))
 	var pending sync.WaitGroup
 	for i, m := range members {
-		pending.Go(func() {
-			report, err := f.Prober.Load(ctx, m.Address)
-			if ctx.Err() == context.Canceled {
-				return // the caller disconnected
-			}
-			if err != nil {
-				x.log.WithField("upstream", m.ID).WithError(err).Info("upstream did not report its load")
-				m.MarkLost(time.Now())
-				return
-			}
-			m.MarkAlive(time.Now())
-			if report.Leaving {
-				f.recordLeaving(x.log, m)
-			}
-			if report.Rate.Stated {
-				f.recordRate(x.log, m, report.Rate, time.Now())
-			}
-			if report.RetryAfter > 0 {
-				m.StartPushback(time.Now(), report.RetryAfter)
-				return
-			}
-			reports[i] = &report
-			if !m.ObserveStartTime(report.StartedAt) {
-				f.identify(x, m)
-			}
-		})
+		pending.Go(func() { reports[i], _ = f.requestReport(ctx, x, m) }) // the error is logged there
 	}
 	pending.Wait()
 	return reports
 }
 
+// requestReport polls an upstream for its load and updates its state. The report is nil if
+// the upstream does not respond, which is an error, or pushes back.
+func (f *Forwarder) requestReport(ctx context.Context, x *exchange, m *pool.Member) (*pool.LoadReport, error) {
+	report, err := f.Prober.Load(ctx, m.Address)
+	if ctx.Err() == context.Canceled {
+		return nil, ctx.Err() // the caller disconnected
+	}
+	if err != nil {
+		x.log.WithField("upstream", m.ID).WithError(err).Info("upstream did not report its load")
+		m.MarkLost(time.Now())
+		return nil, err
+	}
+	m.MarkAlive(time.Now())
+	if report.Leaving {
+		f.recordLeaving(x.log, m)
+	}
+	if report.Rate.Stated {
+		f.recordRate(x.log, m, report.Rate, time.Now())
+	}
+	if report.RetryAfter > 0 {
+		m.StartPushback(time.Now(), report.RetryAfter)
+		return nil, nil
+	}
+	if !m.ObserveStartTime(report.StartedAt) {
+		f.identify(x, m)
+	}
+	return &report, nil
+}
+
 // identify reads the new ID of a restarted upstream, so that it is usable before the
 // list shows it. The address may have passed to an upstream of another service instead.
 // Only engines report their load, so if a single service has engines, an upstream that
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -21,6 +21,9 @@
 	Deadline     time.Duration // the caller's time limit; 0: not specified
 	LastEventID  int64         // the caller has the events up to this number; 0: none
 	PromptPartID string        // ID of the prompt part that is specific to the request or its session; empty: not specified
+	// PromptParts are the IDs of all parts of the prompt, in order. The last is PromptPartID;
+	// prompts of other requests may share the ones before it.
+	PromptParts  []string
 	PromptTokens int
 	OutputTokens int // maximum
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -66,6 +66,7 @@
 	backup     *backup
 	response   *http.Response
 	preamble   []byte // received before the first event; makes no progress for the caller
+	answer     answerProgress
 	endPrefill func()
 	// pushedBack is whether the upstream refused the request with a pushback time.
 	pushedBack bool
@@ -182,6 +183,7 @@
 	now := time.Now()
 	if r.isProgress(e) {
 		r.monitor.ObserveEvent(now)
+		r.answer.observeEvent(now)
 		r.markPrefilled()
 		r.member.Accepted(now)
 		r.recordProgress(now)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -179,8 +179,8 @@
 		cancel() // a failure from here on is no evidence against the upstream
 	}
 	s.recordAttempt(ctx, run, attempt, result, err, startedAt)
-	if result == Failed && s.lastEventID == attempt.LastEventID {
-		s.f.confirmCrash(ctx, s.x, m, attempt.Upstream.ID)
+	if result == Failed {
+		s.confirmCrash(ctx, run, attempt, err, time.Now())
 	}
 	s.updateKVCopy(result, run, attempt.LastEventID)
 	run.backup.end(s.copy != nil)
@@ -194,6 +194,7 @@
 		"upstream": m.ID, "domain": m.FailureDomain, "route": s.x.route.Name, "configuration": s.x.version, "result": result,
 		"after_event": attempt.LastEventID, "last_event": s.lastEventID, "took_ms": time.Since(startedAt).Milliseconds(),
 		"from_copy": attempt.ResumeFrom != nil, "attempt": len(s.x.attempted), "list_age_ms": s.upstreamListAge.Milliseconds(),
+		"head": r.response != nil, "written_ms": r.answer.written(time.Now()).Milliseconds(), "parts": formatParts(s.x.prompt),
 	}
 	if attempt.BackupHolder != nil {
 		fields["copy_at"] = attempt.BackupHolder.ID
