--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -2,20 +2,15 @@
 // answer on them (poison parts), from crashes and successes at all instances.
 //
 // The package does no I/O and reads no clock. It must never refuse a prompt that lacks a
-// part of every verdict, and must never blame a part on one moment or one failure domain.
+// part of every verdict, and must never blame a part on one moment and one failure domain.
 package poison
 
-import "time"
-
-// Part identifies a part of a prompt by a hash of its ID.
-type Part uint64
-
-// Prompt holds the parts that a prompt can share with others: all but the last one, which
-// belongs to the request or its session. Parts are distinct.
-type Prompt []Part
-
-// NewPrompt returns the prompt with the given part IDs, in order; the last ID is left out.
-func NewPrompt(ids []string) Prompt { return nil }
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"time"
+)
 
 // Crash is the end of an upstream process with the prompts that may have caused it: those
 // whose answers had not begun, or had only just begun.
@@ -33,38 +28,33 @@
 }
 
 // ID identifies a verdict at all instances.
-func (v Verdict) ID() string { return "" }
-
-// Ledger holds the evidence and the verdicts of one instance. Its methods may be called
-// concurrently; Refuses takes no lock.
-type Ledger struct{}
-
-// NewLedger returns a ledger without evidence.
-func NewLedger() *Ledger { return &Ledger{} }
-
-// AddCrash adds the evidence of a crash that this or another instance has seen, and returns
-// the verdicts that are new with it. Evidence about one upstream process is merged.
-func (l *Ledger) AddCrash(now time.Time, crash Crash) []Verdict { return nil }
-
-// AddSuccess records that answers on parts began and went on at a time, at this or another
-// instance. It returns the parts with evidence against them, which other instances have to
-// be informed about, and the verdicts that no longer hold.
-func (l *Ledger) AddSuccess(now, at time.Time, parts []Part) (contradicted []Part, lifted []Verdict) {
-	return nil, nil
+func (v Verdict) ID() string {
+	hash := sha256.New()
+	for _, part := range v.Parts {
+		_, _ = hash.Write([]byte(part.String())) // never fails
+	}
+	return hex.EncodeToString(hash.Sum(nil)[:8])
 }
 
-// KnownGood returns those of the parts on which an answer is known to have gone on lately,
-// each with the time of the last one.
-func (l *Ledger) KnownGood(now time.Time, parts []Part) map[Part]time.Time { return nil }
-
-// Adopt adds a verdict of another instance or of a time before a restart.
-func (l *Ledger) Adopt(now time.Time, v Verdict) {}
+// matches reports whether a prompt contains all parts of the verdict.
+func (v Verdict) matches(p Prompt) bool {
+	if len(v.Parts) == 0 || len(v.Parts) > len(p) {
+		return false
+	}
+	for _, part := range v.Parts {
+		if !slices.Contains(p, part) {
+			return false
+		}
+	}
+	return true
+}
 
-// Lift removes a verdict together with its evidence. It has no effect on other verdicts.
-func (l *Ledger) Lift(now time.Time, id string) {}
+func (v Verdict) equal(other Verdict) bool { return slices.Equal(v.Parts, other.Parts) }
 
-// Refuses returns the verdict by which a prompt is refused.
-func (l *Ledger) Refuses(p Prompt) (Verdict, bool) { return Verdict{}, false }
+func (v Verdict) contains(part Part) bool {
+	_, found := slices.BinarySearch(v.Parts, part)
+	return found
+}
 
-// Changed returns a channel that is closed at the next change of the verdicts.
-func (l *Ledger) Changed() <-chan struct{} { return nil }
+// implies reports whether another verdict refuses each prompt that this one refuses.
+func (v Verdict) implies(other Verdict) bool { return len(difference(other.Parts, v.Parts)) == 0 }
