Refuse requests whose prompt has parts that crash upstreams

The evidence was kept by workspace, URI and body, so no two of them were counted together. It was also dropped when the failure domain had just lost other upstreams, which such a part itself causes, and for runs that had delivered an event.

Evidence on parts is now kept in a poison.Ledger. A run whose connection ended before its first event or within 500 ms of it, and whose upstream process is then gone (the connection is refused, or another process answers), adds a crash with its prompt. A probe without an answer confirms nothing. An answer that goes on for a second or is complete adds a success. If only the end of the connection marks the end of an answer, one that ends within 500 ms is a success only if the process is still there. The failure domain makes no difference here: the ledger counts moments.

A request whose prompt a verdict refuses gets 502 without Retry-After, before the first attempt and before each further one. A stream that would have to resume is aborted. The quarantine of identical contents stays as it is. Crashes, successes and verdicts go to the other instances by PartExchange; without one they count at this instance.

The test now tells the other instances the evidence after 300 ms, as the exchange will; its checks are unchanged.

--- a/internal/forward/crashingengines_test.go
+++ b/internal/forward/crashingengines_test.go
@@ -212,7 +212,7 @@
 func (c *crashingEngines) Load(_ context.Context, address string) (pool.LoadReport, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.engines[address].up {
+	if engine := c.engines[address]; engine == nil || !engine.up {
 		return pool.LoadReport{}, errRefused
 	}
 	return pool.LoadReport{StartedAt: int64(c.engines[address].process)}, nil
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -62,6 +62,10 @@
 	// counts also at this instance alone.
 	Quarantine *Quarantine
 	ShareCrash func(Crash)
+	// Poison holds the evidence and the verdicts on parts of prompts, and PartExchange shares
+	// them with the other instances; nil: an own ledger, and they are not shared.
+	Poison       *poison.Ledger
+	PartExchange PartExchange
 	// ShareRate is called after each response that shows whether its upstream states a
 	// request rate, to inform the other instances; nil: they are not informed. It must not
 	// block.
@@ -85,6 +89,12 @@
 
 // New returns a forwarder.
 func New(config Config) *Forwarder {
+	if config.Poison == nil {
+		config.Poison = poison.NewLedger()
+	}
+	if config.PartExchange == nil {
+		config.PartExchange = unsharedParts{}
+	}
 	return &Forwarder{Config: config, sender: newSender(config.Protocol, config.Transport)}
 }
 
@@ -112,7 +122,7 @@
 	}
 	x.content = newContent(x.workspace.Name, r.Method, r.RequestURI, x.body)
 	x.prompt = poison.NewPrompt(x.meta.PromptParts)
-	if f.refuseQuarantined(x) {
+	if f.refuseQuarantined(x) || f.refusePoison(x) {
 		return
 	}
 	x.budget.RecordRequest()
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -17,6 +17,7 @@
 	limited   *prometheus.CounterVec
 	heldBack  prometheus.Counter
 	ends      *prometheus.CounterVec
+	poison    *prometheus.CounterVec
 }
 
 // purpose is why a request is sent to an upstream.
@@ -56,7 +57,10 @@
 	m.ends = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "foxtailhub_forward_upstream_ends_total", Help: "Upstream processes that ended at the start of an answer, once for each request there, by how far the answer had come.",
 	}, []string{"progress"})
-	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.ends)
+	m.poison = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "foxtailhub_forward_poison_parts_total", Help: "Events about parts of prompts that crash upstreams.",
+	}, []string{"event"})
+	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.ends, m.poison)
 	return m
 }
 
@@ -69,6 +73,8 @@
 
 func (m *Metrics) countUpstreamEnd(p progress) { m.ends.WithLabelValues(string(p)).Inc() }
 
+func (m *Metrics) countPoison(event string) { m.poison.WithLabelValues(event).Inc() }
+
 func (m *Metrics) countOutcome(x *exchange, outcome string) {
 	m.outcomes.WithLabelValues(x.kindLabel(), outcome).Inc()
 }
--- /dev/null
+++ b/internal/forward/poisonparts.go
@@ -0,0 +1,146 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"foxtailhub.example/foxtailhub/internal/poison"
+)
+
+// successAfter is the time since its first event after which an answer shows that its prompt
+// does not crash the upstream.
+const successAfter = time.Second
+
+// refusedPartsReason is the response to a request that a verdict refuses.
+const refusedPartsReason = "the parts of the prompt are known to crash upstreams"
+
+// Events that countPoison counts.
+const (
+	poisonVerdict = "verdict"
+	poisonLifted  = "lifted"
+	poisonRefusal = "refusal"
+)
+
+// unsharedParts is the PartExchange of an instance that shares nothing.
+type unsharedParts struct{}
+
+func (unsharedParts) ShareCrash(poison.Crash)        {}
+func (unsharedParts) ShareSuccess([]poison.Part)     {}
+func (unsharedParts) ShareVerdicts([]poison.Verdict) {}
+func (unsharedParts) Refused(poison.Verdict)         {}
+func (unsharedParts) ClaimTrial(poison.Verdict) bool { return false }
+
+// addPoisonCrash adds the evidence that the process of an upstream ended at the start of an
+// answer.
+func (f *Forwarder) addPoisonCrash(x *exchange, upstreamID, domain string, at time.Time) {
+	if len(x.prompt) == 0 {
+		return
+	}
+	crash := poison.Crash{UpstreamID: upstreamID, FailureDomain: domain, Prompts: []poison.Prompt{x.prompt}, At: at}
+	verdicts := f.Poison.AddCrash(time.Now(), crash)
+	f.PartExchange.ShareCrash(crash)
+	if len(verdicts) == 0 {
+		return
+	}
+	for _, v := range verdicts {
+		f.Metrics.countPoison(poisonVerdict)
+		x.log.WithField("verdict", v.ID()).WithField("parts", formatParts(v.Parts)).Warn("parts of prompts are known to crash upstreams")
+	}
+	f.PartExchange.ShareVerdicts(verdicts)
+}
+
+// addPoisonSuccess adds the evidence that an answer on a prompt went on.
+func (f *Forwarder) addPoisonSuccess(x *exchange, at time.Time) {
+	if len(x.prompt) == 0 {
+		return
+	}
+	contradicted, lifted := f.Poison.AddSuccess(time.Now(), at, x.prompt)
+	for _, v := range lifted {
+		f.Metrics.countPoison(poisonLifted)
+		x.log.WithField("verdict", v.ID()).WithField("parts", formatParts(v.Parts)).Warn("verdict on parts of prompts lifted by an answer on them")
+	}
+	if len(contradicted) > 0 {
+		f.PartExchange.ShareSuccess(contradicted)
+	}
+}
+
+// refusedBy returns the verdict by which the next attempt of a request is refused.
+func (f *Forwarder) refusedBy(x *exchange) (poison.Verdict, bool) {
+	return f.Poison.Refuses(x.prompt)
+}
+
+// refusePoison responds to a new request that a verdict refuses.
+func (f *Forwarder) refusePoison(x *exchange) bool {
+	verdict, refused := f.refusedBy(x)
+	if !refused {
+		return false
+	}
+	f.failPoison(x, verdict)
+	return true
+}
+
+// failPoison responds to a request that a verdict refuses. The status does not invite the
+// caller to repeat it, and it may have run if it was sent before the verdict.
+func (f *Forwarder) failPoison(x *exchange, verdict poison.Verdict) {
+	f.recordPoisonRefusal(x, verdict)
+	f.fail(x, http.StatusBadGateway, refusedPartsReason)
+}
+
+func (f *Forwarder) recordPoisonRefusal(x *exchange, verdict poison.Verdict) {
+	f.Metrics.countPoison(poisonRefusal)
+	x.log.WithField("verdict", verdict.ID()).Info("request refused by a verdict on parts of prompts")
+	f.PartExchange.Refused(verdict)
+}
+
+// endPoison ends a stream whose next attempt a verdict refuses. It returns whether the caller
+// has its response.
+func (s *relay) endPoison(ctx context.Context) bool {
+	verdict, refused := s.f.refusedBy(s.x)
+	switch {
+	case !refused || ctx.Err() != nil:
+		return false
+	case s.headWritten:
+		s.f.recordPoisonRefusal(s.x, verdict)
+		s.endUnfinished(ctx)
+	default:
+		s.f.failPoison(s.x, verdict)
+	}
+	return true
+}
+
+// recordWriting records an event that made progress.
+func (r *run) recordWriting(now time.Time) {
+	r.answer.observeEvent(now)
+	if !r.succeeded && r.answer.written(now) >= successAfter {
+		r.succeeded = true
+		r.f.addPoisonSuccess(r.x, now)
+	}
+}
+
+// recordCompletion records the complete answer of a run. If only the end of the connection
+// marks the end of the answer, a crash at its start looks the same.
+func (s *relay) recordCompletion(ctx context.Context, r *run, attempt Attempt, now time.Time) {
+	progress := r.answer.at(now)
+	if r.succeeded || r.response == nil || progress == notBegun {
+		return
+	}
+	if !endsWithConnection(r.response) || progress == inProgress {
+		s.f.addPoisonSuccess(s.x, now)
+		return
+	}
+	ctx = context.WithoutCancel(ctx)
+	go func() {
+		switch s.f.probeProcess(ctx, s.x, r.member, attempt.Upstream.ID) {
+		case processAlive:
+			s.f.addPoisonSuccess(s.x, now)
+		case processGone:
+			s.recordEndAtStart(r, attempt, now)
+		}
+	}()
+}
+
+// endsWithConnection reports whether a response has neither a length nor chunks.
+func endsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
--- a/internal/forward/poisonparts_test.go
+++ b/internal/forward/poisonparts_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/poison"
 )
 
 // The platform's bounds for parts of prompts that crash upstreams: later than crashContact
@@ -51,10 +53,59 @@
 				}
 			})
 		}
+		h.f.PartExchange = &delayedExchange{fleet: f, self: h}
 	}
 	return f
 }
 
+// delayedExchange tells the other instances of a fleet what one shares, crashNotice later.
+type delayedExchange struct {
+	unsharedParts
+	fleet *crashingFleet
+	self  *harness
+}
+
+// tell calls a function with each of the other instances.
+func (e *delayedExchange) tell(learn func(ledger *poison.Ledger, answer PartExchange)) {
+	time.AfterFunc(crashNotice, func() {
+		for _, other := range e.fleet.instances {
+			if other != e.self {
+				learn(other.f.Poison, other.f.PartExchange)
+			}
+		}
+	})
+}
+
+func (e *delayedExchange) ShareCrash(crash poison.Crash) {
+	known := e.self.f.Poison.KnownGood(time.Now(), crash.Prompts[0])
+	e.tell(func(ledger *poison.Ledger, answer PartExchange) {
+		good := ledger.KnownGood(time.Now(), crash.Prompts[0])
+		ledger.AddCrash(time.Now(), crash)
+		for part, at := range known {
+			ledger.AddSuccess(time.Now(), at, []poison.Part{part})
+		}
+		for part, at := range good {
+			if known[part].IsZero() {
+				answer.(*delayedExchange).shareSuccessAt(at, []poison.Part{part})
+			}
+		}
+	})
+}
+
+func (e *delayedExchange) ShareSuccess(parts []poison.Part) { e.shareSuccessAt(time.Now(), parts) }
+
+func (e *delayedExchange) shareSuccessAt(at time.Time, parts []poison.Part) {
+	e.tell(func(ledger *poison.Ledger, _ PartExchange) { ledger.AddSuccess(time.Now(), at, parts) })
+}
+
+func (e *delayedExchange) ShareVerdicts(verdicts []poison.Verdict) {
+	e.tell(func(ledger *poison.Ledger, _ PartExchange) {
+		for _, v := range verdicts {
+			ledger.Adopt(time.Now(), v)
+		}
+	})
+}
+
 // sendUntil sends requests to random instances at random intervals; prompt returns the
 // parts of the n-th one.
 func (f *crashingFleet) sendUntil(ctx context.Context, seed uint64, interval time.Duration, sound bool, prompt func(n int) string) {
--- /dev/null
+++ b/internal/forward/poisonrefusal_test.go
@@ -0,0 +1,202 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/poison"
+)
+
+func verdictOn(parts ...string) poison.Verdict {
+	v := poison.Verdict{}
+	for _, part := range parts {
+		v.Parts = append(v.Parts, poison.NewPart(part))
+	}
+	return v
+}
+
+func parts(list string) map[string]string { return map[string]string{"Parts": list} }
+
+// Guards against sending a request that a verdict refuses, inviting its caller to repeat it,
+// and refusing one that lacks a part of the verdict.
+func TestOnlyPromptsWithAllPartsOfVerdictAreRefused(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		for _, kind := range []string{"stream", "call"} {
+			start := func() *harness { // each prompt alone, because an answer changes the verdict
+				h := newHarness(t, streaming, true, "a", "b")
+				h.setBehaviour(sendEvents(3, time.Millisecond, nil), "a", "b")
+				if kind == "call" {
+					h = newHarness(t, idempotent, false, "a", "b")
+					h.setBehaviour(respondWith(http.StatusOK, "answer"), "a", "b")
+				}
+				h.f.Poison.Adopt(time.Now(), verdictOn("rare", "poison"))
+				return h
+			}
+			h := start()
+			refused := h.request(t.Context(), parts("system,poison,rare,own"))
+			h.g.Expect(refused.status).To(Equal(http.StatusBadGateway))
+			h.g.Expect(refused.duration).To(BeZero())
+			h.g.Expect(refused.header).NotTo(HaveKey("Retry-After"))
+			h.g.Expect(h.receivedBy()).To(BeEmpty())
+			for _, other := range []string{"system,poison,own", "system,rare,own", "system,rare,poison", "poison", "", ","} {
+				h.g.Expect(start().request(t.Context(), parts(other)).status).To(Equal(http.StatusOK), other)
+			}
+		}
+	})
+}
+
+// Guards against a stream that resumes although its prompt is refused meanwhile, and against
+// one that looks complete then.
+func TestRefusedStreamIsAbortedInsteadOfResumed(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		h := newHarness(t, streaming, true, "a", "b", "c")
+		h.setBehaviour(sendEvents(10, 20*time.Millisecond, errReset), "a", "b", "c")
+		time.AfterFunc(100*time.Millisecond, func() { h.f.Poison.Adopt(time.Now(), verdictOn("poison")) })
+		got := h.request(t.Context(), parts("system,poison,own"))
+		h.g.Expect(got.aborted).To(BeTrue())
+		h.g.Expect(got.body).To(Equal(eventsText(1, 10)))
+		h.g.Expect(h.receivedBy()).To(HaveLen(1))
+	})
+	inVirtualTime(t, func(t *testing.T) { // while no upstream can resume it
+		h := newHarness(t, streaming, true, "a")
+		h.setBehaviour(sendEvents(10, 20*time.Millisecond, errReset), "a")
+		time.AfterFunc(time.Second, func() { h.f.Poison.Adopt(time.Now(), verdictOn("poison")) })
+		time.AfterFunc(200*time.Millisecond, func() { h.setBehaviour(nil, "a") })
+		got := h.request(t.Context(), parts("system,poison,own"))
+		h.g.Expect(got.aborted).To(BeTrue())
+		h.g.Expect(got.duration).To(BeNumerically("<", 1300*time.Millisecond))
+	})
+}
+
+// Guards against refusing sound requests because upstreams that began to answer on them were
+// lost with their failure domains.
+func TestLossOfFailureDomainsRefusesNoSoundRequest(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newCrashingFleet(t, 6, 18, crashStages)
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.sendUntil(ctx, 3, 25*time.Millisecond, true, func(n int) string { return fmt.Sprintf("system,tools-%d,rare-%d,own-%d", n%3, n/4, n) })
+		time.Sleep(10 * time.Second)
+		for domain := range 4 {
+			for _, address := range f.names {
+				if f.engines[address].domain == fmt.Sprint("domain-", domain) {
+					f.end(address)
+				}
+			}
+			time.Sleep(2500 * time.Millisecond)
+		}
+		from := time.Now()
+		time.Sleep(10 * time.Second)
+		to := time.Now()
+		cancel()
+		time.Sleep(30 * time.Second)
+		synctest.Wait()
+		for _, h := range f.instances {
+			g.Expect(h.f.Poison.Verdicts()).To(BeEmpty())
+			g.Expect(h.log.String()).NotTo(ContainSubstring(refusedPartsReason))
+		}
+		share, sent := f.shareBegun(from, to)
+		t.Logf("%.3f of %d sound requests began at the first attempt after the losses (%v)", share, sent, f.status)
+		g.Expect(strings.Join(logsOf(f), "")).To(ContainSubstring(endAtStartLine), "no request was at its start in a loss")
+	})
+}
+
+func logsOf(f *crashingFleet) []string {
+	var logs []string
+	for _, h := range f.instances {
+		logs = append(logs, h.log.String())
+	}
+	return logs
+}
+
+// Guards against prompts without parts to share, or with any number or length of them, that get
+// others refused or stop the process.
+func TestOddPromptsRefuseNoOthers(t *testing.T) {
+	many := strings.Repeat("part,", 10)
+	for i := range 5000 {
+		many += fmt.Sprint("p", i, ",")
+	}
+	for name, list := range map[string]string{
+		"missing": "", "only the own part": "poison", "empty IDs": ",,,", "many": many + "poison,own", "long": strings.Repeat("f", 500_000) + ",poison,own",
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				h := newHarness(t, streaming, true)
+				engines := newCrashingEngines(12, crashAfterHead, "poison", "", "f")
+				engines.attach(h)
+				for n := range 4 {
+					go h.send(t.Context(), fmt.Sprint(n), parts(list))
+					time.Sleep(time.Second)
+				}
+				time.Sleep(20 * time.Second)
+				h.g.Expect(len(engines.crashTimes())).To(BeNumerically(">=", 3))
+				h.g.Expect(h.request(t.Context(), parts("system,tools,own")).status).To(Equal(http.StatusOK))
+				h.g.Expect(len(h.log.String())).To(BeNumerically("<", 100_000))
+				if !strings.Contains(list, "poison,") {
+					h.g.Expect(h.f.Poison.Verdicts()).To(BeEmpty())
+				}
+			})
+		})
+	}
+}
+
+// Guards against evidence that never counts because successes are noticed too early, too
+// late or for answers that have only just begun.
+func TestSuccessNeedsAnAnswerThatGoesOn(t *testing.T) {
+	known := func(h *harness) bool {
+		return len(h.f.Poison.KnownGood(time.Now(), []poison.Part{poison.NewPart("system")})) > 0
+	}
+	for name, c := range map[string]struct {
+		respond behaviour
+		known   bool
+	}{
+		"complete":              {sendEvents(3, 20*time.Millisecond, nil), true},
+		"cut at the start":      {sendEvents(3, 20*time.Millisecond, errReset), false},
+		"cut after a second":    {sendEvents(100, 20*time.Millisecond, errReset), true},
+		"refused":               {refuseAsNotRun, false},
+		"other status":          {respondWith(http.StatusBadRequest, "no"), false},
+		"no event":              {respondWith(http.StatusOK, ""), false},
+		"ends with connection":  {closeDelimited(sendEvents(100, 20*time.Millisecond, nil)), true},
+		"ends so at the start":  {closeDelimited(sendEvents(3, 20*time.Millisecond, nil)), true},
+		"ends so with a crash":  {nil, false},
+		"event, then no events": {sendEvents(1, 20*time.Millisecond, errHang), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				once := streaming
+				once.MaxAttempts = 1
+				h := newHarness(t, once, true, "a")
+				if c.respond == nil {
+					end := closeDelimited(sendEvents(3, 20*time.Millisecond, nil))
+					c.respond = func(req receivedRequest) (*http.Response, error) {
+						h.f.Prober = newCrashingEngines(0, crashBeforeHead) // it knows no process at the address
+						return end(req)
+					}
+				}
+				h.setBehaviour(c.respond, "a")
+				h.request(t.Context(), parts("system,own"))
+				time.Sleep(time.Second)
+				h.g.Expect(known(h)).To(Equal(c.known))
+				h.g.Expect(strings.Contains(h.log.String(), endAtStartLine)).To(Equal(name == "ends so with a crash"))
+			})
+		})
+	}
+}
+
+// closeDelimited makes only the end of the connection mark the end of a response.
+func closeDelimited(respond behaviour) behaviour {
+	return func(req receivedRequest) (*http.Response, error) {
+		r, err := respond(req)
+		if err == nil {
+			r.ContentLength = -1
+		}
+		return r, err
+	}
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -67,6 +67,7 @@
 	response   *http.Response
 	preamble   []byte // received before the first event; makes no progress for the caller
 	answer     answerProgress
+	succeeded  bool // the answer was recorded as a success on the parts of its prompt
 	endPrefill func()
 	// pushedBack is whether the upstream refused the request with a pushback time.
 	pushedBack bool
@@ -183,7 +184,7 @@
 	now := time.Now()
 	if r.isProgress(e) {
 		r.monitor.ObserveEvent(now)
-		r.answer.observeEvent(now)
+		r.recordWriting(now)
 		r.markPrefilled()
 		r.member.Accepted(now)
 		r.recordProgress(now)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -44,6 +44,9 @@
 	for {
 		m, backupHolder, attempt, ok := s.planAttempt(ctx)
 		if !ok {
+			if s.endPoison(ctx) {
+				return
+			}
 			if s.awaitUpstream(ctx) {
 				continue
 			}
@@ -54,7 +57,7 @@
 			return
 		}
 		x.state.TimeLeft = x.timeLeft()
-		if !s.headWritten && f.refuseQuarantined(x) {
+		if s.endPoison(ctx) || !s.headWritten && f.refuseQuarantined(x) {
 			return
 		}
 		if ctx.Err() != nil || s.callerDisconnected || s.unnumbered || !x.state.ShouldRetry() && !s.awaitUpstream(ctx) || !x.allowRetry() {
@@ -100,6 +103,9 @@
 	if m, backupHolder, ok = s.chooseUpstream(ctx, need); !ok {
 		return nil, nil, attempt, false
 	}
+	if _, refused := s.f.refusedBy(x); refused {
+		return nil, nil, attempt, false
+	}
 	x.startAttempt(s.f.Metrics, m, x.nextPurpose())
 	attempt = Attempt{Upstream: m.Current(), Workspace: x.workspace.Name, LastEventID: s.lastEventID}
 	if s.copy != nil && m.ID == s.copy.upstreamID {
@@ -179,7 +185,10 @@
 		cancel() // a failure from here on is no evidence against the upstream
 	}
 	s.recordAttempt(ctx, run, attempt, result, err, startedAt)
-	if result == Failed {
+	switch result {
+	case Answered:
+		s.recordCompletion(ctx, run, attempt, time.Now())
+	case Failed:
 		s.confirmCrash(ctx, run, attempt, err, time.Now())
 	}
 	s.updateKVCopy(result, run, attempt.LastEventID)
--- a/internal/forward/upstreamend.go
+++ b/internal/forward/upstreamend.go
@@ -68,6 +68,11 @@
 	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNREFUSED)
 }
 
+// refusesConnections reports whether the error of a probe means that nothing serves the address.
+func refusesConnections(err error) bool {
+	return errors.IsAny(err, io.EOF, syscall.ECONNREFUSED, syscall.ECONNRESET)
+}
+
 // processState is what a probe shows about the process that a request was sent to.
 type processState int
 
@@ -85,7 +90,7 @@
 	switch {
 	case report != nil && m.Current().ID == upstreamID:
 		return processAlive
-	case report != nil || errors.IsAny(err, io.EOF, syscall.ECONNREFUSED, syscall.ECONNRESET):
+	case report != nil || refusesConnections(err):
 		return processGone
 	}
 	return processUnknown
@@ -117,6 +122,7 @@
 		"written_ms": r.answer.written(now).Milliseconds(), "resumed": attempt.LastEventID > 0,
 		"parts": formatParts(s.x.prompt), "domain_lost": s.f.domainLost(r.member),
 	}).Warn("upstream process ended at the start of an answer")
+	s.f.addPoisonCrash(s.x, attempt.Upstream.ID, r.member.FailureDomain, now)
 }
 
 // formatParts returns the parts of a prompt for a log line.
@@ -130,7 +136,7 @@
 		if i > 0 {
 			b.WriteByte(',')
 		}
-		fmt.Fprintf(&b, "%016x", uint64(part))
+		b.WriteString(part.String())
 	}
 	return b.String()
 }
