End runs in prefill when a verdict refuses their prompt

A prompt with a poison part spends a second or more in prefill before it crashes its engine. Requests that were there when the verdict came crashed their engines all the same. A run that has no event yet now ends when a new verdict refuses its prompt: its connection is closed, so that the upstream drops the request, the caller gets 502, or its stream is aborted if an earlier run had begun it. This is no evidence against the upstream. Runs that write go on.

--- a/internal/forward/poisonparts.go
+++ b/internal/forward/poisonparts.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"foxtailhub.example/foxtailhub/internal/poison"
 )
 
@@ -12,14 +14,15 @@
 // does not crash the upstream.
 const successAfter = time.Second
 
-// refusedPartsReason is the response to a request that a verdict refuses.
-const refusedPartsReason = "the parts of the prompt are known to crash upstreams"
+// errPoisonParts ends a run whose prompt is refused since it was sent.
+var errPoisonParts = errors.New("the parts of the prompt are known to crash upstreams")
 
 // Events that countPoison counts.
 const (
-	poisonVerdict = "verdict"
-	poisonLifted  = "lifted"
-	poisonRefusal = "refusal"
+	poisonVerdict  = "verdict"
+	poisonLifted   = "lifted"
+	poisonRefusal  = "refusal"
+	poisonRunEnded = "run_ended"
 )
 
 // unsharedParts is the PartExchange of an instance that shares nothing.
@@ -84,7 +87,7 @@
 // caller to repeat it, and it may have run if it was sent before the verdict.
 func (f *Forwarder) failPoison(x *exchange, verdict poison.Verdict) {
 	f.recordPoisonRefusal(x, verdict)
-	f.fail(x, http.StatusBadGateway, refusedPartsReason)
+	f.fail(x, http.StatusBadGateway, errPoisonParts.Error())
 }
 
 func (f *Forwarder) recordPoisonRefusal(x *exchange, verdict poison.Verdict) {
@@ -109,6 +112,19 @@
 	return true
 }
 
+// checkVerdicts returns an error if a run that has written nothing is refused meanwhile: its
+// upstream crashes unless the request is taken from it in time.
+func (r *run) checkVerdicts() error {
+	r.verdictsChanged = r.f.Poison.Changed()
+	verdict, refused := r.f.refusedBy(r.x)
+	if !refused || r.answer.at(time.Now()) != notBegun {
+		return nil
+	}
+	r.f.Metrics.countPoison(poisonRunEnded)
+	r.x.log.WithField("verdict", verdict.ID()).WithField("upstream", r.member.ID).Info("run ended by a verdict on parts of prompts")
+	return errPoisonParts
+}
+
 // recordWriting records an event that made progress.
 func (r *run) recordWriting(now time.Time) {
 	r.answer.observeEvent(now)
--- a/internal/forward/poisonrefusal_test.go
+++ b/internal/forward/poisonrefusal_test.go
@@ -100,7 +100,7 @@
 		synctest.Wait()
 		for _, h := range f.instances {
 			g.Expect(h.f.Poison.Verdicts()).To(BeEmpty())
-			g.Expect(h.log.String()).NotTo(ContainSubstring(refusedPartsReason))
+			g.Expect(h.log.String()).NotTo(ContainSubstring(errPoisonParts.Error()))
 		}
 		share, sent := f.shareBegun(from, to)
 		t.Logf("%.3f of %d sound requests began at the first attempt after the losses (%v)", share, sent, f.status)
@@ -200,3 +200,47 @@
 		return r, err
 	}
 }
+
+// Guards against runs that crash their upstream although their prompt is refused since they
+// were sent, and against ending those that write.
+func TestRunsInPrefillAreEndedByVerdict(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		h := newHarness(t, streaming, true, "a", "b")
+		h.setBehaviour(respondAfter(2*time.Second, sendEvents(3, time.Millisecond, nil)), "a", "b")
+		time.AfterFunc(100*time.Millisecond, func() { h.f.Poison.Adopt(time.Now(), verdictOn("other")) })
+		time.AfterFunc(300*time.Millisecond, func() { h.f.Poison.Adopt(time.Now(), verdictOn("poison")) })
+		got := h.request(t.Context(), parts("system,poison,own"))
+		h.g.Expect(got.status).To(Equal(http.StatusBadGateway))
+		h.g.Expect(got.duration).To(Equal(300 * time.Millisecond))
+		h.g.Expect(h.receivedBy()).To(HaveLen(1))
+		h.g.Expect(h.receivedAt(0).ctx.Err()).To(HaveOccurred(), "the upstream still runs it")
+		h.g.Expect(h.request(t.Context(), parts("system,own")).status).To(Equal(http.StatusOK))
+		for _, m := range h.pool.Members("service") {
+			h.g.Expect(m.TryStartCheck(time.Now(), time.Second)).To(BeFalse(), "the end of a run was taken for a failure of its upstream")
+		}
+	})
+	inVirtualTime(t, func(t *testing.T) { // it writes
+		h := newHarness(t, streaming, true, "a", "b")
+		h.setBehaviour(sendEvents(30, 20*time.Millisecond, nil), "a", "b")
+		time.AfterFunc(300*time.Millisecond, func() { h.f.Poison.Adopt(time.Now(), verdictOn("poison")) })
+		got := h.request(t.Context(), parts("system,poison,own"))
+		h.g.Expect(got.body).To(Equal(eventsText(1, 30)))
+		h.g.Expect(got.aborted).To(BeFalse())
+	})
+	inVirtualTime(t, func(t *testing.T) { // it is about to resume at another upstream
+		h := newHarness(t, streaming, true, "a", "b", "c")
+		first := true
+		h.setBehaviour(func(req receivedRequest) (*http.Response, error) {
+			if first {
+				first = false
+				return sendEvents(10, 20*time.Millisecond, errReset)(req)
+			}
+			return respondAfter(2*time.Second, sendEvents(30, 20*time.Millisecond, nil))(req)
+		}, "a", "b", "c")
+		time.AfterFunc(time.Second, func() { h.f.Poison.Adopt(time.Now(), verdictOn("poison")) })
+		got := h.request(t.Context(), parts("system,poison,own"))
+		h.g.Expect(got.aborted).To(BeTrue())
+		h.g.Expect(got.duration).To(Equal(time.Second))
+		h.g.Expect(h.receivedBy()).To(HaveLen(2))
+	})
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -125,6 +125,10 @@
 				return Failed, errors.Mark(err, errUnresponsive)
 			}
 			r.monitor.ProbeSucceeded(time.Now())
+		case <-r.verdictsChanged:
+			if err := r.checkVerdicts(); err != nil {
+				return Failed, err
+			}
 		case <-ctx.Done():
 			return Failed, ctx.Err()
 		}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"foxtailhub.example/foxtailhub/internal/pool"
@@ -33,9 +34,10 @@
 	failure            *attemptResult // error response of an upstream, delivered if no later attempt succeeds
 	failedDomains      []string       // failure domains of the upstreams that failed
 	longestPause       time.Duration
-	upstreamListAge    time.Duration // age of the list of upstreams when the last one was chosen
-	lastProgressAt     time.Time     // time of the last event; zero before the first
-	blockedSince       time.Time     // since when no upstream can continue the stream; zero: not blocked
+	upstreamListAge    time.Duration   // age of the list of upstreams when the last one was chosen
+	lastProgressAt     time.Time       // time of the last event; zero before the first
+	blockedSince       time.Time       // since when no upstream can continue the stream; zero: not blocked
+	verdictsChanged    <-chan struct{} // closed when the verdicts on parts of prompts have changed since the last check
 }
 
 // forwardStream forwards a request whose response is a stream of events.
@@ -103,6 +105,7 @@
 	if m, backupHolder, ok = s.chooseUpstream(ctx, need); !ok {
 		return nil, nil, attempt, false
 	}
+	s.verdictsChanged = s.f.Poison.Changed() // before the check, so that no change is missed
 	if _, refused := s.f.refusedBy(x); refused {
 		return nil, nil, attempt, false
 	}
@@ -181,7 +184,7 @@
 	items := make(chan item, eventBuffer)
 	go s.f.sender.receiveStream(ctx, s.x, attempt, func(r attemptResult) { s.f.recordResponseHead(s.x, m, attempt.Upstream, r, startedAt) }, items)
 	result, err := run.forwardItems(ctx, items)
-	if s.callerDisconnected {
+	if s.callerDisconnected || errors.Is(err, errPoisonParts) {
 		cancel() // a failure from here on is no evidence against the upstream
 	}
 	s.recordAttempt(ctx, run, attempt, result, err, startedAt)
