Let one request at a time show whether a verdict on prompt parts is wrong

A verdict keeps requests from upstreams, so nothing can contradict it any more: a wrong one would hold for ever, and a repaired engine would not be noticed. A new request that a verdict refuses is sent if PartExchange.ClaimTrial permits it. It gets one attempt that reaches an upstream, is not ended by a verdict, and is refused from then on as others are. If its answer goes on, the ledger lifts the verdict.

TestTrialShowsWhetherVerdictIsWrong: a wrong verdict is lifted by the trial; under a right one 1 of 5 requests reaches an engine.

--- a/internal/forward/poisonparts.go
+++ b/internal/forward/poisonparts.go
@@ -23,6 +23,7 @@
 	poisonLifted   = "lifted"
 	poisonRefusal  = "refusal"
 	poisonRunEnded = "run_ended"
+	poisonTrial    = "trial"
 )
 
 // unsharedParts is the PartExchange of an instance that shares nothing.
@@ -68,17 +69,28 @@
 	}
 }
 
-// refusedBy returns the verdict by which the next attempt of a request is refused.
+// refusedBy returns the verdict by which the next attempt of a request is refused. A trial
+// gets one attempt that reaches an upstream.
 func (f *Forwarder) refusedBy(x *exchange) (poison.Verdict, bool) {
+	if x.trial != nil {
+		return *x.trial, x.state.Reached > 0
+	}
 	return f.Poison.Refuses(x.prompt)
 }
 
-// refusePoison responds to a new request that a verdict refuses.
+// refusePoison responds to a new request that a verdict refuses, unless it is the trial of
+// that verdict.
 func (f *Forwarder) refusePoison(x *exchange) bool {
 	verdict, refused := f.refusedBy(x)
 	if !refused {
 		return false
 	}
+	if f.PartExchange.ClaimTrial(verdict) {
+		x.trial = &verdict
+		f.Metrics.countPoison(poisonTrial)
+		x.log.WithField("verdict", verdict.ID()).Warn("request is the trial of a verdict on parts of prompts")
+		return false
+	}
 	f.failPoison(x, verdict)
 	return true
 }
--- a/internal/forward/poisonrefusal_test.go
+++ b/internal/forward/poisonrefusal_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -244,3 +245,49 @@
 		h.g.Expect(h.receivedBy()).To(HaveLen(2))
 	})
 }
+
+// oneTrial permits one trial.
+type oneTrial struct {
+	unsharedParts
+	claimed atomic.Bool
+}
+
+func (e *oneTrial) ClaimTrial(poison.Verdict) bool { return !e.claimed.Swap(true) }
+
+// Guards against a wrong verdict that holds for ever, and against a trial that crashes more than
+// one upstream.
+func TestTrialShowsWhetherVerdictIsWrong(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) { // it is wrong
+		h := newHarness(t, streaming, true, "a", "b")
+		h.f.PartExchange = &oneTrial{}
+		h.setBehaviour(respondAfter(time.Second, sendEvents(100, 20*time.Millisecond, nil)), "a", "b")
+		h.f.Poison.Adopt(time.Now(), verdictOn("sound"))
+		time.AfterFunc(500*time.Millisecond, func() { h.f.Poison.Adopt(time.Now(), verdictOn("other")) })
+		time.AfterFunc(600*time.Millisecond, func() {
+			h.g.Expect(h.request(t.Context(), parts("sound,own")).status).To(Equal(http.StatusBadGateway))
+		})
+		h.g.Expect(h.request(t.Context(), parts("sound,own")).body).To(Equal(eventsText(1, 100)))
+		h.g.Expect(h.request(t.Context(), parts("sound,own")).status).To(Equal(http.StatusOK))
+		h.g.Expect(h.receivedBy()).To(HaveLen(2))
+	})
+	inVirtualTime(t, func(t *testing.T) { // it is right
+		h := newHarness(t, streaming, true)
+		h.f.PartExchange = &oneTrial{}
+		engines := newCrashingEngines(8, crashStages, "poison")
+		engines.attach(h)
+		h.f.Poison.Adopt(time.Now(), verdictOn("poison"))
+		for n := range 5 {
+			got := h.send(t.Context(), fmt.Sprint(n), parts("system,poison,own"))
+			h.g.Expect(got.aborted || got.status == http.StatusBadGateway).To(BeTrue())
+		}
+		h.g.Expect(engines.reached(time.Time{})).To(Equal(1))
+		h.g.Expect(h.f.Poison.Verdicts()).To(HaveLen(1))
+	})
+	inVirtualTime(t, func(t *testing.T) { // the first upstream is gone
+		h := newHarness(t, streaming, true, "a", "b", "c")
+		h.f.PartExchange = &oneTrial{}
+		h.f.Poison.Adopt(time.Now(), verdictOn("sound"))
+		h.setBehaviour(sendEvents(100, 20*time.Millisecond, nil), "a")
+		h.g.Expect(h.request(t.Context(), parts("sound,own")).body).To(Equal(eventsText(1, 100)))
+	})
+}
