--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -34,6 +34,9 @@
 	attempted  []string // all attempted upstreams, for the log
 	excluded   []string // attempted upstreams that are not chosen again
 	state      RequestState
+	// retryReserved is whether the next attempt is already taken from the retry budget.
+	retryReserved bool
+	budgetLogged  bool // the empty retry budget is logged
 }
 
 // timeLeft returns the time until the deadline.
@@ -58,10 +61,17 @@
 // allowRetry takes the next attempt from the retry budget. An attempt is not a retry if
 // no earlier one reached an upstream.
 func (x *exchange) allowRetry() bool {
+	if x.retryReserved {
+		x.retryReserved = false
+		return true
+	}
 	if x.state.Reached == 0 || x.budget.Take() {
 		return true
 	}
-	x.log.WithField("arrivals", x.state.Reached).Warn("retry budget is used up")
+	if !x.budgetLogged {
+		x.budgetLogged = true
+		x.log.WithField("arrivals", x.state.Reached).Warn("retry budget is used up")
+	}
 	return false
 }
 
