Count crashes of calls against the parts of their prompts

Only streams added evidence on prompt parts, and a call whose prompt a verdict refused after it was sent was hedged and repeated. A call whose connection ended and whose upstream process is gone now adds a crash, a complete 200 with a marked end adds a success, and a refused call is not sent to a further upstream.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -57,18 +57,19 @@
 			f.recordResult(ctx, x, last.member, last.reply.result, last.reply.retryAfter > 0)
 			x.logCallAttempt(last)
 			if last.reply.result == Failed && ctx.Err() == nil {
-				go f.confirmCallCrash(x, last.member, last.upstream.ID)
+				go f.confirmCallCrash(x, last, time.Now())
 			}
 			if last.reply.result == Answered {
+				f.recordCallSuccess(x, last.reply)
 				f.deliver(x, last.reply)
 				return
 			}
 			x.state.TimeLeft = x.timeLeft()
-			if inFlight == 0 && ctx.Err() == nil && x.state.ShouldRetry() && x.allowRetry() {
+			if inFlight == 0 && ctx.Err() == nil && x.state.ShouldRetry() && f.mayRepeat(x) && x.allowRetry() {
 				start(retryAttempt)
 			}
 		case <-hedge.C:
-			if x.route.Kind == route.Idempotent && x.state.MayHaveRun+inFlight < x.state.MaxAttempts && x.budget.Take() {
+			if x.route.Kind == route.Idempotent && x.state.MayHaveRun+inFlight < x.state.MaxAttempts && f.mayRepeat(x) && x.budget.Take() {
 				x.log.WithField("age_ms", time.Since(x.receivedAt).Milliseconds()).Info("request hedged")
 				start(hedgeAttempt)
 			}
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -51,7 +51,8 @@
 
 // confirmCallCrash checks whether a plain upstream that failed a call is still the same
 // process, and records a crash if not.
-func (f *Forwarder) confirmCallCrash(x *exchange, m *pool.Member, upstreamID string) {
+func (f *Forwarder) confirmCallCrash(x *exchange, last callAttempt, at time.Time) {
+	m, upstreamID := last.member, last.upstream.ID
 	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
 	defer cancel()
 	m.ChargeRequest(time.Now())
@@ -60,5 +61,8 @@
 	if err == nil && health.ID == upstreamID {
 		return // only the connection or the response was lost
 	}
+	if connectionEnded(last.reply.err) && (err == nil || refusesConnections(err)) {
+		f.recordEndAtStart(x, endedProcess{member: m, upstreamID: upstreamID, at: at, progress: notBegun})
+	}
 	f.recordCrash(x, m, upstreamID)
 }
--- a/internal/forward/poisonparts.go
+++ b/internal/forward/poisonparts.go
@@ -163,11 +163,24 @@
 		case processAlive:
 			s.f.addPoisonSuccess(s.x, now)
 		case processGone:
-			s.recordEndAtStart(r, attempt, now)
+			s.f.recordEndAtStart(s.x, r.endedProcess(attempt, now))
 		}
 	}()
 }
 
+// mayRepeat reports whether no verdict keeps a call from a further upstream. A trial gets one.
+func (f *Forwarder) mayRepeat(x *exchange) bool {
+	_, refused := f.Poison.Refuses(x.prompt)
+	return !refused && x.trial == nil
+}
+
+// recordCallSuccess records the complete answer to a call.
+func (f *Forwarder) recordCallSuccess(x *exchange, r attemptResult) {
+	if r.response.StatusCode == http.StatusOK && !r.partial && !endsWithConnection(r.response) {
+		f.addPoisonSuccess(x, time.Now())
+	}
+}
+
 // endsWithConnection reports whether a response has neither a length nor chunks.
 func endsWithConnection(r *http.Response) bool {
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
--- a/internal/forward/poisonrefusal_test.go
+++ b/internal/forward/poisonrefusal_test.go
@@ -291,3 +291,35 @@
 		h.g.Expect(h.request(t.Context(), parts("sound,own")).body).To(Equal(eventsText(1, 100)))
 	})
 }
+
+// Guards against calls that crash one upstream after the other by a part of their prompt, and
+// against hedging or repeating one that is refused meanwhile.
+func TestCallsWithPoisonPartAreKeptFromUpstreams(t *testing.T) {
+	prompt := func(n int) map[string]string { return parts(fmt.Sprintf("system-%d,poison,own", n)) }
+	inVirtualTime(t, func(t *testing.T) {
+		slow := idempotent
+		slow.Timeout, slow.LatencyGoal = 20*time.Second, 10*time.Second
+		h := newHarness(t, slow, false)
+		engines := newCrashingEngines(16, crashBeforeHead, "poison")
+		engines.attach(h)
+		for n := range 30 {
+			h.send(t.Context(), fmt.Sprint(n), prompt(n))
+			time.Sleep(500 * time.Millisecond)
+		}
+		h.g.Expect(len(engines.crashTimes())).To(And(BeNumerically(">=", 3), BeNumerically("<=", 5)))
+		h.g.Expect(h.request(t.Context(), prompt(0)).status).To(Equal(http.StatusBadGateway))
+	})
+	inVirtualTime(t, func(t *testing.T) {
+		h := newHarness(t, idempotent, false, "a", "b", "c")
+		h.setBehaviour(respondAfter(300*time.Millisecond, resetConnection), "a", "b", "c")
+		time.AfterFunc(50*time.Millisecond, func() { h.f.Poison.Adopt(time.Now(), verdictOn("poison")) })
+		h.g.Expect(h.request(t.Context(), prompt(0)).status).To(Equal(http.StatusBadGateway))
+		h.g.Expect(h.receivedBy()).To(HaveLen(1))
+	})
+	inVirtualTime(t, func(t *testing.T) { // an answer is a success
+		h := newHarness(t, idempotent, false, "a", "b", "c")
+		h.setBehaviour(respondWith(http.StatusOK, "answer"), "a", "b", "c")
+		h.request(t.Context(), prompt(0))
+		h.g.Expect(h.f.Poison.KnownGood(time.Now(), []poison.Part{poison.NewPart("poison")})).To(HaveLen(1))
+	})
+}
--- a/internal/forward/upstreamend.go
+++ b/internal/forward/upstreamend.go
@@ -106,23 +106,41 @@
 	}
 	process := s.f.probeProcess(ctx, s.x, r.member, attempt.Upstream.ID)
 	if atStart && process == processGone {
-		s.recordEndAtStart(r, attempt, now)
+		s.f.recordEndAtStart(s.x, r.endedProcess(attempt, now))
 	}
 	if noEvent && process != processAlive {
 		s.f.recordCrash(s.x, r.member, attempt.Upstream.ID)
 	}
 }
 
-// recordEndAtStart records that the process of an upstream ended when a run there had not
-// begun its answer or had only just begun.
-func (s *relay) recordEndAtStart(r *run, attempt Attempt, now time.Time) {
-	s.f.Metrics.countUpstreamEnd(r.answer.at(now))
-	s.x.log.WithFields(logrus.Fields{
-		"upstream": attempt.Upstream.ID, "domain": r.member.FailureDomain, "progress": r.answer.at(now), "head": r.response != nil,
-		"written_ms": r.answer.written(now).Milliseconds(), "resumed": attempt.LastEventID > 0,
-		"parts": formatParts(s.x.prompt), "domain_lost": s.f.domainLost(r.member),
+// endedProcess is a process that ended while it ran a request.
+type endedProcess struct {
+	member     *pool.Member
+	upstreamID string
+	at         time.Time
+	progress   progress
+	written    time.Duration // since the first event
+	head       bool          // the head of the response had arrived
+	resumed    bool          // an earlier run had begun the answer
+}
+
+func (r *run) endedProcess(attempt Attempt, now time.Time) endedProcess {
+	return endedProcess{
+		member: r.member, upstreamID: attempt.Upstream.ID, at: now, progress: r.answer.at(now), written: r.answer.written(now),
+		head: r.response != nil, resumed: attempt.LastEventID > 0,
+	}
+}
+
+// recordEndAtStart records that the process of an upstream ended when the answer to a request
+// there had not begun or had only just begun.
+func (f *Forwarder) recordEndAtStart(x *exchange, p endedProcess) {
+	f.Metrics.countUpstreamEnd(p.progress)
+	x.log.WithFields(logrus.Fields{
+		"upstream": p.upstreamID, "domain": p.member.FailureDomain, "progress": p.progress, "head": p.head,
+		"written_ms": p.written.Milliseconds(), "resumed": p.resumed,
+		"parts": formatParts(x.prompt), "domain_lost": f.domainLost(p.member),
 	}).Warn("upstream process ended at the start of an answer")
-	s.f.addPoisonCrash(s.x, attempt.Upstream.ID, r.member.FailureDomain, now)
+	f.addPoisonCrash(x, p.upstreamID, p.member.FailureDomain, p.at)
 }
 
 // formatParts returns the parts of a prompt for a log line.
