--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -66,6 +66,8 @@
 	backup     *backup
 	response   *http.Response
 	preamble   []byte // received before the first event; makes no progress for the caller
+	answer     answerProgress
+	succeeded  bool // the answer was recorded as a success on the parts of its prompt
 	endPrefill func()
 	// pushedBack is whether the upstream refused the request with a pushback time.
 	pushedBack bool
@@ -127,6 +129,10 @@
 			if r.leavesUpstream(p) {
 				return Failed, errors.Mark(p.err, errUnresponsive)
 			}
+		case <-r.verdictsChanged:
+			if err := r.checkVerdicts(); err != nil {
+				return Failed, err
+			}
 		case <-ctx.Done():
 			return Failed, ctx.Err()
 		}
@@ -177,6 +183,7 @@
 	if r.isProgress(e) {
 		r.endSilence(now)
 		r.monitor.ObserveEvent(now)
+		r.recordWriting(now)
 		r.markPrefilled()
 		r.member.Accepted(now)
 		r.recordProgress(now)
