Share crashes with suspect prompts between instances

Cause: instances share a crash only from the second crash of the same content on. A poison part comes with other contents at each instance, so each instance counts alone.

Change: each instance writes the crashes that it sees, with the prompts that may have caused them, to rows of the topic notices, from the first crash on. A failed write is repeated until it succeeds or the evidence has expired.

The forwarder does not use the ledger yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 
 	"foxtailhub.example/foxtailhub/internal/discovery"
 	"foxtailhub.example/foxtailhub/internal/forward"
+	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 	"foxtailhub.example/foxtailhub/internal/route"
 )
@@ -88,6 +89,7 @@
 	notices := notices{
 		crashes: &crashExchange{store: platform.Store, quarantine: quarantine, log: log},
 		rates:   newRateExchange(platform.Store, func() bool { return g.sync.backoff.Failing() }, g.pool, log),
+		parts:   newPartExchange(platform.Store, poison.NewLedger(), settings.Instance, log),
 	}
 	g.forwarder = forward.New(forward.Config{
 		Tables: g.configuration, Pool: g.pool, Protocol: platform.Protocol, Prober: platform.Prober, KVCopier: platform.KVCopier, PromptFinder: platform.PromptFinder,
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -12,15 +12,23 @@
 type notices struct {
 	crashes *crashExchange
 	rates   *rateExchange
+	parts   *partExchange
 }
 
 // apply passes each changed row to the exchange that it belongs to.
 func (n notices) apply(batch discovery.Batch, _ time.Duration) {
+	var partRows []discovery.Row
 	for _, row := range batch.Rows {
-		if strings.HasPrefix(row.Key, rateKeyPrefix) {
+		switch {
+		case strings.HasPrefix(row.Key, rateKeyPrefix):
 			n.rates.apply(row)
-			continue
+		case isPartRow(row.Key):
+			partRows = append(partRows, row)
+		default:
+			n.crashes.apply(row)
 		}
-		n.crashes.apply(row)
+	}
+	if len(partRows) > 0 {
+		n.parts.apply(partRows)
 	}
 }
--- /dev/null
+++ b/internal/gateway/parts.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"foxtailhub.example/foxtailhub/internal/discovery"
+	"foxtailhub.example/foxtailhub/internal/forward"
+	"foxtailhub.example/foxtailhub/internal/poison"
+)
+
+const (
+	// partWriteTimeout bounds a write. One without a response is repeated.
+	partWriteTimeout = 1500 * time.Millisecond
+	// partWriteInterval is the least time between two writes of one instance.
+	partWriteInterval = 200 * time.Millisecond
+	// partRetryMin and partRetryMax bound the pause after a failed write.
+	partRetryMin = 500 * time.Millisecond
+	partRetryMax = time.Second
+	// partIdleInterval is the time between two searches for rows to renew or remove.
+	partIdleInterval = 5 * time.Second
+	// expectedWriters is the number of such instances for which writeDelay is suited.
+	expectedWriters = 1000
+)
+
+// partExchange shares the evidence on parts of prompts, and the verdicts on them, between
+// instances through the store. Each instance adds all evidence to its own ledger. One call to
+// the store is sent at a time.
+type partExchange struct {
+	store    discovery.Store
+	ledger   *poison.Ledger
+	instance string
+	writer   string // ID of this process in rows
+	log      logrus.FieldLogger
+	wake     chan struct{} // there is something to write
+
+	mu       sync.Mutex // guards the fields below
+	evidence evidenceQueue
+	retryAt  time.Time // no writes before this time
+	failing  bool      // the last write failed
+}
+
+var _ forward.PartExchange = (*partExchange)(nil)
+
+func newPartExchange(store discovery.Store, ledger *poison.Ledger, instance string, log logrus.FieldLogger) *partExchange {
+	return &partExchange{
+		store: store, ledger: ledger, instance: instance, writer: fmt.Sprintf("%016x", rand.Uint64()), log: log,
+		wake: make(chan struct{}, 1), evidence: newEvidenceQueue(),
+	}
+}
+
+// writeDelay returns a random delay of at most spread. Of many instances with something to
+// write, a few have a short one, so that the others see the row before they write it.
+func writeDelay(spread time.Duration) time.Duration {
+	return time.Duration(float64(spread) * max(0, 1+math.Log(1-rand.Float64())/math.Log(expectedWriters)))
+}
+
+// partWrite is one call to the store.
+type partWrite struct {
+	key   string
+	call  func(ctx context.Context, store discovery.Store) error
+	ended func(err error)
+}
+
+// run writes to the store until ctx ends.
+func (e *partExchange) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		write, next := e.nextWrite(time.Now())
+		if write != nil {
+			e.perform(ctx, write)
+			continue
+		}
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-timer.C:
+		case <-e.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// nextWrite returns the write that is due, or the time of the next one.
+func (e *partExchange) nextWrite(now time.Time) (write *partWrite, next time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Before(e.retryAt) {
+		return nil, e.retryAt
+	}
+	next = now.Add(partIdleInterval)
+	for _, take := range []func(time.Time) (*partWrite, time.Time){e.nextEvidence, e.nextRemoval} {
+		write, due := take(now)
+		if write != nil {
+			return write, time.Time{}
+		}
+		if !due.IsZero() && due.Before(next) {
+			next = due
+		}
+	}
+	return nil, next
+}
+
+// perform sends a write and sets the pause until the next one.
+func (e *partExchange) perform(ctx context.Context, write *partWrite) {
+	ctx, cancel := context.WithTimeout(ctx, partWriteTimeout)
+	defer cancel()
+	err := write.call(ctx, e.store)
+	pause := partWriteInterval
+	if err != nil {
+		pause = partRetryMin + time.Duration(rand.Float64()*float64(partRetryMax-partRetryMin))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.retryAt = time.Now().Add(pause)
+	if failed := err != nil; failed != e.failing {
+		e.failing = failed
+		e.log.WithError(err).WithField("key", write.key).Info("writes about parts of prompts began to fail or succeed again")
+	}
+	write.ended(err)
+}
+
+// notify makes run look for something to write.
+func (e *partExchange) notify() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// apply applies changed rows. Rows that were read together are put in order by their ages.
+func (e *partExchange) apply(rows []discovery.Row) {
+	now := time.Now()
+	var batch []evidence
+	for _, row := range rows {
+		switch {
+		case strings.HasPrefix(row.Key, evidenceKeyPrefix):
+			if ev, ok := e.readEvidence(now, row); ok {
+				batch = append(batch, ev)
+			}
+		default:
+			e.log.WithField("key", row.Key).Warn("unknown row about parts of prompts ignored")
+		}
+	}
+	e.applyEvidence(now, batch)
+	e.notify()
+}
+
+// Refused informs about a request that was refused by a verdict.
+func (e *partExchange) Refused(poison.Verdict) {}
+
+// ShareVerdicts shares verdicts that are new at this instance.
+func (e *partExchange) ShareVerdicts([]poison.Verdict) {}
+
+// ClaimTrial reports whether this request may be sent although the verdict refuses it.
+func (e *partExchange) ClaimTrial(poison.Verdict) bool { return false }
+
+// ShareSuccess shares that answers on parts with evidence against them went on.
+func (e *partExchange) ShareSuccess([]poison.Part) {}
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -62,6 +62,7 @@
 	syncer     *storesync.Syncer
 	registrar  *storesync.Registrar
 	rates      *rateExchange
+	parts      *partExchange
 }
 
 func newSyncParts(g *Gateway, startup *startup, notices notices) *syncParts {
@@ -74,7 +75,7 @@
 		ID: contract.InstanceID(settings.Instance), Address: settings.LinkAddress,
 		Domain: contract.FailureDomainID(settings.FailureDomain), Weight: settings.Weight,
 	}
-	p := &syncParts{settings: settings, pool: g.pool, started: g.started, rates: notices.rates, log: log, changeLogs: map[discovery.Topic]*discovery.ChangeLog{}, members: storesync.NewMembers(self, log)}
+	p := &syncParts{settings: settings, pool: g.pool, started: g.started, rates: notices.rates, parts: notices.parts, log: log, changeLogs: map[discovery.Topic]*discovery.ChangeLog{}, members: storesync.NewMembers(self, log)}
 	p.backoff = discovery.NewBackoff(func(failing bool) {
 		startup.finish()
 		for _, reader := range p.readers {
@@ -118,7 +119,7 @@
 
 // tasks returns the background tasks, each of which runs until its context ends.
 func (p *syncParts) tasks() []func(context.Context) {
-	all := []func(context.Context){p.rates.run}
+	all := []func(context.Context){p.rates.run, p.parts.run}
 	for _, reader := range p.readers {
 		all = append(all, reader.Run)
 	}
