Share successes on suspect parts between instances

Cause: a sound part is in the prompts of crashes as often as the poison part beside it. What tells them apart may be known at one instance only, where an answer on the sound part went on.

What callers saw: nothing yet. Without this, crashes that are shared would convict parts that succeed at other instances.

Change: a crash is shared with what its instance knows to be good of its parts. The other instances add what they know beyond that, and an instance shares a success on a part with evidence against it. An answer waits a random time of up to 250 ms, which is short at few instances, and is dropped if another row brings the same. A success counts as the same if no crash lies between.

--- a/internal/gateway/partevidence.go
+++ b/internal/gateway/partevidence.go
@@ -37,6 +37,9 @@
 	crashes   []poison.Crash             // with one prompt each; oldest first
 	successes map[poison.Part]time.Time  // to be written with the next row
 	dueAt     time.Time                  // of the next row; zero: nothing is to be written
+	answers   map[poison.Part]time.Time  // successes that are dropped if another instance shares them
+	answersAt time.Time                  // when answers become successes; zero: there are none
+	shared    map[poison.Part]time.Time  // latest success that an instance has shared
 	known     map[string]time.Time       // crash times by upstream
 	slot      int                        // of the next row
 	expiry    [maxEvidenceRows]time.Time // of the row in each slot; zero: none
@@ -45,8 +48,8 @@
 
 func newEvidenceQueue() evidenceQueue {
 	return evidenceQueue{
-		successes: map[poison.Part]time.Time{}, known: map[string]time.Time{},
-		foreign: map[string]time.Time{},
+		successes: map[poison.Part]time.Time{}, answers: map[poison.Part]time.Time{}, shared: map[poison.Part]time.Time{},
+		known: map[string]time.Time{}, foreign: map[string]time.Time{},
 	}
 }
 
@@ -135,6 +138,7 @@
 			}
 			q.slot = (slot + 1) % maxEvidenceRows
 			q.expiry[slot] = time.Now().Add(crashLifetime)
+			q.recordShared(time.Now(), row.successes)
 			log.Info("evidence on parts of prompts shared with other instances")
 		},
 	}, time.Time{}
@@ -197,66 +201,6 @@
 	q.schedule(now)
 }
 
-// readEvidence decodes a row of another instance.
-func (e *partExchange) readEvidence(now time.Time, row discovery.Row) (evidence, bool) {
-	own := strings.HasPrefix(row.Key, evidenceKeyPrefix+e.writer+"-")
-	e.mu.Lock()
-	if row.Deleted {
-		delete(e.evidence.foreign, row.Key)
-	} else if !own {
-		e.evidence.foreign[row.Key] = now.Add(foreignRowLifetime + writeDelay(foreignRowSpread))
-	}
-	e.mu.Unlock()
-	if row.Deleted || own {
-		return evidence{}, false
-	}
-	ev, err := decodeEvidence(now, row.Value)
-	if err != nil {
-		e.log.WithError(err).WithField("key", row.Key).Warn("invalid row with evidence on parts of prompts ignored")
-		return evidence{}, false
-	}
-	return ev, true
-}
-
-// applyEvidence adds the evidence of other instances to the ledger.
-func (e *partExchange) applyEvidence(now time.Time, batch []evidence) {
-	crashes := e.recordEvidence(now, batch)
-	for _, ev := range batch {
-		for part, at := range ev.successes {
-			e.ledger.AddSuccess(now, at, []poison.Part{part})
-		}
-	}
-	for _, crash := range crashes {
-		verdicts := e.ledger.AddCrash(now, crash)
-		e.log.WithFields(logrus.Fields{"upstream": crash.UpstreamID, "prompts": len(crash.Prompts), "verdicts": len(verdicts)}).Info("crash with suspect prompts received from another instance")
-		e.ShareVerdicts(verdicts)
-	}
-}
-
-// recordEvidence records what other instances have shared, and returns the crashes in order.
-func (e *partExchange) recordEvidence(now time.Time, batch []evidence) []poison.Crash {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	q := &e.evidence
-	var crashes []poison.Crash
-	for _, ev := range batch {
-		for upstreamID, at := range ev.known {
-			q.recordCrash(now, upstreamID, at)
-		}
-		for _, crash := range ev.crashes {
-			q.recordCrash(now, crash.UpstreamID, crash.At)
-			crashes = append(crashes, crash)
-		}
-	}
-	for i, crash := range crashes {
-		if at, known := q.known[crash.UpstreamID]; known {
-			crashes[i].At = at
-		}
-	}
-	slices.SortStableFunc(crashes, func(a, b poison.Crash) int { return a.At.Compare(b.At) })
-	return crashes
-}
-
 // nextRemoval returns the removal of a row that has expired. The caller holds mu.
 func (e *partExchange) nextRemoval(now time.Time) (*partWrite, time.Time) {
 	q := &e.evidence
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -26,6 +26,9 @@
 	partRetryMax = time.Second
 	// partIdleInterval is the time between two searches for rows to renew or remove.
 	partIdleInterval = 5 * time.Second
+	// answerSpread is the time over which instances write what others know as well, so that
+	// mostly one does.
+	answerSpread = 250 * time.Millisecond
 	// expectedWriters is the number of such instances for which writeDelay is suited.
 	expectedWriters = 1000
 )
@@ -95,7 +98,7 @@
 		return nil, e.retryAt
 	}
 	next = now.Add(partIdleInterval)
-	for _, take := range []func(time.Time) (*partWrite, time.Time){e.nextEvidence, e.nextRemoval} {
+	for _, take := range []func(time.Time) (*partWrite, time.Time){e.nextAnswers, e.nextEvidence, e.nextRemoval} {
 		write, due := take(now)
 		if write != nil {
 			return write, time.Time{}
@@ -160,6 +163,3 @@
 
 // ClaimTrial reports whether this request may be sent although the verdict refuses it.
 func (e *partExchange) ClaimTrial(poison.Verdict) bool { return false }
-
-// ShareSuccess shares that answers on parts with evidence against them went on.
-func (e *partExchange) ShareSuccess([]poison.Part) {}
