Give the forwarder the exchange of evidence on parts of prompts

Wires forward.Config.Poison and PartExchange, so that the crashes and successes that the forwarder sees reach the other instances, and their evidence refuses requests here.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,16 +86,18 @@
 	g.upstreams = discovery.NewUpstreamList(g.pool, platform.Decoder, log)
 	startup := newStartup(discovery.Configuration, discovery.Upstreams)
 	quarantine := forward.NewQuarantine()
+	ledger := poison.NewLedger()
 	notices := notices{
 		crashes: &crashExchange{store: platform.Store, quarantine: quarantine, log: log},
 		rates:   newRateExchange(platform.Store, func() bool { return g.sync.backoff.Failing() }, g.pool, log),
-		parts:   newPartExchange(platform.Store, poison.NewLedger(), settings.Instance, log),
+		parts:   newPartExchange(platform.Store, ledger, settings.Instance, log),
 	}
 	g.forwarder = forward.New(forward.Config{
 		Tables: g.configuration, Pool: g.pool, Protocol: platform.Protocol, Prober: platform.Prober, KVCopier: platform.KVCopier, PromptFinder: platform.PromptFinder,
 		RetryBudgets: forward.NewRetryBudgets(settings.RetryShare * retryShareMargin),
 		Log:          log, Metrics: forward.NewMetrics(g.registry), Drain: g.drainState,
 		Startup: startup.done, StoreUnreachable: g.storeUnavailable, Quarantine: quarantine, ShareCrash: notices.crashes.publish, ShareRate: notices.rates.share,
+		Poison: ledger, PartExchange: notices.parts,
 		BodyMemory: forward.NewBodyMemory(settings.bodyMemory(), log), MaxRequests: settings.maxRequests(),
 	})
 	registerUsageGauges(g.registry, g.forwarder)
