Keep verdicts on parts in force over all instances and restarts

Cause: evidence expires after two minutes and ends with the process. With each expiry or restart every instance would let a request with a poison part through again.

Change: each verdict has a row, which all instances adopt, also when they start. Instances that reach the same verdict write it after a random delay, so that mostly one does. The verdict holds until its row is removed: an instance that refuses by it renews the row once a minute, one that has seen it unchanged for ten minutes removes it, and one that still refuses by it writes it again. A success marks the row as lifted; epochs tell a new conviction from a late renewal. A success from before a verdict does not lift it at another instance, whose crashes may have expired.

--- a/internal/gateway/partevidence.go
+++ b/internal/gateway/partevidence.go
@@ -212,9 +212,7 @@
 		if !now.Before(at) {
 			return e.removal(e.evidenceKey(slot), func() { q.expiry[slot] = time.Time{} }), time.Time{}
 		}
-		if next.IsZero() || at.Before(next) {
-			next = at
-		}
+		next = earliest(next, at)
 	}
 	for key, at := range q.foreign {
 		if !now.Before(at) {
--- a/internal/gateway/partreceive.go
+++ b/internal/gateway/partreceive.go
@@ -36,9 +36,12 @@
 func (e *partExchange) applyEvidence(now time.Time, batch []evidence) {
 	crashes := e.recordEvidence(now, batch)
 	e.answer(now, crashes)
+	convictedAt := e.convictionTimes(now)
 	for _, ev := range batch {
 		for part, at := range ev.successes {
-			e.ledger.AddSuccess(now, at, []poison.Part{part})
+			if at.After(convictedAt[part]) {
+				e.ledger.AddSuccess(now, at, []poison.Part{part})
+			}
 		}
 	}
 	for _, crash := range crashes {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -46,8 +46,11 @@
 
 	mu       sync.Mutex // guards the fields below
 	evidence evidenceQueue
-	retryAt  time.Time // no writes before this time
-	failing  bool      // the last write failed
+	verdicts map[string]*verdictState // by the verdict's ID
+	// ledgerChanged is closed when the ledger's verdicts differ from those in verdicts.
+	ledgerChanged <-chan struct{}
+	retryAt       time.Time // no writes before this time
+	failing       bool      // the last write failed
 }
 
 var _ forward.PartExchange = (*partExchange)(nil)
@@ -55,7 +58,7 @@
 func newPartExchange(store discovery.Store, ledger *poison.Ledger, instance string, log logrus.FieldLogger) *partExchange {
 	return &partExchange{
 		store: store, ledger: ledger, instance: instance, writer: fmt.Sprintf("%016x", rand.Uint64()), log: log,
-		wake: make(chan struct{}, 1), evidence: newEvidenceQueue(),
+		wake: make(chan struct{}, 1), evidence: newEvidenceQueue(), verdicts: map[string]*verdictState{},
 	}
 }
 
@@ -75,6 +78,7 @@
 // run writes to the store until ctx ends.
 func (e *partExchange) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		changed := e.ledger.Changed()
 		write, next := e.nextWrite(time.Now())
 		if write != nil {
 			e.perform(ctx, write)
@@ -84,6 +88,7 @@
 		select {
 		case <-timer.C:
 		case <-e.wake:
+		case <-changed:
 		case <-ctx.Done():
 		}
 		timer.Stop()
@@ -94,18 +99,17 @@
 func (e *partExchange) nextWrite(now time.Time) (write *partWrite, next time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.syncVerdicts(now)
 	if now.Before(e.retryAt) {
 		return nil, e.retryAt
 	}
 	next = now.Add(partIdleInterval)
-	for _, take := range []func(time.Time) (*partWrite, time.Time){e.nextAnswers, e.nextEvidence, e.nextRemoval} {
+	for _, take := range []func(time.Time) (*partWrite, time.Time){e.nextAnswers, e.nextEvidence, e.nextVerdict, e.nextVerdictRemoval, e.nextRemoval} {
 		write, due := take(now)
 		if write != nil {
 			return write, time.Time{}
 		}
-		if !due.IsZero() && due.Before(next) {
-			next = due
-		}
+		next = earliest(next, due)
 	}
 	return nil, next
 }
@@ -137,29 +141,25 @@
 	}
 }
 
-// apply applies changed rows. Rows that were read together are put in order by their ages.
+// apply applies changed rows: verdicts before the evidence that is older than they are.
 func (e *partExchange) apply(rows []discovery.Row) {
 	now := time.Now()
 	var batch []evidence
+	defer e.notify()
 	for _, row := range rows {
 		switch {
 		case strings.HasPrefix(row.Key, evidenceKeyPrefix):
 			if ev, ok := e.readEvidence(now, row); ok {
 				batch = append(batch, ev)
 			}
+		case strings.HasPrefix(row.Key, verdictKeyPrefix):
+			e.applyVerdict(now, row)
 		default:
 			e.log.WithField("key", row.Key).Warn("unknown row about parts of prompts ignored")
 		}
 	}
 	e.applyEvidence(now, batch)
-	e.notify()
 }
 
-// Refused informs about a request that was refused by a verdict.
-func (e *partExchange) Refused(poison.Verdict) {}
-
-// ShareVerdicts shares verdicts that are new at this instance.
-func (e *partExchange) ShareVerdicts([]poison.Verdict) {}
-
 // ClaimTrial reports whether this request may be sent although the verdict refuses it.
 func (e *partExchange) ClaimTrial(poison.Verdict) bool { return false }
