Claim trials of verdicts on parts over the whole fleet

Cause: a verdict may be wrong, and a part that no instance sends any more has no success that shows it. If each instance tried for itself, a fleet of 300 would crash 300 upstreams.

Change: 30 s and 5 min after a verdict came into force an instance that refuses by it claims a trial by creating a row, in the background, and lets its next such request through. A claim without a response is learned from the row. There is no claim while the store fails. Claims survive restarts and pass on to a verdict that narrows an earlier one down.

--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -47,6 +47,7 @@
 	mu       sync.Mutex // guards the fields below
 	evidence evidenceQueue
 	verdicts map[string]*verdictState // by the verdict's ID
+	trials   map[string]*trialClaim   // by the key of the row
 	// ledgerChanged is closed when the ledger's verdicts differ from those in verdicts.
 	ledgerChanged <-chan struct{}
 	retryAt       time.Time // no writes before this time
@@ -58,7 +59,7 @@
 func newPartExchange(store discovery.Store, ledger *poison.Ledger, instance string, log logrus.FieldLogger) *partExchange {
 	return &partExchange{
 		store: store, ledger: ledger, instance: instance, writer: fmt.Sprintf("%016x", rand.Uint64()), log: log,
-		wake: make(chan struct{}, 1), evidence: newEvidenceQueue(), verdicts: map[string]*verdictState{},
+		wake: make(chan struct{}, 1), evidence: newEvidenceQueue(), verdicts: map[string]*verdictState{}, trials: map[string]*trialClaim{},
 	}
 }
 
@@ -104,7 +105,7 @@
 		return nil, e.retryAt
 	}
 	next = now.Add(partIdleInterval)
-	for _, take := range []func(time.Time) (*partWrite, time.Time){e.nextAnswers, e.nextEvidence, e.nextVerdict, e.nextVerdictRemoval, e.nextRemoval} {
+	for _, take := range []func(time.Time) (*partWrite, time.Time){e.nextAnswers, e.nextEvidence, e.nextVerdict, e.nextTrial, e.nextVerdictRemoval, e.nextTrialRemoval, e.nextRemoval} {
 		write, due := take(now)
 		if write != nil {
 			return write, time.Time{}
@@ -154,12 +155,11 @@
 			}
 		case strings.HasPrefix(row.Key, verdictKeyPrefix):
 			e.applyVerdict(now, row)
+		case strings.HasPrefix(row.Key, trialKeyPrefix):
+			e.applyTrial(now, row)
 		default:
 			e.log.WithField("key", row.Key).Warn("unknown row about parts of prompts ignored")
 		}
 	}
 	e.applyEvidence(now, batch)
 }
-
-// ClaimTrial reports whether this request may be sent although the verdict refuses it.
-func (e *partExchange) ClaimTrial(poison.Verdict) bool { return false }
--- a/internal/gateway/partstore_test.go
+++ b/internal/gateway/partstore_test.go
@@ -35,6 +35,7 @@
 	changed chan struct{}
 	freeAt  time.Time // end of the last write in the queue
 	down    bool
+	mute    bool           // calls are performed, but get no response
 	calls   map[string]int // by the prefix of the key, also refused ones
 }
 
@@ -56,7 +57,7 @@
 	return err
 }
 
-func (s *partStore) write(_ context.Context, row discovery.Row, ifAbsent bool) ([]byte, error) {
+func (s *partStore) write(_ context.Context, row discovery.Row, ifAbsent bool) (value []byte, err error) {
 	s.mu.Lock()
 	kind, _, _ := strings.Cut(strings.TrimPrefix(row.Key, partKeyPrefix), "/")
 	if row.Deleted {
@@ -77,6 +78,9 @@
 	time.Sleep(wait + partStoreCallTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.mute {
+		defer func() { value, err = nil, errStoreDown }()
+	}
 	if old, found := s.rows[row.Key]; ifAbsent && found && !old.Deleted {
 		return old.Value, nil
 	}
@@ -96,6 +100,12 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *partStore) setMute(mute bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mute = mute
+}
+
 // since returns the rows that changed after a version.
 func (s *partStore) since(version int64) (batch discovery.Batch, changed chan struct{}, down bool) {
 	s.mu.Lock()
--- a/internal/gateway/partverdicts.go
+++ b/internal/gateway/partverdicts.go
@@ -57,6 +57,9 @@
 	changedAt time.Time   // when the row was read
 	removeAt  time.Time   // unless it changes
 	writeAt   time.Time   // of the planned write; zero: none
+
+	claimAt      time.Time // of the planned claim of a trial; zero: none
+	claimRetryAt time.Time // no claim before this time
 }
 
 // decodeVerdict decodes a row, which another program may have written.
