Let a late answer on a sound part lift its verdict

Cause: an instance ignored successes at others from before a verdict. That keeps verdicts that were adopted after a restart, whose crashes are not known, but also those that the answer of an instance would refute that was informed of the crashes late, for instance after an outage of the store.

Change: within a minute of a conviction of its own an instance passes such successes to its ledger, which compares them with the crashes. Verdicts that were only adopted, or are older, are lifted by their row or by later successes.

Evidence: TestLateKnowledgeOfASuccessLiftsTheVerdict fails with the earlier rule (verdictReviewTime 0).

--- a/internal/gateway/partreceive.go
+++ b/internal/gateway/partreceive.go
@@ -36,10 +36,10 @@
 func (e *partExchange) applyEvidence(now time.Time, batch []evidence) {
 	crashes := e.recordEvidence(now, batch)
 	e.answer(now, crashes)
-	convictedAt := e.convictionTimes(now)
+	reviewedAt := e.reviewedAt(now)
 	for _, ev := range batch {
 		for part, at := range ev.successes {
-			if at.After(convictedAt[part]) {
+			if at.After(reviewedAt[part]) {
 				e.ledger.AddSuccess(now, at, []poison.Part{part})
 			}
 		}
--- a/internal/gateway/partsuccesses_test.go
+++ b/internal/gateway/partsuccesses_test.go
@@ -65,3 +65,25 @@
 		})
 	}
 }
+
+// Guards against a sound part that stays refused because the instance that knows it as good
+// was informed of the crashes too late.
+func TestLateKnowledgeOfASuccessLiftsTheVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := newPartStore()
+		fleet := store.startFleet(t, 6)
+		fleet[5].succeeds(poisonPrompt(0))
+		time.Sleep(time.Minute)
+		store.setDown(true)
+		for n := range 5 {
+			fleet[0].sees(n, poisonPrompt(n))
+			time.Sleep(300 * time.Millisecond)
+		}
+		expectRefusedBy(g, fleet, 1, "without the store")
+		store.setDown(false)
+		time.Sleep(3 * time.Second)
+		g.Expect(refusing(fleet, poisonPrompt(99))).To(BeZero())
+		stopFleet(fleet)
+	})
+}
--- a/internal/gateway/partverdicts.go
+++ b/internal/gateway/partverdicts.go
@@ -26,6 +26,9 @@
 	verdictRenewSpread   = 20 * time.Second
 	// verdictRemoveSpread is the time over which the instances remove the row of a verdict.
 	verdictRemoveSpread = time.Minute
+	// verdictReviewTime is the time after a conviction in which the crashes that it follows from
+	// are still known, so that the ledger can compare them with successes.
+	verdictReviewTime = crashLifetime / 2
 	// verdictRetrySpread replaces answerSpread while writes fail.
 	verdictRetrySpread = 5 * time.Second
 	// maxVerdictRows bounds the verdicts that are tracked, maxEpoch their epochs.
@@ -50,6 +53,7 @@
 	epoch     int64
 	lifted    bool // in this epoch
 	inForce   bool // in the ledger
+	adopted   bool // read from a row before it was reached here
 	knownAt   time.Time
 	refusedAt time.Time // last request that was refused by it here
 
@@ -119,22 +123,22 @@
 	}
 	for id, state := range e.verdicts {
 		if state.inForce && !inLedger[id] {
-			state.inForce, state.lifted = false, true
+			state.inForce, state.lifted, state.adopted = false, true, false
 			e.log.WithFields(logrus.Fields{"verdict": id, "epoch": state.epoch}).Info("verdict on parts of prompts no longer in force")
 		}
 	}
 }
 
-// convictionTimes returns since when verdicts on parts are known to be in force. An earlier
-// success elsewhere does not lift a verdict: the crashes after it may have expired here. If
-// it does at the instance that has seen it, the row of the verdict says so.
-func (e *partExchange) convictionTimes(now time.Time) map[poison.Part]time.Time {
+// reviewedAt returns the times of verdicts on parts that an earlier success at another instance
+// does not lift, as the crashes that the verdicts follow from are not known here or no
+// longer. If it lifts the verdict where they are known, its row says so.
+func (e *partExchange) reviewedAt(now time.Time) map[poison.Part]time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.syncVerdicts(now)
 	times := map[poison.Part]time.Time{}
 	for _, state := range e.verdicts {
-		if !state.inForce {
+		if !state.inForce || !state.adopted && now.Sub(state.knownAt) < verdictReviewTime {
 			continue
 		}
 		for _, part := range state.verdict.Parts {
@@ -280,13 +284,14 @@
 	}
 	state.epoch = row.Epoch
 	if row.Lifted {
-		state.lifted, state.inForce = true, false
+		state.lifted, state.inForce, state.adopted = true, false, false
 		e.ledger.Lift(now, id)
 	} else {
-		state.lifted = false
+		state.lifted, state.adopted = false, !state.inForce || state.adopted
 		e.ledger.Adopt(now, state.verdict)
 	}
 	e.syncVerdicts(now)
+	state.adopted = state.adopted && state.inForce
 }
 
 // forgetVerdict handles the removal of a row. An instance that refuses by the verdict writes the
