Tell poison parts from the parts that they come with

In the model, a session in every crash was convicted beside the poison part, two poison parts hid each other, a verdict on a poison part and a session let the other sessions through, and instances that shared adopted verdicts again lifted and adopted them in turn.

--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -151,10 +151,8 @@
 func (l *Ledger) judge(now time.Time) []Verdict {
 	standing := l.verdicts.Load().verdicts
 	verdicts := standing
-	for _, v := range judge(evidence{crashes: l.sortedCrashes(), standing: standing, lastSuccess: func(part Part) (time.Time, bool) {
-		at, ok := l.successes.last(part)
-		return at, ok && now.Sub(at) < successMemory
-	}}) {
+	lastSuccess := func(part Part) (time.Time, bool) { return l.successes.knownGood(now, part) }
+	for _, v := range judge(evidence{crashes: l.sortedCrashes(), standing: standing, lastSuccess: lastSuccess}) {
 		verdicts = withVerdict(verdicts, v)
 	}
 	l.publish(verdicts)
@@ -188,7 +186,7 @@
 // AddSuccess records that answers on parts began and went on at a time, at this or another
 // instance. It returns the parts with evidence against them, which other instances have to
 // be informed about, and the verdicts that no longer hold. A verdict of several parts is
-// replaced by one on the others, see Verdicts.
+// replaced by one on the others, see Replacements.
 func (l *Ledger) AddSuccess(now, at time.Time, parts []Part) (contradicted []Part, lifted []Verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -261,11 +259,16 @@
 	return good
 }
 
-// Adopt adds a verdict of another instance or of a time before a restart.
+// Adopt adds a verdict of another instance or of a time before a restart. Parts that are known
+// good here are left out.
 func (l *Ledger) Adopt(now time.Time, v Verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.publish(withVerdict(l.verdicts.Load().verdicts, Verdict{Parts: Prompt(v.Parts).sorted()}))
+	adopted := slices.DeleteFunc(Prompt(v.Parts).sorted(), func(part Part) bool {
+		at, knownGood := l.successes.knownGood(now, part)
+		return knownGood && !l.convictedSince(at, part)
+	})
+	l.publish(withVerdict(l.verdicts.Load().verdicts, Verdict{Parts: adopted}))
 }
 
 // Lift removes a verdict together with its evidence. It has no effect on other verdicts.
@@ -306,3 +309,10 @@
 
 // Verdicts returns the verdicts that hold, by parts.
 func (l *Ledger) Verdicts() []Verdict { return slices.Clone(l.verdicts.Load().verdicts) }
+
+// Replacements returns the verdicts that hold in place of lifted ones, on some of their parts.
+func (l *Ledger) Replacements(lifted []Verdict) []Verdict {
+	return slices.DeleteFunc(l.Verdicts(), func(v Verdict) bool {
+		return !slices.ContainsFunc(lifted, func(before Verdict) bool { return before.implies(v) && !before.equal(v) })
+	})
+}
--- a/internal/poison/successes.go
+++ b/internal/poison/successes.go
@@ -42,9 +42,3 @@
 	at, ok := s.last(part)
 	return at, ok && now.Sub(at) < successMemory
 }
-
-// forget removes the successes on a part.
-func (s *successes) forget(part Part) {
-	delete(s.recent, part)
-	delete(s.old, part)
-}
