Convict a first part after five moments of crashes if no answer on it is known

Cause: the first part of a prompt needed eight moments of crashes, as it is mostly common to a workspace. But such a part is known good from the workspace's other answers, and needs eight moments for that.

Change: five moments for a first part that is not known good.

--- a/internal/forward/poisonparts.go
+++ b/internal/forward/poisonparts.go
@@ -12,7 +12,7 @@
 
 // successAfter is the time since its first event after which an answer shows that its prompt
 // does not crash the upstream.
-const successAfter = time.Second
+const successAfter = justBegunWindow
 
 // errPoisonParts ends a run whose prompt is refused since it was sent.
 var errPoisonParts = errors.New("the parts of the prompt are known to crash upstreams")
--- a/internal/poison/judge.go
+++ b/internal/poison/judge.go
@@ -207,9 +207,12 @@
 // suffices reports whether the crashes convict the part.
 func (t *trial) suffices(c tally) bool {
 	o := t.occurrences[c.part]
+	_, knownGood := t.lastSuccess(c.part)
 	switch {
-	case t.needsMore(c.part):
+	case knownGood:
 		return c.moments >= convictMomentsKnownGood
+	case o.first:
+		return c.moments >= convictMomentsAlone
 	case o.alone == len(o.crashes) && len(c.crashes) < convictCrashes:
 		return false
 	case c.moments >= convictMomentsAlone:
--- a/internal/poison/model_test.go
+++ b/internal/poison/model_test.go
@@ -24,7 +24,6 @@
 	crashRows   []Crash
 	successRows map[Part]time.Time
 	nextID      int
-	disturbed   []time.Time // losses of domains and mass crashes
 
 	crashed  map[string][]time.Time // crashes that a poison part caused, unless its instance ended before it saw the crash
 	arrivals map[string][]time.Time // arrivals of requests with a poison part at engines
