Abort or resume a stream whose next upstream responds with an error

Cause: handleHead returned Answered for a response other than 200 (201, 204, 206, 3xx, 400, 404, 422) also when the caller was within a stream, although nothing of it was delivered. forwardStream then returned normally. Callers saw a stream that broke off after ten events and looked complete. The upstream that responded with the error counted as successful, and the evidence of crashes against the request's content was cleared. Evidence: before, TestErrorOnResumptionDoesNotCompleteTheStream and TestStreamResumesAfterErrorOnResumption failed for 201, 204, 206, 302, 304, 400, 404 and 422 (not for 429, 500 and 503), and TestErrorOnResumptionIsNoSuccess failed. Change: such a response counts as an error of its upstream. The stream goes on at another upstream where the route, its max_attempts and the retry budget allow that, else the caller's connection is aborted. TestForeignResponseOnResumptionIsNotJoined and TestFirstResponseOfStreamIsForwarded passed before and after.

--- /dev/null
+++ b/internal/forward/brokenstream_test.go
@@ -0,0 +1,119 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// resumeWith makes the first upstream break its stream off after ten events, and the
+// following ones respond in order.
+func (h *harness) resumeWith(following []behaviour, names ...string) {
+	all := append([]behaviour{sendEvents(10, time.Millisecond, errReset)}, following...)
+	h.setBehaviour(func(req receivedRequest) (*http.Response, error) {
+		return all[min(len(h.receivedBy()), len(all))-1](req)
+	}, names...)
+}
+
+var errorStatuses = []int{
+	http.StatusCreated, http.StatusNoContent, http.StatusPartialContent, http.StatusFound, http.StatusNotModified, http.StatusBadRequest,
+	http.StatusNotFound, http.StatusUnprocessableEntity, http.StatusTooManyRequests, http.StatusInternalServerError, http.StatusServiceUnavailable,
+}
+
+// Guards against a stream that looks complete although the upstream that was to resume it
+// responded with an error.
+func TestErrorOnResumptionDoesNotCompleteTheStream(t *testing.T) {
+	for _, status := range errorStatuses {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				r := streaming
+				r.MaxAttempts = 2
+				h := newHarness(t, r, true, "a", "b", "c")
+				h.resumeWith([]behaviour{respondWith(status, "error text\n\n")}, "a", "b", "c")
+				got := h.request(t.Context(), nil)
+				h.g.Expect(got.aborted).To(BeTrue())
+				h.g.Expect(got.status).To(Equal(http.StatusOK))
+				h.g.Expect(got.body).To(Equal(eventsText(1, 10)))
+			})
+		})
+	}
+}
+
+// Guards against giving up a stream that a third upstream can resume after the second has
+// responded with an error.
+func TestStreamResumesAfterErrorOnResumption(t *testing.T) {
+	for _, status := range errorStatuses {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				h := newHarness(t, streaming, true, "a", "b", "c")
+				h.resumeWith([]behaviour{respondWith(status, "error text\n\n"), sendEvents(20, time.Millisecond, nil)}, "a", "b", "c")
+				got := h.request(t.Context(), nil)
+				h.g.Expect(got.aborted).To(BeFalse())
+				h.g.Expect(got.body).To(Equal(eventsText(1, 20)))
+				h.g.Expect(h.receivedBy()).To(HaveLen(3))
+			})
+		})
+	}
+}
+
+// Guards against counting an error response that was not delivered as a success of its
+// upstream and of the request's content.
+func TestErrorOnResumptionIsNoSuccess(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		r := streaming
+		r.MaxAttempts = 2
+		h := newHarness(t, r, true, "a", "b", "c")
+		h.resumeWith([]behaviour{respondWith(http.StatusNotFound, "error text")}, "a", "b", "c")
+		content := newContent("", http.MethodPost, "/path/%2f?query=1", []byte("body"))
+		h.f.Quarantine.Add(time.Now(), Crash{Content: content, UpstreamID: "earlier"})
+		h.g.Expect(h.request(t.Context(), nil).aborted).To(BeTrue())
+		h.g.Expect(h.f.Quarantine.Crashes(content)).NotTo(BeEmpty())
+		h.g.Expect(h.log.String()).To(ContainSubstring("result=upstream_error"))
+	})
+}
+
+// Guards against joining the response to another request to a stream.
+func TestForeignResponseOnResumptionIsNotJoined(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				h := newHarness(t, streaming, true, "a", "b", "c")
+				h.resumeWith([]behaviour{func(req receivedRequest) (*http.Response, error) {
+					foreign := response(status, eventsText(11, 12))
+					foreign.Header.Set("Id", "request-2")
+					return foreign, nil
+				}, sendEvents(20, time.Millisecond, nil)}, "a", "b", "c")
+				got := h.request(t.Context(), nil)
+				h.g.Expect(got.aborted).To(BeFalse())
+				h.g.Expect(got.body).To(Equal(eventsText(1, 20)))
+				h.g.Expect(h.receivedBy()).To(HaveLen(3))
+			})
+		})
+	}
+}
+
+// Guards against altering a response to the first attempt of a stream that is neither 200
+// nor an error.
+func TestFirstResponseOfStreamIsForwarded(t *testing.T) {
+	for _, status := range []int{http.StatusCreated, http.StatusPartialContent, http.StatusFound, http.StatusNotFound} {
+		inVirtualTime(t, func(t *testing.T) {
+			h := newHarness(t, streaming, true, "a", "b")
+			h.setBehaviour(respondWith(status, "text"), "a", "b")
+			got := h.request(t.Context(), nil)
+			h.g.Expect(got.status).To(Equal(status))
+			h.g.Expect(got.header.Get("Signature")).To(Equal("signed"))
+			h.g.Expect(got.body).To(Equal("text"))
+			h.g.Expect(h.receivedBy()).To(HaveLen(1))
+		})
+	}
+	inVirtualTime(t, func(t *testing.T) {
+		h := newHarness(t, streaming, true, "a", "b")
+		h.setBehaviour(respondWith(http.StatusNoContent, ""), "a", "b")
+		got := h.request(t.Context(), nil)
+		h.g.Expect(got.status).To(Equal(http.StatusNoContent))
+		h.g.Expect(got.body).To(BeEmpty())
+	})
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -222,6 +222,9 @@
 		r.f.deliver(r.x, *head)
 		return Answered, true, nil
 	}
+	if head.result == Answered {
+		head.result = UpstreamError // the caller is within a stream, so it cannot get this response
+	}
 	if head.result == UpstreamError && !impliesNotRun(head.response.StatusCode) && !head.partial {
 		r.failure = head
 	}
