Count a response that is truncated within its delivery as a failure

Cause: the beginning of a response over 1 MiB is forwarded before the rest is read. Its result, Answered, was recorded first, and a cut within the rest ended the handler by a panic. For a response to a streaming route that panic also skipped the log line of the attempt and backup.end. Callers got an aborted connection, as they should. But the upstream counted as successful, the evidence of crashes against the content was cleared, and on streaming routes the backup holder kept one KV copy too many in its load for ever. Change: deliver returns Failed for a truncated response, and the result is recorded after the delivery of a partly read response. The connection is still aborted.

--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/pool"
+	"foxtailhub.example/foxtailhub/internal/route"
 )
 
 // resumeWith makes the first upstream break its stream off after ten events, and the
@@ -117,3 +123,46 @@
 		h.g.Expect(got.body).To(BeEmpty())
 	})
 }
+
+// truncated returns a response that is cut off after its beginning has been forwarded.
+func truncated(status int) behaviour {
+	return func(receivedRequest) (*http.Response, error) {
+		r := response(status, "")
+		r.ContentLength = -1
+		r.Body = io.NopCloser(io.MultiReader(strings.NewReader(strings.Repeat("x", 2*bufferedResponseBytes)), errorReader{errReset}))
+		return r, nil
+	}
+}
+
+// Guards against counting a response that was truncated within its delivery as a success of
+// its upstream and of the request's content, and against a KV copy that is counted forever.
+func TestTruncatedLongResponseIsNoSuccess(t *testing.T) {
+	for _, r := range []route.Route{atMostOnce, idempotent, streaming} {
+		t.Run(r.Name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				h := newHarness(t, r, r.Kind == route.Stream, "a", "b")
+				status := http.StatusOK
+				if r.Kind == route.Stream {
+					status = http.StatusNotFound
+				}
+				h.setBehaviour(truncated(status), "a", "b")
+				content := newContent("", http.MethodPost, "/path/%2f?query=1", []byte("body"))
+				h.f.Quarantine.Add(time.Now(), Crash{Content: content, UpstreamID: "earlier"})
+				got := h.request(t.Context(), nil)
+				synctest.Wait()
+				h.g.Expect(got.aborted).To(BeTrue())
+				h.g.Expect(got.status).To(Equal(status))
+				h.g.Expect(h.receivedBy()).To(HaveLen(1))
+				h.g.Expect(h.f.Quarantine.Crashes(content)).NotTo(BeEmpty())
+				h.g.Expect(h.log.String()).To(ContainSubstring("result=failed"))
+				time.Sleep(time.Minute) // the failure does not count any more
+				holders := map[string]bool{}
+				for range 64 {
+					m, _ := pool.Pick(h.pool.Members("service"), pool.Requirements{KVCopy: true}, time.Now())
+					holders[m.ID] = true
+				}
+				h.g.Expect(holders).To(HaveLen(2))
+			})
+		})
+	}
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -21,6 +21,7 @@
 	reply     attemptResult
 	startedAt time.Time
 	listAge   time.Duration // age of the list of upstreams when this one was chosen
+	delivered bool          // the caller has the response, or the part of it that the upstream sent
 }
 
 // forwardCall forwards a request whose response is one complete body.
@@ -54,13 +55,17 @@
 		select {
 		case last = <-results:
 			inFlight--
+			if last.reply.result == Answered && last.reply.partial {
+				last.reply.result, last.reply.err = f.deliver(x, last.reply)
+				last.delivered = true
+			}
 			f.recordResult(ctx, x, last.member, last.reply.result, last.reply.retryAfter > 0)
 			x.logCallAttempt(last)
 			if last.reply.result == Failed && ctx.Err() == nil {
 				go f.confirmCallCrash(x, last.member, last.upstream.ID)
 			}
-			if last.reply.result == Answered {
-				f.deliver(x, last.reply)
+			if last.delivered || last.reply.result == Answered {
+				f.endCall(x, last)
 				return
 			}
 			x.state.TimeLeft = x.timeLeft()
@@ -116,8 +121,22 @@
 	}
 }
 
-// deliver forwards a response unchanged.
-func (f *Forwarder) deliver(x *exchange, r attemptResult) {
+// endCall delivers the response of the last attempt, unless that is done. The connection is aborted
+// if the response was truncated, so that it does not look complete.
+func (f *Forwarder) endCall(x *exchange, last callAttempt) {
+	result := last.reply.result
+	if !last.delivered {
+		result, _ = f.deliver(x, last.reply)
+	}
+	if result == Failed {
+		f.Metrics.countOutcome(x, "interrupted")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// deliver forwards a response unchanged. It returns Failed if the upstream truncated it, which
+// shows only after the caller has got a part.
+func (f *Forwarder) deliver(x *exchange, r attemptResult) (Result, error) {
 	header := x.writer.Header()
 	for name, values := range f.Protocol.ResponseHeader(r.response.Header) {
 		header[name] = values
@@ -130,17 +149,22 @@
 		header.Set("Content-Length", strconv.FormatInt(r.response.ContentLength, 10))
 	}
 	f.closeConnectionIfLeaving(header)
-	if err := f.writeResponse(x, r); err != nil {
+	err := f.writeResponse(x, r)
+	switch {
+	case errors.Is(err, errResponseTruncated):
+		x.log.WithError(err).WithFields(logrus.Fields{"status": r.response.StatusCode}).Warn("upstream response was cut off while it was forwarded")
+		return Failed, err
+	case err != nil:
 		x.log.WithError(err).WithFields(logrus.Fields{"status": r.response.StatusCode}).Info("caller disconnected before the response was written")
-		return
+		return r.result, nil
 	}
 	f.Metrics.countOutcome(x, "answered")
 	f.Metrics.observeLatency(x)
+	return r.result, nil
 }
 
-// writeResponse writes the head and body of a response. The error is of the caller's
-// connection. If the body is truncated, the connection is aborted, so that the response
-// does not look complete.
+// writeResponse writes the head and body of a response. The error is marked with
+// errResponseTruncated, or it is of the caller's connection.
 func (f *Forwarder) writeResponse(x *exchange, r attemptResult) error {
 	controller := http.NewResponseController(x.writer)
 	x.writer.WriteHeader(r.response.StatusCode)
@@ -166,9 +190,7 @@
 			err = errResponseTooLong
 		}
 		if err != nil {
-			f.Metrics.countOutcome(x, "interrupted")
-			x.log.WithError(err).WithFields(logrus.Fields{"status": r.response.StatusCode, "bytes": length}).Warn("upstream response was cut off while it was forwarded")
-			panic(http.ErrAbortHandler)
+			return errors.Mark(errors.Wrapf(err, "response cut off after %d bytes", length), errResponseTruncated)
 		}
 	}
 }
@@ -178,7 +200,7 @@
 // the request has not run.
 func (f *Forwarder) deliverFailure(ctx context.Context, x *exchange, last callAttempt) {
 	if last.reply.result == UpstreamError && !impliesNotRun(last.reply.response.StatusCode) {
-		f.deliver(x, last.reply)
+		f.endCall(x, last)
 		return
 	}
 	f.failUnanswered(ctx, x)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -219,8 +219,9 @@
 		return 0, false, nil
 	}
 	if head.result == Answered && !r.headWritten {
-		r.f.deliver(r.x, *head)
-		return Answered, true, nil
+		result, err := r.f.deliver(r.x, *head)
+		r.headWritten, r.unnumbered = true, true
+		return result, true, err
 	}
 	if head.result == Answered {
 		head.result = UpstreamError // the caller is within a stream, so it cannot get this response
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -37,6 +37,7 @@
 	errForeignResponse   = errors.New("response belongs to another request")
 	errUnsigned          = errors.New("successful response has no upstream signature")
 	errEncodedBody       = errors.New("response body is encoded")
+	errResponseTruncated = errors.New("response was truncated")
 	errResponseTooLong   = errors.New("response exceeds the maximum length")
 	errUnresponsive      = errors.New("upstream did not respond to a probe")
 	errStalled           = errors.New("stream stalled")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -29,7 +29,7 @@
 	promptHolder       string         // upstream that has the prompt in its cache, for the first attempt; empty: unknown
 	events             int            // delivered by this instance
 	copy               *storedKVCopy  // KV copy of the run that failed last
-	unnumbered         bool           // the caller has events without numbers, so no other upstream can continue
+	unnumbered         bool           // the caller has events without numbers or another body, so no other upstream can continue
 	failure            *attemptResult // error response of an upstream, delivered if no later attempt succeeds
 	failedDomains      []string       // failure domains of the upstreams that failed
 	longestPause       time.Duration
@@ -262,7 +262,7 @@
 		s.recordEnd(outcome)
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	case s.failure != nil:
-		s.f.deliver(s.x, *s.failure)
+		_, _ = s.f.deliver(s.x, *s.failure) // not truncated, since its whole body has been read
 	default:
 		s.f.failUnanswered(ctx, s.x)
 	}
