Forward the comments of a stream without events

Cause: comments that arrive before the first event are kept until an event is forwarded with them; at the end of a stream without events only the head was written. Callers got a 200 with the upstream's signature and an empty body instead of the upstream's body. Evidence: TestStreamOfCommentsIsForwarded failed before, with an empty body for two comments. Change: at the end of a complete stream the comments that were kept are forwarded.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -150,7 +150,10 @@
 	case it.head != nil:
 		return r.handleHead(it.head)
 	case errors.Is(it.err, io.EOF):
-		r.writeHead(r.response) // a resumed stream may have no event left
+		if err := r.deliverRemainder(); err != nil {
+			r.callerDisconnected = true
+			return Failed, true, err
+		}
 		r.f.Drain.ObserveStream(time.Since(r.x.receivedAt))
 		r.recordEnd("answered")
 		return Answered, true, nil
@@ -161,6 +164,18 @@
 	return r.handleEvent(it.event)
 }
 
+// deliverRemainder forwards a complete stream without events: a resumed stream may have none
+// left, or only comments.
+func (r *run) deliverRemainder() error {
+	if len(r.preamble) == 0 {
+		r.writeHead(r.response)
+		return nil
+	}
+	e := event{raw: r.preamble}
+	r.preamble = nil
+	return errors.Wrap(r.deliver(r.response, e, time.Now()), "write to the caller")
+}
+
 // handleEvent forwards an event. Only an event that the caller does not have yet counts
 // as progress: a stalled upstream may still send comments or repeat old events.
 func (r *run) handleEvent(e event) (result Result, ended bool, err error) {
