Take a change of the protocol by an upstream for a failure

Cause: a final status 101 was classified as a response, although no request asks for another protocol. Callers got a 101, which is no answer to their request. Evidence: TestSwitchedProtocolIsNoResponse failed before with status 101 instead of 502. Change: classify returns Failed for 101, since the request may have run.

--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -166,3 +166,15 @@
 		})
 	}
 }
+
+// Guards against forwarding a change of the protocol, which no request asks for, as a response.
+func TestSwitchedProtocolIsNoResponse(t *testing.T) {
+	for _, r := range []route.Route{atMostOnce, streaming} {
+		inVirtualTime(t, func(t *testing.T) {
+			r.MaxAttempts = 1
+			h := newHarness(t, r, r.Kind == route.Stream, "a")
+			h.setBehaviour(respondWith(http.StatusSwitchingProtocols, "bytes"), "a")
+			h.g.Expect(h.request(t.Context(), nil).status).To(Equal(http.StatusBadGateway))
+		})
+	}
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -44,6 +44,7 @@
 	errNoBackupHolder    = errors.New("no upstream available for a KV copy")
 	errUpstreamRestarted = errors.New("upstream restarted during its identification")
 	errEventGap          = errors.New("event missing from the stream")
+	errSwitchedProtocol  = errors.New("upstream switched the protocol")
 )
 
 // sender sends requests to upstreams, each over its own connection: a late response, or
@@ -116,6 +117,8 @@
 	switch {
 	case head.RequestID != "" && head.RequestID != x.meta.ID:
 		return Failed, errForeignResponse
+	case status == http.StatusSwitchingProtocols:
+		return Failed, errSwitchedProtocol
 	case head.Misdirected:
 		return Misdirected, nil
 	case head.NotRun:
