Keep a body of another media type out of a resumed stream

Cause: a 200 response of the next upstream was read as the continuation of the stream whatever its Content-Type, and blocks that end with a blank line were forwarded as events. Callers got the text of an error page in their stream. Evidence: TestBodyOfAnotherMediaTypeIsNotJoined failed before for text/html and application/json; a parameter of the media type and a missing Content-Type passed before and pass now. Change: a response that states another media type than the stream counts as an error of its upstream, and the stream goes on at another one or is aborted.

--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -167,6 +167,45 @@
 	}
 }
 
+// Guards against joining a body of another media type to a stream, such as an error page with
+// status 200.
+func TestBodyOfAnotherMediaTypeIsNotJoined(t *testing.T) {
+	withType := func(mediaType string, next behaviour) behaviour {
+		return func(req receivedRequest) (*http.Response, error) {
+			r, err := next(req)
+			if mediaType != "" {
+				r.Header.Set("Content-Type", mediaType)
+			}
+			return r, err
+		}
+	}
+	events := sendEvents(20, time.Millisecond, nil)
+	for name, second := range map[string]behaviour{
+		"error page": withType("text/html", respondWith(http.StatusOK, "<h1>error</h1>\n\n")),
+		"json":       withType("application/json", respondWith(http.StatusOK, "{}\n\n")),
+		"parameter":  withType("Text/Event-Stream; charset=utf-8", events),
+		"no type":    events,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				h := newHarness(t, streaming, true, "a", "b", "c")
+				h.setBehaviour(func(req receivedRequest) (*http.Response, error) {
+					switch len(h.receivedBy()) {
+					case 1:
+						return withType("text/event-stream", sendEvents(10, time.Millisecond, errReset))(req)
+					case 2:
+						return second(req)
+					}
+					return withType("text/event-stream", events)(req)
+				}, "a", "b", "c")
+				got := h.request(t.Context(), nil)
+				h.g.Expect(got.aborted).To(BeFalse())
+				h.g.Expect(got.body).To(Equal(eventsText(1, 20)))
+			})
+		})
+	}
+}
+
 // Guards against forwarding a change of the protocol, which no request asks for, as a response.
 func TestSwitchedProtocolIsNoResponse(t *testing.T) {
 	for _, r := range []route.Route{atMostOnce, streaming} {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -230,6 +231,9 @@
 
 func (r *run) handleHead(head *attemptResult) (result Result, ended bool, err error) {
 	if head.result == Answered && head.response.StatusCode == http.StatusOK {
+		if r.headWritten && !sameMediaType(head.response.Header, r.x.writer.Header()) {
+			return UpstreamError, true, errOtherMediaType
+		}
 		r.response = head.response
 		return 0, false, nil
 	}
@@ -250,3 +254,13 @@
 	}
 	return head.result, true, head.err
 }
+
+// sameMediaType reports whether a response can continue another one. A header without
+// Content-Type matches any.
+func sameMediaType(next, first http.Header) bool {
+	name := func(header http.Header) string {
+		mediaType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+		return strings.TrimSpace(mediaType)
+	}
+	return name(next) == "" || name(first) == "" || strings.EqualFold(name(next), name(first))
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -44,6 +44,7 @@
 	errNoBackupHolder    = errors.New("no upstream available for a KV copy")
 	errUpstreamRestarted = errors.New("upstream restarted during its identification")
 	errEventGap          = errors.New("event missing from the stream")
+	errOtherMediaType    = errors.New("response has another media type than the stream that it was to continue")
 	errSwitchedProtocol  = errors.New("upstream switched the protocol")
 )
 
