Bear the largest numbers in the configuration

Cause: two computations overflowed. The body of a request was read into a slice with the bound max_body_bytes + 1, and the channel for the results of a call had max_attempts + 6 places. With max_body_bytes at the largest integer, the handler of each request panicked; with max_attempts there, that of each call. A smaller absurd max_attempts would reserve memory for as many results for each request. Callers got an aborted connection. Change: the bound is computed without overflow. The channel has no places, and an attempt whose request has ended drops its result.

--- a/internal/forward/bodymemory.go
+++ b/internal/forward/bodymemory.go
@@ -115,7 +115,7 @@
 			copy(grown, read)
 			read = grown
 		}
-		n, err := body.Read(read[len(read):min(cap(read), limit+1)])
+		n, err := body.Read(read[len(read) : min(cap(read)-1, limit)+1])
 		read = read[:len(read)+n]
 		switch {
 		case err != nil:
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -28,7 +28,7 @@
 func (f *Forwarder) forwardCall(ctx context.Context, x *exchange) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // cancels attempts that are no longer needed
-	results := make(chan callAttempt, maxRefusals+x.state.MaxAttempts)
+	results := make(chan callAttempt)
 	inFlight := 0
 	var contacted []*pool.Member
 	start := func(why purpose) bool {
@@ -111,7 +111,12 @@
 	r := f.sender.send(ctx, x, Attempt{Upstream: upstream, Workspace: x.workspace.Name, TimeLeft: x.timeLeft()})
 	f.recordResponseHead(x, m, upstream, r, startedAt)
 	r = r.buffer(x.memory)
-	results <- callAttempt{member: m, upstream: upstream, reply: r, startedAt: startedAt, listAge: listAge}
+	select {
+	case results <- callAttempt{member: m, upstream: upstream, reply: r, startedAt: startedAt, listAge: listAge}:
+	case <-x.done: // the request has ended by another attempt or its deadline
+		r.close()
+		return
+	}
 	if r.partial {
 		select { // the remainder is read during delivery
 		case <-x.done:
