Refuse instance rows with addresses that no other machine reaches

Cause: the address of an instance's row only had to parse. Port 0, 0.0.0.0, ::, multicast and IPv6 zones were accepted, and a value that is not UTF-8 was read with replacement characters. Such a row of another writer counted as an instance: the request rates of upstreams were divided by it, and its weight could make it the one that others try to follow first. Evidence: TestOddRowIsNoInstance failed before at port 0, and TestOddRowsCostOnlyThemselves counted 15 instances instead of 9. With the change it passes: a fleet of 8 beside 23 odd rows in each topic and one absent instance of the highest weight follows the store within its bounds. Change: addresses are checked like those of upstreams. An instance still recognises its own row whatever its address, so that it does not register again and again.

--- a/internal/storesync/members.go
+++ b/internal/storesync/members.go
@@ -10,11 +10,11 @@
 	"cmp"
 	"encoding/json"
 	"maps"
-	"net/netip"
 	"slices"
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -68,24 +68,39 @@
 // decodeMember decodes and validates the row of a member, which another program may have
 // written.
 func decodeMember(key string, value []byte) (Member, error) {
-	id := strings.TrimPrefix(key, memberPrefix)
-	if id == "" || len(id) > maxInstanceID || strings.Contains(id, "/") {
-		return Member{}, errors.Newf("instance ID %.64q is not valid", id)
+	member, err := parseMember(key, value)
+	if err == nil {
+		err = member.validate()
 	}
+	return member, err
+}
+
+func parseMember(key string, value []byte) (Member, error) {
 	var row memberRow
+	if !utf8.Valid(value) {
+		return Member{}, errors.New("instance row is not UTF-8")
+	}
 	if err := json.Unmarshal(value, &row); err != nil {
 		return Member{}, errors.Wrap(err, "decode instance row")
 	}
-	if _, err := netip.ParseAddrPort(row.Address); err != nil {
-		return Member{}, errors.Wrap(err, "instance address")
+	id := strings.TrimPrefix(key, memberPrefix)
+	return Member{ID: contract.InstanceID(id), Address: row.Address, Domain: contract.FailureDomainID(row.Domain), Weight: row.Weight}, nil
+}
+
+func (m Member) validate() error {
+	if m.ID == "" || len(m.ID) > maxInstanceID || strings.Contains(string(m.ID), "/") {
+		return errors.Newf("instance ID %.64q is not valid", string(m.ID))
+	}
+	if _, err := discovery.ParseAddress(m.Address); err != nil {
+		return errors.Wrap(err, "instance address")
 	}
-	if row.Domain == "" || len(row.Domain) > maxDomainLength {
-		return Member{}, errors.New("instance failure domain is missing or too long")
+	if m.Domain == "" || len(m.Domain) > maxDomainLength {
+		return errors.New("instance failure domain is missing or too long")
 	}
-	if !(row.Weight >= 0 && row.Weight <= maxWeight) {
-		return Member{}, errors.Newf("instance weight %v is not valid", row.Weight)
+	if !(m.Weight >= 0 && m.Weight <= maxWeight) {
+		return errors.Newf("instance weight %v is not valid", m.Weight)
 	}
-	return Member{ID: contract.InstanceID(id), Address: row.Address, Domain: contract.FailureDomainID(row.Domain), Weight: row.Weight}, nil
+	return nil
 }
 
 // sortByReadPriority sorts members in the order in which they should read the store, which
@@ -167,7 +182,7 @@
 func (m *Members) applyMember(row discovery.Row) {
 	id := contract.InstanceID(strings.TrimPrefix(row.Key, memberPrefix))
 	if id == m.self.ID {
-		member, err := decodeMember(row.Key, row.Value)
+		member, err := parseMember(row.Key, row.Value)
 		m.setListed(!row.Deleted && err == nil && member == m.self)
 		return
 	}
