Stop registering again and again while the fleet's secret is invalid

Cause: an instance without the secret of the fleet registers about once a second, and a row with an invalid secret never gives it one. Eight instances made 200 calls on the topic Instances in 20 s instead of 32 (trial fleet in virtual time), each with a transaction that fails, and logged that they were registered each time. In a large fleet these calls would take the store's write budget. Evidence: TestInvalidSecretCostsLinksOnly failed before with 200 calls (bound 40); 32 now. Change: an invalid secret is remembered until its row changes. Links stay disabled until another program mends the row, as before.

--- a/internal/storesync/members.go
+++ b/internal/storesync/members.go
@@ -126,8 +126,11 @@
 	// changedAt is when the row of each other member last changed, as seen by this instance.
 	changedAt map[contract.InstanceID]time.Time
 	secret    []byte
-	listed    bool      // this instance's own row is present and correct
-	listedAt  time.Time // since when, as far as this process knows
+	// secretInvalid means that the row of the secret has an invalid value, so that there are no
+	// links until another program mends it.
+	secretInvalid bool
+	listed        bool      // this instance's own row is present and correct
+	listedAt      time.Time // since when, as far as this process knows
 	// wasListed means that the row is from before the start of this process.
 	wasListed bool
 	isLoaded  bool          // the rows have been read once
@@ -170,7 +173,8 @@
 }
 
 func (m *Members) applySecret(row discovery.Row) {
-	if len(row.Value) != secretBytes && !row.Deleted {
+	m.secretInvalid = !row.Deleted && len(row.Value) != secretBytes
+	if m.secretInvalid {
 		m.log.WithField("bytes", len(row.Value)).Warn("secret of the fleet is not valid; links stay disabled")
 		return
 	}
@@ -325,6 +329,13 @@
 	return m.listed
 }
 
+// needsSecret reports whether there is no row with the secret of the fleet.
+func (m *Members) needsSecret() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.secret == nil && !m.secretInvalid
+}
+
 // AuthoritySecret returns the secret of the fleet's certificate authority, nil before it is read.
 func (m *Members) AuthoritySecret() []byte {
 	m.mu.Lock()
@@ -341,6 +352,7 @@
 	if m.secret == nil && len(secret) == secretBytes {
 		m.secret = slices.Clone(secret)
 	}
+	m.secretInvalid = m.secret == nil
 	m.notify()
 }
 
--- a/internal/storesync/oddrow_test.go
+++ b/internal/storesync/oddrow_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -80,3 +81,30 @@
 		}
 	})
 }
+
+// Guards against writes without end while the row with the secret of the fleet is invalid.
+func TestInvalidSecretCostsLinksOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, 1)
+		defer h.close()
+		h.store.write(discovery.Instances, secretKey, "too short", false)
+		h.startFleet(2*time.Second, 1, 8)
+		time.Sleep(12 * time.Second)
+		for _, p := range h.processes {
+			h.g.Expect(p.members.Registered()).To(BeTrue())
+			h.g.Expect(p.members.Count()).To(Equal(8))
+		}
+		h.store.takeCounts()
+		h.checkFreshness(20 * time.Second)
+		calls, _ := h.store.takeCounts()
+		t.Log("calls in 20 s: ", calls, h.store.version)
+		// Each instance polls the topic every 5 s.
+		h.g.Expect(calls[discovery.Instances]).To(BeNumerically("<=", 8*5))
+
+		h.store.write(discovery.Instances, secretKey, strings.Repeat("s", secretBytes), false)
+		time.Sleep(10 * time.Second)
+		for _, p := range h.processes {
+			h.g.Expect(p.members.LinksUsable()).To(BeTrue())
+		}
+	})
+}
--- a/internal/storesync/registrar.go
+++ b/internal/storesync/registrar.go
@@ -54,7 +54,7 @@
 	r.writtenAt = r.Clock()
 	for delay := time.Duration(0); ctx.Err() == nil; delay = 2 * writeRetryPause {
 		changed := r.Members.Changed()
-		if !r.Members.isListed() || r.Members.AuthoritySecret() == nil {
+		if !r.Members.isListed() || r.Members.needsSecret() {
 			sleep(ctx, fractionOf(mathrand.Float64(), delay))
 			r.register(ctx)
 			continue
