Bound the length of a log line

Cause: errors quote the text that could not be decoded, so an odd entry of 60 kB gave a log line of that length, and 4096 lines may be queued. Evidence: TestLongLineIsCut is new; lines had no bound before. Change: the sink cuts a line at 16 KiB and marks it.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -5,6 +5,7 @@
 package logsink
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -16,6 +17,10 @@
 const (
 	// queueCapacity is the maximum number of lines queued for the output, about 1 MB.
 	queueCapacity = 4096
+	// maxLineBytes bounds a line, since errors quote what other programs sent.
+	maxLineBytes = 16 << 10
+	// cutMark ends a line that was cut.
+	cutMark = " (cut)"
 	// reportInterval is the time between reports of dropped lines.
 	reportInterval = time.Second
 )
@@ -50,13 +55,21 @@
 		return len(line), nil
 	}
 	select {
-	case s.lines <- append([]byte(nil), line...):
+	case s.lines <- cut(line):
 	default:
 		s.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// cut returns a copy of a line, without what exceeds maxLineBytes.
+func cut(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return bytes.Clone(line)
+	}
+	return append(bytes.ToValidUTF8(line[:maxLineBytes], nil), cutMark+"\n"...)
+}
+
 // Close writes the queued lines and stops the sink.
 func (s *Sink) Close() {
 	close(s.stop)
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"unicode/utf8"
 
 	. "github.com/onsi/gomega"
 )
@@ -54,3 +55,23 @@
 		g.Expect(out.String()).To(ContainSubstring("lines=80"))
 	})
 }
+
+// Guards against a log line without a bound, such as one that quotes a value of another writer.
+func TestLongLineIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var out bytes.Buffer
+		s := New(&out, 10)
+		long := []byte(strings.Repeat("é", 40_000) + "\n")
+		n, err := s.Write(long)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(n).To(Equal(len(long)))
+		_, _ = s.Write([]byte("next\n"))
+		s.Close()
+		lines := strings.Split(out.String(), "\n")
+		g.Expect(lines).To(HaveLen(3))
+		g.Expect(len(lines[0])).To(And(BeNumerically("<=", maxLineBytes+len(cutMark)), BeNumerically(">=", maxLineBytes/2)))
+		g.Expect(utf8.ValidString(lines[0])).To(BeTrue())
+		g.Expect(lines[1]).To(Equal("next"))
+	})
+}
