Take only refusals that name the request for refusals

Cause: a 421, or a response that states that the request was not run, counted as a refusal of the request also without the request's ID. Servers echo the ID, by which a response that was written once more can be told from the right one. A server that wrote an unnamed refusal before or after it read the request, and then ran it, made the caller get a 503, which promises that the request never runs; with a second server free, the request could run twice. Evidence: the cases without an ID of TestRefusalOfAnotherRequestIsNoPromise failed before with 503 (503, 429 and 421, before and after the request was read, and after an interim response). Change: such a refusal is a failure of its server: the request may have run. Its pushback time and its leaving still count. Not tried: whether all refusals of the platform's servers carry the ID, as its page says. If not, requests that are not repeatable get 502 instead of another attempt; the log line then has the error 'refusal does not name the request'.

--- a/internal/forward/repeatedrefusal_test.go
+++ b/internal/forward/repeatedrefusal_test.go
@@ -90,9 +90,13 @@
 	answer := message(http.StatusOK, "answer", namesRequest, signatureText)
 	for name, early := range map[string]string{
 		"another ID":                      message(http.StatusServiceUnavailable, "", notRunField, namesOther),
+		"no ID":                           message(http.StatusServiceUnavailable, "", notRunField),
 		"429 with another ID":             message(http.StatusTooManyRequests, "", notRunField, namesOther),
+		"429 without ID":                  message(http.StatusTooManyRequests, "", notRunField),
 		"421 with another ID":             message(http.StatusMisdirectedRequest, "", namesOther),
+		"421 without ID":                  message(http.StatusMisdirectedRequest, ""),
 		"another ID after an interim one": interim + message(http.StatusServiceUnavailable, "", notRunField, namesOther),
+		"no ID after an interim one":      interim + message(http.StatusServiceUnavailable, "", notRunField),
 		"interim only":                    interim,
 	} {
 		for _, before := range []bool{true, false} {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -35,6 +35,7 @@
 
 var (
 	errForeignResponse   = errors.New("response belongs to another request")
+	errUnnamedRefusal    = errors.New("refusal does not name the request")
 	errUnsigned          = errors.New("successful response has no upstream signature")
 	errEncodedBody       = errors.New("response body is encoded")
 	errResponseTruncated = errors.New("response was truncated")
@@ -101,7 +102,11 @@
 	result, err := classify(x, head, response.StatusCode)
 	if err != nil {
 		_ = response.Body.Close() // the response is not used
-		return attemptResult{result: result, err: err, leaving: head.Leaving && !errors.Is(err, errForeignResponse)}
+		r := attemptResult{result: result, err: err}
+		if !errors.Is(err, errForeignResponse) {
+			r.leaving, r.retryAfter = head.Leaving, head.RetryAfter
+		}
+		return r
 	}
 	r := attemptResult{result: result, response: response}
 	if result != Misdirected { // the state of another process is read when it is identified
@@ -120,6 +125,8 @@
 		return Failed, errForeignResponse
 	case status == http.StatusSwitchingProtocols:
 		return Failed, errSwitchedProtocol
+	case (head.Misdirected || head.NotRun) && head.RequestID != x.meta.ID:
+		return Failed, errUnnamedRefusal // may be a repetition of an earlier one
 	case head.Misdirected:
 		return Misdirected, nil
 	case head.NotRun:
