Keep additional responses of the store from other calls

Cause: all calls to the store shared their kept connections. net/http notices an additional response only while a connection is idle; if the next call takes the connection first, it gets that response. Responses of the store do not name their call. An empty response for the configuration, taken for one about upstreams, moved the list to a version whose changes it never got; a response to a read could be taken for the acceptance of a write. Change: the reads of each topic have a transport of their own, so that an additional response is one of the same topic that the change log ignores or that has nothing new, and each write has a connection of its own.

--- a/cmd/foxtailhubd/gateway.go
+++ b/cmd/foxtailhubd/gateway.go
@@ -71,7 +71,7 @@
 		DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}})
 	return gateway.Platform{
-		Store:         platform.NewStore(settings.StoreAddress, &http.Client{Transport: storeTransport()}),
+		Store:         platform.NewStore(settings.StoreAddress, storeTransport()),
 		Decoder:       platform.Decoder{},
 		Protocol:      platform.Protocol{},
 		Prober:        servers,
