--- a/internal/forward/repeatedrefusal_test.go
+++ b/internal/forward/repeatedrefusal_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -64,12 +66,11 @@
 func (h *harness) useRawUpstreams(upstreams ...*rawUpstream) {
 	var list []pool.Upstream
 	for i, u := range upstreams {
-		list = append(list, pool.Upstream{
-			ID: fmt.Sprint("u", i), Service: "service", Address: u.listener.Addr().String(), FailureDomain: fmt.Sprint("d", i), Slots: 8, StartedAt: 1,
-		})
+		address := u.listener.Addr().String()
+		list = append(list, pool.Upstream{ID: address, Service: "service", Address: address, FailureDomain: fmt.Sprint("d", i), Slots: 8, StartedAt: 1})
 	}
 	h.pool.Replace(list)
-	h.f.sender = newSender(testProtocol{}, nil)
+	h.f.sender.transport = newSender(nil, nil).transport
 }
 
 func message(status int, body string, fields ...string) string {
@@ -87,6 +88,8 @@
 // Guards against taking a refusal of another request for one of this request, which a server that
 // wrote it may run nevertheless: the caller would be told that it has not run, or it would run twice.
 func TestRefusalOfAnotherRequestIsNoPromise(t *testing.T) {
+	log.SetOutput(io.Discard) // net/http logs responses without a request
+	t.Cleanup(func() { log.SetOutput(os.Stderr) })
 	answer := message(http.StatusOK, "answer", namesRequest, signatureText)
 	for name, early := range map[string]string{
 		"another ID":                      message(http.StatusServiceUnavailable, "", notRunField, namesOther),
