Write the end of a stream also long after its last event

What callers saw: a stream whose upstream was silent for more than ten seconds after the last event and then ended it properly was cut off.

Cause: the time limit of the last event's write still applied to the end of the response.

Change: the limit is set anew before the end.

Measured: TestEndOfStreamIsWrittenAfterSilence failed with an unexpected EOF before and passes now.

--- a/internal/forward/keptconnection_test.go
+++ b/internal/forward/keptconnection_test.go
@@ -86,3 +86,26 @@
 		})
 	}
 }
+
+// Guards against a stream that looks cut off since its upstream ends it long after the last event.
+func TestEndOfStreamIsWrittenAfterSilence(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		r := streaming
+		r.Resumable = false
+		h := newHarness(t, r, true, "a")
+		h.setBehaviour(func(receivedRequest) (*http.Response, error) {
+			reader, writer := io.Pipe()
+			go func() {
+				_, _ = io.WriteString(writer, eventsText(1, 3)) // an error means that the stream was left
+				time.Sleep(writeTimeout + time.Second)
+				_ = writer.Close()
+			}()
+			response := response(http.StatusOK, "")
+			response.Body = reader
+			return response, nil
+		}, "a")
+		status, body := h.keepConnection(t).request("")
+		h.g.Expect(status).To(Equal(http.StatusOK))
+		h.g.Expect(body + "\n\n").To(Equal(eventsText(1, 3)))
+	})
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -151,6 +151,7 @@
 	case it.head != nil:
 		return r.handleHead(it.head)
 	case errors.Is(it.err, io.EOF):
+		r.limitWrite(time.Now())
 		if err := r.deliverRemainder(); err != nil {
 			r.callerDisconnected = true
 			return Failed, true, err
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -273,15 +273,19 @@
 	s.f.Metrics.observeLatency(s.x)
 }
 
+// limitWrite limits the time of the next write to the caller, also of the end of the response.
+func (s *relay) limitWrite(now time.Time) {
+	_ = http.NewResponseController(s.x.writer).SetWriteDeadline(now.Add(writeTimeout)) // not supported by test recorders
+}
+
 // deliver forwards an event to the caller.
 func (s *relay) deliver(response *http.Response, e event, now time.Time) error {
-	controller := http.NewResponseController(s.x.writer)
-	_ = controller.SetWriteDeadline(now.Add(writeTimeout)) // not supported by test recorders
+	s.limitWrite(now)
 	s.writeHead(response)
 	if _, err := s.x.writer.Write(e.raw); err != nil {
 		return err
 	}
-	if err := controller.Flush(); err != nil {
+	if err := http.NewResponseController(s.x.writer).Flush(); err != nil {
 		return err
 	}
 	s.unnumbered = s.unnumbered || e.hasData && !e.numbered && s.lastEventID == 0
