--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -190,6 +190,7 @@
 		chunk = buffer[:n]
 		switch {
 		case errors.Is(err, io.EOF):
+			_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout)) // as above
 			_, err = x.writer.Write(chunk)
 			return err
 		case err == nil && length+n > maxResponseBytes:
--- a/internal/forward/keptconnection_test.go
+++ b/internal/forward/keptconnection_test.go
@@ -109,3 +109,27 @@
 		h.g.Expect(body + "\n\n").To(Equal(eventsText(1, 3)))
 	})
 }
+
+// Guards against a long answer that looks cut off since its upstream sends the rest late.
+func TestEndOfLongAnswerIsWrittenAfterSilence(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		r := atMostOnce
+		r.Timeout = streaming.Timeout
+		h := newHarness(t, r, false, "a")
+		long := strings.Repeat("x", bufferedResponseBytes+1)
+		h.setBehaviour(func(receivedRequest) (*http.Response, error) {
+			reader, writer := io.Pipe()
+			go func() {
+				_, _ = io.WriteString(writer, long) // an error means that the response was left
+				time.Sleep(writeTimeout + time.Second)
+				_ = writer.Close()
+			}()
+			response := response(http.StatusOK, "")
+			response.Body, response.ContentLength, response.TransferEncoding = reader, -1, []string{"chunked"}
+			return response, nil
+		}, "a")
+		status, body := h.keepConnection(t).request("")
+		h.g.Expect(status).To(Equal(http.StatusOK))
+		h.g.Expect(len(body)).To(Equal(len(long)))
+	})
+}
