Check that innocent parts are let through again

Cause: the model checked the limits beside poison parts only. Change: without a poison part, and with up to two crashes a second, mass crashes, losses of domains and rare parts, no instance refuses by a verdict for longer than 35 s after it learned of it, unless a crash ended the trial. Further tests: any order of the evidence gives the same verdicts, and changes beside Refuses are free of races.

--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -166,3 +168,52 @@
 	}
 	g.Expect(len(l.successes.recent) + len(l.successes.old)).To(BeNumerically("<=", 2*maxSuccessParts))
 }
+
+func TestVerdictsDoNotDependOnTheOrderOfEvidence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		var all []Crash
+		for i := range rapid.IntRange(1, 12).Draw(t, "crashes") {
+			crash := Crash{UpstreamID: fmt.Sprint(i), FailureDomain: fmt.Sprint("d", i%3), At: at(float64(rapid.IntRange(0, 40).Draw(t, "time")) / 10)}
+			for range rapid.IntRange(1, 3).Draw(t, "prompts") {
+				crash.Prompts = append(crash.Prompts, prompt(rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 1, 3).Draw(t, "prompt")...))
+			}
+			all = append(all, crash)
+		}
+		records := func(crashes []Crash) []*record {
+			l := NewLedger()
+			for _, crash := range crashes {
+				l.AddCrash(at(10), crash)
+			}
+			return l.sortedCrashes()
+		}
+		never := func(Part) (time.Time, bool) { return time.Time{}, false }
+		g.Expect(judge(evidence{crashes: records(rapid.Permutation(all).Draw(t, "order")), lastSuccess: never})).To(
+			Equal(judge(evidence{crashes: records(all), lastSuccess: never})))
+	})
+}
+
+func TestRefusesDuringChanges(t *testing.T) {
+	l := NewLedger()
+	var group sync.WaitGroup
+	for i := range 4 {
+		group.Go(func() {
+			for j := range 50 {
+				name := fmt.Sprint("p", (i+j)%5)
+				l.AddCrash(at(float64(j)), Crash{UpstreamID: fmt.Sprint(i, j), FailureDomain: fmt.Sprint(j % 2), At: at(float64(j)), Prompts: []Prompt{prompt("s", name)}})
+				refuses(l, "s", name)
+				select {
+				case <-l.Changed():
+				default:
+				}
+				contradicted, lifted := l.AddSuccess(at(float64(j)), at(float64(j)), parts(name))
+				l.KnownGood(at(float64(j)), contradicted)
+				for _, v := range append(lifted, l.Replacements(lifted)...) {
+					l.Lift(at(float64(j)), v.ID())
+					l.Adopt(at(float64(j)), v)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
--- a/internal/poison/limits_test.go
+++ b/internal/poison/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -129,3 +130,39 @@
 		})
 	}
 }
+
+// refusedLate returns the refusals later than the first trial, together with its run, after the
+// instance learned of the verdict. A trial that a crash ends is followed by the second one only.
+func (m *model) refusedLate() []string {
+	var late []string
+	for _, refusal := range m.refusals {
+		if known := refusal.at.Sub(refusal.known); known > modelTrialDelay+5*time.Second && !m.trialEnded(refusal) {
+			late = append(late, fmt.Sprintf("refused %s after the verdict: %s", known, m.names(refusal.verdict)))
+		}
+	}
+	return late
+}
+
+// trialEnded reports whether a crash ended a trial of the verdict, or no engine could run it.
+func (m *model) trialEnded(refusal modelRefusal) bool {
+	return slices.ContainsFunc(m.sound, func(r *modelRequest) bool {
+		return r.trial && !r.succeeded && r.at.Before(refusal.at) && refusal.verdict.matches(r.prompt)
+	})
+}
+
+func TestInnocentPartsAreLetThroughAgain(t *testing.T) {
+	verdicts, refusals, runs := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		o := drawPoisonFleet(t, rapid.SampledFrom([]int{1, 6, 9}).Draw(t, "instances"))
+		o.poisonRate, o.poisons = 0, 0
+		if rapid.Bool().Draw(t, "many crashes") {
+			o.failureRate, o.rareShare, o.noticeDelay, o.massCrashes = 2, 0.2, 1500*time.Millisecond, 4
+		}
+		m := runModel(o, rapid.Uint64().Draw(t, "seed"))
+		runs, verdicts, refusals = runs+1, verdicts+m.verdicts, refusals+len(m.refusals)
+		if late := m.refusedLate(); len(late) > 0 {
+			t.Fatalf("%d refusals: %s\n%s", len(late), late[0], m.history())
+		}
+	})
+	t.Logf("%d verdicts and %d refusals in %d runs", verdicts, refusals, runs)
+}
--- a/internal/poison/model_test.go
+++ b/internal/poison/model_test.go
@@ -24,11 +24,12 @@
 	crashRows   []Crash
 	successRows map[Part]time.Time
 	nextID      int
-	disturbed   []time.Time // losses of domains and mass crashes
 
 	crashed  map[string][]time.Time // crashes that a poison part caused, unless its instance ended before it saw the crash
 	arrivals map[string][]time.Time // arrivals of requests with a poison part at engines
 	sound    []*modelRequest
+	verdicts int // also those lifted
+	refusals []modelRefusal
 	causes   []string // log of crashes and verdicts
 }
 
@@ -81,10 +82,17 @@
 	attempts    int
 	refused     bool // by a verdict, at any attempt
 	beganAtOnce bool // the first attempt began to write
+	succeeded   bool // an answer went on
 	excused     bool // the first attempt failed for another cause than a poison part
 	trial       bool
 }
 
+type modelRefusal struct {
+	at      time.Time
+	known   time.Time // time since when the instance knows the verdict
+	verdict Verdict
+}
+
 type modelRun struct {
 	request  *modelRequest
 	instance *modelInstance
@@ -222,6 +230,7 @@
 	if v, refused := i.ledger.Refuses(r.prompt); refused {
 		if r.attempts > 0 || !m.claimTrial(i, v) {
 			r.refused = true
+			m.refusals = append(m.refusals, modelRefusal{m.now, i.seen[v.ID()], v})
 			return
 		}
 		r.trial = true
@@ -265,6 +274,7 @@
 	length := m.uniform(seconds(0.3), seconds(4))
 	m.after(min(length, modelSuspect), func() {
 		if !run.ended {
+			run.request.succeeded = true
 			m.succeed(run.instance, run.request.prompt)
 		}
 	})
--- a/internal/poison/modelexchange_test.go
+++ b/internal/poison/modelexchange_test.go
@@ -103,6 +103,7 @@
 		if _, exists := m.rows[v.ID()]; !exists {
 			m.log("instance %d: verdict %s", i.id, m.names(v))
 			m.rows[v.ID()] = v
+			m.verdicts++
 			m.notify(i, func(other *modelInstance) { other.ledger.Adopt(m.now, v) })
 		}
 	}
