--- a/internal/forward/poisonparts.go
+++ b/internal/forward/poisonparts.go
@@ -146,26 +146,11 @@
 	}
 }
 
-// recordCompletion records the complete answer of a run. If only the end of the connection
-// marks the end of the answer, a crash at its start looks the same.
-func (s *relay) recordCompletion(ctx context.Context, r *run, attempt Attempt, now time.Time) {
-	progress := r.answer.at(now)
-	if r.succeeded || r.response == nil || progress == notBegun {
-		return
-	}
-	if !endsWithConnection(r.response) || progress == inProgress {
+// recordCompletion records the complete answer of a run.
+func (s *relay) recordCompletion(r *run, now time.Time) {
+	if !r.succeeded && r.response != nil && r.answer.at(now) != notBegun {
 		s.f.addPoisonSuccess(s.x, now)
-		return
 	}
-	ctx = context.WithoutCancel(ctx)
-	go func() {
-		switch s.f.probeProcess(ctx, s.x, r.member, attempt.Upstream.ID) {
-		case processAlive:
-			s.f.addPoisonSuccess(s.x, now)
-		case processGone:
-			s.f.recordEndAtStart(s.x, r.endedProcess(attempt, now))
-		}
-	}()
 }
 
 // mayRepeat reports whether no verdict keeps a call from a further upstream. A trial gets one.
@@ -176,12 +161,7 @@
 
 // recordCallSuccess records the complete answer to a call.
 func (f *Forwarder) recordCallSuccess(x *exchange, r attemptResult) {
-	if r.response.StatusCode == http.StatusOK && !r.partial && !endsWithConnection(r.response) {
+	if r.response.StatusCode == http.StatusOK && !r.partial {
 		f.addPoisonSuccess(x, time.Now())
 	}
 }
-
-// endsWithConnection reports whether a response has neither a length nor chunks.
-func endsWithConnection(r *http.Response) bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
-}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -227,7 +227,7 @@
 	s.recordAttempt(ctx, run, attempt, result, err, startedAt)
 	switch result {
 	case Answered:
-		s.recordCompletion(ctx, run, attempt, time.Now())
+		s.recordCompletion(run, time.Now())
 	case Failed:
 		s.confirmCrash(ctx, run, attempt, err, time.Now())
 	}
--- a/internal/forward/upstreamend.go
+++ b/internal/forward/upstreamend.go
@@ -65,7 +65,7 @@
 // connectionEnded reports whether an error means that the upstream's side of a connection
 // ended, which a crash causes. A silent upstream or an invalid response is no such end.
 func connectionEnded(err error) bool {
-	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNREFUSED)
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, errProcessGone, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNREFUSED)
 }
 
 // refusesConnections reports whether the error of a probe means that nothing serves the address.
