Count an answer as a success when it is no longer a suspect, and share narrower verdicts

An answer was a suspect until 500 ms after its first event and a success from 1 s on. The model of internal/poison shows that sound sessions are convicted in small fleets, where engines live for 2 s only and few answers reach 1 s. An event 500 ms after the first one is a success now.

A success on one part of a verdict leaves a verdict on the others. The other instances learned only of the success, so the exchange removed the row, and a restart forgot the rest. ShareVerdicts gets the replacements, before ShareSuccess.

--- a/internal/forward/poisonparts.go
+++ b/internal/forward/poisonparts.go
@@ -10,10 +10,6 @@
 	"foxtailhub.example/foxtailhub/internal/poison"
 )
 
-// successAfter is the time since its first event after which an answer shows that its prompt
-// does not crash the upstream.
-const successAfter = time.Second
-
 // errPoisonParts ends a run whose prompt is refused since it was sent.
 var errPoisonParts = errors.New("the parts of the prompt are known to crash upstreams")
 
@@ -60,6 +56,9 @@
 		return
 	}
 	contradicted, lifted := f.Poison.AddSuccess(time.Now(), at, x.prompt)
+	if replacements := f.Poison.Replacements(lifted); len(replacements) > 0 {
+		f.PartExchange.ShareVerdicts(replacements) // before the others learn that the lifted ones do not hold
+	}
 	for _, v := range lifted {
 		f.Metrics.countPoison(poisonLifted)
 		x.log.WithField("verdict", v.ID()).WithField("parts", formatParts(v.Parts)).Warn("verdict on parts of prompts lifted by an answer on them")
@@ -137,10 +136,11 @@
 	return errPoisonParts
 }
 
-// recordWriting records an event that made progress.
+// recordWriting records an event that made progress. A run that has begun its answer is a
+// suspect if its upstream ends, or a success.
 func (r *run) recordWriting(now time.Time) {
 	r.answer.observeEvent(now)
-	if !r.succeeded && r.answer.written(now) >= successAfter {
+	if !r.succeeded && r.answer.at(now) == inProgress {
 		r.succeeded = true
 		r.f.addPoisonSuccess(r.x, now)
 	}
--- a/internal/forward/upstreamend.go
+++ b/internal/forward/upstreamend.go
@@ -16,7 +16,8 @@
 )
 
 // justBegunWindow is the time since its first event in which a run has only just begun its
-// answer. A prompt that crashes upstreams does so some 100 ms after that event at the latest.
+// answer. A prompt that crashes upstreams does so some 100 ms after that event at the latest, and
+// one whose answer goes on for longer does not.
 const justBegunWindow = 500 * time.Millisecond
 
 // maxLoggedParts bounds the parts of a prompt in a log line.
