--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -150,7 +151,10 @@
 	case it.head != nil:
 		return r.handleHead(it.head)
 	case errors.Is(it.err, io.EOF):
-		r.writeHead(r.response) // a resumed stream may have no event left
+		if err := r.deliverRemainder(); err != nil {
+			r.callerDisconnected = true
+			return Failed, true, err
+		}
 		r.f.Drain.ObserveStream(time.Since(r.x.receivedAt))
 		r.recordEnd("answered")
 		return Answered, true, nil
@@ -161,6 +165,18 @@
 	return r.handleEvent(it.event)
 }
 
+// deliverRemainder forwards a complete stream without events: a resumed stream may have none
+// left, or only comments.
+func (r *run) deliverRemainder() error {
+	if len(r.preamble) == 0 {
+		r.writeHead(r.response)
+		return nil
+	}
+	e := event{raw: r.preamble}
+	r.preamble = nil
+	return errors.Wrap(r.deliver(r.response, e, time.Now()), "write to the caller")
+}
+
 // handleEvent forwards an event. Only an event that the caller does not have yet counts
 // as progress: a stalled upstream may still send comments or repeat old events.
 func (r *run) handleEvent(e event) (result Result, ended bool, err error) {
@@ -203,12 +219,19 @@
 
 func (r *run) handleHead(head *attemptResult) (result Result, ended bool, err error) {
 	if head.result == Answered && head.response.StatusCode == http.StatusOK {
+		if r.headWritten && !sameMediaType(head.response.Header, r.x.writer.Header()) {
+			return UpstreamError, true, errOtherMediaType
+		}
 		r.response = head.response
 		return 0, false, nil
 	}
 	if head.result == Answered && !r.headWritten {
-		r.f.deliver(r.x, *head)
-		return Answered, true, nil
+		result, err := r.f.deliver(r.x, *head)
+		r.headWritten, r.unnumbered = true, true
+		return result, true, err
+	}
+	if head.result == Answered {
+		head.result = UpstreamError // the caller is within a stream, so it cannot get this response
 	}
 	if head.result == UpstreamError && !impliesNotRun(head.response.StatusCode) && !head.partial {
 		r.failure = head
@@ -219,3 +242,13 @@
 	}
 	return head.result, true, head.err
 }
+
+// sameMediaType reports whether a response can continue another one. A header without
+// Content-Type matches any.
+func sameMediaType(next, first http.Header) bool {
+	name := func(header http.Header) string {
+		mediaType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+		return strings.TrimSpace(mediaType)
+	}
+	return name(next) == "" || name(first) == "" || strings.EqualFold(name(next), name(first))
+}
