Send evidence on parts over links while the store fails

Cause: while the store fails, the crashes of a poison part lie at several instances, and none of them counts enough. Request rates go over links then; crashes did not.

Change: a row with evidence or a verdict that is not written within 300 ms goes over links, at once while the store fails, and again every 10 s. New evidence does not wait for the pause after a failed write. The sending of notices to domains and relays moves from the request rates to noticelinks.go, for both.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,10 +87,11 @@
 	startup := newStartup(discovery.Configuration, discovery.Upstreams)
 	quarantine := forward.NewQuarantine()
 	ledger := poison.NewLedger()
+	storeFailing := func() bool { return g.sync.backoff.Failing() }
 	notices := notices{
 		crashes: &crashExchange{store: platform.Store, quarantine: quarantine, log: log},
-		rates:   newRateExchange(platform.Store, func() bool { return g.sync.backoff.Failing() }, g.pool, log),
-		parts:   newPartExchange(platform.Store, ledger, settings.Instance, log),
+		rates:   newRateExchange(platform.Store, storeFailing, g.pool, log),
+		parts:   newPartExchange(platform.Store, storeFailing, ledger, settings.Instance, log),
 	}
 	g.forwarder = forward.New(forward.Config{
 		Tables: g.configuration, Pool: g.pool, Protocol: platform.Protocol, Prober: platform.Prober, KVCopier: platform.KVCopier, PromptFinder: platform.PromptFinder,
--- a/internal/gateway/partevidence.go
+++ b/internal/gateway/partevidence.go
@@ -34,13 +34,15 @@
 // evidenceQueue holds the evidence that waits for a write, and what is known of the rows with
 // evidence in the store.
 type evidenceQueue struct {
-	crashes   []poison.Crash             // with one prompt each; oldest first
+	crashes   []poison.Crash             // with one prompt each
 	successes map[poison.Part]time.Time  // to be written with the next row
 	dueAt     time.Time                  // of the next row; zero: nothing is to be written
 	answers   map[poison.Part]time.Time  // successes that are dropped if another instance shares them
 	answersAt time.Time                  // when answers become successes; zero: there are none
 	shared    map[poison.Part]time.Time  // latest success that an instance has shared
 	known     map[string]time.Time       // crash times by upstream
+	unlinked  bool                       // there is evidence that did not go over links yet
+	linkedAt  time.Time                  // when evidence last went over links
 	slot      int                        // of the next row
 	expiry    [maxEvidenceRows]time.Time // of the row in each slot; zero: none
 	foreign   map[string]time.Time       // rows of other processes, and when they are to be removed
@@ -70,6 +72,7 @@
 	for part, at := range good {
 		q.successes[part] = latest(q.successes[part], at)
 	}
+	q.unlinked = true
 	q.schedule(now.Add(evidenceDelay))
 	if excess := len(q.crashes) - maxPendingCrashes; excess > 0 {
 		q.crashes = slices.Delete(q.crashes, 0, excess)
@@ -126,8 +129,13 @@
 		log.WithError(err).Error("evidence on parts of prompts could not be encoded")
 		return nil, q.dueAt
 	}
+	var message *partMessage
+	if q.unlinked || now.Sub(q.linkedAt) >= partLinkInterval {
+		message = &partMessage{Key: key, Value: value}
+		q.unlinked, q.linkedAt = len(q.crashes) > 0 || len(q.successes) > 0, now
+	}
 	return &partWrite{
-		key: key,
+		key: key, message: message,
 		call: func(ctx context.Context, store discovery.Store) error {
 			return store.Put(ctx, discovery.Notices, key, value)
 		},
@@ -183,17 +191,16 @@
 	return row
 }
 
-// restore puts the evidence of a row that was not written back into the queue.
+// restore puts the evidence of a row that was not written at the end of the queue, so that all
+// evidence goes over links in turn while the store fails.
 func (q *evidenceQueue) restore(now time.Time, row evidence) {
-	var crashes []poison.Crash
 	for _, crash := range row.crashes {
 		for _, prompt := range crash.Prompts {
 			single := crash
 			single.Prompts = []poison.Prompt{prompt}
-			crashes = append(crashes, single)
+			q.crashes = append(q.crashes, single)
 		}
 	}
-	q.crashes = append(crashes, q.crashes...)
 	q.crashes = slices.Delete(q.crashes, 0, max(0, len(q.crashes)-maxPendingCrashes))
 	for part, at := range row.successes {
 		q.successes[part] = latest(q.successes[part], at)
--- a/internal/gateway/partreceive.go
+++ b/internal/gateway/partreceive.go
@@ -24,6 +24,11 @@
 	if row.Deleted || own {
 		return evidence{}, false
 	}
+	return e.decodeRow(now, row)
+}
+
+// decodeRow decodes a row with evidence, or logs that it is invalid.
+func (e *partExchange) decodeRow(now time.Time, row discovery.Row) (evidence, bool) {
 	ev, err := decodeEvidence(now, row.Value)
 	if err != nil {
 		e.log.WithError(err).WithField("key", row.Key).Warn("invalid row with evidence on parts of prompts ignored")
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -37,28 +37,31 @@
 // instances through the store. Each instance adds all evidence to its own ledger. One call to
 // the store is sent at a time.
 type partExchange struct {
-	store    discovery.Store
-	ledger   *poison.Ledger
-	instance string
-	writer   string // ID of this process in rows
-	log      logrus.FieldLogger
-	wake     chan struct{} // there is something to write
+	store        discovery.Store
+	storeFailing func() bool // whether the last read failed
+	ledger       *poison.Ledger
+	instance     string
+	writer       string // ID of this process in rows
+	log          logrus.FieldLogger
+	wake         chan struct{} // there is something to write
 
-	mu       sync.Mutex // guards the fields below
+	mu       sync.Mutex   // guards the fields below
+	links    partSpreader // nil: no links
 	evidence evidenceQueue
 	verdicts map[string]*verdictState // by the verdict's ID
 	trials   map[string]*trialClaim   // by the key of the row
 	// ledgerChanged is closed when the ledger's verdicts differ from those in verdicts.
 	ledgerChanged <-chan struct{}
-	retryAt       time.Time // no writes before this time
+	pauseUntil    time.Time // no write before this time
+	retryAt       time.Time // no write that may wait before this time
 	failing       bool      // the last write failed
 }
 
 var _ forward.PartExchange = (*partExchange)(nil)
 
-func newPartExchange(store discovery.Store, ledger *poison.Ledger, instance string, log logrus.FieldLogger) *partExchange {
+func newPartExchange(store discovery.Store, storeFailing func() bool, ledger *poison.Ledger, instance string, log logrus.FieldLogger) *partExchange {
 	return &partExchange{
-		store: store, ledger: ledger, instance: instance, writer: fmt.Sprintf("%016x", rand.Uint64()), log: log,
+		store: store, storeFailing: storeFailing, ledger: ledger, instance: instance, writer: fmt.Sprintf("%016x", rand.Uint64()), log: log,
 		wake: make(chan struct{}, 1), evidence: newEvidenceQueue(), verdicts: map[string]*verdictState{}, trials: map[string]*trialClaim{},
 	}
 }
@@ -71,9 +74,10 @@
 
 // partWrite is one call to the store.
 type partWrite struct {
-	key   string
-	call  func(ctx context.Context, store discovery.Store) error
-	ended func(err error)
+	key     string
+	call    func(ctx context.Context, store discovery.Store) error
+	ended   func(err error)
+	message *partMessage // to be sent over links if the store fails; nil: none
 }
 
 // run writes to the store until ctx ends.
@@ -101,11 +105,19 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.syncVerdicts(now)
+	if now.Before(e.pauseUntil) {
+		return nil, e.pauseUntil
+	}
+	next = earliest(now.Add(partIdleInterval), e.scheduleAnswers(now))
+	sources := []func(time.Time) (*partWrite, time.Time){e.nextEvidence, e.nextVerdict, e.nextTrial, e.nextVerdictRemoval, e.nextTrialRemoval, e.nextRemoval}
 	if now.Before(e.retryAt) {
-		return nil, e.retryAt
+		next = earliest(next, e.retryAt)
+		sources = nil
+		if e.links != nil && e.evidence.unlinked {
+			sources = append(sources, e.nextEvidence) // goes over links
+		}
 	}
-	next = now.Add(partIdleInterval)
-	for _, take := range []func(time.Time) (*partWrite, time.Time){e.nextAnswers, e.nextEvidence, e.nextVerdict, e.nextTrial, e.nextVerdictRemoval, e.nextTrialRemoval, e.nextRemoval} {
+	for _, take := range sources {
 		write, due := take(now)
 		if write != nil {
 			return write, time.Time{}
@@ -119,14 +131,15 @@
 func (e *partExchange) perform(ctx context.Context, write *partWrite) {
 	ctx, cancel := context.WithTimeout(ctx, partWriteTimeout)
 	defer cancel()
+	spreadEnded := e.spreadLater(write.message)
 	err := write.call(ctx, e.store)
-	pause := partWriteInterval
-	if err != nil {
-		pause = partRetryMin + time.Duration(rand.Float64()*float64(partRetryMax-partRetryMin))
-	}
+	spreadEnded(err)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.retryAt = time.Now().Add(pause)
+	e.pauseUntil = time.Now().Add(partWriteInterval)
+	if err != nil {
+		e.retryAt = time.Now().Add(partRetryMin + time.Duration(rand.Float64()*float64(partRetryMax-partRetryMin)))
+	}
 	if failed := err != nil; failed != e.failing {
 		e.failing = failed
 		e.log.WithError(err).WithField("key", write.key).Info("writes about parts of prompts began to fail or succeed again")
--- a/internal/gateway/partsuccesses.go
+++ b/internal/gateway/partsuccesses.go
@@ -83,12 +83,12 @@
 	}
 }
 
-// nextAnswers schedules the answers that are due and that no other instance has shared. The
-// caller holds mu.
-func (e *partExchange) nextAnswers(now time.Time) (*partWrite, time.Time) {
+// scheduleAnswers schedules the answers that are due and that no other instance has shared, or
+// returns when some are due. The caller holds mu.
+func (e *partExchange) scheduleAnswers(now time.Time) (next time.Time) {
 	q := &e.evidence
 	if q.answersAt.IsZero() || now.Before(q.answersAt) {
-		return nil, q.answersAt
+		return q.answersAt
 	}
 	q.answersAt = time.Time{}
 	for part, at := range q.answers {
@@ -97,9 +97,10 @@
 		}
 		if !q.isShared(part, at) || at.Sub(q.shared[part]) >= repeatedSuccessInterval {
 			q.successes[part] = latest(q.successes[part], at)
+			q.unlinked = true
 			q.schedule(now)
 		}
 	}
 	clear(q.answers)
-	return nil, time.Time{}
+	return time.Time{}
 }
--- a/internal/gateway/partverdicts.go
+++ b/internal/gateway/partverdicts.go
@@ -62,10 +62,19 @@
 	removeAt  time.Time   // unless it changes
 	writeAt   time.Time   // of the planned write; zero: none
 
+	linked   linkedVerdict
+	linkedAt time.Time // when it was sent or received over links
+
 	claimAt      time.Time // of the planned claim of a trial; zero: none
 	claimRetryAt time.Time // no claim before this time
 }
 
+// linkedVerdict is what goes over links about a verdict.
+type linkedVerdict struct {
+	epoch  int64
+	lifted bool
+}
+
 // decodeVerdict decodes a row, which another program may have written.
 func decodeVerdict(key string, value []byte) (verdictRow, poison.Verdict, error) {
 	var row verdictRow
@@ -227,8 +236,12 @@
 	key := verdictKeyPrefix + state.verdict.ID()
 	row.Instance = e.instance
 	value, err := json.Marshal(row)
+	var message *partMessage
+	if state.recordLinked(time.Now(), row) && row.Renewal == 0 {
+		message = &partMessage{Key: key, Value: value}
+	}
 	return &partWrite{
-		key: key,
+		key: key, message: message,
 		call: func(ctx context.Context, store discovery.Store) error {
 			if err != nil {
 				return err
@@ -245,6 +258,17 @@
 	}
 }
 
+// recordLinked records a row that goes over links, and reports whether none like it has gone
+// lately.
+func (s *verdictState) recordLinked(now time.Time, row verdictRow) bool {
+	current := linkedVerdict{row.Epoch, row.Lifted}
+	if s.linked == current && now.Sub(s.linkedAt) < partLinkInterval {
+		return false
+	}
+	s.linked, s.linkedAt = current, now
+	return true
+}
+
 // recordRow records the row in the store.
 func (s *verdictState) recordRow(now time.Time, row verdictRow) {
 	s.row, s.changedAt = &row, now
@@ -261,18 +285,37 @@
 		e.forgetVerdict(now, id)
 		return
 	}
+	if state, value := e.readVerdict(id, row); state != nil {
+		state.recordRow(now, value)
+		e.followVerdict(now, id, value)
+	}
+}
+
+// applyLinkedVerdict applies a row that came over a link, and may not be in the store.
+func (e *partExchange) applyLinkedVerdict(now time.Time, row discovery.Row) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.syncVerdicts(now)
+	id := strings.TrimPrefix(row.Key, verdictKeyPrefix)
+	if state, value := e.readVerdict(id, row); state != nil {
+		state.recordLinked(now, value)
+		e.followVerdict(now, id, value)
+	}
+}
+
+// readVerdict decodes a row and returns the state of its verdict, or nil if it is invalid. The
+// caller holds mu.
+func (e *partExchange) readVerdict(id string, row discovery.Row) (*verdictState, verdictRow) {
 	value, v, err := decodeVerdict(row.Key, row.Value)
 	if err != nil {
 		e.log.WithError(err).WithField("key", row.Key).Warn("invalid row of a verdict on parts of prompts ignored")
-		return
+		return nil, value
 	}
 	state := e.trackVerdict(id, v)
 	if state == nil {
 		e.log.WithField("key", row.Key).Warn("too many verdicts on parts of prompts; one ignored")
-		return
 	}
-	state.recordRow(now, value)
-	e.followVerdict(now, id, value)
+	return state, value
 }
 
 // followVerdict adopts or lifts a verdict as another instance has. Within an epoch a lifted
--- a/internal/gateway/ratelinks.go
+++ b/internal/gateway/ratelinks.go
@@ -12,17 +12,11 @@
 	"foxtailhub.example/foxtailhub/internal/forward"
 	"foxtailhub.example/foxtailhub/internal/link"
 	"foxtailhub.example/foxtailhub/internal/pool"
-	"foxtailhub.example/foxtailhub/internal/storesync"
 )
 
 const (
 	// messageRate is the type of a notice of a request rate.
 	messageRate link.MessageType = "rate"
-	// relaysPerDomain is how many members of each failure domain get a notice, so that one
-	// of them may be lost.
-	relaysPerDomain = 2
-	// rateLinkTimeout bounds the transmission of a notice to one instance.
-	rateLinkTimeout = time.Second
 	// linkedRetention is how long a notice that came over links is remembered.
 	linkedRetention = 10 * time.Minute
 	maxUpstreamID   = 200
@@ -116,14 +110,10 @@
 	}
 }
 
-// rateLinks sends notices of request rates over links. It is used while the store fails: a
-// notice goes to a few members of each failure domain, which pass it on to the others.
+// rateLinks sends notices of request rates over links.
 type rateLinks struct {
-	self      contract.InstanceID
-	members   *storesync.Members
-	transport link.Transport
-	rates     *rateExchange
-	log       logrus.FieldLogger
+	*noticeLinks
+	rates *rateExchange
 }
 
 // serve handles a notice of another instance.
@@ -135,37 +125,14 @@
 	l.rates.receive(message)
 	if message.Relay {
 		message.Relay = false
-		go l.sendToDomain(context.Background(), message, peer)
+		l.sendToDomain(context.Background(), messageRate, message, peer)
 	}
 	return link.Encode(struct{}{})
 }
 
-// spread sends a notice to the relays of all failure domains, and to the own domain.
+// spread sends a notice to all instances.
 func (l *rateLinks) spread(ctx context.Context, message rateMessage) {
-	l.sendToDomain(ctx, message, l.self)
-	message.Relay = true
-	for _, id := range l.members.Relays(relaysPerDomain) {
-		go l.send(ctx, id, message)
-	}
-}
-
-// sendToDomain sends a notice to the other members of the failure domain, except for its sender.
-func (l *rateLinks) sendToDomain(ctx context.Context, message rateMessage, sender contract.InstanceID) {
-	for _, m := range l.members.DomainMembers() {
-		if m.ID != l.self && m.ID != sender {
-			go l.send(ctx, m.ID, message)
-		}
-	}
-}
-
-func (l *rateLinks) send(ctx context.Context, to contract.InstanceID, message rateMessage) {
-	body, err := link.Encode(message)
-	if err == nil {
-		ctx, cancel := context.WithTimeout(ctx, rateLinkTimeout)
-		defer cancel()
-		_, err = l.transport.Request(ctx, to, messageRate, body)
-	}
-	if err != nil {
-		l.log.WithError(err).WithFields(logrus.Fields{"peer": to, "upstream": message.UpstreamID}).Debug("notice of a request rate was not sent to an instance")
-	}
+	relayed := message
+	relayed.Relay = true
+	l.noticeLinks.spread(ctx, messageRate, message, relayed)
 }
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -201,12 +201,16 @@
 	if err != nil {
 		return err
 	}
-	links := &rateLinks{self: contract.InstanceID(p.settings.Instance), members: p.members, transport: transport, rates: p.rates, log: p.log}
-	transport.Handle(messageRate, links.serve)
+	notices := &noticeLinks{self: contract.InstanceID(p.settings.Instance), members: p.members, transport: transport, log: p.log}
+	rates, parts := &rateLinks{notices, p.rates}, &partLinks{notices, p.parts}
+	transport.Handle(messageRate, rates.serve)
+	transport.Handle(messagePart, parts.serve)
 	p.syncer.Register(transport)
 	p.syncer.SetTransport(transport)
-	p.rates.setLinks(links)
+	p.rates.setLinks(rates)
 	defer p.rates.setLinks(nil)
+	p.parts.setLinks(parts)
+	defer p.parts.setLinks(nil)
 	p.log.WithFields(logrus.Fields{"address": p.settings.LinkAddress, "domain_members": len(p.members.DomainMembers()), "members": p.members.Count()}).Info("links to other instances are open")
 	return transport.Run(ctx)
 }
