--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -95,7 +95,9 @@
 	if config.PartExchange == nil {
 		config.PartExchange = unsharedParts{}
 	}
-	return &Forwarder{Config: config, sender: newSender(config.Protocol, config.Transport)}
+	f := &Forwarder{Config: config, sender: newSender(config.Protocol, config.Transport)}
+	f.sender.confirmProcess = f.confirmProcess
+	return f
 }
 
 // ActiveRequests returns the number of requests in progress.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -18,6 +18,8 @@
 	heldBack  prometheus.Counter
 	ends      *prometheus.CounterVec
 	poison    *prometheus.CounterVec
+	// unansweredProbes counts by moveObstacle.
+	unansweredProbes *prometheus.CounterVec
 }
 
 // purpose is why a request is sent to an upstream.
@@ -60,7 +62,10 @@
 	m.poison = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "foxtailhub_forward_poison_parts_total", Help: "Events about parts of prompts that crash upstreams.",
 	}, []string{"event"})
-	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.ends, m.poison)
+	m.unansweredProbes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "foxtailhub_forward_unanswered_probes_total", Help: "Probes that the upstream of a stream did not answer, by what keeps the stream from moving to another upstream.",
+	}, []string{"obstacle"})
+	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.ends, m.poison, m.unansweredProbes)
 	return m
 }
 
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -21,6 +21,11 @@
 	// dialTimeout bounds connection establishment. An upstream that is up accepts
 	// within a few milliseconds.
 	dialTimeout = 300 * time.Millisecond
+	// keepAliveInterval is the time between keep-alive probes of an idle connection, and
+	// keepAliveCount the number of unanswered ones after which it is closed. They show a
+	// machine that is gone, and are answered also for a process that stands still.
+	keepAliveInterval = time.Second
+	keepAliveCount    = 6
 	// maxResponseHeadBytes bounds the head of a response, including interim (1xx)
 	// responses.
 	maxResponseHeadBytes = 64 << 10
@@ -50,11 +55,15 @@
 type sender struct {
 	protocol  Protocol
 	transport http.RoundTripper
+	// confirmProcess returns an error if the process that received an attempt is gone.
+	confirmProcess func(ctx context.Context, x *exchange, sentTo pool.Upstream) error
 }
 
 func newSender(protocol Protocol, transport http.RoundTripper) *sender {
 	if transport == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout}
+		dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
+		}}
 		transport = &http.Transport{
 			DialContext:        dialer.DialContext,
 			DisableKeepAlives:  true, // also prevents automatic retries by the transport
@@ -100,6 +109,9 @@
 		_ = response.Body.Close() // the response is not used
 		return attemptResult{result: result, err: err, leaving: head.Leaving && !errors.Is(err, errForeignResponse)}
 	}
+	if endsWithConnection(response) {
+		response.Body = &unframedBody{response.Body, func() error { return s.confirmProcess(ctx, x, attempt.Upstream) }}
+	}
 	r := attemptResult{result: result, response: response}
 	if result != Misdirected { // the state of another process is read when it is identified
 		r.leaving, r.retryAfter = head.Leaving, head.RetryAfter
--- a/internal/forward/upstreamend.go
+++ b/internal/forward/upstreamend.go
@@ -65,7 +65,7 @@
 // connectionEnded reports whether an error means that the upstream's side of a connection
 // ended, which a crash causes. A silent upstream or an invalid response is no such end.
 func connectionEnded(err error) bool {
-	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNREFUSED)
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, errProcessGone, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNREFUSED)
 }
 
 // refusesConnections reports whether the error of a probe means that nothing serves the address.
@@ -106,23 +106,41 @@
 	}
 	process := s.f.probeProcess(ctx, s.x, r.member, attempt.Upstream.ID)
 	if atStart && process == processGone {
-		s.recordEndAtStart(r, attempt, now)
+		s.f.recordEndAtStart(s.x, r.endedProcess(attempt, now))
 	}
 	if noEvent && process != processAlive {
 		s.f.recordCrash(s.x, r.member, attempt.Upstream.ID)
 	}
 }
 
-// recordEndAtStart records that the process of an upstream ended when a run there had not
-// begun its answer or had only just begun.
-func (s *relay) recordEndAtStart(r *run, attempt Attempt, now time.Time) {
-	s.f.Metrics.countUpstreamEnd(r.answer.at(now))
-	s.x.log.WithFields(logrus.Fields{
-		"upstream": attempt.Upstream.ID, "domain": r.member.FailureDomain, "progress": r.answer.at(now), "head": r.response != nil,
-		"written_ms": r.answer.written(now).Milliseconds(), "resumed": attempt.LastEventID > 0,
-		"parts": formatParts(s.x.prompt), "domain_lost": s.f.domainLost(r.member),
+// endedProcess is a process that ended while it ran a request.
+type endedProcess struct {
+	member     *pool.Member
+	upstreamID string
+	at         time.Time
+	progress   progress
+	written    time.Duration // since the first event
+	head       bool          // the head of the response had arrived
+	resumed    bool          // an earlier run had begun the answer
+}
+
+func (r *run) endedProcess(attempt Attempt, now time.Time) endedProcess {
+	return endedProcess{
+		member: r.member, upstreamID: attempt.Upstream.ID, at: now, progress: r.answer.at(now), written: r.answer.written(now),
+		head: r.response != nil, resumed: attempt.LastEventID > 0,
+	}
+}
+
+// recordEndAtStart records that the process of an upstream ended when the answer to a request
+// there had not begun or had only just begun.
+func (f *Forwarder) recordEndAtStart(x *exchange, p endedProcess) {
+	f.Metrics.countUpstreamEnd(p.progress)
+	x.log.WithFields(logrus.Fields{
+		"upstream": p.upstreamID, "domain": p.member.FailureDomain, "progress": p.progress, "head": p.head,
+		"written_ms": p.written.Milliseconds(), "resumed": p.resumed,
+		"parts": formatParts(x.prompt), "domain_lost": f.domainLost(p.member),
 	}).Warn("upstream process ended at the start of an answer")
-	s.f.addPoisonCrash(s.x, attempt.Upstream.ID, r.member.FailureDomain, now)
+	f.addPoisonCrash(x, p.upstreamID, p.member.FailureDomain, p.at)
 }
 
 // formatParts returns the parts of a prompt for a log line.
