Keep successes older than the crashes that came after them

Cause: an instance that starts reads rows that were written up to two minutes before, with ages as of the write. It took old successes for later ones than the crashes after them, and its ledger then did not adopt the verdict on a part that had succeeded before.

What callers saw: nothing yet; the exchange has not landed.

Change: a row states the ages of the crashes that its writer knows, so a reader that knows one of them from other rows knows how old the row is, and puts its successes back. An instance whose ledger does not adopt a verdict shares again what it knows to be good of its parts.

A part with mixed successes and crashes may still be refused by one instance and not by another until its trial: Ledger.Adopt leaves out parts that are known good.

--- a/internal/gateway/partreceive.go
+++ b/internal/gateway/partreceive.go
@@ -11,6 +11,10 @@
 	"foxtailhub.example/foxtailhub/internal/poison"
 )
 
+// minRowAge is the age from which the successes in a row are put back in time. Instances that
+// see the same crash differ by less.
+const minRowAge = time.Second
+
 // readEvidence decodes a row of another instance.
 func (e *partExchange) readEvidence(now time.Time, row discovery.Row) (evidence, bool) {
 	own := strings.HasPrefix(row.Key, evidenceKeyPrefix+e.writer+"-")
@@ -56,6 +60,17 @@
 	}
 }
 
+// rowAge returns the least time since a row was written, by the crashes in it of which the
+// time is known from other rows.
+func (q *evidenceQueue) rowAge(ev evidence) (age time.Duration) {
+	for upstreamID, at := range ev.known {
+		if earlier, known := q.known[upstreamID]; known {
+			age = max(age, at.Sub(earlier))
+		}
+	}
+	return age
+}
+
 // recordEvidence records what other instances have shared, and returns the crashes in order.
 func (e *partExchange) recordEvidence(now time.Time, batch []evidence) []poison.Crash {
 	e.mu.Lock()
@@ -63,7 +78,6 @@
 	q := &e.evidence
 	var crashes []poison.Crash
 	for _, ev := range batch {
-		q.recordShared(now, ev.successes)
 		for upstreamID, at := range ev.known {
 			q.recordCrash(now, upstreamID, at)
 		}
@@ -72,6 +86,14 @@
 			crashes = append(crashes, crash)
 		}
 	}
+	for _, ev := range batch {
+		if age := q.rowAge(ev); age > minRowAge {
+			for part, at := range ev.successes {
+				ev.successes[part] = at.Add(-age)
+			}
+		}
+		q.recordShared(now, ev.successes)
+	}
 	for i, crash := range crashes {
 		if at, known := q.known[crash.UpstreamID]; known {
 			crashes[i].At = at
--- a/internal/gateway/partsuccesses.go
+++ b/internal/gateway/partsuccesses.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// shareAgain shares what this instance knows to be good of the parts of a verdict that its
+// ledger does not adopt: the instance that has reached it may have restarted since they were
+// shared. The caller holds mu.
+func (e *partExchange) shareAgain(now time.Time, parts []poison.Part) {
+	for part, at := range e.ledger.KnownGood(now, parts) {
+		delete(e.evidence.shared, part)
+		e.evidence.addAnswer(now, part, at)
+	}
+}
+
 // addAnswer adds a success that this instance shares after a delay if no other one does.
 func (q *evidenceQueue) addAnswer(now time.Time, part poison.Part, at time.Time) {
 	if _, known := q.answers[part]; !known && len(q.answers) >= maxAnswers {
--- a/internal/gateway/partverdicts.go
+++ b/internal/gateway/partverdicts.go
@@ -335,6 +335,9 @@
 	}
 	e.syncVerdicts(now)
 	state.adopted = state.adopted && state.inForce
+	if !row.Lifted && !state.inForce {
+		e.shareAgain(now, state.verdict.Parts)
+	}
 }
 
 // forgetVerdict handles the removal of a row. An instance that refuses by the verdict writes the
