--- a/internal/gateway/partsuccesses.go
+++ b/internal/gateway/partsuccesses.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// shareAgain shares what this instance knows to be good of the parts of a verdict that its
+// ledger does not adopt: the instance that has reached it may have restarted since they were
+// shared. The caller holds mu.
+func (e *partExchange) shareAgain(now time.Time, parts []poison.Part) {
+	for part, at := range e.ledger.KnownGood(now, parts) {
+		delete(e.evidence.shared, part)
+		e.evidence.addAnswer(now, part, at)
+	}
+}
+
 // addAnswer adds a success that this instance shares after a delay if no other one does.
 func (q *evidenceQueue) addAnswer(now time.Time, part poison.Part, at time.Time) {
 	if _, known := q.answers[part]; !known && len(q.answers) >= maxAnswers {
@@ -83,12 +93,12 @@
 	}
 }
 
-// nextAnswers schedules the answers that are due and that no other instance has shared. The
-// caller holds mu.
-func (e *partExchange) nextAnswers(now time.Time) (*partWrite, time.Time) {
+// scheduleAnswers schedules the answers that are due and that no other instance has shared, or
+// returns when some are due. The caller holds mu.
+func (e *partExchange) scheduleAnswers(now time.Time) (next time.Time) {
 	q := &e.evidence
 	if q.answersAt.IsZero() || now.Before(q.answersAt) {
-		return nil, q.answersAt
+		return q.answersAt
 	}
 	q.answersAt = time.Time{}
 	for part, at := range q.answers {
@@ -97,9 +107,10 @@
 		}
 		if !q.isShared(part, at) || at.Sub(q.shared[part]) >= repeatedSuccessInterval {
 			q.successes[part] = latest(q.successes[part], at)
+			q.unlinked = true
 			q.schedule(now)
 		}
 	}
 	clear(q.answers)
-	return nil, time.Time{}
+	return time.Time{}
 }
