Play planned work beside silent servers with ten gateways too

Odd seeds run ten gateways in two failure domains, most of which follow a reader of the store; all ran three that read it themselves before.

--- a/internal/gatewaysoak/silence_test.go
+++ b/internal/gatewaysoak/silence_test.go
@@ -158,7 +158,11 @@
 	for _, seed := range selectSeeds(plannedSeeds) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			h := newHarness(t)
+			gateways, gatewayDomains := gatewayCount, domains
+			if seed%2 == 1 {
+				gateways, gatewayDomains = 10, 2 // most of them follow a reader of the store
+			}
+			h := newHarnessOfSize(t, gateways, gatewayDomains)
 			rec, u := newRecorder(), &unanswered{}
 			ctx, cancel := context.WithTimeout(t.Context(), duration())
 			defer cancel()
