--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -16,6 +16,8 @@
 	latencies *prometheus.HistogramVec
 	limited   *prometheus.CounterVec
 	heldBack  prometheus.Counter
+	ends      *prometheus.CounterVec
+	poison    *prometheus.CounterVec
 	// unansweredProbes counts by moveObstacle.
 	unansweredProbes *prometheus.CounterVec
 }
@@ -54,10 +56,16 @@
 	m.heldBack = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "foxtailhub_forward_rate_held_back_total", Help: "Choices of an upstream for which the stated request rate of one or more upstreams allowed no request.",
 	})
+	m.ends = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "foxtailhub_forward_upstream_ends_total", Help: "Upstream processes that ended at the start of an answer, once for each request there, by how far the answer had come.",
+	}, []string{"progress"})
+	m.poison = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "foxtailhub_forward_poison_parts_total", Help: "Events about parts of prompts that crash upstreams.",
+	}, []string{"event"})
 	m.unansweredProbes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "foxtailhub_forward_unanswered_probes_total", Help: "Probes that the upstream of a stream did not answer, by what keeps the stream from moving to another upstream.",
 	}, []string{"obstacle"})
-	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.unansweredProbes)
+	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.ends, m.poison, m.unansweredProbes)
 	return m
 }
 
@@ -68,6 +76,10 @@
 	}
 }
 
+func (m *Metrics) countUpstreamEnd(p progress) { m.ends.WithLabelValues(string(p)).Inc() }
+
+func (m *Metrics) countPoison(event string) { m.poison.WithLabelValues(event).Inc() }
+
 func (m *Metrics) countOutcome(x *exchange, outcome string) {
 	m.outcomes.WithLabelValues(x.kindLabel(), outcome).Inc()
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -40,14 +40,18 @@
 
 var (
 	errForeignResponse   = errors.New("response belongs to another request")
+	errUnnamedRefusal    = errors.New("refusal does not name the request")
 	errUnsigned          = errors.New("successful response has no upstream signature")
 	errEncodedBody       = errors.New("response body is encoded")
+	errResponseTruncated = errors.New("response was truncated")
 	errResponseTooLong   = errors.New("response exceeds the maximum length")
 	errUnresponsive      = errors.New("upstream did not respond to a probe")
 	errStalled           = errors.New("stream stalled")
 	errNoBackupHolder    = errors.New("no upstream available for a KV copy")
 	errUpstreamRestarted = errors.New("upstream restarted during its identification")
 	errEventGap          = errors.New("event missing from the stream")
+	errOtherMediaType    = errors.New("response has another media type than the stream that it was to continue")
+	errSwitchedProtocol  = errors.New("upstream switched the protocol")
 )
 
 // sender sends requests to upstreams, each over its own connection: a late response, or
@@ -107,7 +111,11 @@
 	result, err := classify(x, head, response.StatusCode)
 	if err != nil {
 		_ = response.Body.Close() // the response is not used
-		return attemptResult{result: result, err: err, leaving: head.Leaving && !errors.Is(err, errForeignResponse)}
+		r := attemptResult{result: result, err: err}
+		if !errors.Is(err, errForeignResponse) {
+			r.leaving, r.retryAfter = head.Leaving, head.RetryAfter
+		}
+		return r
 	}
 	if endsWithConnection(response) {
 		response.Body = &unframedBody{response.Body, func() error { return s.confirmProcess(ctx, x, attempt.Upstream) }}
@@ -127,6 +135,10 @@
 	switch {
 	case head.RequestID != "" && head.RequestID != x.meta.ID:
 		return Failed, errForeignResponse
+	case status == http.StatusSwitchingProtocols:
+		return Failed, errSwitchedProtocol
+	case (head.Misdirected || head.NotRun) && head.RequestID != x.meta.ID:
+		return Failed, errUnnamedRefusal // may be a repetition of an earlier one
 	case head.Misdirected:
 		return Misdirected, nil
 	case head.NotRun:
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -34,15 +34,16 @@
 	promptHolder       string         // upstream that has the prompt in its cache, for the first attempt; empty: unknown
 	events             int            // delivered by this instance
 	copy               *storedKVCopy  // KV copy of the run that failed last
-	unnumbered         bool           // the caller has events without numbers, so no other upstream can continue
+	unnumbered         bool           // the caller has events without numbers or another body, so no other upstream can continue
 	failure            *attemptResult // error response of an upstream, delivered if no later attempt succeeds
 	failedDomains      []string       // failure domains of the upstreams that failed
 	longestPause       time.Duration
-	upstreamListAge    time.Duration // age of the list of upstreams when the last one was chosen
-	lastProgressAt     time.Time     // time of the last event; zero before the first
-	blockedSince       time.Time     // since when no upstream can continue the stream; zero: not blocked
-	waits              int           // pauses since the last progress of a stream that stays open
-	leftUpstream       bool          // the last run was given up while its connection was open
+	upstreamListAge    time.Duration   // age of the list of upstreams when the last one was chosen
+	lastProgressAt     time.Time       // time of the last event; zero before the first
+	blockedSince       time.Time       // since when no upstream can continue the stream; zero: not blocked
+	waits              int             // pauses since the last progress of a stream that stays open
+	leftUpstream       bool            // the last run was given up while its connection was open
+	verdictsChanged    <-chan struct{} // closed when the verdicts on parts of prompts have changed since the last check
 }
 
 // forwardStream forwards a request whose response is a stream of events.
@@ -51,6 +52,9 @@
 	for {
 		m, backupHolder, attempt, ok := s.planAttempt(ctx)
 		if !ok {
+			if s.endPoison(ctx) {
+				return
+			}
 			if s.awaitUpstream(ctx) {
 				continue
 			}
@@ -61,7 +65,7 @@
 			return
 		}
 		x.state.TimeLeft = x.timeLeft()
-		if !s.headWritten && f.refuseQuarantined(x) {
+		if s.endPoison(ctx) || !s.headWritten && f.refuseQuarantined(x) {
 			return
 		}
 		if ctx.Err() != nil || s.callerDisconnected || s.unnumbered || !s.awaitRetry(ctx) {
@@ -135,6 +139,10 @@
 	if m, backupHolder, ok = s.chooseUpstream(ctx, need); !ok {
 		return nil, nil, attempt, false
 	}
+	s.verdictsChanged = s.f.Poison.Changed() // before the check, so that no change is missed
+	if _, refused := s.f.refusedBy(x); refused {
+		return nil, nil, attempt, false
+	}
 	x.startAttempt(s.f.Metrics, m, x.nextPurpose())
 	attempt = Attempt{Upstream: m.Current(), Workspace: x.workspace.Name, LastEventID: s.lastEventID}
 	if s.copy != nil && m.ID == s.copy.upstreamID {
@@ -210,15 +218,18 @@
 	items := make(chan item, eventBuffer)
 	go s.f.sender.receiveStream(ctx, s.x, attempt, func(r attemptResult) { s.f.recordResponseHead(s.x, m, attempt.Upstream, r, startedAt) }, items)
 	result, err := run.forwardItems(ctx, items)
-	if s.callerDisconnected {
+	if s.callerDisconnected || errors.Is(err, errPoisonParts) {
 		cancel() // a failure from here on is no evidence against the upstream
 	}
 	if result == Failed {
 		s.leftUpstream = errors.IsAny(err, errUnresponsive, errStalled)
 	}
 	s.recordAttempt(ctx, run, attempt, result, err, startedAt)
-	if result == Failed && s.lastEventID == attempt.LastEventID {
-		s.f.confirmCrash(ctx, s.x, m, attempt.Upstream.ID)
+	switch result {
+	case Answered:
+		s.recordCompletion(run, time.Now())
+	case Failed:
+		s.confirmCrash(ctx, run, attempt, err, time.Now())
 	}
 	s.updateKVCopy(result, run, attempt.LastEventID)
 	run.backup.end(s.copy != nil)
@@ -232,6 +243,7 @@
 		"upstream": m.ID, "domain": m.FailureDomain, "route": s.x.route.Name, "configuration": s.x.version, "result": result,
 		"after_event": attempt.LastEventID, "last_event": s.lastEventID, "took_ms": time.Since(startedAt).Milliseconds(),
 		"from_copy": attempt.ResumeFrom != nil, "attempt": len(s.x.attempted), "list_age_ms": s.upstreamListAge.Milliseconds(),
+		"head": r.response != nil, "written_ms": r.answer.written(time.Now()).Milliseconds(), "parts": formatParts(s.x.prompt),
 	}
 	if attempt.BackupHolder != nil {
 		fields["copy_at"] = attempt.BackupHolder.ID
@@ -261,15 +273,19 @@
 	s.f.Metrics.observeLatency(s.x)
 }
 
+// limitWrite limits the time of the next write to the caller, also of the end of the response.
+func (s *relay) limitWrite(now time.Time) {
+	_ = http.NewResponseController(s.x.writer).SetWriteDeadline(now.Add(writeTimeout)) // not supported by test recorders
+}
+
 // deliver forwards an event to the caller.
 func (s *relay) deliver(response *http.Response, e event, now time.Time) error {
-	controller := http.NewResponseController(s.x.writer)
-	_ = controller.SetWriteDeadline(now.Add(writeTimeout)) // not supported by test recorders
+	s.limitWrite(now)
 	s.writeHead(response)
 	if _, err := s.x.writer.Write(e.raw); err != nil {
 		return err
 	}
-	if err := controller.Flush(); err != nil {
+	if err := http.NewResponseController(s.x.writer).Flush(); err != nil {
 		return err
 	}
 	s.unnumbered = s.unnumbered || e.hasData && !e.numbered && s.lastEventID == 0
@@ -300,7 +316,7 @@
 		s.recordEnd(outcome)
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	case s.failure != nil:
-		s.f.deliver(s.x, *s.failure)
+		_, _ = s.f.deliver(s.x, *s.failure) // not truncated, since its whole body has been read
 	default:
 		s.f.failUnanswered(ctx, s.x)
 	}
