Let a stream resume whose first run was a trial that lifted its verdict

A trial was refused after its first attempt, also when its answer had gone on and lifted the verdict. If its connection was lost later, its caller's stream was aborted instead of resumed. After the first attempt a trial is now refused only while a verdict holds.

The new case of TestTrialShowsWhetherVerdictIsWrong failed before: the stream ended after event 50 of 100. Functions of poisonparts.go are renamed after what they do.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -21,8 +21,8 @@
 	memory     *reservation  // memory for the body and for responses
 	done       chan struct{} // closed when the request has ended
 	content    ContentHash
-	prompt     poison.Prompt   // parts of the prompt that others may share
-	trial      *poison.Verdict // verdict that does not hold for the first attempt; nil: none
+	prompt     poison.Prompt // parts of the prompt that others may share
+	trial      bool          // the request shows whether the verdict that refuses it is wrong
 	route      *route.Route
 	service    route.Service
 	workspace  route.Workspace
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -124,7 +124,7 @@
 	}
 	x.content = newContent(x.workspace.Name, r.Method, r.RequestURI, x.body)
 	x.prompt = poison.NewPrompt(x.meta.PromptParts)
-	if f.refuseQuarantined(x) || f.refusePoison(x) {
+	if f.refuseQuarantined(x) || f.refusePoisonParts(x) {
 		return
 	}
 	x.budget.RecordRequest()
--- a/internal/forward/poisonparts.go
+++ b/internal/forward/poisonparts.go
@@ -69,56 +69,56 @@
 }
 
 // refusedBy returns the verdict by which the next attempt of a request is refused. A trial
-// gets one attempt that reaches an upstream.
+// is not refused until an attempt has reached an upstream.
 func (f *Forwarder) refusedBy(x *exchange) (poison.Verdict, bool) {
-	if x.trial != nil {
-		return *x.trial, x.state.Reached > 0
+	if x.trial && x.state.Reached == 0 {
+		return poison.Verdict{}, false
 	}
 	return f.Poison.Refuses(x.prompt)
 }
 
-// refusePoison responds to a new request that a verdict refuses, unless it is the trial of
+// refusePoisonParts responds to a new request that a verdict refuses, unless it is the trial of
 // that verdict.
-func (f *Forwarder) refusePoison(x *exchange) bool {
+func (f *Forwarder) refusePoisonParts(x *exchange) bool {
 	verdict, refused := f.refusedBy(x)
 	if !refused {
 		return false
 	}
 	if f.PartExchange.ClaimTrial(verdict) {
-		x.trial = &verdict
+		x.trial = true
 		f.Metrics.countPoison(poisonTrial)
 		x.log.WithField("verdict", verdict.ID()).Warn("request is the trial of a verdict on parts of prompts")
 		return false
 	}
-	f.failPoison(x, verdict)
+	f.failRefused(x, verdict)
 	return true
 }
 
-// failPoison responds to a request that a verdict refuses. The status does not invite the
+// failRefused responds to a request that a verdict refuses. The status does not invite the
 // caller to repeat it, and it may have run if it was sent before the verdict.
-func (f *Forwarder) failPoison(x *exchange, verdict poison.Verdict) {
-	f.recordPoisonRefusal(x, verdict)
+func (f *Forwarder) failRefused(x *exchange, verdict poison.Verdict) {
+	f.recordRefusal(x, verdict)
 	f.fail(x, http.StatusBadGateway, errPoisonParts.Error())
 }
 
-func (f *Forwarder) recordPoisonRefusal(x *exchange, verdict poison.Verdict) {
+func (f *Forwarder) recordRefusal(x *exchange, verdict poison.Verdict) {
 	f.Metrics.countPoison(poisonRefusal)
 	x.log.WithField("verdict", verdict.ID()).Info("request refused by a verdict on parts of prompts")
 	f.PartExchange.Refused(verdict)
 }
 
-// endPoison ends a stream whose next attempt a verdict refuses. It returns whether the caller
+// endIfRefused ends a stream whose next attempt a verdict refuses. It returns whether the caller
 // has its response.
-func (s *relay) endPoison(ctx context.Context) bool {
+func (s *relay) endIfRefused(ctx context.Context) bool {
 	verdict, refused := s.f.refusedBy(s.x)
 	switch {
 	case !refused || ctx.Err() != nil:
 		return false
 	case s.headWritten:
-		s.f.recordPoisonRefusal(s.x, verdict)
+		s.f.recordRefusal(s.x, verdict)
 		s.endUnfinished(ctx)
 	default:
-		s.f.failPoison(s.x, verdict)
+		s.f.failRefused(s.x, verdict)
 	}
 	return true
 }
@@ -156,7 +156,7 @@
 // mayRepeat reports whether no verdict keeps a call from a further upstream. A trial gets one.
 func (f *Forwarder) mayRepeat(x *exchange) bool {
 	_, refused := f.Poison.Refuses(x.prompt)
-	return !refused && x.trial == nil
+	return !refused && !x.trial
 }
 
 // recordCallSuccess records the complete answer to a call.
--- a/internal/forward/poisonrefusal_test.go
+++ b/internal/forward/poisonrefusal_test.go
@@ -283,6 +283,15 @@
 		h.g.Expect(engines.reached("poison", time.Time{})).To(Equal(1))
 		h.g.Expect(h.f.Poison.Verdicts()).To(HaveLen(1))
 	})
+	inVirtualTime(t, func(t *testing.T) { // it is wrong, and the connection is lost afterwards
+		h := newHarness(t, streaming, true, "a", "b")
+		h.f.PartExchange = &oneTrial{}
+		h.failFirst(50, 100, 20*time.Millisecond, errReset, "a", "b")
+		h.f.Poison.Adopt(time.Now(), verdictOn("sound"))
+		got := h.request(t.Context(), parts("sound,own"))
+		h.g.Expect(got.body).To(Equal(eventsText(1, 100)))
+		h.g.Expect(got.aborted).To(BeFalse())
+	})
 	inVirtualTime(t, func(t *testing.T) { // the first upstream is gone
 		h := newHarness(t, streaming, true, "a", "b", "c")
 		h.f.PartExchange = &oneTrial{}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -52,7 +52,7 @@
 	for {
 		m, backupHolder, attempt, ok := s.planAttempt(ctx)
 		if !ok {
-			if s.endPoison(ctx) {
+			if s.endIfRefused(ctx) {
 				return
 			}
 			if s.awaitUpstream(ctx) {
@@ -65,7 +65,7 @@
 			return
 		}
 		x.state.TimeLeft = x.timeLeft()
-		if s.endPoison(ctx) || !s.headWritten && f.refuseQuarantined(x) {
+		if s.endIfRefused(ctx) || !s.headWritten && f.refuseQuarantined(x) {
 			return
 		}
 		if ctx.Err() != nil || s.callerDisconnected || s.unnumbered || !s.awaitRetry(ctx) {
