Convict poison parts in fleets of one failure domain sooner

Cause: crashes in one failure domain needed five moments, and five crashes of a poison part often fall into three or four. Change: five crashes in three moments suffice if they go on for a second; a failing domain loses its upstreams sooner. The state of judge no longer bears the name of the trials of verdicts, and the package comment says what is done for rare innocent parts.

--- a/internal/poison/judge.go
+++ b/internal/poison/judge.go
@@ -12,8 +12,9 @@
 	momentLength = 250 * time.Millisecond
 	// convictMoments is how many moments of crashes in several failure domains convict a part.
 	convictMoments = 3
-	// convictMomentsAlone is the same for crashes in one failure domain.
-	convictMomentsAlone = 5
+	// convictSpan is how long crashes in one failure domain have to go on: a failing domain loses
+	// its upstreams within a shorter time.
+	convictSpan = time.Second
 	// convictCrashes is how many crashes convict a part in fewer moments, if it is a suspect in
 	// all crashes of that time.
 	convictCrashes = 5
@@ -74,8 +75,8 @@
 	first   bool  // whether a suspect prompt begins with the part and has others
 }
 
-// trial is the state of a judgement.
-type trial struct {
+// judgement is the state of judge.
+type judgement struct {
 	evidence
 	occurrences map[Part]*occurrence
 	explained   []*Verdict // verdict that explains each crash
@@ -87,44 +88,44 @@
 // convicts the part with the most crashes, sets aside the crashes that this explains, and goes on
 // until no part has enough of the rest.
 func judge(e evidence) []Verdict {
-	t := &trial{evidence: e, occurrences: map[Part]*occurrence{}, explained: make([]*Verdict, len(e.crashes)), settled: map[Part]bool{}}
+	j := &judgement{evidence: e, occurrences: map[Part]*occurrence{}, explained: make([]*Verdict, len(e.crashes)), settled: map[Part]bool{}}
 	for i, crash := range e.crashes {
-		t.addOccurrences(i, crash)
+		j.addOccurrences(i, crash)
 	}
 	for i := range e.standing {
-		t.explain(&e.standing[i])
+		j.explain(&e.standing[i])
 	}
 	for {
-		candidates := t.candidates()
+		candidates := j.candidates()
 		if len(candidates) == 0 {
-			return t.verdicts
+			return j.verdicts
 		}
-		leader := t.mostSpecific(candidates[0], candidates)
-		rivals := t.rivals(leader, candidates)
+		leader := j.mostSpecific(candidates[0], candidates)
+		rivals := j.rivals(leader, candidates)
 		for _, c := range append(rivals, leader) {
-			t.settled[c.part] = true
+			j.settled[c.part] = true
 			// The next crash mostly tells rivals apart.
 			if len(rivals) == 0 || len(c.crashes) >= convictCrashes {
-				t.verdicts = append(t.verdicts, t.verdictOn(c.part))
+				j.verdicts = append(j.verdicts, j.verdictOn(c.part))
 			}
 		}
-		for i := range t.verdicts {
-			t.explain(&t.verdicts[i])
+		for i := range j.verdicts {
+			j.explain(&j.verdicts[i])
 		}
 	}
 }
 
-func (t *trial) addOccurrences(i int, crash *record) {
+func (j *judgement) addOccurrences(i int, crash *record) {
 	alone := map[Part]bool{}
 	for _, prompt := range crash.prompts {
 		for _, part := range prompt.parts {
-			o := t.occurrences[part]
+			o := j.occurrences[part]
 			if o == nil {
 				o = &occurrence{}
-				t.occurrences[part] = o
+				j.occurrences[part] = o
 			}
 			o.prompts++
-			if at, _ := t.lastSuccess(part); !crash.at.After(at) {
+			if at, _ := j.lastSuccess(part); !crash.at.After(at) {
 				continue
 			}
 			o.first = o.first || prompt.first == part && len(prompt.parts) > 1
@@ -140,22 +141,22 @@
 }
 
 // explain sets aside the crashes that a verdict explains.
-func (t *trial) explain(v *Verdict) {
-	for i, crash := range t.crashes {
-		if t.explained[i] == nil && slices.ContainsFunc(crash.prompts, func(s suspect) bool { return s.matches(v) }) {
-			t.explained[i] = v
+func (j *judgement) explain(v *Verdict) {
+	for i, crash := range j.crashes {
+		if j.explained[i] == nil && slices.ContainsFunc(crash.prompts, func(s suspect) bool { return s.matches(v) }) {
+			j.explained[i] = v
 		}
 	}
 }
 
 // candidates returns the parts with enough evidence for a conviction, the most suspect first.
-func (t *trial) candidates() []tally {
+func (j *judgement) candidates() []tally {
 	var candidates []tally
-	for part, o := range t.occurrences {
-		if t.settled[part] || len(o.crashes) < convictMoments {
+	for part, o := range j.occurrences {
+		if j.settled[part] || len(o.crashes) < convictMoments {
 			continue
 		}
-		if c := t.count(part); t.suffices(c) {
+		if c := j.count(part); j.suffices(c) {
 			candidates = append(candidates, c)
 		}
 	}
@@ -167,25 +168,25 @@
 
 // count returns the crashes that count against a part. The crashes that a verdict explains count
 // too if others show that it does not explain enough.
-func (t *trial) count(part Part) tally {
-	all := t.occurrences[part].crashes
+func (j *judgement) count(part Part) tally {
+	all := j.occurrences[part].crashes
 	own := false
-	unexplained := t.tallyOf(part, slices.DeleteFunc(slices.Clone(all), func(i int) bool {
-		own = own || t.explained[i] != nil && t.explained[i].contains(part)
-		return t.explained[i] != nil
+	unexplained := j.tallyOf(part, slices.DeleteFunc(slices.Clone(all), func(i int) bool {
+		own = own || j.explained[i] != nil && j.explained[i].contains(part)
+		return j.explained[i] != nil
 	}))
-	if unexplained.moments >= reviseMoments && !t.needsMore(part) && (own || len(all) >= convictCrashes) {
-		return t.tallyOf(part, all)
+	if unexplained.moments >= reviseMoments && !j.needsMore(part) && (own || len(all) >= convictCrashes) {
+		return j.tallyOf(part, all)
 	}
 	return unexplained
 }
 
-func (t *trial) tallyOf(part Part, crashes []int) tally {
-	c := tally{part: part, crashes: crashes, prompts: t.occurrences[part].prompts}
+func (j *judgement) tallyOf(part Part, crashes []int) tally {
+	c := tally{part: part, crashes: crashes, prompts: j.occurrences[part].prompts}
 	var momentStart time.Time
 	var domains []string
 	for _, i := range crashes {
-		crash := t.crashes[i]
+		crash := j.crashes[i]
 		if c.moments == 0 || crash.at.Sub(momentStart) >= momentLength {
 			c.moments, momentStart = c.moments+1, crash.at
 		}
@@ -199,36 +200,38 @@
 
 // needsMore reports whether a part is more likely innocent than others: it is known good, or it is
 // a first part, which is mostly common to all prompts of a workspace.
-func (t *trial) needsMore(part Part) bool {
-	_, knownGood := t.lastSuccess(part)
-	return knownGood || t.occurrences[part].first
+func (j *judgement) needsMore(part Part) bool {
+	_, knownGood := j.lastSuccess(part)
+	return knownGood || j.occurrences[part].first
 }
 
 // suffices reports whether the crashes convict the part.
-func (t *trial) suffices(c tally) bool {
-	o := t.occurrences[c.part]
+func (j *judgement) suffices(c tally) bool {
+	if len(c.crashes) == 0 {
+		return false
+	}
+	o := j.occurrences[c.part]
 	switch {
-	case t.needsMore(c.part):
+	case j.needsMore(c.part):
 		return c.moments >= convictMomentsKnownGood
 	case o.alone == len(o.crashes) && len(c.crashes) < convictCrashes:
 		return false
-	case c.moments >= convictMomentsAlone:
-		return true
 	case c.domains < 2:
-		return false
+		span := j.crashes[c.crashes[len(c.crashes)-1]].at.Sub(j.crashes[c.crashes[0]].at)
+		return len(c.crashes) >= convictCrashes && c.moments >= convictMoments && span >= convictSpan
 	case c.moments >= convictMoments:
 		return true
 	}
-	return len(c.crashes) >= convictCrashes && !t.otherCrashesBeside(c)
+	return len(c.crashes) >= convictCrashes && !j.otherCrashesBeside(c)
 }
 
 // otherCrashesBeside reports whether upstreams without the part crashed in the same
 // moments and no verdict explains it: an event that ends upstreams, not a part.
-func (t *trial) otherCrashesBeside(c tally) bool {
-	first, last := t.crashes[c.crashes[0]].at, t.crashes[c.crashes[len(c.crashes)-1]].at
-	for i, crash := range t.crashes {
+func (j *judgement) otherCrashesBeside(c tally) bool {
+	first, last := j.crashes[c.crashes[0]].at, j.crashes[c.crashes[len(c.crashes)-1]].at
+	for i, crash := range j.crashes {
 		beside := crash.at.Sub(first) > -momentLength && crash.at.Sub(last) < momentLength
-		if beside && t.explained[i] == nil && !slices.Contains(c.crashes, i) {
+		if beside && j.explained[i] == nil && !slices.Contains(c.crashes, i) {
 			return true
 		}
 	}
@@ -238,15 +241,15 @@
 // mostSpecific returns a candidate that explains crashes of the leader by fewer prompts, if such
 // candidates explain them together. The part that all prompts of a workspace
 // share is in more crashes than a poison part of this workspace, but also in prompts without it.
-func (t *trial) mostSpecific(leader tally, candidates []tally) tally {
-	rest, general := leader, t.needsMore(leader.part)
+func (j *judgement) mostSpecific(leader tally, candidates []tally) tally {
+	rest, general := leader, j.needsMore(leader.part)
 	var cover []tally
-	for t.suffices(rest) {
+	for j.suffices(rest) {
 		var best tally
 		var bestShared []int
 		for _, c := range candidates {
 			shared := intersection(c.crashes, rest.crashes)
-			if c.part != leader.part && c.prompts < leader.prompts && len(shared) > len(bestShared) && (general || t.nested(c.part, leader.part)) {
+			if c.part != leader.part && c.prompts < leader.prompts && len(shared) > len(bestShared) && (general || j.nested(c.part, leader.part)) {
 				best, bestShared = c, shared
 			}
 		}
@@ -254,10 +257,10 @@
 			return leader
 		}
 		cover = append(cover, best)
-		rest = t.tallyOf(leader.part, difference(rest.crashes, bestShared))
+		rest = j.tallyOf(leader.part, difference(rest.crashes, bestShared))
 	}
 	prompts := 0
-	for _, crash := range t.crashes {
+	for _, crash := range j.crashes {
 		for _, prompt := range crash.prompts {
 			if slices.ContainsFunc(cover, func(c tally) bool { return prompt.contains(c.part) }) {
 				prompts++
@@ -267,15 +270,15 @@
 	if prompts >= leader.prompts {
 		return leader
 	}
-	return t.mostSpecific(cover[0], candidates)
+	return j.mostSpecific(cover[0], candidates)
 }
 
 // verdictOn returns the verdict on a part: the part together with those that no suspect prompt
 // tells apart from it.
-func (t *trial) verdictOn(convicted Part) Verdict {
+func (j *judgement) verdictOn(convicted Part) Verdict {
 	var common []Part
-	for _, i := range t.occurrences[convicted].crashes {
-		for _, prompt := range t.crashes[i].prompts {
+	for _, i := range j.occurrences[convicted].crashes {
+		for _, prompt := range j.crashes[i].prompts {
 			switch {
 			case !prompt.contains(convicted):
 			case common == nil:
@@ -286,20 +289,20 @@
 		}
 	}
 	return Verdict{Parts: slices.DeleteFunc(common, func(part Part) bool {
-		_, knownGood := t.lastSuccess(part)
+		_, knownGood := j.lastSuccess(part)
 		return part != convicted && knownGood
 	})}
 }
 
 // rivals returns the candidates in other prompts that explain the crashes as well as the leader
 // does.
-func (t *trial) rivals(leader tally, candidates []tally) []tally {
-	verdict := t.verdictOn(leader.part)
+func (j *judgement) rivals(leader tally, candidates []tally) []tally {
+	verdict := j.verdictOn(leader.part)
 	var rivals []tally
 	for _, c := range candidates {
-		nested := t.nested(c.part, leader.part) || t.nested(leader.part, c.part)
+		nested := j.nested(c.part, leader.part) || j.nested(leader.part, c.part)
 		if c.part != leader.part && !verdict.contains(c.part) && c.moments == leader.moments && !nested &&
-			t.needsMore(c.part) == t.needsMore(leader.part) && !t.suffices(t.tallyOf(c.part, difference(c.crashes, leader.crashes))) {
+			j.needsMore(c.part) == j.needsMore(leader.part) && !j.suffices(j.tallyOf(c.part, difference(c.crashes, leader.crashes))) {
 			rivals = append(rivals, c)
 		}
 	}
@@ -307,9 +310,9 @@
 }
 
 // nested reports whether each suspect prompt with a part contains the other one.
-func (t *trial) nested(part, other Part) bool {
-	for _, i := range t.occurrences[part].crashes {
-		for _, prompt := range t.crashes[i].prompts {
+func (j *judgement) nested(part, other Part) bool {
+	for _, i := range j.occurrences[part].crashes {
+		for _, prompt := range j.crashes[i].prompts {
 			if prompt.contains(part) && !prompt.contains(other) {
 				return false
 			}
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -94,6 +94,15 @@
 	g.Expect(refuses(l, "system")).To(BeFalse())
 }
 
+func TestPoisonPartIsRefusedInOneFailureDomain(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLedger()
+	for i := range 5 {
+		l.AddCrash(at(float64(i)), Crash{UpstreamID: fmt.Sprint(i), FailureDomain: "d", At: at(float64(i) / 2), Prompts: []Prompt{prompt("system", "poison")}})
+	}
+	g.Expect(refuses(l, "system", "poison")).To(BeTrue())
+}
+
 func TestSuccessLiftsVerdict(t *testing.T) {
 	g := NewWithT(t)
 	l := NewLedger()
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -1,8 +1,15 @@
 // Package poison decides which parts of prompts crash the upstreams that begin to write an
 // answer on them (poison parts), from crashes and successes at all instances.
 //
+// A part is convicted by crashes at several times and in several failure domains without a success
+// on it. Nothing but a success shows that a part is innocent, so an innocent part that is rare may be
+// convicted by unrelated crashes. It needs as many crashes as a poison part and must not be
+// explained by another part, its verdict covers only prompts with all parts that came with it in each of
+// the crashes, and callers of the package let single requests through after a while: their success lifts
+// the verdict at all instances.
+//
 // The package does no I/O and reads no clock. It must never refuse a prompt that lacks a
-// part of every verdict, and must never blame a part on one moment and one failure domain.
+// part of every verdict.
 package poison
 
 import (
