--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -32,8 +32,10 @@
 	// callers select a gateway, as a load balancer does.
 	readinessInterval = 200 * time.Millisecond
 	readinessTimeout  = 150 * time.Millisecond
-	// writeTimeout bounds a request to the store, or to a server to set its fault.
+	// writeTimeout bounds a request to the store.
 	writeTimeout = time.Second
+	// faultTimeout bounds a request that sets the fault of a server, also on a busy machine.
+	faultTimeout = 5 * time.Second
 )
 
 // Options set the size of a fleet and the speed of its servers.
@@ -271,7 +273,7 @@
 
 // SetFault makes a server misbehave in the given way until its process restarts.
 func (f *Fleet) SetFault(server *Node, fault emulator.ServerFault) error {
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), faultTimeout)
 	defer cancel()
 	return emulator.SetFault(ctx, f.client, server.Address, fault)
 }
