Count no silence of an upstream as a crash by the request

What callers saw: a request that met three silent upstreams before its first event got 502 as one that crashes each upstream that runs it, and so did later requests with the same content. No process had ended.

Cause: a process that did not answer within 100 ms counted as ended, also when the run had been left because of its silence.

Change: then only a refused connection or another process counts. After a broken connection an unanswered check counts as before.

Measured: TestSilenceIsNoEvidenceOfACrash failed before with 502 and passes now.

--- a/internal/forward/upstreamend.go
+++ b/internal/forward/upstreamend.go
@@ -109,7 +109,8 @@
 	if atStart && process == processGone {
 		s.f.recordEndAtStart(s.x, r.endedProcess(attempt, now))
 	}
-	if noEvent && process != processAlive {
+	silent := errors.IsAny(err, errUnresponsive, errStalled)
+	if noEvent && (process == processGone || process == processUnknown && !silent) {
 		s.f.recordCrash(s.x, r.member, attempt.Upstream.ID)
 	}
 }
