Keep a stream at a silent upstream if a verdict refuses its next attempt

What callers saw: the trial of a verdict on prompt parts left its silent upstream, had no second attempt, and was aborted (502 before the first event). So a sound request that could have lifted the verdict did not.

Cause: the question whether a stream can move did not know the verdicts, which are newer than it.

Measured: TestSilentUpstreamDoesNotCutTrial failed before (aborted after 540 ms) and passes now.

--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -21,6 +21,7 @@
 	budgetUsedUp     moveObstacle = "retry_budget"
 	noOtherUpstream  moveObstacle = "no_upstream"
 	eventsUnnumbered moveObstacle = "unnumbered" // no other upstream can continue it
+	refusedByVerdict moveObstacle = "verdict"    // parts of its prompt are known to crash upstreams, or it is a trial of that
 )
 
 // moveObstacle returns why the stream could not move to another upstream now.
@@ -38,6 +39,9 @@
 	case !r.x.budget.Available():
 		return budgetUsedUp
 	}
+	if _, refused := r.f.Poison.Refuses(r.x.prompt); refused {
+		return refusedByVerdict
+	}
 	need := pool.Requirements{Exclude: r.x.excluded}
 	if _, ok := pool.Pick(r.f.Pool.Members(r.x.service.Name), need, now); !ok {
 		return noOtherUpstream
