Let few streams at a time leave a silent upstream, and only for one with room

What callers saw: the streams of a silent upstream left it together for others that answered but were full, used up the retry budget there, and were cut off at their deadline. All upstreams were sound and free again a second later.

Cause: an answer to a request for the load counted as a place for the stream, each stream was refused up to six times without a pause, and each refusal was taken from the budget of all.

Change: the other upstream has to report room; four streams of an instance at most are between two upstreams; a refused stream tries one upstream at a time, after 400 ms and twice that each time (1.6 s at most).

Sixteen streams of a dead upstream are all elsewhere within three seconds (TestStreamsOfDeadUpstreamAllMove).

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -85,6 +85,9 @@
 	Config
 	sender *sender
 	active atomic.Int64
+	// movingStreams is the number of streams that have left an upstream and have no event of
+	// the next one yet.
+	movingStreams atomic.Int64
 }
 
 // New returns a forwarder.
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -61,7 +61,7 @@
 type probeResult struct {
 	err         error
 	sentAt      time.Time
-	alternative bool // the upstream did not answer, but another one did
+	alternative bool // the upstream did not answer, but another one did and has room
 }
 
 // alternatives returns other upstreams at which the stream could go on; none if it cannot
@@ -86,19 +86,24 @@
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	if _, result.err = r.f.Prober.Load(probeCtx, r.member.Address); result.err != nil {
-		result.alternative = r.anyResponds(ctx, alternatives)
+		result.alternative = r.anyHasRoom(ctx, alternatives)
 	}
 	probed <- result
 }
 
-// anyResponds reports whether one of the upstreams answers a request for its load report.
-func (r *run) anyResponds(ctx context.Context, members []*pool.Member) bool {
-	responds := make(chan bool, len(members))
+// anyHasRoom reports whether one of the upstreams answers a request for its load report and
+// has room for the stream.
+func (r *run) anyHasRoom(ctx context.Context, members []*pool.Member) bool {
+	tokens := r.x.meta.PromptTokens + r.x.meta.OutputTokens
+	hasRoom := make(chan bool, len(members))
 	for _, m := range members {
-		go func() { responds <- r.f.requestReports(ctx, r.x, []*pool.Member{m})[0] != nil }()
+		go func() {
+			report := r.f.requestReports(ctx, r.x, []*pool.Member{m})[0]
+			hasRoom <- report != nil && report.Fits(tokens)
+		}()
 	}
 	for range members {
-		if <-responds {
+		if <-hasRoom {
 			return true
 		}
 	}
@@ -128,11 +133,33 @@
 	return obstacle == noObstacle && r.reserveMove()
 }
 
+// maxMovingStreams bounds the streams of this instance that have left an upstream and have
+// no event of the next one yet. The others stay meanwhile: if upstreams refuse the first ones,
+// the rest would use up the retry budget and be left without an upstream.
+const maxMovingStreams = 4
+
 // reserveMove takes the move from the retry budget before the run is given up: the streams
 // of one upstream all see the same room in the budget.
 func (r *run) reserveMove() bool {
-	r.x.retryReserved = r.x.budget.Take()
-	return r.x.retryReserved
+	if !r.moving && r.f.movingStreams.Add(1) > maxMovingStreams {
+		r.f.movingStreams.Add(-1)
+		return false
+	}
+	r.moving = true
+	if !r.x.budget.Take() {
+		r.endMove()
+		return false
+	}
+	r.x.retryReserved = true
+	return true
+}
+
+// endMove records that a stream which has left an upstream goes on or has ended.
+func (s *relay) endMove() {
+	if s.moving {
+		s.moving = false
+		s.f.movingStreams.Add(-1)
+	}
 }
 
 // endSilence records a sign of life of the upstream.
--- a/internal/forward/silencedecision_test.go
+++ b/internal/forward/silencedecision_test.go
@@ -166,7 +166,9 @@
 						aborted++
 					}
 				}
-				h.g.Expect(aborted).To(BeZero(), "%d streams, full for %v", streams, fullFor)
+				if aborted > 0 {
+					t.Errorf("%d of %d streams aborted, others full for %v", aborted, streams, fullFor)
+				}
 			})
 		}
 	}
@@ -219,3 +221,28 @@
 		})
 	}
 }
+
+// Guards against streams that wait for each other at a dead upstream longer than three seconds.
+func TestStreamsOfDeadUpstreamAllMove(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		const streams = engineBurst
+		h := newHarness(t, streaming, true, "a", "b", "c")
+		h.setBehaviour(h.silentAfter(20, time.Hour, 100), "a")
+		h.setBehaviour(sendEvents(100, testInterval, nil), "b", "c")
+		for _, m := range h.pool.Members("service") {
+			if m.ID != "a" {
+				m.MarkLost(time.Now())
+			}
+		}
+		results := make([]callerResult, streams)
+		var done sync.WaitGroup
+		for i := range results {
+			done.Go(func() { results[i] = h.request(t.Context(), nil) })
+		}
+		done.Wait()
+		for _, got := range results {
+			h.g.Expect(got.body).To(Equal(eventsText(1, 100)))
+			h.g.Expect(got.duration).To(BeNumerically("<", 100*testInterval+3*time.Second))
+		}
+	})
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -18,10 +18,10 @@
 	// resumeInterval is the time between tries meanwhile.
 	resumeTimeout  = 3 * time.Second
 	resumeInterval = 150 * time.Millisecond
-	// maxResumeInterval bounds that time for a stream that waits until its deadline; it
-	// doubles at most maxResumeDoublings times.
-	maxResumeInterval  = 1200 * time.Millisecond
-	maxResumeDoublings = 3
+	// openInterval is the time between tries of a stream that waits until its deadline. It
+	// doubles at most maxOpenDoublings times, since each try is taken from the retry budget.
+	openInterval     = 400 * time.Millisecond
+	maxOpenDoublings = 2
 )
 
 // relay forwards one stream from its upstreams to its caller.
@@ -41,6 +41,7 @@
 	upstreamListAge    time.Duration   // age of the list of upstreams when the last one was chosen
 	lastProgressAt     time.Time       // time of the last event; zero before the first
 	blockedSince       time.Time       // since when no upstream can continue the stream; zero: not blocked
+	moving             bool            // it has left an upstream and has no event of the next one yet
 	waits              int             // pauses since the last progress of a stream that stays open
 	leftUpstream       bool            // the last run was given up while its connection was open
 	verdictsChanged    <-chan struct{} // closed when the verdicts on parts of prompts have changed since the last check
@@ -49,6 +50,7 @@
 // forwardStream forwards a request whose response is a stream of events.
 func (f *Forwarder) forwardStream(ctx context.Context, x *exchange) {
 	s := &relay{f: f, x: x, lastEventID: x.meta.LastEventID, promptHolder: f.findPrompt(ctx, x)}
+	defer s.endMove()
 	for {
 		m, backupHolder, attempt, ok := s.planAttempt(ctx)
 		if !ok {
@@ -103,7 +105,7 @@
 	}
 	interval := resumeInterval
 	if s.staysOpen() {
-		interval = min(resumeInterval<<min(s.waits, maxResumeDoublings), maxResumeInterval)
+		interval = openInterval << min(s.waits, maxOpenDoublings)
 		s.waits++
 	}
 	timer := time.NewTimer(interval)
@@ -224,6 +226,10 @@
 	if result == Failed {
 		s.leftUpstream = errors.IsAny(err, errUnresponsive, errStalled)
 	}
+	if s.staysOpen() {
+		// Refused attempts use up the retry budget of all streams.
+		s.x.state.Refused = max(s.x.state.Refused, maxRefusals-1)
+	}
 	s.recordAttempt(ctx, run, attempt, result, err, startedAt)
 	switch result {
 	case Answered:
@@ -302,6 +308,7 @@
 	}
 	s.lastProgressAt = now
 	s.blockedSince, s.waits = time.Time{}, 0
+	s.endMove()
 	s.events++
 }
 
