Take events that wait for the caller as a sign of life of their upstream

What callers saw: streams left a sound upstream, and lost its run, after a caller or the instance itself had paused for longer than a stall takes, although events waited to be forwarded.

Cause: the events and the timer were both ready, and either was taken first.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -112,7 +112,7 @@
 				r.monitor.ProbeNow(time.Now())
 			}
 		case <-timer.C:
-			if now := time.Now(); !now.Before(r.monitor.StallDeadline()) {
+			if now := time.Now(); len(items) == 0 && !now.Before(r.monitor.StallDeadline()) {
 				if !r.silent && r.canMove(now) && r.reserveMove() {
 					return Failed, errStalled
 				}
@@ -127,6 +127,9 @@
 			if ctx.Err() != nil {
 				return Failed, ctx.Err()
 			}
+			if len(items) > 0 {
+				p.err = nil // events that wait here are a sign of life
+			}
 			if r.leavesUpstream(p) {
 				return Failed, errors.Mark(p.err, errUnresponsive)
 			}
