Leave a dead connection also where no load report is answered

What callers saw: a resumable stream of a service without load reports, or of engines that do not answer them, waited on a dead connection until its deadline.

Cause: a stalled stream of a silent upstream no longer moved by the stall alone, and without reports each upstream looks silent.

Change: services without load reports are not probed, and the stall decides. After three seconds of silence a stream leaves also if no other upstream has answered.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -93,7 +93,7 @@
 	defer timer.Stop()
 	memberLost := r.member.Lost()
 	probed := make(chan probeResult, 1)
-	probing := false
+	probing := r.x.service.Engine == nil // other services have no load reports; the stall decides
 	for {
 		select {
 		case it := <-items:
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -53,6 +53,10 @@
 // that cannot move stays, since its upstream is alive.
 func (r *run) canMove(now time.Time) bool { return r.moveObstacle(now) == noObstacle }
 
+// silenceLimit is the time without an event after which a stream leaves a silent upstream
+// even if no other one has answered. Sound upstreams are silent for a second or so.
+const silenceLimit = 3 * time.Second
+
 // alternativeSampleSize is how many other upstreams are polled before a stream leaves one
 // that does not answer.
 const alternativeSampleSize = 2
@@ -121,7 +125,7 @@
 		return false
 	}
 	obstacle := r.moveObstacle(now)
-	if obstacle == noObstacle && !p.alternative {
+	if obstacle == noObstacle && !p.alternative && r.monitor.SinceLastEvent(now) < silenceLimit {
 		obstacle = noOtherUpstream
 	}
 	r.recordSilence(now, p, obstacle)
--- a/internal/forward/unframed.go
+++ b/internal/forward/unframed.go
@@ -74,7 +74,11 @@
 			x.log.WithFields(logrus.Fields{"upstream": sentTo.ID}).WithError(err).Info("response without a length is incomplete, because its upstream is gone")
 			return errProcessGone
 		}
-		timer := time.NewTimer(confirmInterval)
+		interval := confirmInterval
+		if refused == 0 {
+			interval = prefillProbeInterval // it is silent
+		}
+		timer := time.NewTimer(interval)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
