--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -38,6 +38,7 @@
 	isSilent   after = "silent"
 	ends       after = "ended"
 	restarts   after = "restarted"
+	refusesOne after = "busy" // refuses one connection
 	refuses    after = "full" // its health check is refused without an ID
 )
 
@@ -93,6 +94,13 @@
 				time.AfterFunc(testSilence, func() { h.setSilent(req.upstream, false) })
 			case what == refuses:
 				h.full[req.upstream] = true
+			case what == refusesOne:
+				h.ended[req.upstream] = true
+				time.AfterFunc(confirmInterval/2, func() {
+					h.mu.Lock()
+					defer h.mu.Unlock()
+					h.ended[req.upstream] = false
+				})
 			case what == ends:
 				h.ended[req.upstream] = true
 			case what == restarts:
@@ -130,7 +138,7 @@
 // Guards against a truncated answer without a length that looks complete because its server has ended.
 func TestUnframedAnswerOfEndedProcessDoesNotLookComplete(t *testing.T) {
 	long := strings.Repeat("x", bufferedResponseBytes+1)
-	for _, what := range []after{staysSound, isSilent, ends, restarts, refuses} {
+	for _, what := range []after{staysSound, isSilent, ends, restarts, refuses, refusesOne} {
 		for _, text := range []string{"half", long} {
 			t.Run(fmt.Sprintf("%s, %d bytes", what, len(text)), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
@@ -140,7 +148,7 @@
 					h.respond(what, respondWith(http.StatusOK, text), respondWith(http.StatusOK, "whole"))
 					got := h.request(t.Context(), nil)
 					switch {
-					case what == staysSound || what == refuses:
+					case what == staysSound || what == refuses || what == refusesOne:
 						h.g.Expect(got.body).To(Equal(text))
 						h.g.Expect(got.aborted).To(BeFalse())
 					case what == isSilent && len(text) < bufferedResponseBytes:
