--- a/internal/poison/modelexchange_test.go
+++ b/internal/poison/modelexchange_test.go
@@ -112,6 +112,9 @@
 
 // removeRows lifts verdicts everywhere.
 func (m *model) removeRows(i *modelInstance, lifted []Verdict) {
+	if len(lifted) == 0 {
+		return
+	}
 	m.shareVerdicts(i, i.ledger.Replacements(lifted))
 	for _, v := range lifted {
 		id := v.ID()
