Blame no part on crashes of one moment

Cause: five crashes convicted a part that was a suspect in all of them, also if they came together. Change: crashes of one moment convict nothing.

--- a/internal/poison/judge.go
+++ b/internal/poison/judge.go
@@ -15,8 +15,8 @@
 	// convictSpan is how long crashes in one failure domain have to go on: a failing domain loses
 	// its upstreams within a shorter time.
 	convictSpan = time.Second
-	// convictCrashes is how many crashes convict a part in fewer moments, if it is a suspect in
-	// all crashes of that time.
+	// convictCrashes is how many crashes convict a part in fewer moments, but not in a single one, if
+	// it is a suspect in all crashes of that time.
 	convictCrashes = 5
 	// convictMomentsKnownGood is the same for a part that is known good.
 	convictMomentsKnownGood = 8
@@ -223,7 +223,7 @@
 	case c.moments >= convictMoments:
 		return true
 	}
-	return len(c.crashes) >= convictCrashes && !j.otherCrashesBeside(c)
+	return c.moments > 1 && len(c.crashes) >= convictCrashes && !j.otherCrashesBeside(c)
 }
 
 // otherCrashesBeside reports whether upstreams without the part crashed in the same
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -85,6 +85,15 @@
 	g.Expect(refuses(l, "system0", "session0")).To(BeFalse())
 }
 
+func TestMassCrashConvictsNoSystemPrompt(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLedger()
+	for i := range 9 {
+		l.AddCrash(at(1), Crash{UpstreamID: fmt.Sprint(i), FailureDomain: fmt.Sprint(i % 4), At: at(1 + float64(i)/100), Prompts: []Prompt{prompt("system")}})
+	}
+	g.Expect(refuses(l, "system")).To(BeFalse())
+}
+
 func TestCrashesOfOneFailureDomainConvictNoPartAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	l := NewLedger()
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -9,7 +9,7 @@
 // the verdict at all instances.
 //
 // The package does no I/O and reads no clock. It must never refuse a prompt that lacks a
-// part of every verdict.
+// part of every verdict, and must never blame a part on crashes of one moment.
 package poison
 
 import (
