Revise verdicts sooner for parts that are alone in their prompts

Cause: after a verdict that explains its first crashes a part needed two more moments. Change: one moment suffices for a part that is alone in its prompts in all of its crashes.

--- a/internal/poison/judge.go
+++ b/internal/poison/judge.go
@@ -168,7 +168,8 @@
 }
 
 // count returns the crashes that count against a part. The crashes that a verdict explains count
-// too if others show that it does not explain enough.
+// too if others show that it does not explain enough. One moment shows that for a part that
+// is alone in its prompts, because nothing else in them can be the cause.
 func (j *judgement) count(part Part) tally {
 	all := j.occurrences[part].crashes
 	own := false
@@ -176,7 +177,8 @@
 		own = own || j.explained[i] != nil && j.explained[i].contains(part)
 		return j.explained[i] != nil
 	}))
-	if unexplained.moments >= reviseMoments && !j.needsMore(part) && (own || len(all) >= convictCrashes) {
+	alone := len(j.occurrences[part].alone) == len(all)
+	if (unexplained.moments >= reviseMoments || alone && unexplained.moments > 0) && !j.needsMore(part) && (own || len(all) >= convictCrashes) {
 		return j.tallyOf(part, all)
 	}
 	return unexplained
