--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -65,6 +66,26 @@
 	}
 }
 
+// requestAtOnce sends a number of requests at the same time and returns their results.
+func (h *harness) requestAtOnce(ctx context.Context, count int) []callerResult {
+	results := make([]callerResult, count)
+	var done sync.WaitGroup
+	for i := range results {
+		done.Go(func() { results[i] = h.request(ctx, nil) })
+	}
+	done.Wait()
+	return results
+}
+
+// markAllLostBut makes new requests go to one upstream.
+func (h *harness) markAllLostBut(name string) {
+	for _, m := range h.pool.Members("service") {
+		if m.ID != name {
+			m.MarkLost(time.Now())
+		}
+	}
+}
+
 // Guards against ending a stream that cannot move because a sound upstream is silent for a second (incident LOST).
 func TestSilentUpstreamDoesNotCutStreamThatCannotMove(t *testing.T) {
 	notResumable, oneAttempt := streaming, streaming
@@ -145,17 +166,8 @@
 		// All streams run at upstream a, which is silent for a while; the others work.
 		h.setBehaviour(sendEvents(100, testInterval, nil), "b", "c")
 		h.setBehaviour(h.silentAfter(20, testSilence, 100), "a")
-		for _, m := range h.pool.Members("service") {
-			if m.ID != "a" {
-				m.MarkLost(time.Now())
-			}
-		}
-		results := make([]callerResult, streams)
-		var done sync.WaitGroup
-		for i := range results {
-			done.Go(func() { results[i] = h.request(t.Context(), nil) })
-		}
-		done.Wait()
+		h.markAllLostBut("a")
+		results := h.requestAtOnce(t.Context(), streams)
 		for _, got := range results {
 			h.g.Expect(got.aborted).To(BeFalse())
 			h.g.Expect(got.body).To(Equal(eventsText(1, 100)))
--- a/internal/forward/silencedecision_test.go
+++ b/internal/forward/silencedecision_test.go
@@ -75,17 +75,8 @@
 		}
 		h.setBehaviour(stall, "a")
 		h.setBehaviour(sendEvents(100, testInterval, nil), "b", "c")
-		for _, m := range h.pool.Members("service") {
-			if m.ID != "a" {
-				m.MarkLost(time.Now())
-			}
-		}
-		results := make([]callerResult, streams)
-		var done sync.WaitGroup
-		for i := range results {
-			done.Go(func() { results[i] = h.request(t.Context(), nil) })
-		}
-		done.Wait()
+		h.markAllLostBut("a")
+		results := h.requestAtOnce(t.Context(), streams)
 		for _, got := range results {
 			h.g.Expect(got.aborted).To(BeFalse())
 		}
@@ -149,17 +140,8 @@
 					}
 					return sendEvents(100, testInterval, nil)(req)
 				}, "b", "c", "d")
-				for _, m := range h.pool.Members("service") {
-					if m.ID != "a" {
-						m.MarkLost(time.Now())
-					}
-				}
-				results := make([]callerResult, streams)
-				var done sync.WaitGroup
-				for i := range results {
-					done.Go(func() { results[i] = h.request(t.Context(), nil) })
-				}
-				done.Wait()
+				h.markAllLostBut("a")
+				results := h.requestAtOnce(t.Context(), streams)
 				aborted := 0
 				for _, got := range results {
 					if got.aborted {
@@ -229,17 +211,8 @@
 		h := newHarness(t, streaming, true, "a", "b", "c")
 		h.setBehaviour(h.silentAfter(20, time.Hour, 100), "a")
 		h.setBehaviour(sendEvents(100, testInterval, nil), "b", "c")
-		for _, m := range h.pool.Members("service") {
-			if m.ID != "a" {
-				m.MarkLost(time.Now())
-			}
-		}
-		results := make([]callerResult, streams)
-		var done sync.WaitGroup
-		for i := range results {
-			done.Go(func() { results[i] = h.request(t.Context(), nil) })
-		}
-		done.Wait()
+		h.markAllLostBut("a")
+		results := h.requestAtOnce(t.Context(), streams)
 		for _, got := range results {
 			h.g.Expect(got.body).To(Equal(eventsText(1, 100)))
 			h.g.Expect(got.duration).To(BeNumerically("<", 100*testInterval+3*time.Second))
