Spread the callers that wait longest after a pushback too

What callers saw: when all upstreams of a service push back for a time near a third of the caller's, about half of the callers got the same Retry-After, and came back together.

Cause: the random part was added first and the sum was cut at that third.

Change: the random part is drawn from what is left below the third.

--- a/internal/forward/policy.go
+++ b/internal/forward/policy.go
@@ -111,7 +111,8 @@
 // requests again, random is from [0, 1).
 func PushbackRetryAfter(first, left time.Duration, random float64) time.Duration {
 	spread := min(max(time.Duration(pushbackSpread*float64(first)), pushbackSpreadMin), pushbackSpreadMax)
-	return min(first+time.Duration(random*float64(spread)), time.Duration(pushbackShare*float64(left)))
+	latest := min(first+spread, time.Duration(pushbackShare*float64(left)))
+	return min(first, latest) + time.Duration(random*float64(max(0, latest-first)))
 }
 
 // Timeouts of stream monitoring.
