Let a test's network keep its own list of instances

No caller is affected: only the test's network has the shared slice.

Evidence: both stacks are in test files (write in partsettle_test.go, read in partNetworkLink.spread).

Change: the network clones the list. The checks of the test are the same.

--- a/internal/gateway/partlinks_test.go
+++ b/internal/gateway/partlinks_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,7 +36,7 @@
 }
 
 func connect(t *testing.T, fleet []*partInstance) *partNetwork {
-	n := &partNetwork{t: t, fleet: fleet}
+	n := &partNetwork{t: t, fleet: slices.Clone(fleet)} // the test may replace instances
 	for _, i := range fleet {
 		i.setLinks(partNetworkLink{n, i})
 	}
