Suspect no request that was sent to an upstream after its process had ended

Cause: a run whose connection ended was a suspect of the end of the addressed process whenever that process was gone, also if the process had ended before the request was sent. Where a proxy accepts connections for a process that is gone, each later request to it joined the suspects of the crash.

What callers saw: with two poison parts at a time, the verdict on one explained crashes by the other one, whose requests went on to upstreams. This is one of its causes, the others are open.

Evidence: TestRequestSentToEndedUpstreamIsNoSuspect failed before (the retries at the ended process were shared as further suspects).

Change: the ledger tells whether a process is known to have ended before a request was sent.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -62,7 +62,7 @@
 		return // only the connection or the response was lost
 	}
 	if connectionEnded(last.reply.err) && (err == nil || refusesConnections(err)) {
-		f.recordEndAtStart(x, endedProcess{member: m, upstreamID: upstreamID, at: at, progress: notBegun})
+		f.recordEndAtStart(x, endedProcess{member: m, upstreamID: upstreamID, sentAt: last.startedAt, at: at, progress: notBegun})
 	}
 	f.recordCrash(x, m, upstreamID)
 }
--- a/internal/forward/crashingengines_test.go
+++ b/internal/forward/crashingengines_test.go
@@ -43,6 +43,7 @@
 type crashingEngines struct {
 	poison []string // parts
 	stage  crashStage
+	proxy  bool // connections to an engine whose process has ended are accepted and closed
 
 	mu       sync.Mutex // guards the fields below and the engines
 	random   *rand.Rand
@@ -150,12 +151,15 @@
 		stage = crashStage(c.random.IntN(int(crashStages)))
 	}
 	c.mu.Unlock()
-	if !up {
+	if !up && !c.proxy {
 		return nil, errRefused
 	}
 	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
 		trace.GotConn(httptrace.GotConnInfo{})
 	}
+	if !up {
+		return nil, io.EOF
+	}
 	head := response(http.StatusOK, "")
 	head.Header.Set("Id", run.id)
 	if !addressed {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -63,6 +63,7 @@
 type run struct {
 	*relay
 	member     *pool.Member
+	sentAt     time.Time
 	monitor    StreamMonitor
 	backup     *backup
 	response   *http.Response
--- a/internal/forward/upstreamend.go
+++ b/internal/forward/upstreamend.go
@@ -119,6 +119,7 @@
 type endedProcess struct {
 	member     *pool.Member
 	upstreamID string
+	sentAt     time.Time // of the request
 	at         time.Time
 	progress   progress
 	written    time.Duration // since the first event
@@ -128,7 +129,7 @@
 
 func (r *run) endedProcess(attempt Attempt, now time.Time) endedProcess {
 	return endedProcess{
-		member: r.member, upstreamID: attempt.Upstream.ID, at: now, progress: r.answer.at(now), written: r.answer.written(now),
+		member: r.member, upstreamID: attempt.Upstream.ID, sentAt: r.sentAt, at: now, progress: r.answer.at(now), written: r.answer.written(now),
 		head: r.response != nil, resumed: attempt.LastEventID > 0,
 	}
 }
@@ -136,6 +137,10 @@
 // recordEndAtStart records that the process of an upstream ended when the answer to a request
 // there had not begun or had only just begun.
 func (f *Forwarder) recordEndAtStart(x *exchange, p endedProcess) {
+	if f.Poison.EndedBefore(p.upstreamID, p.sentAt) {
+		x.log.WithField("upstream", p.upstreamID).Info("request was sent to an upstream process that had ended")
+		return
+	}
 	f.Metrics.countUpstreamEnd(p.progress)
 	x.log.WithFields(logrus.Fields{
 		"upstream": p.upstreamID, "domain": p.member.FailureDomain, "progress": p.progress, "head": p.head,
--- a/internal/forward/upstreamend_test.go
+++ b/internal/forward/upstreamend_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"foxtailhub.example/foxtailhub/internal/poison"
+	"foxtailhub.example/foxtailhub/internal/route"
 )
 
 const endAtStartLine = "upstream process ended at the start of an answer"
@@ -58,6 +59,39 @@
 	})
 }
 
+// recordedCrashes is a PartExchange that keeps what is shared.
+type recordedCrashes struct {
+	unsharedParts
+	crashes []poison.Crash
+}
+
+func (r *recordedCrashes) ShareCrash(crash poison.Crash) { r.crashes = append(r.crashes, crash) }
+
+// Guards against suspecting a request of the end of an upstream process to which it was sent only
+// afterwards, for example through a proxy that still accepts connections.
+func TestRequestSentToEndedUpstreamIsNoSuspect(t *testing.T) {
+	for _, r := range []route.Route{streaming, idempotent} {
+		inVirtualTime(t, func(t *testing.T) {
+			h := newHarness(t, r, true)
+			shared := &recordedCrashes{}
+			h.f.PartExchange = shared
+			engines := newCrashingEngines(1, crashStages)
+			engines.proxy = true
+			engines.attach(h)
+			time.AfterFunc(soundPrefill/2, func() { engines.end("e0") })
+			h.request(t.Context(), parts("system,running,own")) // ends with the process
+			synctest.Wait()
+			h.g.Expect(shared.crashes).To(HaveLen(1))
+			h.pool.Members("service")[0].MarkAlive(time.Now())
+			time.Sleep(10 * time.Millisecond)
+			h.request(t.Context(), parts("system,late,own"))
+			synctest.Wait()
+			h.g.Expect(shared.crashes).To(HaveLen(1))
+			h.g.Expect(shared.crashes[0].Prompts).To(Equal([]poison.Prompt{poison.NewPrompt([]string{"system", "running", "own"})}))
+		})
+	}
+}
+
 // Guards against a log line of any length.
 func TestLoggedPartsAreBounded(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -245,6 +245,15 @@
 	return false
 }
 
+// EndedBefore reports whether a process is known to have ended before a time. A request that
+// was sent to it then did not end it.
+func (l *Ledger) EndedBefore(upstreamID string, at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	crash := l.crashes[upstreamID]
+	return crash != nil && crash.at.Before(at)
+}
+
 // KnownGood returns those of the parts on which an answer is known to have gone on lately,
 // each with the time of the last one.
 func (l *Ledger) KnownGood(now time.Time, parts []Part) map[Part]time.Time {
