Keep the attempt at a silent engine while nothing replaces it

A caller of the API of instances lost its generation when its engine was silent for two seconds: a probe that was not answered for 500 ms ended the attempt, also the last one (`attempts_exhausted`). With no other engine to place it on, the attempt was cancelled too and the whole text was read again later.

An attempt at a silent engine now ends only when the next one has an upstream, its connection has ended, or its deadline passes. Where no attempt is left it stays and its engine is probed at intervals of 500 ms to 2 s, so that a dead connection to a live engine is replaced. A new attempt is not placed on the engine whose attempt it is to replace. A quarantine ends no attempt in progress when the placement of the next one is refused. An attempt of a content that has crashed an engine is still cancelled before the next one is placed, since such a content must not run on two engines at a time.

The bounds of resume latency in fault_test.go are unchanged.

--- a/internal/generation/machine.go
+++ b/internal/generation/machine.go
@@ -14,6 +14,10 @@
 const (
 	// A live engine responds to a probe within a few milliseconds.
 	probeTimeout = 500 * time.Millisecond
+	// Interval between the probes of a silent engine whose attempt stays; it doubles with
+	// each unanswered one.
+	probeInterval    = 500 * time.Millisecond
+	maxProbeInterval = 2 * time.Second
 	// An engine that has sent no tokens and responds neither to a probe nor,
 	// within this time, to a cancellation is considered down.
 	cancelTimeout = 500 * time.Millisecond
@@ -89,6 +93,9 @@
 	produced       bool // one of its tokens was accepted
 	suspected      bool
 	cause          upstream.ObservationKind // why it is suspected
+	leaving        bool                     // it ends when the next attempt has an upstream
+	probeAt        time.Time                // when to probe its engine again; zero: not scheduled
+	unanswered     int                      // probes without an answer since the last sign of life
 }
 
 // attemptConnection is one connection of an attempt.
@@ -205,7 +212,7 @@
 	switch {
 	case m.finished:
 		return
-	case len(m.attempts) > 0 && !m.hedgeAllowed():
+	case len(m.attempts) > 0 && !m.hedgeAllowed() && !m.replacing():
 		return
 	case m.contentStatus.Quarantined:
 		m.finishQuarantined(now)
@@ -240,6 +247,7 @@
 	}
 	m.versionGoneSince = time.Time{}
 	a.upstream = in.Upstream
+	m.endReplaced()
 }
 
 // handleNoPlacement retries the placement after a backoff, or ends the generation.
@@ -253,7 +261,7 @@
 	m.removeAttempt(a)
 	m.countedAttempts--
 	m.lastAttempt-- // the number was not used
-	if m.contentStatus.Quarantined {
+	if m.contentStatus.Quarantined && len(m.attempts) == 0 {
 		m.finishQuarantined(now)
 		return
 	}
@@ -289,6 +297,7 @@
 func (m *Machine) handleOpened(now time.Time, a *attempt, c *attemptConnection) {
 	m.mayHaveRun = true
 	m.backoff = 0
+	a.showsLife()
 	if m.attempt(m.current) == nil {
 		m.current = a.number
 		m.emit(Action{Kind: ActionSwitchAttempt, Attempt: a.number})
@@ -356,6 +365,7 @@
 	}
 	a.suspected = false
 	a.cause = ""
+	a.showsLife()
 	c.probe = false
 	m.retryAt = time.Time{}
 	m.firstToken = m.settings.FirstTokenTimeout
--- a/internal/generation/recovery.go
+++ b/internal/generation/recovery.go
@@ -12,7 +12,7 @@
 // suspect marks an attempt as suspected until it yields the next token.
 func (m *Machine) suspect(now time.Time, a *attempt, cause upstream.ObservationKind) {
 	m.mayHaveRun = true
-	if len(m.attempts) == maxLiveAttempts {
+	if len(m.attempts) == maxLiveAttempts && m.attemptLeft() {
 		m.endAttempt(now, a, cause, true)
 		return
 	}
@@ -23,14 +23,36 @@
 
 // recover probes the engine of an attempt and starts a hedge if one is allowed.
 func (m *Machine) recover(now time.Time, a *attempt) {
-	probe := a.addConnection(m.newConnectionID(), true, now.Add(probeTimeout))
-	m.emit(Action{Kind: ActionProbe, Attempt: a.number, Connection: probe.id, Observation: a.cause})
+	m.probe(now, a)
 	if m.hedgeAllowed() {
 		m.avoidUpstream(a)
 		m.startAttempt(now)
 	}
 }
 
+// probe resumes the stream of an attempt over a new connection.
+func (m *Machine) probe(now time.Time, a *attempt) {
+	a.probeAt = time.Time{}
+	c := a.addConnection(m.newConnectionID(), true, now.Add(probeTimeout))
+	m.emit(Action{Kind: ActionProbe, Attempt: a.number, Connection: c.id, Observation: a.cause})
+}
+
+// probeLater schedules a probe of an engine that did not answer the last one.
+func (m *Machine) probeLater(now time.Time, a *attempt) {
+	a.probeAt = now.Add(min(probeInterval<<min(a.unanswered, maxDoublings), maxProbeInterval))
+	a.unanswered++
+}
+
+// showsLife records an answer of the engine of an attempt.
+func (a *attempt) showsLife() {
+	a.leaving, a.unanswered, a.probeAt = false, 0, time.Time{}
+}
+
+// attemptLeft reports whether a further attempt may continue the text.
+func (m *Machine) attemptLeft() bool {
+	return m.restartable() && m.countedAttempts < m.settings.MaxAttempts && !m.contentStatus.Quarantined
+}
+
 // firstTokenBound returns the time-out for the first token of a new attempt. A
 // started text has to continue within the resume bound. The time-out doubles
 // with each attempt that times out, because a long prefill may be the cause.
@@ -74,6 +96,10 @@
 // handleRefused handles an engine that did not accept a start or a probe.
 func (m *Machine) handleRefused(now time.Time, a *attempt, c *attemptConnection, kind upstream.ObservationKind) {
 	a.removeConnection(c)
+	if c.probe && len(a.connections) > 0 {
+		m.endIfUnrecoverable(now, a)
+		return
+	}
 	if c.probe {
 		m.endAttempt(now, a, a.observation(kind), kind != upstream.ObservedUnreachable)
 		return
@@ -82,17 +108,48 @@
 	m.endAttempt(now, a, kind, false)
 }
 
-// endIfUnrecoverable ends an attempt that has no connection left to wait for.
+// endIfUnrecoverable replaces or ends an attempt that has no probe left to wait for.
 func (m *Machine) endIfUnrecoverable(now time.Time, a *attempt) {
 	probing := slices.ContainsFunc(a.connections, func(c *attemptConnection) bool { return c.probe })
 	if probing {
 		return
 	}
 	hedged := len(m.attempts) > 1
-	if len(a.connections) > 0 && hedged {
-		return // the old connection may still yield the next token before the hedge
+	silent := len(a.connections) > 0 || a.cause == upstream.ObservedNoResponse
+	switch {
+	case silent && !m.attemptLeft():
+		m.probeLater(now, a)
+	case hedged && len(a.connections) > 0:
+		// The old connection may still yield the next token before the hedge.
+	case silent && !hedged && m.contentStatus.Crashes == 0:
+		m.replace(now, a)
+	default:
+		m.endAttempt(now, a, a.observation(upstream.ObservedNoResponse), true)
+	}
+}
+
+// replace starts an attempt in place of one whose engine is silent. A silent engine may go on,
+// so its attempt ends only when the next one has an upstream.
+func (m *Machine) replace(now time.Time, a *attempt) {
+	a.leaving = true
+	m.probeLater(now, a)
+	m.startAttempt(now)
+}
+
+// replacing reports whether an attempt is to be replaced. A suspected poison prompt never runs
+// on two engines at a time.
+func (m *Machine) replacing() bool {
+	return m.contentStatus.Crashes == 0 && m.attemptLeft() &&
+		slices.ContainsFunc(m.attempts, func(a *attempt) bool { return a.leaving })
+}
+
+// endReplaced ends the attempts that a placed one replaces.
+func (m *Machine) endReplaced() {
+	for _, a := range slices.Clone(m.attempts) {
+		if a.leaving {
+			m.dropAttempt(a, a.observation(upstream.ObservedNoResponse), true)
+		}
 	}
-	m.endAttempt(now, a, a.observation(upstream.ObservedNoResponse), true)
 }
 
 // endAttempt ends an attempt and starts the next if needed. If the content may
@@ -163,6 +220,11 @@
 	if !m.finished && !m.retryAt.IsZero() && !now.Before(m.retryAt) {
 		m.startAttempt(now)
 	}
+	for _, a := range m.attempts {
+		if !a.probeAt.IsZero() && !now.Before(a.probeAt) {
+			m.probe(now, a)
+		}
+	}
 }
 
 // handleSilence handles a connection that yielded nothing before its deadline.
@@ -191,6 +253,9 @@
 		next = m.retryAt
 	}
 	for _, a := range m.attempts {
+		if !a.probeAt.IsZero() && a.probeAt.Before(next) {
+			next = a.probeAt
+		}
 		for _, c := range a.connections {
 			if !c.deadline.IsZero() && c.deadline.Before(next) {
 				next = c.deadline
--- a/internal/generation/runner.go
+++ b/internal/generation/runner.go
@@ -151,6 +151,12 @@
 		r.pending = append(r.pending, Input{Kind: InputNoPlacement, Attempt: action.Attempt, RetryAfter: wait, VersionGone: versionGone})
 		return
 	}
+	if r.runsOn(placement.Target.ID) {
+		// Another attempt on the same silent engine would replace one that may go on.
+		placement.Done(upstream.Observation{Kind: upstream.ObservedCancelled})
+		r.pending = append(r.pending, Input{Kind: InputNoPlacement, Attempt: action.Attempt})
+		return
+	}
 	base, state := g.endPosition()
 	a := &engineAttempt{
 		number: action.Attempt, stream: action.Stream, target: placement.Target,
@@ -166,6 +172,16 @@
 	})
 }
 
+// runsOn reports whether an attempt in progress runs on an upstream.
+func (r *runner) runsOn(id contract.UpstreamID) bool {
+	for _, a := range r.attempts {
+		if a.target.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *runner) streamRequest(action Action) upstream.StreamRequest {
 	g := r.generation
 	priority := g.request.Priority
