Keep a stream open that left a sound upstream when the next one fails

A caller's stream was cut off after this instance had taken it from a silent upstream, if the next one reset or answered for another request or without a signature while the retry budget was used up, or while the others had no room for three seconds. Only the last run decided whether the stream is held open: its failure replaced the record that the stream had left a live upstream.

The record now lasts until an event of another upstream arrives. A stream that is lost after that is an ordinary loss and ends after three seconds as before (TestStreamLostAfterMoveIsNotHeldOpen). Where nothing may be sent any more the stream ends at once: with no attempt left (MaxAttempts is the operator's limit), and, new, with a used-up retry budget to which requests add nothing.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -95,6 +95,13 @@
 	return ok
 }
 
+// Refills reports whether a budget that is used up can allow retries again.
+func (b *RetryBudget) Refills() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bucket.Ratio > 0 || b.bucket.RefillPerSecond > 0
+}
+
 // Take takes one token for a retry or hedge. It returns false if the budget is
 // used up.
 func (b *RetryBudget) Take() bool {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -43,7 +43,7 @@
 	blockedSince       time.Time       // since when no upstream can continue the stream; zero: not blocked
 	moving             bool            // it has left an upstream and has no event of the next one yet
 	waits              int             // pauses since the last progress of a stream that stays open
-	leftUpstream       bool            // the last run was given up while its connection was open
+	leftUpstream       bool            // a run was given up while its connection was open, and no event has followed
 	verdictsChanged    <-chan struct{} // closed when the verdicts on parts of prompts have changed since the last check
 }
 
@@ -84,7 +84,7 @@
 		return false
 	}
 	for !s.x.allowRetry() {
-		if !s.staysOpen() || !s.awaitUpstream(ctx) {
+		if !s.staysOpen() || !s.x.budget.Refills() || !s.awaitUpstream(ctx) {
 			return false
 		}
 	}
@@ -223,8 +223,8 @@
 	if s.callerDisconnected || errors.Is(err, errPoisonParts) {
 		cancel() // a failure from here on is no evidence against the upstream
 	}
-	if result == Failed {
-		s.leftUpstream = errors.IsAny(err, errUnresponsive, errStalled)
+	if errors.IsAny(err, errUnresponsive, errStalled) {
+		s.leftUpstream = true
 	}
 	if s.staysOpen() {
 		// Refused attempts use up the retry budget of all streams.
@@ -307,7 +307,7 @@
 		s.longestPause = max(s.longestPause, now.Sub(s.lastProgressAt))
 	}
 	s.lastProgressAt = now
-	s.blockedSince, s.waits = time.Time{}, 0
+	s.blockedSince, s.waits, s.leftUpstream = time.Time{}, 0, false
 	s.endMove()
 	s.events++
 }
