Send a waiting stream to the upstream that it left once that goes on

A stream that has left a silent upstream and waits for room avoided the failure domain of that upstream until its deadline as long as any other upstream was listed, full or not. So its caller waited although the upstream had gone on and its slot was free; with few failure domains that shuts out many upstreams.

While a stream is held open, each wait now allows the failure domains of the failed upstreams again, as it does with the upstreams themselves. A plain loss still avoids them.

TestStreamReturnsToUpstreamThatItLeft failed before the change and passes, in 20 of 20 repetitions too.

--- a/internal/forward/beforefirstevent_test.go
+++ b/internal/forward/beforefirstevent_test.go
@@ -32,6 +32,30 @@
 	})
 }
 
+// Guards against a stream that is never sent again to the upstream that it left, while all others are full.
+func TestStreamReturnsToUpstreamThatItLeft(t *testing.T) {
+	for _, event := range []int{0, 20} {
+		inVirtualTime(t, func(t *testing.T) {
+			r := streaming
+			r.Timeout = time.Minute
+			h := newHarness(t, r, true, "a", "b")
+			const silence = 5 * time.Second
+			h.setBehaviour(func(req receivedRequest) (*http.Response, error) {
+				time.AfterFunc(silence, func() { h.setBehaviour(sendEvents(60, testInterval, nil), "a") })
+				h.setBehaviour(refuseAsNotRun, "a")
+				return h.silentAfter(event, silence, 60)(req)
+			}, "a")
+			h.setBehaviour(refuseAsNotRun, "b")
+			h.markAllLostBut("a")
+			got := h.request(t.Context(), nil)
+			h.g.Expect(got.status).To(Equal(http.StatusOK))
+			h.g.Expect(got.aborted).To(BeFalse())
+			h.g.Expect(got.body).To(Equal(eventsText(1, 60)))
+			h.g.Expect(h.receivedBy()).To(ContainElement("b"))
+		})
+	}
+}
+
 // Guards against a stream that left a silent upstream and outlives its deadline, or floods full upstreams while it waits.
 func TestStreamThatFindsNoRoomEndsAtDeadline(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -120,6 +120,7 @@
 	if s.staysOpen() {
 		// Refused attempts use up the retry budget of all streams.
 		x.state.Refused = maxRefusals - 1
+		s.failedDomains = nil // the upstream that it left may go on
 	}
 	return true
 }
