--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -43,7 +43,7 @@
 	blockedSince       time.Time       // since when no upstream can continue the stream; zero: not blocked
 	moving             bool            // it has left an upstream and has no event of the next one yet
 	waits              int             // pauses since the last progress of a stream that stays open
-	leftUpstream       bool            // the last run was given up while its connection was open
+	leftUpstream       bool            // a run was given up while its connection was open, and no event has followed
 	verdictsChanged    <-chan struct{} // closed when the verdicts on parts of prompts have changed since the last check
 }
 
@@ -84,7 +84,7 @@
 		return false
 	}
 	for !s.x.allowRetry() {
-		if !s.staysOpen() || !s.awaitUpstream(ctx) {
+		if !s.staysOpen() || !s.x.budget.Refills() || !s.awaitUpstream(ctx) {
 			return false
 		}
 	}
@@ -120,14 +120,16 @@
 	if s.staysOpen() {
 		// Refused attempts use up the retry budget of all streams.
 		x.state.Refused = maxRefusals - 1
+		s.failedDomains = nil // the upstream that it left may go on
 	}
 	return true
 }
 
 // staysOpen reports whether only its deadline ends a stream that no upstream can continue.
 // After a loss its caller can resume it at another instance; a stream that this instance
-// took from a live upstream is not cut off for that.
-func (s *relay) staysOpen() bool { return s.leftUpstream && s.headWritten }
+// took from a live upstream is not cut off for that. Before the first event the caller gets
+// the error response of an upstream, if there is one, without further delay.
+func (s *relay) staysOpen() bool { return s.leftUpstream && (s.headWritten || s.failure == nil) }
 
 // planAttempt chooses the upstream of the next attempt and the holder of its KV copy,
 // or nil for the latter.
@@ -223,8 +225,8 @@
 	if s.callerDisconnected || errors.Is(err, errPoisonParts) {
 		cancel() // a failure from here on is no evidence against the upstream
 	}
-	if result == Failed {
-		s.leftUpstream = errors.IsAny(err, errUnresponsive, errStalled)
+	if errors.IsAny(err, errUnresponsive, errStalled) {
+		s.leftUpstream = true
 	}
 	if s.staysOpen() {
 		// Refused attempts use up the retry budget of all streams.
@@ -307,7 +309,7 @@
 		s.longestPause = max(s.longestPause, now.Sub(s.lastProgressAt))
 	}
 	s.lastProgressAt = now
-	s.blockedSince, s.waits = time.Time{}, 0
+	s.blockedSince, s.waits, s.leftUpstream = time.Time{}, 0, false
 	s.endMove()
 	s.events++
 }
