Leave a connection whose upstream has been replaced behind its silence

Cause: a stream that stays at a silent upstream takes an answered probe as a sign of life. After a crash without a reset another process may have taken the address, whose answer says nothing about the connection: the stream waited for the next stall, the keep-alive probes of the connection or its deadline.

What callers saw: a stream that must not be repeated stays open until its deadline (25 s in the test) although nobody writes it any more; others go on later than they could.

Evidence: TestStreamLeavesUpstreamReplacedInItsSilence, 25 s before, 1.66 s after (the process is replaced 1.6 s after the start).

Change: the start time in the load report is compared with that of the process that the request was sent to. Another one ends the run, as a reset does.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -63,6 +63,7 @@
 type run struct {
 	*relay
 	member     *pool.Member
+	sentTo     pool.Upstream // the process that was addressed
 	sentAt     time.Time
 	monitor    StreamMonitor
 	backup     *backup
@@ -129,7 +130,10 @@
 				return Failed, ctx.Err()
 			}
 			if len(items) > 0 {
-				p.err = nil // events that wait here are a sign of life
+				p.err, p.replaced = nil, false // events that wait here are a sign of life
+			}
+			if p.replaced {
+				return Failed, errUpstreamReplaced
 			}
 			if r.leavesUpstream(p) {
 				return Failed, errors.Mark(p.err, errUnresponsive)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -48,6 +48,7 @@
 	errUnresponsive      = errors.New("upstream did not respond to a probe")
 	errStalled           = errors.New("stream stalled")
 	errNoBackupHolder    = errors.New("no upstream available for a KV copy")
+	errUpstreamReplaced  = errors.New("another process has taken the address of the upstream")
 	errUpstreamRestarted = errors.New("upstream restarted during its identification")
 	errEventGap          = errors.New("event missing from the stream")
 	errOtherMediaType    = errors.New("response has another media type than the stream that it was to continue")
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -66,6 +66,7 @@
 	err         error
 	sentAt      time.Time
 	alternative bool // the upstream did not answer, but another one did and has room
+	replaced    bool // another process answered at the address of the upstream
 }
 
 // alternatives returns other upstreams at which the stream could go on; none if it cannot
@@ -89,9 +90,11 @@
 	result := probeResult{sentAt: time.Now()}
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if _, result.err = r.f.Prober.Load(probeCtx, r.member.Address); result.err != nil {
+	report, err := r.f.Prober.Load(probeCtx, r.member.Address)
+	if result.err = err; err != nil {
 		result.alternative = r.anyHasRoom(ctx, alternatives)
 	}
+	result.replaced = err == nil && report.StartedAt != 0 && r.sentTo.StartedAt != 0 && report.StartedAt != r.sentTo.StartedAt
 	probed <- result
 }
 
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -284,3 +284,40 @@
 		})
 	}
 }
+
+// Guards against a stream that waits at a connection whose upstream has been replaced behind its
+// silence: the new process answers the probes.
+func TestStreamLeavesUpstreamReplacedInItsSilence(t *testing.T) {
+	notResumable := streaming
+	notResumable.Resumable = false
+	for name, test := range map[string]struct {
+		route    route.Route
+		complete bool
+	}{"resumed elsewhere": {streaming, true}, "must not be repeated": {notResumable, false}} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				h := newHarness(t, test.route, true, "a", "b")
+				h.f.RetryBudgets = NewRetryBudgets(1)
+				h.setBehaviour(h.silentAfter(20, time.Hour, 60), "a")
+				h.setBehaviour(sendEvents(60, testInterval, nil), "b")
+				h.markAllLostBut("a")
+				h.mu.Lock()
+				h.queued["b"] = 100 // so that the stream stays at first
+				h.mu.Unlock()
+				time.AfterFunc(20*testInterval+testSilence, func() {
+					h.mu.Lock()
+					defer h.mu.Unlock()
+					h.startTimes["a"], h.ids["a"], h.queued["b"] = 2, "a-new", 0
+					h.unresponsive["a"] = false
+				})
+				got := h.request(t.Context(), nil)
+				t.Logf("ended after %v", got.duration)
+				h.g.Expect(got.aborted).To(Equal(!test.complete))
+				if test.complete {
+					h.g.Expect(got.body).To(Equal(eventsText(1, 60)))
+				}
+				h.g.Expect(got.duration).To(BeNumerically("<", 60*testInterval+testSilence+700*time.Millisecond))
+			})
+		})
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -215,7 +215,7 @@
 	attempt.TimeLeft = s.x.timeLeft()
 	startedAt := time.Now()
 	s.upstreamListAge = s.f.Pool.Age(startedAt)
-	run := &run{relay: s, member: m, sentAt: startedAt, monitor: NewStreamMonitor(startedAt, s.x.route.GapTarget)}
+	run := &run{relay: s, member: m, sentTo: attempt.Upstream, sentAt: startedAt, monitor: NewStreamMonitor(startedAt, s.x.route.GapTarget)}
 	run.backup = newBackup(run, backupHolder, startedAt)
 	run.endPrefill = m.BeginPrefill()
 	defer run.markPrefilled()
