Convict poison parts whose crashes a verdict on another part explains

Callers saw requests with a poison part reach engines 9, 12 and 16 times later than 3 s after its fifth crash (allowed 3).

Cause: a crash counts against no other part once a verdict explains it, and five crashes counted only if two later moments were not explained. In the three kept draws a session without any success or the other poison part was convicted first: its requests ran at the same engines, which were lost together at a cold start or crashed by the poison part. The verdict hid up to four crashes of the poison part, and crashes of one moment or in an instance that restarted did not add up to two moments.

A verdict now explains at most four crashes of a part that no answer is known on, as a part in five crashes is convicted if these suffice by themselves. First parts and known good ones are as before, and a part that is alone in its prompts needs one crash that no verdict explains, because it may be the system prompt of another workspace.

--- a/internal/poison/judge.go
+++ b/internal/poison/judge.go
@@ -16,14 +16,14 @@
 	// its upstreams within a shorter time.
 	convictSpan = time.Second
 	// convictCrashes is how many crashes convict a part in fewer moments, but not in a single one, if
-	// it is a suspect in all crashes of that time.
+	// it is a suspect in all crashes of that time. A verdict on another part explains fewer.
 	convictCrashes = 5
 	// convictMomentsFirst is how many moments convict the first part of longer prompts, which is
 	// mostly common to a workspace.
 	convictMomentsFirst = 5
 	// convictMomentsKnownGood is the same for a part that is known good.
 	convictMomentsKnownGood = 8
-	// reviseMoments is how many moments of crashes that a verdict does not explain change it.
+	// reviseMoments is how many moments of crashes that a verdict does not explain widen it.
 	reviseMoments = 2
 )
 
@@ -170,9 +170,10 @@
 	return candidates
 }
 
-// count returns the crashes that count against a part. The crashes that a verdict explains count
-// too if others show that it does not explain enough. One moment shows that for a part that
-// is alone in its prompts, because nothing else in them can be the cause.
+// count returns the crashes that count against a part. Those that a verdict explains count too if
+// there are many without a success, or if others show that a verdict with this part is too narrow. A
+// part that is alone in its prompts may be the first part of a workspace: it needs a crash that no
+// verdict explains.
 func (j *judgement) count(part Part) tally {
 	all := j.occurrences[part].crashes
 	own := false
@@ -181,7 +182,11 @@
 		return j.explained[i] != nil
 	}))
 	alone := len(j.occurrences[part].alone) == len(all)
-	if (unexplained.moments >= reviseMoments || alone && unexplained.moments > 0) && !j.needsMore(part) && (own || len(all) >= convictCrashes) {
+	revised := own && unexplained.moments >= reviseMoments || len(all) >= convictCrashes
+	if alone {
+		revised = (own || len(all) >= convictCrashes) && unexplained.moments > 0
+	}
+	if revised && !j.needsMore(part) {
 		return j.tallyOf(part, all)
 	}
 	return unexplained
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -129,6 +129,30 @@
 	g.Expect(l.KnownGood(at(9), parts("system", "unknown"))).To(HaveLen(1))
 }
 
+// Guards against a poison part whose crashes another part's verdict explains, because requests with both ran there.
+func TestPoisonPartBesideConvictedPartIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLedger()
+	l.AddSuccess(at(0), at(0), parts("system"))
+	crashes(l, 1, 1, prompt("system", "p"))
+	crashes(l, 2, 4, prompt("system", "p"), prompt("system", "q"))
+	g.Expect(refuses(l, "system", "p")).To(BeTrue())
+	g.Expect(refuses(l, "system", "q")).To(BeFalse())
+	crashes(l, 6, 1, prompt("system", "q"))
+	g.Expect(refuses(l, "system", "q")).To(BeTrue())
+	g.Expect(refuses(l, "system", "new")).To(BeFalse())
+}
+
+// Guards against a system prompt that is refused together with the poison part of another workspace.
+func TestSystemPromptBesideConvictedPartIsNotRefused(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLedger()
+	crashes(l, 1, 1, prompt("poison"))
+	crashes(l, 2, 9, prompt("poison"), prompt("system"))
+	g.Expect(refuses(l, "poison")).To(BeTrue())
+	g.Expect(refuses(l, "system")).To(BeFalse())
+}
+
 func TestVerdictWidensToOtherWorkspaces(t *testing.T) {
 	g := NewWithT(t)
 	l := NewLedger()
