Let a stream with long events wait for memory

A caller's stream was cut off, and its sound upstream marked as lost, when an event of over 4 KiB did not fit into the memory for bodies at that moment: a limit that is meant to refuse new bodies ended answers in progress.

The reader of an event now waits for memory. So that it can't wait for bodies that wait for it, 32 events may exceed the limit, one of a stream; with events of at most 64 KiB the memory stays below the limit and 2 MiB. Only a single event over 64 KiB is an error. The memory of events is freed at the end of their run; that of a run that was cut within an event stayed reserved until the end of the request.

--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -29,6 +29,7 @@
 	numbered      bool
 	hasData       bool // it has a data field, so it is not only a comment
 	reservedBytes int  // reserved bytes of memory for bodies
+	slot          bool // it holds an event slot instead of further bytes
 }
 
 // eventReader splits a stream into complete events.
@@ -41,17 +42,15 @@
 	return &eventReader{r: bufio.NewReader(r), memory: memory}
 }
 
-// appendLine adds a line to an event. release frees the memory it reserves.
+// appendLine adds a line to an event and waits for the memory, which release frees.
 func (e *eventReader) appendLine(out *event, line []byte) error {
 	size := len(out.raw) + len(line)
 	if size > maxEventBytes {
 		return errEventTooLong
 	}
-	if excess := size - uncountedEventBytes - out.reservedBytes; excess > 0 {
-		if !e.memory.reserve(excess) {
-			return errMemoryExhausted
-		}
-		out.reservedBytes += excess
+	excess := size - uncountedEventBytes - out.reservedBytes
+	if excess > 0 && !out.slot && !e.memory.reserveForEvent(out, excess) {
+		return errMemoryExhausted
 	}
 	out.raw = append(out.raw, line...)
 	return nil
@@ -60,7 +59,10 @@
 // release frees the reserved memory of an event.
 func (e *event) release(memory *reservation) {
 	memory.release(e.reservedBytes)
-	e.reservedBytes = 0
+	if e.slot {
+		memory.releaseSlot()
+	}
+	e.reservedBytes, e.slot = 0, false
 }
 
 // next returns the next complete event. io.EOF means that the stream ended after a
@@ -79,8 +81,10 @@
 		case errors.Is(err, io.EOF) && len(out.raw) == 0:
 			return event{}, io.EOF
 		case errors.Is(err, io.EOF):
+			out.release(e.memory)
 			return event{}, errTruncatedEvent
 		case err != nil:
+			out.release(e.memory)
 			return event{}, errors.Wrap(err, "read event")
 		}
 		content := bytes.TrimRight(line, "\r\n")
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -24,8 +24,10 @@
 }
 
 // receiveStream sends the request and emits the received items until the stream ends.
-// onHead is called with the head of the response.
-func (s *sender) receiveStream(ctx context.Context, x *exchange, attempt Attempt, onHead func(attemptResult), out chan<- item) {
+// onHead is called with the head of the response, and memory is for the events.
+func (s *sender) receiveStream(
+	ctx context.Context, x *exchange, attempt Attempt, memory *reservation, onHead func(attemptResult), out chan<- item,
+) {
 	emit := func(it item) bool {
 		select {
 		case out <- it:
@@ -50,7 +52,7 @@
 	if !emit(item{head: &r}) {
 		return
 	}
-	events := newEventReader(r.response.Body, x.memory)
+	events := newEventReader(r.response.Body, memory)
 	for {
 		e, err := events.next()
 		if !emit(item{event: e, err: err}) || err != nil {
@@ -63,6 +65,7 @@
 type run struct {
 	*relay
 	member     *pool.Member
+	memory     *reservation // for events that the caller does not have yet
 	monitor    StreamMonitor
 	backup     *backup
 	response   *http.Response
@@ -113,7 +116,7 @@
 			}
 		case <-timer.C:
 			if now := time.Now(); len(items) == 0 && !now.Before(r.monitor.StallDeadline()) {
-				if !r.silent && r.canMove(now) && r.reserveMove() {
+				if !r.silent && !r.memory.waiting.Load() && r.canMove(now) && r.reserveMove() {
 					return Failed, errStalled
 				}
 				r.monitor.ExtendStall(now)
@@ -127,7 +130,7 @@
 			if ctx.Err() != nil {
 				return Failed, ctx.Err()
 			}
-			if len(items) > 0 {
+			if len(items) > 0 || r.memory.waiting.Load() {
 				p.err = nil // events that wait here are a sign of life
 			}
 			if r.leavesUpstream(p) {
@@ -184,7 +187,7 @@
 // handleEvent forwards an event. Only an event that the caller does not have yet counts
 // as progress: a stalled upstream may still send comments or repeat old events.
 func (r *run) handleEvent(e event) (result Result, ended bool, err error) {
-	defer e.release(r.x.memory)
+	defer e.release(r.memory)
 	switch {
 	case e.numbered && e.id <= r.lastEventID:
 		return 0, false, nil // the caller already has it
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -215,12 +215,13 @@
 	attempt.TimeLeft = s.x.timeLeft()
 	startedAt := time.Now()
 	s.upstreamListAge = s.f.Pool.Age(startedAt)
-	run := &run{relay: s, member: m, monitor: NewStreamMonitor(startedAt, s.x.route.GapTarget)}
+	run := &run{relay: s, member: m, memory: &reservation{memory: s.x.memory.memory}, monitor: NewStreamMonitor(startedAt, s.x.route.GapTarget)}
+	defer run.memory.releaseAll()
 	run.backup = newBackup(run, backupHolder, startedAt)
 	run.endPrefill = m.BeginPrefill()
 	defer run.markPrefilled()
 	items := make(chan item, eventBuffer)
-	go s.f.sender.receiveStream(ctx, s.x, attempt, func(r attemptResult) { s.f.recordResponseHead(s.x, m, attempt.Upstream, r, startedAt) }, items)
+	go s.f.sender.receiveStream(ctx, s.x, attempt, run.memory, func(r attemptResult) { s.f.recordResponseHead(s.x, m, attempt.Upstream, r, startedAt) }, items)
 	result, err := run.forwardItems(ctx, items)
 	if s.callerDisconnected || errors.Is(err, errPoisonParts) {
 		cancel() // a failure from here on is no evidence against the upstream
