Wait for a request that begins as a leaving instance closes its listener

A leaving instance checks that no request is in progress and then closes the front listener, for which it waited 300 ms at most. A request that a kept connection brought between the check and the close was passed on and cut off when the process ended after these 300 ms: a limit that is meant for connections without a request ended an answer. Requests that arrive later are dropped by net/http unread and not passed on.

Before the change TestRequestThatBeginsBeforeCloseIsAnswered got "unexpected EOF" for a request that takes 3 s. The close is now repeated while a request is in progress; connections that never send one still delay it by 300 ms only (TestUnusedConnectionDoesNotDelayClose). Both passed 20 of 20 times; the tests of internal/gateway pass with -race.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,8 +33,8 @@
 	// balancerDetectionTime is the time after which a load balancer that checks once a
 	// second has seen two failed readiness checks, and sends no new connections.
 	balancerDetectionTime = 2500 * time.Millisecond
-	// closeTimeout bounds the wait for requests that arrive while the front listener
-	// closes.
+	// closeTimeout bounds the wait for requests on connections that have none while the
+	// front listener closes.
 	closeTimeout = 300 * time.Millisecond
 	// drainPollInterval is the time between checks for requests in progress during a drain.
 	drainPollInterval = 50 * time.Millisecond
@@ -194,13 +194,26 @@
 	for time.Since(began) < balancerDetectionTime || g.forwarder.ActiveRequests() > 0 {
 		<-ticker.C
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if err := front.Shutdown(ctx); err != nil {
+	if err := closeFront(front, g.forwarder.ActiveRequests); err != nil {
 		g.log.WithError(err).Info("connections without a request were closed")
 	}
 }
 
+// closeFront closes the front listener and its connections, those with a request after its end:
+// one may have begun since the last check. The error means that connections without a request
+// are left.
+func closeFront(front *http.Server, activeRequests func() int) error {
+	for {
+		before := activeRequests()
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		err := front.Shutdown(ctx)
+		cancel()
+		if err == nil || before == 0 && activeRequests() == 0 {
+			return err
+		}
+	}
+}
+
 // isReady reports whether the load balancer should send callers to this instance.
 func (g *Gateway) isReady() bool {
 	return !g.draining.Load() && g.configuration.Current() != nil && g.pool.Size() > 0
