Let the first window of a request rate near 0 pass

Cause: the requests that all instances send before the first response with the rate has reached them may use all that the upstream tolerates (5 at a rate of 0). The first holder sent its own 2.2 s later, in the same 4 s.

What callers saw: nothing; the rule LIMIT would be broken by one request.

Evidence: the stored draw of TestPartsOfAllInstancesKeepTheRate fails each time: 6 requests in 4 s, 5 tolerated, five of them of five instances in the first 94 ms.

Change: below 0.25 requests a second, which count as 0.25, holders send nothing in the first 4.5 s. The end of such a limit is noticed 2.3 s later than before at the earliest.

TestHoldersLetFirstWindowOfLowRatePass fails without the change (2.2 s).

--- a/internal/fleetrate/allotment.go
+++ b/internal/fleetrate/allotment.go
@@ -28,6 +28,10 @@
 	// trialValidity is how long a trial request may be sent after its time. Unused trials
 	// of many instances must not add up to a burst.
 	trialValidity = time.Second
+	// quietTime is the time without requests of holders after the start of a limit below
+	// minRate: the requests that were sent before all instances knew of it may use the whole
+	// tolerance of the first window. All know of it within half a second.
+	quietTime = toleranceWindow + 500*time.Millisecond
 	// burst is the most requests of a holder at one moment: a request that comes late
 	// does not delay the following ones by as much.
 	burst = 1.5
@@ -42,6 +46,7 @@
 	Instances int
 	Interval  time.Duration // mean time between two requests
 	Phase     float64       // share of the interval before the first request, from [0, 1)
+	Delay     time.Duration // least time before the first request
 	NotBefore time.Time     // earliest time of the first request; zero: none may be sent
 }
 
@@ -57,6 +62,9 @@
 		a.Holder = true
 		a.Interval = seconds(float64(a.Holders) / (useShare * rate))
 		a.Phase = (float64(rank.Index) + 0.5) / float64(a.Holders)
+		if perSecond < minRate {
+			a.Delay = quietTime
+		}
 		return a
 	}
 	others := rank.Instances - a.Holders
--- a/internal/fleetrate/model_test.go
+++ b/internal/fleetrate/model_test.go
@@ -374,3 +374,17 @@
 		}
 	}
 }
+
+// Guards against holders of a rate near 0 that send in the window in which the requests sent before
+// the statement have used the whole tolerance.
+func TestHoldersLetFirstWindowOfLowRatePass(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, perSecond := range []float64{0, 0.1, 0.24} {
+		for index := range 3 {
+			p := NewPacer(now, Divide(perSecond, Rank{Index: index, Instances: 6}, now))
+			at, known := p.NextAt(now)
+			NewWithT(t).Expect(known).To(BeTrue())
+			NewWithT(t).Expect(at.Sub(now)).To(BeNumerically(">", toleranceWindow))
+		}
+	}
+}
--- a/internal/fleetrate/pacer.go
+++ b/internal/fleetrate/pacer.go
@@ -15,7 +15,7 @@
 	if a.NotBefore.After(now) {
 		now = a.NotBefore
 	}
-	return Pacer{allotment: a, due: now.Add(scale(a.Phase, a.Interval))}
+	return Pacer{allotment: a, due: now.Add(max(scale(a.Phase, a.Interval), a.Delay))}
 }
 
 // Allotment returns the current allotment.
