Name the shares of the retry budget

The split of the ratio between refills and bursts had no names. No change of behaviour: the tests of internal/forward and internal/fleetrate pass with the race detector.

--- a/internal/forward/retrybudget.go
+++ b/internal/forward/retrybudget.go
@@ -28,8 +28,15 @@
 	// minResumptions is the least number of resumptions in a retryWindow beyond the common
 	// budget. The engines that a failure domain loses run few streams of an instance in a
 	// large fleet; those may be refused when they resume.
-	minResumptions  = 6
+	minResumptions = 6
+	// resumptionShare is the share of the part of the allowance for those resumptions in a
+	// small fleet.
 	resumptionShare = 0.5
+	// refillOfRatio is the share of the ratio that refills use; bursts use the rest. An
+	// instance of a large fleet has few requests, so chance decides how many of them are
+	// refused at a time: a larger burst serves more than a faster refill.
+	refillOfRatio           = 0.75
+	refillOfRatioLargeFleet = 0.5
 	// unlistedPart is the part of the allowance of an instance that the others do not count
 	// yet, or that does not know them.
 	unlistedPart = 1
@@ -55,17 +62,14 @@
 
 // termsFor returns the terms for a ratio of retries to requests and a part of the allowance.
 func termsFor(ratio, part float64, engines bool) retryTerms {
-	terms := retryTerms{refillShare: 0.75 * ratio, burstShare: 0.25 * ratio, maxBurst: plainBurst}
-	if !engines {
-		return terms
-	}
-	terms.maxBurst, terms.resumptions = engineBurst, true
-	if part < engineBurst {
-		// An instance of a large fleet has few requests, so chance decides how many of
-		// them are refused at a time: a larger burst serves more than a faster refill.
-		terms.refillShare, terms.burstShare = 0.5*ratio, 0.5*ratio
+	refill, maxBurst := refillOfRatio, float64(plainBurst)
+	if engines {
+		maxBurst = engineBurst
+		if part < engineBurst {
+			refill = refillOfRatioLargeFleet
+		}
 	}
-	return terms
+	return retryTerms{refillShare: refill * ratio, burstShare: (1 - refill) * ratio, maxBurst: maxBurst, resumptions: engines}
 }
 
 // allowancePart returns the part of the allowance of an instance.
