Assess the same evidence in the same way at each instance

Cause: identifyAt kept an identified content if no other identified content explains its crashes, and added it to the set that it searches for others, while it ranged over a map. Of two contents that explain each other, the one that came first was kept. Crashes of the same millisecond were not ordered either. Callers saw: nothing that was traced to it. One instance could refuse a content that another one runs. Change: released contents are visited in the order in which they were released, crashes of the same time in the order of their processes.

--- a/internal/upstream/assessor.go
+++ b/internal/upstream/assessor.go
@@ -77,12 +77,12 @@
 		switch {
 		case reached && wasIdentified:
 			identified[content] = quarantinePeriod{identifiedAt: previous.identifiedAt, until: until}
-		case reached && !released[content]:
+		case reached && !slices.Contains(released, content):
 			identified[content] = quarantinePeriod{identifiedAt: now, until: until}
 			found = true
 		}
 	}
-	for content := range released {
+	for _, content := range released {
 		period, wasIdentified := a.identified[content]
 		if wasIdentified && !a.explainedBy(identified, content, now) {
 			identified[content] = period
@@ -108,9 +108,10 @@
 }
 
 // splitExplained returns the identified contents with at least one crash that no
-// other suspect explains, and the suspects whose crashes are all explained.
-func (a *assessor) splitExplained(suspects map[ContentKey]quarantinePeriod, now time.Time) (known map[ContentKey]quarantinePeriod, released map[ContentKey]bool) {
-	known, released = make(map[ContentKey]quarantinePeriod), make(map[ContentKey]bool)
+// other suspect explains, and the suspects whose crashes are all explained, those
+// with the fewest crashes first.
+func (a *assessor) splitExplained(suspects map[ContentKey]quarantinePeriod, now time.Time) (known map[ContentKey]quarantinePeriod, released []ContentKey) {
+	known = make(map[ContentKey]quarantinePeriod)
 	remaining := maps.Clone(suspects)
 	order := slices.SortedFunc(maps.Keys(suspects), func(x, y ContentKey) int {
 		return cmp.Or(a.crashCountBy(x, now)-a.crashCountBy(y, now), compareContents(x, y))
@@ -118,7 +119,7 @@
 	for _, content := range order {
 		if a.explainedBy(remaining, content, now) {
 			delete(remaining, content)
-			released[content] = true
+			released = append(released, content)
 		} else if period, wasIdentified := a.identified[content]; wasIdentified {
 			known[content] = period
 		}
@@ -269,7 +270,7 @@
 }
 
 // unrefutedCrashes returns the crashes of processes that did not respond
-// afterwards, sorted by time.
+// afterwards, sorted by time and process.
 func (e *Evidence) unrefutedCrashes() []Crash {
 	crashes := make([]Crash, 0, len(e.crashes))
 	for processID, crash := range e.crashes {
@@ -277,7 +278,9 @@
 			crashes = append(crashes, crash)
 		}
 	}
-	slices.SortFunc(crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	slices.SortFunc(crashes, func(a, b Crash) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Process.Upstream, b.Process.Upstream), cmp.Compare(a.Process.Incarnation, b.Process.Incarnation))
+	})
 	return crashes
 }
 
--- a/internal/upstream/quarantine_test.go
+++ b/internal/upstream/quarantine_test.go
@@ -194,6 +194,36 @@
 	})
 }
 
+// Guards against instances that assess the same evidence differently, so that a
+// content is refused at one of them and runs at another.
+func TestSameEvidenceHasOneAssessment(t *testing.T) {
+	const repetitions = 40 // the order in which a map is ranged over differs between them
+	rapid.Check(t, func(t *rapid.T) {
+		var crashes []Crash
+		for i := range rapid.IntRange(6, 16).Draw(t, "crashes") {
+			contents := rapid.SliceOfDistinct(rapid.SampledFrom([]string{"k", "l", "m", "n", "o", "p"}), rapid.ID[string]).Draw(t, "contents")
+			domain := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain")
+			crashes = append(crashes, crash(fmt.Sprint("u", i), domain, rapid.Float64Range(0, 20).Draw(t, "second"), contents...))
+		}
+		first := statusesAt(evidenceOf(crashes...).Assess(), at(30))
+		other := NewEvidence()
+		for _, i := range rapid.Permutation(indices(len(crashes))).Draw(t, "order") {
+			other.AddCrash(crashes[i])
+		}
+		for range repetitions {
+			NewWithT(t).Expect(statusesAt(other.Assess(), at(30))).To(Equal(first))
+		}
+	})
+}
+
+func statusesAt(assessments map[ContentKey]Assessment, now time.Time) map[ContentKey]ContentStatus {
+	statuses := make(map[ContentKey]ContentStatus)
+	for key, assessment := range assessments {
+		statuses[key] = assessment.StatusAt(now)
+	}
+	return statuses
+}
+
 // Guards against memory that grows with the number of crashes.
 func TestEvidenceIsBounded(t *testing.T) {
 	g := NewWithT(t)
