Merge a crash reported without the incarnation into that of the same upstream

Cause: an instance that loses its first connection to an upstream does not know the incarnation. It records the crash under a made-up one, so the crash that the other instances report lacks the contents that ran at this instance. Callers saw: a harmless generation that is quarantined for ten minutes. Two crashes of unknown processes remain apart. Measured: the new row of TestAssessment counts 1 crash against the harmless content before, 0 after. internal/upstream, internal/generation and internal/soak pass with the race detector.

--- a/internal/upstream/assessor.go
+++ b/internal/upstream/assessor.go
@@ -29,7 +29,7 @@
 // time would clear each other.
 func (e *Evidence) Assess() map[ContentKey]Assessment {
 	a := assessor{
-		crashes:    e.unrefutedCrashes(),
+		crashes:    mergeUnknownProcesses(e.unrefutedCrashes()),
 		byContent:  make(map[ContentKey][]int),
 		identified: make(map[ContentKey]quarantinePeriod),
 	}
@@ -278,10 +278,52 @@
 			crashes = append(crashes, crash)
 		}
 	}
+	sortCrashes(crashes)
+	return crashes
+}
+
+// mergeUnknownProcesses adds the contents of each crash of an unknown process to the
+// closest crash of the same upstream within the correlation window, if there is
+// one: instances that do not know the incarnation report the same crash apart.
+func mergeUnknownProcesses(crashes []Crash) []Crash {
+	var known, unknown, apart []Crash
+	for _, crash := range crashes {
+		if crash.Process.isUnknown() {
+			unknown = append(unknown, crash)
+		} else {
+			known = append(known, crash)
+		}
+	}
+	for _, crash := range unknown {
+		if closest := closestCrash(known, crash); closest != nil {
+			closest.Contents = mergeContents(closest.Contents, crash.Contents)
+		} else {
+			apart = append(apart, crash)
+		}
+	}
+	merged := slices.Concat(known, apart)
+	sortCrashes(merged)
+	return merged
+}
+
+// closestCrash returns the crash of the same upstream that is closest in time and
+// within the correlation window of a given one, or nil.
+func closestCrash(crashes []Crash, to Crash) (closest *Crash) {
+	best := correlationWindow
+	for i := range crashes {
+		distance := crashes[i].At.Sub(to.At).Abs()
+		if crashes[i].Process.Upstream == to.Process.Upstream && (distance < best || closest == nil && distance == best) {
+			closest, best = &crashes[i], distance
+		}
+	}
+	return closest
+}
+
+// sortCrashes sorts by time and process, the same at each instance.
+func sortCrashes(crashes []Crash) {
 	slices.SortFunc(crashes, func(a, b Crash) int {
 		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Process.Upstream, b.Process.Upstream), cmp.Compare(a.Process.Incarnation, b.Process.Incarnation))
 	})
-	return crashes
 }
 
 // refutesCrash reports whether a response to a request sent at the given time
--- a/internal/upstream/quarantine.go
+++ b/internal/upstream/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"slices"
+	"strings"
 	"time"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
@@ -33,6 +34,11 @@
 	Incarnation Incarnation
 }
 
+// isUnknown reports whether the incarnation is made up.
+func (p ProcessID) isUnknown() bool {
+	return strings.HasPrefix(string(p.Incarnation), unknownProcessPrefix)
+}
+
 // Crash is the confirmed crash of an upstream process with the contents that ran
 // on it, as far as known.
 type Crash struct {
--- a/internal/upstream/quarantine_test.go
+++ b/internal/upstream/quarantine_test.go
@@ -62,6 +62,8 @@
 		crash("u1", "oulu-a", 0, "harmless", "x"), crash("u2", "kemi-c", 10, "harmless", "z"), crash("u3", "rova-d", 20, "harmless", "x"),
 		crash("u4", "oulu-b", 30, "x"), crash("u5", "oulu-a", 40, "z"), crash("u6", "rova-d", 50, "z"),
 	}
+	unknown := crash("u1", "oulu-a", 0.1, "x")
+	unknown.Process.Incarnation = unknownProcessPrefix + "2026"
 	rows := []struct {
 		name        string
 		evidence    *Evidence
@@ -103,6 +105,10 @@
 		{"harmless, identified before two poison prompts", evidenceOf(between[:3]...), "harmless", 22, 3, true},
 		{"harmless, explained by two poison prompts", evidenceOf(between...), "harmless", 52, 0, false},
 		{"poison prompt masked by a harmless content", evidenceOf(between...), "x", 52, 3, true},
+		{"neighbour of a poison prompt whose instance does not know the process", evidenceOf(
+			crash("u1", "oulu-a", 0, "neighbour"), unknown, crash("u2", "kemi-c", 10, "x", "neighbour"),
+			crash("u3", "rova-d", 20, "x", "neighbour"), crash("u4", "oulu-b", 30, "x"),
+		), "neighbour", 32, 0, false},
 		{"same domain, far apart", evidenceOf(
 			crash("u1", "oulu-a", 0, "x"), crash("u2", "oulu-a", 3, "x"), crash("u3", "oulu-a", 6, "x"),
 		), "x", 8, 3, true},
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"foxtailhub.example/foxtailhub/internal/configuration"
@@ -326,7 +325,7 @@
 		Contents:      slices.Clone(merged.Contents),
 	}, from)
 	edited := w.edit(crash.Process.Upstream)
-	if edited != nil && !strings.HasPrefix(string(crash.Process.Incarnation), unknownProcessPrefix) {
+	if edited != nil && !crash.Process.isUnknown() {
 		edited.health = edited.health.ObserveCrash(merged.At, crash.Process.Incarnation)
 	}
 }
