Quarantine a deferred content whose suspects stay unidentified

Cause: a content is released if suspects explain each of its crashes. If others explain some of the suspects' crashes, the suspects are not identified either, and nobody is: the content has three crashes, so it is deferred, and stays so until one of them crashes again or the evidence expires. Callers saw: a generation that waits until its deadline instead of a final response. Change: after the identification in order of time, the content with the most unexplained crashes is identified, until no content with three is left.

--- a/internal/upstream/assessment.go
+++ b/internal/upstream/assessment.go
@@ -53,7 +53,12 @@
 
 // countingCrashes returns the recent crashes that count against the content.
 func (a Assessment) countingCrashes(now time.Time) []attributedCrash {
-	return slices.DeleteFunc(slices.Clone(a.recentCrashes(now)), func(c attributedCrash) bool { return !c.counts })
+	return countingOf(a.recentCrashes(now))
+}
+
+// countingOf returns the crashes that count against the content.
+func countingOf(attributed []attributedCrash) []attributedCrash {
+	return slices.DeleteFunc(slices.Clone(attributed), func(c attributedCrash) bool { return !c.counts })
 }
 
 // incidents returns the number of distinct upstreams that crashed. Crashes in one
--- a/internal/upstream/assessor.go
+++ b/internal/upstream/assessor.go
@@ -10,7 +10,11 @@
 )
 
 // quarantinePeriod is the time for which a content is refused.
-type quarantinePeriod struct{ identifiedAt, until time.Time }
+type quarantinePeriod struct {
+	identifiedAt, until time.Time
+	// bySuspects reports that contents that are not identified may explain all crashes.
+	bySuspects bool
+}
 
 // assessor computes assessments from crashes sorted by time.
 type assessor struct {
@@ -41,6 +45,7 @@
 		}
 	}
 	a.identify()
+	a.identifyRemaining()
 	return a.assessments()
 }
 
@@ -72,7 +77,7 @@
 	known, released := a.splitExplained(suspects, now)
 	identified := maps.Clone(known)
 	for content := range suspects {
-		until, reached := quarantineEnd(a.crashesNotExplainedBy(content, now, known))
+		_, until, reached := quarantineOf(a.crashesNotExplainedBy(content, now, known))
 		previous, wasIdentified := known[content]
 		switch {
 		case reached && wasIdentified:
@@ -92,6 +97,34 @@
 	return found
 }
 
+// identifyRemaining identifies contents until none has enough crashes that no other
+// one explains, those with the most crashes first. Contents remain that were
+// released because of suspects that are not identified themselves, since others
+// explain some of their crashes.
+func (a *assessor) identifyRemaining() {
+	candidates := a.candidates()
+	for range candidates {
+		var next ContentKey
+		var period quarantinePeriod
+		most := 0
+		for _, content := range candidates {
+			if _, identified := a.identified[content]; identified {
+				continue
+			}
+			attributed := a.unexplainedCrashes(content, a.lastCrash())
+			reachedAt, until, reached := quarantineOf(attributed)
+			if count := incidents(countingOf(attributed)); reached && count > most {
+				next, most = content, count
+				period = quarantinePeriod{identifiedAt: reachedAt, until: until, bySuspects: true}
+			}
+		}
+		if most == 0 {
+			return
+		}
+		a.identified[next] = period
+	}
+}
+
 // contentsAtLimit returns the contents with enough crashes by now, explained by
 // others or not, and the contents that are already identified.
 func (a *assessor) contentsAtLimit(candidates []ContentKey, now time.Time) map[ContentKey]quarantinePeriod {
@@ -100,7 +133,7 @@
 		if _, found := suspects[content]; found {
 			continue
 		}
-		if _, reached := quarantineEnd(a.crashesNotExplainedBy(content, now, nil)); reached {
+		if _, _, reached := quarantineOf(a.crashesNotExplainedBy(content, now, nil)); reached {
 			suspects[content] = quarantinePeriod{identifiedAt: now}
 		}
 	}
@@ -196,11 +229,15 @@
 func (a *assessor) assessments() map[ContentKey]Assessment {
 	assessments := make(map[ContentKey]Assessment, len(a.byContent))
 	for content := range a.byContent {
-		assessment := Assessment{attributed: a.unexplainedCrashes(content, a.crashes[len(a.crashes)-1].At)}
+		assessment := Assessment{attributed: a.unexplainedCrashes(content, a.lastCrash())}
 		if period, identified := a.identified[content]; identified {
 			// Until then, evidence that clears the content may arrive from other
 			// instances; the content is deferred.
-			assessment.quarantineStart, assessment.quarantineEnd = period.identifiedAt.Add(evidenceDelay), period.until
+			delay := evidenceDelay
+			if period.bySuspects {
+				delay = disputeDelay
+			}
+			assessment.quarantineStart, assessment.quarantineEnd = period.identifiedAt.Add(delay), period.until
 		}
 		if len(assessment.attributed) > 0 || !assessment.quarantineStart.IsZero() {
 			assessments[content] = assessment
@@ -209,6 +246,9 @@
 	return assessments
 }
 
+// lastCrash returns the time of the last crash; there must be one.
+func (a *assessor) lastCrash() time.Time { return a.crashes[len(a.crashes)-1].At }
+
 // unexplainedCrashes returns the crashes up to a time that no other content
 // explains.
 func (a *assessor) unexplainedCrashes(content ContentKey, now time.Time) []attributedCrash {
@@ -330,17 +370,21 @@
 // refutes a crash. Times of crashes are rounded to milliseconds.
 func refutesCrash(sentAt, crash time.Time) bool { return sentAt.Sub(crash) > time.Millisecond }
 
-// quarantineEnd returns the end of the quarantine that the crashes cause.
-func quarantineEnd(attributed []attributedCrash) (until time.Time, reached bool) {
-	counting := slices.DeleteFunc(attributed, func(c attributedCrash) bool { return !c.counts })
+// quarantineOf returns the time at which crashes reach the limit and the end of
+// the quarantine that they cause.
+func quarantineOf(attributed []attributedCrash) (reachedAt, until time.Time, reached bool) {
+	counting := countingOf(attributed)
 	first := 0
 	for last := range counting {
 		for counting[last].at.Sub(counting[first].at) > quarantineDuration {
 			first++
 		}
 		if incidents(counting[first:last+1]) >= quarantineCrashes {
+			if !reached {
+				reachedAt = counting[last].at
+			}
 			until, reached = counting[last].at.Add(quarantineDuration), true
 		}
 	}
-	return until, reached
+	return reachedAt, until, reached
 }
--- a/internal/upstream/quarantine.go
+++ b/internal/upstream/quarantine.go
@@ -22,6 +22,11 @@
 	// correlationWindow is the time within which crashes in one failure domain
 	// are assumed to have a common cause.
 	correlationWindow = 2 * time.Second
+	// disputeDelay is the time between the crash that identifies a content and its
+	// quarantine if another one may be the cause. The evidence may be at an instance
+	// that is paused or cut off, or follow from the next crashes of the other content.
+	// Until then the content is deferred.
+	disputeDelay = 8 * time.Second
 	// maxCrashes, maxContentsPerCrash and maxCompletions bound the evidence.
 	maxCrashes          = 512
 	maxContentsPerCrash = 256
