Delay a quarantine while another content may be the cause

Cause: two new poison prompts crash nearly all engines within 2 s, and a harmless content that moved over three of them reaches three crashes first. The evidence that clears it comes too late for the 1.5 s of a quarantine: it is at an instance that is paused or cut off, or follows from the next crashes of the poison prompts, whose first ones are correlated. Callers saw: a harmless generation is quarantined. Change: the quarantine begins 8 s instead of 1.5 s after the crash that identifies a content if others ran on one of its upstreams and upstreams crashed without it within 5 s of its crashes. It is deferred until then, so the bound of three crashes holds. A prompt that crashes upstreams by itself is refused after 1.5 s as before. The first of the two new rows of TestAssessment fails before. internal/upstream, internal/generation and internal/soak pass with the race detector.

--- a/internal/upstream/assessor.go
+++ b/internal/upstream/assessor.go
@@ -234,7 +234,7 @@
 			// Until then, evidence that clears the content may arrive from other
 			// instances; the content is deferred.
 			delay := evidenceDelay
-			if period.bySuspects {
+			if period.bySuspects || a.disputed(content, period.identifiedAt) {
 				delay = disputeDelay
 			}
 			assessment.quarantineStart, assessment.quarantineEnd = period.identifiedAt.Add(delay), period.until
@@ -249,6 +249,21 @@
 // lastCrash returns the time of the last crash; there must be one.
 func (a *assessor) lastCrash() time.Time { return a.crashes[len(a.crashes)-1].At }
 
+// disputed reports whether another content may have caused crashes of an identified
+// one: others ran on one of the upstreams, and about that time, until its quarantine
+// could start, upstreams crashed without it.
+func (a *assessor) disputed(content ContentKey, identifiedAt time.Time) bool {
+	indices := a.byContent[content]
+	alone := func(i int) bool { return len(a.crashes[i].Contents) == 1 }
+	if !slices.ContainsFunc(indices, func(i int) bool { return !alone(i) }) {
+		return false
+	}
+	return slices.ContainsFunc(a.crashes, func(crash Crash) bool {
+		near := func(i int) bool { return crash.At.Sub(a.crashes[i].At).Abs() <= disputeWindow }
+		return !ranOn(crash, content) && !crash.At.After(identifiedAt.Add(evidenceDelay)) && slices.ContainsFunc(indices, near)
+	})
+}
+
 // unexplainedCrashes returns the crashes up to a time that no other content
 // explains.
 func (a *assessor) unexplainedCrashes(content ContentKey, now time.Time) []attributedCrash {
--- a/internal/upstream/quarantine.go
+++ b/internal/upstream/quarantine.go
@@ -22,6 +22,9 @@
 	// correlationWindow is the time within which crashes in one failure domain
 	// are assumed to have a common cause.
 	correlationWindow = 2 * time.Second
+	// disputeWindow is how long before or after the crashes of a content those of
+	// other upstreams put in doubt that it is the cause.
+	disputeWindow = 5 * time.Second
 	// disputeDelay is the time between the crash that identifies a content and its
 	// quarantine if another one may be the cause. The evidence may be at an instance
 	// that is paused or cut off, or follow from the next crashes of the other content.
--- a/internal/upstream/quarantine_test.go
+++ b/internal/upstream/quarantine_test.go
@@ -62,6 +62,7 @@
 		crash("u1", "oulu-a", 0, "harmless", "x"), crash("u2", "kemi-c", 10, "harmless", "z"), crash("u3", "rova-d", 20, "harmless", "x"),
 		crash("u4", "oulu-b", 30, "x"), crash("u5", "oulu-a", 40, "z"), crash("u6", "rova-d", 50, "z"),
 	}
+	beside := append(three[:3:3], crash("u4", "oulu-b", 16, "y"))
 	unknown := crash("u1", "oulu-a", 0.1, "x")
 	unknown.Process.Incarnation = unknownProcessPrefix + "2026"
 	rows := []struct {
@@ -74,6 +75,8 @@
 	}{
 		{"three upstreams", evidenceOf(three...), "poison", 21.5, 3, true},
 		{"three upstreams, evidence not yet distributed", evidenceOf(three...), "poison", 21.4, 3, false},
+		{"another upstream crashed 4 s before, other evidence may be on its way", evidenceOf(beside...), "poison", 27.9, 3, false},
+		{"another upstream crashed 4 s before, no other evidence", evidenceOf(beside...), "poison", 28, 3, true},
 		{"neighbour of one crash", evidenceOf(three[:2]...), "neighbour", 20, 1, false},
 		{"neighbour of one crash, explained", evidenceOf(three...), "neighbour", 20, 0, false},
 		{"end of the quarantine", evidenceOf(three...), "poison", 621, 0, false},
