--- a/internal/upstream/assessor.go
+++ b/internal/upstream/assessor.go
@@ -10,7 +10,11 @@
 )
 
 // quarantinePeriod is the time for which a content is refused.
-type quarantinePeriod struct{ identifiedAt, until time.Time }
+type quarantinePeriod struct {
+	identifiedAt, until time.Time
+	// bySuspects reports that contents that are not identified may explain all crashes.
+	bySuspects bool
+}
 
 // assessor computes assessments from crashes sorted by time.
 type assessor struct {
@@ -29,7 +33,7 @@
 // time would clear each other.
 func (e *Evidence) Assess() map[ContentKey]Assessment {
 	a := assessor{
-		crashes:    e.unrefutedCrashes(),
+		crashes:    mergeUnknownProcesses(e.unrefutedCrashes()),
 		byContent:  make(map[ContentKey][]int),
 		identified: make(map[ContentKey]quarantinePeriod),
 	}
@@ -41,6 +45,7 @@
 		}
 	}
 	a.identify()
+	a.identifyRemaining()
 	return a.assessments()
 }
 
@@ -72,17 +77,17 @@
 	known, released := a.splitExplained(suspects, now)
 	identified := maps.Clone(known)
 	for content := range suspects {
-		until, reached := quarantineEnd(a.crashesNotExplainedBy(content, now, known))
+		_, until, reached := quarantineOf(a.crashesNotExplainedBy(content, now, known))
 		previous, wasIdentified := known[content]
 		switch {
 		case reached && wasIdentified:
 			identified[content] = quarantinePeriod{identifiedAt: previous.identifiedAt, until: until}
-		case reached && !released[content]:
+		case reached && !slices.Contains(released, content):
 			identified[content] = quarantinePeriod{identifiedAt: now, until: until}
 			found = true
 		}
 	}
-	for content := range released {
+	for _, content := range released {
 		period, wasIdentified := a.identified[content]
 		if wasIdentified && !a.explainedBy(identified, content, now) {
 			identified[content] = period
@@ -92,6 +97,34 @@
 	return found
 }
 
+// identifyRemaining identifies contents until none has enough crashes that no other
+// one explains, those with the most crashes first. Contents remain that were
+// released because of suspects that are not identified themselves, since others
+// explain some of their crashes.
+func (a *assessor) identifyRemaining() {
+	candidates := a.candidates()
+	for range candidates {
+		var next ContentKey
+		var period quarantinePeriod
+		most := 0
+		for _, content := range candidates {
+			if _, identified := a.identified[content]; identified {
+				continue
+			}
+			attributed := a.unexplainedCrashes(content, a.lastCrash())
+			reachedAt, until, reached := quarantineOf(attributed)
+			if count := incidents(countingOf(attributed)); reached && count > most {
+				next, most = content, count
+				period = quarantinePeriod{identifiedAt: reachedAt, until: until, bySuspects: true}
+			}
+		}
+		if most == 0 {
+			return
+		}
+		a.identified[next] = period
+	}
+}
+
 // contentsAtLimit returns the contents with enough crashes by now, explained by
 // others or not, and the contents that are already identified.
 func (a *assessor) contentsAtLimit(candidates []ContentKey, now time.Time) map[ContentKey]quarantinePeriod {
@@ -100,7 +133,7 @@
 		if _, found := suspects[content]; found {
 			continue
 		}
-		if _, reached := quarantineEnd(a.crashesNotExplainedBy(content, now, nil)); reached {
+		if _, _, reached := quarantineOf(a.crashesNotExplainedBy(content, now, nil)); reached {
 			suspects[content] = quarantinePeriod{identifiedAt: now}
 		}
 	}
@@ -108,9 +141,10 @@
 }
 
 // splitExplained returns the identified contents with at least one crash that no
-// other suspect explains, and the suspects whose crashes are all explained.
-func (a *assessor) splitExplained(suspects map[ContentKey]quarantinePeriod, now time.Time) (known map[ContentKey]quarantinePeriod, released map[ContentKey]bool) {
-	known, released = make(map[ContentKey]quarantinePeriod), make(map[ContentKey]bool)
+// other suspect explains, and the suspects whose crashes are all explained, those
+// with the fewest crashes first.
+func (a *assessor) splitExplained(suspects map[ContentKey]quarantinePeriod, now time.Time) (known map[ContentKey]quarantinePeriod, released []ContentKey) {
+	known = make(map[ContentKey]quarantinePeriod)
 	remaining := maps.Clone(suspects)
 	order := slices.SortedFunc(maps.Keys(suspects), func(x, y ContentKey) int {
 		return cmp.Or(a.crashCountBy(x, now)-a.crashCountBy(y, now), compareContents(x, y))
@@ -118,7 +152,7 @@
 	for _, content := range order {
 		if a.explainedBy(remaining, content, now) {
 			delete(remaining, content)
-			released[content] = true
+			released = append(released, content)
 		} else if period, wasIdentified := a.identified[content]; wasIdentified {
 			known[content] = period
 		}
@@ -195,11 +229,15 @@
 func (a *assessor) assessments() map[ContentKey]Assessment {
 	assessments := make(map[ContentKey]Assessment, len(a.byContent))
 	for content := range a.byContent {
-		assessment := Assessment{attributed: a.unexplainedCrashes(content, a.crashes[len(a.crashes)-1].At)}
+		assessment := Assessment{attributed: a.unexplainedCrashes(content, a.lastCrash())}
 		if period, identified := a.identified[content]; identified {
 			// Until then, evidence that clears the content may arrive from other
 			// instances; the content is deferred.
-			assessment.quarantineStart, assessment.quarantineEnd = period.identifiedAt.Add(evidenceDelay), period.until
+			delay := evidenceDelay
+			if period.bySuspects || a.disputed(content, period.identifiedAt) {
+				delay = disputeDelay
+			}
+			assessment.quarantineStart, assessment.quarantineEnd = period.identifiedAt.Add(delay), period.until
 		}
 		if len(assessment.attributed) > 0 || !assessment.quarantineStart.IsZero() {
 			assessments[content] = assessment
@@ -208,6 +246,24 @@
 	return assessments
 }
 
+// lastCrash returns the time of the last crash; there must be one.
+func (a *assessor) lastCrash() time.Time { return a.crashes[len(a.crashes)-1].At }
+
+// disputed reports whether another content may have caused crashes of an identified
+// one: others ran on one of the upstreams, and about that time, until its quarantine
+// could start, upstreams crashed without it.
+func (a *assessor) disputed(content ContentKey, identifiedAt time.Time) bool {
+	indices := a.byContent[content]
+	alone := func(i int) bool { return len(a.crashes[i].Contents) == 1 }
+	if !slices.ContainsFunc(indices, func(i int) bool { return !alone(i) }) {
+		return false
+	}
+	return slices.ContainsFunc(a.crashes, func(crash Crash) bool {
+		near := func(i int) bool { return crash.At.Sub(a.crashes[i].At).Abs() <= disputeWindow }
+		return !ranOn(crash, content) && !crash.At.After(identifiedAt.Add(evidenceDelay)) && slices.ContainsFunc(indices, near)
+	})
+}
+
 // unexplainedCrashes returns the crashes up to a time that no other content
 // explains.
 func (a *assessor) unexplainedCrashes(content ContentKey, now time.Time) []attributedCrash {
@@ -269,7 +325,7 @@
 }
 
 // unrefutedCrashes returns the crashes of processes that did not respond
-// afterwards, sorted by time.
+// afterwards, sorted by time and process.
 func (e *Evidence) unrefutedCrashes() []Crash {
 	crashes := make([]Crash, 0, len(e.crashes))
 	for processID, crash := range e.crashes {
@@ -277,25 +333,73 @@
 			crashes = append(crashes, crash)
 		}
 	}
-	slices.SortFunc(crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	sortCrashes(crashes)
 	return crashes
 }
 
+// mergeUnknownProcesses adds the contents of each crash of an unknown process to the
+// closest crash of the same upstream within the correlation window, if there is
+// one: instances that do not know the incarnation report the same crash apart.
+func mergeUnknownProcesses(crashes []Crash) []Crash {
+	var known, unknown, apart []Crash
+	for _, crash := range crashes {
+		if crash.Process.isUnknown() {
+			unknown = append(unknown, crash)
+		} else {
+			known = append(known, crash)
+		}
+	}
+	for _, crash := range unknown {
+		if closest := closestCrash(known, crash); closest != nil {
+			closest.Contents = mergeContents(closest.Contents, crash.Contents)
+		} else {
+			apart = append(apart, crash)
+		}
+	}
+	merged := slices.Concat(known, apart)
+	sortCrashes(merged)
+	return merged
+}
+
+// closestCrash returns the crash of the same upstream that is closest in time and
+// within the correlation window of a given one, or nil.
+func closestCrash(crashes []Crash, to Crash) (closest *Crash) {
+	best := correlationWindow
+	for i := range crashes {
+		distance := crashes[i].At.Sub(to.At).Abs()
+		if crashes[i].Process.Upstream == to.Process.Upstream && (distance < best || closest == nil && distance == best) {
+			closest, best = &crashes[i], distance
+		}
+	}
+	return closest
+}
+
+// sortCrashes sorts by time and process, the same at each instance.
+func sortCrashes(crashes []Crash) {
+	slices.SortFunc(crashes, func(a, b Crash) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Process.Upstream, b.Process.Upstream), cmp.Compare(a.Process.Incarnation, b.Process.Incarnation))
+	})
+}
+
 // refutesCrash reports whether a response to a request sent at the given time
 // refutes a crash. Times of crashes are rounded to milliseconds.
 func refutesCrash(sentAt, crash time.Time) bool { return sentAt.Sub(crash) > time.Millisecond }
 
-// quarantineEnd returns the end of the quarantine that the crashes cause.
-func quarantineEnd(attributed []attributedCrash) (until time.Time, reached bool) {
-	counting := slices.DeleteFunc(attributed, func(c attributedCrash) bool { return !c.counts })
+// quarantineOf returns the time at which crashes reach the limit and the end of
+// the quarantine that they cause.
+func quarantineOf(attributed []attributedCrash) (reachedAt, until time.Time, reached bool) {
+	counting := countingOf(attributed)
 	first := 0
 	for last := range counting {
 		for counting[last].at.Sub(counting[first].at) > quarantineDuration {
 			first++
 		}
 		if incidents(counting[first:last+1]) >= quarantineCrashes {
+			if !reached {
+				reachedAt = counting[last].at
+			}
 			until, reached = counting[last].at.Add(quarantineDuration), true
 		}
 	}
-	return until, reached
+	return reachedAt, until, reached
 }
--- a/internal/upstream/quarantine.go
+++ b/internal/upstream/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"slices"
+	"strings"
 	"time"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
@@ -21,6 +22,14 @@
 	// correlationWindow is the time within which crashes in one failure domain
 	// are assumed to have a common cause.
 	correlationWindow = 2 * time.Second
+	// disputeWindow is how long before or after the crashes of a content those of
+	// other upstreams put in doubt that it is the cause.
+	disputeWindow = 5 * time.Second
+	// disputeDelay is the time between the crash that identifies a content and its
+	// quarantine if another one may be the cause. The evidence may be at an instance
+	// that is paused or cut off, or follow from the next crashes of the other content.
+	// Until then the content is deferred.
+	disputeDelay = 8 * time.Second
 	// maxCrashes, maxContentsPerCrash and maxCompletions bound the evidence.
 	maxCrashes          = 512
 	maxContentsPerCrash = 256
@@ -33,6 +42,11 @@
 	Incarnation Incarnation
 }
 
+// isUnknown reports whether the incarnation is made up.
+func (p ProcessID) isUnknown() bool {
+	return strings.HasPrefix(string(p.Incarnation), unknownProcessPrefix)
+}
+
 // Crash is the confirmed crash of an upstream process with the contents that ran
 // on it, as far as known.
 type Crash struct {
--- a/internal/upstream/quarantine_test.go
+++ b/internal/upstream/quarantine_test.go
@@ -62,6 +62,9 @@
 		crash("u1", "oulu-a", 0, "harmless", "x"), crash("u2", "kemi-c", 10, "harmless", "z"), crash("u3", "rova-d", 20, "harmless", "x"),
 		crash("u4", "oulu-b", 30, "x"), crash("u5", "oulu-a", 40, "z"), crash("u6", "rova-d", 50, "z"),
 	}
+	beside := append(three[:3:3], crash("u4", "oulu-b", 16, "y"))
+	unknown := crash("u1", "oulu-a", 0.1, "x")
+	unknown.Process.Incarnation = unknownProcessPrefix + "2026"
 	rows := []struct {
 		name        string
 		evidence    *Evidence
@@ -72,6 +75,8 @@
 	}{
 		{"three upstreams", evidenceOf(three...), "poison", 21.5, 3, true},
 		{"three upstreams, evidence not yet distributed", evidenceOf(three...), "poison", 21.4, 3, false},
+		{"another upstream crashed 4 s before, other evidence may be on its way", evidenceOf(beside...), "poison", 27.9, 3, false},
+		{"another upstream crashed 4 s before, no other evidence", evidenceOf(beside...), "poison", 28, 3, true},
 		{"neighbour of one crash", evidenceOf(three[:2]...), "neighbour", 20, 1, false},
 		{"neighbour of one crash, explained", evidenceOf(three...), "neighbour", 20, 0, false},
 		{"end of the quarantine", evidenceOf(three...), "poison", 621, 0, false},
@@ -103,6 +108,10 @@
 		{"harmless, identified before two poison prompts", evidenceOf(between[:3]...), "harmless", 22, 3, true},
 		{"harmless, explained by two poison prompts", evidenceOf(between...), "harmless", 52, 0, false},
 		{"poison prompt masked by a harmless content", evidenceOf(between...), "x", 52, 3, true},
+		{"neighbour of a poison prompt whose instance does not know the process", evidenceOf(
+			crash("u1", "oulu-a", 0, "neighbour"), unknown, crash("u2", "kemi-c", 10, "x", "neighbour"),
+			crash("u3", "rova-d", 20, "x", "neighbour"), crash("u4", "oulu-b", 30, "x"),
+		), "neighbour", 32, 0, false},
 		{"same domain, far apart", evidenceOf(
 			crash("u1", "oulu-a", 0, "x"), crash("u2", "oulu-a", 3, "x"), crash("u3", "oulu-a", 6, "x"),
 		), "x", 8, 3, true},
@@ -194,6 +203,36 @@
 	})
 }
 
+// Guards against instances that assess the same evidence differently, so that a
+// content is refused at one of them and runs at another.
+func TestSameEvidenceHasOneAssessment(t *testing.T) {
+	const repetitions = 40 // the order in which a map is ranged over differs between them
+	rapid.Check(t, func(t *rapid.T) {
+		var crashes []Crash
+		for i := range rapid.IntRange(6, 16).Draw(t, "crashes") {
+			contents := rapid.SliceOfDistinct(rapid.SampledFrom([]string{"k", "l", "m", "n", "o", "p"}), rapid.ID[string]).Draw(t, "contents")
+			domain := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain")
+			crashes = append(crashes, crash(fmt.Sprint("u", i), domain, rapid.Float64Range(0, 20).Draw(t, "second"), contents...))
+		}
+		first := statusesAt(evidenceOf(crashes...).Assess(), at(30))
+		other := NewEvidence()
+		for _, i := range rapid.Permutation(indices(len(crashes))).Draw(t, "order") {
+			other.AddCrash(crashes[i])
+		}
+		for range repetitions {
+			NewWithT(t).Expect(statusesAt(other.Assess(), at(30))).To(Equal(first))
+		}
+	})
+}
+
+func statusesAt(assessments map[ContentKey]Assessment, now time.Time) map[ContentKey]ContentStatus {
+	statuses := make(map[ContentKey]ContentStatus)
+	for key, assessment := range assessments {
+		statuses[key] = assessment.StatusAt(now)
+	}
+	return statuses
+}
+
 // Guards against memory that grows with the number of crashes.
 func TestEvidenceIsBounded(t *testing.T) {
 	g := NewWithT(t)
