Convict poison parts in the first place of prompts after five crashes

Cause: a first part is taken for the common part of a workspace. It needed five moments of crashes, which eight engines that crash within a second do not give, and none of these might be explained by a verdict on another part.

A first part without a known success is now convicted by five crashes in three moments too, of which two in a moment count, because the loss of many engines at once shows little. Crashes that verdicts explain count against it if it is as suspect as they are: some crash is unexplained and no prompt is refused with the part, or two are and it is in more moments, but not in all prompts that a verdict refuses, as a system prompt is.

--- a/internal/poison/judge.go
+++ b/internal/poison/judge.go
@@ -19,10 +19,13 @@
 	// it is a suspect in all crashes of that time. A verdict on another part explains fewer.
 	convictCrashes = 5
 	// convictMomentsFirst is how many moments convict the first part of longer prompts, which is
-	// mostly common to a workspace.
+	// mostly common to a workspace. With convictCrashes, convictMoments do.
 	convictMomentsFirst = 5
 	// convictMomentsKnownGood is the same for a part that is known good.
 	convictMomentsKnownGood = 8
+	// maxMomentWeight is how many crashes of one moment count against a first part: an event that ends
+	// many upstreams shows little about it.
+	maxMomentWeight = 2
 	// reviseMoments is how many moments of crashes that a verdict does not explain widen it.
 	reviseMoments = 2
 )
@@ -66,6 +69,7 @@
 	part    Part
 	crashes []int // indexes, ascending
 	moments int
+	weight  int // see countMoments
 	domains int
 	prompts int // suspect prompts with the part in all crashes
 }
@@ -175,32 +179,105 @@
 // part that is alone in its prompts may be the first part of a workspace: it needs a crash that no
 // verdict explains.
 func (j *judgement) count(part Part) tally {
-	all := j.occurrences[part].crashes
+	o := j.occurrences[part]
+	all := o.crashes
 	own := false
 	unexplained := j.tallyOf(part, slices.DeleteFunc(slices.Clone(all), func(i int) bool {
 		own = own || j.explained[i] != nil && j.explained[i].contains(part)
 		return j.explained[i] != nil
 	}))
-	alone := len(j.occurrences[part].alone) == len(all)
 	revised := own && unexplained.moments >= reviseMoments || len(all) >= convictCrashes
-	if alone {
+	switch {
+	case o.knownGood:
+		return unexplained
+	case o.first:
+		revised = j.outweighsVerdicts(part, unexplained.moments)
+	case len(o.alone) == len(all):
 		revised = (own || len(all) >= convictCrashes) && unexplained.moments > 0
 	}
-	if revised && !j.needsMore(part) {
+	if revised {
 		return j.tallyOf(part, all)
 	}
 	return unexplained
 }
 
+// outweighsVerdicts reports whether a first part is as suspect as the verdicts that explain its
+// crashes, given the number of moments that none explains.
+func (j *judgement) outweighsVerdicts(part Part, unexplained int) bool {
+	crashes := j.occurrences[part].crashes
+	moments, _ := j.countMoments(crashes)
+	for v := range j.explaining(crashes) {
+		with, without, ofVerdict := j.company(part, v)
+		// The system prompt of a workspace is in all prompts with its poison part.
+		innocent := with && !without && !v.contains(part)
+		least := reviseMoments
+		switch {
+		case !with:
+			least = 1
+		case v.contains(part): // another part of the verdict may be the cause
+			least = convictMoments
+		}
+		if innocent || unexplained < least || with && ofVerdict >= moments {
+			return false
+		}
+	}
+	return true
+}
+
+// explaining returns the verdicts that explain some of the crashes.
+func (j *judgement) explaining(crashes []int) map[*Verdict]bool {
+	verdicts := map[*Verdict]bool{}
+	for _, i := range crashes {
+		if v := j.explained[i]; v != nil {
+			verdicts[v] = true
+		}
+	}
+	return verdicts
+}
+
+// company reports whether suspect prompts that a verdict refuses contain a part, and whether
+// some do not. It also returns the number of moments of their crashes.
+func (j *judgement) company(part Part, v *Verdict) (with, without bool, moments int) {
+	var crashes []int
+	for i, crash := range j.crashes {
+		matched := false
+		for _, prompt := range crash.prompts {
+			if prompt.matches(v) {
+				matched = true
+				with = with || prompt.contains(part)
+				without = without || !prompt.contains(part)
+			}
+		}
+		if matched {
+			crashes = append(crashes, i)
+		}
+	}
+	moments, _ = j.countMoments(crashes)
+	return with, without, moments
+}
+
+// countMoments returns the number of moments and of crashes, of which at most maxMomentWeight in
+// each moment count.
+func (j *judgement) countMoments(crashes []int) (moments, weight int) {
+	var momentStart time.Time
+	inMoment := 0
+	for _, i := range crashes {
+		if at := j.crashes[i].at; moments == 0 || at.Sub(momentStart) >= momentLength {
+			moments, momentStart, inMoment = moments+1, at, 0
+		}
+		if inMoment++; inMoment <= maxMomentWeight {
+			weight++
+		}
+	}
+	return moments, weight
+}
+
 func (j *judgement) tallyOf(part Part, crashes []int) tally {
 	c := tally{part: part, crashes: crashes, prompts: j.occurrences[part].prompts}
-	var momentStart time.Time
+	c.moments, c.weight = j.countMoments(crashes)
 	var domains []string
 	for _, i := range crashes {
 		crash := j.crashes[i]
-		if c.moments == 0 || crash.at.Sub(momentStart) >= momentLength {
-			c.moments, momentStart = c.moments+1, crash.at
-		}
 		if !slices.Contains(domains, crash.failureDomain) {
 			domains = append(domains, crash.failureDomain)
 		}
@@ -227,7 +304,7 @@
 	case knownGood:
 		return c.moments >= convictMomentsKnownGood
 	case o.first:
-		return c.moments >= convictMomentsFirst
+		return c.moments >= convictMomentsFirst || c.moments >= convictMoments && c.weight >= convictCrashes && c.domains > 1
 	case len(o.alone) == len(o.crashes) && len(c.crashes) < convictCrashes:
 		return false
 	case c.domains < 2:
@@ -257,8 +334,11 @@
 // share is in more crashes than a poison part of this workspace, but also in prompts without it.
 func (j *judgement) mostSpecific(leader tally, candidates []tally) tally {
 	rest, general := leader, j.needsMore(leader.part)
+	if general {
+		rest = j.tallyOf(leader.part, slices.DeleteFunc(slices.Clone(leader.crashes), func(i int) bool { return j.explained[i] != nil }))
+	}
 	var cover []tally
-	for j.suffices(rest) {
+	for len(cover) == 0 || j.suffices(rest) {
 		var best tally
 		var bestShared []int
 		for _, c := range candidates {
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -143,6 +143,42 @@
 	g.Expect(refuses(l, "system", "new")).To(BeFalse())
 }
 
+// Guards against a poison part in the first place that needs more crashes than five, as a system prompt does.
+func TestPoisonPartInFirstPlaceIsRefusedAfterFiveCrashes(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLedger()
+	l.AddSuccess(at(0), at(0), parts("system", "topic"))
+	for i, seconds := range []float64{1, 1.1, 1.5, 1.6, 2} {
+		l.AddCrash(at(3), Crash{UpstreamID: fmt.Sprint(i), FailureDomain: fmt.Sprint(i % 3), At: at(seconds), Prompts: []Prompt{prompt("poison", "system", "topic")}})
+	}
+	g.Expect(refuses(l, "poison", "system", "new")).To(BeTrue())
+	g.Expect(refuses(l, "system", "topic")).To(BeFalse())
+}
+
+// Guards against a poison part in the first place whose crashes the verdict on another one explains.
+func TestPoisonPartInFirstPlaceBesideConvictedPartIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLedger()
+	l.AddSuccess(at(0), at(0), parts("system"))
+	crashes(l, 1, 2, prompt("p", "system"))
+	crashes(l, 3, 4, prompt("p", "system"), prompt("q", "system"))
+	g.Expect(refuses(l, "p", "system")).To(BeTrue())
+	crashes(l, 7, 1, prompt("q", "system"))
+	g.Expect(refuses(l, "q", "system")).To(BeTrue())
+	g.Expect(refuses(l, "system")).To(BeFalse())
+}
+
+// Guards against a system prompt without a known success that is refused because many engines are lost together.
+func TestFirstPartIsNotRefusedAfterMassCrash(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLedger()
+	crashes(l, 1, 2, prompt("system", "a"))
+	for i := range 9 {
+		l.AddCrash(at(4), Crash{UpstreamID: fmt.Sprint(i), FailureDomain: fmt.Sprint(i % 4), At: at(4 + float64(i)/100), Prompts: []Prompt{prompt("system", fmt.Sprint(i))}})
+	}
+	g.Expect(refuses(l, "system", "new")).To(BeFalse())
+}
+
 // Guards against a system prompt that is refused together with the poison part of another workspace.
 func TestSystemPromptBesideConvictedPartIsNotRefused(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/poison/limits_test.go
+++ b/internal/poison/limits_test.go
@@ -133,12 +133,38 @@
 
 // Guards against poison parts that are hidden by wrong verdicts after a cold start; it plays the draws in its folder of testdata.
 func TestPoisonRequestsAfterColdStartReachFewUpstreams(t *testing.T) {
-	files, err := filepath.Glob("testdata/rapid/" + t.Name() + "/*.fail")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	NewWithT(t).Expect(files).NotTo(BeEmpty())
+	expectFailureFiles(t)
 	rapid.Check(t, checkPoisonRequests) // plays the files first
 }
 
+// Guards against poison parts in the first place of prompts that are taken for the common part of a workspace.
+func TestPoisonRequestsInFirstPlaceReachFewUpstreams(t *testing.T) {
+	rapid.Check(t, checkPoisonRequestsInFirstPlace)
+}
+
+// Guards against poison parts in the first place that crash all engines within a second and are known only after their restart; it plays the
+// draw in its folder of testdata.
+func TestFastPoisonRequestsInFirstPlaceReachFewUpstreams(t *testing.T) {
+	expectFailureFiles(t)
+	rapid.Check(t, checkPoisonRequestsInFirstPlace) // plays the files first
+}
+
+func checkPoisonRequestsInFirstPlace(t *rapid.T) {
+	o := drawPoisonFleet(t, rapid.SampledFrom([]int{1, 6, 9}).Draw(t, "instances"))
+	o.poisonFirst, o.poisonStart, o.coldMassCrash = true, 15*time.Second, false
+	m := runModel(o, rapid.Uint64().Draw(t, "seed"))
+	if broken := m.checkLimits(); len(broken) > 0 {
+		t.Fatalf("%s\n%s", strings.Join(broken, "\n"), m.history())
+	}
+}
+
+func expectFailureFiles(t *testing.T) {
+	g := NewWithT(t)
+	files, err := filepath.Glob("testdata/rapid/" + t.Name() + "/*.fail")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(files).NotTo(BeEmpty())
+}
+
 func checkPoisonRequests(t *rapid.T) {
 	instances := rapid.SampledFrom([]int{1, 6, 9}).Draw(t, "instances")
 	m := runModel(drawPoisonFleet(t, instances), rapid.Uint64().Draw(t, "seed"))
--- a/internal/poison/model_test.go
+++ b/internal/poison/model_test.go
@@ -31,6 +31,7 @@
 	verdicts int // also those lifted
 	refusals []modelRefusal
 	causes   []string // log of crashes and verdicts
+	partIDs  map[string]Part
 }
 
 type modelOptions struct {
@@ -40,6 +41,7 @@
 	poisons                              int
 	poisonAlone                          float64 // share of poison requests with the poison part only
 	poisonSpread                         bool    // poison requests come from all workspaces
+	poisonFirst                          bool    // the poison part is the first of its prompts
 	poisonStart                          time.Duration
 	sessionShare, rareShare, hugeShare   float64
 	noticeDelay                          time.Duration // most time of a notice
@@ -133,7 +135,7 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func runModel(options modelOptions, seed uint64) *model {
-	m := &model{modelOptions: options, random: rand.New(rand.NewPCG(seed, 1)), now: start, rows: map[string]Verdict{}, trials: map[string]bool{}, successRows: map[Part]time.Time{},
+	m := &model{modelOptions: options, random: rand.New(rand.NewPCG(seed, 1)), now: start, rows: map[string]Verdict{}, trials: map[string]bool{}, successRows: map[Part]time.Time{}, partIDs: map[string]Part{},
 		crashed: map[string][]time.Time{}, arrivals: map[string][]time.Time{}}
 	for i := range options.instances {
 		m.instances = append(m.instances, &modelInstance{id: i})
@@ -195,6 +197,15 @@
 	return ids
 }
 
+func (m *model) prompt(ids ...string) Prompt {
+	for _, id := range ids {
+		if _, ok := m.partIDs[id]; !ok {
+			m.partIDs[id] = NewPart(id)
+		}
+	}
+	return prompt(ids...)
+}
+
 func (m *model) soundRequest() {
 	ids := m.soundParts(m.random.IntN(m.workspaces))
 	switch draw := m.random.Float64(); {
@@ -205,7 +216,7 @@
 			ids = append(ids, fmt.Sprint("huge", i))
 		}
 	}
-	r := &modelRequest{at: m.now, prompt: prompt(ids...), first: ids[0]}
+	r := &modelRequest{at: m.now, prompt: m.prompt(ids...), first: ids[0]}
 	m.sound = append(m.sound, r)
 	m.attempt(m.instances[m.random.IntN(len(m.instances))], r)
 }
@@ -219,9 +230,13 @@
 		if m.poisonSpread {
 			workspace = m.random.IntN(m.workspaces)
 		}
-		ids = append(m.soundParts(workspace), poison)
+		if ids = m.soundParts(workspace); m.poisonFirst {
+			ids = append([]string{poison}, ids...)
+		} else {
+			ids = append(ids, poison)
+		}
 	}
-	r := &modelRequest{at: m.now, prompt: prompt(ids...), first: ids[0], poison: poison}
+	r := &modelRequest{at: m.now, prompt: m.prompt(ids...), first: ids[0], poison: poison}
 	m.attempt(m.instances[m.random.IntN(len(m.instances))], r)
 }
 
--- a/internal/poison/modelexchange_test.go
+++ b/internal/poison/modelexchange_test.go
@@ -169,16 +169,14 @@
 	return false
 }
 
-// names returns the IDs of the parts of a verdict as far as the model tells them apart.
+// names returns the IDs of the parts of a verdict.
 func (m *model) names(v Verdict) []string {
 	var names []string
 	for _, part := range v.Parts {
 		name := part.String()
-		for i := range 100 {
-			for _, prefix := range []string{"poison", "system", "rare"} {
-				if NewPart(fmt.Sprint(prefix, i)) == part {
-					name = fmt.Sprint(prefix, i)
-				}
+		for id := range m.partIDs {
+			if m.partIDs[id] == part {
+				name = id
 			}
 		}
 		names = append(names, name)
