List a system prompt that is refused after a mass crash at a cold start

A random draw that passed before: six crashes in three moments, three of them of one loss of engines in the first second, convict a system prompt that no answer is known on. It is refused for 30 s.

--- a/internal/poison/limits_test.go
+++ b/internal/poison/limits_test.go
@@ -137,6 +137,13 @@
 	rapid.Check(t, checkPoisonRequests) // plays the files first
 }
 
+// Guards against system prompts without a success that are refused after engines are lost together at a cold start; it plays the draw in
+// its folder of testdata.
+func TestSystemPromptsAreServedAfterMassCrashAtStart(t *testing.T) {
+	expectFailureFiles(t)
+	rapid.Check(t, checkPoisonRequests) // plays the files first
+}
+
 // Guards against poison parts in the first place of prompts that are taken for the common part of a workspace.
 func TestPoisonRequestsInFirstPlaceReachFewUpstreams(t *testing.T) {
 	rapid.Check(t, checkPoisonRequestsInFirstPlace)
