Release a content if others with correlated crashes explain its own

Cause: two poison prompts that crash engines of one failure domain within 2 s hide each other's crashes. One of them had eight crashes and was neither identified nor a suspect, so it released nobody. A harmless content that it had crashed twice was identified with a third crash, and stayed so after another prompt had been identified that explained the third. Callers saw: a harmless generation is quarantined for ten minutes. Change: contents that ran on three upstreams that crashed are suspects, also if these crashes are correlated. A released content stays identified only if the identified ones leave it three crashes.

--- a/internal/upstream/assessor.go
+++ b/internal/upstream/assessor.go
@@ -68,12 +68,13 @@
 // whether one is new. Contents identified in the same pass do not explain each
 // other's crashes.
 //
-// A content that was identified earlier is released if others explain all of its
-// crashes: a harmless content may be resumed on each upstream that several poison
-// prompts crash, and reach the limit before they do. It would then explain their
-// crashes, and the poison prompts would not be quarantined.
+// A content that was identified earlier is released if suspects explain all of its
+// crashes, and those of them that are identified leave too few: a harmless content
+// may be resumed on each upstream that several poison prompts crash, and reach the
+// limit before they do. It would then explain their crashes, and the poison prompts
+// would not be quarantined.
 func (a *assessor) identifyAt(candidates []ContentKey, now time.Time) (found bool) {
-	suspects := a.contentsAtLimit(candidates, now)
+	suspects := a.suspects(candidates, now)
 	known, released := a.splitExplained(suspects, now)
 	identified := maps.Clone(known)
 	for content := range suspects {
@@ -89,7 +90,7 @@
 	}
 	for _, content := range released {
 		period, wasIdentified := a.identified[content]
-		if wasIdentified && !a.explainedBy(identified, content, now) {
+		if _, _, reached := quarantineOf(a.crashesNotExplainedBy(content, now, identified)); wasIdentified && reached {
 			identified[content] = period
 		}
 	}
@@ -125,21 +126,29 @@
 	}
 }
 
-// contentsAtLimit returns the contents with enough crashes by now, explained by
-// others or not, and the contents that are already identified.
-func (a *assessor) contentsAtLimit(candidates []ContentKey, now time.Time) map[ContentKey]quarantinePeriod {
+// suspects returns the contents with enough crashes by now and the contents that are
+// already identified. Explained and correlated crashes are included: poison prompts
+// that crash upstreams of one failure domain at the same time hide each other.
+func (a *assessor) suspects(candidates []ContentKey, now time.Time) map[ContentKey]quarantinePeriod {
 	suspects := maps.Clone(a.identified)
 	for _, content := range candidates {
-		if _, found := suspects[content]; found {
-			continue
-		}
-		if _, _, reached := quarantineOf(a.crashesNotExplainedBy(content, now, nil)); reached {
+		if _, found := suspects[content]; !found && a.upstreamCountBy(content, now) >= quarantineCrashes {
 			suspects[content] = quarantinePeriod{identifiedAt: now}
 		}
 	}
 	return suspects
 }
 
+// upstreamCountBy returns the number of upstreams that crashed by now while they
+// ran a content.
+func (a *assessor) upstreamCountBy(content ContentKey, now time.Time) int {
+	upstreams := make(map[contract.UpstreamID]bool)
+	for _, i := range a.byContent[content][:a.crashCountBy(content, now)] {
+		upstreams[a.crashes[i].Process.Upstream] = true
+	}
+	return len(upstreams)
+}
+
 // splitExplained returns the identified contents with at least one crash that no
 // other suspect explains, and the suspects whose crashes are all explained, those
 // with the fewest crashes first.
@@ -200,12 +209,8 @@
 // candidates returns the contents that ran on enough crashed upstreams, sorted.
 func (a *assessor) candidates() []ContentKey {
 	var candidates []ContentKey
-	for content, indices := range a.byContent {
-		upstreams := make(map[contract.UpstreamID]bool)
-		for _, i := range indices {
-			upstreams[a.crashes[i].Process.Upstream] = true
-		}
-		if len(upstreams) >= quarantineCrashes {
+	for content := range a.byContent {
+		if a.upstreamCountBy(content, a.lastCrash()) >= quarantineCrashes {
 			candidates = append(candidates, content)
 		}
 	}
--- a/internal/upstream/quarantine_test.go
+++ b/internal/upstream/quarantine_test.go
@@ -108,6 +108,11 @@
 		{"harmless, identified before two poison prompts", evidenceOf(between[:3]...), "harmless", 22, 3, true},
 		{"harmless, explained by two poison prompts", evidenceOf(between...), "harmless", 52, 0, false},
 		{"poison prompt masked by a harmless content", evidenceOf(between...), "x", 52, 3, true},
+		{"harmless, explained by a poison prompt and one with a correlated crash", evidenceOf(
+			crash("u1", "oulu-a", 0, "x"), crash("u2", "oulu-a", 0.1, "y"), crash("u3", "kemi-c", 5, "x", "harmless"),
+			crash("u4", "rova-d", 10, "x", "harmless"), crash("u5", "oulu-b", 20, "z", "harmless"),
+			crash("u6", "kemi-c", 30, "z"), crash("u7", "rova-d", 40, "z"), crash("u8", "oulu-a", 45, "z"),
+		), "harmless", 47, 2, false},
 		{"neighbour of a poison prompt whose instance does not know the process", evidenceOf(
 			crash("u1", "oulu-a", 0, "neighbour"), unknown, crash("u2", "kemi-c", 10, "x", "neighbour"),
 			crash("u3", "rova-d", 20, "x", "neighbour"), crash("u4", "oulu-b", 30, "x"),
