Skip the comparison of suspects while no content can be identified

Cause: since correlated crashes make suspects, the loss of a failure domain compares all contents that ran on three of its upstreams, for each crash, although nobody can be identified. Callers saw: nothing; each crash of the loss is assessed under the lock of the upstreams. Change: an assessment compares suspects only once a content has three crashes of its own or is identified. The result is the same.

--- a/internal/upstream/assessor.go
+++ b/internal/upstream/assessor.go
@@ -74,6 +74,9 @@
 // limit before they do. It would then explain their crashes, and the poison prompts
 // would not be quarantined.
 func (a *assessor) identifyAt(candidates []ContentKey, now time.Time) (found bool) {
+	if !a.mayIdentify(candidates, now) {
+		return false
+	}
 	suspects := a.suspects(candidates, now)
 	known, released := a.splitExplained(suspects, now)
 	identified := maps.Clone(known)
@@ -98,6 +101,15 @@
 	return found
 }
 
+// mayIdentify reports whether a content is or may be identified by now. After the loss
+// of a failure domain there are many suspects but none to identify, and comparing them takes long.
+func (a *assessor) mayIdentify(candidates []ContentKey, now time.Time) bool {
+	return len(a.identified) > 0 || slices.ContainsFunc(candidates, func(content ContentKey) bool {
+		_, _, reached := quarantineOf(a.crashesNotExplainedBy(content, now, nil))
+		return reached
+	})
+}
+
 // identifyRemaining identifies contents until none has enough crashes that no other
 // one explains, those with the most crashes first. Contents remain that were
 // released because of suspects that are not identified themselves, since others
