Ask for the process of an upstream only after a silence

The start time may come from the list, an old process may finish its streams beside the new one, and an event may arrive while the probe is on its way.

Evidence: TestOtherStartTimeEndsNoStreamThatGoesOn failed before (502).

Change: the start time counts only after the upstream has left a probe unanswered and no event has followed. A sound upstream whose listed start time is wrong and that is silent for a time still loses its streams.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -135,7 +135,7 @@
 			if len(items) > 0 || r.memory.waiting.Load() {
 				p.err, p.replaced = nil, false // events that wait here are a sign of life
 			}
-			if p.replaced {
+			if p.replaced && r.silent {
 				return Failed, errUpstreamReplaced
 			}
 			if r.leavesUpstream(p) {
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -66,7 +66,7 @@
 	err         error
 	sentAt      time.Time
 	alternative bool // the upstream did not answer, but another one did and has room
-	replaced    bool // another process answered at the address of the upstream
+	replaced    bool // another process answered at the address of the upstream, which matters after a silence
 }
 
 // alternatives returns other upstreams at which the stream could go on; none if it cannot
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -321,3 +321,45 @@
 		})
 	}
 }
+
+// slowProber answers probes after a delay.
+type slowProber struct {
+	*harness
+	delay time.Duration
+}
+
+func (p slowProber) Load(ctx context.Context, address string) (pool.LoadReport, error) {
+	time.Sleep(p.delay)
+	return p.harness.Load(ctx, address)
+}
+
+// Guards against ending a stream that is being written because the start time in the list is
+// wrong, or its upstream is replaced while it finishes its streams.
+func TestOtherStartTimeEndsNoStreamThatGoesOn(t *testing.T) {
+	notResumable := streaming
+	notResumable.Resumable = false
+	inVirtualTime(t, func(t *testing.T) { // the reports are silent at placement, so the list decides
+		h := newHarness(t, notResumable, true, "a")
+		h.startTimes["a"] = 2 // the list has 1
+		h.setSilent("a", true)
+		time.AfterFunc(150*time.Millisecond, func() { h.setSilent("a", false) })
+		h.setBehaviour(sendEvents(10, 500*time.Millisecond, nil), "a")
+		got := h.request(t.Context(), nil)
+		h.g.Expect(got.status).To(Equal(http.StatusOK))
+		h.g.Expect(got.body).To(Equal(eventsText(1, 10)))
+	})
+	inVirtualTime(t, func(t *testing.T) { // an event arrives while the probe is on its way
+		h := newHarness(t, notResumable, true, "a")
+		h.startTimes["a"] = 1
+		h.f.Prober = slowProber{h, 60 * time.Millisecond}
+		time.AfterFunc(200*time.Millisecond, func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.startTimes["a"] = 2
+		})
+		h.setBehaviour(sendEvents(20, 240*time.Millisecond, nil), "a")
+		got := h.request(t.Context(), nil)
+		h.g.Expect(got.aborted).To(BeFalse())
+		h.g.Expect(got.body).To(Equal(eventsText(1, 20)))
+	})
+}
