Place the replacement of an attempt at another engine than the silent one

If it had the lowest load it was chosen each time, and each time the placement was given back.

Evidence: TestSilentEngineIsReplacedByBusierOne failed before ("outcome interrupted deadline").

Change: a placement avoids the upstreams of all attempts in progress.

--- a/internal/generation/machine.go
+++ b/internal/generation/machine.go
@@ -236,7 +236,7 @@
 	m.attempts = append(m.attempts, a)
 	m.emit(Action{
 		Kind: ActionStart, Attempt: a.number, Connection: c.id,
-		Stream: a.stream, Avoid: slices.Clone(m.avoid), Resumed: resumed,
+		Stream: a.stream, Avoid: m.upstreamsToAvoid(), Resumed: resumed,
 	})
 }
 
--- a/internal/generation/recovery.go
+++ b/internal/generation/recovery.go
@@ -200,6 +200,17 @@
 	}
 }
 
+// upstreamsToAvoid returns the upstreams that have failed and those of the attempts in progress.
+func (m *Machine) upstreamsToAvoid() []contract.UpstreamID {
+	avoid := slices.Clone(m.avoid)
+	for _, a := range m.attempts {
+		if a.upstream != "" && !slices.Contains(avoid, a.upstream) {
+			avoid = append(avoid, a.upstream)
+		}
+	}
+	return avoid
+}
+
 // handleTimeouts acts on all deadlines that have passed.
 func (m *Machine) handleTimeouts(now time.Time) {
 	if m.finished {
--- a/internal/generation/silence_test.go
+++ b/internal/generation/silence_test.go
@@ -1,6 +1,7 @@
 package generation_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -206,3 +207,36 @@
 	d.step(generation.Input{Kind: generation.InputNoPlacement, Attempt: 2, ContentStatus: upstream.ContentStatus{Crashes: 3, Quarantined: true}})
 	d.g.Expect(kinds(d.event(1, 1, 1))).To(Equal([]generation.ActionKind{generation.ActionDeliver}))
 }
+
+// Guards against a generation that waits at a silent engine although another one is free, because the
+// silent one has the lowest load.
+func TestSilentEngineIsReplacedByBusierOne(t *testing.T) {
+	for _, tokens := range []int{0, 10} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(t, configuration.ResumeSparing, false)
+			defer h.close()
+			h.router.Exclude("e1", true)
+			for i := range 4 {
+				other := h.caller(fmt.Sprintf("other-%d", i))
+				other.request.MaxTokens = 1500
+				other.connect(0, false)
+				defer other.sub.Close()
+				other.read(1)
+				go other.readAll()
+			}
+			h.router.Exclude("e1", false)
+			c := h.caller("request")
+			c.request.Deadline = time.Now().Add(30 * time.Second)
+			began := time.Now()
+			c.connect(0, false)
+			defer c.sub.Close()
+			synctest.Wait()
+			c.read(tokens)
+			h.serving(c.request).Pause()
+			c.readAll()
+			g.Expect(c.violation()).To(BeEmpty())
+			g.Expect(time.Since(began)).To(BeNumerically("<", 10*time.Second))
+		})
+	}
+}
