Let two tests look up the crashes of the content that was sent

TestErrorOnResumptionIsNoSuccess and TestTruncatedLongResponseIsNoSuccess built the content of another URI than that of their request, so nothing could have removed its crashes.

--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -73,7 +73,7 @@
 		r.MaxAttempts = 2
 		h := newHarness(t, r, true, "a", "b", "c")
 		h.resumeWith([]behaviour{respondWith(http.StatusNotFound, "error text")}, "a", "b", "c")
-		content := newContent("", http.MethodPost, "/path/%2f?query=1", []byte("body"))
+		content := newContent("", http.MethodPost, "http://host/path/%2f?query=1", []byte("body"))
 		h.f.Quarantine.Add(time.Now(), Crash{Content: content, UpstreamID: "earlier"})
 		h.g.Expect(h.request(t.Context(), nil).aborted).To(BeTrue())
 		h.g.Expect(h.f.Quarantine.Crashes(content)).NotTo(BeEmpty())
@@ -146,7 +146,7 @@
 					status = http.StatusNotFound
 				}
 				h.setBehaviour(truncated(status), "a", "b")
-				content := newContent("", http.MethodPost, "/path/%2f?query=1", []byte("body"))
+				content := newContent("", http.MethodPost, "http://host/path/%2f?query=1", []byte("body"))
 				h.f.Quarantine.Add(time.Now(), Crash{Content: content, UpstreamID: "earlier"})
 				got := h.request(t.Context(), nil)
 				synctest.Wait()
