--- a/internal/forward/retrybudget.go
+++ b/internal/forward/retrybudget.go
@@ -9,8 +9,8 @@
 	"foxtailhub.example/foxtailhub/internal/route"
 )
 
-// The users limit the retries of all instances together: in any retryWindow a service may get a
-// ratio times the requests of that window, or of the one before it, and retryAllowance.
+// The platform limits the retries of all instances together: in any retryWindow a service may get
+// a ratio times the requests of that window, or of the one before it, and retryAllowance.
 const (
 	retryWindow    = 10 * time.Second
 	retryAllowance = 150
@@ -46,7 +46,7 @@
 //
 // The common budget is for all retries. A burst is at most the part of the allowance and
 // burstShare times the requests of the window before it, so the instances together keep the
-// users' limit for any distribution of the load, as long as burstShare and refillShare add up to
+// limit for any distribution of the load, as long as burstShare and refillShare add up to
 // at most the ratio.
 //
 // Streams that resume use what is left of the common budget, and then a budget of their own.
