State the era of the store in responses, logs and the counter of calls

Cause: nothing told a response of the store after it had come back from a copy from a late one. Store-Era is decoded in platform/, observed for each response, and stated in the lines of a lost and regained store and of a changed source. foxtailhub_store_calls_total tells the responses that are not applied from the others (before, they counted as answered). No change of logic.

--- a/cmd/foxtailhubd/gateway.go
+++ b/cmd/foxtailhubd/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
+	"foxtailhub.example/foxtailhub/internal/discovery"
 	"foxtailhub.example/foxtailhub/internal/gateway"
 	"foxtailhub.example/foxtailhub/internal/logsink"
 	"foxtailhub.example/foxtailhub/platform"
@@ -70,8 +71,10 @@
 	servers := platform.NewUpstreamClient(&http.Client{Transport: &http.Transport{
 		DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}})
+	eras := discovery.NewEraTracker()
 	return gateway.Platform{
-		Store:         platform.NewStore(settings.StoreAddress, storeTransport()),
+		Store:         platform.NewStore(settings.StoreAddress, storeTransport(), eras.Observe),
+		Eras:          eras,
 		Decoder:       platform.Decoder{},
 		Protocol:      platform.Protocol{},
 		Prober:        servers,
--- a/internal/discovery/changelog.go
+++ b/internal/discovery/changelog.go
@@ -48,6 +48,7 @@
 	loaded      bool
 	rows        map[string]loggedRow
 	version     int64         // version of the store that the rows are as of
+	era         Era           // of the newest update, not yet part of the order
 	sequence    int64         // sequence number of the newest change of a row
 	compactedTo int64         // no tombstone after this sequence number has been dropped
 	asOf        time.Duration // when the store was read for the newest update
@@ -71,16 +72,30 @@
 	}
 }
 
-// Apply applies a response of the store. One that is older than the log is ignored.
-func (l *ChangeLog) Apply(update Update) {
+// DropReason is why an update was not applied.
+type DropReason string
+
+// Reasons for which updates are not applied.
+const (
+	NotDropped          DropReason = ""
+	DroppedEarlierEra   DropReason = "earlier_era"
+	DroppedOlderVersion DropReason = "older_version"
+	DroppedPosition     DropReason = "position" // the log has changed since the request
+)
+
+// Apply applies a response of the store. One that is older than the log is dropped.
+func (l *ChangeLog) Apply(update Update) DropReason {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.stale(update) {
-		l.log.WithFields(logrus.Fields{"version": update.Version, "known": l.version}).Info("stale response of the store ignored")
-		return
+		l.log.WithFields(logrus.Fields{
+			"version": update.Version, "era": update.Era, "held_version": l.version, "held_era": l.era,
+		}).Info("stale response of the store ignored")
+		return DroppedOlderVersion
 	}
 	l.source = Position{}
 	l.applyLocked(update)
+	return NotDropped
 }
 
 // ApplyFrom applies the response of another log to a request from a position. Changes are
@@ -119,7 +134,7 @@
 	if l.loaded {
 		gap = max(0, update.AsOf-l.asOf)
 	}
-	l.loaded, l.version, l.asOf = true, update.Version, max(l.asOf, update.AsOf)
+	l.loaded, l.version, l.era, l.asOf = true, update.Version, update.Era, max(l.asOf, update.AsOf)
 	l.dropTombstones()
 	l.consume(changes, gap)
 	if len(changes.Rows) > 0 {
@@ -162,6 +177,13 @@
 	return l.version, l.loaded
 }
 
+// Revision returns the state of the store that the log is as of, zero before the first update.
+func (l *ChangeLog) Revision() Revision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Revision{Era: l.era, Version: l.version}
+}
+
 // Age returns the time since the store was read for the newest update; known is false
 // before the first update.
 func (l *ChangeLog) Age() (age time.Duration, known bool) {
--- a/internal/discovery/reader.go
+++ b/internal/discovery/reader.go
@@ -42,6 +42,7 @@
 	log          logrus.FieldLogger
 	waitUntilDue func(ctx context.Context, last time.Time) // waits until the topic has to be read
 	countCall    func(topic Topic, outcome string)
+	eras         *EraTracker
 
 	lastResponse time.Time // used by Run only
 	inOutage     bool
@@ -68,6 +69,8 @@
 	WaitUntilDue func(ctx context.Context, last time.Time)
 	// CountCall counts calls by topic and outcome; nil: calls are not counted.
 	CountCall func(topic Topic, outcome string)
+	// Eras observes the responses of the store.
+	Eras *EraTracker
 }
 
 // Outcomes of calls to the store, as passed to CountCall.
@@ -77,13 +80,17 @@
 	OutcomeFailed      = "failed"
 	OutcomeHistoryGone = "history_gone"
 	OutcomeInterrupted = "interrupted"
+	// Responses that are not applied: they are of an earlier era than the rows that are held, or
+	// of an older version of the same era.
+	OutcomeEarlierEra   = "earlier_era"
+	OutcomeOlderVersion = "older_version"
 )
 
 // NewReader returns a reader, which starts with Run.
 func NewReader(c ReaderConfig) *Reader {
 	r := &Reader{
 		store: c.Store, topic: c.Topic, schedule: c.Schedule, changeLog: c.ChangeLog, backoff: c.Backoff, clock: c.Clock,
-		log: c.Logger.WithField("topic", c.Topic), waitUntilDue: c.WaitUntilDue, countCall: c.CountCall,
+		log: c.Logger.WithField("topic", c.Topic), waitUntilDue: c.WaitUntilDue, countCall: c.CountCall, eras: c.Eras,
 	}
 	if r.waitUntilDue == nil {
 		r.waitUntilDue = func(ctx context.Context, last time.Time) {
@@ -92,6 +99,9 @@
 			}
 		}
 	}
+	if r.eras == nil {
+		r.eras = NewEraTracker()
+	}
 	if r.countCall == nil {
 		r.countCall = func(Topic, string) {}
 	}
@@ -144,17 +154,26 @@
 	case err != nil:
 		r.countCall(r.topic, OutcomeFailed)
 		return err
-	case len(update.Rows) == 0:
-		r.countCall(r.topic, OutcomeUnchanged)
-	default:
-		r.countCall(r.topic, OutcomeAnswered)
 	}
 	r.recordSuccess()
-	r.changeLog.Apply(update)
+	r.countCall(r.topic, outcomeOf(update, r.changeLog.Apply(update)))
 	r.lastResponse = time.Now()
 	return nil
 }
 
+// outcomeOf returns the outcome of a call whose response was applied, or dropped for a reason.
+func outcomeOf(update Update, reason DropReason) string {
+	switch {
+	case reason == DroppedEarlierEra:
+		return OutcomeEarlierEra
+	case reason == DroppedOlderVersion:
+		return OutcomeOlderVersion
+	case len(update.Rows) == 0:
+		return OutcomeUnchanged
+	}
+	return OutcomeAnswered
+}
+
 func (r *Reader) call(ctx context.Context, after int64, full bool) (Update, error) {
 	update := Update{Full: full, AsOf: r.clock()}
 	var err error
@@ -181,7 +200,7 @@
 func (r *Reader) recordFailure(err error) {
 	if !r.inOutage && time.Since(r.lastResponse) > outageThreshold {
 		r.inOutage = true
-		r.log.WithError(err).WithField("silent_ms", time.Since(r.lastResponse).Milliseconds()).Warn("the store is lost")
+		r.log.WithError(err).WithFields(r.stateFields()).Warn("the store is lost")
 	}
 	_, known := r.changeLog.Version()
 	r.backoff.Failed(!known)
@@ -191,7 +210,16 @@
 	r.backoff.Succeeded()
 	if r.inOutage {
 		r.inOutage = false
-		r.log.WithField("silent_ms", time.Since(r.lastResponse).Milliseconds()).Info("the store is back")
+		r.log.WithFields(r.stateFields()).Info("the store is back")
+	}
+}
+
+// stateFields returns what logs say about a lost or regained store.
+func (r *Reader) stateFields() logrus.Fields {
+	held := r.changeLog.Revision()
+	era, _ := r.eras.Newest()
+	return logrus.Fields{
+		"silent_ms": time.Since(r.lastResponse).Milliseconds(), "era": era, "held_era": held.Era, "held_version": held.Version,
 	}
 }
 
--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -32,8 +32,12 @@
 type Batch struct {
 	Rows    []Row
 	Version int64 // newest version of the store at the time of the response
+	Era     Era   // of the store at the time of the response
 }
 
+// Revision returns the state of the store that the batch is as of.
+func (b Batch) Revision() Revision { return Revision{Era: b.Era, Version: b.Version} }
+
 // Topic identifies a group of rows of the store that is read and followed on its own.
 type Topic int
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 // Platform holds the platform's implementations that a gateway uses.
 type Platform struct {
 	Store        discovery.Store
+	Eras         *discovery.EraTracker // observes the responses to Store; nil: the store has no eras
 	Decoder      discovery.Decoder
 	Protocol     forward.Protocol
 	Prober       forward.UpstreamProber
@@ -75,6 +76,9 @@
 // New returns a gateway that is not running yet.
 func New(settings *Settings, platform Platform, logger *logrus.Logger) *Gateway {
 	log := logger.WithField("instance", settings.Instance)
+	if platform.Eras == nil {
+		platform.Eras = discovery.NewEraTracker()
+	}
 	g := &Gateway{
 		settings: settings, platform: platform, log: log,
 		registry: prometheus.NewRegistry(), pool: pool.New(), drainState: &forward.DrainState{}, listen: net.Listen, started: time.Now(),
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -105,7 +105,7 @@
 			return
 		}
 		p.readers = append(p.readers, discovery.NewReader(discovery.ReaderConfig{
-			Store: g.platform.Store, Topic: topic, Backoff: p.backoff, Clock: clock, Logger: log, CountCall: calls.count, ChangeLog: p.changeLogs[topic],
+			Store: g.platform.Store, Topic: topic, Backoff: p.backoff, Clock: clock, Logger: log, CountCall: calls.count, ChangeLog: p.changeLogs[topic], Eras: g.platform.Eras,
 			Schedule:     func() discovery.PollSchedule { return p.syncer.PollSchedule(topic, schedule) },
 			WaitUntilDue: func(ctx context.Context, last time.Time) { p.syncer.AwaitRead(ctx, topic, schedule, last) },
 		}))
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -157,9 +157,10 @@
 		return next
 	}
 	age, _ := s.Logs[discovery.Upstreams].Age()
+	listed := s.Logs[discovery.Upstreams].Revision()
 	s.Log.WithFields(logrus.Fields{
 		"from": s.source.String(), "to": next.String(), "domain_members": len(ranked), "troubled_peers": len(s.peerFailures),
-		"store_fails": s.StoreFailing(), "list_age_ms": age.Milliseconds(),
+		"store_fails": s.StoreFailing(), "list_age_ms": age.Milliseconds(), "list_era": listed.Era, "list_version": listed.Version,
 	}).Info("source of news changed")
 	s.source = next
 	if next.peer != "" {
