--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -33,6 +33,9 @@
 	Rows    []Row
 	Version int64 // newest version of the store at the time of the response
 	Era     Era   // of the store at the time of the response
+	// Returned is set in the first batch of an era that a ChangeLog passes on after one of an earlier
+	// era: rows that are missing or older than before may be written again soon.
+	Returned bool
 }
 
 // Revision returns the state of the store that the batch is as of.
