Keep upstreams as they were known when the store comes back from a copy

What callers saw: after the return, requests went to upstreams that had left (DRAIN), or live ones that the copy lacks were removed. Cause: the list took each row for the newest state of its upstream, and kept missing entries only after a gap of 2.5 s. An upstream that was leaving stays leaving while the same process is listed; one that was gone is withheld until its entry changes, or for 6 s; missing ones are kept for 2.3 s after the first response of the new era, however short the outage was. Evidence: TestReturnOfStoreBringsBackNoUpstreamThatLeft used a, b and c instead of c, TestUpstreamsMissingInCopyAreKeptUntilTheyHadTimeToWrite none instead of a and b; the third test guards against upstreams that stay withheld.

--- a/internal/discovery/upstreams.go
+++ b/internal/discovery/upstreams.go
@@ -22,6 +22,9 @@
 	// (a failed call and a backoff before the first response) the grace ends 3 s after
 	// the recovery, when requests sent to upstreams that have left count as faults again.
 	lapseGrace = 1700 * time.Millisecond
+	// returnGrace replaces lapseGrace after the store has come back from a copy, which can be seen
+	// at once. Live upstreams that the copy lacks register again within 2 s.
+	returnGrace = 2300 * time.Millisecond
 )
 
 // UpstreamList keeps the pool in sync with the upstream entries of the store.
@@ -34,13 +37,15 @@
 	upstreams  map[string]pool.Upstream // by key
 	lapsed     map[string]time.Time     // missing entries after an outage, with the time at which they are removed
 	graceUntil time.Time                // end of the period in which missing entries may have lapsed
+	removed    removedUpstreams
+	withheld   map[string]pool.Upstream // listed again only because the store has come back from a copy
 }
 
 // NewUpstreamList returns an empty list.
 func NewUpstreamList(p *pool.Pool, decoder Decoder, log logrus.FieldLogger) *UpstreamList {
 	return &UpstreamList{
 		pool: p, decoder: decoder, log: log,
-		upstreams: map[string]pool.Upstream{}, lapsed: map[string]time.Time{},
+		upstreams: map[string]pool.Upstream{}, lapsed: map[string]time.Time{}, removed: removedUpstreams{}, withheld: map[string]pool.Upstream{},
 	}
 }
 
@@ -49,7 +54,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if gap > outageGap && len(l.upstreams) > 0 {
+	switch {
+	case batch.Returned:
+		l.graceUntil = now.Add(returnGrace)
+		l.log.WithFields(logrus.Fields{"era": batch.Era, "version": batch.Version, "upstreams": len(l.upstreams)}).Info("list of upstreams is from a copy; missing upstreams kept for the grace period")
+	case gap > outageGap && len(l.upstreams) > 0:
 		l.graceUntil = now.Add(lapseGrace)
 	}
 	first := len(l.upstreams) == 0
@@ -59,7 +68,7 @@
 			changed = l.applyDeletion(row.Key, now) || changed
 			continue
 		}
-		changed = l.applyEntry(row, !first) || changed
+		changed = l.applyEntry(row, !first, batch.Returned, now) || changed
 	}
 	changed = l.expire(now) || changed
 	if first && changed {
@@ -84,9 +93,10 @@
 
 // applyEntry applies the entry of an upstream. An entry that cannot be decoded removes
 // its upstream. The entries of the first list are not logged one by one.
-func (l *UpstreamList) applyEntry(row Row, logged bool) bool {
+func (l *UpstreamList) applyEntry(row Row, logged, returned bool, now time.Time) bool {
 	u, err := l.decoder.Upstream(row)
 	old, known := l.upstreams[row.Key]
+	delete(l.withheld, row.Key)
 	if err != nil {
 		l.log.WithError(err).WithField("upstream", row.Key).Debug("entry does not describe an upstream")
 		if known {
@@ -94,7 +104,14 @@
 		}
 		return known
 	}
+	if returned && l.removed.has(now, u) {
+		l.withhold(row.Key, u)
+		return false
+	}
 	delete(l.lapsed, row.Key)
+	if known && sameProcess(old, u) && (returned || u.StartedAt != 0) {
+		u.Draining = u.Draining || old.Draining // a copy of the store shows it as it was before
+	}
 	if known && old == u {
 		return false
 	}
@@ -112,6 +129,7 @@
 // applyDeletion handles a deleted entry. After an outage of the store the entry may have
 // lapsed although its upstream is alive.
 func (l *UpstreamList) applyDeletion(key string, now time.Time) bool {
+	delete(l.withheld, key)
 	u, known := l.upstreams[key]
 	if !known {
 		return false
@@ -155,6 +173,7 @@
 
 func (l *UpstreamList) remove(key string, u pool.Upstream) {
 	delete(l.upstreams, key)
+	l.removed.add(time.Now(), u)
 	l.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "address": u.Address}).Info("upstream gone")
 }
 
--- /dev/null
+++ b/internal/discovery/upstreams_return_test.go
@@ -0,0 +1,98 @@
+package discovery
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/pool"
+)
+
+// processDecoder decodes entries of the form "state start-time address".
+type processDecoder struct{ textDecoder }
+
+func (processDecoder) Upstream(row Row) (pool.Upstream, error) {
+	fields := strings.Fields(string(row.Value))
+	if len(fields) != 3 {
+		return pool.Upstream{}, errUnreadable
+	}
+	return pool.Upstream{ID: row.Key, Service: "s", Address: fields[2], Draining: fields[0] == "leaving", StartedAt: int64(len(fields[1]))}, nil
+}
+
+// usable returns the upstreams that may get requests.
+func usable(p *pool.Pool) string {
+	var all []string
+	for _, m := range p.Members("s") {
+		if p.Serves(m, m.Identity(), time.Now()) {
+			all = append(all, m.ID)
+		}
+	}
+	return strings.Join(all, " ")
+}
+
+func returned(rows ...Row) Batch { return Batch{Rows: rows, Era: 2, Returned: true} }
+
+// Guards against upstreams that get requests again because a copy of the store shows them as
+// they were before they left.
+func TestReturnOfStoreBringsBackNoUpstreamThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := pool.New()
+		l := NewUpstreamList(p, processDecoder{}, discardLogger())
+		l.Apply(Batch{Rows: []Row{row("a", "ready 1 x", 1), row("b", "ready 1 y", 2), row("c", "ready 1 z", 3)}}, 0)
+		l.Apply(Batch{Rows: []Row{row("a", "leaving 1 x", 4), deletedRow("b", 5)}}, time.Second)
+		g.Expect(usable(p)).To(Equal("c"))
+
+		l.Apply(returned(row("a", "ready 1 x", 1), row("b", "ready 1 y", 2)), time.Second)
+		g.Expect(usable(p)).To(Equal("c"))
+		l.Apply(Batch{Era: 2, Rows: []Row{row("b", "leaving 1 y", 4)}}, time.Second)
+		g.Expect(usable(p)).To(Equal("c"), "written again as leaving")
+		l.Apply(Batch{Era: 2, Rows: []Row{row("a", "ready 11 x", 5)}}, time.Second)
+		g.Expect(usable(p)).To(Equal("a c"), "another process under the same ID")
+	})
+}
+
+// Guards against an upstream that stays unused although it is listed after the return.
+func TestUpstreamThatStaysListedAfterReturnIsUsed(t *testing.T) {
+	for name, again := range map[string]func(l *UpstreamList){
+		"written again":     func(l *UpstreamList) { l.Apply(Batch{Era: 2, Rows: []Row{row("b", "ready 1 v", 7)}}, 0) },
+		"stays in the list": func(*UpstreamList) { time.Sleep(withholdTime) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				p := pool.New()
+				l := NewUpstreamList(p, processDecoder{}, discardLogger())
+				l.Apply(Batch{Rows: []Row{row("b", "ready 1 y", 2), row("c", "ready 1 z", 3)}}, 0)
+				l.Apply(Batch{Rows: []Row{deletedRow("b", 5)}}, time.Second)
+				l.Apply(returned(row("b", "ready 1 y", 2)), time.Second)
+				g.Expect(usable(p)).To(Equal("c"))
+				again(l)
+				synctest.Wait()
+				g.Expect(usable(p)).To(Equal("b c"))
+			})
+		})
+	}
+}
+
+// Guards against the removal of upstreams whose entries are younger than the copy, also if the
+// store was away only for a moment, and against those that stay although they do not come back.
+func TestUpstreamsMissingInCopyAreKeptUntilTheyHadTimeToWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := pool.New()
+		l := NewUpstreamList(p, processDecoder{}, discardLogger())
+		l.Apply(Batch{Rows: []Row{row("a", "ready 1 x", 1), row("b", "ready 1 y", 2)}}, 0)
+		l.Apply(returned(deletedRow("a", 1), deletedRow("b", 1)), 100*time.Millisecond)
+		g.Expect(usable(p)).To(Equal("a b"))
+		time.Sleep(2 * time.Second)
+		l.Apply(Batch{Era: 2, Rows: []Row{row("a", "ready 1 x", 2)}}, time.Second)
+		g.Expect(usable(p)).To(Equal("a b"))
+		time.Sleep(returnGrace - 2*time.Second)
+		synctest.Wait()
+		g.Expect(usable(p)).To(Equal("a"))
+	})
+}
