Order the rows of the store by era and version

What callers saw: a configuration that was acknowledged after the store had come back from a copy was never in force at some instances (CONFIG, DENIED), and each instance read all rows every 6 ms.

Cause: versions were taken as an order, although versions of different eras have none. Responses after the return were dropped as older until the counter had caught up, and then changes since a version of the earlier era skipped what lay between.

Evidence (before): TestReaderFollowsReturnOfStore "before the versions": {"a":"2","b":"1","c":"1"} instead of {"a":"1","b":"1"}; "at the same version" and "past the versions" miss rows for good; TestReturnOfStoreInterruptsHeldCalls: the held call still has the old value after 2 s.

Change: a ChangeLog orders updates by Revision. Changes of another era are not applied; the reader reads all rows at once, also when any response has shown a later era (a held call or a pause then ends after a random delay). A dropped response counts as a failed call, with backoff. The log of the configuration keeps a newer version than that of the copy. The first batch of a later era is marked Returned.

After: these tests pass, with one read of all rows for a return.

--- a/internal/discovery/changelog.go
+++ b/internal/discovery/changelog.go
@@ -34,26 +34,28 @@
 	Sequence int64
 }
 
-// ChangeLog holds the rows of one topic as of a version of the store. It applies responses
-// of the store and of other logs, and passes each change to its consumer once.
+// ChangeLog holds the rows of one topic as of a revision of the store. It applies responses
+// of the store and of other logs, and passes each change to its consumer once. The revision
+// never decreases; the versions of a later era may be lower than those of the era before.
 type ChangeLog struct {
-	topic   Topic
-	id      string
-	clock   Clock
-	equal   func(a, b Row) bool // whether two rows with the same key are equivalent
-	consume func(changes Batch, gap time.Duration)
-	log     logrus.FieldLogger
+	topic Topic
+	id    string
+	clock Clock
+	equal func(a, b Row) bool // whether two rows with the same key are equivalent
+	// outdated reports whether a row is an earlier state of the held one, which then stays.
+	outdated func(held, row Row) bool
+	consume  func(changes Batch, gap time.Duration)
+	log      logrus.FieldLogger
 
 	mu          sync.Mutex // guards the fields below
 	loaded      bool
 	rows        map[string]loggedRow
-	version     int64         // version of the store that the rows are as of
-	era         Era           // of the newest update, not yet part of the order
+	revision    Revision      // of the store that the rows are as of
 	sequence    int64         // sequence number of the newest change of a row
 	compactedTo int64         // no tombstone after this sequence number has been dropped
 	asOf        time.Duration // when the store was read for the newest update
 	source      Position      // position in another log with the same state; zero after an update from elsewhere
-	changed     chan struct{} // closed at the next change of a row
+	changed     chan struct{} // closed at the next change of a row, or of the era
 }
 
 // loggedRow is a row and the sequence number of its newest change.
@@ -63,13 +65,27 @@
 	deletedAt time.Duration // only of tombstones
 }
 
+// ChangeLogOption sets an option of a ChangeLog.
+type ChangeLogOption func(*ChangeLog)
+
+// KeepNewer makes a log keep a held row when an update has an earlier state of it, or lacks it.
+// outdated decides that; row is a tombstone if the update lacks the row.
+func KeepNewer(outdated func(held, row Row) bool) ChangeLogOption {
+	return func(l *ChangeLog) { l.outdated = outdated }
+}
+
 // NewChangeLog returns an empty log. consume gets the changed rows of each update, which may
 // be none, and the time since the previous update.
-func NewChangeLog(topic Topic, clock Clock, equal func(a, b Row) bool, log logrus.FieldLogger, consume func(changes Batch, gap time.Duration)) *ChangeLog {
-	return &ChangeLog{
+func NewChangeLog(topic Topic, clock Clock, equal func(a, b Row) bool, log logrus.FieldLogger, consume func(changes Batch, gap time.Duration), options ...ChangeLogOption) *ChangeLog {
+	l := &ChangeLog{
 		topic: topic, id: strconv.FormatUint(rand.Uint64(), 36), clock: clock, equal: equal, consume: consume,
-		log: log.WithField("topic", topic), rows: map[string]loggedRow{}, changed: make(chan struct{}),
+		outdated: func(_, _ Row) bool { return false },
+		log:      log.WithField("topic", topic), rows: map[string]loggedRow{}, changed: make(chan struct{}),
 	}
+	for _, option := range options {
+		option(l)
+	}
+	return l
 }
 
 // DropReason is why an update was not applied.
@@ -80,18 +96,26 @@
 	NotDropped          DropReason = ""
 	DroppedEarlierEra   DropReason = "earlier_era"
 	DroppedOlderVersion DropReason = "older_version"
-	DroppedPosition     DropReason = "position" // the log has changed since the request
+	// DroppedLaterEra is the reason for changes since a version of an earlier era: others may lie
+	// between. All rows have to be read.
+	DroppedLaterEra DropReason = "later_era"
+	DroppedPosition DropReason = "position" // the log has changed since the request
 )
 
-// Apply applies a response of the store. One that is older than the log is dropped.
+// Apply applies a response of the store. One that is older than the log is dropped, and so are
+// changes in another era than that of the log.
 func (l *ChangeLog) Apply(update Update) DropReason {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.stale(update) {
+	reason := l.staleness(update.Revision())
+	if reason == NotDropped && !update.Full && l.loaded && update.Era != l.revision.Era {
+		reason = DroppedLaterEra
+	}
+	if reason != NotDropped {
 		l.log.WithFields(logrus.Fields{
-			"version": update.Version, "era": update.Era, "held_version": l.version, "held_era": l.era,
-		}).Info("stale response of the store ignored")
-		return DroppedOlderVersion
+			"reason": reason, "version": update.Version, "era": update.Era, "held_version": l.revision.Version, "held_era": l.revision.Era,
+		}).Debug("response of the store dropped")
+		return reason
 	}
 	l.source = Position{}
 	l.applyLocked(update)
@@ -99,22 +123,37 @@
 }
 
 // ApplyFrom applies the response of another log to a request from a position. Changes are
-// applied only if this log is still at that position.
-func (l *ChangeLog) ApplyFrom(update Update, from, to Position) {
+// applied only if this log is still at that position. They lead to the state of the other log
+// in a later era too: positions count the changes of that log, not those of the store.
+func (l *ChangeLog) ApplyFrom(update Update, from, to Position) DropReason {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.stale(update) || !update.Full && l.source != from {
-		return
+	if reason := l.staleness(update.Revision()); reason != NotDropped {
+		return reason
+	}
+	if !update.Full && (from == Position{} || l.source != from) {
+		return DroppedPosition
 	}
 	l.source = to
 	l.applyLocked(update)
+	return NotDropped
 }
 
-func (l *ChangeLog) stale(update Update) bool { return l.loaded && update.Version < l.version }
+// staleness returns why an update of a revision is older than the log, if it is. The caller
+// holds mu.
+func (l *ChangeLog) staleness(revision Revision) DropReason {
+	switch {
+	case !l.loaded || !revision.Before(l.revision):
+		return NotDropped
+	case revision.Era < l.revision.Era:
+		return DroppedEarlierEra
+	}
+	return DroppedOlderVersion
+}
 
 // applyLocked applies an update to the rows. The caller holds mu.
 func (l *ChangeLog) applyLocked(update Update) {
-	changes := Batch{Version: update.Version}
+	changes := Batch{Version: update.Version, Era: update.Era, Returned: l.loaded && update.Era > l.revision.Era}
 	present := make(map[string]bool, len(update.Rows))
 	for _, row := range update.Rows {
 		present[row.Key] = !row.Deleted
@@ -122,22 +161,29 @@
 			changes.Rows = append(changes.Rows, row)
 		}
 	}
+	missing := 0
 	if update.Full {
-		for key, row := range l.rows {
-			if deletion := (Row{Key: key, Version: update.Version, Deleted: true}); !present[key] && !row.Deleted {
-				l.put(deletion)
+		for key := range l.rows {
+			if deletion := (Row{Key: key, Version: update.Version, Deleted: true}); !present[key] && l.put(deletion) {
 				changes.Rows = append(changes.Rows, deletion)
+				missing++
 			}
 		}
 	}
+	if changes.Returned {
+		l.log.WithFields(logrus.Fields{
+			"era": update.Era, "version": update.Version, "held_era": l.revision.Era, "held_version": l.revision.Version,
+			"rows": len(update.Rows), "full": update.Full, "changed": len(changes.Rows) - missing, "missing": missing,
+		}).Info("first rows of a later era of the store")
+	}
 	var gap time.Duration
 	if l.loaded {
 		gap = max(0, update.AsOf-l.asOf)
 	}
-	l.loaded, l.version, l.era, l.asOf = true, update.Version, update.Era, max(l.asOf, update.AsOf)
+	l.loaded, l.revision, l.asOf = true, update.Revision(), max(l.asOf, update.AsOf)
 	l.dropTombstones()
 	l.consume(changes, gap)
-	if len(changes.Rows) > 0 {
+	if len(changes.Rows) > 0 || changes.Returned {
 		close(l.changed)
 		l.changed = make(chan struct{})
 	}
@@ -152,6 +198,8 @@
 		return false
 	case !row.Deleted && present && l.equal(old.Row, row):
 		return false
+	case present && l.outdated(old.Row, row):
+		return false
 	}
 	l.sequence++
 	l.rows[row.Key] = loggedRow{Row: row, sequence: l.sequence, deletedAt: l.clock()}
@@ -169,19 +217,12 @@
 	}
 }
 
-// Version returns the version of the store that the log is as of; known is false
-// before the first update.
-func (l *ChangeLog) Version() (version int64, known bool) {
+// Revision returns the revision of the store that the log is as of; known is false before the
+// first update.
+func (l *ChangeLog) Revision() (revision Revision, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.version, l.loaded
-}
-
-// Revision returns the state of the store that the log is as of, zero before the first update.
-func (l *ChangeLog) Revision() Revision {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return Revision{Era: l.era, Version: l.version}
+	return l.revision, l.loaded
 }
 
 // Age returns the time since the store was read for the newest update; known is false
@@ -200,14 +241,18 @@
 }
 
 // Since returns the changes after a position, or all rows if the position is in
-// another log or too old, and the next position. It returns no rows if the requester's
-// version of the store is newer. known is false before the first update.
-func (l *ChangeLog) Since(from Position, version int64) (update Update, to Position, known bool) {
+// another log or too old, and the next position. It returns no rows if the revision that the
+// requester holds is newer; one without an era is taken for one of the era of the log. known is
+// false before the first update.
+func (l *ChangeLog) Since(from Position, held Revision) (update Update, to Position, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	to = Position{LogID: l.id, Sequence: l.sequence}
-	update = Update{Batch: Batch{Version: l.version}, AsOf: l.asOf}
-	if !l.loaded || version > l.version {
+	update = Update{Batch: Batch{Version: l.revision.Version, Era: l.revision.Era}, AsOf: l.asOf}
+	if held.Era == 0 {
+		held.Era = l.revision.Era
+	}
+	if !l.loaded || l.revision.Before(held) {
 		return update, from, l.loaded
 	}
 	update.Full = from.LogID != l.id || from.Sequence < l.compactedTo
@@ -224,7 +269,7 @@
 	return update, to, true
 }
 
-// Changed returns a channel that is closed at the next change of a row.
+// Changed returns a channel that is closed at the next change of a row, or of the era.
 func (l *ChangeLog) Changed() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/discovery/changelog_test.go
+++ b/internal/discovery/changelog_test.go
@@ -51,7 +51,7 @@
 	g.Expect(known).To(BeFalse())
 	l.Apply(fullUpdate(10, 0, row("a", "1", 3), row("b", "1", 9)))
 	g.Expect(c.state).To(Equal(map[string]string{"a": "1", "b": "1"}))
-	_, first, _ := l.Since(Position{}, 0)
+	_, first, _ := l.Since(Position{}, Revision{})
 
 	now = 2 * time.Second
 	changed := l.Changed()
@@ -67,13 +67,13 @@
 	l.Apply(fullUpdate(20, 4*time.Second, row("c", "2", 18)))
 	g.Expect(c.state).To(Equal(map[string]string{"c": "2"}), "rows that a full update lacks are deleted")
 
-	update, _, _ := l.Since(first, 10)
+	update, _, _ := l.Since(first, Revision{Version: 10})
 	g.Expect(update.Full).To(BeFalse())
 	g.Expect(update.Rows).To(Equal([]Row{deletedRow("a", 14), row("c", "2", 18), deletedRow("b", 20)}))
-	update, _, _ = l.Since(Position{LogID: "other", Sequence: first.Sequence}, 10)
+	update, _, _ = l.Since(Position{LogID: "other", Sequence: first.Sequence}, Revision{Version: 10})
 	g.Expect(update.Full).To(BeTrue())
 	g.Expect(update.Rows).To(Equal([]Row{row("c", "2", 18)}))
-	update, to, known := l.Since(first, 21)
+	update, to, known := l.Since(first, Revision{Version: 21})
 	g.Expect(known).To(BeTrue())
 	g.Expect(update.Rows).To(BeEmpty(), "the requester has a newer version")
 	g.Expect(to).To(Equal(first))
@@ -82,7 +82,7 @@
 	age, _ := l.Age()
 	g.Expect(age).To(Equal(now - 4*time.Second))
 	l.Apply(incrementalUpdate(21, now))
-	update, _, _ = l.Since(first, 10)
+	update, _, _ = l.Since(first, Revision{Version: 10})
 	g.Expect(update.Full).To(BeTrue(), "the tombstones were dropped")
 }
 
@@ -94,16 +94,16 @@
 	reader, c := newTestLog(newConsumer(), &now), newConsumer()
 	l := newTestLog(c, &now)
 	reader.Apply(fullUpdate(10, 0, row("a", "1", 3)))
-	update, to, _ := reader.Since(l.Position(), 0)
+	update, to, _ := reader.Since(l.Position(), Revision{})
 	l.ApplyFrom(update, Position{}, to)
 	g.Expect(l.Position()).To(Equal(to))
 
 	reader.Apply(incrementalUpdate(12, 0, row("b", "1", 12)))
-	late, next, _ := reader.Since(l.Position(), 10)
+	late, next, _ := reader.Since(l.Position(), Revision{Version: 10})
 	l.Apply(incrementalUpdate(12, 0, row("b", "1", 12)))
 	l.ApplyFrom(late, to, next)
 	g.Expect(l.Position()).To(Equal(Position{}), "it was updated from the store in the meantime")
-	again, after, _ := reader.Since(l.Position(), 12)
+	again, after, _ := reader.Since(l.Position(), Revision{Version: 12})
 	g.Expect(again.Full).To(BeTrue())
 	l.ApplyFrom(again, Position{}, after)
 	g.Expect(l.Position()).To(Equal(after))
@@ -149,17 +149,17 @@
 			logs[i] = newTestLog(consumers[i], &now)
 		}
 		read := func(l *ChangeLog, full bool) {
-			after, known := l.Version()
+			held, known := l.Revision()
 			if !known || full {
 				l.Apply(store.response(0, true, now))
 				return
 			}
-			l.Apply(store.response(after, false, now))
+			l.Apply(store.response(held.Version, false, now))
 		}
 		sync := func(from, to *ChangeLog) {
-			version, _ := to.Version()
+			held, _ := to.Revision()
 			position := to.Position()
-			if update, next, known := from.Since(position, version); known {
+			if update, next, known := from.Since(position, held); known {
 				to.ApplyFrom(update, position, next)
 			}
 		}
--- a/internal/discovery/configurations.go
+++ b/internal/discovery/configurations.go
@@ -42,6 +42,23 @@
 	}
 }
 
+// OutdatedConfiguration returns the function that reports whether a row is an earlier version of
+// the configuration than a held one, or its deletion. Both are seen after the store has returned
+// from a copy, until the newest version is written again.
+func OutdatedConfiguration(decoder Decoder) func(held, row Row) bool {
+	return func(held, row Row) bool {
+		newest, relevant, err := decoder.Configuration(held)
+		if err != nil || !relevant {
+			return false
+		}
+		if row.Deleted {
+			return true
+		}
+		document, _, err := decoder.Configuration(row)
+		return err == nil && document.Version < newest.Version
+	}
+}
+
 func (c *ActiveConfiguration) putIfNewer(document route.Document, rowVersion int64) {
 	old := c.current.Load()
 	fields := logrus.Fields{
--- a/internal/discovery/era.go
+++ b/internal/discovery/era.go
@@ -1,6 +1,18 @@
 package discovery
 
-import "sync"
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// returnSpread bounds the random delay between the first sign of a return of the store and the
+// reads of each topic, so that instances do not all read at one moment.
+const returnSpread = 100 * time.Millisecond
+
+// ReturnDelay returns a random delay between a sign of a return of the store and a read.
+func ReturnDelay() time.Duration { return rand.N(returnSpread) }
 
 // Era counts how often the store has come back from a copy of itself, in which its newest writes
 // are missing. Versions of different eras have no order. It is 0 if the store does not state it.
@@ -49,3 +61,25 @@
 	defer t.mu.Unlock()
 	return t.newest, t.changed
 }
+
+// UntilLater returns a copy of ctx that also ends when an era later than the held one has been
+// seen, after ReturnDelay.
+func (t *EraTracker) UntilLater(ctx context.Context, held Era) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for {
+			newest, changed := t.Newest()
+			if newest > held {
+				sleep(ctx, ReturnDelay())
+				cancel()
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
--- /dev/null
+++ b/internal/discovery/era_test.go
@@ -0,0 +1,398 @@
+package discovery
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+)
+
+// returningStore is a store of one topic that comes back from copies of itself. A held call that
+// is in progress then gets no response until its wait is over.
+type returningStore struct {
+	eras *EraTracker // observes each response; nil: no response
+
+	mu      sync.Mutex // guards the fields below
+	era     Era
+	version int64
+	rows    map[string]Row
+	down    bool
+	changed chan struct{}
+	reads   int // of all rows
+	changes int
+}
+
+// storeCopy is the state of a store at one moment.
+type storeCopy struct {
+	version int64
+	rows    map[string]Row
+}
+
+func newReturningStore(eras *EraTracker) *returningStore {
+	return &returningStore{eras: eras, era: 1, rows: map[string]Row{}, changed: make(chan struct{})}
+}
+
+// write writes rows with the same value as present ones too, which then keep their version.
+func (s *returningStore) write(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, found := s.rows[key]; found && !old.Deleted && string(old.Value) == value {
+		return
+	}
+	s.version++
+	s.rows[key] = row(key, value, s.version)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *returningStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.rows[key] = deletedRow(key, s.version)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *returningStore) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{version: s.version, rows: maps.Clone(s.rows)}
+}
+
+func (s *returningStore) returnFrom(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era, s.version, s.rows, s.down = s.era+1, c.version, maps.Clone(c.rows), false
+	s.changed = make(chan struct{}) // calls in progress miss the changes
+}
+
+func (s *returningStore) set(change func(s *returningStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+func (s *returningStore) takeCounts() (reads, changes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reads, changes = s.reads, s.changes
+	s.reads, s.changes = 0, 0
+	return reads, changes
+}
+
+// respond returns the rows that changed after a version, or all rows. gone means that the version
+// is not one of this era.
+func (s *returningStore) respond(after int64, full bool) (batch Batch, gone bool) {
+	batch = Batch{Version: s.version, Era: s.era}
+	for _, r := range s.rows {
+		if r.Version > after && !(full && r.Deleted) {
+			batch.Rows = append(batch.Rows, r)
+		}
+	}
+	return batch, after > s.version
+}
+
+// liveValues returns the values of the rows.
+func (s *returningStore) liveValues() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	values := map[string]string{}
+	for key, r := range s.rows {
+		if !r.Deleted {
+			values[key] = string(r.Value)
+		}
+	}
+	return values
+}
+
+var errDown = errors.New("503")
+
+func (s *returningStore) observe(era Era) {
+	if s.eras != nil {
+		s.eras.Observe(era)
+	}
+}
+
+func (s *returningStore) Read(ctx context.Context, _ Topic) (Batch, error) {
+	sleep(ctx, 4*time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return Batch{}, errDown
+	}
+	batch, _ := s.respond(0, true)
+	s.observe(batch.Era)
+	return batch, ctx.Err()
+}
+
+func (s *returningStore) Changes(ctx context.Context, _ Topic, after int64, wait time.Duration) (Batch, error) {
+	sleep(ctx, 4*time.Millisecond)
+	s.set(func(s *returningStore) { s.changes++ })
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for waitOver := wait == 0; ; {
+		s.mu.Lock()
+		batch, gone := s.respond(after, false)
+		down, changed := s.down, s.changed
+		s.mu.Unlock()
+		if down {
+			return Batch{}, errDown
+		}
+		if gone || len(batch.Rows) > 0 || waitOver {
+			s.observe(batch.Era)
+			if gone {
+				return Batch{}, ErrHistoryGone
+			}
+			return batch, ctx.Err()
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			waitOver = true
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		}
+	}
+}
+
+func (s *returningStore) Put(_ context.Context, _ Topic, key string, value []byte) error {
+	s.write(key, string(value))
+	return nil
+}
+
+func (s *returningStore) Create(context.Context, Topic, string, []byte) ([]byte, error) {
+	return nil, nil
+}
+
+func (s *returningStore) Remove(_ context.Context, _ Topic, key string) error {
+	s.remove(key)
+	return nil
+}
+
+// eraReader is a running reader of a returningStore.
+type eraReader struct {
+	*Reader
+	mu      sync.Mutex // guards the fields below
+	state   map[string]string
+	batches []Batch
+}
+
+// startReader runs a reader until the test ends.
+func startReader(t *testing.T, store Store, eras *EraTracker, backoff *Backoff, schedule PollSchedule) *eraReader {
+	c, r := clock(), &eraReader{state: map[string]string{}}
+	r.Reader = NewReader(ReaderConfig{
+		Store: store, Topic: Configuration, Schedule: func() PollSchedule { return schedule }, Backoff: backoff, Clock: c, Logger: discardLogger(), Eras: eras,
+		ChangeLog: NewChangeLog(Configuration, c, SameValue, discardLogger(), r.apply),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return r
+}
+
+func (r *eraReader) apply(batch Batch, _ time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.batches = append(r.batches, batch)
+	for _, row := range batch.Rows {
+		if row.Deleted {
+			delete(r.state, row.Key)
+		} else {
+			r.state[row.Key] = string(row.Value)
+		}
+	}
+}
+
+func (r *eraReader) values() map[string]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.state)
+}
+
+// returns returns the number of batches that are marked as the first after a return.
+func (r *eraReader) returns() (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, batch := range r.batches {
+		if batch.Returned {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// takeEffect is the time within which a change must be seen.
+	takeEffect = 2 * time.Second
+	// maxReturnCalls is more than the calls of one topic that a return of the store causes.
+	maxReturnCalls = 3
+)
+
+// Guards against reads that are repeated without end after a return of the store, because each
+// response is older than the rows by its version, and against changes that are skipped since
+// the versions of the earlier era have been given out again.
+func TestReaderFollowsReturnOfStore(t *testing.T) {
+	for name, written := range map[string]int{"before the versions": 0, "at the same version": 2, "past the versions": 5} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				eras := NewEraTracker()
+				store := newReturningStore(eras)
+				store.write("a", "1")
+				store.write("b", "1")
+				copied := store.copy()
+				r := startReader(t, store, eras, NewBackoff(func(bool) {}), PollSchedule{Wait: time.Second})
+				time.Sleep(3 * time.Second)
+				store.write("a", "2")
+				store.write("c", "1")
+				time.Sleep(time.Second)
+				g.Expect(r.values()).To(Equal(store.liveValues()))
+				store.set(func(s *returningStore) { s.down = true })
+				time.Sleep(2 * time.Second)
+
+				store.takeCounts()
+				store.returnFrom(copied)
+				for i := range written {
+					store.write("d", string(rune('1'+i)))
+				}
+				time.Sleep(takeEffect)
+				g.Expect(r.values()).To(Equal(store.liveValues()))
+				reads, changes := store.takeCounts()
+				g.Expect(reads).To(BeNumerically("<=", 1))
+				g.Expect(reads + changes).To(BeNumerically("<=", maxReturnCalls+2))
+				g.Expect(r.returns()).To(Equal(1))
+				store.write("a", "4")
+				time.Sleep(takeEffect)
+				g.Expect(r.values()).To(Equal(store.liveValues()))
+				g.Expect(r.returns()).To(Equal(1))
+			})
+		})
+	}
+}
+
+// Guards against a held call across the return of the store, which sees no change until its
+// wait is over, while another topic has shown the later era.
+func TestReturnOfStoreInterruptsHeldCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		eras := NewEraTracker()
+		store := newReturningStore(eras)
+		store.write("a", "1")
+		copied := store.copy()
+		store.write("a", "2")
+		held := startReader(t, store, eras, NewBackoff(func(bool) {}), PollSchedule{Wait: 15 * time.Second})
+		paused := startReader(t, store, eras, NewBackoff(func(bool) {}), PollSchedule{Pause: 10 * time.Second})
+		time.Sleep(time.Second)
+		store.takeCounts()
+		store.returnFrom(copied)
+		store.write("a", "3")
+		eras.Observe(2) // the response to a write
+		time.Sleep(takeEffect)
+		g.Expect(held.values()).To(HaveKeyWithValue("a", "3"))
+		g.Expect(paused.values()).To(HaveKeyWithValue("a", "3"))
+		reads, changes := store.takeCounts()
+		g.Expect(reads).To(Equal(2))
+		g.Expect(changes).To(BeNumerically("<=", 2))
+	})
+}
+
+// Guards against the use of rows of an earlier era after those of a later one.
+func TestLateResponsesOfEarlierErasAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	var now time.Duration
+	c := newConsumer()
+	l := newTestLog(c, &now)
+	at := func(era Era, update Update) Update {
+		update.Era = era
+		return update
+	}
+	g.Expect(l.Apply(at(1, fullUpdate(35, 0, row("a", "1", 35))))).To(Equal(NotDropped))
+	g.Expect(l.Apply(at(2, fullUpdate(34, 0, row("a", "2", 34))))).To(Equal(NotDropped))
+	g.Expect(l.Apply(at(1, fullUpdate(36, 0, row("a", "3", 36))))).To(Equal(DroppedEarlierEra))
+	g.Expect(l.Apply(at(0, fullUpdate(36, 0, row("a", "3", 36))))).To(Equal(DroppedEarlierEra), "no era stated")
+	g.Expect(l.Apply(at(2, incrementalUpdate(33, 0, row("a", "3", 33))))).To(Equal(DroppedOlderVersion))
+	g.Expect(c.state).To(Equal(map[string]string{"a": "2"}))
+	g.Expect(l.Apply(at(4, fullUpdate(30, 0)))).To(Equal(NotDropped), "two returns")
+	g.Expect(c.state).To(BeEmpty())
+	held, _ := l.Revision()
+	g.Expect(held).To(Equal(Revision{Era: 4, Version: 30}))
+}
+
+// Guards against calls that are repeated without a pause while the store, or a device before it,
+// responds with an earlier era or an older version.
+func TestDroppedResponsesAreNotRepeatedAtOnce(t *testing.T) {
+	for name, fall := range map[string]func(s *returningStore){
+		"no era":        func(s *returningStore) { s.era, s.version = 0, 7 },
+		"older version": func(s *returningStore) { s.version = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				eras := NewEraTracker()
+				store := newReturningStore(eras)
+				store.write("a", "1")
+				store.write("b", "1")
+				r := startReader(t, store, eras, NewBackoff(func(bool) {}), PollSchedule{Wait: time.Second})
+				time.Sleep(3 * time.Second)
+				store.set(fall)
+				store.takeCounts()
+				time.Sleep(10 * time.Second)
+				reads, changes := store.takeCounts()
+				// One turn per 0.45 s on average, after the first few; each has two calls if the
+				// store does not have the version.
+				g.Expect(reads + changes).To(BeNumerically("<=", 2*(10*1000/300+6)))
+				store.set(func(s *returningStore) { s.era = 3 })
+				store.write("a", "2")
+				time.Sleep(takeEffect)
+				g.Expect(r.values()).To(HaveKeyWithValue("a", "2"))
+			})
+		})
+	}
+}
+
+// Guards against a configuration that goes back to that of the copy, in the rows that other
+// instances get from this one.
+func TestConfigurationOfCopyReplacesNoNewerOne(t *testing.T) {
+	g := NewWithT(t)
+	var now time.Duration
+	c := newConsumer()
+	l := NewChangeLog(Configuration, func() time.Duration { return now }, SameValue, discardLogger(), c.apply, KeepNewer(OutdatedConfiguration(textDecoder{})))
+	apply := func(era Era, version int64, full bool, rows ...Row) {
+		g.Expect(l.Apply(Update{Batch: Batch{Rows: rows, Version: version, Era: era}, Full: full})).To(Equal(NotDropped))
+	}
+	held := func() map[string]string {
+		update, _, _ := l.Since(Position{}, Revision{})
+		values := map[string]string{}
+		for _, r := range update.Rows {
+			values[r.Key] = string(r.Value)
+		}
+		return values
+	}
+	apply(1, 35, true, row("config", "13", 35), row("other", "1", 20))
+	apply(2, 34, true, row("config", "12", 30))
+	g.Expect(held()).To(Equal(map[string]string{"config": "13"}))
+	apply(3, 10, true)
+	g.Expect(held()).To(Equal(map[string]string{"config": "13"}), "a copy without a configuration")
+	apply(3, 11, false, row("config", "12", 11))
+	g.Expect(held()).To(Equal(map[string]string{"config": "13"}), "an older version is written again first")
+	apply(3, 12, false, row("config", "16", 12))
+	g.Expect(held()).To(Equal(map[string]string{"config": "16"}))
+	apply(3, 13, false, row("config", "broken", 13))
+	apply(4, 10, true, row("config", "17", 10))
+	g.Expect(held()).To(Equal(map[string]string{"config": "17"}))
+	g.Expect(c.state).To(Equal(held()))
+}
--- a/internal/discovery/reader.go
+++ b/internal/discovery/reader.go
@@ -22,8 +22,12 @@
 	outageThreshold = 2500 * time.Millisecond
 )
 
-// errInterrupted is the result of a long poll that StoreStateChanged interrupted.
-var errInterrupted = errors.New("the call was interrupted")
+// errInterrupted is the result of a long poll that StoreStateChanged or a return of the store
+// interrupted. errDropped is the result of a call whose response was older than the rows.
+var (
+	errInterrupted = errors.New("the call was interrupted")
+	errDropped     = errors.New("the response of the store is older than the rows that are held")
+)
 
 // PollSchedule defines how a topic is polled.
 type PollSchedule struct {
@@ -65,7 +69,8 @@
 	Clock     Clock
 	Logger    logrus.FieldLogger
 	// WaitUntilDue blocks until the topic has to be read again. last is the time of the last
-	// response. nil: the topic is read after the pause of the poll schedule.
+	// response. nil: the topic is read after the pause of the poll schedule, or when Eras has
+	// a later era than the rows.
 	WaitUntilDue func(ctx context.Context, last time.Time)
 	// CountCall counts calls by topic and outcome; nil: calls are not counted.
 	CountCall func(topic Topic, outcome string)
@@ -80,10 +85,11 @@
 	OutcomeFailed      = "failed"
 	OutcomeHistoryGone = "history_gone"
 	OutcomeInterrupted = "interrupted"
-	// Responses that are not applied: they are of an earlier era than the rows that are held, or
-	// of an older version of the same era.
+	// Responses that are not applied: they are of an earlier era than the rows that are held, of
+	// an older version of the same era, or have only the changes in a later era.
 	OutcomeEarlierEra   = "earlier_era"
 	OutcomeOlderVersion = "older_version"
+	OutcomeLaterEra     = "later_era"
 )
 
 // NewReader returns a reader, which starts with Run.
@@ -95,6 +101,9 @@
 	if r.waitUntilDue == nil {
 		r.waitUntilDue = func(ctx context.Context, last time.Time) {
 			if !last.IsZero() {
+				held, _ := r.changeLog.Revision()
+				ctx, cancel := r.eras.UntilLater(ctx, held.Era)
+				defer cancel()
 				sleep(ctx, time.Until(last.Add(r.schedule().Pause)))
 			}
 		}
@@ -138,14 +147,19 @@
 	}
 }
 
-// poll reads the topic once, or all its rows if the store no longer has the changes.
+// poll reads the changes of the topic. It reads all rows if there are none yet, or if the store no
+// longer has the changes or has returned from a copy.
 func (r *Reader) poll(ctx context.Context) error {
-	after, known := r.changeLog.Version()
-	update, err := r.call(ctx, after, !known)
-	if errors.Is(err, ErrHistoryGone) && known {
-		r.countCall(r.topic, OutcomeHistoryGone)
-		r.log.WithField("after", after).Info("the store no longer has the requested changes; reading all rows")
-		update, err = r.call(ctx, 0, true)
+	held, known := r.changeLog.Revision()
+	newest, _ := r.eras.Newest()
+	full := !known || newest > held.Era
+	reason, err := r.read(ctx, held, full)
+	if !full && (errors.Is(err, ErrHistoryGone) || reason == DroppedLaterEra) {
+		if err != nil {
+			r.countCall(r.topic, OutcomeHistoryGone)
+		}
+		r.log.WithFields(logrus.Fields{"after": held.Version, "held_era": held.Era}).Info("the store has no changes since the held version; reading all rows")
+		reason, err = r.read(ctx, held, true)
 	}
 	switch {
 	case errors.Is(err, errInterrupted):
@@ -154,13 +168,28 @@
 	case err != nil:
 		r.countCall(r.topic, OutcomeFailed)
 		return err
+	case reason != NotDropped:
+		return errors.Wrapf(errDropped, "%s", reason)
 	}
 	r.recordSuccess()
-	r.countCall(r.topic, outcomeOf(update, r.changeLog.Apply(update)))
 	r.lastResponse = time.Now()
 	return nil
 }
 
+// read makes one call to the store and applies its response.
+func (r *Reader) read(ctx context.Context, held Revision, full bool) (DropReason, error) {
+	update, err := r.call(ctx, held, full)
+	if err != nil {
+		return NotDropped, err
+	}
+	reason := DroppedEarlierEra
+	if newest, _ := r.eras.Newest(); update.Era >= newest {
+		reason = r.changeLog.Apply(update)
+	}
+	r.countCall(r.topic, outcomeOf(update, reason))
+	return reason, nil
+}
+
 // outcomeOf returns the outcome of a call whose response was applied, or dropped for a reason.
 func outcomeOf(update Update, reason DropReason) string {
 	switch {
@@ -168,13 +197,15 @@
 		return OutcomeEarlierEra
 	case reason == DroppedOlderVersion:
 		return OutcomeOlderVersion
+	case reason == DroppedLaterEra:
+		return OutcomeLaterEra
 	case len(update.Rows) == 0:
 		return OutcomeUnchanged
 	}
 	return OutcomeAnswered
 }
 
-func (r *Reader) call(ctx context.Context, after int64, full bool) (Update, error) {
+func (r *Reader) call(ctx context.Context, held Revision, full bool) (Update, error) {
 	update := Update{Full: full, AsOf: r.clock()}
 	var err error
 	if full {
@@ -184,11 +215,13 @@
 		return update, err
 	}
 	wait := r.schedule().Wait
-	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	timeoutCtx, stop := context.WithTimeout(ctx, wait+callTimeout)
+	defer stop()
+	callCtx, cancel := r.eras.UntilLater(timeoutCtx, held.Era)
 	defer cancel()
 	r.held.Store(&heldCall{interrupt: cancel, startedWhileFailing: r.backoff.Failing()})
 	defer r.held.Store(nil)
-	update.Batch, err = r.store.Changes(callCtx, r.topic, after, wait)
+	update.Batch, err = r.store.Changes(callCtx, r.topic, held.Version, wait)
 	if errors.Is(callCtx.Err(), context.Canceled) && ctx.Err() == nil {
 		return Update{}, errInterrupted
 	}
@@ -202,7 +235,7 @@
 		r.inOutage = true
 		r.log.WithError(err).WithFields(r.stateFields()).Warn("the store is lost")
 	}
-	_, known := r.changeLog.Version()
+	_, known := r.changeLog.Revision()
 	r.backoff.Failed(!known)
 }
 
@@ -216,7 +249,7 @@
 
 // stateFields returns what logs say about a lost or regained store.
 func (r *Reader) stateFields() logrus.Fields {
-	held := r.changeLog.Revision()
+	held, _ := r.changeLog.Revision()
 	era, _ := r.eras.Newest()
 	return logrus.Fields{
 		"silent_ms": time.Since(r.lastResponse).Milliseconds(), "era": era, "held_era": held.Era, "held_version": held.Version,
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -91,7 +91,7 @@
 	}
 	p.syncer = storesync.NewSyncer(storesync.Config{
 		Self: self, LinksEnabled: settings.LinkAddress != "", Members: p.members, Logs: p.changeLogs, Clock: clock, StoreFailing: p.backoff.Failing,
-		StartupSpread: spread, Log: log, Metrics: storesync.NewMetrics(g.registry),
+		StartupSpread: spread, Eras: g.platform.Eras, Log: log, Metrics: storesync.NewMetrics(g.registry),
 		MaxAge: map[discovery.Topic]time.Duration{
 			discovery.Configuration: configurationMaxAge, discovery.Upstreams: upstreamsMaxAge,
 			discovery.Notices: noticesMaxAge, discovery.Instances: instancesMaxAge,
@@ -99,8 +99,8 @@
 	})
 	p.registrar = &storesync.Registrar{Store: g.platform.Store, Self: self, Members: p.members, Syncer: p.syncer, Clock: clock, Log: log}
 	calls := newCallCounter(g.registry)
-	addReader := func(topic discovery.Topic, schedule discovery.PollSchedule, equal func(a, b discovery.Row) bool, apply func(discovery.Batch, time.Duration)) {
-		p.changeLogs[topic] = discovery.NewChangeLog(topic, clock, equal, log, apply)
+	addReader := func(topic discovery.Topic, schedule discovery.PollSchedule, equal func(a, b discovery.Row) bool, apply func(discovery.Batch, time.Duration), options ...discovery.ChangeLogOption) {
+		p.changeLogs[topic] = discovery.NewChangeLog(topic, clock, equal, log, apply, options...)
 		if topic == discovery.Instances && settings.LinkAddress == "" {
 			return
 		}
@@ -110,7 +110,8 @@
 			WaitUntilDue: func(ctx context.Context, last time.Time) { p.syncer.AwaitRead(ctx, topic, schedule, last) },
 		}))
 	}
-	addReader(discovery.Configuration, discovery.PollSchedule{Wait: configurationMaxAge}, discovery.SameValue, startup.trackApplied(discovery.Configuration, g.configuration.Apply))
+	addReader(discovery.Configuration, discovery.PollSchedule{Wait: configurationMaxAge}, discovery.SameValue, startup.trackApplied(discovery.Configuration, g.configuration.Apply),
+		discovery.KeepNewer(discovery.OutdatedConfiguration(g.platform.Decoder)))
 	addReader(discovery.Upstreams, discovery.PollSchedule{Pause: upstreamsMaxAge}, g.upstreams.SameEntry, startup.trackApplied(discovery.Upstreams, g.upstreams.Apply))
 	addReader(discovery.Notices, discovery.PollSchedule{Wait: noticesPollHold}, discovery.SameValue, notices.apply)
 	addReader(discovery.Instances, discovery.PollSchedule{Pause: instancesPollInterval}, discovery.SameValue, p.members.Apply)
--- a/internal/storesync/serve.go
+++ b/internal/storesync/serve.go
@@ -75,7 +75,7 @@
 	for i, topic := range topics {
 		position := request.Positions[i]
 		from := discovery.Position{LogID: position.Log, Sequence: position.Sequence}
-		update, to, loaded := s.Logs[topic].Since(from, position.Version)
+		update, to, loaded := s.Logs[topic].Since(from, discovery.Revision{Version: position.Version})
 		wire := toWire(update, to, loaded, s.Clock())
 		if size := wire.size(); size > remainingBytes {
 			wire = wireUpdate{} // sent in the next response
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -53,8 +53,10 @@
 	Clock         discovery.Clock
 	// StoreFailing reports whether the last call to the store failed.
 	StoreFailing func() bool
-	Log          logrus.FieldLogger
-	Metrics      *Metrics
+	// Eras has the newest era that the store has shown to this instance; nil: none.
+	Eras    *discovery.EraTracker
+	Log     logrus.FieldLogger
+	Metrics *Metrics
 }
 
 // Syncer selects the source of an instance's updates, polls the peer that it follows, and
@@ -77,6 +79,9 @@
 
 // NewSyncer returns a syncer without a transport.
 func NewSyncer(config Config) *Syncer {
+	if config.Eras == nil {
+		config.Eras = discovery.NewEraTracker()
+	}
 	return &Syncer{
 		Config: config, source: dataSource{readStore: !config.LinksEnabled}, rescheduled: make(chan struct{}),
 		peerFailures: map[contract.InstanceID]peerFailure{}, followers: map[contract.InstanceID]time.Duration{},
@@ -157,7 +162,7 @@
 		return next
 	}
 	age, _ := s.Logs[discovery.Upstreams].Age()
-	listed := s.Logs[discovery.Upstreams].Revision()
+	listed, _ := s.Logs[discovery.Upstreams].Revision()
 	s.Log.WithFields(logrus.Fields{
 		"from": s.source.String(), "to": next.String(), "domain_members": len(ranked), "troubled_peers": len(s.peerFailures),
 		"store_fails": s.StoreFailing(), "list_age_ms": age.Milliseconds(), "list_era": listed.Era, "list_version": listed.Version,
@@ -247,9 +252,9 @@
 	var from []discovery.Position
 	for _, topic := range topics {
 		position := s.Logs[topic].Position()
-		version, _ := s.Logs[topic].Version()
+		held, _ := s.Logs[topic].Revision()
 		from = append(from, position)
-		request.Positions = append(request.Positions, wirePosition{Log: position.LogID, Sequence: position.Sequence, Version: version})
+		request.Positions = append(request.Positions, wirePosition{Log: position.LogID, Sequence: position.Sequence, Version: held.Version})
 	}
 	body, err := link.Encode(request)
 	if err != nil {
@@ -373,10 +378,17 @@
 }
 
 // AwaitRead waits until a topic is due to be read from the store. lastRead is the time of the
-// last read, zero before the first.
+// last read, zero before the first. An instance that reads the store reads each topic again soon
+// after the store has returned from a copy; a follower gets the rows from its source.
 func (s *Syncer) AwaitRead(ctx context.Context, topic discovery.Topic, standalone discovery.PollSchedule, lastRead time.Time) {
-	jitter := rand.Float64()
+	jitter, returnDelay := rand.Float64(), discovery.ReturnDelay()
+	var returnSeen time.Time
 	for {
+		newest, laterEra := s.Eras.Newest()
+		held, _ := s.Logs[topic].Revision()
+		if newest > held.Era && returnSeen.IsZero() {
+			returnSeen = time.Now()
+		}
 		s.mu.Lock()
 		rescheduled := s.rescheduled
 		var wait time.Duration
@@ -384,6 +396,9 @@
 			wait = s.untilDirectRead(topic, age, loaded, jitter)
 		} else if !lastRead.IsZero() {
 			wait = time.Until(lastRead.Add(s.pollSchedule(topic, standalone).Pause))
+			if newest > held.Era {
+				wait = min(wait, time.Until(returnSeen.Add(returnDelay)))
+			}
 		}
 		if wait <= 0 {
 			s.directReads[topic] = s.Clock()
@@ -396,6 +411,7 @@
 		select {
 		case <-timer.C:
 		case <-rescheduled:
+		case <-laterEra:
 		case <-ctx.Done():
 			timer.Stop()
 			return
