Log and count the requests that a leaving instance has at the end of its grace time

Each request now records what it waits for (startup, body, upstream, retry, answer, the rest of an answer); 200 ms before the end of the process those in progress are logged and counted, and refusals and failures of a leaving instance state it with the time left. The line "gateway leaving" states by how much SIGTERM may have been handled late, from records of when the process ran.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -39,6 +39,7 @@
 		x.startAttempt(f.Metrics, m, why)
 		contacted = append(contacted, m)
 		inFlight++
+		x.setPhase(waitAnswer)
 		go f.sendCall(f.callContext(ctx, x), x, m, results)
 		return true
 	}
@@ -155,6 +156,7 @@
 		header.Set("Content-Length", strconv.FormatInt(r.response.ContentLength, 10))
 	}
 	f.closeConnectionIfLeaving(header)
+	x.setPhase(answerBegun)
 	err := f.writeResponse(x, r)
 	switch {
 	case errors.Is(err, errResponseTruncated):
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,9 @@
 // end before the process does.
 type DrainState struct {
 	endsAt atomic.Pointer[time.Time] // when the process ends at the latest; nil: not leaving
+	// graceEnd is cancelled endMargin before the end of the process.
+	graceEnd    context.Context
+	endGraceNow context.CancelFunc
 
 	mu          sync.Mutex // guards the fields below
 	durations   [recentStreams]time.Duration
@@ -30,8 +34,27 @@
 	endMargin = 200 * time.Millisecond
 )
 
+// NewDrainState returns the state of an instance that is not leaving.
+func NewDrainState() *DrainState {
+	d := &DrainState{}
+	d.graceEnd, d.endGraceNow = context.WithCancel(context.Background())
+	return d
+}
+
 // Start records that the process ends at the given time.
-func (d *DrainState) Start(end time.Time) { d.endsAt.Store(&end) }
+func (d *DrainState) Start(end time.Time) {
+	d.endsAt.Store(&end)
+	time.AfterFunc(time.Until(end)-endMargin, d.endGraceNow)
+}
+
+// GraceLeft returns the time until the process ends, false if the instance is not leaving.
+func (d *DrainState) GraceLeft() (time.Duration, bool) {
+	end := d.endsAt.Load()
+	if end == nil {
+		return 0, false
+	}
+	return time.Until(*end), true
+}
 
 // Draining reports whether the instance is leaving.
 func (d *DrainState) Draining() bool { return d.endsAt.Load() != nil }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,7 +36,8 @@
 	state      RequestState
 	// retryReserved is whether the next attempt is already taken from the retry budget.
 	retryReserved bool
-	budgetLogged  bool // the empty retry budget is logged
+	budgetLogged  bool         // the empty retry budget is logged
+	phase         atomic.Int32 // waitPhase
 }
 
 // timeLeft returns the time until the deadline.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -117,11 +117,14 @@
 	defer x.memory.releaseAll()
 	defer close(x.done)
 	x.log = f.Log.WithField("request", x.meta.ID)
+	stop := context.AfterFunc(f.Drain.graceEnd, func() { f.handleGraceEnd(x) })
+	defer stop()
 	if f.MaxRequests > 0 && f.ActiveRequests() > f.MaxRequests {
 		f.refuse(x, http.StatusServiceUnavailable, "too many requests are in progress", retryBusy)
 		return
 	}
 	f.awaitStartup(r.Context())
+	x.setPhase(waitBody)
 	if !f.admit(x) || !f.readBody(x) {
 		return
 	}
@@ -130,6 +133,7 @@
 	if f.refuseQuarantined(x) || f.refusePoisonParts(x) {
 		return
 	}
+	x.setPhase(waitUpstream)
 	x.budget.RecordRequest(f.Pool.Fleet())
 	ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, context.DeadlineExceeded)
 	defer cancel()
@@ -244,21 +248,25 @@
 		f.Protocol.SetRetryAfter(x.writer.Header(), after)
 	}
 	f.Metrics.countOutcome(x, "refused")
-	x.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"status": status, "reason": reason, "retry_after_ms": after.Milliseconds(), "configuration": x.version,
 		"age_ms": time.Since(x.receivedAt).Milliseconds(), "offered": x.state.Refused, "last": x.state.LastResult.String(),
-		"list_age_ms": f.Pool.Age(time.Now()).Milliseconds(),
-	}).Info("request refused")
+		"list_age_ms": f.Pool.Age(time.Now()).Milliseconds(), "waits_for": x.currentPhase(),
+	}
+	f.addGrace(fields)
+	x.log.WithFields(fields).Info("request refused")
 	f.writeError(x, status, reason)
 }
 
 // fail responds to a request that an upstream may have run.
 func (f *Forwarder) fail(x *exchange, status int, reason string) {
 	f.Metrics.countOutcome(x, "failed")
-	x.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"status": status, "reason": reason, "upstreams": x.attempted, "last": x.state.LastResult.String(), "may_have_run": x.state.MayHaveRun,
-		"age_ms": time.Since(x.receivedAt).Milliseconds(),
-	}).Warn("request failed")
+		"age_ms": time.Since(x.receivedAt).Milliseconds(), "waits_for": x.currentPhase(),
+	}
+	f.addGrace(fields)
+	x.log.WithFields(fields).Warn("request failed")
 	f.writeError(x, status, reason)
 }
 
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -143,7 +143,7 @@
 	log.SetOutput(&lockedWriter{w: h.log})
 	h.f = New(Config{
 		Tables: h, Pool: h.pool, Protocol: testProtocol{}, Prober: h, KVCopier: h, PromptFinder: h,
-		RetryBudgets: NewRetryBudgets(1), Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Drain: &DrainState{}, Transport: h, StoreUnreachable: func() bool { return h.storeUnreachable },
+		RetryBudgets: NewRetryBudgets(1), Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Drain: NewDrainState(), Transport: h, StoreUnreachable: func() bool { return h.storeUnreachable },
 		Quarantine: NewQuarantine(), ShareCrash: h.recordSharedCrash, BodyMemory: NewBodyMemory(testMemory, log),
 	})
 	return h
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -20,6 +20,8 @@
 	poison    *prometheus.CounterVec
 	// unansweredProbes counts by moveObstacle.
 	unansweredProbes *prometheus.CounterVec
+	// graceEnds counts by waitPhase.
+	graceEnds *prometheus.CounterVec
 }
 
 // purpose is why a request is sent to an upstream.
@@ -65,7 +67,10 @@
 	m.unansweredProbes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "foxtailhub_forward_unanswered_probes_total", Help: "Probes that the upstream of a stream did not answer, by what keeps the stream from moving to another upstream.",
 	}, []string{"obstacle"})
-	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.ends, m.poison, m.unansweredProbes)
+	m.graceEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "foxtailhub_forward_grace_end_requests_total", Help: "Requests in progress shortly before the end of a leaving instance, by what they waited for.",
+	}, []string{"waits_for"})
+	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.ends, m.poison, m.unansweredProbes, m.graceEnds)
 	return m
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -97,6 +97,7 @@
 // may recover or be listed soon.
 func (s *relay) awaitUpstream(ctx context.Context) bool {
 	x := s.x
+	s.setPhase(waitRetry)
 	now := time.Now()
 	if s.blockedSince.IsZero() {
 		s.blockedSince = now
@@ -135,6 +136,7 @@
 // or nil for the latter.
 func (s *relay) planAttempt(ctx context.Context) (m, backupHolder *pool.Member, attempt Attempt, ok bool) {
 	x := s.x
+	s.setPhase(waitUpstream)
 	need := pool.Requirements{AvoidDomains: s.failedDomains, Prefer: s.promptHolder}
 	s.promptHolder = ""
 	if s.copy != nil {
@@ -147,6 +149,7 @@
 	if _, refused := s.f.refusedBy(x); refused {
 		return nil, nil, attempt, false
 	}
+	s.setPhase(waitAnswer)
 	x.startAttempt(s.f.Metrics, m, x.nextPurpose())
 	attempt = Attempt{Upstream: m.Current(), Workspace: x.workspace.Name, LastEventID: s.lastEventID}
 	if s.copy != nil && m.ID == s.copy.upstreamID {
@@ -276,6 +279,7 @@
 		return
 	}
 	s.headWritten = true
+	s.x.setPhase(answerBegun)
 	header := s.x.writer.Header()
 	for name, values := range s.f.Protocol.ResponseHeader(response.Header) {
 		header[name] = values
@@ -335,6 +339,13 @@
 	}
 }
 
+// setPhase records what the stream waits for before its caller has any of it.
+func (s *relay) setPhase(p waitPhase) {
+	if !s.headWritten {
+		s.x.setPhase(p)
+	}
+}
+
 func (s *relay) recordEnd(outcome string) {
 	s.f.Metrics.countOutcome(s.x, outcome)
 	fields := logrus.Fields{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	pool          *pool.Pool
 	forwarder     *forward.Forwarder
 	drainState    *forward.DrainState
+	runTimes      runTimes
 	draining      atomic.Bool // the drain has begun
 	reportedReady atomic.Bool // result of the last readiness check
 	listen        func(network, address string) (net.Listener, error)
@@ -77,7 +78,7 @@
 	log := logger.WithField("instance", settings.Instance)
 	g := &Gateway{
 		settings: settings, platform: platform, log: log,
-		registry: prometheus.NewRegistry(), pool: pool.New(), drainState: &forward.DrainState{}, listen: net.Listen, started: time.Now(),
+		registry: prometheus.NewRegistry(), pool: pool.New(), drainState: forward.NewDrainState(), listen: net.Listen, started: time.Now(),
 	}
 	g.configuration = discovery.NewActiveConfiguration(platform.Decoder, log)
 	g.upstreams = discovery.NewUpstreamList(g.pool, platform.Decoder, log)
@@ -120,6 +121,10 @@
 			return nil
 		})
 	}
+	group.Go(func() error {
+		g.runTimes.record(background)
+		return nil
+	})
 	readiness := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: headerTimeout}
 	front := &http.Server{Handler: g.forwarder, MaxHeaderBytes: maxHeaderBytes, ConnState: trackConnState}
 	servers := map[*http.Server]string{front: g.settings.FrontAddress, readiness: g.settings.ReadinessAddress}
@@ -185,6 +190,7 @@
 	g.sync.syncer.SetLeaving()
 	g.log.WithFields(logrus.Fields{
 		"requests": g.forwarder.ActiveRequests(), "grace_ms": g.settings.GraceMS, "stream_ms": g.drainState.StreamDuration().Milliseconds(),
+		"late_ms_max": began.Sub(g.runTimes.earliestSignal(began)).Milliseconds(),
 	}).Info("gateway leaving")
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
