Answer the requests of a leaving instance that have no answer before its grace time ends

Callers: a request whose answer had not begun when the process was killed got a closed connection: calls and streams admitted before SIGTERM, calls that must not be repeated, requests whose body or first configuration was awaited. Cause: time is compared with the end of the process once, at admission; nothing ends a request that waits. Evidence: TestLeavingInstanceAnswersLateRequests before the change: "cut off" in at-most-once and repeatable calls, a stream without a first event, an endless body; a call at a starting instance waited for ever. Change: endMargin before the end, each request whose caller has no byte of an answer is ended: 503 if nothing was sent or ran, 504 if it may have run. An answer that begins at that moment and the end are told apart by one atomic state. What has begun goes on. A late body is interrupted by its read deadline, which stays set.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -57,6 +57,11 @@
 		case last = <-results:
 			inFlight--
 			if last.reply.result == Answered && last.reply.partial {
+				if !x.beginAnswer() {
+					x.state.MayHaveRun++
+					f.failUnanswered(ctx, x)
+					return
+				}
 				last.reply.result, last.reply.err = f.deliver(x, last.reply)
 				last.delivered = true
 			}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,8 @@
 	retryReserved bool
 	budgetLogged  bool         // the empty retry budget is logged
 	phase         atomic.Int32 // waitPhase
+	answerState   atomic.Int32
+	cancel        context.CancelCauseFunc // ends the attempts and the waits of the request
 }
 
 // timeLeft returns the time until the deadline.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -117,15 +117,18 @@
 	defer x.memory.releaseAll()
 	defer close(x.done)
 	x.log = f.Log.WithField("request", x.meta.ID)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	x.cancel = cancel
 	stop := context.AfterFunc(f.Drain.graceEnd, func() { f.handleGraceEnd(x) })
 	defer stop()
 	if f.MaxRequests > 0 && f.ActiveRequests() > f.MaxRequests {
 		f.refuse(x, http.StatusServiceUnavailable, "too many requests are in progress", retryBusy)
 		return
 	}
-	f.awaitStartup(r.Context())
+	f.awaitStartup(ctx)
 	x.setPhase(waitBody)
-	if !f.admit(x) || !f.readBody(x) {
+	if !f.admit(x) || !f.readBody(ctx, x) {
 		return
 	}
 	x.content = newContent(x.workspace.Name, r.Method, r.RequestURI, x.body)
@@ -135,8 +138,8 @@
 	}
 	x.setPhase(waitUpstream)
 	x.budget.RecordRequest(f.Pool.Fleet())
-	ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, context.DeadlineExceeded)
-	defer cancel()
+	ctx, cancelDeadline := context.WithDeadline(ctx, x.deadline)
+	defer cancelDeadline()
 	if x.route.Kind == route.Stream {
 		f.forwardStream(ctx, x)
 		return
@@ -144,7 +147,7 @@
 	f.forwardCall(ctx, x)
 }
 
-// awaitStartup waits until the first reads are complete or the caller has disconnected.
+// awaitStartup waits until the first reads are complete or ctx ends.
 func (f *Forwarder) awaitStartup(ctx context.Context) {
 	if f.Startup == nil {
 		return
@@ -159,7 +162,11 @@
 // does not allow.
 func (f *Forwarder) admit(x *exchange) bool {
 	table := f.Tables.Current()
-	if table == nil {
+	switch {
+	case table == nil && f.Drain.Draining():
+		f.refuseLeaving(x)
+		return false
+	case table == nil:
 		f.refuse(x, http.StatusServiceUnavailable, "no configuration is known yet", NoConfigurationRetryAfter(x.meta.Deadline, f.StoreUnreachable()))
 		return false
 	}
@@ -184,7 +191,7 @@
 	x.deadline = x.receivedAt.Add(requestTimeout(x.meta.Deadline, matched.Timeout))
 	x.state = RequestState{Kind: matched.Kind, Resumable: matched.Resumable, MaxAttempts: max(1, matched.MaxAttempts)}
 	if !f.Drain.HasTimeFor(matched.Kind, x.timeLeft()) {
-		f.refuse(x, http.StatusServiceUnavailable, "the instance is leaving", retryLeaving)
+		f.refuseLeaving(x)
 		return false
 	}
 	return true
@@ -215,14 +222,27 @@
 }
 
 // readBody reads the whole body, so that the request can be sent again.
-func (f *Forwarder) readBody(x *exchange) bool {
+func (f *Forwarder) readBody(ctx context.Context, x *exchange) bool {
 	limit := int64(defaultBodyBytes)
 	if table := f.Tables.Current(); table.Limits.BodyBytes > 0 {
 		limit = table.Limits.BodyBytes
 	}
 	controller := http.NewResponseController(x.writer)
 	_ = controller.SetReadDeadline(x.deadline) // not supported by test recorders
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		_ = controller.SetReadDeadline(time.Now())
+		close(interrupted)
+	})
 	body, err := x.memory.readLimited(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength, int(limit))
+	if !stop() {
+		<-interrupted
+	}
+	if graceOver(ctx) {
+		// The read deadline stays, so that the server does not wait for the rest of the body.
+		f.refuseLeaving(x)
+		return false
+	}
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLong *http.MaxBytesError
 	switch {
@@ -295,6 +315,10 @@
 		f.Metrics.countOutcome(x, "caller_left")
 		x.log.WithField("age_ms", time.Since(x.receivedAt).Milliseconds()).Info("caller disconnected")
 		panic(http.ErrAbortHandler)
+	case x.state.MayHaveRun == 0 && graceOver(ctx):
+		f.refuseLeaving(x)
+	case graceOver(ctx):
+		f.fail(x, http.StatusGatewayTimeout, "the instance is leaving and has no answer yet")
 	case x.state.MayHaveRun == 0:
 		f.refuse(x, http.StatusServiceUnavailable, "no upstream could take the request", f.retryAfter(x))
 	case ctx.Err() != nil || x.timeLeft() <= 0:
--- /dev/null
+++ b/internal/forward/laterequests_test.go
@@ -0,0 +1,132 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/route"
+)
+
+const testGrace = 8 * time.Second
+
+// lateRequest is a request of a caller of a leaving instance.
+type lateRequest struct {
+	arrives  time.Duration // after SIGTERM; negative: before
+	deadline time.Duration
+	body     time.Duration // time until the body is complete
+}
+
+// bodyRecorder records a response to a request whose body arrives over a connection.
+type bodyRecorder struct {
+	*httptest.ResponseRecorder
+	conn net.Conn
+}
+
+func (r bodyRecorder) SetReadDeadline(t time.Time) error { return r.conn.SetReadDeadline(t) }
+
+// connBody reads the body from a connection that the caller closes at its end.
+type connBody struct{ net.Conn }
+
+// sendLate sends a request and returns its response, false if it was in progress at the end
+// of the process.
+func (h *harness) sendLate(spec lateRequest, id string, endsAt time.Time) (got callerResult, answered bool) {
+	ctx, cancel := context.WithCancel(h.t.Context())
+	defer cancel()
+	caller, server := net.Pipe()
+	defer caller.Close()
+	go func() {
+		defer caller.Close()
+		if pause(ctx, spec.body) {
+			_, _ = io.WriteString(caller, "body") // an error means that the instance did not wait for it
+		}
+	}()
+	r := httptest.NewRequest(http.MethodPost, "http://host/path", connBody{server}).WithContext(ctx)
+	r.ContentLength = -1
+	r.Header.Set("Id", id)
+	if spec.deadline > 0 {
+		r.Header.Set("Deadline", formatMilliseconds(spec.deadline))
+	}
+	w := bodyRecorder{httptest.NewRecorder(), server}
+	done := make(chan callerResult, 1)
+	began := time.Now()
+	go func() {
+		got := callerResult{}
+		defer func() {
+			if value := recover(); value != nil {
+				got.aborted = true
+			}
+			got.status, got.header, got.body, got.duration = w.Code, w.Header(), w.Body.String(), time.Since(began)
+			done <- got
+		}()
+		h.f.ServeHTTP(w, r)
+	}()
+	killed := time.NewTimer(time.Until(endsAt))
+	defer killed.Stop()
+	select {
+	case got = <-done:
+		return got, !got.aborted
+	case <-killed.C:
+	}
+	cancel()
+	return <-done, false
+}
+
+func formatMilliseconds(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
+// Guards against requests that are cut off without an answer at the end of the grace time of a leaving instance.
+func TestLeavingInstanceAnswersLateRequests(t *testing.T) {
+	once := atMostOnce
+	once.Timeout = 25 * time.Second
+	call := once
+	call.Kind, call.MaxAttempts = route.Idempotent, 2
+	answer := respondWith(http.StatusOK, "answer")
+	slowAnswer := respondAfter(12*time.Second, answer)
+	for name, c := range map[string]struct {
+		route   route.Route
+		request lateRequest
+		behave  behaviour
+		startup bool // the first reads are not complete
+		status  int
+		runs    int
+	}{
+		"at-most-once call of before SIGTERM": {route: once, request: lateRequest{arrives: -time.Second}, behave: slowAnswer, status: 504, runs: 1},
+		"call of before SIGTERM":              {route: call, request: lateRequest{arrives: -time.Second}, behave: slowAnswer, status: 504, runs: 2},
+		"stream without a first event":        {route: streaming, request: lateRequest{arrives: -time.Second}, behave: slowAnswer, status: 504, runs: 2},
+		"call with an endless body":           {route: call, request: lateRequest{arrives: -time.Second, body: 20 * time.Second}, behave: answer, status: 503},
+		"call at a starting instance":         {route: call, request: lateRequest{arrives: -time.Second}, behave: answer, startup: true, status: 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				h := newHarness(t, c.route, c.route.Kind == route.Stream, "a", "b", "c")
+				h.setBehaviour(c.behave, "a", "b", "c")
+				if c.startup {
+					h.f.Startup = make(chan struct{})
+				}
+				signalAt := time.Now().Add(time.Minute)
+				endsAt := signalAt.Add(testGrace)
+				time.AfterFunc(time.Minute, func() { h.f.Drain.Start(endsAt) })
+				time.Sleep(time.Minute + c.request.arrives)
+				synctest.Wait()
+				got, answered := h.sendLate(c.request, "request-1", endsAt)
+				h.g.Expect(answered).To(BeTrue(), "cut off with status %d", got.status)
+				h.g.Expect(got.status).To(Equal(c.status), got.body)
+				time.Sleep(time.Minute)
+				switch {
+				case got.status == http.StatusServiceUnavailable:
+					h.g.Expect(got.header.Get("Retry-After")).To(Equal(retryLeaving.String()))
+				default:
+					h.g.Expect(h.receivedBy()).To(HaveLen(max(1, c.runs)))
+				}
+			})
+		})
+	}
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -206,6 +206,8 @@
 		}
 		r.preamble = append(r.preamble, e.raw...)
 		return 0, false, nil
+	case !r.x.beginAnswer():
+		return Failed, true, errGraceOver
 	}
 	now := time.Now()
 	if r.isProgress(e) {
@@ -238,6 +240,9 @@
 		return 0, false, nil
 	}
 	if head.result == Answered && !r.headWritten {
+		if head.partial && !r.x.beginAnswer() {
+			return Failed, true, errGraceOver
+		}
 		result, err := r.f.deliver(r.x, *head)
 		r.headWritten, r.unnumbered = true, true
 		return result, true, err
