Ask before each attempt whether a leaving instance has time for it

Callers: a stream whose body took 2 s was cut 0.3 s after the end of the grace time; a call that an upstream refused was kept for further attempts, and a stream that lost its upstreams was started again, for seconds that were not left. Cause: HasTimeFor was asked when the head was in, and never again. Evidence: TestLeavingInstanceAnswersLateRequests before the change: "stream with a slow body" cut off; "call refused by an upstream" answered after 3.09 s instead of 1 s, "stream that its upstreams lose" after 7.8 s instead of 2 s. Change: the question is asked after the body and before each attempt, as a decision on the state of the request (fitsGrace): what has not run is refused at once, a call that may have run goes on, a stream that has begun may always move. A stream without an event stays at its silent or slow upstream if there is no time to start elsewhere (obstacle "grace"). After: all eight cases pass; tests of forward and gateway pass.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -76,7 +76,7 @@
 				return
 			}
 			x.state.TimeLeft = x.timeLeft()
-			if inFlight == 0 && ctx.Err() == nil && x.state.ShouldRetry() && f.mayRepeat(x) && x.allowRetry() {
+			if inFlight == 0 && ctx.Err() == nil && f.hasTime(x) && x.state.ShouldRetry() && f.mayRepeat(x) && x.allowRetry() {
 				start(retryAttempt)
 			}
 		case <-hedge.C:
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -76,15 +76,23 @@
 	return max(minStreamTime, slices.Max(d.durations[:]))
 }
 
-// HasTimeFor reports whether a request with the given time left can end before the process
-// does.
-func (d *DrainState) HasTimeFor(kind route.Kind, left time.Duration) bool {
-	end := d.endsAt.Load()
-	if end == nil {
-		return true
-	}
-	if kind == route.Stream {
-		left = min(left, d.StreamDuration())
+// HasTimeFor reports whether a request may be sent to an upstream, so that it can end before
+// the process does.
+func (d *DrainState) HasTimeFor(s RequestState) bool {
+	left, leaving := d.GraceLeft()
+	return !leaving || fitsGrace(s, left-endMargin, d.StreamDuration())
+}
+
+// fitsGrace reports whether an attempt may start at an instance that answers until graceLeft
+// has passed. A request that has not run is refused instead, and starts elsewhere at once.
+func fitsGrace(s RequestState, graceLeft, streamDuration time.Duration) bool {
+	switch {
+	case s.Begun:
+		return true // its caller would lose the rest
+	case s.Kind == route.Stream:
+		return graceLeft >= min(s.TimeLeft, streamDuration)
+	case s.MayHaveRun > 0:
+		return true // it can't be refused any more
 	}
-	return time.Until(*end)-endMargin >= left
+	return graceLeft >= s.TimeLeft
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -190,7 +190,7 @@
 	x.budget = f.RetryBudgets.For(x.service, f.Pool.Fleet())
 	x.deadline = x.receivedAt.Add(requestTimeout(x.meta.Deadline, matched.Timeout))
 	x.state = RequestState{Kind: matched.Kind, Resumable: matched.Resumable, MaxAttempts: max(1, matched.MaxAttempts)}
-	if !f.Drain.HasTimeFor(matched.Kind, x.timeLeft()) {
+	if !f.hasTime(x) {
 		f.refuseLeaving(x)
 		return false
 	}
@@ -259,6 +259,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.body = body
+	if !f.hasTime(x) {
+		f.refuseLeaving(x)
+		return false
+	}
 	return true
 }
 
@@ -315,9 +319,9 @@
 		f.Metrics.countOutcome(x, "caller_left")
 		x.log.WithField("age_ms", time.Since(x.receivedAt).Milliseconds()).Info("caller disconnected")
 		panic(http.ErrAbortHandler)
-	case x.state.MayHaveRun == 0 && graceOver(ctx):
+	case x.state.MayHaveRun == 0 && !f.hasTime(x):
 		f.refuseLeaving(x)
-	case graceOver(ctx):
+	case graceOver(ctx) || !f.hasTime(x):
 		f.fail(x, http.StatusGatewayTimeout, "the instance is leaving and has no answer yet")
 	case x.state.MayHaveRun == 0:
 		f.refuse(x, http.StatusServiceUnavailable, "no upstream could take the request", f.retryAfter(x))
--- a/internal/forward/graceend.go
+++ b/internal/forward/graceend.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// hasTime reports whether the request may be sent to an upstream now: a leaving instance may
+// not have the time that its answer takes.
+func (f *Forwarder) hasTime(x *exchange) bool {
+	x.state.TimeLeft = x.timeLeft()
+	return f.Drain.HasTimeFor(x.state)
+}
+
 // refuseLeaving responds to a request that has not run and that the instance has no time for.
 func (f *Forwarder) refuseLeaving(x *exchange) {
 	f.refuse(x, http.StatusServiceUnavailable, "the instance is leaving", retryLeaving)
--- a/internal/forward/policy.go
+++ b/internal/forward/policy.go
@@ -37,6 +37,7 @@
 	Reached     int           // upstreams that received the request
 	LastResult  Result        // of the last attempt
 	TimeLeft    time.Duration // until its deadline
+	Begun       bool          // the caller has a part of the answer
 }
 
 const (
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -244,7 +244,7 @@
 			return Failed, true, errGraceOver
 		}
 		result, err := r.f.deliver(r.x, *head)
-		r.headWritten, r.unnumbered = true, true
+		r.headWritten, r.unnumbered, r.x.state.Begun = true, true, true
 		return result, true, err
 	}
 	if head.result == Answered {
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -22,6 +22,7 @@
 	noOtherUpstream  moveObstacle = "no_upstream"
 	eventsUnnumbered moveObstacle = "unnumbered" // no other upstream can continue it
 	refusedByVerdict moveObstacle = "verdict"    // parts of its prompt are known to crash upstreams, or it is a trial of that
+	graceTooShort    moveObstacle = "grace"      // the instance is leaving and has no time for a new answer
 )
 
 // moveObstacle returns why the stream could not move to another upstream now.
@@ -38,6 +39,8 @@
 		return attemptsUsedUp
 	case !r.x.budget.Available():
 		return budgetUsedUp
+	case !r.f.Drain.HasTimeFor(next):
+		return graceTooShort
 	}
 	if _, refused := r.f.Poison.Refuses(r.x.prompt); refused {
 		return refusedByVerdict
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -52,6 +52,9 @@
 	s := &relay{f: f, x: x, lastEventID: x.meta.LastEventID, promptHolder: f.findPrompt(ctx, x)}
 	defer s.endMove()
 	for {
+		if !f.hasTime(x) {
+			break
+		}
 		m, backupHolder, attempt, ok := s.planAttempt(ctx)
 		if !ok {
 			if s.endIfRefused(ctx) {
@@ -278,7 +281,7 @@
 	if s.headWritten {
 		return
 	}
-	s.headWritten = true
+	s.headWritten, s.x.state.Begun = true, true
 	s.x.setPhase(answerBegun)
 	header := s.x.writer.Header()
 	for name, values := range s.f.Protocol.ResponseHeader(response.Header) {
