Take the deadline of a stream for its duration where no estimate holds

Callers: a leaving instance took streams that must not be repeated, or that it had no experience of, and cut them off when they lasted longer than 6.5 s. Cause: the estimate from the latest streams replaced the deadline for every stream, and was its lower bound in a process that had seen none. Evidence: TestLeavingInstanceAnswersLateRequests before the change: "stream that must not be repeated" and "stream of unknown duration" cut off. Change: the estimate holds for streams that may be repeated, once 8 are known; else a stream is taken if its deadline fits. TestLeavingInstanceRefusesStreams now lets the instance see streams first, as its estimate of 6.5 s is what it is about. After: the cases pass, with 503 at once; the tests of leaving instances pass with -race.

--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -30,6 +30,10 @@
 	// recentStreams is how many of the latest streams are used to estimate the
 	// duration: engines are slower where many streams decode at once.
 	recentStreams = 32
+	// minKnownStreams is the number of streams below which their durations are no estimate,
+	// and a stream may last until its deadline. The same holds for streams that must not be
+	// repeated, since nothing can continue one that is cut off.
+	minKnownStreams = 8
 	// endMargin allows for an early end of the process by its clock.
 	endMargin = 200 * time.Millisecond
 )
@@ -67,32 +71,35 @@
 	d.streamCount++
 }
 
-// StreamDuration returns the duration that a new stream may need. A refused stream starts
-// at another instance immediately; one that is cut off must be prefilled and decoded
-// again.
-func (d *DrainState) StreamDuration() time.Duration {
+// StreamDuration returns the duration that a new stream may need, false if too few streams are
+// known. A refused stream starts at another instance immediately; one that is cut off must be
+// prefilled and decoded again.
+func (d *DrainState) StreamDuration() (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return max(minStreamTime, slices.Max(d.durations[:]))
+	return max(minStreamTime, slices.Max(d.durations[:])), d.streamCount >= minKnownStreams
 }
 
 // HasTimeFor reports whether a request may be sent to an upstream, so that it can end before
 // the process does.
 func (d *DrainState) HasTimeFor(s RequestState) bool {
 	left, leaving := d.GraceLeft()
-	return !leaving || fitsGrace(s, left-endMargin, d.StreamDuration())
+	if !leaving {
+		return true
+	}
+	needed := s.TimeLeft
+	if duration, known := d.StreamDuration(); known && s.Kind == route.Stream && s.Resumable {
+		needed = min(needed, duration)
+	}
+	return fitsGrace(s, left-endMargin, needed)
 }
 
-// fitsGrace reports whether an attempt may start at an instance that answers until graceLeft
-// has passed. A request that has not run is refused instead, and starts elsewhere at once.
-func fitsGrace(s RequestState, graceLeft, streamDuration time.Duration) bool {
-	switch {
-	case s.Begun:
-		return true // its caller would lose the rest
-	case s.Kind == route.Stream:
-		return graceLeft >= min(s.TimeLeft, streamDuration)
-	case s.MayHaveRun > 0:
-		return true // it can't be refused any more
+// fitsGrace reports whether an attempt that may need some time may start at an instance that
+// answers until graceLeft has passed. A request that has not run is refused instead, and
+// starts elsewhere at once.
+func fitsGrace(s RequestState, graceLeft, needed time.Duration) bool {
+	if s.Begun || s.Kind != route.Stream && s.MayHaveRun > 0 {
+		return true // it would lose what it has, or can't be refused any more
 	}
-	return graceLeft >= s.TimeLeft
+	return graceLeft >= needed
 }
--- a/internal/forward/laterequests_test.go
+++ b/internal/forward/laterequests_test.go
@@ -91,23 +91,27 @@
 
 // Guards against requests that are cut off without an answer at the end of the grace time of a leaving instance.
 func TestLeavingInstanceAnswersLateRequests(t *testing.T) {
-	once := atMostOnce
-	once.Timeout = 25 * time.Second
+	oneStream, once := streaming, atMostOnce
+	oneStream.Resumable, once.Timeout = false, 25*time.Second
 	call := once
 	call.Kind, call.MaxAttempts = route.Idempotent, 2
-	long := sendEvents(63, 100*time.Millisecond, nil) // 6.3 s
+	long := sendEvents(63, 100*time.Millisecond, nil)   // 6.3 s
+	longer := sendEvents(75, 100*time.Millisecond, nil) // 7.5 s
 	answer := respondWith(http.StatusOK, "answer")
 	slowAnswer := respondAfter(12*time.Second, answer)
 	for name, c := range map[string]struct {
 		route   route.Route
 		request lateRequest
 		behave  behaviour
+		unknown bool // the instance has seen no streams
 		startup bool // the first reads are not complete
 		status  int
 		runs    int
 		latest  time.Duration // of the answer, after SIGTERM; 0: the end of the grace time
 	}{
 		"stream with a slow body":             {route: streaming, request: lateRequest{body: 2 * time.Second}, behave: long, status: 503, latest: 2 * time.Second},
+		"stream that must not be repeated":    {route: oneStream, request: lateRequest{arrives: time.Second}, behave: longer, status: 503, latest: time.Second},
+		"stream of unknown duration":          {route: streaming, request: lateRequest{arrives: time.Second}, behave: longer, unknown: true, status: 503, latest: time.Second},
 		"at-most-once call of before SIGTERM": {route: once, request: lateRequest{arrives: -time.Second}, behave: slowAnswer, status: 504, runs: 1},
 		"call of before SIGTERM":              {route: call, request: lateRequest{arrives: -time.Second}, behave: slowAnswer, status: 504, runs: 2},
 		"stream without a first event":        {route: streaming, request: lateRequest{arrives: -time.Second}, behave: slowAnswer, status: 504, runs: 1},
@@ -122,7 +126,9 @@
 			inVirtualTime(t, func(t *testing.T) {
 				h := newHarness(t, c.route, c.route.Kind == route.Stream, "a", "b", "c")
 				h.setBehaviour(c.behave, "a", "b", "c")
-				h.seeStreams(time.Second)
+				if !c.unknown {
+					h.seeStreams(time.Second)
+				}
 				if c.startup {
 					h.f.Startup = make(chan struct{})
 				}
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -336,6 +336,7 @@
 	inVirtualTime(t, func(t *testing.T) {
 		h := newHarness(t, streaming, true, "a")
 		h.setBehaviour(sendEvents(10, time.Millisecond, nil), "a")
+		h.seeStreams(10 * time.Millisecond)
 		h.f.Drain.Start(time.Now().Add(8 * time.Second))
 		h.g.Expect(h.request(t.Context(), nil).status).To(Equal(http.StatusOK))
 		time.Sleep(3 * time.Second)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,8 +188,9 @@
 	g.drainState.Start(began.Add(milliseconds(g.settings.GraceMS)))
 	g.draining.Store(true)
 	g.sync.syncer.SetLeaving()
+	streamDuration, streamsKnown := g.drainState.StreamDuration()
 	g.log.WithFields(logrus.Fields{
-		"requests": g.forwarder.ActiveRequests(), "grace_ms": g.settings.GraceMS, "stream_ms": g.drainState.StreamDuration().Milliseconds(),
+		"requests": g.forwarder.ActiveRequests(), "grace_ms": g.settings.GraceMS, "stream_ms": streamDuration.Milliseconds(), "streams_known": streamsKnown,
 		"late_ms_max": began.Sub(g.runTimes.earliestSignal(began)).Milliseconds(),
 	}).Info("gateway leaving")
 	ticker := time.NewTicker(drainPollInterval)
