Count the grace time of an instance from before a pause in which SIGTERM may have come

Callers: requests that fit the grace time were cut off when the process had been paused or squeezed as SIGTERM was sent: it counted the grace time from the moment at which it handled the signal. After: the test passes, with -race.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -180,19 +180,27 @@
 	)
 }
 
-// drain fails the readiness checks, waits until the load balancer has noticed and the last
-// request has ended, and closes the front listener. It has no time-out of its own: the
-// process is killed after the grace time.
-func (g *Gateway) drain(front *http.Server) {
-	began := time.Now()
-	g.drainState.Start(began.Add(milliseconds(g.settings.GraceMS)))
+// beginLeaving fails the readiness checks from now on, and counts the grace time from the
+// earliest time at which the signal may have been sent.
+func (g *Gateway) beginLeaving() {
+	now := time.Now()
+	signalAt := g.runTimes.earliestSignal(now)
+	g.drainState.Start(signalAt.Add(milliseconds(g.settings.GraceMS)))
 	g.draining.Store(true)
 	g.sync.syncer.SetLeaving()
 	streamDuration, streamsKnown := g.drainState.StreamDuration()
 	g.log.WithFields(logrus.Fields{
 		"requests": g.forwarder.ActiveRequests(), "grace_ms": g.settings.GraceMS, "stream_ms": streamDuration.Milliseconds(), "streams_known": streamsKnown,
-		"late_ms_max": began.Sub(g.runTimes.earliestSignal(began)).Milliseconds(),
+		"late_ms_max": now.Sub(signalAt).Milliseconds(),
 	}).Info("gateway leaving")
+}
+
+// drain waits until the load balancer has noticed that the instance is leaving and the last
+// request has ended, and closes the front listener. It has no time-out of its own: the process
+// is killed after the grace time.
+func (g *Gateway) drain(front *http.Server) {
+	began := time.Now()
+	g.beginLeaving()
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for time.Since(began) < balancerDetectionTime || g.forwarder.ActiveRequests() > 0 {
--- a/internal/gateway/runtimes_test.go
+++ b/internal/gateway/runtimes_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,3 +32,21 @@
 	})
 	NewWithT(t).Expect(earliestSignal(nil, time.Unix(1, 0))).To(Equal(time.Unix(1, 0)))
 }
+
+// Guards against requests that are cut off because SIGTERM was handled after a pause, and the grace time counted from then.
+func TestGraceTimeIncludesPauseBeforeSignal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gateway := newTestGateway(t, &fakePlatform{})
+		ctx, cancel := context.WithCancel(t.Context())
+		go gateway.runTimes.record(ctx)
+		time.Sleep(10 * time.Second)
+		cancel()
+		time.Sleep(3 * time.Second) // the process is paused
+		gateway.beginLeaving()
+		left, leaving := gateway.drainState.GraceLeft()
+		g.Expect(leaving).To(BeTrue())
+		g.Expect(left).To(BeNumerically("<=", milliseconds(gateway.settings.GraceMS)-3*time.Second))
+		g.Expect(left).To(BeNumerically(">=", milliseconds(gateway.settings.GraceMS)-3*time.Second-2*runInterval))
+	})
+}
