Answer 408 to a request whose body has not come by its deadline

Callers: the connection of a late body was held until the rest had come and then closed without a status. Cause: the handler aborted at the deadline and cleared the read deadline, and the server reads the rest of the body before it closes an aborted connection. Found by the randomised test of requests around SIGTERM. Change: 408 at the deadline, and the read deadline stays set. Nothing was sent, which is what 408 tells. A caller that disconnects is still counted as body_incomplete.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -238,10 +239,15 @@
 	if !stop() {
 		<-interrupted
 	}
-	if graceOver(ctx) {
-		// The read deadline stays, so that the server does not wait for the rest of the body.
+	// In these two cases the read deadline stays, so that the server does not wait for the rest
+	// of the body.
+	switch {
+	case graceOver(ctx):
 		f.refuseLeaving(x)
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		f.refuse(x, http.StatusRequestTimeout, "the body did not arrive in time", 0)
+		return false
 	}
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLong *http.MaxBytesError
@@ -253,7 +259,7 @@
 		f.refuse(x, http.StatusServiceUnavailable, "no memory for the body", retryBusy)
 		return false
 	case !errors.Is(err, io.EOF):
-		// Nothing was forwarded; the caller disconnected or was too slow.
+		// Nothing was forwarded; the caller disconnected.
 		f.Metrics.countOutcome(x, "body_incomplete")
 		x.log.WithError(err).Info("caller did not send the complete request body")
 		panic(http.ErrAbortHandler)
--- a/internal/forward/laterequests_test.go
+++ b/internal/forward/laterequests_test.go
@@ -155,3 +155,23 @@
 		})
 	}
 }
+
+// Guards against a connection that is held until the rest of a late body has come, and then closed without a status.
+func TestLateBodyGetsStatusAtItsDeadline(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		h := newHarness(t, idempotent, false, "a")
+		c := h.keepConnection(t)
+		began := time.Now()
+		go func() {
+			_, _ = io.WriteString(c.conn, "POST /path/ HTTP/1.1\r\nHost: host\r\nId: request-1\r\nDeadline: 500\r\nContent-Length: 4\r\n\r\nb")
+			time.Sleep(5 * time.Second)
+			_, _ = io.WriteString(c.conn, "ody") // fails: the connection is closed
+		}()
+		response, err := http.ReadResponse(c.reader, nil)
+		h.g.Expect(err).NotTo(HaveOccurred())
+		h.g.Expect(response.StatusCode).To(Equal(http.StatusRequestTimeout))
+		h.g.Expect(time.Since(began)).To(Equal(500 * time.Millisecond))
+		time.Sleep(time.Minute)
+		h.g.Expect(h.receivedBy()).To(BeEmpty())
+	})
+}
