--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -39,6 +39,7 @@
 		x.startAttempt(f.Metrics, m, why)
 		contacted = append(contacted, m)
 		inFlight++
+		x.setPhase(waitAnswer)
 		go f.sendCall(f.callContext(ctx, x), x, m, results)
 		return true
 	}
@@ -56,6 +57,11 @@
 		case last = <-results:
 			inFlight--
 			if last.reply.result == Answered && last.reply.partial {
+				if !x.beginAnswer() {
+					x.state.MayHaveRun++
+					f.failUnanswered(ctx, x)
+					return
+				}
 				last.reply.result, last.reply.err = f.deliver(x, last.reply)
 				last.delivered = true
 			}
@@ -70,7 +76,7 @@
 				return
 			}
 			x.state.TimeLeft = x.timeLeft()
-			if inFlight == 0 && ctx.Err() == nil && x.state.ShouldRetry() && f.mayRepeat(x) && x.allowRetry() {
+			if inFlight == 0 && ctx.Err() == nil && f.hasTime(x) && x.state.ShouldRetry() && f.mayRepeat(x) && x.allowRetry() {
 				start(retryAttempt)
 			}
 		case <-hedge.C:
@@ -155,6 +161,7 @@
 		header.Set("Content-Length", strconv.FormatInt(r.response.ContentLength, 10))
 	}
 	f.closeConnectionIfLeaving(header)
+	x.setPhase(answerBegun)
 	err := f.writeResponse(x, r)
 	switch {
 	case errors.Is(err, errResponseTruncated):
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,7 +37,10 @@
 	state      RequestState
 	// retryReserved is whether the next attempt is already taken from the retry budget.
 	retryReserved bool
-	budgetLogged  bool // the empty retry budget is logged
+	budgetLogged  bool         // the empty retry budget is logged
+	phase         atomic.Int32 // waitPhase
+	answerState   atomic.Int32
+	cancel        context.CancelCauseFunc // ends the attempts and the waits of the request
 }
 
 // timeLeft returns the time until the deadline.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -117,12 +118,18 @@
 	defer x.memory.releaseAll()
 	defer close(x.done)
 	x.log = f.Log.WithField("request", x.meta.ID)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	x.cancel = cancel
+	stop := context.AfterFunc(f.Drain.graceEnd, func() { f.handleGraceEnd(x) })
+	defer stop()
 	if f.MaxRequests > 0 && f.ActiveRequests() > f.MaxRequests {
 		f.refuse(x, http.StatusServiceUnavailable, "too many requests are in progress", retryBusy)
 		return
 	}
-	f.awaitStartup(r.Context())
-	if !f.admit(x) || !f.readBody(x) {
+	f.awaitStartup(ctx)
+	x.setPhase(waitBody)
+	if !f.admit(x) || !f.readBody(ctx, x) {
 		return
 	}
 	x.content = newContent(x.workspace.Name, r.Method, r.RequestURI, x.body)
@@ -130,9 +137,10 @@
 	if f.refuseQuarantined(x) || f.refusePoisonParts(x) {
 		return
 	}
+	x.setPhase(waitUpstream)
 	x.budget.RecordRequest(f.Pool.Fleet())
-	ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, context.DeadlineExceeded)
-	defer cancel()
+	ctx, cancelDeadline := context.WithDeadline(ctx, x.deadline)
+	defer cancelDeadline()
 	if x.route.Kind == route.Stream {
 		f.forwardStream(ctx, x)
 		return
@@ -140,7 +148,7 @@
 	f.forwardCall(ctx, x)
 }
 
-// awaitStartup waits until the first reads are complete or the caller has disconnected.
+// awaitStartup waits until the first reads are complete or ctx ends.
 func (f *Forwarder) awaitStartup(ctx context.Context) {
 	if f.Startup == nil {
 		return
@@ -155,7 +163,11 @@
 // does not allow.
 func (f *Forwarder) admit(x *exchange) bool {
 	table := f.Tables.Current()
-	if table == nil {
+	switch {
+	case table == nil && f.Drain.Draining():
+		f.refuseLeaving(x)
+		return false
+	case table == nil:
 		f.refuse(x, http.StatusServiceUnavailable, "no configuration is known yet", NoConfigurationRetryAfter(x.meta.Deadline, f.StoreUnreachable()))
 		return false
 	}
@@ -179,8 +191,8 @@
 	x.budget = f.RetryBudgets.For(x.service, f.Pool.Fleet())
 	x.deadline = x.receivedAt.Add(requestTimeout(x.meta.Deadline, matched.Timeout))
 	x.state = RequestState{Kind: matched.Kind, Resumable: matched.Resumable, MaxAttempts: max(1, matched.MaxAttempts)}
-	if !f.Drain.HasTimeFor(matched.Kind, x.timeLeft()) {
-		f.refuse(x, http.StatusServiceUnavailable, "the instance is leaving", retryLeaving)
+	if !f.hasTime(x) {
+		f.refuseLeaving(x)
 		return false
 	}
 	return true
@@ -211,14 +223,32 @@
 }
 
 // readBody reads the whole body, so that the request can be sent again.
-func (f *Forwarder) readBody(x *exchange) bool {
+func (f *Forwarder) readBody(ctx context.Context, x *exchange) bool {
 	limit := int64(defaultBodyBytes)
 	if table := f.Tables.Current(); table.Limits.BodyBytes > 0 {
 		limit = table.Limits.BodyBytes
 	}
 	controller := http.NewResponseController(x.writer)
 	_ = controller.SetReadDeadline(x.deadline) // not supported by test recorders
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		_ = controller.SetReadDeadline(time.Now())
+		close(interrupted)
+	})
 	body, err := x.memory.readLimited(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength, int(limit))
+	if !stop() {
+		<-interrupted
+	}
+	// In these two cases the read deadline stays, so that the server does not wait for the rest
+	// of the body.
+	switch {
+	case graceOver(ctx):
+		f.refuseLeaving(x)
+		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		f.refuse(x, http.StatusRequestTimeout, "the body did not arrive in time", 0)
+		return false
+	}
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLong *http.MaxBytesError
 	switch {
@@ -229,12 +259,16 @@
 		f.refuse(x, http.StatusServiceUnavailable, "no memory for the body", retryBusy)
 		return false
 	case !errors.Is(err, io.EOF):
-		// Nothing was forwarded; the caller disconnected or was too slow.
+		// Nothing was forwarded; the caller disconnected.
 		f.Metrics.countOutcome(x, "body_incomplete")
 		x.log.WithError(err).Info("caller did not send the complete request body")
 		panic(http.ErrAbortHandler)
 	}
 	x.body = body
+	if !f.hasTime(x) {
+		f.refuseLeaving(x)
+		return false
+	}
 	return true
 }
 
@@ -244,21 +278,25 @@
 		f.Protocol.SetRetryAfter(x.writer.Header(), after)
 	}
 	f.Metrics.countOutcome(x, "refused")
-	x.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"status": status, "reason": reason, "retry_after_ms": after.Milliseconds(), "configuration": x.version,
 		"age_ms": time.Since(x.receivedAt).Milliseconds(), "offered": x.state.Refused, "last": x.state.LastResult.String(),
-		"list_age_ms": f.Pool.Age(time.Now()).Milliseconds(),
-	}).Info("request refused")
+		"list_age_ms": f.Pool.Age(time.Now()).Milliseconds(), "waits_for": x.currentPhase(),
+	}
+	f.addGrace(fields)
+	x.log.WithFields(fields).Info("request refused")
 	f.writeError(x, status, reason)
 }
 
 // fail responds to a request that an upstream may have run.
 func (f *Forwarder) fail(x *exchange, status int, reason string) {
 	f.Metrics.countOutcome(x, "failed")
-	x.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"status": status, "reason": reason, "upstreams": x.attempted, "last": x.state.LastResult.String(), "may_have_run": x.state.MayHaveRun,
-		"age_ms": time.Since(x.receivedAt).Milliseconds(),
-	}).Warn("request failed")
+		"age_ms": time.Since(x.receivedAt).Milliseconds(), "waits_for": x.currentPhase(),
+	}
+	f.addGrace(fields)
+	x.log.WithFields(fields).Warn("request failed")
 	f.writeError(x, status, reason)
 }
 
@@ -287,6 +325,10 @@
 		f.Metrics.countOutcome(x, "caller_left")
 		x.log.WithField("age_ms", time.Since(x.receivedAt).Milliseconds()).Info("caller disconnected")
 		panic(http.ErrAbortHandler)
+	case x.state.MayHaveRun == 0 && !f.hasTime(x):
+		f.refuseLeaving(x)
+	case graceOver(ctx) || !f.hasTime(x):
+		f.fail(x, http.StatusGatewayTimeout, "the instance is leaving and has no answer yet")
 	case x.state.MayHaveRun == 0:
 		f.refuse(x, http.StatusServiceUnavailable, "no upstream could take the request", f.retryAfter(x))
 	case ctx.Err() != nil || x.timeLeft() <= 0:
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -52,6 +52,9 @@
 	s := &relay{f: f, x: x, lastEventID: x.meta.LastEventID, promptHolder: f.findPrompt(ctx, x)}
 	defer s.endMove()
 	for {
+		if !f.hasTime(x) {
+			break
+		}
 		m, backupHolder, attempt, ok := s.planAttempt(ctx)
 		if !ok {
 			if s.endIfRefused(ctx) {
@@ -97,6 +100,7 @@
 // may recover or be listed soon.
 func (s *relay) awaitUpstream(ctx context.Context) bool {
 	x := s.x
+	s.setPhase(waitRetry)
 	now := time.Now()
 	if s.blockedSince.IsZero() {
 		s.blockedSince = now
@@ -135,6 +139,7 @@
 // or nil for the latter.
 func (s *relay) planAttempt(ctx context.Context) (m, backupHolder *pool.Member, attempt Attempt, ok bool) {
 	x := s.x
+	s.setPhase(waitUpstream)
 	need := pool.Requirements{AvoidDomains: s.failedDomains, Prefer: s.promptHolder}
 	s.promptHolder = ""
 	if s.copy != nil {
@@ -147,6 +152,7 @@
 	if _, refused := s.f.refusedBy(x); refused {
 		return nil, nil, attempt, false
 	}
+	s.setPhase(waitAnswer)
 	x.startAttempt(s.f.Metrics, m, x.nextPurpose())
 	attempt = Attempt{Upstream: m.Current(), Workspace: x.workspace.Name, LastEventID: s.lastEventID}
 	if s.copy != nil && m.ID == s.copy.upstreamID {
@@ -275,7 +281,8 @@
 	if s.headWritten {
 		return
 	}
-	s.headWritten = true
+	s.headWritten, s.x.state.Begun = true, true
+	s.x.setPhase(answerBegun)
 	header := s.x.writer.Header()
 	for name, values := range s.f.Protocol.ResponseHeader(response.Header) {
 		header[name] = values
@@ -335,6 +342,13 @@
 	}
 }
 
+// setPhase records what the stream waits for before its caller has any of it.
+func (s *relay) setPhase(p waitPhase) {
+	if !s.headWritten {
+		s.x.setPhase(p)
+	}
+}
+
 func (s *relay) recordEnd(outcome string) {
 	s.f.Metrics.countOutcome(s.x, outcome)
 	fields := logrus.Fields{
