servicehttp: confirm responses without a length

Callers of calls got a part of a response as whole, completed and recorded, when the server crashed within a response that only the end of its connection ends: the kernel closes the connection of a killed process as a plain end.

Responses with a length, chunks or trailer, also on a connection in use again, were lost connections at each cut before too (TestCutResponseIsLostConnection).

Change: such a response counts only if the server then answers a load report under the same incarnation, or has no load interface. Otherwise the connection was lost: an idempotent call is repeated, a call of at most once is unknown.

--- a/internal/upstream/servicehttp/client.go
+++ b/internal/upstream/servicehttp/client.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return upstream.CallResponse{}, err
 	}
-	return exchange(ctx, c.dialer.pooled, request)
+	return exchange(ctx, c.dialer.pooled, request, c.confirmServer)
 }
 
 // CallOnce sends a request at most once, over a new connection: the transport
@@ -67,7 +67,7 @@
 	defer func() { _ = conn.Close() }()
 	transport := singleUse(conn)
 	defer transport.CloseIdleConnections()
-	return exchange(ctx, transport, request)
+	return exchange(ctx, transport, request, c.confirmServer)
 }
 
 // nonReplayableBody hides the type of the reader, for which http.NewRequest would
@@ -81,7 +81,7 @@
 	if err != nil {
 		return upstream.LoadReport{}, errors.Wrap(upstream.ErrUnreachable, err.Error())
 	}
-	response, err := exchange(ctx, c.dialer.pooled, request)
+	response, err := exchange(ctx, c.dialer.pooled, request, nil) // JSON shows whether it is complete
 	if err != nil {
 		return upstream.LoadReport{}, err
 	}
@@ -108,8 +108,11 @@
 	return request, nil
 }
 
-// exchange uses RoundTrip instead of http.Client, which follows redirects.
-func exchange(ctx context.Context, transport *http.Transport, request *http.Request) (upstream.CallResponse, error) {
+// exchange uses RoundTrip instead of http.Client, which follows redirects. confirm, if
+// not nil, confirms a response that only the end of its connection ends.
+func exchange(
+	ctx context.Context, transport *http.Transport, request *http.Request, confirm func(context.Context, upstream.Incarnation) error,
+) (upstream.CallResponse, error) {
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return upstream.CallResponse{}, classify(ctx, err)
@@ -126,6 +129,11 @@
 	if len(body) > MaxResponseBytes {
 		return upstream.CallResponse{}, ErrResponseTooLarge
 	}
+	if confirm != nil && endsWithConnection(response) {
+		if err := confirm(ctx, incarnation); err != nil {
+			return upstream.CallResponse{}, err
+		}
+	}
 	return upstream.CallResponse{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
