enginehttp: do not use a load report that was cut

A load report whose response was cut after its JSON, before the last chunk, was used: the error of reading the rest was dropped. Evidence: TestCutLoadReportIsLostConnection, chunks: 'cut after 102 bytes. Expected an error, got nil'. Such a report is now a lost connection. Streams cut after each byte, begun and resumed, delivered no wrong token and no false end before (TestCutStreamIsNotWhole).

--- a/internal/upstream/enginehttp/load.go
+++ b/internal/upstream/enginehttp/load.go
@@ -102,7 +102,10 @@
 	if err := json.NewDecoder(body).Decode(&result.report); err != nil {
 		return loadResult{err: requestError(ctx, err)}
 	}
-	_, _ = io.Copy(io.Discard, body) // the connection is reused only after the end of the body
+	// The connection is reused only after the end of the body, and a response without it is incomplete.
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return loadResult{err: requestError(ctx, err)}
+	}
 	return result
 }
 
