instance: wait for all calls before the end of a drain

Two holes at the API of instances, both beside a planned stop: - A call whose caller had left was not waited for. Its process ended while the service ran it, so the record stayed 'dispatched' and each later submission with the key got 'in progress' until the retention time had passed. - The last writes of records and the close of the server shared 10 s. With the table service down the writes took them all, and a request that had arrived meanwhile was cut without an answer.

Change: a drain counts calls in the dispatcher, stops accepting, waits for what crossed that moment, and writes the records last, in a time of their own.

--- a/internal/instance/activity.go
+++ b/internal/instance/activity.go
@@ -49,18 +49,24 @@
 
 // drainProgress is the input of mayExit.
 type drainProgress struct {
-	startedAt         time.Time
-	lastRequest       time.Time
-	activeRequests    int64 // connections and calls in progress
-	activeGenerations int64 // generations in progress, with or without a connected caller
-	linger            time.Duration
+	startedAt      time.Time
+	lastRequest    time.Time
+	activeRequests int64 // requests of connected callers
+	running        runningWork
+	linger         time.Duration
+}
+
+// runningWork is what runs with or without a connected caller.
+type runningWork struct {
+	generations int
+	calls       int
 }
 
 // mayExit reports whether a draining instance may exit: no request is in
 // progress and none has arrived for the linger time. The load balancer keeps
 // sending requests until its health check has seen that the instance is unready.
 func mayExit(now time.Time, progress drainProgress) bool {
-	if progress.activeRequests > 0 || progress.activeGenerations > 0 {
+	if progress.activeRequests > 0 || progress.running != (runningWork{}) {
 		return false
 	}
 	idleSince := progress.startedAt
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -28,6 +28,8 @@
 	readHeaderTimeout = 10 * time.Second
 	// flushTimeout limits the final writes of dispatch records at shutdown.
 	flushTimeout = 10 * time.Second
+	// closeTimeout limits the wait for connections at shutdown whose request is not read.
+	closeTimeout = 10 * time.Second
 )
 
 // Instance is one process of the system.
@@ -131,13 +133,34 @@
 		return errors.Wrap(err, "serve HTTP")
 	}
 	i.log.WithField("generations", i.registry.ActiveGenerations()).Info("drain started")
-	i.lifecycle.awaitIdle(context.Background(), i.activity, i.registry.ActiveGenerations, milliseconds(i.settings.DrainLingerMS))
+	i.awaitIdle(milliseconds(i.settings.DrainLingerMS))
+	i.closeServer(server)
 	flushCtx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
 	if err := i.dispatcher.Flush(flushCtx); err != nil {
 		i.log.WithError(err).Warn("not all dispatch records were written before shutdown")
 	}
-	return server.Shutdown(flushCtx)
+	return nil
+}
+
+func (i *Instance) awaitIdle(linger time.Duration) {
+	running := func() runningWork {
+		return runningWork{generations: i.registry.ActiveGenerations(), calls: i.dispatcher.InFlight()}
+	}
+	i.lifecycle.awaitIdle(context.Background(), i.activity, running, linger)
+}
+
+// closeServer stops accepting requests and waits for those that arrived until then.
+func (i *Instance) closeServer(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		i.log.WithError(err).Info("connections are still open at the end of the drain")
+	}
+	i.awaitIdle(0)
+	if err := server.Close(); err != nil {
+		i.log.WithError(err).Info("connections were not closed cleanly")
+	}
 }
 
 func (i *Instance) server() (*http.Server, error) {
--- a/internal/instance/lifecycle.go
+++ b/internal/instance/lifecycle.go
@@ -213,16 +213,16 @@
 
 // awaitIdle waits until a draining instance may exit. It has no timeout: a forced
 // exit would end requests in progress.
-func (l *lifecycle) awaitIdle(ctx context.Context, a *activity, activeGenerations func() int, linger time.Duration) {
+func (l *lifecycle) awaitIdle(ctx context.Context, a *activity, running func() runningWork, linger time.Duration) {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for {
 		view := drainProgress{
-			startedAt:         time.Unix(0, l.drainStartNanos.Load()),
-			lastRequest:       time.Unix(0, a.lastRequest.Load()),
-			activeRequests:    a.generations.Load() + a.calls.Load(),
-			activeGenerations: int64(activeGenerations()),
-			linger:            linger,
+			startedAt:      time.Unix(0, l.drainStartNanos.Load()),
+			lastRequest:    time.Unix(0, a.lastRequest.Load()),
+			activeRequests: a.generations.Load() + a.calls.Load(),
+			running:        running(),
+			linger:         linger,
 		}
 		if mayExit(time.Now(), view) {
 			return
--- a/internal/instance/pure_test.go
+++ b/internal/instance/pure_test.go
@@ -36,7 +36,7 @@
 	lingering.lastRequest = start.Add(3 * time.Second)
 	g.Expect(mayExit(start.Add(8*time.Second-1), lingering)).To(BeFalse())
 	g.Expect(mayExit(start.Add(8*time.Second), lingering)).To(BeTrue())
-	for _, busy := range []drainProgress{{startedAt: start, activeRequests: 1}, {startedAt: start, activeGenerations: 1}} {
+	for _, busy := range []drainProgress{{startedAt: start, activeRequests: 1}, {startedAt: start, running: runningWork{generations: 1}}, {startedAt: start, running: runningWork{calls: 1}}} {
 		g.Expect(mayExit(start.Add(24*time.Hour), busy)).To(BeFalse())
 	}
 }
