instance: answer requests before the platform kills the process

At the API of instances a request that waited or ran when the platform killed a stopping process was cut without an answer: the instance did not know when that is. A call whose record was written and that was not sent was then 'in progress' for each later submission.

Evidence in virtual time, grace of 8 s, before the change: calls that arrive or wait in the last 1.5 s were run, with responses after the kill; one sent 3 s before it and served in 6 s had its response 3 s after it (TestCallsAreAnsweredBeforeTheEndOfTheGrace: 'Expected 200 to equal 503', 'to contain "unknown"').

Change: setting drain_grace_ms (0: no limit, as before). 1.5 s before the end nothing starts any more: waits for admission, record or placement end with not_run, reason 'leaving', retry-after 0.1 s, and records of unsent calls are released. 0.5 s before the end callers without a byte of their response get unknown, in_progress. Streams that have begun go on. A generation that waits for an engine at that moment gets unknown although it may not have run. The client treats 'leaving' like 'unconfirmed'.

--- a/internal/client/generation.go
+++ b/internal/client/generation.go
@@ -154,8 +154,8 @@
 	r.result.Message = httpError.Response.Message
 	verdict := api.VerdictFromError(httpError)
 	switch verdict.Reason {
-	case contract.ReasonConfigurationUnconfirmed:
-		// Only this instance is unready; another one may accept the request.
+	case contract.ReasonConfigurationUnconfirmed, contract.ReasonLeaving:
+		// Only this instance cannot take it; another one may accept the request.
 		r.lastRefusal = verdict
 		return errors.Wrap(errRetry, httpError.Response.Message)
 	case contract.ReasonInProgress:
--- a/internal/contract/outcome.go
+++ b/internal/contract/outcome.go
@@ -44,6 +44,7 @@
 	ReasonAttemptsExhausted        Reason = "attempts_exhausted" // the retry budget or the attempt limit is used up
 	ReasonNotHeld                  Reason = "not_held"           // no instance holds the text before the caller's position
 	ReasonAbandoned                Reason = "abandoned"          // no caller was connected for the grace time
+	ReasonLeaving                  Reason = "leaving"            // the instance ends before it could start the request
 	ReasonBadRequest               Reason = "bad_request"        // the request is malformed
 	ReasonInternal                 Reason = "internal"           // an unexpected error at the instance; its log has the cause
 )
--- a/internal/dispatch/atmostonce.go
+++ b/internal/dispatch/atmostonce.go
@@ -25,6 +25,9 @@
 	// and the retry budget is used up. The budget refills at one retry per second
 	// at least.
 	refusedRetryAfter = time.Second
+	// leavingRetryAfter is the retry-after time of a call that this instance no longer
+	// sends: another one may run it at once.
+	leavingRetryAfter = 100 * time.Millisecond
 )
 
 // atMostOnceRunner runs calls that are not idempotent, each at most once.
@@ -46,13 +49,16 @@
 	return ""
 }
 
-func (r *atMostOnceRunner) run(ctx context.Context, request Request) Result {
+func leavingResult() Result { return refusedResult(contract.ReasonLeaving, leavingRetryAfter) }
+
+// run runs a call until ctx ends. startCtx limits the waits before it is sent.
+func (r *atMostOnceRunner) run(ctx, startCtx context.Context, request Request) Result {
 	if reason := checkKey(request.ID.Key, time.Now(), r.config.Retention); reason != "" {
 		return refusedResult(reason, 0)
 	}
 	key := RecordKey(request.ID)
 	if status := r.config.Router.ContentStatus(ContentKeyOf(request)); status.Quarantined {
-		return r.runQuarantined(ctx, request, key, status)
+		return r.runQuarantined(startCtx, request, key, status)
 	}
 	for range maxClaims {
 		record := Record{
@@ -62,7 +68,7 @@
 			Service:     request.Service,
 			CreatedAt:   time.Now(),
 		}
-		c := r.records.claim(ctx, key, record)
+		c := r.records.claim(startCtx, key, record)
 		switch {
 		case c.owned:
 			r.recordEvent(timeline.CallRecorded, request, "")
@@ -70,7 +76,7 @@
 		case c.existing == nil:
 			return r.claimFailure(ctx, c)
 		}
-		existing := r.awaitOutcome(ctx, key, *c.existing)
+		existing := r.awaitOutcome(startCtx, key, *c.existing)
 		if existing.State != Released || existing.Fingerprint != record.Fingerprint {
 			return recordedResult(existing, record.Fingerprint)
 		}
@@ -89,8 +95,11 @@
 }
 
 func (r *atMostOnceRunner) claimFailure(ctx context.Context, c claim) Result {
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		return refusedResult(contract.ReasonDeadlineExceeded, 0)
+	case r.config.startsEnded():
+		return leavingResult()
 	}
 	return refusedResult(contract.ReasonStoreDown, c.retryAfter)
 }
@@ -141,8 +150,8 @@
 func (r *atMostOnceRunner) send(ctx context.Context, owned *ownedCall) Result {
 	content := ContentKeyOf(owned.request)
 	for {
-		if reason := r.checkBeforeSend(owned.request, time.Now()); reason != "" {
-			return r.releaseNotRun(owned, reason, 0)
+		if reason, retryAfter := r.checkBeforeSend(owned.request, time.Now()); reason != "" {
+			return r.releaseNotRun(owned, reason, retryAfter)
 		}
 		placement, retryAfter, ok := r.config.Router.Place(upstream.Requirements{
 			Service:   owned.request.Service,
@@ -153,9 +162,9 @@
 		if !ok {
 			return r.releaseNotRun(owned, contract.ReasonNoUpstream, retryAfter)
 		}
-		if reason := r.checkBeforeSend(owned.request, time.Now()); reason != "" {
+		if reason, retryAfter := r.checkBeforeSend(owned.request, time.Now()); reason != "" {
 			placement.Done(upstream.Observation{Kind: upstream.ObservedCancelled})
-			return r.releaseNotRun(owned, reason, 0)
+			return r.releaseNotRun(owned, reason, retryAfter)
 		}
 		r.recordEvent(timeline.CallSent, owned.request, placement.Target.ID)
 		response, err := r.call(ctx, owned.request, placement)
@@ -175,11 +184,14 @@
 // checkBeforeSend returns the reason not to send. It is called directly before
 // each attempt, because a process that was paused must not send after its
 // submission or its key has expired.
-func (r *atMostOnceRunner) checkBeforeSend(request Request, now time.Time) contract.Reason {
-	if !now.Before(request.Deadline) {
-		return contract.ReasonDeadlineExceeded
+func (r *atMostOnceRunner) checkBeforeSend(request Request, now time.Time) (contract.Reason, time.Duration) {
+	switch {
+	case !now.Before(request.Deadline):
+		return contract.ReasonDeadlineExceeded, 0
+	case r.config.startsEnded():
+		return contract.ReasonLeaving, leavingRetryAfter
 	}
-	return checkKey(request.ID.Key, now, r.config.Retention)
+	return checkKey(request.ID.Key, now, r.config.Retention), 0
 }
 
 func (r *atMostOnceRunner) call(ctx context.Context, request Request, placement upstream.Placement) (upstream.CallResponse, error) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -48,8 +48,15 @@
 	// InstanceCount returns the number of instances that share the deletion of
 	// expired records. nil: one instance.
 	InstanceCount func() int
+	// StartsEnd ends when this instance may send no further call, and WaitsEnd when callers
+	// must be answered although their calls run. nil: never.
+	StartsEnd context.Context
+	WaitsEnd  context.Context
 }
 
+// startsEnded reports whether no further call may be sent.
+func (c Config) startsEnded() bool { return c.StartsEnd.Err() != nil }
+
 func (c Config) withDefaults() Config {
 	if c.RetryBudget == nil {
 		c.RetryBudget = NewRetryBudget()
@@ -71,6 +78,12 @@
 	if c.PollTimeout == 0 {
 		c.PollTimeout = DefaultPollTimeout
 	}
+	if c.StartsEnd == nil {
+		c.StartsEnd = context.Background()
+	}
+	if c.WaitsEnd == nil {
+		c.WaitsEnd = context.Background()
+	}
 	if c.InstanceCount == nil {
 		c.InstanceCount = func() int { return 1 }
 	}
@@ -156,7 +169,7 @@
 	if mismatch {
 		return refusedResult(contract.ReasonKeyMismatch, 0)
 	}
-	return f.wait(ctx, request.Deadline)
+	return f.wait(ctx, request.Deadline, d.config.WaitsEnd.Done())
 }
 
 func deadlineOf(ctx context.Context, request Request, service configuration.Service, now time.Time) time.Time {
@@ -217,7 +230,16 @@
 
 func (d *Dispatcher) run(ctx context.Context, request Request, service configuration.Service, priority upstream.Priority) Result {
 	d.config.RetryBudget.RecordRequest()
-	release, verdict, ok := d.admit(ctx, request, service, priority)
+	startCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(d.config.StartsEnd, cancel)()
+	release, verdict, ok := d.admit(startCtx, request, service, priority)
+	if d.config.startsEnded() {
+		if ok {
+			release()
+		}
+		verdict, ok = leavingResult().Verdict, false
+	}
 	if !ok {
 		d.recordEvent(timeline.RequestRefused, request, string(verdict.Reason))
 		return Result{Verdict: verdict}
@@ -227,7 +249,7 @@
 	if service.Idempotent {
 		return d.idempotent.run(ctx, request)
 	}
-	return d.atMostOnce.run(ctx, request)
+	return d.atMostOnce.run(ctx, startCtx, request)
 }
 
 func (d *Dispatcher) admit(ctx context.Context, request Request, service configuration.Service, priority upstream.Priority) (func(), contract.Verdict, bool) {
@@ -250,11 +272,21 @@
 	d.config.Timeline.Record(timeline.Event{Kind: kind, Request: request.ID, Detail: detail})
 }
 
-// wait returns the result of the run, or unknown if the caller disconnects or
+// resultNow returns the result of the run, or unknown if it is not known yet.
+func (f *flight) resultNow() Result {
+	select {
+	case <-f.done:
+		return f.result
+	default:
+		return unknownResult(contract.ReasonInProgress, inProgressRetryAfter)
+	}
+}
+
+// wait returns the result of the run, or unknown if the caller disconnects, waitsEnd is closed, or
 // deadline is earlier than the run's own and passes first. A submission with the
 // same or a later deadline always gets the result, because the run ends at its
 // own deadline.
-func (f *flight) wait(ctx context.Context, deadline time.Time) Result {
+func (f *flight) wait(ctx context.Context, deadline time.Time, waitsEnd <-chan struct{}) Result {
 	var expired <-chan time.Time
 	if deadline.Before(f.deadline) {
 		timer := time.NewTimer(time.Until(deadline))
@@ -266,6 +298,8 @@
 		return f.result
 	case <-expired:
 		return unknownResult(contract.ReasonInProgress, 0)
+	case <-waitsEnd:
+		return f.resultNow()
 	case <-ctx.Done():
 	}
 	if expired == nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/generation/registry.go
+++ b/internal/generation/registry.go
@@ -30,6 +30,7 @@
 	Transport link.Transport               // nil: no relays
 	Peers     func() []contract.InstanceID // linked peers; nil: none
 	Retention time.Duration                // 0: DefaultRetention
+	StartsEnd context.Context              // ends when this instance may start no generation any more; nil: never
 }
 
 // Registry holds the generations of this instance.
@@ -50,6 +51,9 @@
 	if config.Recorder == nil {
 		config.Recorder = timeline.Discard{}
 	}
+	if config.StartsEnd == nil {
+		config.StartsEnd = context.Background()
+	}
 	if config.Retention == 0 {
 		config.Retention = DefaultRetention
 	}
@@ -214,7 +218,7 @@
 	if reason != "" {
 		return refuse(contract.Interrupted, reason, 0)
 	}
-	release, verdict, admitted := r.admit(ctx, request, plan.adopt != nil)
+	release, verdict, admitted := r.admitUntilStartsEnd(ctx, request, plan.adopt != nil)
 	if !admitted {
 		return nil, verdict, false
 	}
@@ -227,6 +231,25 @@
 	return s, contract.Verdict{}, true
 }
 
+// leavingRetryAfter is the retry-after time of a request that this instance no longer
+// starts: another one may run it at once.
+const leavingRetryAfter = 100 * time.Millisecond
+
+// admitUntilStartsEnd admits a generation while this instance may start one.
+func (r *Registry) admitUntilStartsEnd(ctx context.Context, request Request, adopted bool) (func(), contract.Verdict, bool) {
+	admitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.config.StartsEnd, cancel)()
+	release, verdict, admitted := r.admit(admitCtx, request, adopted)
+	if r.config.StartsEnd.Err() == nil {
+		return release, verdict, admitted
+	}
+	if admitted {
+		release()
+	}
+	return nil, contract.Verdict{Outcome: contract.NotRun, Reason: contract.ReasonLeaving, RetryAfter: leavingRetryAfter}, false
+}
+
 // admit admits a generation. One that adopts a running stream already occupies a
 // slot of its engine, so it continues at once and is admitted in the background.
 func (r *Registry) admit(ctx context.Context, request Request, adopted bool) (func(), contract.Verdict, bool) {
--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -5,21 +5,28 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
 
+	"foxtailhub.example/foxtailhub/internal/api"
+	"foxtailhub.example/foxtailhub/internal/api/oas"
 	"foxtailhub.example/foxtailhub/internal/configuration"
 	"foxtailhub.example/foxtailhub/internal/contract"
 	"foxtailhub.example/foxtailhub/internal/dispatch"
+	"foxtailhub.example/foxtailhub/internal/generation"
 	"foxtailhub.example/foxtailhub/internal/platform/platformtest"
 	"foxtailhub.example/foxtailhub/internal/settings"
 	"foxtailhub.example/foxtailhub/internal/upstream"
+	"foxtailhub.example/foxtailhub/internal/upstream/upstreamtest"
+	"foxtailhub.example/foxtailhub/internal/workspace"
 )
 
 // pipeListener accepts the server ends of pipes.
@@ -90,6 +97,12 @@
 	}
 }
 
+func (s *callServer) runCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs
+}
+
 func (s *callServer) CallIdempotent(ctx context.Context, call upstream.CallRequest) (upstream.CallResponse, error) {
 	return s.CallOnce(ctx, call)
 }
@@ -122,7 +135,10 @@
 	g.Expect(h.holder.Advance(&configuration.Snapshot{Version: 2, Document: document})).To(BeTrue())
 	server := &callServer{delay: delay}
 	table := platformtest.NewTableService()
-	h.dispatcher = dispatch.NewDispatcher(dispatch.Config{Configuration: h.source, Router: server, Services: server, Table: table})
+	h.dispatcher = dispatch.NewDispatcher(dispatch.Config{
+		Configuration: h.source, Router: server, Services: server, Table: table,
+		StartsEnd: h.lifecycle.grace.starts, WaitsEnd: h.lifecycle.grace.waits,
+	})
 	s.DrainLingerMS = drainLinger.Milliseconds()
 	i := &Instance{settings: &s, log: log, handler: h, lifecycle: h.lifecycle, activity: h.activity, metrics: h.metrics, registry: h.registry, dispatcher: h.dispatcher}
 	listener := newPipeListener()
@@ -205,9 +221,110 @@
 		time.Sleep(drainLinger + flushTimeout - 2*time.Second)
 		got := s.call(t.Context(), "orders", contract.NewKey())
 		<-s.exited
-		if s.server.runs > 1 {
+		if s.server.runCount() > 1 {
 			s.g.Expect(got.err).NotTo(HaveOccurred())
 			s.g.Expect(got.body).To(ContainSubstring(`"completed"`))
 		}
 	})
 }
+
+const testGrace = 8 * time.Second
+
+// Guards against calls that are cut without an answer when the platform kills the process: one that arrives or waits late
+// must not run and be told so, one that runs must be told that it may have run, one that can end in time gets its response.
+func TestCallsAreAnsweredBeforeTheEndOfTheGrace(t *testing.T) {
+	const slowStore = 900 * time.Millisecond
+	for name, test := range map[string]struct {
+		sentAt  time.Duration // after SIGTERM
+		delay   time.Duration // of the service
+		latency time.Duration // of the table service
+		status  int
+		body    string
+		record  string // state, "": none
+		runs    int
+	}{
+		"ends in time":             {sentAt: time.Second, delay: 5 * time.Second, status: 200, body: `"completed"`, record: "completed", runs: 1},
+		"runs beyond the end":      {sentAt: 5 * time.Second, delay: 6 * time.Second, status: 200, body: `"unknown","reason":"in_progress"`, record: "dispatched", runs: 1},
+		"arrives late":             {sentAt: testGrace - startMargin + time.Millisecond, delay: 3 * time.Second, status: 503, body: `"not_run","reason":"leaving"`},
+		"waits for its record":     {sentAt: testGrace - startMargin - slowStore/2, latency: slowStore, delay: 3 * time.Second, status: 503, body: `"not_run","reason":"leaving"`, record: "released"},
+		"arrives just before that": {sentAt: testGrace - time.Millisecond*600, delay: 3 * time.Second, status: 503, body: `"not_run","reason":"leaving"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := serveInstance(t, settings.Settings{DrainGraceMS: testGrace.Milliseconds()}, test.delay)
+				key := contract.NewKey()
+				end := s.activity.track(&s.activity.calls) // another request, which keeps the instance from its end
+				s.drain()
+				killAt := time.Now().Add(testGrace)
+				time.Sleep(test.sentAt)
+				if test.latency > 0 {
+					s.table.SetHook(func(op platformtest.Operation, after bool) {
+						if op == platformtest.OperationCommit && !after {
+							s.table.SetHook(nil)
+							time.Sleep(test.latency)
+						}
+					})
+				}
+				got := s.call(t.Context(), "stock", key)
+				s.g.Expect(got.err).NotTo(HaveOccurred())
+				s.g.Expect(got.status).To(Equal(test.status), got.body)
+				s.g.Expect(got.body).To(ContainSubstring(test.body))
+				s.g.Expect(got.at).To(BeTemporally("<=", killAt.Add(-answerMargin+10*time.Millisecond)))
+				time.Sleep(time.Until(killAt)) // the process is killed here
+				if record := s.record(key); test.record == "" {
+					s.g.Expect(record).To(BeEmpty())
+				} else {
+					s.g.Expect(record).To(ContainSubstring(`"state":"` + test.record + `"`))
+				}
+				s.g.Expect(s.server.runCount()).To(Equal(test.runs))
+				end()
+				<-s.exited
+			})
+		})
+	}
+}
+
+// waitingAdmitter admits nothing before the request's context ends.
+type waitingAdmitter struct{}
+
+func (waitingAdmitter) Admit(ctx context.Context, _ workspace.AdmissionRequest) (func(), contract.Verdict, bool) {
+	<-ctx.Done()
+	return nil, contract.Verdict{Outcome: contract.NotRun, Reason: contract.ReasonDeadlineExceeded}, false
+}
+
+// Guards against generations without a byte of their response that are cut when the platform kills the process.
+func TestGenerationsAreAnsweredBeforeTheEndOfTheGrace(t *testing.T) {
+	verdictOf := func(g Gomega, err error) contract.Verdict {
+		var refusal *oas.ErrorStatusCodeWithHeaders
+		g.Expect(errors.As(err, &refusal)).To(BeTrue())
+		return api.VerdictFromError(refusal)
+	}
+	t.Run("waits for admission", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			g, h, start := NewWithT(t), newTestHandler(true, true), time.Now()
+			h.registry = generation.NewRegistry(generation.Config{
+				Instance: "i1", Router: upstreamtest.NewFakeRouter(), Admitter: waitingAdmitter{}, StartsEnd: h.lifecycle.grace.starts,
+			})
+			go h.lifecycle.grace.run(testGrace, nil, h.log)
+			params := oas.StartGenerationParams{Workspace: "shop-a", Service: "guides", IdempotencyKey: "k"}
+			err := h.StartGeneration(t.Context(), &oas.GenerationRequest{Prompt: "p"}, params, httptest.NewRecorder())
+			verdict := verdictOf(g, err)
+			g.Expect(verdict.Outcome).To(Equal(contract.NotRun))
+			g.Expect(verdict.Reason).To(Equal(contract.ReasonLeaving))
+			g.Expect(verdict.RetryAfter).To(BeNumerically(">", 0))
+			g.Expect(time.Since(start)).To(Equal(testGrace - startMargin))
+			time.Sleep(startMargin)
+		})
+	})
+	t.Run("waits for an engine", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			g, h, start := NewWithT(t), newTestHandler(true, true), time.Now()
+			go h.lifecycle.grace.run(testGrace, nil, h.log)
+			err := h.stream(t.Context(), httptest.NewRecorder(), contract.RequestID{}, nil, newScriptedSubscription(0))
+			verdict := verdictOf(g, err)
+			g.Expect(verdict.Outcome).To(Equal(contract.Unknown))
+			g.Expect(verdict.RetryAfter).To(BeNumerically(">", 0))
+			g.Expect(time.Since(start)).To(Equal(testGrace - answerMargin))
+		})
+	})
+}
--- a/internal/instance/generations.go
+++ b/internal/instance/generations.go
@@ -95,9 +95,12 @@
 	ctx context.Context, w http.ResponseWriter, id contract.RequestID, resume *generation.ResumeState, subscription *generation.Subscription,
 ) error {
 	receivedAt := time.Now()
-	first, err := subscription.Next(ctx)
+	waitCtx, cancel := h.lifecycle.grace.untilWaitsEnd(ctx)
+	first, err := subscription.Next(waitCtx)
+	cancel()
 	if err != nil {
-		return h.refuse(id, contract.Verdict{Outcome: contract.Unknown, Reason: contract.ReasonInProgress})
+		// The caller left, or this instance ends while an engine may run the request.
+		return h.refuse(id, contract.Verdict{Outcome: contract.Unknown, Reason: contract.ReasonInProgress, RetryAfter: unconfirmedRetryAfter})
 	}
 	if first.Kind == generation.EventEnd && first.TokenCount == 0 && first.Verdict.Outcome != contract.Completed {
 		return h.refuse(id, resumedVerdict(resume, first.Verdict))
--- a/internal/instance/handler_test.go
+++ b/internal/instance/handler_test.go
@@ -40,7 +40,7 @@
 	log.SetOutput(io.Discard)
 	holder := configuration.NewHolder()
 	holder.Advance(&configuration.Snapshot{Version: 1, Document: testDocument()})
-	l := &lifecycle{drainStarted: make(chan struct{})}
+	l := &lifecycle{drainStarted: make(chan struct{}), grace: newGrace()}
 	l.confirmation.Store(&timedConfirmation{Confirmation: configuration.Confirmation{Confirmed: confirmed}, at: time.Now().Add(time.Hour)})
 	if draining {
 		l.drainStartNanos.Store(time.Now().UnixNano())
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -123,6 +123,9 @@
 
 // serve serves HTTP until a drain has completed.
 func (i *Instance) serve(ctx context.Context, server *http.Server, listener net.Listener) error {
+	served := make(chan struct{})
+	defer close(served)
+	go i.watchGrace(ctx, served)
 	serveFailed := make(chan error, 1)
 	go func() { serveFailed <- server.Serve(listener) }()
 	select {
@@ -143,6 +146,19 @@
 	return nil
 }
 
+// watchGrace starts the grace time at SIGTERM, which ends ctx. A drain that an operator
+// requested has no end.
+func (i *Instance) watchGrace(ctx context.Context, served <-chan struct{}) {
+	if i.settings.DrainGraceMS == 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+		i.lifecycle.grace.run(milliseconds(i.settings.DrainGraceMS), served, i.log)
+	case <-served:
+	}
+}
+
 func (i *Instance) awaitIdle(linger time.Duration) {
 	running := func() runningWork {
 		return runningWork{generations: i.registry.ActiveGenerations(), calls: i.dispatcher.InFlight()}
--- a/internal/instance/lifecycle.go
+++ b/internal/instance/lifecycle.go
@@ -40,7 +40,8 @@
 	state           atomic.Pointer[State]
 	drainStartNanos atomic.Int64  // Unix nanoseconds; 0 while not draining
 	drainStarted    chan struct{} // closed when the drain starts
-	afterUpdate     func()        // called after each regular update; optional
+	grace           grace
+	afterUpdate     func() // called after each regular update; optional
 }
 
 // timedConfirmation is a result of the confirmation rule with its time.
@@ -50,7 +51,7 @@
 }
 
 func newLifecycle(self contract.InstanceID, log logrus.FieldLogger, follower *configuration.Follower, members *membership.Membership) *lifecycle {
-	l := &lifecycle{self: self, started: time.Now(), log: log, follower: follower, membership: members, drainStarted: make(chan struct{})}
+	l := &lifecycle{self: self, started: time.Now(), log: log, follower: follower, membership: members, drainStarted: make(chan struct{}), grace: newGrace()}
 	starting := StateStarting
 	l.state.Store(&starting)
 	l.confirmation.Store(&timedConfirmation{Confirmation: configuration.Confirmation{Reason: "starting"}})
--- a/internal/instance/refusalmessage.go
+++ b/internal/instance/refusalmessage.go
@@ -25,6 +25,7 @@
 	contract.ReasonUnknownWorkspace:         "workspace: not in the configuration",
 	contract.ReasonAttemptsExhausted:        "too many attempts failed",
 	contract.ReasonNotHeld:                  "the text before the position is not held here; send it in resume.received",
+	contract.ReasonLeaving:                  "this instance is about to stop; another one may run the request",
 	contract.ReasonAbandoned:                "no caller was connected for the grace time",
 }
 
--- a/internal/instance/wiring.go
+++ b/internal/instance/wiring.go
@@ -242,6 +242,8 @@
 		Log:           i.log,
 		Retention:     milliseconds(i.settings.RecordRetentionMS),
 		InstanceCount: func() int { return len(i.liveInstances()) },
+		StartsEnd:     i.lifecycle.grace.starts,
+		WaitsEnd:      i.lifecycle.grace.waits,
 	})
 	i.registry = generation.NewRegistry(generation.Config{
 		Instance:  i.settings.Instance,
@@ -250,6 +252,7 @@
 		Recorder:  record,
 		Admitter:  i.admission,
 		Transport: i.transport,
+		StartsEnd: i.lifecycle.grace.starts,
 		Peers:     func() []contract.InstanceID { return i.membership.View().Peers() },
 	})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,7 @@
 	TLS                  TLS                      `json:"tls"`
 	Platform             Platform                 `json:"platform"`
 	Seeds                []Seed                   `json:"seeds,omitempty"`           // default: none
+	DrainGraceMS         int64                    `json:"drain_grace_ms"`            // milliseconds, default 0: no limit
 	DrainLingerMS        int64                    `json:"drain_linger_ms"`           // milliseconds, default 5000
 	RecordRetentionMS    int64                    `json:"record_retention_ms"`       // milliseconds, default 24 h
 	LogLevel             string                   `json:"log_level"`                 // default "info"
