instance: abort the response of a stream that was broken off

At the API of instances a stream that could not go on, because its relay broke or its generation was replaced, ended with a last chunk: a part, framed as a whole response, only without the end event. Evidence: TestBrokenStreamIsNotFramedAsWhole, 'Expected an error, got nil' from reading the body. The response is now aborted, as for a write that fails.

--- a/internal/instance/generations.go
+++ b/internal/instance/generations.go
@@ -110,7 +110,8 @@
 		return h.refuse(id, contract.Verdict{Outcome: contract.Unknown, Reason: contract.ReasonInProgress, RetryAfter: brokenRelayRetryAfter})
 	}
 	if err := newStreamWriter(w, id, &callerLatency{metrics: h.metrics, receivedAt: receivedAt}).copy(ctx, subscription, first); err != nil {
-		h.log.WithField("request", id).WithError(err).Info("caller disconnected")
+		h.log.WithField("request", id).WithError(err).Info("stream ended early")
+		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	}
 	return nil
 }
--- a/internal/instance/stream.go
+++ b/internal/instance/stream.go
@@ -19,6 +19,9 @@
 // errCallerDisconnected is returned when writing to the caller fails.
 var errCallerDisconnected = errors.New("caller disconnected")
 
+// errStreamBroken is returned when the instance cannot continue a stream that has begun.
+var errStreamBroken = errors.New("stream was broken off")
+
 // streamWriter writes the events of a subscription to one connection.
 type streamWriter struct {
 	response   http.ResponseWriter
@@ -34,9 +37,9 @@
 	return &streamWriter{response: w, controller: http.NewResponseController(w), request: request, latency: latency}
 }
 
-// copy writes events until the last one or until the caller disconnects. A
-// broken relay closes the connection without an end event; the caller then
-// reconnects with its position.
+// copy writes events until the last one or until the caller disconnects. It returns
+// an error unless the caller has the end event; the connection must then be closed, and the
+// caller reconnects with its position.
 func (s *streamWriter) copy(ctx context.Context, subscription *generation.Subscription, first generation.Event) error {
 	if err := s.writeEvent(first); err != nil {
 		return err
@@ -61,6 +64,9 @@
 			}
 		}
 	}
+	if first.Kind == generation.EventBroken {
+		return errStreamBroken
+	}
 	return nil
 }
 
--- a/internal/instance/stream_test.go
+++ b/internal/instance/stream_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"testing/synctest"
@@ -53,3 +55,22 @@
 		g.Expect(err).To(MatchError(And(ContainSubstring("unknown"), Not(ContainSubstring("not_run")))))
 	})
 }
+
+// Guards against a stream that is broken off within the instance, or at the end of its last write, and framed as a whole response.
+func TestBrokenStreamIsNotFramedAsWhole(t *testing.T) {
+	g := NewWithT(t)
+	start := generation.Event{Kind: generation.EventStart, Position: contract.StartPosition()}
+	token := generation.Event{Kind: generation.EventToken, Text: "a", Position: contract.Position{Offset: 1, Digest: contract.DigestOf([]string{"a"})}}
+	h := newTestHandler(true, false)
+	server := httptest.NewServer(crashOnInvariantViolation(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		broken := newScriptedSubscription(0, start, token, generation.Event{Kind: generation.EventBroken})
+		_ = h.stream(r.Context(), w, contract.RequestID{}, nil, broken)
+	})))
+	defer server.Close()
+	response, err := server.Client().Get(server.URL)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	g.Expect(string(body)).To(ContainSubstring("event: token"))
+	g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+}
