--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,7 @@
 	pool          *pool.Pool
 	forwarder     *forward.Forwarder
 	drainState    *forward.DrainState
+	runTimes      runTimes
 	draining      atomic.Bool // the drain has begun
 	reportedReady atomic.Bool // result of the last readiness check
 	listen        func(network, address string) (net.Listener, error)
@@ -81,7 +82,7 @@
 	}
 	g := &Gateway{
 		settings: settings, platform: platform, log: log,
-		registry: prometheus.NewRegistry(), pool: pool.New(), drainState: &forward.DrainState{}, listen: net.Listen, started: time.Now(),
+		registry: prometheus.NewRegistry(), pool: pool.New(), drainState: forward.NewDrainState(), listen: net.Listen, started: time.Now(),
 	}
 	g.configuration = discovery.NewActiveConfiguration(platform.Decoder, log)
 	g.upstreams = discovery.NewUpstreamList(g.pool, platform.Decoder, log)
@@ -124,6 +125,10 @@
 			return nil
 		})
 	}
+	group.Go(func() error {
+		g.runTimes.record(background)
+		return nil
+	})
 	readiness := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: headerTimeout}
 	front := &http.Server{Handler: g.forwarder, MaxHeaderBytes: maxHeaderBytes, ConnState: trackConnState}
 	servers := map[*http.Server]string{front: g.settings.FrontAddress, readiness: g.settings.ReadinessAddress}
@@ -179,17 +184,27 @@
 	)
 }
 
-// drain fails the readiness checks, waits until the load balancer has noticed and the last
-// request has ended, and closes the front listener. It has no time-out of its own: the
-// process is killed after the grace time.
-func (g *Gateway) drain(front *http.Server) {
-	began := time.Now()
-	g.drainState.Start(began.Add(milliseconds(g.settings.GraceMS)))
+// beginLeaving fails the readiness checks from now on, and counts the grace time from the
+// earliest time at which the signal may have been sent.
+func (g *Gateway) beginLeaving() {
+	now := time.Now()
+	signalAt := g.runTimes.earliestSignal(now)
+	g.drainState.Start(signalAt.Add(milliseconds(g.settings.GraceMS)))
 	g.draining.Store(true)
 	g.sync.syncer.SetLeaving()
+	streamDuration, streamsKnown := g.drainState.StreamDuration()
 	g.log.WithFields(logrus.Fields{
-		"requests": g.forwarder.ActiveRequests(), "grace_ms": g.settings.GraceMS, "stream_ms": g.drainState.StreamDuration().Milliseconds(),
+		"requests": g.forwarder.ActiveRequests(), "grace_ms": g.settings.GraceMS, "stream_ms": streamDuration.Milliseconds(), "streams_known": streamsKnown,
+		"late_ms_max": now.Sub(signalAt).Milliseconds(),
 	}).Info("gateway leaving")
+}
+
+// drain waits until the load balancer has noticed that the instance is leaving and the last
+// request has ended, and closes the front listener. It has no time-out of its own: the process
+// is killed after the grace time.
+func (g *Gateway) drain(front *http.Server) {
+	began := time.Now()
+	g.beginLeaving()
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for time.Since(began) < balancerDetectionTime || g.forwarder.ActiveRequests() > 0 {
--- a/internal/instance/lifecycle.go
+++ b/internal/instance/lifecycle.go
@@ -40,7 +40,8 @@
 	state           atomic.Pointer[State]
 	drainStartNanos atomic.Int64  // Unix nanoseconds; 0 while not draining
 	drainStarted    chan struct{} // closed when the drain starts
-	afterUpdate     func()        // called after each regular update; optional
+	grace           grace
+	afterUpdate     func() // called after each regular update; optional
 }
 
 // timedConfirmation is a result of the confirmation rule with its time.
@@ -50,7 +51,7 @@
 }
 
 func newLifecycle(self contract.InstanceID, log logrus.FieldLogger, follower *configuration.Follower, members *membership.Membership) *lifecycle {
-	l := &lifecycle{self: self, started: time.Now(), log: log, follower: follower, membership: members, drainStarted: make(chan struct{})}
+	l := &lifecycle{self: self, started: time.Now(), log: log, follower: follower, membership: members, drainStarted: make(chan struct{}), grace: newGrace()}
 	starting := StateStarting
 	l.state.Store(&starting)
 	l.confirmation.Store(&timedConfirmation{Confirmation: configuration.Confirmation{Reason: "starting"}})
@@ -213,16 +214,16 @@
 
 // awaitIdle waits until a draining instance may exit. It has no timeout: a forced
 // exit would end requests in progress.
-func (l *lifecycle) awaitIdle(ctx context.Context, a *activity, activeGenerations func() int, linger time.Duration) {
+func (l *lifecycle) awaitIdle(ctx context.Context, a *activity, running func() runningWork, linger time.Duration) {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for {
 		view := drainProgress{
-			startedAt:         time.Unix(0, l.drainStartNanos.Load()),
-			lastRequest:       time.Unix(0, a.lastRequest.Load()),
-			activeRequests:    a.generations.Load() + a.calls.Load(),
-			activeGenerations: int64(activeGenerations()),
-			linger:            linger,
+			startedAt:      time.Unix(0, l.drainStartNanos.Load()),
+			lastRequest:    time.Unix(0, a.lastRequest.Load()),
+			activeRequests: a.generations.Load() + a.calls.Load(),
+			running:        running(),
+			linger:         linger,
 		}
 		if mayExit(time.Now(), view) {
 			return
