State eras in the messages between instances

Cause: messages between instances state versions only.

Change: requests and responses have the era of each topic under new keys, which older builds skip. A follower takes no rows of an earlier era, counts a peer with such a configuration or list of upstreams as stale, and gets a later era at once. Rows without an era count as of the first era, and no longer once a later one is known.

--- a/internal/discovery/era.go
+++ b/internal/discovery/era.go
@@ -18,6 +18,9 @@
 // are missing. Versions of different eras have no order. It is 0 if the store does not state it.
 type Era int64
 
+// FirstEra is the era of a store that has never come back from a copy.
+const FirstEra Era = 1
+
 // Revision identifies a state of the store. Versions order the states of one era.
 type Revision struct {
 	Era     Era
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -101,6 +101,7 @@
 	calls := newCallCounter(g.registry)
 	addReader := func(topic discovery.Topic, schedule discovery.PollSchedule, equal func(a, b discovery.Row) bool, apply func(discovery.Batch, time.Duration), options ...discovery.ChangeLogOption) {
 		p.changeLogs[topic] = discovery.NewChangeLog(topic, clock, equal, log, apply, options...)
+		registerEraGauge(g.registry, topic, p.changeLogs[topic])
 		if topic == discovery.Instances && settings.LinkAddress == "" {
 			return
 		}
@@ -216,6 +217,17 @@
 	return transport.Run(ctx)
 }
 
+// registerEraGauge exposes the era of the rows of a topic.
+func registerEraGauge(registry prometheus.Registerer, topic discovery.Topic, changeLog *discovery.ChangeLog) {
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "foxtailhub_store_era", Help: "Era of the store that the rows of a topic are from; 0 before the first.",
+		ConstLabels: prometheus.Labels{"topic": topic.String()},
+	}, func() float64 {
+		held, _ := changeLog.Revision()
+		return float64(held.Era)
+	}))
+}
+
 // callCounter counts calls to the store by topic and outcome.
 type callCounter struct{ calls *prometheus.CounterVec }
 
--- a/internal/storesync/message.go
+++ b/internal/storesync/message.go
@@ -1,6 +1,7 @@
 package storesync
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,14 +42,18 @@
 type updateRequest struct {
 	Positions []wirePosition `cbor:"1,keyasint"`
 	HoldMS    int64          `cbor:"2,keyasint"` // how long to hold the request while there are no updates
+	// Eras has the era of the version of each position. Builds of before the eras send none, here
+	// and in responses.
+	Eras []int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // updateResponse contains the updates of all topics.
 type updateResponse struct {
 	Topics  []wireUpdate `cbor:"1,keyasint"`
-	HeldMS  int64        `cbor:"2,keyasint"` // how long the request was held
-	Leaving bool         `cbor:"3,keyasint"` // the peer is leaving; followers should choose another source
-	Stale   bool         `cbor:"4,keyasint"` // the peer's own rows are stale and not sent
+	HeldMS  int64        `cbor:"2,keyasint"`           // how long the request was held
+	Leaving bool         `cbor:"3,keyasint"`           // the peer is leaving; followers should choose another source
+	Stale   bool         `cbor:"4,keyasint"`           // the peer's own rows are stale and not sent
+	Eras    []int64      `cbor:"5,keyasint,omitempty"` // of the version of each topic
 }
 
 // wireUpdate is the update of one topic.
@@ -81,6 +86,9 @@
 	if len(request.Positions) != len(topics) || request.HoldMS < 0 || request.HoldMS > maxHoldTime.Milliseconds() {
 		return updateRequest{}, errors.Wrapf(errInvalidMessage, "%d topics, hold %d ms", len(request.Positions), request.HoldMS)
 	}
+	if !validEras(request.Eras) {
+		return updateRequest{}, errors.Wrapf(errInvalidMessage, "%d eras", len(request.Eras))
+	}
 	return request, nil
 }
 
@@ -95,6 +103,9 @@
 	if len(response.Topics) != len(topics) || response.HeldMS < 0 || response.HeldMS > maxHoldTime.Milliseconds() {
 		return updateResponse{}, errors.Wrapf(errInvalidMessage, "%d topics, held %d ms", len(response.Topics), response.HeldMS)
 	}
+	if !validEras(response.Eras) {
+		return updateResponse{}, errors.Wrapf(errInvalidMessage, "%d eras", len(response.Eras))
+	}
 	for _, update := range response.Topics {
 		if update.Version < 0 || update.Sequence < 0 || update.AgeMS < 0 || update.AgeMS > maxUpdateAge.Milliseconds() {
 			return updateResponse{}, errors.Wrapf(errInvalidMessage, "version %d, sequence %d, age %d ms", update.Version, update.Sequence, update.AgeMS)
@@ -108,6 +119,19 @@
 	return response, nil
 }
 
+// validEras reports whether a message has an era of each topic, or none.
+func validEras(eras []int64) bool {
+	return (len(eras) == 0 || len(eras) == len(topics)) && !slices.ContainsFunc(eras, func(era int64) bool { return era < 0 })
+}
+
+// eraOf returns the era of a topic in a message; 0 if it is not stated.
+func eraOf(eras []int64, topic int) discovery.Era {
+	if len(eras) == 0 {
+		return 0
+	}
+	return discovery.Era(eras[topic])
+}
+
 // maxUpdateAge caps the age of updates, so that it fits a time.Duration. Updates of that
 // age carry no information.
 const maxUpdateAge = 24 * time.Hour
@@ -134,10 +158,10 @@
 	return wire
 }
 
-// fromWire decodes an update of a peer. at is the time of the request to the store by this
-// instance's clock.
-func fromWire(wire wireUpdate, at time.Duration) (update discovery.Update, to discovery.Position) {
-	update = discovery.Update{Batch: discovery.Batch{Version: wire.Version}, Full: wire.Full, AsOf: at}
+// fromWire decodes an update of a peer in an era. at is the time of the request to the store by
+// this instance's clock.
+func fromWire(wire wireUpdate, era discovery.Era, at time.Duration) (update discovery.Update, to discovery.Position) {
+	update = discovery.Update{Batch: discovery.Batch{Version: wire.Version, Era: era}, Full: wire.Full, AsOf: at}
 	for _, r := range wire.Rows {
 		update.Rows = append(update.Rows, discovery.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
 	}
--- a/internal/storesync/message_test.go
+++ b/internal/storesync/message_test.go
@@ -40,6 +40,8 @@
 		"age of years":      func(a *updateResponse) { a.Topics[3].AgeMS = 1 << 62 },
 		"negative hold":     func(a *updateResponse) { a.HeldMS = -1 },
 		"hold of years":     func(a *updateResponse) { a.HeldMS = 1 << 62 },
+		"too few eras":      func(a *updateResponse) { a.Eras = []int64{1} },
+		"negative era":      func(a *updateResponse) { a.Eras = []int64{1, 1, -1, 1} },
 		"row without a key": func(a *updateResponse) { a.Topics[0].Rows = []wireRow{{Value: []byte("x")}} },
 		"long key":          func(a *updateResponse) { a.Topics[0].Rows = []wireRow{{Key: strings.Repeat("k", maxKeyBytes+1)}} },
 		"long value": func(a *updateResponse) {
@@ -51,7 +53,7 @@
 		_, err := decodeResponse(mustEncode(t, a))
 		g.Expect(err).To(HaveOccurred(), name)
 	}
-	for _, q := range []updateRequest{{}, {Positions: make([]wirePosition, len(topics)), HoldMS: -1}, {Positions: make([]wirePosition, len(topics)), HoldMS: 1 << 40}} {
+	for _, q := range []updateRequest{{}, {Positions: make([]wirePosition, len(topics)), HoldMS: -1}, {Positions: make([]wirePosition, len(topics)), HoldMS: 1 << 40}, {Positions: make([]wirePosition, len(topics)), Eras: []int64{1, 2}}} {
 		_, err := decodeRequest(mustEncode(t, q))
 		g.Expect(err).To(HaveOccurred())
 	}
@@ -110,7 +112,7 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		if a, err := decodeResponse(data); err == nil {
 			for _, n := range a.Topics {
-				fromWire(n, 0)
+				fromWire(n, 1, 0)
 			}
 		}
 		_, _ = decodeRequest(data)
--- a/internal/storesync/serve.go
+++ b/internal/storesync/serve.go
@@ -75,15 +75,17 @@
 	for i, topic := range topics {
 		position := request.Positions[i]
 		from := discovery.Position{LogID: position.Log, Sequence: position.Sequence}
-		update, to, loaded := s.Logs[topic].Since(from, discovery.Revision{Version: position.Version})
+		held := discovery.Revision{Era: eraOf(request.Eras, i), Version: position.Version}
+		update, to, loaded := s.Logs[topic].Since(from, held)
 		wire := toWire(update, to, loaded, s.Clock())
 		if size := wire.size(); size > remainingBytes {
 			wire = wireUpdate{} // sent in the next response
 		} else {
 			remainingBytes -= size
 		}
-		hasUpdates = hasUpdates || len(wire.Rows) > 0 || wire.Full
-		response.Topics = append(response.Topics, wire)
+		isLaterEra := wire.Loaded && len(request.Eras) > 0 && update.Era > held.Era
+		hasUpdates = hasUpdates || len(wire.Rows) > 0 || wire.Full || isLaterEra
+		response.Topics, response.Eras = append(response.Topics, wire), append(response.Eras, int64(update.Era))
 	}
 	return response, hasUpdates
 }
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -224,18 +224,12 @@
 		s.setPeerHealth(peer, stale)
 		return errors.Newf("rows of peer %s are stale", peer)
 	}
-	for i, topic := range topics {
-		if wire := response.Topics[i]; wire.Loaded {
-			at := requestedAt + milliseconds(response.HeldMS) - milliseconds(wire.AgeMS)
-			update, to := fromWire(wire, at)
-			s.Logs[topic].ApplyFrom(update, from[i], to)
-		}
-	}
+	isEarlierEra := s.applyUpdates(response, from, requestedAt)
 	switch {
 	case response.Leaving:
 		s.setPeerHealth(peer, unresponsive)
 		return errors.Newf("peer %s is leaving", peer)
-	case !s.isFresh(response, requestedAt):
+	case isEarlierEra || !s.isFresh(response, requestedAt):
 		s.setPeerHealth(peer, stale)
 		return errors.Newf("rows of peer %s are stale", peer)
 	}
@@ -243,6 +237,38 @@
 	return nil
 }
 
+// applyUpdates applies the updates of a peer's response, and reports whether an urgent topic is of
+// an earlier era than the rows of this instance.
+func (s *Syncer) applyUpdates(response updateResponse, from []discovery.Position, requestedAt time.Duration) (isEarlierEra bool) {
+	for i, topic := range topics {
+		wire := response.Topics[i]
+		if !wire.Loaded {
+			continue
+		}
+		at := requestedAt + milliseconds(response.HeldMS) - milliseconds(wire.AgeMS)
+		reason := discovery.DroppedEarlierEra
+		if era, valid := s.peerEra(eraOf(response.Eras, i), topic); valid {
+			update, to := fromWire(wire, era, at)
+			reason = s.Logs[topic].ApplyFrom(update, from[i], to)
+		}
+		s.Metrics.countDropped(reason)
+		isEarlierEra = isEarlierEra || reason == discovery.DroppedEarlierEra && slices.Contains(urgentTopics, topic)
+	}
+	return isEarlierEra
+}
+
+// peerEra returns the era of a peer's rows. Rows without one are of a build that orders them by
+// their versions only, which is valid while the store has not come back from a copy.
+func (s *Syncer) peerEra(stated discovery.Era, topic discovery.Topic) (era discovery.Era, valid bool) {
+	if stated > 0 {
+		return stated, true
+	}
+	newest, _ := s.Eras.Newest()
+	held, _ := s.Logs[topic].Revision()
+	known := max(newest, held.Era)
+	return min(known, discovery.FirstEra), known <= discovery.FirstEra
+}
+
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // requestUpdates sends a request and returns the response with the positions from which
@@ -254,6 +280,7 @@
 		position := s.Logs[topic].Position()
 		held, _ := s.Logs[topic].Revision()
 		from = append(from, position)
+		request.Eras = append(request.Eras, int64(held.Era))
 		request.Positions = append(request.Positions, wirePosition{Log: position.LogID, Sequence: position.Sequence, Version: held.Version})
 	}
 	body, err := link.Encode(request)
