Drop changes since a version of an earlier era at logs of the later one

What callers would see: a change that an instance never sees, if the store returns during a call for changes and another instance's rows of the later era arrive before its response.

Cause: only the eras of the response and of the log were compared, not that of the version in the call.

Change: an update states the era of the version that its changes are since; all rows are read if that is another one.

--- a/internal/discovery/changelog.go
+++ b/internal/discovery/changelog.go
@@ -22,8 +22,10 @@
 // Update is the state or the changes of a topic, read from the store or another instance.
 type Update struct {
 	Batch
-	Full bool          // the batch holds all rows, not only changed ones
-	AsOf time.Duration // when the store was read, by the clock of the process that holds the update
+	Full bool // the batch holds all rows, not only changed ones
+	// SinceEra is the era of the version in the call to the store for changes.
+	SinceEra Era
+	AsOf     time.Duration // when the store was read, by the clock of the process that holds the update
 }
 
 // Position is an offset in the sequence of changes of one log. A version of the store
@@ -103,12 +105,14 @@
 )
 
 // Apply applies a response of the store. One that is older than the log is dropped, and so are
-// changes in another era than that of the log.
+// changes in another era than that of the log. The era of the call decides too: the log may have
+// reached the later era during the call, by an update of another log.
 func (l *ChangeLog) Apply(update Update) DropReason {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	reason := l.staleness(update.Revision())
-	if reason == NotDropped && !update.Full && l.loaded && update.Era != l.revision.Era {
+	isOtherEra := update.SinceEra != update.Era || l.revision.Era != update.Era
+	if reason == NotDropped && !update.Full && l.loaded && isOtherEra {
 		reason = DroppedLaterEra
 	}
 	if reason != NotDropped {
--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -372,7 +372,7 @@
 	c := newConsumer()
 	l := NewChangeLog(Configuration, func() time.Duration { return now }, SameValue, discardLogger(), c.apply, KeepNewer(OutdatedConfiguration(textDecoder{})))
 	apply := func(era Era, version int64, full bool, rows ...Row) {
-		g.Expect(l.Apply(Update{Batch: Batch{Rows: rows, Version: version, Era: era}, Full: full})).To(Equal(NotDropped))
+		g.Expect(l.Apply(Update{Batch: Batch{Rows: rows, Version: version, Era: era}, Full: full, SinceEra: era})).To(Equal(NotDropped))
 	}
 	held := func() map[string]string {
 		update, _, _ := l.Since(Position{}, Revision{})
@@ -396,3 +396,19 @@
 	g.Expect(held()).To(Equal(map[string]string{"config": "17"}))
 	g.Expect(c.state).To(Equal(held()))
 }
+
+// Guards against changes that are skipped because the response to a call from before a return
+// arrives after another instance's rows of the later era.
+func TestChangesSinceVersionOfEarlierEraAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	var now time.Duration
+	c := newConsumer()
+	l := newTestLog(c, &now)
+	l.Apply(Update{Batch: Batch{Era: 1, Version: 35}, Full: true})
+	l.ApplyFrom(Update{Batch: Batch{Era: 2, Version: 34}, Full: true}, Position{}, Position{LogID: "peer"})
+	// The row "b" has version 35 of era 2, which is not after version 35 of era 1.
+	late := Update{Batch: Batch{Era: 2, Version: 36, Rows: []Row{row("a", "1", 36)}}, SinceEra: 1}
+	g.Expect(l.Apply(late)).To(Equal(DroppedLaterEra))
+	late.SinceEra = 2
+	g.Expect(l.Apply(late)).To(Equal(NotDropped))
+}
--- a/internal/discovery/reader.go
+++ b/internal/discovery/reader.go
@@ -182,12 +182,17 @@
 	if err != nil {
 		return NotDropped, err
 	}
+	return r.apply(update), nil
+}
+
+// apply applies a response unless the store has shown a later era since.
+func (r *Reader) apply(update Update) DropReason {
 	reason := DroppedEarlierEra
 	if newest, _ := r.eras.Newest(); update.Era >= newest {
 		reason = r.changeLog.Apply(update)
 	}
 	r.countCall(r.topic, outcomeOf(update, reason))
-	return reason, nil
+	return reason
 }
 
 // outcomeOf returns the outcome of a call whose response was applied, or dropped for a reason.
@@ -206,7 +211,7 @@
 }
 
 func (r *Reader) call(ctx context.Context, held Revision, full bool) (Update, error) {
-	update := Update{Full: full, AsOf: r.clock()}
+	update := Update{Full: full, SinceEra: held.Era, AsOf: r.clock()}
 	var err error
 	if full {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
