Give up an era that only peers have stated and the store contradicts

What callers would see: one faulty peer that states an era far ahead makes its followers drop each response of the store for good.

Evidence (before): TestEraThatStoreContradictsIsGivenUp keeps {"a":"x"} of the peer.

A reader whose rows are of an era that the store has not shown reads all rows anew after three consecutive responses of an earlier era.

After: the test passes, with at most ten calls in three seconds.

--- a/internal/discovery/changelog.go
+++ b/internal/discovery/changelog.go
@@ -38,7 +38,8 @@
 
 // ChangeLog holds the rows of one topic as of a revision of the store. It applies responses
 // of the store and of other logs, and passes each change to its consumer once. The revision
-// never decreases; the versions of a later era may be lower than those of the era before.
+// does not decrease, except by ForgetRevision; the versions of a later era may be lower than those
+// of the era before.
 type ChangeLog struct {
 	topic Topic
 	id    string
@@ -143,6 +144,14 @@
 	return NotDropped
 }
 
+// ForgetRevision makes the log apply the next update, whatever its revision, as if it were the
+// first. The rows stay until then.
+func (l *ChangeLog) ForgetRevision() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loaded, l.revision, l.source = false, Revision{}, Position{}
+}
+
 // staleness returns why an update of a revision is older than the log, if it is. The caller
 // holds mu.
 func (l *ChangeLog) staleness(revision Revision) DropReason {
--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -412,3 +412,30 @@
 	late.SinceEra = 2
 	g.Expect(l.Apply(late)).To(Equal(NotDropped))
 }
+
+// Guards against a peer that states an era the store never had, so that each response of the store
+// is dropped for good.
+func TestEraThatStoreContradictsIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		eras := NewEraTracker()
+		store := newReturningStore(eras)
+		store.write("a", "1")
+		r := startReader(t, store, eras, NewBackoff(func(bool) {}), PollSchedule{Wait: time.Second})
+		time.Sleep(3 * time.Second)
+		faulty := Update{Batch: Batch{Era: 1 << 60, Version: 1 << 60, Rows: []Row{row("a", "x", 1)}}, Full: true}
+		g.Expect(r.changeLog.ApplyFrom(faulty, Position{}, Position{LogID: "peer", Sequence: 1})).To(Equal(NotDropped))
+		store.takeCounts()
+		store.write("a", "2")
+		time.Sleep(3 * time.Second)
+		g.Expect(r.values()).To(HaveKeyWithValue("a", "2"))
+		g.Expect(r.changeLog.Position()).To(Equal(Position{}))
+		reads, changes := store.takeCounts()
+		g.Expect(reads + changes).To(BeNumerically("<=", 2*contradictionLimit+4))
+
+		store.returnFrom(store.copy())
+		store.write("a", "3")
+		time.Sleep(takeEffect)
+		g.Expect(r.values()).To(HaveKeyWithValue("a", "3"))
+	})
+}
--- a/internal/discovery/reader.go
+++ b/internal/discovery/reader.go
@@ -20,6 +20,10 @@
 	// outageThreshold is the time without a response after which the store counts as
 	// lost: several consecutive calls have failed.
 	outageThreshold = 2500 * time.Millisecond
+	// contradictionLimit is the number of consecutive calls whose responses are of an earlier era
+	// than the rows, after which an era that only peers have stated is given up. A single one
+	// may be a late response from before a return of the store.
+	contradictionLimit = 3
 )
 
 // errInterrupted is the result of a long poll that StoreStateChanged or a return of the store
@@ -48,9 +52,10 @@
 	countCall    func(topic Topic, outcome string)
 	eras         *EraTracker
 
-	lastResponse time.Time // used by Run only
-	inOutage     bool
-	held         atomic.Pointer[heldCall] // long poll in progress; nil: none. Also read by StoreStateChanged
+	lastResponse   time.Time // used by Run only, as the next two
+	inOutage       bool
+	contradictions int                      // consecutive calls whose responses were of an earlier era than the rows
+	held           atomic.Pointer[heldCall] // long poll in progress; nil: none. Also read by StoreStateChanged
 }
 
 // heldCall is a long poll in progress.
@@ -169,8 +174,10 @@
 		r.countCall(r.topic, OutcomeFailed)
 		return err
 	case reason != NotDropped:
+		r.recordDropped(reason, held)
 		return errors.Wrapf(errDropped, "%s", reason)
 	}
+	r.contradictions = 0
 	r.recordSuccess()
 	r.lastResponse = time.Now()
 	return nil
@@ -244,6 +251,20 @@
 	r.backoff.Failed(!known)
 }
 
+// recordDropped counts contradictions of the store to the era of the rows.
+func (r *Reader) recordDropped(reason DropReason, held Revision) {
+	newest, _ := r.eras.Newest()
+	if reason != DroppedEarlierEra || newest >= held.Era {
+		r.contradictions = 0
+		return
+	}
+	if r.contradictions++; r.contradictions >= contradictionLimit {
+		r.contradictions = 0
+		r.log.WithFields(logrus.Fields{"era": newest, "held_era": held.Era}).Warn("the store contradicts the era stated by a peer; reading all rows")
+		r.changeLog.ForgetRevision()
+	}
+}
+
 func (r *Reader) recordSuccess() {
 	r.backoff.Succeeded()
 	if r.inOutage {
