--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -372,7 +372,7 @@
 	c := newConsumer()
 	l := NewChangeLog(Configuration, func() time.Duration { return now }, SameValue, discardLogger(), c.apply, KeepNewer(OutdatedConfiguration(textDecoder{})))
 	apply := func(era Era, version int64, full bool, rows ...Row) {
-		g.Expect(l.Apply(Update{Batch: Batch{Rows: rows, Version: version, Era: era}, Full: full})).To(Equal(NotDropped))
+		g.Expect(l.Apply(Update{Batch: Batch{Rows: rows, Version: version, Era: era}, Full: full, SinceEra: era})).To(Equal(NotDropped))
 	}
 	held := func() map[string]string {
 		update, _, _ := l.Since(Position{}, Revision{})
@@ -396,3 +396,46 @@
 	g.Expect(held()).To(Equal(map[string]string{"config": "17"}))
 	g.Expect(c.state).To(Equal(held()))
 }
+
+// Guards against changes that are skipped because the response to a call from before a return
+// arrives after another instance's rows of the later era.
+func TestChangesSinceVersionOfEarlierEraAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	var now time.Duration
+	c := newConsumer()
+	l := newTestLog(c, &now)
+	l.Apply(Update{Batch: Batch{Era: 1, Version: 35}, Full: true})
+	l.ApplyFrom(Update{Batch: Batch{Era: 2, Version: 34}, Full: true}, Position{}, Position{LogID: "peer"})
+	// The row "b" has version 35 of era 2, which is not after version 35 of era 1.
+	late := Update{Batch: Batch{Era: 2, Version: 36, Rows: []Row{row("a", "1", 36)}}, SinceEra: 1}
+	g.Expect(l.Apply(late)).To(Equal(DroppedLaterEra))
+	late.SinceEra = 2
+	g.Expect(l.Apply(late)).To(Equal(NotDropped))
+}
+
+// Guards against a peer that states an era the store never had, so that each response of the store
+// is dropped for good.
+func TestEraThatStoreContradictsIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		eras := NewEraTracker()
+		store := newReturningStore(eras)
+		store.write("a", "1")
+		r := startReader(t, store, eras, NewBackoff(func(bool) {}), PollSchedule{Wait: time.Second})
+		time.Sleep(3 * time.Second)
+		faulty := Update{Batch: Batch{Era: 1 << 60, Version: 1 << 60, Rows: []Row{row("a", "x", 1)}}, Full: true}
+		g.Expect(r.changeLog.ApplyFrom(faulty, Position{}, Position{LogID: "peer", Sequence: 1})).To(Equal(NotDropped))
+		store.takeCounts()
+		store.write("a", "2")
+		time.Sleep(3 * time.Second)
+		g.Expect(r.values()).To(HaveKeyWithValue("a", "2"))
+		g.Expect(r.changeLog.Position()).To(Equal(Position{}))
+		reads, changes := store.takeCounts()
+		g.Expect(reads + changes).To(BeNumerically("<=", 2*contradictionLimit+4))
+
+		store.returnFrom(store.copy())
+		store.write("a", "3")
+		time.Sleep(takeEffect)
+		g.Expect(r.values()).To(HaveKeyWithValue("a", "3"))
+	})
+}
