Keep the instances and the secret that a returned store lacks

What callers saw: after the store came back from a copy, the list of instances was short, so parts of request rates and of the retry budget were too large; instances without a row had no part for 17 s; one that started then made a second secret, with which it could link to nobody.

Cause: a row that the copy lacks counted as deleted, the own row as removed, and the secret that was held was never compared with the store nor written again.

Change: discovery.RowKeeper keeps rows that a returned store lacks for a settle time, and deletes the others with the first update after that. The instance whose row is lost stays listed (30 s, less than the 60 s for which the others keep it), writes it again within 15 ms for each instance, and settles anew only if it had not settled when the row was lost. Few instances write the secret again soon; one that knows none waits if there may be holders; the row of the store rules. Rows of lost instances that the copy shows are removed again by who removed them.

--- /dev/null
+++ b/internal/discovery/rowkeeper.go
@@ -0,0 +1,67 @@
+package discovery
+
+import (
+	"sync"
+	"time"
+)
+
+// RowConsumer gets the changed rows of a topic and the time since the previous update. stored
+// reports whether the store has a row; it is valid during the call only.
+type RowConsumer func(changes Batch, gap time.Duration, stored func(key string) bool)
+
+// RowKeeper passes changes of a topic to its consumer. Rows that the store lacks after it has
+// come back from a copy are kept for the settle time, in which their owners write them again. The
+// first update after that deletes the others: an instance that has not read the rows since
+// does not know which are gone.
+type RowKeeper struct {
+	settleTime time.Duration
+	consume    RowConsumer
+
+	mu      sync.Mutex            // guards the fields below
+	present map[string]bool       // keys of the rows in the store
+	lacking map[string]lackingRow // by key
+}
+
+// lackingRow is a row that the store has lost.
+type lackingRow struct {
+	deletion Row
+	keptFrom time.Time
+}
+
+// NewRowKeeper returns a keeper without rows.
+func NewRowKeeper(settleTime time.Duration, consume RowConsumer) *RowKeeper {
+	return &RowKeeper{settleTime: settleTime, consume: consume, present: map[string]bool{}, lacking: map[string]lackingRow{}}
+}
+
+// Apply applies changed rows.
+func (k *RowKeeper) Apply(batch Batch, gap time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	rows := make([]Row, 0, len(batch.Rows))
+	for _, row := range batch.Rows {
+		if row.Deleted {
+			delete(k.present, row.Key)
+		} else {
+			k.present[row.Key] = true
+			delete(k.lacking, row.Key)
+		}
+		if row.Deleted && batch.Returned {
+			k.lacking[row.Key] = lackingRow{deletion: row}
+			continue
+		}
+		rows = append(rows, row)
+	}
+	for key, row := range k.lacking {
+		switch {
+		case batch.Returned:
+			row.keptFrom = now
+			k.lacking[key] = row
+		case now.Sub(row.keptFrom) >= k.settleTime:
+			delete(k.lacking, key)
+			rows = append(rows, row.deletion)
+		}
+	}
+	batch.Rows = rows
+	k.consume(batch, gap, func(key string) bool { return k.present[key] })
+}
--- a/internal/storesync/members.go
+++ b/internal/storesync/members.go
@@ -7,6 +7,7 @@
 package storesync
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"maps"
@@ -38,6 +39,15 @@
 	maxDomainLength = 128
 )
 
+const (
+	// memberSettleTime is how long an instance counts whose row the store lacks after it has
+	// come back from a copy. A short list would make the parts of request rates too large.
+	memberSettleTime = time.Minute
+	// ownRowSettleTime is how long an instance counts itself as listed meanwhile. It is shorter,
+	// so that an instance gives up its part before the others divide it.
+	ownRowSettleTime = 30 * time.Second
+)
+
 // Member is an instance of the fleet as registered in the store.
 type Member struct {
 	ID      contract.InstanceID
@@ -53,7 +63,7 @@
 	Address string  `json:"address"`
 	Domain  string  `json:"failure_domain"`
 	Weight  float64 `json:"weight"`
-	// WrittenAt only makes a refreshed row differ from the one before, in Unix milliseconds.
+	// WrittenAt makes a refreshed row differ from the one before, in Unix milliseconds.
 	WrittenAt int64 `json:"written_at,omitempty"`
 }
 
@@ -66,25 +76,26 @@
 }
 
 // decodeMember decodes and validates the row of a member, which another program may have
-// written.
-func decodeMember(key string, value []byte) (Member, error) {
-	member, err := parseMember(key, value)
+// written. writtenAt orders the rows of one instance.
+func decodeMember(key string, value []byte) (member Member, writtenAt int64, err error) {
+	member, writtenAt, err = parseMember(key, value)
 	if err == nil {
 		err = member.validate()
 	}
-	return member, err
+	return member, writtenAt, err
 }
 
-func parseMember(key string, value []byte) (Member, error) {
+func parseMember(key string, value []byte) (member Member, writtenAt int64, err error) {
 	var row memberRow
 	if !utf8.Valid(value) {
-		return Member{}, errors.New("instance row is not UTF-8")
+		return Member{}, 0, errors.New("instance row is not UTF-8")
 	}
 	if err := json.Unmarshal(value, &row); err != nil {
-		return Member{}, errors.Wrap(err, "decode instance row")
+		return Member{}, 0, errors.Wrap(err, "decode instance row")
 	}
 	id := strings.TrimPrefix(key, memberPrefix)
-	return Member{ID: contract.InstanceID(id), Address: row.Address, Domain: contract.FailureDomainID(row.Domain), Weight: row.Weight}, nil
+	member = Member{ID: contract.InstanceID(id), Address: row.Address, Domain: contract.FailureDomainID(row.Domain), Weight: row.Weight}
+	return member, row.WrittenAt, nil
 }
 
 func (m Member) validate() error {
@@ -118,11 +129,13 @@
 
 // Members holds the instances of the fleet. It always contains this instance.
 type Members struct {
-	self Member
-	log  logrus.FieldLogger
+	self   Member
+	log    logrus.FieldLogger
+	keeper *discovery.RowKeeper
 
 	mu      sync.Mutex // guards the fields below
 	members map[contract.InstanceID]Member
+	rows    map[contract.InstanceID]heldRow // of the other members
 	// changedAt is when the row of each other member last changed, as seen by this instance.
 	changedAt map[contract.InstanceID]time.Time
 	secret    []byte
@@ -133,21 +146,33 @@
 	listedAt      time.Time // since when, as far as this process knows
 	// wasListed means that the row is from before the start of this process.
 	wasListed bool
-	isLoaded  bool          // the rows have been read once
-	loaded    chan struct{} // closed when isLoaded is set
-	changed   chan struct{} // closed at the next change
+	// rowLostAt is when the store had lost the row of this instance, zero if it has the row. The
+	// instance counts as listed until ownRowSettleTime is over.
+	rowLostAt time.Time
+	// lostUnsettled means that the row was lost before all others had read it.
+	lostUnsettled bool
+	secretLost    bool // the store has lost the secret that is held
+	returned      bool // the store has come back from a copy since the start
+	settleTime    func(listedAt time.Time) time.Duration
+	isLoaded      bool          // the rows have been read once
+	loaded        chan struct{} // closed when isLoaded is set
+	changed       chan struct{} // closed at the next change
 }
 
 // NewMembers returns a fleet of one.
 func NewMembers(self Member, log logrus.FieldLogger) *Members {
-	return &Members{
-		self: self, log: log, members: map[contract.InstanceID]Member{self.ID: self}, changedAt: map[contract.InstanceID]time.Time{},
-		loaded: make(chan struct{}), changed: make(chan struct{}),
+	m := &Members{
+		self: self, log: log, members: map[contract.InstanceID]Member{self.ID: self}, rows: map[contract.InstanceID]heldRow{},
+		changedAt: map[contract.InstanceID]time.Time{}, loaded: make(chan struct{}), changed: make(chan struct{}),
 	}
+	m.keeper = discovery.NewRowKeeper(memberSettleTime, m.apply)
+	return m
 }
 
 // Apply applies changed rows of the topic Instances.
-func (m *Members) Apply(batch discovery.Batch, _ time.Duration) {
+func (m *Members) Apply(batch discovery.Batch, gap time.Duration) { m.keeper.Apply(batch, gap) }
+
+func (m *Members) apply(batch discovery.Batch, _ time.Duration, stored func(key string) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, row := range batch.Rows {
@@ -155,14 +180,17 @@
 		case row.Key == secretKey:
 			m.applySecret(row)
 		case strings.HasPrefix(row.Key, memberPrefix):
-			m.applyMember(row)
+			m.applyMember(row, batch.Returned)
 		}
 	}
+	if batch.Returned {
+		m.recordReturn(stored)
+	}
 	if !m.isLoaded {
 		m.isLoaded = true
 		close(m.loaded)
 	}
-	if len(batch.Rows) > 0 {
+	if len(batch.Rows) > 0 || batch.Returned {
 		m.notify()
 	}
 }
@@ -172,31 +200,44 @@
 	m.changed = make(chan struct{})
 }
 
+// applySecret applies the row of the secret, which replaces the one that is held: instances
+// with different secrets cannot link.
 func (m *Members) applySecret(row discovery.Row) {
-	m.secretInvalid = !row.Deleted && len(row.Value) != secretBytes
-	if m.secretInvalid {
-		m.log.WithField("bytes", len(row.Value)).Warn("secret of the fleet is not valid; links stay disabled")
+	if row.Deleted {
+		m.secretInvalid, m.secretLost = false, m.secret != nil
 		return
 	}
-	if m.secret == nil && !row.Deleted {
+	m.secretInvalid, m.secretLost = len(row.Value) != secretBytes, false
+	switch {
+	case m.secretInvalid:
+		m.log.WithField("bytes", len(row.Value)).Warn("secret of the fleet is not valid; links stay as they are")
+	case m.secret == nil:
+		m.secret = slices.Clone(row.Value)
+	case !bytes.Equal(m.secret, row.Value):
+		m.log.WithField("row_version", row.Version).Warn("secret of the fleet replaced by the one in the store")
 		m.secret = slices.Clone(row.Value)
 	}
 }
 
-func (m *Members) applyMember(row discovery.Row) {
+func (m *Members) applyMember(row discovery.Row, returned bool) {
 	id := contract.InstanceID(strings.TrimPrefix(row.Key, memberPrefix))
 	if id == m.self.ID {
-		member, err := parseMember(row.Key, row.Value)
-		m.setListed(!row.Deleted && err == nil && member == m.self)
+		m.applyOwnRow(row, returned)
 		return
 	}
 	if row.Deleted {
 		delete(m.members, id)
 		delete(m.changedAt, id)
+		delete(m.rows, id)
 		return
 	}
+	member, writtenAt, err := decodeMember(row.Key, row.Value)
+	held, known := m.rows[id]
+	if known && returned && err == nil && writtenAt < held.writtenAt {
+		return // the instance writes the newer one again
+	}
 	m.changedAt[id] = time.Now()
-	member, err := decodeMember(row.Key, row.Value)
+	m.rows[id] = heldRow{value: row.Value, writtenAt: writtenAt, fromCopy: returned && !known}
 	if err != nil {
 		m.log.WithError(err).WithField("key", row.Key).Warn("invalid instance row ignored")
 		delete(m.members, id)
@@ -205,14 +246,6 @@
 	m.members[id] = member
 }
 
-// setListed records whether this instance is listed. The caller holds mu.
-func (m *Members) setListed(listed bool) {
-	if listed && !m.listed {
-		m.listedAt, m.wasListed = time.Now(), !m.isLoaded
-	}
-	m.listed = listed
-}
-
 // Fleet returns the instances among which the request rates of upstreams are divided.
 // settleTime returns the time in which all instances read the list after this one was listed.
 // An instance that was listed before its start has its part at once, since the others kept
@@ -220,20 +253,25 @@
 func (m *Members) Fleet(settleTime func(listedAt time.Time) time.Duration) *fleetrate.Fleet {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.settleTime = settleTime
 	fleet := &fleetrate.Fleet{Self: string(m.self.ID)}
 	for _, member := range m.members {
 		fleet.Instances = append(fleet.Instances, fleetrate.Instance{ID: string(member.ID), FailureDomain: string(member.Domain)})
 	}
-	switch {
-	case !m.isLoaded || !m.listed:
-	case m.wasListed:
-		fleet.SettledAt = m.listedAt
-	default:
-		fleet.SettledAt = m.listedAt.Add(settleTime(m.listedAt))
+	if m.isLoaded && m.listed && !(m.lostUnsettled && !m.rowLostAt.IsZero()) {
+		fleet.SettledAt = m.settledAt()
 	}
 	return fleet
 }
 
+// settledAt returns when all others count this instance, which is listed. The caller holds mu.
+func (m *Members) settledAt() time.Time {
+	if m.wasListed || m.settleTime == nil {
+		return m.listedAt
+	}
+	return m.listedAt.Add(m.settleTime(m.listedAt))
+}
+
 // DomainMembers returns the members of this instance's failure domain by descending read priority.
 func (m *Members) DomainMembers() []Member {
 	m.mu.Lock()
@@ -323,19 +361,6 @@
 	return m.changed
 }
 
-func (m *Members) isListed() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.listed
-}
-
-// needsSecret reports whether there is no row with the secret of the fleet.
-func (m *Members) needsSecret() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.secret == nil && !m.secretInvalid
-}
-
 // AuthoritySecret returns the secret of the fleet's certificate authority, nil before it is read.
 func (m *Members) AuthoritySecret() []byte {
 	m.mu.Lock()
@@ -343,19 +368,6 @@
 	return m.secret
 }
 
-// markRegistered records that this instance has written its row, and the secret of the
-// fleet.
-func (m *Members) markRegistered(secret []byte) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.setListed(true)
-	if m.secret == nil && len(secret) == secretBytes {
-		m.secret = slices.Clone(secret)
-	}
-	m.secretInvalid = m.secret == nil
-	m.notify()
-}
-
 // LinksUsable reports whether the failure domain is large enough for links, and the rows and
 // the secret that they need are present.
 func (m *Members) LinksUsable() bool {
--- a/internal/storesync/oddrow_test.go
+++ b/internal/storesync/oddrow_test.go
@@ -36,7 +36,7 @@
 func TestOddRowIsNoInstance(t *testing.T) {
 	g := NewWithT(t)
 	for _, value := range oddRows() {
-		_, err := decodeMember("instance/odd", []byte(value))
+		_, _, err := decodeMember("instance/odd", []byte(value))
 		g.Expect(err).To(HaveOccurred(), "%.80q", value)
 	}
 }
--- a/internal/storesync/registrar.go
+++ b/internal/storesync/registrar.go
@@ -28,6 +28,29 @@
 	lostCheckInterval = time.Minute
 )
 
+// The store takes 200 writes a second in a part. After it has come back from a copy, the
+// upstreams and the operator write again as well.
+const (
+	// minRewriteSpread and rewriteSpreadPerMember give the time over which the instances write
+	// lost rows again.
+	minRewriteSpread       = 300 * time.Millisecond
+	rewriteSpreadPerMember = 15 * time.Millisecond
+	// secretWriters is how many instances write a lost secret again at intervals of
+	// secretWriterInterval. The others, which read its row only some seconds later, do so after
+	// secretBackupDelay, over secretBackupSpread.
+	secretWriters        = 4
+	secretWriterInterval = 500 * time.Millisecond
+	secretBackupDelay    = 12 * time.Second
+	secretBackupSpread   = 20 * time.Second
+	// secretWait and secretWaitSpread are the time in which an instance that knows no secret
+	// leaves it to others to write theirs again.
+	secretWait       = 5 * time.Second
+	secretWaitSpread = 3 * time.Second
+	// removedRetention is how long a removed row is remembered. Copies of the store are
+	// seconds old.
+	removedRetention = 10 * time.Minute
+)
+
 // Registrar maintains this instance's row in the store and removes the rows of lost
 // instances.
 type Registrar struct {
@@ -39,9 +62,38 @@
 	Log     logrus.FieldLogger
 
 	writtenAt time.Duration // when Run began or last wrote the row, by the clock
+	started   bool          // the first writes have been planned
+	removed   map[contract.InstanceID]removedRow
+}
+
+// removedRow is the row of a lost instance that this instance has removed.
+type removedRow struct {
+	value []byte
+	at    time.Duration // by the clock
+}
+
+// plannedWrite is when a row is written, and why.
+type plannedWrite struct {
+	need  writeNeed
+	dueAt time.Time
 }
 
-// Run registers the instance, again whenever its row is deleted, until ctx ends.
+// plan sets the time of a write whose need is new.
+func (p *plannedWrite) plan(now time.Time, need writeNeed, delay func(writeNeed) time.Duration) {
+	if need != p.need {
+		p.need = need
+		p.dueAt = now.Add(delay(need))
+	}
+}
+
+func (p *plannedWrite) isDue(now time.Time) bool { return p.need != upToDate && !now.Before(p.dueAt) }
+
+// retry sets the time of a write that has failed.
+func (p *plannedWrite) retry(now time.Time) {
+	p.dueAt = now.Add(fractionOf(mathrand.Float64(), 2*writeRetryPause))
+}
+
+// Run registers the instance, again whenever its row is deleted or lost, until ctx ends.
 func (r *Registrar) Run(ctx context.Context) {
 	select {
 	case <-r.Members.Loaded():
@@ -52,40 +104,115 @@
 	defer lostCheck.Stop()
 	lastContact := map[contract.InstanceID]time.Duration{}
 	r.writtenAt = r.Clock()
-	for delay := time.Duration(0); ctx.Err() == nil; delay = 2 * writeRetryPause {
+	var row, secret plannedWrite
+	for ctx.Err() == nil {
 		changed := r.Members.Changed()
-		if !r.Members.isListed() || r.Members.needsSecret() {
-			sleep(ctx, fractionOf(mathrand.Float64(), delay))
+		rowNeed, secretNeed := r.Members.needs()
+		now := time.Now()
+		row.plan(now, rowNeed, r.rowDelay)
+		secret.plan(now, secretNeed, r.secretDelay)
+		r.started = true
+		r.removeReappeared(ctx)
+		// An instance that reads the row of another one can thus expect the secret as well.
+		if secret.isDue(now) {
+			r.writeSecret(ctx)
+			secret.retry(time.Now())
+			continue
+		}
+		if row.isDue(now) {
 			r.register(ctx)
+			row.retry(time.Now())
 			continue
 		}
+		due := time.NewTimer(untilNextWrite(now, row, secret))
 		select {
 		case <-changed:
+		case <-due.C:
 		case <-lostCheck.C:
 			r.refreshRow(ctx)
 			r.removeLost(ctx, lastContact)
 		case <-ctx.Done():
 		}
+		due.Stop()
+	}
+}
+
+func untilNextWrite(now time.Time, writes ...plannedWrite) time.Duration {
+	wait := lostCheckInterval
+	for _, w := range writes {
+		if w.need != upToDate {
+			wait = min(wait, w.dueAt.Sub(now))
+		}
+	}
+	return wait
+}
+
+// rowDelay returns the time until the row of this instance is written.
+func (r *Registrar) rowDelay(need writeNeed) time.Duration {
+	switch {
+	case need == lost:
+		return fractionOf(mathrand.Float64(), r.rewriteSpread())
+	case !r.started:
+		return 0
+	}
+	return fractionOf(mathrand.Float64(), 2*writeRetryPause)
+}
+
+func (r *Registrar) rewriteSpread() time.Duration {
+	return max(minRewriteSpread, time.Duration(r.Members.Count())*rewriteSpreadPerMember)
+}
+
+// secretDelay returns the time until the secret is written.
+func (r *Registrar) secretDelay(need writeNeed) time.Duration {
+	switch {
+	case need == lost:
+		return r.lostSecretDelay()
+	case r.Members.secretMayBeHeld():
+		return secretWait + fractionOf(mathrand.Float64(), secretWaitSpread)
+	case !r.started:
+		return 0
 	}
+	return fractionOf(mathrand.Float64(), 2*writeRetryPause)
 }
 
-// register writes the row of this instance, and the secret of the fleet if there is none.
+// lostSecretDelay returns the time until this instance writes a lost secret again. Few do so
+// soon, in an order that is the same at all instances.
+func (r *Registrar) lostSecretDelay() time.Duration {
+	for rank, m := range r.Members.all() {
+		if rank < secretWriters && m.ID == r.Self.ID {
+			return time.Duration(rank)*secretWriterInterval + fractionOf(mathrand.Float64(), secretWriterInterval/2)
+		}
+	}
+	return secretBackupDelay + fractionOf(mathrand.Float64(), secretBackupSpread)
+}
+
+// register writes the row of this instance.
 func (r *Registrar) register(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	secret, err := r.fleetSecret(ctx)
+	if err := r.writeRow(ctx); err != nil {
+		r.Log.WithError(err).Warn("instance registration failed")
+		return
+	}
+	r.Members.markListed()
+	r.Log.WithFields(logrus.Fields{"address": r.Self.Address, "domain": r.Self.Domain, "weight": r.Self.Weight}).Info("instance registered")
+}
+
+// writeSecret writes the secret of the fleet if there is none, and reads it.
+func (r *Registrar) writeSecret(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	secret := r.Members.AuthoritySecret()
+	if secret == nil {
+		secret = make([]byte, secretBytes)
+		_, _ = rand.Read(secret) // never fails
+	}
+	current, err := r.Store.Create(ctx, discovery.Instances, secretKey, secret)
 	if err != nil {
 		r.Log.WithError(err).Warn("secret of the fleet could not be read or created")
 		return
 	}
-	if !r.Members.isListed() {
-		if err := r.writeRow(ctx); err != nil {
-			r.Log.WithError(err).Warn("instance registration failed")
-			return
-		}
-	}
-	r.Members.markRegistered(secret)
-	r.Log.WithFields(logrus.Fields{"address": r.Self.Address, "domain": r.Self.Domain, "weight": r.Self.Weight}).Info("instance registered")
+	r.Members.markSecret(current)
 }
 
 func (r *Registrar) writeRow(ctx context.Context) error {
@@ -112,16 +239,6 @@
 	}
 }
 
-// fleetSecret returns the secret of the fleet, and creates it if there is none.
-func (r *Registrar) fleetSecret(ctx context.Context) ([]byte, error) {
-	if secret := r.Members.AuthoritySecret(); secret != nil {
-		return secret, nil
-	}
-	generated := make([]byte, secretBytes)
-	_, _ = rand.Read(generated) // never fails
-	return r.Store.Create(ctx, discovery.Instances, secretKey, generated)
-}
-
 // removeLost removes the rows of lost instances: those of the own failure domain, and, if this
 // is the first instance of the fleet, those of all domains without links.
 func (r *Registrar) removeLost(ctx context.Context, lastContact map[contract.InstanceID]time.Duration) {
@@ -167,9 +284,28 @@
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	log := r.Log.WithFields(logrus.Fields{"peer": m.ID, "silent_s": int(silent.Seconds())})
+	value := r.Members.rowValue(m.ID)
 	if err := r.Store.Remove(ctx, discovery.Instances, m.rowKey()); err != nil {
 		log.WithError(err).Info("row of a lost instance was not removed")
 		return
 	}
+	if r.removed == nil {
+		r.removed = map[contract.InstanceID]removedRow{}
+	}
+	r.removed[m.ID] = removedRow{value, r.Clock()}
 	log.Info("row of a lost instance removed")
 }
+
+// removeReappeared removes the rows of lost instances again that the store shows since it has
+// come back from a copy.
+func (r *Registrar) removeReappeared(ctx context.Context) {
+	for id, row := range r.removed {
+		if r.Clock()-row.at >= removedRetention {
+			delete(r.removed, id)
+			continue
+		}
+		if m, ok := r.Members.reappeared(id, row.value); ok {
+			r.removeRow(ctx, m, r.Clock()-row.at)
+		}
+	}
+}
--- /dev/null
+++ b/internal/storesync/returnedstore_test.go
@@ -0,0 +1,169 @@
+package storesync
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a short list of instances, and thus too large parts of the request rates, and
+// against instances without a part, a secret or a row after a return that has lost their rows.
+func TestFleetOutlastsAReturnThatLosesItsRows(t *testing.T) {
+	for _, size := range []int{1, 6, 300} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				store := newCopiedStore(t)
+				fleet := store.startFleet(size)
+				store.expectOneFleet(fleet)
+				secret := fleet[0].members.AuthoritySecret()
+				store.restore(nil)
+				for restoredAt := time.Now(); time.Since(restoredAt) < 80*time.Second; time.Sleep(250 * time.Millisecond) {
+					for _, i := range fleet {
+						g.Expect(i.members.Count()).To(Equal(size), "%s counts after %s", i.ID, time.Since(restoredAt))
+						g.Expect(i.members.Registered()).To(BeTrue(), "%s after %s", i.ID, time.Since(restoredAt))
+						g.Expect(i.fleetSettledAt()).To(And(Not(BeZero()), BeTemporally("<=", restoredAt)), "%s", i.ID)
+					}
+				}
+				store.expectOneFleet(fleet)
+				g.Expect(bytes.Equal(fleet[0].members.AuthoritySecret(), secret)).To(BeTrue(), "the secret stays")
+				t.Log("writes: ", len(store.writes), " creations: ", store.creates, " most in a second: ", store.mostWrites())
+				g.Expect(store.mostWrites()).To(BeNumerically("<=", 100), "the store takes 200 a second in a part")
+				g.Expect(store.creates).To(BeNumerically("<=", min(size, 8)))
+				g.Expect(len(store.writes)).To(BeNumerically("<=", size+8), "one row each")
+			})
+		})
+	}
+}
+
+// Guards against a second secret, made by an instance that starts between a return and the time at
+// which the others have written theirs again: two parts of the fleet could not link.
+func TestStartedInstanceMakesNoSecondSecretAfterAReturn(t *testing.T) {
+	for _, size := range []int{1, 6, 60} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				store := newCopiedStore(t)
+				fleet := store.startFleet(size)
+				secret := fleet[0].members.AuthoritySecret()
+				rows, _, _, _ := store.snapshot()
+				delete(rows, secretKey)
+				store.restore(rows)
+				fleet = append(fleet, store.start(copiedMember(size)))
+				time.Sleep(time.Minute)
+				store.expectOneFleet(fleet)
+				g.Expect(bytes.Equal(fleet[size].members.AuthoritySecret(), secret)).To(BeTrue())
+			})
+		})
+	}
+}
+
+// Guards against instances that never link because they keep a secret that is not in the store.
+func TestSecretInTheStoreReplacesTheOneThatIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newCopiedStore(t)
+		fleet := store.startFleet(6)
+		rows, _, _, _ := store.snapshot()
+		rows[secretKey] = bytes.Repeat([]byte{7}, secretBytes)
+		store.restore(rows)
+		time.Sleep(2 * copiedReadInterval)
+		store.expectOneFleet(fleet)
+	})
+}
+
+// Guards against a lost instance that counts again for minutes because the copy has its row.
+func TestLostInstanceInTheCopyIsRemovedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := newCopiedStore(t)
+		fleet := store.startFleet(7)
+		fleet[6].stop()
+		var copied map[string][]byte
+		for rows, _, _, _ := store.snapshot(); rows[fleet[6].rowKey()] != nil; rows, _, _, _ = store.snapshot() {
+			copied = rows
+			time.Sleep(time.Second)
+		}
+		time.Sleep(2 * copiedReadInterval)
+		store.expectOneFleet(fleet[:6])
+		store.restore(copied)
+		time.Sleep(2 * copiedReadInterval)
+		store.expectOneFleet(fleet[:6])
+
+		// It has started again since.
+		fleet[6] = store.start(copiedMember(6))
+		time.Sleep(2 * copiedReadInterval)
+		store.expectOneFleet(fleet)
+		copied, _, _, _ = store.snapshot()
+		store.restore(copied)
+		time.Sleep(2 * copiedReadInterval)
+		store.expectOneFleet(fleet)
+		g.Expect(store.writes).To(BeEmpty())
+	})
+}
+
+// Guards against an instance that counts for good although it has ended before the return.
+func TestInstanceThatDoesNotWriteItsRowAgainIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := newCopiedStore(t)
+		fleet := store.startFleet(6)
+		fleet[5].stop()
+		store.restore(nil)
+		time.Sleep(2 * copiedReadInterval)
+		g.Expect(fleet[0].members.Count()).To(Equal(6), "it may write its row again")
+		time.Sleep(time.Minute)
+		store.expectOneFleet(fleet[:5])
+	})
+}
+
+// Guards against an instance that uses a part of the request rates while its row is lost and the
+// others may not have read it.
+func TestInstanceThatLosesItsRowBeforeAllReadItSettlesLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := newCopiedStore(t)
+		fleet := store.startFleet(5)
+		copied, _, _, _ := store.snapshot()
+		started := store.start(copiedMember(5))
+		time.Sleep(2 * time.Second)
+		g.Expect(started.members.Registered()).To(BeTrue())
+		store.restore(copied)
+		restoredAt := time.Now()
+		time.Sleep(time.Minute)
+		store.expectOneFleet(append(fleet, started))
+		g.Expect(started.fleetSettledAt()).To(BeTemporally(">=", restoredAt.Add(copiedSettleTime)))
+		g.Expect(started.fleetSettledAt()).To(BeTemporally("<=", restoredAt.Add(2*copiedSettleTime)))
+	})
+}
+
+// Guards against an instance that counts itself as listed, by which it uses a part of the
+// request rates, when the others no longer wait for its row.
+func TestInstanceThatCannotWriteItsRowAgainGivesUpItsPartFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := newCopiedStore(t)
+		fleet := store.startFleet(6)
+		store.update(func() { store.readOnly = true })
+		store.restore(nil)
+		var listedAt, forgottenAt time.Time
+		for range 1200 {
+			time.Sleep(100 * time.Millisecond)
+			for _, i := range fleet {
+				if i.members.Registered() {
+					listedAt = time.Now()
+				}
+				if forgottenAt.IsZero() && i.members.Count() < len(fleet) {
+					forgottenAt = time.Now()
+				}
+			}
+		}
+		g.Expect(forgottenAt).To(BeTemporally(">", listedAt))
+		store.update(func() { store.readOnly = false })
+		time.Sleep(time.Minute)
+		store.expectOneFleet(fleet)
+	})
+}
