Open links again after the secret of the fleet was replaced

What callers saw: if instances made two secrets around a return of the store, the two parts of the fleet never linked: each read the store directly, and notices did not cross while the store failed.

Cause: links used the secret of their start for good.

Evidence, before: TestInstancesLinkWithTheSecretThatTheStoreHasInTheEnd "Timed out after 10.054s. Expected false to be true".

Change: links end 1 to 3 s after the row of the secret changed, in which it is passed on over them, and open again with certificates of the new secret.

--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -47,8 +49,15 @@
 	linkRegion = "fleet"
 	// linkRetryPause is the pause after links failed.
 	linkRetryPause = 5 * time.Second
+	// linkRestartDelay is the time after a change of the fleet's secret in which instances pass it
+	// on over their present links, and linkRestartSpread that over which they open new ones.
+	linkRestartDelay  = time.Second
+	linkRestartSpread = 2 * time.Second
 )
 
+// errSecretReplaced ends links whose certificates follow from a former secret of the fleet.
+var errSecretReplaced = errors.New("the secret of the fleet was replaced")
+
 // syncParts are the components that synchronize an instance with the store.
 type syncParts struct {
 	settings   *Settings
@@ -160,8 +169,12 @@
 			if ctx.Err() != nil {
 				return
 			}
-			p.log.WithError(err).Error("links to other instances failed; reading the store directly")
 			p.syncer.SetTransport(nil)
+			if errors.Is(err, errSecretReplaced) {
+				p.log.WithError(err).Warn("links to other instances are opened again")
+				continue
+			}
+			p.log.WithError(err).Error("links to other instances failed; reading the store directly")
 			select {
 			case <-time.After(linkRetryPause):
 			case <-ctx.Done():
@@ -175,9 +188,32 @@
 	}
 }
 
-// serveLinks runs the links until ctx ends or they fail.
+// awaitNewSecret ends links by stop after the secret of the fleet was replaced.
+func (p *syncParts) awaitNewSecret(ctx context.Context, used []byte, stop context.CancelCauseFunc) {
+	for {
+		changed := p.members.Changed()
+		if !bytes.Equal(p.members.AuthoritySecret(), used) {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+	select {
+	case <-time.After(linkRestartDelay + time.Duration(rand.Float64()*float64(linkRestartSpread))):
+		stop(errSecretReplaced)
+	case <-ctx.Done():
+	}
+}
+
+// serveLinks runs the links until ctx ends, they fail, or the secret of the fleet is replaced.
 func (p *syncParts) serveLinks(ctx context.Context) error {
-	authority, err := tlskeys.DeriveAuthority(p.members.AuthoritySecret())
+	secret := p.members.AuthoritySecret()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	authority, err := tlskeys.DeriveAuthority(secret)
 	if err != nil {
 		return err
 	}
@@ -212,7 +248,12 @@
 	p.parts.setLinks(parts)
 	defer p.parts.setLinks(nil)
 	p.log.WithFields(logrus.Fields{"address": p.settings.LinkAddress, "domain_members": len(p.members.DomainMembers()), "members": p.members.Count()}).Info("links to other instances are open")
-	return transport.Run(ctx)
+	go p.awaitNewSecret(ctx, secret, stop)
+	err = transport.Run(ctx)
+	if cause := context.Cause(ctx); errors.Is(cause, errSecretReplaced) {
+		return errors.CombineErrors(cause, err)
+	}
+	return err
 }
 
 // callCounter counts calls to the store by topic and outcome.
