Let the emulated store come back from a copy

The emulated store states its era in all responses and can return to its state of some time ago: rows, tombstones and version counter, with the era one higher. Versions are given out again, and a read since a version that the store does not have gets 410. Optionally it is away before, held calls are answered or reset at the return, and responses are sent late, with the state and era of the moment when they were computed.

Evidence: go test -race -count 20 ./internal/standin/emulator passes.

--- a/internal/standin/emulator/store.go
+++ b/internal/standin/emulator/store.go
@@ -27,11 +27,17 @@
 	Tombstone bool   `json:"tombstone,omitempty"`
 }
 
+// storeKey is the key of a row in the store's map.
+func (r row) storeKey() string { return r.Table + "/" + r.Key }
+
 // StoreFault is an injected fault of the store. The zero value means no fault.
 type StoreFault struct {
 	Status      int  `json:"status"`       // HTTP status of all responses; 0: no fault
 	DelayMS     int  `json:"silent_ms"`    // delay before each response
 	DropHistory bool `json:"drop_history"` // discards the change history up to now, once
+	LateMS      int  `json:"late_ms"`      // delay of each response after it was computed
+	// Restore makes the store come back from a copy, once; nil: it does not.
+	Restore *Restore `json:"restore"`
 }
 
 // Store emulates the platform's store. It keeps its rows in memory.
@@ -39,6 +45,10 @@
 	mu          sync.Mutex // guards the fields below
 	version     int64
 	rows        map[string]row // by table and key; removed rows stay as tombstones
+	era         int64          // rises by one each time the store comes back from a copy
+	undo        []undoEntry    // of the changes within undoRetention, ordered by time
+	away        int            // number of restores that have begun and not ended
+	resetHeld   bool           // the last restore reset the held calls
 	droppedUpTo int64          // the change history up to this version is discarded
 	changed     chan struct{}  // closed at the next change
 	fault       StoreFault
@@ -47,7 +57,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: map[string]row{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{era: 1, rows: map[string]row{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 // CallCounts returns the number of calls that the store at an address received,
@@ -92,6 +102,25 @@
 	if fault.DelayMS > 0 && !sleep(r, time.Duration(fault.DelayMS)*time.Millisecond) {
 		return
 	}
+	if s.isAway() {
+		panic(http.ErrAbortHandler) // resets the connection
+	}
+	if fault.LateMS > 0 {
+		late := &lateResponse{header: http.Header{}, status: http.StatusOK}
+		s.serveCall(late, r, fault)
+		if sleep(r, time.Duration(fault.LateMS)*time.Millisecond) {
+			late.send(w)
+		}
+		return
+	}
+	s.serveCall(w, r, fault)
+}
+
+// serveCall serves a call of the store, or refuses it.
+func (s *Store) serveCall(w http.ResponseWriter, r *http.Request, fault StoreFault) {
+	s.mu.Lock()
+	s.setEra(w)
+	s.mu.Unlock()
 	if fault.Status != 0 {
 		w.WriteHeader(fault.Status)
 		return
@@ -115,16 +144,20 @@
 		return
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.fault = fault
 	if fault.DropHistory {
 		s.droppedUpTo = s.version
 	}
+	s.mu.Unlock()
+	if fault.Restore != nil {
+		s.Restore(*fault.Restore)
+	}
 }
 
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	rows, version := s.changedSince(r.URL.Query().Get("table"), 0), s.version
+	s.setEra(w)
 	s.mu.Unlock()
 	rows = slices.DeleteFunc(rows, func(r row) bool { return r.Tombstone })
 	slices.SortFunc(rows, func(a, b row) int { return strings.Compare(a.Key, b.Key) })
@@ -141,15 +174,24 @@
 	}
 	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timeout.Stop()
+	firstEra := int64(0)
 	for timedOut := wait == 0; ; {
 		s.mu.Lock()
 		rows, version, droppedUpTo, changed := s.changedSince(query.Get("table"), since), s.version, s.droppedUpTo, s.changed
+		if firstEra == 0 {
+			firstEra = s.era
+		}
+		restored, resetHeld, away := s.era != firstEra, s.resetHeld, s.away > 0
+		s.setEra(w)
 		s.mu.Unlock()
 		switch {
-		case since < droppedUpTo:
+		case restored && resetHeld:
+			panic(http.ErrAbortHandler) // resets the connection
+		case away: // answered or reset at the return
+		case since < droppedUpTo || since > version:
 			w.WriteHeader(http.StatusGone)
 			return
-		case len(rows) > 0 || timedOut:
+		case len(rows) > 0 || timedOut || restored:
 			writeJSON(w, map[string]any{"rows": rows, "ver": version})
 			return
 		}
@@ -191,22 +233,22 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	if current, met := s.checkExpected(tx.Expected); !met {
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(http.StatusPreconditionFailed)
 		_ = json.NewEncoder(w).Encode(map[string]any{"rows": current, "ver": s.version}) // an error means that the caller disconnected
 		return
 	}
-	s.version++
+	changes := map[string]row{}
 	for _, set := range tx.Set {
-		set.Version = s.version
-		s.rows[set.Table+"/"+set.Key] = set
+		set.Version = s.version + 1
+		changes[set.storeKey()] = set
 	}
 	for _, removed := range tx.Remove {
-		s.rows[removed.Table+"/"+removed.Key] = row{Table: removed.Table, Key: removed.Key, Version: s.version, Tombstone: true}
+		changes[removed.storeKey()] = row{Table: removed.Table, Key: removed.Key, Version: s.version + 1, Tombstone: true}
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.apply(changes, s.version+1)
 	writeJSON(w, map[string]any{"ver": s.version})
 }
 
@@ -215,7 +257,7 @@
 func (s *Store) checkExpected(expected []row) (current []row, met bool) {
 	met = true
 	for _, want := range expected {
-		stored := s.rows[want.Table+"/"+want.Key]
+		stored := s.rows[want.storeKey()]
 		if stored.Tombstone {
 			stored.Version = 0
 		}
