--- a/internal/testfleet/configuration.go
+++ b/internal/testfleet/configuration.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"time"
 )
 
 // Names in the configuration of a fleet: services, workspace, host and API key.
@@ -93,6 +94,17 @@
 	}
 }
 
+// SetTimeouts sets the timeout of all routes. WriteConfiguration puts it in force.
+func (f *Fleet) SetTimeouts(timeout time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, r := range f.configuration.Routes {
+		changed := maps.Clone(r)
+		changed["timeout_ms"] = timeout.Milliseconds()
+		f.configuration.Routes[i] = changed
+	}
+}
+
 // ChangeTimeouts sets the timeouts and goals of all routes to 1 to 1.5 times their first values,
 // so that no timeout is shorter than the deadlines of callers. factor is from [0, 1).
 func (f *Fleet) ChangeTimeouts(factor float64) {
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -52,6 +52,7 @@
 	Slots          int // of each server
 	TokenInterval  time.Duration
 	WorkDuration   time.Duration // processing time of a call or a prompt
+	Grace          time.Duration // grace time that the gateways know; 0: their default
 }
 
 // Fleet is a set of running processes: a store, servers and gateways.
@@ -236,11 +237,15 @@
 	if err != nil {
 		return nil, err
 	}
-	settings, err := json.Marshal(map[string]any{
+	values := map[string]any{
 		"link_address": linkAddress,
 		"instance":     name, "failure_domain": domainName(i % domains), "front_address": n.Address, "readiness_address": n.readinessAddress,
 		"store_address": n.Proxy.Address(), "log_lines_per_second": 2000,
-	})
+	}
+	if f.Grace > 0 {
+		values["grace_ms"] = f.Grace.Milliseconds()
+	}
+	settings, err := json.Marshal(values)
 	if err != nil {
 		return nil, err
 	}
