Answer a request that arrives while a leaving instance closes its connections

Callers: a request whose head was arriving when the instance closed its front listener got a closed connection and no answer. Cause: http.Server.Shutdown drops what is read after it began, and closes a kept connection whose request is half read. Evidence: the case on the code before: "unexpected EOF" instead of a response. Change: the instance closes its listener and the connections of which it has no byte of a request, decided under the lock that each read takes, and serves the others to their end, which closes them. The tests of closeFront use the listener of the gateway now; an unused connection is closed at once instead of after 300 ms.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,9 +33,6 @@
 	// balancerDetectionTime is the time after which a load balancer that checks once a
 	// second has seen two failed readiness checks, and sends no new connections.
 	balancerDetectionTime = 2500 * time.Millisecond
-	// closeTimeout bounds the wait for requests on connections that have none while the
-	// front listener closes.
-	closeTimeout = 300 * time.Millisecond
 	// drainPollInterval is the time between checks for requests in progress during a drain.
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -131,6 +128,7 @@
 	if g.settings.MetricsAddress != "" {
 		servers[&http.Server{Handler: g.metricsHandler(), ReadHeaderTimeout: headerTimeout}] = g.settings.MetricsAddress
 	}
+	var callers callerListener
 	for server, address := range servers {
 		listener, err := g.listen("tcp", address)
 		if err != nil {
@@ -138,13 +136,15 @@
 		}
 		defer server.Close()
 		if server == front {
-			listener = callerListener{netutil.LimitListener(listener, g.settings.maxConnections()), g.limits}
+			callers = newCallerListener(netutil.LimitListener(listener, g.settings.maxConnections()), g.limits)
+			listener = callers
 		}
 		group.Go(func() error {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				return errors.Wrapf(err, "serve %s", address)
+			err := server.Serve(listener)
+			if errors.Is(err, http.ErrServerClosed) || g.draining.Load() && errors.Is(err, net.ErrClosed) {
+				return nil
 			}
-			return nil
+			return errors.Wrapf(err, "serve %s", address)
 		})
 	}
 	g.log.WithFields(logrus.Fields{
@@ -155,7 +155,7 @@
 	case <-background.Done():
 		return group.Wait()
 	}
-	g.drain(front)
+	g.drain(callers)
 	g.log.Info("gateway stopped")
 	return nil
 }
@@ -198,7 +198,7 @@
 // drain waits until the load balancer has noticed that the instance is leaving and the last
 // request has ended, and closes the front listener. It has no time-out of its own: the process
 // is killed after the grace time.
-func (g *Gateway) drain(front *http.Server) {
+func (g *Gateway) drain(front callerListener) {
 	began := time.Now()
 	g.beginLeaving()
 	ticker := time.NewTicker(drainPollInterval)
@@ -206,24 +206,22 @@
 	for time.Since(began) < balancerDetectionTime || g.forwarder.ActiveRequests() > 0 {
 		<-ticker.C
 	}
-	if err := closeFront(front, g.forwarder.ActiveRequests); err != nil {
-		g.log.WithError(err).Info("connections without a request were closed")
+	if err := closeFront(front); err != nil {
+		g.log.WithError(err).Warn("front listener was not closed")
 	}
 }
 
 // closeFront closes the front listener and its connections, those with a request after its end:
-// one may have begun since the last check. The error means that connections without a request
-// are left.
-func closeFront(front *http.Server, activeRequests func() int) error {
-	for {
-		before := activeRequests()
-		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-		err := front.Shutdown(ctx)
-		cancel()
-		if err == nil || before == 0 && activeRequests() == 0 {
-			return err
-		}
+// one may have begun since the last check. The server's own shutdown would drop a request that
+// arrives meanwhile.
+func closeFront(front callerListener) error {
+	err := front.Listener.Close()
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for front.closeIdle() > 0 {
+		<-ticker.C
 	}
+	return err
 }
 
 // isReady reports whether the load balancer should send callers to this instance.
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -28,6 +28,13 @@
 type callerListener struct {
 	net.Listener
 	limits func() route.Limits
+
+	mu   *sync.Mutex // guards open
+	open map[*callerConn]struct{}
+}
+
+func newCallerListener(listener net.Listener, limits func() route.Limits) callerListener {
+	return callerListener{Listener: listener, limits: limits, mu: &sync.Mutex{}, open: map[*callerConn]struct{}{}}
 }
 
 // Accept returns the next connection.
@@ -36,11 +43,32 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: conn, limits: l.limits}
+	c := &callerConn{Conn: conn, limits: l.limits, onClose: l.remove}
 	c.beginIdle()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
 	return c, nil
 }
 
+func (l callerListener) remove(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+// closeIdle closes the connections without a request and returns the number of the others.
+func (l callerListener) closeIdle() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		if c.closeIfIdle() {
+			delete(l.open, c)
+		}
+	}
+	return len(l.open)
+}
+
 // connPhase is the state of a connection of a caller.
 type connPhase int
 
@@ -55,15 +83,36 @@
 // time-out applies only to connections opened after the change.
 type callerConn struct {
 	net.Conn
-	limits func() route.Limits
+	limits  func() route.Limits
+	onClose func(*callerConn)
 
 	mu          sync.Mutex // guards the fields below
+	closed      bool       // while it was idle; what arrives then is not a request to the server
 	phase       connPhase
 	phaseStart  time.Time     // start of the phase
 	idleTimeout time.Duration // longest idle time-out since the connection was opened
 	headerBytes int
 }
 
+// Close closes the connection.
+func (c *callerConn) Close() error {
+	c.onClose(c)
+	return c.Conn.Close()
+}
+
+// closeIfIdle closes the connection if the server has no byte of a request, and reports
+// whether it did.
+func (c *callerConn) closeIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != idle {
+		return false
+	}
+	c.closed = true
+	_ = c.Conn.Close() // the server closes it once more
+	return true
+}
+
 // beginIdle starts the wait for a request and sets the idle deadline.
 func (c *callerConn) beginIdle() {
 	c.mu.Lock()
@@ -131,10 +180,12 @@
 func (c *callerConn) headerBytesReceived(n int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == serving {
+	switch {
+	case c.closed:
+		return net.ErrClosed
+	case c.phase == serving:
 		return nil
-	}
-	if c.phase == idle {
+	case c.phase == idle:
 		c.phase, c.phaseStart = readingHeader, time.Now()
 		timeout := orDefault(c.limits().HeaderTimeout, defaultHeaderTimeout)
 		if err := c.Conn.SetReadDeadline(c.phaseStart.Add(timeout)); err != nil {
--- a/internal/gateway/listener_test.go
+++ b/internal/gateway/listener_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -36,10 +37,19 @@
 
 func (p pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// onceListener is closed by a test and by the server.
+type onceListener struct {
+	net.Listener
+	close func() error
+}
+
+func (l onceListener) Close() error { return l.close() }
+
 // testServer serves callers under limits that a test can change.
 type testServer struct {
 	g         Gomega
 	listener  pipeListener
+	front     callerListener
 	limits    atomic.Pointer[route.Limits]
 	serveTime atomic.Int64 // duration of a request, in nanoseconds
 }
@@ -53,7 +63,8 @@
 			Handler:        http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Duration(s.serveTime.Load())) }),
 			MaxHeaderBytes: maxHeaderBytes, ConnState: trackConnState,
 		}
-		go func() { _ = server.Serve(callerListener{s.listener, func() route.Limits { return *s.limits.Load() }}) }()
+		s.front = newCallerListener(onceListener{s.listener, sync.OnceValue(s.listener.Close)}, func() route.Limits { return *s.limits.Load() })
+		go func() { _ = server.Serve(s.front) }()
 		defer server.Close()
 		test(s)
 	})
