--- a/internal/gatewaysoak/laterequests_test.go
+++ b/internal/gatewaysoak/laterequests_test.go
@@ -26,14 +26,17 @@
 	// lateLead is the time from the first request to SIGTERM.
 	lateLead     = 3 * time.Second
 	lateRequests = 400
-	lateTimeout  = 20 * time.Second
+	// latePause is the time for which the gateway stands still as SIGTERM arrives.
+	latePause   = 1500 * time.Millisecond
+	lateTimeout = 20 * time.Second
 	// crossingSlack is the time within which a request that crosses the close of its
 	// connection is closed without an answer.
 	crossingSlack = 200 * time.Millisecond
 )
 
-// lateSeeds are the seeds of TestLateRequestsAtLeavingGatewayAreAnswered.
-var lateSeeds = []uint64{1}
+// lateSeeds are the seeds of TestLateRequestsAtLeavingGatewayAreAnswered. With even ones the gateway is paused
+// while SIGTERM arrives.
+var lateSeeds = []uint64{1, 2}
 
 var lateLine = regexp.MustCompile(`(?m)^(arrived|ran) request=(\S+) `)
 
@@ -145,6 +148,13 @@
 				})
 			}
 			sleep(t.Context(), time.Until(signalAt))
+			if seed%2 == 0 {
+				leaving.Signal(syscall.SIGSTOP) // the process handles SIGTERM after a pause
+				pending.Go(func() {
+					sleep(t.Context(), latePause)
+					leaving.Signal(syscall.SIGCONT)
+				})
+			}
 			leaving.Signal(syscall.SIGTERM)
 			sleep(t.Context(), time.Until(signalAt.Add(lateGrace)))
 			leaving.Kill()
