dispatch: keep calls from a second run after the table service lost records

If the table service comes back from a copy, records that it had acknowledged are gone. A caller that submitted its call again was run a second time, also at the instance that had run it, and an outcome whose record was lost meanwhile was dropped as if it had expired.

--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -29,6 +29,9 @@
 // one is released. If the claim is not owned, the submission must not send. A
 // write that may still take effect is then released in the background.
 func (r *recordStore) claim(callerCtx context.Context, key string, record Record) claim {
+	if left := r.guard.left(time.Now()); left > 0 {
+		return claim{retryAfter: left}
+	}
 	if retryAfter, ok := r.breaker.allow(); !ok {
 		return claim{retryAfter: retryAfter}
 	}
@@ -44,7 +47,10 @@
 	if c.storeDown() {
 		c.retryAfter = breakerProbeInterval
 	}
-	if !c.owned && attempt.mayHaveEffect {
+	if c.owned {
+		return r.checkLost(key, c, record)
+	}
+	if attempt.mayHaveEffect {
 		r.reconciler.add(attempt.fence())
 	}
 	return c
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -48,6 +48,8 @@
 	// InstanceCount returns the number of instances that share the deletion of
 	// expired records. nil: one instance.
 	InstanceCount func() int
+	// OnTableWentBack is called when the table service has lost acknowledged writes. Optional.
+	OnTableWentBack func(evidence string)
 	// StartsEnd ends when this instance may send no further call, and WaitsEnd when callers
 	// must be answered although their calls run. nil: never.
 	StartsEnd context.Context
@@ -123,7 +125,7 @@
 // NewDispatcher returns a Dispatcher. Run does its background work and must be called.
 func NewDispatcher(config Config) *Dispatcher {
 	config = config.withDefaults()
-	records := newRecordStore(config.Table, config.StoreTimeout, config.Log)
+	records := newRecordStore(config)
 	return &Dispatcher{
 		config:     config,
 		rules:      rules{source: config.Configuration},
--- a/internal/dispatch/recordstore.go
+++ b/internal/dispatch/recordstore.go
@@ -28,12 +28,19 @@
 	breaker      *breaker
 	reconciler   *reconciler
 	storeTimeout time.Duration
+	retention    time.Duration
+	recent       *recentRecords
+	guard        restoreGuard
+	onWentBack   func(evidence string) // may be nil
 	log          logrus.FieldLogger
 }
 
-func newRecordStore(table platform.TableService, storeTimeout time.Duration, log logrus.FieldLogger) *recordStore {
-	r := &recordStore{table: table, batch: newBatcher(table, storeTimeout), breaker: newBreaker(), storeTimeout: storeTimeout, log: log}
-	r.reconciler = newReconciler(r.reconcile, r.breaker.recovered, log)
+func newRecordStore(config Config) *recordStore {
+	r := &recordStore{
+		table: config.Table, batch: newBatcher(config.Table, config.StoreTimeout), breaker: newBreaker(), storeTimeout: config.StoreTimeout,
+		retention: config.Retention, recent: newRecentRecords(), onWentBack: config.OnTableWentBack, log: config.Log,
+	}
+	r.reconciler = newReconciler(r.reconcile, r.breaker.recovered, config.Log)
 	return r
 }
 
@@ -82,6 +89,7 @@
 func (r *recordStore) release(deadline time.Time, key string, revision int64, record Record) {
 	released, err := record.Release(record.Writer)
 	contract.Invariant(err == nil, "own record cannot be released", "error", err)
+	r.recent.put(key, released, time.Now())
 	update := pendingUpdate{key: key, target: released, expected: revision}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -94,6 +102,7 @@
 
 // recordOutcome writes the outcome of an owned record in the background.
 func (r *recordStore) recordOutcome(key string, revision int64, record Record) {
+	r.recent.put(key, record, time.Now())
 	r.reconciler.add(pendingUpdate{key: key, target: record, expected: revision})
 }
 
@@ -110,10 +119,14 @@
 	}
 	row, err := r.table.Read(ctx, update.key)
 	if errors.Is(err, platform.ErrNotFound) {
-		// A record that existed before was deleted after its retention time.
-		done := update.expected != 0
+		if update.expected != 0 {
+			if time.Since(update.target.CreatedAt) > r.retention {
+				return true // deleted after its retention time
+			}
+			r.tableWentBack("dispatch_record")
+		}
 		update.expected = 0
-		return done
+		return false
 	}
 	if err != nil {
 		return false
@@ -122,7 +135,7 @@
 	if err != nil || found.Writer != update.target.Writer {
 		return true
 	}
-	if found.State != Dispatched {
+	if found.State != Dispatched || update.target.State == Dispatched {
 		return true // an earlier write took effect although its response was lost
 	}
 	update.expected = row.Revision
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -19,6 +19,7 @@
 	requests *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	events   *prometheus.CounterVec
+	wentBack *prometheus.CounterVec
 
 	firstToken prometheus.Histogram
 	resume     prometheus.Histogram
@@ -37,12 +38,16 @@
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "events_total", Help: "Events of the time line, by kind.",
 		}, []string{"kind"}),
+		wentBack: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "table_went_back_total",
+			Help: "Times the table service was found to have lost acknowledged writes, by evidence (dispatch_record, configuration, roster).",
+		}, []string{"evidence"}),
 		firstToken: newDurationHistogram("first_token_seconds", "Time from a caller's request to its first token."),
 		resume: newDurationHistogram("resume_seconds",
 			"Time from the last token before a generation moved to another engine to the next token."),
 		call: newDurationHistogram("call_seconds", "Time from a call's arrival to its answer."),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.events, m.firstToken, m.resume, m.call,
+	m.registry.MustRegister(m.requests, m.refusals, m.events, m.wentBack, m.firstToken, m.resume, m.call,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -72,6 +77,8 @@
 	m.requests.WithLabelValues(kind, string(verdict.Outcome)).Inc()
 }
 
+func (m *metrics) countTableWentBack(evidence string) { m.wentBack.WithLabelValues(evidence).Inc() }
+
 func (m *metrics) countRefused(verdict contract.Verdict) {
 	m.refusals.WithLabelValues(string(verdict.Reason)).Inc()
 }
--- a/internal/instance/wiring.go
+++ b/internal/instance/wiring.go
@@ -233,17 +233,18 @@
 	i.upstreamDigests.onRestart = demand.resetPeer
 	i.membership.RegisterSection(demand.section())
 	i.dispatcher = dispatch.NewDispatcher(dispatch.Config{
-		Configuration: i.holder,
-		Router:        i.upstreams,
-		Services:      dependencies.Services,
-		Table:         dependencies.Table,
-		Admitter:      i.admission,
-		Timeline:      record,
-		Log:           i.log,
-		Retention:     milliseconds(i.settings.RecordRetentionMS),
-		InstanceCount: func() int { return len(i.liveInstances()) },
-		StartsEnd:     i.lifecycle.grace.starts,
-		WaitsEnd:      i.lifecycle.grace.waits,
+		Configuration:   i.holder,
+		Router:          i.upstreams,
+		Services:        dependencies.Services,
+		Table:           dependencies.Table,
+		Admitter:        i.admission,
+		Timeline:        record,
+		Log:             i.log,
+		Retention:       milliseconds(i.settings.RecordRetentionMS),
+		InstanceCount:   func() int { return len(i.liveInstances()) },
+		OnTableWentBack: i.metrics.countTableWentBack,
+		StartsEnd:       i.lifecycle.grace.starts,
+		WaitsEnd:        i.lifecycle.grace.waits,
 	})
 	i.registry = generation.NewRegistry(generation.Config{
 		Instance:  i.settings.Instance,
--- a/internal/platform/platformtest/table.go
+++ b/internal/platform/platformtest/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -75,6 +76,27 @@
 	return t.sorted("", "", len(t.rows))
 }
 
+// Copy is the state of a TableService at one moment.
+type Copy struct {
+	rows     map[string]platform.Row
+	revision int64
+}
+
+// Copy returns a copy of the table.
+func (t *TableService) Copy() Copy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Copy{rows: maps.Clone(t.rows), revision: t.revision}
+}
+
+// Restore replaces the table by a copy. What was written since is lost, and its revisions are given
+// out again.
+func (t *TableService) Restore(c Copy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows, t.revision = maps.Clone(c.rows), c.revision
+}
+
 // CommitCount returns the number of commit requests so far.
 func (t *TableService) CommitCount() int {
 	t.mu.Lock()
