configuration: write the version in force again after the table service lost it

After the table service came back from a copy, a patch on a lost base was accepted, and its operator told so, while no instance put it in force: instances held a higher version. Patches on the version in force were refused as conflicts for good, and an instance that started then would have got the old configuration.

Evidence: TestPatchOfLostBaseIsNotAccepted: 'accepted' instead of another status; TestVersionInForceIsWrittenAgainAfterLoss: 'conflict. the base version is not the current version'.

Change: an instance that holds a higher version than the head that it reads accepts no patch (unavailable), writes the version that it holds again, on the condition of the head that it read, logs an error and reports the loss to the dispatcher. Versions in between stay lost. Both tests pass, and the package's others.

--- a/internal/configuration/acceptor.go
+++ b/internal/configuration/acceptor.go
@@ -127,10 +127,15 @@
 // safe: at most one of the two commits finds the head's revision unchanged.
 func (s *submission) round(ctx context.Context) (Result, bool) {
 	store := s.acceptor.cfg.Store
+	held := s.acceptor.cfg.Holder.Current().Version // before the read, as in Follower.poll
 	head, revision, err := store.head(ctx)
 	if err != nil {
 		return s.incompleteResult(err), true
 	}
+	if head.Version < held {
+		err := errors.Newf("the table service has lost configuration versions: its head is %d, version %d is in force", head.Version, held)
+		return s.incompleteResult(err), true
+	}
 	record, err := store.patch(ctx, s.patch.ID)
 	if err != nil {
 		return s.incompleteResult(err), true
@@ -196,7 +201,7 @@
 
 // completeRecorded publishes the version of a patch whose row exists.
 func (s *submission) completeRecorded(ctx context.Context, record patchRecord) Result {
-	if record.Fingerprint != s.fingerprint {
+	if record.Fingerprint != "" && record.Fingerprint != s.fingerprint {
 		return Result{Status: StatusInvalid, Version: record.Version,
 			Message: "patch_id: was used for another patch or base version"}
 	}
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -38,8 +38,10 @@
 	FetchTimeout time.Duration // for one fetch of a document. Default 500 ms
 	FetchRetry   time.Duration // pause after a failed fetch. Default 100 ms
 	Seed         uint64        // of the jitter; 0: random
-	Recorder     timeline.Recorder
-	Log          logrus.FieldLogger
+	// OnTableWentBack is called when the table service has lost accepted versions. Optional.
+	OnTableWentBack func()
+	Recorder        timeline.Recorder
+	Log             logrus.FieldLogger
 }
 
 // Follower keeps a Holder at the newest version that the store or a peer
@@ -171,20 +173,33 @@
 func (f *Follower) poll(ctx context.Context, started time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.ReadTimeout)
 	defer cancel()
-	head, err := f.cfg.Store.Head(ctx)
+	held := f.cfg.Holder.Accepted() // before the read, which cannot return an older version unless that was lost
+	head, revision, err := f.cfg.Store.head(ctx)
 	if err != nil {
 		f.cfg.Log.WithError(err).Debug("configuration head was not read")
 		return
 	}
-	if held := f.cfg.Holder.Current().Version; head.Version < held {
-		// A store that lost accepted versions must not lower the version in force.
-		f.cfg.Log.WithFields(logrus.Fields{"head": head.Version, "held": held}).Error("configuration head is lower than the held version")
+	if head.Version < held.Version {
+		f.writeAgain(ctx, head, revision, held)
 		return
 	}
 	f.recordRead(headRead{version: head.Version, started: started})
 	f.wakeFetch()
 }
 
+// writeAgain writes the version in force to a table service that has lost it. The version in force
+// must not go back, and instances that start must find it.
+func (f *Follower) writeAgain(ctx context.Context, head Head, revision int64, held *Snapshot) {
+	log := f.cfg.Log.WithFields(logrus.Fields{"head": head.Version, "held": held.Version})
+	log.Error("table service has lost accepted configuration versions; the held one is written again")
+	if f.cfg.OnTableWentBack != nil {
+		f.cfg.OnTableWentBack()
+	}
+	if err := f.cfg.Store.writeAgain(ctx, revision, held); err != nil {
+		log.WithError(err).Warn("held configuration version was not written again")
+	}
+}
+
 // recordRead records a head read and drops the announcements that contradict
 // it: a version is committed before any instance can announce it, so a later
 // read returns at least that version.
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -28,7 +28,7 @@
 }
 
 // patchRecord is the row of an accepted patch. It exists only if the patch was
-// accepted.
+// accepted. One that was written again has no fingerprint.
 type patchRecord struct {
 	Version     Version `json:"version"`
 	Base        Version `json:"base_version"`
@@ -164,6 +164,18 @@
 	return results[0].Applied, nil
 }
 
+// writeAgain writes a version that the table service has lost, if its head is still the
+// older one with the given revision. Versions in between stay lost.
+func (s *Store) writeAgain(ctx context.Context, headRevision int64, held *Snapshot) error {
+	transaction, err := acceptTransaction(headRevision, platform.Condition{Key: headKey, Revision: headRevision}, held,
+		patchRecord{Version: held.Version, Base: held.Version - 1})
+	if err != nil {
+		return err
+	}
+	_, err = s.table.Commit(ctx, []platform.Transaction{transaction})
+	return errors.Wrap(err, "write the held configuration version")
+}
+
 func acceptTransaction(headRevision int64, rosterUnchanged platform.Condition, next *Snapshot, record patchRecord) (platform.Transaction, error) {
 	document, err := EncodeSnapshot(next)
 	if err != nil {
--- a/internal/instance/wiring.go
+++ b/internal/instance/wiring.go
@@ -101,12 +101,13 @@
 	i.transport.Handle(messageFetchConfiguration, dist.handleFetchConfiguration)
 	i.transport.Handle(messageFetchRoster, dist.handleFetchRoster)
 	i.follower = configuration.NewFollower(configuration.FollowerConfig{
-		Store:        store,
-		Holder:       i.holder,
-		Fetch:        dist.fetchConfiguration,
-		PollInterval: milliseconds(i.settings.ConfigIntervalMS),
-		Recorder:     record,
-		Log:          i.log,
+		Store:           store,
+		Holder:          i.holder,
+		Fetch:           dist.fetchConfiguration,
+		PollInterval:    milliseconds(i.settings.ConfigIntervalMS),
+		OnTableWentBack: func() { i.dispatcher.TableWentBack("configuration") },
+		Recorder:        record,
+		Log:             i.log,
 	})
 	i.lifecycle = newLifecycle(i.settings.Instance, i.log, i.follower, i.membership)
 	i.buildRoster(table, store, dist)
