roster: write the held roster again after the table service lost it

After the table service came back from a copy with an older roster, no patch was accepted any more, until an operator removed the row. If the row was gone, an instance created a roster of itself alone: a majority of one, which shares no instance with majorities of the roster that the others held.

Change: while a majority holds the newest roster, an instance that reads an older one or none writes the held one again with the next sequence, in the order of ranks, on the condition of the row and of the head. Without such a majority a missing row is created as before (the operator's procedure after a lost majority). The loss is reported to the dispatcher.

--- a/internal/configuration/restore_test.go
+++ b/internal/configuration/restore_test.go
@@ -11,6 +11,7 @@
 
 	"foxtailhub.example/foxtailhub/internal/configuration"
 	"foxtailhub.example/foxtailhub/internal/platform"
+	"foxtailhub.example/foxtailhub/internal/roster"
 )
 
 // tableCopy is the state of a fakeTable at one moment.
@@ -97,3 +98,38 @@
 		}
 	})
 }
+
+// Guards against a roster that stays older in the table service than at the instances, so that no patch is accepted any more, and
+// against one that is created anew with fewer instances than its majority needs.
+func TestRosterIsWrittenAgainAfterLoss(t *testing.T) {
+	for name, lose := range map[string]func(rows map[string]platform.Row, earlier platform.Row){
+		"went back": func(rows map[string]platform.Row, earlier platform.Row) { rows[roster.Key] = earlier },
+		"is gone":   func(rows map[string]platform.Row, _ platform.Row) { delete(rows, roster.Key) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				c := newGrowingCluster(t, 3, 5)
+				earlier := c.table.copy().rows[roster.Key]
+				c.nodes[3].start()
+				c.nodes[4].start()
+				c.awaitRoster(5)
+				time.Sleep(settleTime)
+				held := c.nodes[0].incarnation.Load().manager.State().Roster
+				lost := c.table.copy()
+				lose(lost.rows, earlier)
+				c.table.restore(lost)
+				for range 200 {
+					time.Sleep(100 * time.Millisecond)
+					for _, n := range c.nodes {
+						now := n.incarnation.Load().manager.State().Roster
+						g.Expect(now.Instances).To(Equal(held.Instances))
+						g.Expect(n.MayAdmit()).To(BeTrue())
+					}
+				}
+				result := c.nodes[1].Submit(context.Background(), workspacePatch("p", 0, "w"))
+				g.Expect(result.Status).To(Equal(configuration.StatusAccepted), result.Message)
+			})
+		})
+	}
+}
--- a/internal/instance/wiring.go
+++ b/internal/instance/wiring.go
@@ -132,11 +132,12 @@
 			version, unchanged, err := store.HeadWithCondition(ctx)
 			return int64(version), unchanged, err
 		},
-		Fetch:        dist.fetchRoster,
-		Observe:      i.lifecycle.observeRoster,
-		OnAdopt:      i.membership.SetRosterSequence,
-		Log:          i.log,
-		RemovalDelay: milliseconds(i.settings.DepartureHoldMS),
+		Fetch:           dist.fetchRoster,
+		Observe:         i.lifecycle.observeRoster,
+		OnAdopt:         i.membership.SetRosterSequence,
+		OnTableWentBack: func() { i.dispatcher.TableWentBack("roster") },
+		Log:             i.log,
+		RemovalDelay:    milliseconds(i.settings.DepartureHoldMS),
 	})
 	i.lifecycle.rosterManager = i.rosterManager
 	dist.rosterManager = i.rosterManager
--- a/internal/roster/manager.go
+++ b/internal/roster/manager.go
@@ -50,6 +50,8 @@
 	Fetch func(ctx context.Context, peer contract.InstanceID) ([]byte, error)
 	// Observe returns the present state of this instance and of its peers.
 	Observe func() Observation
+	// OnTableWentBack is called when the table service has lost the held roster. Optional.
+	OnTableWentBack func()
 	// OnAdopt is called with the sequence of each adopted roster, in order. It
 	// must not block.
 	OnAdopt func(sequence int64)
@@ -84,6 +86,8 @@
 	lastStep     time.Time // time of the last step
 	lastPoll     time.Time // time of the last read of the row
 	rowAbsent    bool      // the last read found no row
+	rowWentBack  bool      // the last read found an older roster than the held one
+	wentBackAt   time.Time // time of the first such read
 	dueSequence  int64     // sequence at which a change is due; 0: none
 	dueSince     time.Time
 	lastSequence int64     // sequence held at the last step
@@ -197,7 +201,9 @@
 	m.poll(ctx)
 	in := m.collectInput()
 	switch {
-	case m.rowAbsent && in.HeadConfirmed && !in.Leaving:
+	case m.rowWentBack && m.mayWriteAgain(in):
+		m.writeAgain(ctx, in.Roster)
+	case m.rowAbsent && in.HeadConfirmed && !in.Leaving && !HeldByMajority(in):
 		m.create(ctx)
 	case m.shouldWrite(in):
 		m.change(ctx, in)
@@ -259,14 +265,27 @@
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	m.lastPoll = time.Now()
+	held := m.State().Roster.Sequence // before the read, which cannot return an older one unless that was lost
 	r, condition, err := m.Read(ctx)
 	m.rowAbsent = errors.Is(err, platform.ErrNotFound)
+	m.recordWentBack(err == nil && r.Sequence < held || m.rowAbsent && held > 0)
 	if err != nil && !m.rowAbsent {
 		m.cfg.Log.WithError(err).Debug("roster was not read")
 	}
 	return r, condition, err == nil
 }
 
+// recordWentBack records whether the table service has lost the held roster.
+func (m *Manager) recordWentBack(wentBack bool) {
+	if wentBack && !m.rowWentBack {
+		m.wentBackAt = time.Now()
+		if m.cfg.OnTableWentBack != nil {
+			m.cfg.OnTableWentBack()
+		}
+	}
+	m.rowWentBack = wentBack
+}
+
 // collectInput returns the input of the decision about a change. Silence of a
 // member counts only while this instance is in contact with a majority: after
 // its own pause or partition all members look silent.
@@ -322,6 +341,31 @@
 	return in.Now.Sub(m.dueSince) >= time.Duration(WriterRank(in))*rankDelay
 }
 
+// mayWriteAgain reports whether this instance may write the held roster again now. A majority
+// of it must hold it, as before each change; the instances wait for each other as for a change.
+func (m *Manager) mayWriteAgain(in Input) bool {
+	return in.HeadConfirmed && in.Current && !in.Leaving && HeldByMajority(in) &&
+		in.Now.Sub(m.wentBackAt) >= time.Duration(WriterRank(in))*rankDelay
+}
+
+// writeAgain writes the held roster, with the next sequence, to a table service that has lost it.
+func (m *Manager) writeAgain(ctx context.Context, held Roster) {
+	_, unchanged, found := m.readRow(ctx)
+	if !m.rowWentBack {
+		return
+	}
+	if !found {
+		unchanged = platform.Condition{Key: Key}
+	}
+	m.cfg.Log.WithFields(logrus.Fields{"sequence": held.Sequence + 1, "instances": len(held.Instances)}).
+		Error("table service has lost the roster; the held one is written again")
+	m.write(ctx, unchanged, func(version int64) Roster {
+		held.Sequence++
+		held.ConfigurationVersion = max(held.ConfigurationVersion, version)
+		return held
+	})
+}
+
 // create writes the first roster. Its sequence is the time, so that a row that is
 // created again after an operator removed it is newer than the removed one.
 func (m *Manager) create(ctx context.Context) {
