generation: refuse a generation that waits for an engine when starts end

A generation that no engine had when its instance was about to be killed waited on, could start just before, and its caller got 'unknown'. It now ends as not_run, reason leaving, also after a refusal at that moment; one that an engine may have goes on. Tests of the package pass, also with the race detector.

--- a/internal/generation/action.go
+++ b/internal/generation/action.go
@@ -28,6 +28,7 @@
 	InputStreamNotFound                  // the probed engine does not have the stream
 	InputPrefixMismatch                  // the text of the probed engine's stream differs
 	InputCancelled                       // the cancellation of Attempt was confirmed or timed out
+	InputStartsEnded                     // the instance may start no generation any more
 	InputAbandoned                       // no caller was connected during the grace period
 	InputDiverged                        // the text differs from the caller's text
 )
--- a/internal/generation/machine.go
+++ b/internal/generation/machine.go
@@ -78,6 +78,7 @@
 	backoff          time.Duration          // last wait for a placement; reset when an engine accepts
 	versionGoneSince time.Time
 	contentStatus    upstream.ContentStatus
+	startsEnded      bool // a request that no engine has must not start
 	finished         bool
 	actions          []Action
 }
@@ -144,6 +145,11 @@
 		m.handlePlaced(in)
 	case InputNoPlacement:
 		m.handleNoPlacement(now, in)
+	case InputStartsEnded:
+		m.startsEnded = true
+		if !m.mayRun() {
+			m.finish(contract.NotRun, contract.ReasonLeaving, leavingRetryAfter)
+		}
 	case InputAbandoned:
 		m.finish(contract.Interrupted, contract.ReasonAbandoned, 0)
 	case InputDiverged:
@@ -212,6 +218,9 @@
 	switch {
 	case m.finished:
 		return
+	case m.startsEnded && !m.mayRun():
+		m.finish(contract.NotRun, contract.ReasonLeaving, leavingRetryAfter)
+		return
 	case len(m.attempts) > 0 && !m.hedgeAllowed() && !m.replacing():
 		return
 	case m.contentStatus.Quarantined:
@@ -271,6 +280,10 @@
 	}
 	m.backoff = min(max(2*m.backoff, placementWaitMin), longest)
 	wait := min(max(in.RetryAfter, m.backoff), longest)
+	if m.startsEnded && !m.mayRun() {
+		m.finish(contract.NotRun, contract.ReasonLeaving, leavingRetryAfter)
+		return
+	}
 	if !m.mayRun() && (in.VersionGone || now.Add(wait).After(m.settings.QueueUntil)) {
 		m.finish(contract.NotRun, noPlacementReason(in), max(in.RetryAfter, placementWaitMin))
 		return
--- a/internal/generation/runner.go
+++ b/internal/generation/runner.go
@@ -57,8 +57,12 @@
 	wake := r.step(Input{Kind: InputBegin})
 	timer := time.NewTimer(time.Until(wake))
 	defer timer.Stop()
+	startsEnd := r.config.StartsEnd.Done()
 	for !r.machine.Finished() {
 		select {
+		case <-startsEnd:
+			startsEnd = nil
+			wake = r.step(Input{Kind: InputStartsEnded})
 		case in := <-r.inputs:
 			wake = r.step(in)
 		case in := <-r.generation.stop:
