--- a/internal/upstream/servicehttp/cutresponse_test.go
+++ b/internal/upstream/servicehttp/cutresponse_test.go
@@ -7,7 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -172,3 +175,45 @@
 		}
 	}
 }
+
+// Guards against a response without a length that waits for its confirmation beyond its time, or is given up because a server that
+// goes on is silent.
+func TestSilentServerConfirmsResponseWithoutLength(t *testing.T) {
+	for timeout, expected := range map[time.Duration]error{500 * time.Millisecond: context.DeadlineExceeded, 10 * time.Second: nil} {
+		t.Run(timeout.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				var dials atomic.Int64
+				dialer := servicehttp.New(servicehttp.Config{Dial: func(context.Context, string, string) (net.Conn, error) {
+					near, far := net.Pipe()
+					number := dials.Add(1)
+					go func() {
+						defer far.Close()
+						reader := bufio.NewReader(far)
+						if !readRequest(reader) {
+							return
+						}
+						if number == 1 {
+							_, _ = io.WriteString(far, cutUnframed)
+							return
+						}
+						_, _ = reader.ReadByte() // silent until the caller closes
+					}()
+					return near, nil
+				}})
+				defer dialer.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), timeout)
+				defer cancel()
+				start := time.Now()
+				response, err := dialer.Service(target("server:1")).CallOnce(ctx, call("k"))
+				g.Expect(time.Since(start)).To(BeNumerically("<=", time.Second))
+				if expected != nil {
+					g.Expect(err).To(MatchError(expected))
+					return
+				}
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(string(response.Body)).To(Equal(cutBody))
+			})
+		})
+	}
+}
