--- a/internal/forward/cutresponse_test.go
+++ b/internal/forward/cutresponse_test.go
@@ -9,12 +9,16 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"foxtailhub.example/foxtailhub/internal/route"
 )
 
+// cutTimeout bounds a request in real time.
+const cutTimeout = 10 * time.Second
+
 // cutResponse is a response that a test cuts after each of its bytes.
 type cutResponse struct {
 	bytes string
@@ -83,6 +87,7 @@
 		for _, kind := range []route.Route{atMostOnce, idempotent} {
 			t.Run(name+", "+kind.Name, func(t *testing.T) {
 				t.Parallel()
+				kind.Timeout = cutTimeout
 				for length := range len(r.bytes) {
 					h := newHarness(t, kind, false)
 					requests := h.serveCut(1, r, length, func(*http.Request, int64) string {
