--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,8 @@
 // before it stops.
 //
 // The package must never report ready before it has a configuration, and must never end a
-// request because the instance is leaving.
+// request without a complete answer because the instance is leaving, unless the answer has
+// begun when the grace time ends.
 package gateway
 
 import (
