Fix a data race between the KV copy of a stream and its next attempt

Cause: the goroutine that makes a copy read the list of excluded upstreams of the request, which the next attempt changes. Change: the list is copied before the goroutine starts.

--- a/internal/forward/kvbackup.go
+++ b/internal/forward/kvbackup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -132,7 +133,9 @@
 	if holder != nil && holder.InPushback(now) {
 		holder = nil // copy selects another holder
 	}
-	go b.copy(ctx, holder, now)
+	// The next attempt changes the list while a copy is still being made.
+	excluded := slices.Clone(b.run.x.excluded)
+	go b.copy(ctx, holder, excluded, now)
 }
 
 // checkHolder polls the holder for its load report if there was no recent contact.
@@ -147,12 +150,12 @@
 	go b.run.f.requestReports(ctx, b.run.x, []*pool.Member{b.holder})
 }
 
-// copy copies the KV memory to the holder, or to a live upstream if it is nil.
-func (b *backup) copy(ctx context.Context, holder *pool.Member, startedAt time.Time) {
+// copy copies the KV memory to the holder, or to a live upstream that is not excluded if it is nil.
+func (b *backup) copy(ctx context.Context, holder *pool.Member, excluded []string, startedAt time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, kvCopyTimeout)
 	defer cancel()
 	if holder == nil {
-		found, ok := b.run.f.findBackupHolder(ctx, b.run.x, b.run.member)
+		found, ok := b.run.f.findBackupHolder(ctx, b.run.x, b.run.member, excluded)
 		if !ok {
 			b.copied <- copyResult{err: errNoBackupHolder, startedAt: startedAt}
 			return
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -86,9 +86,9 @@
 }
 
 // findBackupHolder returns a live upstream for the KV copy of a run.
-func (f *Forwarder) findBackupHolder(ctx context.Context, x *exchange, m *pool.Member) (*pool.Member, bool) {
+func (f *Forwarder) findBackupHolder(ctx context.Context, x *exchange, m *pool.Member, excluded []string) (*pool.Member, bool) {
 	need := backupHolderRequirements(m)
-	need.Exclude = append(need.Exclude, x.excluded...)
+	need.Exclude = append(need.Exclude, excluded...)
 	sampled := pool.PickN(f.Pool.Members(x.service.Name), need, backupSampleSize, time.Now())
 	i, ok := chooseLeastLoaded(x, sampled, f.requestReports(ctx, x, sampled), func(int) bool { return true })
 	if !ok {
