--- a/internal/instance/wiring.go
+++ b/internal/instance/wiring.go
@@ -101,12 +101,13 @@
 	i.transport.Handle(messageFetchConfiguration, dist.handleFetchConfiguration)
 	i.transport.Handle(messageFetchRoster, dist.handleFetchRoster)
 	i.follower = configuration.NewFollower(configuration.FollowerConfig{
-		Store:        store,
-		Holder:       i.holder,
-		Fetch:        dist.fetchConfiguration,
-		PollInterval: milliseconds(i.settings.ConfigIntervalMS),
-		Recorder:     record,
-		Log:          i.log,
+		Store:           store,
+		Holder:          i.holder,
+		Fetch:           dist.fetchConfiguration,
+		PollInterval:    milliseconds(i.settings.ConfigIntervalMS),
+		OnTableWentBack: func() { i.dispatcher.TableWentBack("configuration") },
+		Recorder:        record,
+		Log:             i.log,
 	})
 	i.lifecycle = newLifecycle(i.settings.Instance, i.log, i.follower, i.membership)
 	i.buildRoster(table, store, dist)
@@ -131,11 +132,12 @@
 			version, unchanged, err := store.HeadWithCondition(ctx)
 			return int64(version), unchanged, err
 		},
-		Fetch:        dist.fetchRoster,
-		Observe:      i.lifecycle.observeRoster,
-		OnAdopt:      i.membership.SetRosterSequence,
-		Log:          i.log,
-		RemovalDelay: milliseconds(i.settings.DepartureHoldMS),
+		Fetch:           dist.fetchRoster,
+		Observe:         i.lifecycle.observeRoster,
+		OnAdopt:         i.membership.SetRosterSequence,
+		OnTableWentBack: func() { i.dispatcher.TableWentBack("roster") },
+		Log:             i.log,
+		RemovalDelay:    milliseconds(i.settings.DepartureHoldMS),
 	})
 	i.lifecycle.rosterManager = i.rosterManager
 	dist.rosterManager = i.rosterManager
@@ -233,17 +235,18 @@
 	i.upstreamDigests.onRestart = demand.resetPeer
 	i.membership.RegisterSection(demand.section())
 	i.dispatcher = dispatch.NewDispatcher(dispatch.Config{
-		Configuration: i.holder,
-		Router:        i.upstreams,
-		Services:      dependencies.Services,
-		Table:         dependencies.Table,
-		Admitter:      i.admission,
-		Timeline:      record,
-		Log:           i.log,
-		Retention:     milliseconds(i.settings.RecordRetentionMS),
-		InstanceCount: func() int { return len(i.liveInstances()) },
-		StartsEnd:     i.lifecycle.grace.starts,
-		WaitsEnd:      i.lifecycle.grace.waits,
+		Configuration:   i.holder,
+		Router:          i.upstreams,
+		Services:        dependencies.Services,
+		Table:           dependencies.Table,
+		Admitter:        i.admission,
+		Timeline:        record,
+		Log:             i.log,
+		Retention:       milliseconds(i.settings.RecordRetentionMS),
+		InstanceCount:   func() int { return len(i.liveInstances()) },
+		OnTableWentBack: i.metrics.countTableWentBack,
+		StartsEnd:       i.lifecycle.grace.starts,
+		WaitsEnd:        i.lifecycle.grace.waits,
 	})
 	i.registry = generation.NewRegistry(generation.Config{
 		Instance:  i.settings.Instance,
