--- a/internal/storesync/era_test.go
+++ b/internal/storesync/era_test.go
@@ -45,7 +45,7 @@
 				if batch.Returned && topic == discovery.Configuration {
 					p.returns++
 				}
-			})
+			}, discovery.KeepNewer(lowerNumber))
 			maxAge[topic] = maxRowAge
 		}
 		p.Syncer = NewSyncer(Config{
@@ -59,6 +59,14 @@
 	return peers
 }
 
+// lowerNumber reports whether a row has a lower number than the held one, as a configuration with a
+// lower version.
+func lowerNumber(held, row discovery.Row) bool {
+	before, beforeErr := strconv.Atoi(string(held.Value))
+	after, afterErr := strconv.Atoi(string(row.Value))
+	return beforeErr == nil && afterErr == nil && after < before
+}
+
 // readStore applies all rows of each topic as of a revision, in which the row "a" has a value.
 func (p *peer) readStore(era discovery.Era, version int64, value string) {
 	p.Eras.Observe(era)
@@ -128,6 +136,20 @@
 	}
 }
 
+// Guards against an instance that starts after a return of the store and stays with the
+// configuration of the copy, although its source has a newer one, or that gives it to others.
+func TestStartedInstanceGetsNewerConfigurationThanThatOfCopy(t *testing.T) {
+	g := NewWithT(t)
+	p := newPeers(t, map[contract.InstanceID]link.Handler{}, "a", "started")
+	p["a"].readStore(1, 35, "13")
+	p["a"].readStore(2, 34, "12")
+	p["started"].readStore(2, 34, "12")
+	g.Expect(p["a"].poll("started")).To(Succeed())
+	p["a"].expectHeld("2/34=13")
+	g.Expect(p["started"].poll("a")).To(Succeed())
+	p["started"].expectHeld("2/34=13")
+}
+
 // Guards against followers that learn of a return without a changed row only after the hold time
 // of their request.
 func TestReturnOfStoreEndsHeldRequest(t *testing.T) {
