Count a response that was overtaken during its call as no failure

What callers would see: an instance that turns away from the store for a moment although it works, because the update of a peer arrived during a call, or another topic showed a return.

Cause: each dropped response counted as a failed call since they are followed by a backoff.

Evidence (before): TestResponseOvertakenByUpdateIsNoFailure: the backoff began in both cases.

Change: a response fails a call only if it is older than what was known at the start of the call.

--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -439,3 +440,53 @@
 		g.Expect(r.values()).To(HaveKeyWithValue("a", "3"))
 	})
 }
+
+// interleavedStore runs a function before each response to a call for changes arrives.
+type interleavedStore struct {
+	Store
+	during func()
+}
+
+func (s interleavedStore) Changes(ctx context.Context, topic Topic, after int64, wait time.Duration) (Batch, error) {
+	batch, err := s.Store.Changes(ctx, topic, after, wait)
+	s.during()
+	return batch, err
+}
+
+// Guards against a store that counts as failing because another instance's update arrives during
+// a call, or another topic shows a return.
+func TestResponseOvertakenByUpdateIsNoFailure(t *testing.T) {
+	for name, overtake := range map[string]func(r *eraReader){
+		"update of a peer": func(r *eraReader) {
+			held, _ := r.changeLog.Revision()
+			r.changeLog.ApplyFrom(Update{Batch: Batch{Era: held.Era, Version: held.Version + 9}, Full: true}, Position{}, Position{LogID: "peer"})
+		},
+		"return": func(r *eraReader) { r.eras.Observe(2) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				eras := NewEraTracker()
+				store := newReturningStore(eras)
+				store.write("a", "1")
+				var running atomic.Pointer[eraReader]
+				var calls atomic.Int32
+				var failed atomic.Bool
+				backoff := NewBackoff(func(bool) { failed.Store(true) })
+				r := startReader(t, interleavedStore{store, func() {
+					if calls.Add(1) == 1 {
+						overtake(running.Load())
+						store.set(func(s *returningStore) { s.era, _ = eras.Newest(); s.version += 10 })
+					}
+				}}, eras, backoff, PollSchedule{Pause: time.Second})
+				running.Store(r)
+				time.Sleep(5 * time.Second)
+				g.Expect(calls.Load()).To(BeNumerically(">", 1))
+				g.Expect(failed.Load()).To(BeFalse())
+				store.write("a", "2")
+				time.Sleep(takeEffect)
+				g.Expect(r.values()).To(HaveKeyWithValue("a", "2"))
+			})
+		})
+	}
+}
--- a/internal/discovery/reader.go
+++ b/internal/discovery/reader.go
@@ -183,13 +183,22 @@
 	return nil
 }
 
-// read makes one call to the store and applies its response.
+// read makes one call to the store and applies its response. It returns no reason for a response that
+// was only overtaken by an update of a peer, or by a sign of a return, during the call.
 func (r *Reader) read(ctx context.Context, held Revision, full bool) (DropReason, error) {
+	expected := held
+	if newest, _ := r.eras.Newest(); newest > expected.Era {
+		expected = Revision{Era: newest}
+	}
 	update, err := r.call(ctx, held, full)
 	if err != nil {
 		return NotDropped, err
 	}
-	return r.apply(update), nil
+	reason := r.apply(update)
+	if reason != DroppedLaterEra && !update.Revision().Before(expected) {
+		return NotDropped, nil
+	}
+	return reason, nil
 }
 
 // apply applies a response unless the store has shown a later era since.
