Apply the later of two notices of a request rate at once

What callers saw: an instance without requests of its own for an upstream kept the older of two rates, up to eight times the stated one, if both notices came within a second, as after a return of the store.

Cause: a notice was ignored for a second after the last statement, also if that was a notice. Only a response of the upstream may be the newer one.

--- a/internal/pool/requestrate.go
+++ b/internal/pool/requestrate.go
@@ -42,6 +42,7 @@
 type rateLimit struct {
 	perSecond float64
 	statedAt  time.Time        // of the last response or notice that stated it
+	noticed   bool             // that was a notice
 	fleet     *fleetrate.Fleet // from which the rank was derived
 	rank      fleetrate.Rank
 	pacer     fleetrate.Pacer
@@ -88,10 +89,10 @@
 	}
 }
 
-// set records a stated rate.
-func (l *rateLimiter) set(now time.Time, perSecond float64) (change RateChange) {
+// set records a rate that a response or a notice states.
+func (l *rateLimiter) set(now time.Time, perSecond float64, noticed bool) (change RateChange) {
 	l.update(now, func(old *rateLimit) *rateLimit {
-		next := &rateLimit{perSecond: perSecond, statedAt: now}
+		next := &rateLimit{perSecond: perSecond, statedAt: now, noticed: noticed}
 		if old == nil {
 			change = RateStarted
 			next.fleet = l.fleet.Load()
@@ -118,7 +119,7 @@
 	case rate.Invalid:
 		return RateUnchanged
 	case rate.Stated:
-		return l.set(now, rate.PerSecond)
+		return l.set(now, rate.PerSecond, false)
 	}
 	l.update(now, func(old *rateLimit) *rateLimit {
 		change = RateUnchanged
@@ -133,10 +134,10 @@
 
 // ApplyRateNotice applies a notice of another instance that the upstream states a rate.
 func (l *rateLimiter) ApplyRateNotice(now time.Time, perSecond float64) RateChange {
-	if current := l.limit.Load(); current != nil && now.Sub(current.statedAt) < noticeDelay {
+	if current := l.limit.Load(); current != nil && !current.noticed && now.Sub(current.statedAt) < noticeDelay {
 		return RateUnchanged
 	}
-	return l.set(now, perSecond)
+	return l.set(now, perSecond, true)
 }
 
 // ApplyRateEnd applies a notice of another instance that the upstream no longer states a rate.
--- a/internal/pool/requestrate_test.go
+++ b/internal/pool/requestrate_test.go
@@ -158,3 +158,23 @@
 	}
 	g.Expect(held).To(BeNumerically("~", 100*26/300, 6), "26 holders of 300")
 }
+
+// Guards against an instance that keeps an older rate because two notices came within a second.
+func TestLaterNoticeReplacesAnEarlierOneAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	p := New()
+	p.Replace([]Upstream{{ID: "u", Service: "service", Address: "u", Slots: 8, StartedAt: 1}})
+	m := p.Members("service")[0]
+	rate := func() float64 {
+		limit, _ := m.RateLimit(now)
+		return limit.PerSecond
+	}
+	p.ApplyRateNotice(now, "u", RateNotice{PerSecond: 8, StartedAt: 1})
+	now = now.Add(100 * time.Millisecond)
+	p.ApplyRateNotice(now, "u", RateNotice{PerSecond: 2, StartedAt: 1})
+	g.Expect(rate()).To(Equal(2.0))
+	m.ObserveRate(now, now, RequestRate{Stated: true, PerSecond: 3})
+	p.ApplyRateNotice(now.Add(noticeDelay/2), "u", RateNotice{PerSecond: 8, StartedAt: 1})
+	g.Expect(rate()).To(Equal(3.0), "a response of the upstream is newer")
+}
