Write notices again that a returned store lacks or shows in an older state

What callers saw: after the store came back from a copy, request rates ended or rose at all instances without requests of their own, content that had crashed upstreams was forgotten by instances that started, or kept from upstreams for a minute more, and expired verdicts refused again.

Cause: a row that the copy lacks counted as removed, one that it shows again as new, and nobody wrote lost rows again.

Change: notices are kept for 15 s. Their writers write crashes, evidence (with the ages that they have) and claims of trials again, and remove expired rows again; a crash that was known does not count as a new one. Of two rates whose order is unknown the stricter one applies until the next response, and some instance writes it again. Epochs order verdicts; one whose row was removed counts as lifted. The removal of an expired crash is repeated if it fails.

--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -54,15 +54,15 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		store := &rowStore{keys: map[string]bool{}}
-		first := &crashExchange{store: store, quarantine: forward.NewQuarantine(), log: log}
-		second := &crashExchange{store: store, quarantine: forward.NewQuarantine(), log: log}
+		first := newCrashExchange(store, forward.NewQuarantine(), log)
+		second := newCrashExchange(store, forward.NewQuarantine(), log)
 		for _, upstream := range []string{"a", "b"} {
 			first.publish(forward.Crash{Content: "content", UpstreamID: upstream})
 		}
 		second.quarantine.Add(time.Now(), forward.Crash{Content: "content", UpstreamID: "c"})
 		reader := notices{crashes: second}
-		reader.apply(store.batch(), 0)
-		reader.apply(store.batch(), 0) // the same rows again
+		reader.apply(store.batch(), 0, nil)
+		reader.apply(store.batch(), 0, nil) // the same rows again
 		g.Expect(second.quarantine.Contains(time.Now(), "content")).To(BeTrue())
 		g.Expect(first.quarantine.Contains(time.Now(), "content")).To(BeFalse())
 		time.Sleep(forward.QuarantineDuration + time.Second)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,7 +90,7 @@
 	ledger := poison.NewLedger()
 	storeFailing := func() bool { return g.sync.backoff.Failing() }
 	notices := notices{
-		crashes: &crashExchange{store: platform.Store, quarantine: quarantine, log: log},
+		crashes: newCrashExchange(platform.Store, quarantine, log),
 		rates:   newRateExchange(platform.Store, storeFailing, g.pool, log),
 		parts:   newPartExchange(platform.Store, storeFailing, ledger, settings.Instance, log),
 	}
--- a/internal/gateway/oddnotice_test.go
+++ b/internal/gateway/oddnotice_test.go
@@ -22,7 +22,7 @@
 	p := pool.New()
 	p.Replace([]pool.Upstream{{ID: "i-1", Service: "service", Address: "10.0.0.1:80", Slots: 8, StartedAt: 1}})
 	return notices{
-		crashes: &crashExchange{quarantine: forward.NewQuarantine(), log: log},
+		crashes: newCrashExchange(nil, forward.NewQuarantine(), log),
 		rates:   newRateExchange(nil, func() bool { return false }, p, log),
 	}, p.Members("service")[0]
 }
@@ -55,7 +55,7 @@
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		n, m := fuzzedNotices()
 		for _, deleted := range []bool{false, true, false} {
-			n.apply(discovery.Batch{Rows: []discovery.Row{{Key: key, Value: value, Deleted: deleted}}}, 0)
+			n.apply(discovery.Batch{Rows: []discovery.Row{{Key: key, Value: value, Deleted: deleted}}}, 0, nil)
 			useUpstream(t, m)
 		}
 	})
--- a/internal/gateway/partevidence.go
+++ b/internal/gateway/partevidence.go
@@ -45,7 +45,8 @@
 	linkedAt  time.Time                  // when evidence last went over links
 	slot      int                        // of the next row
 	expiry    [maxEvidenceRows]time.Time // of the row in each slot; zero: none
-	foreign   map[string]time.Time       // rows of other processes, and when they are to be removed
+	written   [maxEvidenceRows]writtenEvidence
+	foreign   map[string]time.Time // rows of other processes, and when they are to be removed
 }
 
 func newEvidenceQueue() evidenceQueue {
@@ -141,11 +142,13 @@
 		},
 		ended: func(err error) {
 			if err != nil {
-				q.restore(time.Now(), row)
+				q.restore(row)
+				q.schedule(time.Now())
 				return
 			}
 			q.slot = (slot + 1) % maxEvidenceRows
 			q.expiry[slot] = time.Now().Add(crashLifetime)
+			q.written[slot] = writtenEvidence{row, value}
 			q.recordShared(time.Now(), row.successes)
 			log.Info("evidence on parts of prompts shared with other instances")
 		},
@@ -193,7 +196,7 @@
 
 // restore puts the evidence of a row that was not written at the end of the queue, so that all
 // evidence goes over links in turn while the store fails.
-func (q *evidenceQueue) restore(now time.Time, row evidence) {
+func (q *evidenceQueue) restore(row evidence) {
 	for _, crash := range row.crashes {
 		for _, prompt := range crash.Prompts {
 			single := crash
@@ -205,7 +208,6 @@
 	for part, at := range row.successes {
 		q.successes[part] = latest(q.successes[part], at)
 	}
-	q.schedule(now)
 }
 
 // nextRemoval returns the removal of a row that has expired. The caller holds mu.
@@ -217,7 +219,7 @@
 			continue
 		}
 		if !now.Before(at) {
-			return e.removal(e.evidenceKey(slot), func() { q.expiry[slot] = time.Time{} }), time.Time{}
+			return e.removal(e.evidenceKey(slot), func() { q.expiry[slot], q.written[slot] = time.Time{}, writtenEvidence{} }), time.Time{}
 		}
 		next = earliest(next, at)
 	}
--- a/internal/gateway/partreceive.go
+++ b/internal/gateway/partreceive.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,9 +15,12 @@
 const minRowAge = time.Second
 
 // readEvidence decodes a row of another instance.
-func (e *partExchange) readEvidence(now time.Time, row discovery.Row) (evidence, bool) {
-	own := strings.HasPrefix(row.Key, evidenceKeyPrefix+e.writer+"-")
+func (e *partExchange) readEvidence(now time.Time, row discovery.Row, returned bool) (evidence, bool) {
+	slot, own := e.ownSlot(row.Key)
 	e.mu.Lock()
+	if own && returned {
+		e.reviewOwnRow(now, slot, row)
+	}
 	if row.Deleted {
 		delete(e.evidence.foreign, row.Key)
 	} else if !own {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -49,7 +49,8 @@
 	links    partSpreader // nil: no links
 	evidence evidenceQueue
 	verdicts map[string]*verdictState // by the verdict's ID
-	trials   map[string]*trialClaim   // by the key of the row
+	removed  map[string]removedVerdict
+	trials   map[string]*trialClaim // by the key of the row
 	// ledgerChanged is closed when the ledger's verdicts differ from those in verdicts.
 	ledgerChanged <-chan struct{}
 	pauseUntil    time.Time // no write before this time
@@ -62,7 +63,7 @@
 func newPartExchange(store discovery.Store, storeFailing func() bool, ledger *poison.Ledger, instance string, log logrus.FieldLogger) *partExchange {
 	return &partExchange{
 		store: store, storeFailing: storeFailing, ledger: ledger, instance: instance, writer: fmt.Sprintf("%016x", rand.Uint64()), log: log,
-		wake: make(chan struct{}, 1), evidence: newEvidenceQueue(), verdicts: map[string]*verdictState{}, trials: map[string]*trialClaim{},
+		wake: make(chan struct{}, 1), evidence: newEvidenceQueue(), verdicts: map[string]*verdictState{}, removed: map[string]removedVerdict{}, trials: map[string]*trialClaim{},
 	}
 }
 
@@ -155,19 +156,20 @@
 	}
 }
 
-// apply applies changed rows: verdicts before the evidence that is older than they are.
-func (e *partExchange) apply(rows []discovery.Row) {
+// apply applies changed rows: verdicts before the evidence that is older than they are. returned
+// means that the store shows them since it has come back from a copy.
+func (e *partExchange) apply(rows []discovery.Row, returned bool) {
 	now := time.Now()
 	var batch []evidence
 	defer e.notify()
 	for _, row := range rows {
 		switch {
 		case strings.HasPrefix(row.Key, evidenceKeyPrefix):
-			if ev, ok := e.readEvidence(now, row); ok {
+			if ev, ok := e.readEvidence(now, row, returned); ok {
 				batch = append(batch, ev)
 			}
 		case strings.HasPrefix(row.Key, verdictKeyPrefix):
-			e.applyVerdict(now, row)
+			e.applyVerdict(now, row, returned)
 		case strings.HasPrefix(row.Key, trialKeyPrefix):
 			e.applyTrial(now, row)
 		default:
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -172,7 +172,7 @@
 			rows = append(rows, discovery.Row{Key: fmt.Sprint(evidenceKeyPrefix, "other-", n), Value: []byte(value)})
 		}
 		rows = append(rows, discovery.Row{Key: partKeyPrefix}, discovery.Row{Key: partKeyPrefix + "other/"}, discovery.Row{Key: evidenceKeyPrefix})
-		fleet[0].apply(rows)
+		fleet[0].apply(rows, false)
 		crashEach(fleet, 3)
 		expectRefusedBy(g, fleet, 2, "sound rows beside invalid ones")
 		stopFleet(fleet)
--- a/internal/gateway/partstore_test.go
+++ b/internal/gateway/partstore_test.go
@@ -186,7 +186,7 @@
 		batch, changed, down := s.since(version)
 		if !down && batch.Version > version {
 			version = batch.Version
-			notices{parts: e}.apply(batch, 0)
+			notices{parts: e}.apply(batch, 0, nil)
 		}
 		select {
 		case <-changed:
--- a/internal/gateway/parttrials.go
+++ b/internal/gateway/parttrials.go
@@ -35,6 +35,8 @@
 	own      bool // by this process
 	used     bool // the request was sent
 	removeAt time.Time
+	// rewriteAt is when the row, which the store has lost, is written again; zero: it has the row.
+	rewriteAt time.Time
 }
 
 func trialKey(id string, epoch int64, n int) string {
@@ -115,6 +117,15 @@
 
 // nextTrial returns the claim of a trial that is due. The caller holds mu.
 func (e *partExchange) nextTrial(now time.Time) (write *partWrite, next time.Time) {
+	for key, claim := range e.trials {
+		if claim.rewriteAt.IsZero() {
+			continue
+		}
+		if !now.Before(claim.rewriteAt) {
+			return e.trialWrite(key, func() { claim.rewriteAt = time.Now().Add(trialRetryPause) }), time.Time{}
+		}
+		next = earliest(next, claim.rewriteAt)
+	}
 	for id, state := range e.verdicts {
 		if state.claimAt.IsZero() {
 			continue
@@ -128,12 +139,13 @@
 		if key == "" || e.trials[key] != nil || now.Before(due) || !state.inForce {
 			continue // claimed by another instance, or no longer needed
 		}
-		return e.trialWrite(state, key), time.Time{}
+		return e.trialWrite(key, func() { state.claimRetryAt = time.Now().Add(trialRetryPause) }), time.Time{}
 	}
 	return nil, next
 }
 
-func (e *partExchange) trialWrite(state *verdictState, key string) *partWrite {
+// trialWrite returns the claim of a trial. delay delays the next attempt.
+func (e *partExchange) trialWrite(key string, delay func()) *partWrite {
 	var owner string
 	return &partWrite{
 		key: key,
@@ -143,10 +155,9 @@
 			return err
 		},
 		ended: func(err error) {
-			now := time.Now()
-			state.claimRetryAt = now.Add(trialRetryPause)
+			delay()
 			if err == nil {
-				e.recordTrial(now, key, owner)
+				e.recordTrial(time.Now(), key, owner)
 			}
 		},
 	}
@@ -163,7 +174,7 @@
 		e.trials[key] = claim
 		e.log.WithFields(logrus.Fields{"key": key, "own": owner == e.writer}).Info("trial of a verdict on parts of prompts claimed")
 	}
-	claim.own = owner == e.writer
+	claim.own, claim.rewriteAt = owner == e.writer, time.Time{}
 	claim.removeAt = now.Add(verdictLifetime + writeDelay(verdictRemoveSpread))
 }
 
--- a/internal/gateway/parttrials_test.go
+++ b/internal/gateway/parttrials_test.go
@@ -143,7 +143,7 @@
 			i.apply([]discovery.Row{
 				{Key: trialKeyPrefix}, {Key: trialKeyPrefix + "-"}, {Key: trialKeyPrefix + "x-1-0", Value: []byte("\x00\xff")},
 				{Key: trialKeyPrefix + "x-99999999999999999999-0", Value: []byte(i.writer)}, {Key: trialKeyPrefix + "x", Deleted: true},
-			})
+			}, false)
 		}
 		g.Expect(trials(fleet, 10*time.Minute)).To(HaveLen(2))
 		stopFleet(fleet)
--- a/internal/gateway/partverdicts.go
+++ b/internal/gateway/partverdicts.go
@@ -276,7 +276,7 @@
 }
 
 // applyVerdict applies a changed row.
-func (e *partExchange) applyVerdict(now time.Time, row discovery.Row) {
+func (e *partExchange) applyVerdict(now time.Time, row discovery.Row, returned bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.syncVerdicts(now)
@@ -286,6 +286,9 @@
 		return
 	}
 	if state, value := e.readVerdict(id, row); state != nil {
+		if returned {
+			e.restoreRemoved(now, id, state)
+		}
 		state.recordRow(now, value)
 		e.followVerdict(now, id, value)
 	}
@@ -351,6 +354,7 @@
 	if state.inForce && now.Sub(state.refusedAt) < verdictLifetime {
 		return
 	}
+	e.recordRemoved(now, id, state.epoch)
 	delete(e.verdicts, id)
 	e.ledger.Lift(now, id)
 }
--- a/internal/gateway/partverdicts_test.go
+++ b/internal/gateway/partverdicts_test.go
@@ -227,9 +227,9 @@
 				rows = append(rows, discovery.Row{Key: key, Value: []byte(value)}, discovery.Row{Key: key, Deleted: true})
 			}
 		}
-		fleet[0].apply(rows)
+		fleet[0].apply(rows, false)
 		g.Expect(fleet[0].ledger.Verdicts()).To(BeEmpty())
-		fleet[0].apply(append(rows, discovery.Row{Key: key, Value: []byte(valid)}))
+		fleet[0].apply(append(rows, discovery.Row{Key: key, Value: []byte(valid)}), false)
 		g.Expect(fleet[0].ledger.Verdicts()).To(HaveLen(1))
 		stopFleet(fleet)
 	})
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -57,12 +57,15 @@
 	pool         *pool.Pool
 	log          logrus.FieldLogger
 
+	rewriter *rewriter
+
 	hasNotices atomic.Bool // there is a row, or a notice that came over links
 
-	mu        sync.Mutex            // guards the fields below
-	links     rateSpreader          // nil: no links
-	writtenAt map[string]time.Time  // last write about each upstream
-	linked    map[string]linkedRate // by the ID of the upstream
+	mu        sync.Mutex                 // guards the fields below
+	links     rateSpreader               // nil: no links
+	writtenAt map[string]time.Time       // last write about each upstream
+	linked    map[string]linkedRate      // by the ID of the upstream
+	stored    map[string]pool.RateNotice // rows in the store, by the ID of the upstream
 }
 
 // rateSpreader sends a notice of a request rate to the other instances over links.
@@ -79,7 +82,8 @@
 
 func newRateExchange(store discovery.Store, storeFailing func() bool, p *pool.Pool, log logrus.FieldLogger) *rateExchange {
 	return &rateExchange{
-		store: store, storeFailing: storeFailing, pool: p, log: log, writtenAt: map[string]time.Time{}, linked: map[string]linkedRate{},
+		store: store, storeFailing: storeFailing, pool: p, log: log, rewriter: newRewriter(log),
+		writtenAt: map[string]time.Time{}, linked: map[string]linkedRate{}, stored: map[string]pool.RateNotice{},
 	}
 }
 
@@ -170,30 +174,16 @@
 	log.Info("request rate shared with other instances")
 }
 
-func (e *rateExchange) writeRow(ctx context.Context, message rateMessage) error {
-	key := rateKeyPrefix + message.UpstreamID
-	if message.Ended {
-		return e.store.Remove(ctx, discovery.Notices, key)
-	}
-	value, err := json.Marshal(rateRow{PerSecond: &message.PerSecond, StartedAt: message.StartedAt})
-	if err != nil {
-		return err
-	}
-	return e.store.Put(ctx, discovery.Notices, key, value)
-}
-
 // apply applies a changed notice.
-func (e *rateExchange) apply(row discovery.Row) {
+func (e *rateExchange) apply(row discovery.Row, returned bool) {
 	upstreamID := strings.TrimPrefix(row.Key, rateKeyPrefix)
 	now := time.Now()
-	e.mu.Lock()
-	delete(e.linked, upstreamID) // the row is newer
-	e.mu.Unlock()
-	defer e.updateHasNotices()
 	if row.Deleted {
+		e.recordEnd(upstreamID)
 		if m, change := e.pool.ApplyRateEnd(now, upstreamID); change != pool.RateUnchanged {
 			forward.LogRateChange(e.log, m, change, "notice")
 		}
+		e.updateHasNotices()
 		return
 	}
 	var value rateRow
@@ -202,6 +192,10 @@
 		return
 	}
 	notice := pool.RateNotice{PerSecond: *value.PerSecond, StartedAt: value.StartedAt}
+	if !e.recordRow(upstreamID, notice, returned) {
+		return
+	}
+	defer e.updateHasNotices()
 	if m, change := e.pool.ApplyRateNotice(now, upstreamID, notice); change != pool.RateUnchanged {
 		forward.LogRateChange(e.log, m, change, "notice")
 	}
--- a/internal/gateway/rates_test.go
+++ b/internal/gateway/rates_test.go
@@ -53,7 +53,7 @@
 	readers := s.readers
 	s.mu.Unlock()
 	for _, reader := range readers {
-		reader.apply(discovery.Batch{Rows: []discovery.Row{row}}, 0)
+		reader.apply(discovery.Batch{Rows: []discovery.Row{row}}, 0, nil)
 	}
 	return nil
 }
@@ -103,7 +103,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, value := range s.rows {
-		notices{rates: i.rates}.apply(discovery.Batch{Rows: []discovery.Row{{Key: key, Value: value}}}, 0)
+		notices{rates: i.rates}.apply(discovery.Batch{Rows: []discovery.Row{{Key: key, Value: value}}}, 0, nil)
 	}
 	s.readers = append(s.readers, notices{rates: i.rates})
 	return i
@@ -222,7 +222,7 @@
 	g := NewWithT(t)
 	i := (&noticeStore{rows: map[string][]byte{}}).newInstance(ratedUpstream)
 	for _, value := range []string{``, `null`, `{}`, `[]`, `{"started_at":1}`, `{"per_second":-1,"started_at":1}`, `{"per_second":"3","started_at":1}`, `{"per_second":1e999,"started_at":1}`} {
-		notices{rates: i.rates}.apply(discovery.Batch{Rows: []discovery.Row{{Key: "rate/u", Value: []byte(value)}, {Key: "rate/", Value: []byte(value)}}}, 0)
+		notices{rates: i.rates}.apply(discovery.Batch{Rows: []discovery.Row{{Key: "rate/u", Value: []byte(value)}, {Key: "rate/", Value: []byte(value)}}}, 0, nil)
 		g.Expect(i.statedRate()).To(Equal(-1.0), value)
 	}
 }
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -121,7 +121,7 @@
 	}
 	addReader(discovery.Configuration, discovery.PollSchedule{Wait: configurationMaxAge}, discovery.SameValue, startup.trackApplied(discovery.Configuration, g.configuration.Apply))
 	addReader(discovery.Upstreams, discovery.PollSchedule{Pause: upstreamsMaxAge}, g.upstreams.SameEntry, startup.trackApplied(discovery.Upstreams, g.upstreams.Apply))
-	addReader(discovery.Notices, discovery.PollSchedule{Wait: noticesPollHold}, discovery.SameValue, notices.apply)
+	addReader(discovery.Notices, discovery.PollSchedule{Wait: noticesPollHold}, discovery.SameValue, notices.keeper().Apply)
 	addReader(discovery.Instances, discovery.PollSchedule{Pause: instancesPollInterval}, discovery.SameValue, p.members.Apply)
 	return p
 }
--- a/internal/pool/ratenotice.go
+++ b/internal/pool/ratenotice.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // maxRateNotices bounds the memory for notices, which other programs may have written.
 const maxRateNotices = 10_000
@@ -50,6 +54,13 @@
 	return notice, ok
 }
 
+// RateNoticeIDs returns the IDs of the upstreams about which there are notices.
+func (p *Pool) RateNoticeIDs() []string {
+	p.noticesMu.Lock()
+	defer p.noticesMu.Unlock()
+	return slices.Collect(maps.Keys(p.rateNotices))
+}
+
 // HasRateNotices reports whether there is a notice about any upstream.
 func (p *Pool) HasRateNotices() bool {
 	p.noticesMu.Lock()
