Write rows again that were acknowledged while the store came back

What callers saw: an instance whose row was lost between the write and its response counted itself as listed for good, though no other did: the parts of a limit added up to more than it. Evidence and verdicts of such a write were known to their writer only.

Cause: the response marked the row as written after the return had been read, which is the only time at which lost rows are looked for.

Evidence, before: TestRowThatIsLostBeforeItsResponseIsWrittenAgain "5 to equal 6"; TestNoticesThatAreLostBeforeTheirResponsesAreWrittenAgain "0 not to be zero-valued".

Change: a write during which a return was read counts as failed.

Measured: both tests pass, at 1, 6 and 300 instances; so does one more for claims of trials.

--- a/internal/gateway/copiednotices_test.go
+++ b/internal/gateway/copiednotices_test.go
@@ -37,6 +37,8 @@
 	down    bool
 	writes  []time.Time
 	changed chan struct{}
+	// responseDelay is the time from a write to its response.
+	responseDelay time.Duration
 }
 
 func newCopiedNotices(t *testing.T) *copiedNotices {
@@ -47,17 +49,26 @@
 func (s *copiedNotices) change(write func()) error {
 	time.Sleep(copiedCallTime)
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.writes = append(s.writes, time.Now())
 	if s.down {
+		s.mu.Unlock()
 		return errStoreDown
 	}
 	write()
 	close(s.changed)
 	s.changed = make(chan struct{})
+	delay := s.responseDelay
+	s.mu.Unlock()
+	time.Sleep(delay)
 	return nil
 }
 
+func (s *copiedNotices) setResponseDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.responseDelay = delay
+}
+
 func (s *copiedNotices) Put(_ context.Context, _ discovery.Topic, key string, value []byte) error {
 	return s.change(func() { s.rows[key] = value })
 }
--- a/internal/gateway/partreturn.go
+++ b/internal/gateway/partreturn.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"foxtailhub.example/foxtailhub/internal/discovery"
@@ -32,6 +33,15 @@
 	at    time.Time
 }
 
+// errStoreReturned means that a write may be lost although it was acknowledged.
+var errStoreReturned = errors.New("the store came back from a copy during the write")
+
+func (e *partExchange) returnCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.returns
+}
+
 // writeAgain writes the rows again that a returned store lacks. stored tells the rows in the
 // store. Epochs order the states of a verdict, so a row in an older state is written anyway.
 func (e *partExchange) writeAgain(stored func(key string) bool) {
@@ -39,6 +49,7 @@
 	defer e.mu.Unlock()
 	defer e.notify()
 	now := time.Now()
+	e.returns++
 	e.syncVerdicts(now)
 	var verdicts, claims int
 	for id, state := range e.verdicts {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -56,6 +56,7 @@
 	pauseUntil    time.Time // no write before this time
 	retryAt       time.Time // no write that may wait before this time
 	failing       bool      // the last write failed
+	returns       int       // how often the store has come back from a copy
 }
 
 var _ forward.PartExchange = (*partExchange)(nil)
@@ -133,10 +134,14 @@
 	ctx, cancel := context.WithTimeout(ctx, partWriteTimeout)
 	defer cancel()
 	spreadEnded := e.spreadLater(write.message)
+	returns := e.returnCount()
 	err := write.call(ctx, e.store)
 	spreadEnded(err)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if err == nil && e.returns != returns {
+		err = errStoreReturned
+	}
 	e.pauseUntil = time.Now().Add(partWriteInterval)
 	if err != nil {
 		e.retryAt = time.Now().Add(partRetryMin + time.Duration(rand.Float64()*float64(partRetryMax-partRetryMin)))
--- a/internal/gateway/returnednotices_test.go
+++ b/internal/gateway/returnednotices_test.go
@@ -264,3 +264,61 @@
 		g.Expect(store.count(partKeyPrefix)).To(BeZero())
 	})
 }
+
+// Guards against rows that nobody writes again because they were lost with the store before the
+// responses to their writes arrived.
+func TestNoticesThatAreLostBeforeTheirResponsesAreWrittenAgain(t *testing.T) {
+	forFleetSizes(t, func(t *testing.T, g Gomega, store *copiedNotices, size int) {
+		fleet := store.startNoticesFleet(size, ratedUpstream)
+		copied := store.copyRows()
+		store.setResponseDelay(1200 * time.Millisecond)
+		fleet[0].sees(1, poisonPrompt(1))
+		fleet[0].respond(stated(3))
+		time.Sleep(100 * time.Millisecond)
+		store.restore(copied)
+		time.Sleep(1050 * time.Millisecond)
+		store.setResponseDelay(0)
+		time.Sleep(5 * time.Second)
+		fleet[0].respond(stated(3))
+		time.Sleep(5 * time.Second)
+		g.Expect(store.count(evidenceKeyPrefix)).NotTo(BeZero())
+		g.Expect(store.count(rateKeyPrefix)).To(Equal(1))
+		store.convict(fleet)
+		g.Expect(store.count(verdictKeyPrefix)).To(Equal(1))
+	})
+}
+
+// Guards against a third trial of a verdict because the claim of one was lost with the store.
+func TestClaimOfATrialIsWrittenAgain(t *testing.T) {
+	forFleetSizes(t, func(t *testing.T, g Gomega, store *copiedNotices, size int) {
+		fleet := store.startNoticesFleet(size)
+		store.convict(fleet)
+		trials := 0
+		useFor := func(duration time.Duration) {
+			for began := time.Now(); time.Since(began) < duration; time.Sleep(time.Second) {
+				for _, i := range fleet {
+					if verdict, refused := i.ledger.Refuses(poisonPrompt(99)); refused {
+						i.Refused(verdict)
+						if i.ClaimTrial(verdict) {
+							trials++
+						}
+					}
+				}
+			}
+		}
+		useFor(time.Minute)
+		g.Expect(trials).To(Equal(1))
+		copied := store.copyRows()
+		for key := range copied {
+			if strings.HasPrefix(key, trialKeyPrefix) {
+				delete(copied, key)
+			}
+		}
+		store.restore(copied)
+		useFor(time.Minute)
+		g.Expect(store.count(trialKeyPrefix)).To(Equal(1))
+		g.Expect(trials).To(Equal(1))
+		useFor(15 * time.Minute)
+		g.Expect(trials).To(Equal(2))
+	})
+}
--- a/internal/storesync/copiedstore_test.go
+++ b/internal/storesync/copiedstore_test.go
@@ -40,6 +40,8 @@
 	writes   []time.Time
 	creates  int
 	restored chan struct{} // closed at the next return
+	// responseDelay is the time from a write to its response.
+	responseDelay time.Duration
 }
 
 func newCopiedStore(t *testing.T) *copiedStore {
@@ -56,9 +58,11 @@
 		return errRefused
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	write()
-	if s.mute {
+	mute, delay := s.mute, s.responseDelay
+	s.mu.Unlock()
+	time.Sleep(delay)
+	if mute {
 		return errRefused
 	}
 	return nil
--- a/internal/storesync/fleet_test.go
+++ b/internal/storesync/fleet_test.go
@@ -33,7 +33,7 @@
 		m.Apply(discovery.Batch{Rows: []discovery.Row{row(other)}}, 0)
 		g.Expect(m.Fleet(settleTime).SettledAt).To(BeZero(), "not registered")
 		time.Sleep(time.Second)
-		m.markListed()
+		m.markListed(0)
 		registeredAt := time.Now()
 		time.Sleep(time.Second)
 		m.Apply(discovery.Batch{Rows: []discovery.Row{row(self)}}, 0)
--- a/internal/storesync/members.go
+++ b/internal/storesync/members.go
@@ -152,7 +152,7 @@
 	// lostUnsettled means that the row was lost before all others had read it.
 	lostUnsettled bool
 	secretLost    bool // the store has lost the secret that is held
-	returned      bool // the store has come back from a copy since the start
+	returns       int  // how often the store has come back from a copy since the start
 	settleTime    func(listedAt time.Time) time.Duration
 	isLoaded      bool          // the rows have been read once
 	loaded        chan struct{} // closed when isLoaded is set
--- a/internal/storesync/ownrows.go
+++ b/internal/storesync/ownrows.go
@@ -51,7 +51,7 @@
 // recordReturn notes what the store lacks of the rows of this instance after it has come back
 // from a copy. The caller holds mu.
 func (m *Members) recordReturn(stored func(key string) bool) {
-	m.returned = true
+	m.returns++
 	if m.listed && !stored(m.self.rowKey()) {
 		m.loseRow()
 	}
@@ -93,20 +93,37 @@
 	m.setListed(true)
 }
 
-// markListed records that this instance has written its row.
-func (m *Members) markListed() {
+// returnCount returns how often the store has come back from a copy.
+func (m *Members) returnCount() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.returns
+}
+
+// markListed records that this instance has written its row. It returns false if the store has come
+// back from a copy since it had done so returns times, by which the row may be lost.
+func (m *Members) markListed(returns int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.returns != returns {
+		return false
+	}
 	m.rowWritten()
 	m.notify()
+	return true
 }
 
-// markSecret records the secret of the fleet in the store, which this instance may have created.
-func (m *Members) markSecret(secret []byte) {
+// markSecret records the secret of the fleet in the store, which this instance may have created. It
+// returns false like markListed.
+func (m *Members) markSecret(secret []byte, returns int) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.returns != returns {
+		return false
+	}
 	m.applySecret(discovery.Row{Key: secretKey, Value: slices.Clone(secret)})
 	m.notify()
+	return true
 }
 
 // needs returns whether and why the row of this instance and the secret of the fleet have to
@@ -133,7 +150,7 @@
 func (m *Members) secretMayBeHeld() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.returned || len(m.members) > 1
+	return m.returns > 0 || len(m.members) > 1
 }
 
 // rowValue returns the row of another member as last read.
--- a/internal/storesync/registrar.go
+++ b/internal/storesync/registrar.go
@@ -6,6 +6,7 @@
 	mathrand "math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
@@ -51,6 +52,9 @@
 	removedRetention = 10 * time.Minute
 )
 
+// errStoreReturned means that a write may be lost although it was acknowledged.
+var errStoreReturned = errors.New("the store came back from a copy during the write")
+
 // Registrar maintains this instance's row in the store and removes the rows of lost
 // instances.
 type Registrar struct {
@@ -190,11 +194,15 @@
 func (r *Registrar) register(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if err := r.writeRow(ctx); err != nil {
+	returns := r.Members.returnCount()
+	err := r.writeRow(ctx)
+	if err == nil && !r.Members.markListed(returns) {
+		err = errStoreReturned
+	}
+	if err != nil {
 		r.Log.WithError(err).Warn("instance registration failed")
 		return
 	}
-	r.Members.markListed()
 	r.Log.WithFields(logrus.Fields{"address": r.Self.Address, "domain": r.Self.Domain, "weight": r.Self.Weight}).Info("instance registered")
 }
 
@@ -207,12 +215,14 @@
 		secret = make([]byte, secretBytes)
 		_, _ = rand.Read(secret) // never fails
 	}
+	returns := r.Members.returnCount()
 	current, err := r.Store.Create(ctx, discovery.Instances, secretKey, secret)
+	if err == nil && !r.Members.markSecret(current, returns) {
+		err = errStoreReturned
+	}
 	if err != nil {
 		r.Log.WithError(err).Warn("secret of the fleet could not be read or created")
-		return
 	}
-	r.Members.markSecret(current)
 }
 
 func (r *Registrar) writeRow(ctx context.Context) error {
--- a/internal/storesync/returnedstore_test.go
+++ b/internal/storesync/returnedstore_test.go
@@ -167,3 +167,21 @@
 		store.expectOneFleet(fleet)
 	})
 }
+
+// Guards against an instance that uses a part of the request rates although its row was lost with
+// the store before the response to its write arrived.
+func TestRowThatIsLostBeforeItsResponseIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newCopiedStore(t)
+		fleet := store.startFleet(5)
+		copied, _, _, _ := store.snapshot()
+		delete(copied, secretKey)
+		store.update(func() { store.responseDelay = 3 * time.Second })
+		fleet = append(fleet, store.start(copiedMember(5)))
+		time.Sleep(time.Second)
+		store.restore(copied)
+		store.update(func() { store.responseDelay = 0 })
+		time.Sleep(time.Minute)
+		store.expectOneFleet(fleet)
+	})
+}
