Remove the row of a lost instance once for a return of the store

Cause: each change of the list before the next read repeated the removal, 5 times in the test ("5 to equal 1"). A removal is now repeated after 15 s at the earliest. The list also logs what a returned store has lost.

--- a/internal/storesync/copiedstore_test.go
+++ b/internal/storesync/copiedstore_test.go
@@ -39,6 +39,7 @@
 	mute     bool // writes are performed, but get no response
 	writes   []time.Time
 	creates  int
+	removals int
 	restored chan struct{} // closed at the next return
 	// responseDelay is the time from a write to its response.
 	responseDelay time.Duration
@@ -73,7 +74,10 @@
 }
 
 func (s *copiedStore) Remove(_ context.Context, _ discovery.Topic, key string) error {
-	return s.change(func() { delete(s.rows, key) })
+	return s.change(func() {
+		s.removals++
+		delete(s.rows, key)
+	})
 }
 
 func (s *copiedStore) Create(_ context.Context, _ discovery.Topic, key string, value []byte) (current []byte, err error) {
@@ -106,7 +110,7 @@
 		s.rows = map[string][]byte{}
 		maps.Copy(s.rows, copied)
 		s.era++
-		s.writes, s.creates = nil, 0
+		s.writes, s.creates, s.removals = nil, 0, 0
 		close(s.restored)
 		s.restored = make(chan struct{})
 	})
--- a/internal/storesync/members.go
+++ b/internal/storesync/members.go
@@ -185,6 +185,9 @@
 	}
 	if batch.Returned {
 		m.recordReturn(stored)
+		m.log.WithFields(logrus.Fields{
+			"era": batch.Era, "version": batch.Version, "members": len(m.members), "own_row_lost": !m.rowLostAt.IsZero(), "secret_lost": m.secretLost,
+		}).Info("store came back from a copy; the instances in it are read")
 	}
 	if !m.isLoaded {
 		m.isLoaded = true
--- a/internal/storesync/registrar.go
+++ b/internal/storesync/registrar.go
@@ -47,6 +47,8 @@
 	// leaves it to others to write theirs again.
 	secretWait       = 5 * time.Second
 	secretWaitSpread = 3 * time.Second
+	// removalRetryPause is the time in which the removal of a row is read.
+	removalRetryPause = 15 * time.Second
 	// removedRetention is how long a removed row is remembered. Copies of the store are
 	// seconds old.
 	removedRetention = 10 * time.Minute
@@ -72,8 +74,9 @@
 
 // removedRow is the row of a lost instance that this instance has removed.
 type removedRow struct {
-	value []byte
-	at    time.Duration // by the clock
+	value   []byte
+	at      time.Duration // by the clock
+	retryAt time.Duration // the row is not removed again before this time
 }
 
 // plannedWrite is when a row is written, and why.
@@ -302,7 +305,7 @@
 	if r.removed == nil {
 		r.removed = map[contract.InstanceID]removedRow{}
 	}
-	r.removed[m.ID] = removedRow{value, r.Clock()}
+	r.removed[m.ID] = removedRow{value: value, at: r.Clock()}
 	log.Info("row of a lost instance removed")
 }
 
@@ -314,8 +317,11 @@
 			delete(r.removed, id)
 			continue
 		}
-		if m, ok := r.Members.reappeared(id, row.value); ok {
+		if m, ok := r.Members.reappeared(id, row.value); ok && r.Clock() >= row.retryAt {
 			r.removeRow(ctx, m, r.Clock()-row.at)
+			row = r.removed[id]
+			row.retryAt = r.Clock() + removalRetryPause
+			r.removed[id] = row
 		}
 	}
 }
--- a/internal/storesync/returnedstore_test.go
+++ b/internal/storesync/returnedstore_test.go
@@ -89,9 +89,14 @@
 		}
 		time.Sleep(2 * copiedReadInterval)
 		store.expectOneFleet(fleet[:6])
+		delete(copied, secretKey)
+		for _, i := range fleet[:6] {
+			delete(copied, i.rowKey())
+		}
 		store.restore(copied)
 		time.Sleep(2 * copiedReadInterval)
 		store.expectOneFleet(fleet[:6])
+		g.Expect(store.removals).To(Equal(1))
 
 		// It has started again since.
 		fleet[6] = store.start(copiedMember(6))
