Remove crash notices that a returned store shows after their writer has ended

What callers saw: each instance that started counted the crash as a new one, for good.

Cause: only the writer removed its rows.

Evidence, before: TestCrashOfAnEndedWriterInACopyIsRemovedByOthers "1 to be zero-valued" at 1, 6 and 300 instances.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -101,17 +101,35 @@
 			c.known[row.Key] = now
 		}
 		return false
-	case known && (returned || removedAt.IsZero()):
-		c.known[row.Key] = time.Time{}
+	case known && removedAt.IsZero():
 		return false
 	}
-	if len(c.known) >= maxKnownCrashNotices {
+	if !known && len(c.known) >= maxKnownCrashNotices {
 		maps.DeleteFunc(c.known, func(_ string, at time.Time) bool { return !at.IsZero() && now.Sub(at) >= removedRetention })
 	}
 	if known || len(c.known) < maxKnownCrashNotices {
 		c.known[row.Key] = time.Time{}
+		c.removeLater(row.Key)
 	}
-	return true
+	return !known || !returned
+}
+
+// removeLater removes a row long after it has expired: its writer has probably ended.
+func (c *crashExchange) removeLater(key string) {
+	c.rewriter.schedule(key, foreignRowLifetime+writeDelay(foreignRowSpread), func(ctx context.Context) error {
+		if !c.isPresent(key) {
+			return errNotNeeded
+		}
+		return c.store.Remove(ctx, discovery.Notices, key)
+	})
+}
+
+// isPresent reports whether a row was read and not removed.
+func (c *crashExchange) isPresent(key string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	removedAt, known := c.known[key]
+	return known && removedAt.IsZero()
 }
 
 // writeAgain writes the rows of this instance that the store has lost, and removes the expired
--- a/internal/gateway/returnednotices_test.go
+++ b/internal/gateway/returnednotices_test.go
@@ -322,3 +322,24 @@
 		g.Expect(trials).To(Equal(2))
 	})
 }
+
+// Guards against a crash that each started instance counts because a copy shows its removed notice and
+// its writer has ended since.
+func TestCrashOfAnEndedWriterInACopyIsRemovedByOthers(t *testing.T) {
+	forFleetSizes(t, func(t *testing.T, g Gomega, store *copiedNotices, size int) {
+		fleet := store.startNoticesFleet(size + 1)
+		fleet[size].crashes.publish(forward.Crash{Content: "content", UpstreamID: "u"})
+		time.Sleep(forward.QuarantineDuration - time.Second)
+		copied := store.copyRows()
+		g.Expect(store.count("content")).To(Equal(1))
+		time.Sleep(2 * time.Second)
+		g.Expect(store.count("content")).To(BeZero())
+		fleet[size].stop()
+		store.restore(copied)
+		time.Sleep(time.Minute)
+		g.Expect(store.count("content")).To(Equal(1))
+		time.Sleep(foreignRowLifetime + foreignRowSpread)
+		g.Expect(store.count("content")).To(BeZero())
+		store.expectFewWrites(g, 20)
+	})
+}
