--- a/internal/storesync/copiedstore_test.go
+++ b/internal/storesync/copiedstore_test.go
@@ -39,7 +39,10 @@
 	mute     bool // writes are performed, but get no response
 	writes   []time.Time
 	creates  int
+	removals int
 	restored chan struct{} // closed at the next return
+	// responseDelay is the time from a write to its response.
+	responseDelay time.Duration
 }
 
 func newCopiedStore(t *testing.T) *copiedStore {
@@ -56,9 +59,11 @@
 		return errRefused
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	write()
-	if s.mute {
+	mute, delay := s.mute, s.responseDelay
+	s.mu.Unlock()
+	time.Sleep(delay)
+	if mute {
 		return errRefused
 	}
 	return nil
@@ -69,7 +74,10 @@
 }
 
 func (s *copiedStore) Remove(_ context.Context, _ discovery.Topic, key string) error {
-	return s.change(func() { delete(s.rows, key) })
+	return s.change(func() {
+		s.removals++
+		delete(s.rows, key)
+	})
 }
 
 func (s *copiedStore) Create(_ context.Context, _ discovery.Topic, key string, value []byte) (current []byte, err error) {
@@ -102,7 +110,7 @@
 		s.rows = map[string][]byte{}
 		maps.Copy(s.rows, copied)
 		s.era++
-		s.writes, s.creates = nil, 0
+		s.writes, s.creates, s.removals = nil, 0, 0
 		close(s.restored)
 		s.restored = make(chan struct{})
 	})
--- a/internal/storesync/members.go
+++ b/internal/storesync/members.go
@@ -152,7 +152,7 @@
 	// lostUnsettled means that the row was lost before all others had read it.
 	lostUnsettled bool
 	secretLost    bool // the store has lost the secret that is held
-	returned      bool // the store has come back from a copy since the start
+	returns       int  // how often the store has come back from a copy since the start
 	settleTime    func(listedAt time.Time) time.Duration
 	isLoaded      bool          // the rows have been read once
 	loaded        chan struct{} // closed when isLoaded is set
@@ -185,6 +185,9 @@
 	}
 	if batch.Returned {
 		m.recordReturn(stored)
+		m.log.WithFields(logrus.Fields{
+			"era": batch.Era, "version": batch.Version, "members": len(m.members), "own_row_lost": !m.rowLostAt.IsZero(), "secret_lost": m.secretLost,
+		}).Info("store came back from a copy; the instances in it are read")
 	}
 	if !m.isLoaded {
 		m.isLoaded = true
--- a/internal/storesync/registrar.go
+++ b/internal/storesync/registrar.go
@@ -6,6 +6,7 @@
 	mathrand "math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"foxtailhub.example/foxtailhub/internal/contract"
@@ -46,11 +47,16 @@
 	// leaves it to others to write theirs again.
 	secretWait       = 5 * time.Second
 	secretWaitSpread = 3 * time.Second
+	// removalRetryPause is the time in which the removal of a row is read.
+	removalRetryPause = 15 * time.Second
 	// removedRetention is how long a removed row is remembered. Copies of the store are
 	// seconds old.
 	removedRetention = 10 * time.Minute
 )
 
+// errStoreReturned means that a write may be lost although it was acknowledged.
+var errStoreReturned = errors.New("the store came back from a copy during the write")
+
 // Registrar maintains this instance's row in the store and removes the rows of lost
 // instances.
 type Registrar struct {
@@ -68,8 +74,9 @@
 
 // removedRow is the row of a lost instance that this instance has removed.
 type removedRow struct {
-	value []byte
-	at    time.Duration // by the clock
+	value   []byte
+	at      time.Duration // by the clock
+	retryAt time.Duration // the row is not removed again before this time
 }
 
 // plannedWrite is when a row is written, and why.
@@ -190,11 +197,15 @@
 func (r *Registrar) register(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if err := r.writeRow(ctx); err != nil {
+	returns := r.Members.returnCount()
+	err := r.writeRow(ctx)
+	if err == nil && !r.Members.markListed(returns) {
+		err = errStoreReturned
+	}
+	if err != nil {
 		r.Log.WithError(err).Warn("instance registration failed")
 		return
 	}
-	r.Members.markListed()
 	r.Log.WithFields(logrus.Fields{"address": r.Self.Address, "domain": r.Self.Domain, "weight": r.Self.Weight}).Info("instance registered")
 }
 
@@ -207,12 +218,14 @@
 		secret = make([]byte, secretBytes)
 		_, _ = rand.Read(secret) // never fails
 	}
+	returns := r.Members.returnCount()
 	current, err := r.Store.Create(ctx, discovery.Instances, secretKey, secret)
+	if err == nil && !r.Members.markSecret(current, returns) {
+		err = errStoreReturned
+	}
 	if err != nil {
 		r.Log.WithError(err).Warn("secret of the fleet could not be read or created")
-		return
 	}
-	r.Members.markSecret(current)
 }
 
 func (r *Registrar) writeRow(ctx context.Context) error {
@@ -292,7 +305,7 @@
 	if r.removed == nil {
 		r.removed = map[contract.InstanceID]removedRow{}
 	}
-	r.removed[m.ID] = removedRow{value, r.Clock()}
+	r.removed[m.ID] = removedRow{value: value, at: r.Clock()}
 	log.Info("row of a lost instance removed")
 }
 
@@ -304,8 +317,11 @@
 			delete(r.removed, id)
 			continue
 		}
-		if m, ok := r.Members.reappeared(id, row.value); ok {
+		if m, ok := r.Members.reappeared(id, row.value); ok && r.Clock() >= row.retryAt {
 			r.removeRow(ctx, m, r.Clock()-row.at)
+			row = r.removed[id]
+			row.retryAt = r.Clock() + removalRetryPause
+			r.removed[id] = row
 		}
 	}
 }
