Test fleets whose store comes back from a copy

Tests in virtual time of 1, 6, 60 and 300 instances: the store returns at random moments from a copy of some seconds ago, at once or after a time away, twice in a row, with held calls answered or reset and late answers; the operator and the upstreams write their rows again within 2 s. Changes arrive in the bound, also beside restarts, freezes and cuts; instances register again with one secret; calls are compared with a store that loses nothing.

--- a/internal/storesync/harness_test.go
+++ b/internal/storesync/harness_test.go
@@ -38,6 +38,7 @@
 	rows         map[discovery.Topic]map[string]discovery.Row
 	oldest       int64 // history up to this version is no longer available
 	changed      chan struct{}
+	restorer                                              // what the store has for returns from a copy
 	refuseCall   func(instance contract.InstanceID) error // nil: no call is refused
 	silent       bool
 	delay        time.Duration
@@ -46,7 +47,7 @@
 }
 
 func newStore() *store {
-	s := &store{rows: map[discovery.Topic]map[string]discovery.Row{}, changed: make(chan struct{}), delay: storeDelay, calls: map[discovery.Topic]int{}}
+	s := &store{restorer: restorer{era: 1}, rows: map[discovery.Topic]map[string]discovery.Row{}, changed: make(chan struct{}), delay: storeDelay, calls: map[discovery.Topic]int{}}
 	for _, topic := range topics {
 		s.rows[topic] = map[string]discovery.Row{}
 	}
@@ -56,10 +57,7 @@
 func (s *store) write(topic discovery.Topic, key, value string, deleted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.version++
-	s.rows[topic][key] = discovery.Row{Key: key, Value: []byte(value), Version: s.version, Deleted: deleted}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.apply(map[rowID]discovery.Row{{topic, key}: {Key: key, Value: []byte(value), Version: s.version + 1, Deleted: deleted}}, s.version+1)
 }
 
 func (s *store) update(change func(s *store)) {
@@ -87,6 +85,7 @@
 type client struct {
 	*store
 	instance contract.InstanceID
+	eras     *discovery.EraTracker
 }
 
 var errRefused = errors.New("503")
@@ -95,11 +94,16 @@
 	c.mu.Lock()
 	c.calls[topic]++
 
-	refuse, silent, delay := c.refuseCall, c.silent, c.delay
+	refuse, silent, delay, away, era := c.refuseCall, c.silent, c.delay, c.away > 0, c.era
 	c.mu.Unlock()
+	if away {
+		c.update(func(s *store) { s.refusedCalls++ })
+		return errAway
+	}
 	if refuse != nil {
 		if err := refuse(c.instance); err != nil {
 			c.update(func(s *store) { s.refusedCalls++ })
+			c.eras.Observe(era)
 			return err
 		}
 	}
@@ -108,7 +112,10 @@
 		return ctx.Err()
 	}
 	sleep(ctx, delay)
-	return ctx.Err()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return c.checkPresent()
 }
 
 func (c client) Read(ctx context.Context, topic discovery.Topic) (discovery.Batch, error) {
@@ -116,14 +123,14 @@
 		return discovery.Batch{}, err
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	batch := discovery.Batch{Version: c.version}
+	batch := discovery.Batch{Version: c.version, Era: c.era}
 	for _, row := range c.rows[topic] {
 		if !row.Deleted {
 			batch.Rows = append(batch.Rows, row)
 		}
 	}
-	return batch, nil
+	c.mu.Unlock()
+	return c.deliver(ctx, batch, nil)
 }
 
 func (c client) Changes(ctx context.Context, topic discovery.Topic, after int64, wait time.Duration) (discovery.Batch, error) {
@@ -132,9 +139,14 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	firstEra := discovery.Era(0)
 	for waitOver := wait == 0; ; {
 		c.mu.Lock()
-		batch, oldest, changed, silent := discovery.Batch{Version: c.version}, c.oldest, c.changed, c.silent
+		batch, oldest, changed, silent := discovery.Batch{Version: c.version, Era: c.era}, c.oldest, c.changed, c.silent
+		if firstEra == 0 {
+			firstEra = c.era
+		}
+		restored, resetHeld, away := c.era != firstEra, c.resetHeld, c.away > 0
 		for _, row := range c.rows[topic] {
 			if row.Version > after {
 				batch.Rows = append(batch.Rows, row)
@@ -145,10 +157,13 @@
 		case silent:
 			<-ctx.Done()
 			return discovery.Batch{}, ctx.Err()
-		case after < oldest:
-			return discovery.Batch{}, discovery.ErrHistoryGone
-		case len(batch.Rows) > 0 || waitOver:
-			return batch, nil
+		case restored && resetHeld:
+			return discovery.Batch{}, errAway
+		case away: // answered or reset at the return
+		case after < oldest || after > batch.Version:
+			return c.deliver(ctx, discovery.Batch{Era: batch.Era}, discovery.ErrHistoryGone)
+		case len(batch.Rows) > 0 || waitOver || restored:
+			return c.deliver(ctx, batch, nil)
 		}
 		select {
 		case <-changed:
@@ -165,7 +180,7 @@
 		return err
 	}
 	c.write(topic, key, string(value), false)
-	return nil
+	return c.observe()
 }
 
 func (c client) Remove(ctx context.Context, topic discovery.Topic, key string) error {
@@ -173,7 +188,7 @@
 		return err
 	}
 	c.write(topic, key, "", true)
-	return nil
+	return c.observe()
 }
 
 func (c client) Create(ctx context.Context, topic discovery.Topic, key string, value []byte) ([]byte, error) {
@@ -184,10 +199,10 @@
 	row, found := c.rows[topic][key]
 	c.mu.Unlock()
 	if found && !row.Deleted {
-		return row.Value, nil
+		return row.Value, c.observe()
 	}
 	c.write(topic, key, string(value), false)
-	return value, nil
+	return value, c.observe()
 }
 
 // process is one running instance.
@@ -196,13 +211,15 @@
 	changeLogs map[discovery.Topic]*discovery.ChangeLog
 	backoff    *discovery.Backoff
 	members    *Members
+	active     *discovery.ActiveConfiguration
+	startedAt  time.Time
 	syncer     *Syncer
 	cancel     context.CancelFunc
 	done       chan struct{}
 
 	mu               sync.Mutex // guards the fields below
 	rows             map[discovery.Topic]map[string]string
-	lastVersion      map[discovery.Topic]int64 // last applied version; it must not decrease
+	lastRevision     map[discovery.Topic]discovery.Revision // last applied one; it must not decrease
 	versionDecreased bool
 }
 
@@ -236,6 +253,7 @@
 	processes map[contract.InstanceID]*process
 	ids       []contract.InstanceID
 	rng       *rand.Rand
+	platform  *platformRows
 }
 
 func newHarness(t *testing.T, seed uint64) *harness {
@@ -244,9 +262,10 @@
 		processes: map[contract.InstanceID]*process{}, rng: rand.New(rand.NewPCG(seed, 1)),
 	}
 	h.network.SetDelay(func(_, _ contract.InstanceID) time.Duration { return 200 * time.Microsecond })
-	h.store.write(discovery.Configuration, "config", "1", false)
+	h.platform = newPlatformRows(h.store, seed)
+	h.platform.write(discovery.Configuration, "config", "1", false)
 	for i := range 20 {
-		h.store.write(discovery.Upstreams, fmt.Sprint("upstream-", i), "ready", false)
+		h.platform.write(discovery.Upstreams, fmt.Sprint("upstream-", i), "0", false)
 	}
 	return h
 }
@@ -280,14 +299,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &process{
 		Member: self, changeLogs: map[discovery.Topic]*discovery.ChangeLog{}, members: NewMembers(self, discardLogger()), cancel: cancel, done: make(chan struct{}),
-		rows: map[discovery.Topic]map[string]string{}, lastVersion: map[discovery.Topic]int64{},
+		active: discovery.NewActiveConfiguration(versionDecoder{}, discardLogger()), startedAt: time.Now(),
+		rows: map[discovery.Topic]map[string]string{}, lastRevision: map[discovery.Topic]discovery.Revision{},
 	}
 	for _, topic := range topics {
 		p.rows[topic] = map[string]string{}
 		p.changeLogs[topic] = discovery.NewChangeLog(topic, h.clock, discovery.SameValue, discardLogger(), func(batch discovery.Batch, gap time.Duration) {
 			p.apply(topic, batch)
-			if topic == discovery.Instances {
+			switch topic {
+			case discovery.Instances:
 				p.members.Apply(batch, gap)
+			case discovery.Configuration:
+				p.active.Apply(batch, gap)
 			}
 		})
 	}
@@ -305,14 +328,15 @@
 			discovery.Configuration: maxRowAge, discovery.Upstreams: maxRowAge, discovery.Notices: 7 * time.Second, discovery.Instances: 30 * time.Second,
 		},
 	})
-	connection := client{h.store, self.ID}
+	eras := discovery.NewEraTracker()
+	connection := client{h.store, self.ID, eras}
 	schedules := map[discovery.Topic]discovery.PollSchedule{
 		discovery.Configuration: {Wait: maxRowAge}, discovery.Upstreams: {Pause: listPollInterval}, discovery.Notices: {Wait: noticesPollHold}, discovery.Instances: {Pause: 5 * time.Second},
 	}
 	var running sync.WaitGroup
 	for _, topic := range topics {
 		r := discovery.NewReader(discovery.ReaderConfig{
-			Store: connection, Topic: topic, ChangeLog: p.changeLogs[topic], Backoff: p.backoff, Clock: h.clock, Logger: discardLogger(),
+			Store: connection, Topic: topic, ChangeLog: p.changeLogs[topic], Backoff: p.backoff, Clock: h.clock, Logger: discardLogger(), Eras: eras,
 			Schedule:     func() discovery.PollSchedule { return p.syncer.PollSchedule(topic, schedules[topic]) },
 			WaitUntilDue: func(ctx context.Context, last time.Time) { p.syncer.AwaitRead(ctx, topic, schedules[topic], last) },
 		})
@@ -350,8 +374,8 @@
 func (p *process) apply(topic discovery.Topic, batch discovery.Batch) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.versionDecreased = p.versionDecreased || batch.Version < p.lastVersion[topic]
-	p.lastVersion[topic] = batch.Version
+	p.versionDecreased = p.versionDecreased || batch.Revision().Before(p.lastRevision[topic])
+	p.lastRevision[topic] = batch.Revision()
 	for _, row := range batch.Rows {
 		if row.Deleted {
 			delete(p.rows[topic], row.Key)
