--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -91,7 +91,7 @@
 	}
 	p.syncer = storesync.NewSyncer(storesync.Config{
 		Self: self, LinksEnabled: settings.LinkAddress != "", Members: p.members, Logs: p.changeLogs, Clock: clock, StoreFailing: p.backoff.Failing,
-		StartupSpread: spread, Log: log, Metrics: storesync.NewMetrics(g.registry),
+		StartupSpread: spread, Eras: g.platform.Eras, Log: log, Metrics: storesync.NewMetrics(g.registry),
 		MaxAge: map[discovery.Topic]time.Duration{
 			discovery.Configuration: configurationMaxAge, discovery.Upstreams: upstreamsMaxAge,
 			discovery.Notices: noticesMaxAge, discovery.Instances: instancesMaxAge,
@@ -99,8 +99,9 @@
 	})
 	p.registrar = &storesync.Registrar{Store: g.platform.Store, Self: self, Members: p.members, Syncer: p.syncer, Clock: clock, Log: log}
 	calls := newCallCounter(g.registry)
-	addReader := func(topic discovery.Topic, schedule discovery.PollSchedule, equal func(a, b discovery.Row) bool, apply func(discovery.Batch, time.Duration)) {
-		p.changeLogs[topic] = discovery.NewChangeLog(topic, clock, equal, log, apply)
+	addReader := func(topic discovery.Topic, schedule discovery.PollSchedule, equal func(a, b discovery.Row) bool, apply func(discovery.Batch, time.Duration), options ...discovery.ChangeLogOption) {
+		p.changeLogs[topic] = discovery.NewChangeLog(topic, clock, equal, log, apply, options...)
+		registerEraGauge(g.registry, topic, p.changeLogs[topic])
 		if topic == discovery.Instances && settings.LinkAddress == "" {
 			return
 		}
@@ -110,7 +111,8 @@
 			WaitUntilDue: func(ctx context.Context, last time.Time) { p.syncer.AwaitRead(ctx, topic, schedule, last) },
 		}))
 	}
-	addReader(discovery.Configuration, discovery.PollSchedule{Wait: configurationMaxAge}, discovery.SameValue, startup.trackApplied(discovery.Configuration, g.configuration.Apply))
+	addReader(discovery.Configuration, discovery.PollSchedule{Wait: configurationMaxAge}, discovery.SameValue, startup.trackApplied(discovery.Configuration, g.configuration.Apply),
+		discovery.KeepNewer(discovery.OutdatedConfiguration(g.platform.Decoder)))
 	addReader(discovery.Upstreams, discovery.PollSchedule{Pause: upstreamsMaxAge}, g.upstreams.SameEntry, startup.trackApplied(discovery.Upstreams, g.upstreams.Apply))
 	addReader(discovery.Notices, discovery.PollSchedule{Wait: noticesPollHold}, discovery.SameValue, notices.apply)
 	addReader(discovery.Instances, discovery.PollSchedule{Pause: instancesPollInterval}, discovery.SameValue, p.members.Apply)
@@ -215,6 +217,17 @@
 	return transport.Run(ctx)
 }
 
+// registerEraGauge exposes the era of the rows of a topic.
+func registerEraGauge(registry prometheus.Registerer, topic discovery.Topic, changeLog *discovery.ChangeLog) {
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "foxtailhub_store_era", Help: "Era of the store that the rows of a topic are from; 0 before the first.",
+		ConstLabels: prometheus.Labels{"topic": topic.String()},
+	}, func() float64 {
+		held, _ := changeLog.Revision()
+		return float64(held.Era)
+	}))
+}
+
 // callCounter counts calls to the store by topic and outcome.
 type callCounter struct{ calls *prometheus.CounterVec }
 
