Wire the eras of the store in the simulated fleet as in a gateway

The syncer of the harness gets the tracker of eras, and its log of the configuration keeps newer versions.

--- a/internal/storesync/harness_test.go
+++ b/internal/storesync/harness_test.go
@@ -303,6 +303,10 @@
 		rows: map[discovery.Topic]map[string]string{}, lastRevision: map[discovery.Topic]discovery.Revision{},
 	}
 	for _, topic := range topics {
+		var options []discovery.ChangeLogOption
+		if topic == discovery.Configuration {
+			options = append(options, discovery.KeepNewer(discovery.OutdatedConfiguration(versionDecoder{})))
+		}
 		p.rows[topic] = map[string]string{}
 		p.changeLogs[topic] = discovery.NewChangeLog(topic, h.clock, discovery.SameValue, discardLogger(), func(batch discovery.Batch, gap time.Duration) {
 			p.apply(topic, batch)
@@ -312,7 +316,7 @@
 			case discovery.Configuration:
 				p.active.Apply(batch, gap)
 			}
-		})
+		}, options...)
 	}
 	var readers []*discovery.Reader
 	p.backoff = discovery.NewBackoff(func(failing bool) {
@@ -321,14 +325,14 @@
 		}
 		p.syncer.StoreStateChanged(failing)
 	})
+	eras := discovery.NewEraTracker()
 	p.syncer = NewSyncer(Config{
-		Self: self, LinksEnabled: true, Members: p.members, Logs: p.changeLogs, Clock: h.clock, StoreFailing: p.backoff.Failing, StartupSpread: spread, Log: discardLogger(),
+		Self: self, LinksEnabled: true, Eras: eras, Members: p.members, Logs: p.changeLogs, Clock: h.clock, StoreFailing: p.backoff.Failing, StartupSpread: spread, Log: discardLogger(),
 		Metrics: NewMetrics(prometheus.NewRegistry()),
 		MaxAge: map[discovery.Topic]time.Duration{
 			discovery.Configuration: maxRowAge, discovery.Upstreams: maxRowAge, discovery.Notices: 7 * time.Second, discovery.Instances: 30 * time.Second,
 		},
 	})
-	eras := discovery.NewEraTracker()
 	connection := client{h.store, self.ID, eras}
 	schedules := map[discovery.Topic]discovery.PollSchedule{
 		discovery.Configuration: {Wait: maxRowAge}, discovery.Upstreams: {Pause: listPollInterval}, discovery.Notices: {Wait: noticesPollHold}, discovery.Instances: {Pause: 5 * time.Second},
