Soak gateways whose store comes back from copies

Returns of the store (1 to 9 s lost, away 0 to 2 s, twice in a row, late answers, held calls answered or reset) beside kills, pauses, cuts, restarts, added and removed routes and changed keys. Servers write their entries again within 1.8 s, and the operator its newest configuration. Probes derive from added and removed routes the lowest version that a gateway can have; it must not go back. Servers whose entry was removed go on to serve, and must get no request.

--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,7 @@
 SOAK_SECONDS ?= 8
 gateway-soak:
 	FOXTAILHUB_SEED=$(SEEDS) FOXTAILHUB_SOAK_SECONDS=$(SOAK_SECONDS) \
-		$(GO) test -tags e2e -count 1 -timeout 60m -v -run '^TestGatewaySoak(WithReaders|WithRequestRates|WithUnframedResponses)?$$' ./internal/gatewaysoak
+		$(GO) test -tags e2e -count 1 -timeout 60m -v -run '^TestGatewaySoak(WithReaders|WithRequestRates|WithUnframedResponses|WithRestoredStore)?$$' ./internal/gatewaysoak
 
 # Runs each fuzz test for FUZZTIME, one after another.
 FUZZTIME ?= 20s
--- a/internal/standin/emulator/fault.go
+++ b/internal/standin/emulator/fault.go
@@ -54,6 +54,9 @@
 	// SilenceMS is how long the server stands still from now on, like a paused process.
 	// The silence ends by itself; other faults do not end it.
 	SilenceMS int `json:"silence_ms"`
+	// Withdrawn removes the server's entry in the store, again whenever it reappears. The server
+	// goes on to serve requests.
+	Withdrawn bool `json:"withdrawn"`
 }
 
 // SetFault sets the fault of the server at an address.
--- a/internal/standin/emulator/restore_test.go
+++ b/internal/standin/emulator/restore_test.go
@@ -192,3 +192,28 @@
 		g.Expect(<-late).To(Equal(storeResponse{status: http.StatusOK, era: "1", version: 1, values: map[string]string{"key": "lost"}}))
 	})
 }
+
+// Guards against a withdrawn server whose entry stays in the store after a return.
+func TestWithdrawnServerRemovesRestoredEntry(t *testing.T) {
+	g := NewWithT(t)
+	store := NewStore()
+	listener := httptest.NewServer(store)
+	defer listener.Close()
+	s := newTestServer()
+	s.config.Store, s.config.RegisterInterval = strings.TrimPrefix(listener.URL, "http://"), 5*time.Millisecond
+	go s.Register(t.Context())
+	listed := func() bool { return len(serverRows(g, store).values) > 0 }
+	g.Eventually(listed).Should(BeTrue())
+	for range 2 {
+		injectFault(g, s, ServerFault{Withdrawn: true})
+		g.Eventually(listed).Should(BeFalse())
+		store.mu.Lock()
+		store.apply(map[string]row{"servers/engine-1": {Table: "servers", Key: "engine-1", Version: store.version + 1}}, store.version+1)
+		store.mu.Unlock()
+	}
+	g.Eventually(listed).Should(BeFalse())
+}
+
+func serverRows(g Gomega, s *Store) storeResponse {
+	return storeCall(g, s, http.MethodGet, "/v1/rows-get?table=servers&part=", "")
+}
--- a/internal/standin/emulator/server.go
+++ b/internal/standin/emulator/server.go
@@ -79,7 +79,11 @@
 	ticker := time.NewTicker(s.config.RegisterInterval)
 	defer ticker.Stop()
 	for {
-		if !s.isSilent() {
+		switch {
+		case s.isSilent():
+		case s.currentFault().Withdrawn:
+			s.removeEntry(ctx)
+		default:
 			_ = s.writeEntry(ctx) // retried at the next tick
 		}
 		select {
@@ -107,6 +111,14 @@
 	return WriteRow(ctx, s.client, s.config.Store, "servers", s.config.ID, entry)
 }
 
+// removeEntry removes the server's entry, and records the time when it is removed.
+func (s *Server) removeEntry(ctx context.Context) {
+	if err := WriteRow(ctx, s.client, s.config.Store, "servers", s.config.ID, nil); err != nil {
+		return // retried at the next tick
+	}
+	_, _ = fmt.Fprintf(s.config.RunLog, "withdrawn server=%s at_us=%d\n", s.config.ID, time.Now().UnixMicro())
+}
+
 // Drain makes the server report that it is draining.
 func (s *Server) Drain() {
 	s.mu.Lock()
--- a/internal/testfleet/configuration.go
+++ b/internal/testfleet/configuration.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 )
 
 // Names in the configuration of a fleet: services, workspace, host and API key.
@@ -62,11 +63,17 @@
 	}
 }
 
+// versionStep is the difference of two versions of the configuration.
+const versionStep = 3
+
 // WriteConfiguration writes the configuration to the store under a higher version.
 func (f *Fleet) WriteConfiguration() error {
+	f.writing.Lock()
+	defer f.writing.Unlock()
 	f.mu.Lock()
-	f.configuration.Version += 3
+	f.configuration.Version += versionStep
 	value, err := json.Marshal(f.configuration)
+	f.written = value
 	f.mu.Unlock()
 	if err != nil {
 		return err
@@ -74,6 +81,30 @@
 	return f.WriteRow("op", "config", value)
 }
 
+// RewriteConfiguration writes the configuration again as it was last written.
+func (f *Fleet) RewriteConfiguration() error {
+	f.writing.Lock()
+	defer f.writing.Unlock()
+	f.mu.Lock()
+	value := f.written
+	f.mu.Unlock()
+	return f.WriteRow("op", "config", value)
+}
+
+// RouteChange states which versions of the configuration have an added route.
+type RouteChange struct {
+	Prefix string
+	From   int64 // first version with the route
+	Until  int64 // first version without it after that; 0: none
+}
+
+// RouteChanges returns the routes that were added, also removed ones.
+func (f *Fleet) RouteChanges() []RouteChange {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.routeChanges)
+}
+
 // AddRoute adds a route to the configuration. WriteConfiguration puts it in force.
 func (f *Fleet) AddRoute() {
 	f.mu.Lock()
@@ -82,6 +113,7 @@
 	r["name"] = fmt.Sprintf("added-%d", f.configuration.Version)
 	r["prefix"] = fmt.Sprintf("/added-%d/", f.configuration.Version)
 	f.configuration.Routes = append(f.configuration.Routes, r)
+	f.routeChanges = append(f.routeChanges, RouteChange{Prefix: r["prefix"].(string), From: f.configuration.Version + versionStep})
 }
 
 // RemoveRoute removes the route that was added last, if there is one.
@@ -89,6 +121,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if last := len(f.configuration.Routes) - 1; last >= baseRoutes {
+		for i := range f.routeChanges {
+			if change := &f.routeChanges[i]; change.Prefix == f.configuration.Routes[last]["prefix"] && change.Until == 0 {
+				change.Until = f.configuration.Version + versionStep
+			}
+		}
 		f.configuration.Routes = f.configuration.Routes[:last]
 	}
 }
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -8,6 +8,7 @@
 package testfleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -34,6 +35,8 @@
 	readinessTimeout  = 150 * time.Millisecond
 	// writeTimeout bounds a request to the store.
 	writeTimeout = time.Second
+	// defaultRegisterInterval is used if Options has none.
+	defaultRegisterInterval = 300 * time.Millisecond
 	// faultTimeout bounds a request that sets the fault of a server, also on a busy machine.
 	faultTimeout = 5 * time.Second
 )
@@ -52,6 +55,8 @@
 	Slots          int // of each server
 	TokenInterval  time.Duration
 	WorkDuration   time.Duration // processing time of a call or a prompt
+	// RegisterInterval is the time between writes of a server's entry in the store.
+	RegisterInterval time.Duration
 }
 
 // Fleet is a set of running processes: a store, servers and gateways.
@@ -65,9 +70,13 @@
 	client     *http.Client
 	stopChecks context.CancelFunc // stops the readiness checks
 
+	writing sync.Mutex // held while the configuration is written, so that no older one replaces it
+
 	mu            sync.Mutex // guards the fields below
 	ready         map[*Node]bool
 	configuration Configuration
+	written       []byte // the configuration as last written
+	routeChanges  []RouteChange
 }
 
 // Start starts all processes and waits until all gateways are ready.
@@ -205,6 +214,7 @@
 			"foxtailhub-standin", "-role", role, "-listen", n.Address, "-address", n.Proxy.Address(), "-store", f.Store.Address,
 			"-id", fmt.Sprintf("%s-%d", name, startCount), "-service", service, "-failure-domain", domain,
 			"-slots", fmt.Sprint(f.Slots), "-token-interval", f.TokenInterval.String(), "-work", f.WorkDuration.String(),
+			"-beat", cmp.Or(f.RegisterInterval, defaultRegisterInterval).String(),
 		}
 	})
 	if err != nil {
