--- a/internal/discovery/reader.go
+++ b/internal/discovery/reader.go
@@ -20,10 +20,18 @@
 	// outageThreshold is the time without a response after which the store counts as
 	// lost: several consecutive calls have failed.
 	outageThreshold = 2500 * time.Millisecond
+	// contradictionLimit is the number of consecutive calls whose responses are of an earlier era
+	// than the rows, after which an era that only peers have stated is given up. A single one
+	// may be a late response from before a return of the store.
+	contradictionLimit = 3
 )
 
-// errInterrupted is the result of a long poll that StoreStateChanged interrupted.
-var errInterrupted = errors.New("the call was interrupted")
+// errInterrupted is the result of a long poll that StoreStateChanged or a return of the store
+// interrupted. errDropped is the result of a call whose response was older than the rows.
+var (
+	errInterrupted = errors.New("the call was interrupted")
+	errDropped     = errors.New("the response of the store is older than the rows that are held")
+)
 
 // PollSchedule defines how a topic is polled.
 type PollSchedule struct {
@@ -42,10 +50,12 @@
 	log          logrus.FieldLogger
 	waitUntilDue func(ctx context.Context, last time.Time) // waits until the topic has to be read
 	countCall    func(topic Topic, outcome string)
+	eras         *EraTracker
 
-	lastResponse time.Time // used by Run only
-	inOutage     bool
-	held         atomic.Pointer[heldCall] // long poll in progress; nil: none. Also read by StoreStateChanged
+	lastResponse   time.Time // used by Run only, as the next two
+	inOutage       bool
+	contradictions int                      // consecutive calls whose responses were of an earlier era than the rows
+	held           atomic.Pointer[heldCall] // long poll in progress; nil: none. Also read by StoreStateChanged
 }
 
 // heldCall is a long poll in progress.
@@ -64,10 +74,13 @@
 	Clock     Clock
 	Logger    logrus.FieldLogger
 	// WaitUntilDue blocks until the topic has to be read again. last is the time of the last
-	// response. nil: the topic is read after the pause of the poll schedule.
+	// response. nil: the topic is read after the pause of the poll schedule, or when Eras has
+	// a later era than the rows.
 	WaitUntilDue func(ctx context.Context, last time.Time)
 	// CountCall counts calls by topic and outcome; nil: calls are not counted.
 	CountCall func(topic Topic, outcome string)
+	// Eras observes the responses of the store.
+	Eras *EraTracker
 }
 
 // Outcomes of calls to the store, as passed to CountCall.
@@ -77,21 +90,32 @@
 	OutcomeFailed      = "failed"
 	OutcomeHistoryGone = "history_gone"
 	OutcomeInterrupted = "interrupted"
+	// Responses that are not applied: they are of an earlier era than the rows that are held, of
+	// an older version of the same era, or have only the changes in a later era.
+	OutcomeEarlierEra   = "earlier_era"
+	OutcomeOlderVersion = "older_version"
+	OutcomeLaterEra     = "later_era"
 )
 
 // NewReader returns a reader, which starts with Run.
 func NewReader(c ReaderConfig) *Reader {
 	r := &Reader{
 		store: c.Store, topic: c.Topic, schedule: c.Schedule, changeLog: c.ChangeLog, backoff: c.Backoff, clock: c.Clock,
-		log: c.Logger.WithField("topic", c.Topic), waitUntilDue: c.WaitUntilDue, countCall: c.CountCall,
+		log: c.Logger.WithField("topic", c.Topic), waitUntilDue: c.WaitUntilDue, countCall: c.CountCall, eras: c.Eras,
 	}
 	if r.waitUntilDue == nil {
 		r.waitUntilDue = func(ctx context.Context, last time.Time) {
 			if !last.IsZero() {
+				held, _ := r.changeLog.Revision()
+				ctx, cancel := r.eras.UntilLater(ctx, held.Era)
+				defer cancel()
 				sleep(ctx, time.Until(last.Add(r.schedule().Pause)))
 			}
 		}
 	}
+	if r.eras == nil {
+		r.eras = NewEraTracker()
+	}
 	if r.countCall == nil {
 		r.countCall = func(Topic, string) {}
 	}
@@ -128,14 +152,19 @@
 	}
 }
 
-// poll reads the topic once, or all its rows if the store no longer has the changes.
+// poll reads the changes of the topic. It reads all rows if there are none yet, or if the store no
+// longer has the changes or has returned from a copy.
 func (r *Reader) poll(ctx context.Context) error {
-	after, known := r.changeLog.Version()
-	update, err := r.call(ctx, after, !known)
-	if errors.Is(err, ErrHistoryGone) && known {
-		r.countCall(r.topic, OutcomeHistoryGone)
-		r.log.WithField("after", after).Info("the store no longer has the requested changes; reading all rows")
-		update, err = r.call(ctx, 0, true)
+	held, known := r.changeLog.Revision()
+	newest, _ := r.eras.Newest()
+	full := !known || newest > held.Era
+	reason, err := r.read(ctx, held, full)
+	if !full && (errors.Is(err, ErrHistoryGone) || reason == DroppedLaterEra) {
+		if err != nil {
+			r.countCall(r.topic, OutcomeHistoryGone)
+		}
+		r.log.WithFields(logrus.Fields{"after": held.Version, "held_era": held.Era}).Info("the store has no changes since the held version; reading all rows")
+		reason, err = r.read(ctx, held, true)
 	}
 	switch {
 	case errors.Is(err, errInterrupted):
@@ -144,19 +173,61 @@
 	case err != nil:
 		r.countCall(r.topic, OutcomeFailed)
 		return err
-	case len(update.Rows) == 0:
-		r.countCall(r.topic, OutcomeUnchanged)
-	default:
-		r.countCall(r.topic, OutcomeAnswered)
+	case reason != NotDropped:
+		r.recordDropped(reason, held)
+		return errors.Wrapf(errDropped, "%s", reason)
 	}
+	r.contradictions = 0
 	r.recordSuccess()
-	r.changeLog.Apply(update)
 	r.lastResponse = time.Now()
 	return nil
 }
 
-func (r *Reader) call(ctx context.Context, after int64, full bool) (Update, error) {
-	update := Update{Full: full, AsOf: r.clock()}
+// read makes one call to the store and applies its response. It returns no reason for a response that
+// was only overtaken by an update of a peer, or by a sign of a return, during the call.
+func (r *Reader) read(ctx context.Context, held Revision, full bool) (DropReason, error) {
+	expected := held
+	if newest, _ := r.eras.Newest(); newest > expected.Era {
+		expected = Revision{Era: newest}
+	}
+	update, err := r.call(ctx, held, full)
+	if err != nil {
+		return NotDropped, err
+	}
+	reason := r.apply(update)
+	if reason != DroppedLaterEra && !update.Revision().Before(expected) {
+		return NotDropped, nil
+	}
+	return reason, nil
+}
+
+// apply applies a response unless the store has shown a later era since.
+func (r *Reader) apply(update Update) DropReason {
+	reason := DroppedEarlierEra
+	if newest, _ := r.eras.Newest(); update.Era >= newest {
+		reason = r.changeLog.Apply(update)
+	}
+	r.countCall(r.topic, outcomeOf(update, reason))
+	return reason
+}
+
+// outcomeOf returns the outcome of a call whose response was applied, or dropped for a reason.
+func outcomeOf(update Update, reason DropReason) string {
+	switch {
+	case reason == DroppedEarlierEra:
+		return OutcomeEarlierEra
+	case reason == DroppedOlderVersion:
+		return OutcomeOlderVersion
+	case reason == DroppedLaterEra:
+		return OutcomeLaterEra
+	case len(update.Rows) == 0:
+		return OutcomeUnchanged
+	}
+	return OutcomeAnswered
+}
+
+func (r *Reader) call(ctx context.Context, held Revision, full bool) (Update, error) {
+	update := Update{Full: full, SinceEra: held.Era, AsOf: r.clock()}
 	var err error
 	if full {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -165,11 +236,13 @@
 		return update, err
 	}
 	wait := r.schedule().Wait
-	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	timeoutCtx, stop := context.WithTimeout(ctx, wait+callTimeout)
+	defer stop()
+	callCtx, cancel := r.eras.UntilLater(timeoutCtx, held.Era)
 	defer cancel()
 	r.held.Store(&heldCall{interrupt: cancel, startedWhileFailing: r.backoff.Failing()})
 	defer r.held.Store(nil)
-	update.Batch, err = r.store.Changes(callCtx, r.topic, after, wait)
+	update.Batch, err = r.store.Changes(callCtx, r.topic, held.Version, wait)
 	if errors.Is(callCtx.Err(), context.Canceled) && ctx.Err() == nil {
 		return Update{}, errInterrupted
 	}
@@ -181,17 +254,40 @@
 func (r *Reader) recordFailure(err error) {
 	if !r.inOutage && time.Since(r.lastResponse) > outageThreshold {
 		r.inOutage = true
-		r.log.WithError(err).WithField("silent_ms", time.Since(r.lastResponse).Milliseconds()).Warn("the store is lost")
+		r.log.WithError(err).WithFields(r.stateFields()).Warn("the store is lost")
 	}
-	_, known := r.changeLog.Version()
+	_, known := r.changeLog.Revision()
 	r.backoff.Failed(!known)
 }
 
+// recordDropped counts contradictions of the store to the era of the rows.
+func (r *Reader) recordDropped(reason DropReason, held Revision) {
+	newest, _ := r.eras.Newest()
+	if reason != DroppedEarlierEra || newest >= held.Era {
+		r.contradictions = 0
+		return
+	}
+	if r.contradictions++; r.contradictions >= contradictionLimit {
+		r.contradictions = 0
+		r.log.WithFields(logrus.Fields{"era": newest, "held_era": held.Era}).Warn("the store contradicts the era stated by a peer; reading all rows")
+		r.changeLog.ForgetRevision()
+	}
+}
+
 func (r *Reader) recordSuccess() {
 	r.backoff.Succeeded()
 	if r.inOutage {
 		r.inOutage = false
-		r.log.WithField("silent_ms", time.Since(r.lastResponse).Milliseconds()).Info("the store is back")
+		r.log.WithFields(r.stateFields()).Info("the store is back")
+	}
+}
+
+// stateFields returns what logs say about a lost or regained store.
+func (r *Reader) stateFields() logrus.Fields {
+	held, _ := r.changeLog.Revision()
+	era, _ := r.eras.Newest()
+	return logrus.Fields{
+		"silent_ms": time.Since(r.lastResponse).Milliseconds(), "era": era, "held_era": held.Era, "held_version": held.Version,
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,7 @@
 // Platform holds the platform's implementations that a gateway uses.
 type Platform struct {
 	Store        discovery.Store
+	Eras         *discovery.EraTracker // observes the responses to Store; nil: the store has no eras
 	Decoder      discovery.Decoder
 	Protocol     forward.Protocol
 	Prober       forward.UpstreamProber
@@ -74,6 +75,9 @@
 // New returns a gateway that is not running yet.
 func New(settings *Settings, platform Platform, logger *logrus.Logger) *Gateway {
 	log := logger.WithField("instance", settings.Instance)
+	if platform.Eras == nil {
+		platform.Eras = discovery.NewEraTracker()
+	}
 	g := &Gateway{
 		settings: settings, platform: platform, log: log,
 		registry: prometheus.NewRegistry(), pool: pool.New(), drainState: forward.NewDrainState(), listen: net.Listen, started: time.Now(),
@@ -85,7 +89,7 @@
 	ledger := poison.NewLedger()
 	storeFailing := func() bool { return g.sync.backoff.Failing() }
 	notices := notices{
-		crashes: &crashExchange{store: platform.Store, quarantine: quarantine, log: log},
+		crashes: newCrashExchange(platform.Store, quarantine, log),
 		rates:   newRateExchange(platform.Store, storeFailing, g.pool, log),
 		parts:   newPartExchange(platform.Store, storeFailing, ledger, settings.Instance, log),
 	}
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -47,8 +49,15 @@
 	linkRegion = "fleet"
 	// linkRetryPause is the pause after links failed.
 	linkRetryPause = 5 * time.Second
+	// linkRestartDelay is the time after a change of the fleet's secret in which instances pass it
+	// on over their present links, and linkRestartSpread that over which they open new ones.
+	linkRestartDelay  = time.Second
+	linkRestartSpread = 2 * time.Second
 )
 
+// errSecretReplaced ends links whose certificates follow from a former secret of the fleet.
+var errSecretReplaced = errors.New("the secret of the fleet was replaced")
+
 // syncParts are the components that synchronize an instance with the store.
 type syncParts struct {
 	settings   *Settings
@@ -91,7 +100,7 @@
 	}
 	p.syncer = storesync.NewSyncer(storesync.Config{
 		Self: self, LinksEnabled: settings.LinkAddress != "", Members: p.members, Logs: p.changeLogs, Clock: clock, StoreFailing: p.backoff.Failing,
-		StartupSpread: spread, Log: log, Metrics: storesync.NewMetrics(g.registry),
+		StartupSpread: spread, Eras: g.platform.Eras, Log: log, Metrics: storesync.NewMetrics(g.registry),
 		MaxAge: map[discovery.Topic]time.Duration{
 			discovery.Configuration: configurationMaxAge, discovery.Upstreams: upstreamsMaxAge,
 			discovery.Notices: noticesMaxAge, discovery.Instances: instancesMaxAge,
@@ -99,20 +108,22 @@
 	})
 	p.registrar = &storesync.Registrar{Store: g.platform.Store, Self: self, Members: p.members, Syncer: p.syncer, Clock: clock, Log: log}
 	calls := newCallCounter(g.registry)
-	addReader := func(topic discovery.Topic, schedule discovery.PollSchedule, equal func(a, b discovery.Row) bool, apply func(discovery.Batch, time.Duration)) {
-		p.changeLogs[topic] = discovery.NewChangeLog(topic, clock, equal, log, apply)
+	addReader := func(topic discovery.Topic, schedule discovery.PollSchedule, equal func(a, b discovery.Row) bool, apply func(discovery.Batch, time.Duration), options ...discovery.ChangeLogOption) {
+		p.changeLogs[topic] = discovery.NewChangeLog(topic, clock, equal, log, apply, options...)
+		registerEraGauge(g.registry, topic, p.changeLogs[topic])
 		if topic == discovery.Instances && settings.LinkAddress == "" {
 			return
 		}
 		p.readers = append(p.readers, discovery.NewReader(discovery.ReaderConfig{
-			Store: g.platform.Store, Topic: topic, Backoff: p.backoff, Clock: clock, Logger: log, CountCall: calls.count, ChangeLog: p.changeLogs[topic],
+			Store: g.platform.Store, Topic: topic, Backoff: p.backoff, Clock: clock, Logger: log, CountCall: calls.count, ChangeLog: p.changeLogs[topic], Eras: g.platform.Eras,
 			Schedule:     func() discovery.PollSchedule { return p.syncer.PollSchedule(topic, schedule) },
 			WaitUntilDue: func(ctx context.Context, last time.Time) { p.syncer.AwaitRead(ctx, topic, schedule, last) },
 		}))
 	}
-	addReader(discovery.Configuration, discovery.PollSchedule{Wait: configurationMaxAge}, discovery.SameValue, startup.trackApplied(discovery.Configuration, g.configuration.Apply))
+	addReader(discovery.Configuration, discovery.PollSchedule{Wait: configurationMaxAge}, discovery.SameValue, startup.trackApplied(discovery.Configuration, g.configuration.Apply),
+		discovery.KeepNewer(discovery.OutdatedConfiguration(g.platform.Decoder)))
 	addReader(discovery.Upstreams, discovery.PollSchedule{Pause: upstreamsMaxAge}, g.upstreams.SameEntry, startup.trackApplied(discovery.Upstreams, g.upstreams.Apply))
-	addReader(discovery.Notices, discovery.PollSchedule{Wait: noticesPollHold}, discovery.SameValue, notices.apply)
+	addReader(discovery.Notices, discovery.PollSchedule{Wait: noticesPollHold}, discovery.SameValue, notices.keeper().Apply)
 	addReader(discovery.Instances, discovery.PollSchedule{Pause: instancesPollInterval}, discovery.SameValue, p.members.Apply)
 	return p
 }
@@ -160,8 +171,12 @@
 			if ctx.Err() != nil {
 				return
 			}
-			p.log.WithError(err).Error("links to other instances failed; reading the store directly")
 			p.syncer.SetTransport(nil)
+			if errors.Is(err, errSecretReplaced) {
+				p.log.WithError(err).Warn("links to other instances are opened again")
+				continue
+			}
+			p.log.WithError(err).Error("links to other instances failed; reading the store directly")
 			select {
 			case <-time.After(linkRetryPause):
 			case <-ctx.Done():
@@ -175,9 +190,32 @@
 	}
 }
 
-// serveLinks runs the links until ctx ends or they fail.
+// awaitNewSecret ends links by stop after the secret of the fleet was replaced.
+func (p *syncParts) awaitNewSecret(ctx context.Context, used []byte, stop context.CancelCauseFunc) {
+	for {
+		changed := p.members.Changed()
+		if !bytes.Equal(p.members.AuthoritySecret(), used) {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+	select {
+	case <-time.After(linkRestartDelay + time.Duration(rand.Float64()*float64(linkRestartSpread))):
+		stop(errSecretReplaced)
+	case <-ctx.Done():
+	}
+}
+
+// serveLinks runs the links until ctx ends, they fail, or the secret of the fleet is replaced.
 func (p *syncParts) serveLinks(ctx context.Context) error {
-	authority, err := tlskeys.DeriveAuthority(p.members.AuthoritySecret())
+	secret := p.members.AuthoritySecret()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	authority, err := tlskeys.DeriveAuthority(secret)
 	if err != nil {
 		return err
 	}
@@ -212,7 +250,23 @@
 	p.parts.setLinks(parts)
 	defer p.parts.setLinks(nil)
 	p.log.WithFields(logrus.Fields{"address": p.settings.LinkAddress, "domain_members": len(p.members.DomainMembers()), "members": p.members.Count()}).Info("links to other instances are open")
-	return transport.Run(ctx)
+	go p.awaitNewSecret(ctx, secret, stop)
+	err = transport.Run(ctx)
+	if cause := context.Cause(ctx); errors.Is(cause, errSecretReplaced) {
+		return errors.CombineErrors(cause, err)
+	}
+	return err
+}
+
+// registerEraGauge exposes the era of the rows of a topic.
+func registerEraGauge(registry prometheus.Registerer, topic discovery.Topic, changeLog *discovery.ChangeLog) {
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "foxtailhub_store_era", Help: "Era of the store that the rows of a topic are from; 0 before the first.",
+		ConstLabels: prometheus.Labels{"topic": topic.String()},
+	}, func() float64 {
+		held, _ := changeLog.Revision()
+		return float64(held.Era)
+	}))
 }
 
 // callCounter counts calls to the store by topic and outcome.
