--- a/internal/discovery/upstreams.go
+++ b/internal/discovery/upstreams.go
@@ -77,7 +77,7 @@
 	if changed {
 		l.publish()
 	}
-	l.pool.Confirm(now)
+	l.pool.Confirm(now, int64(batch.Era))
 }
 
 // SameEntry reports whether two rows of an upstream are equivalent. Upstreams rewrite their
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -21,6 +21,7 @@
 	reply     attemptResult
 	startedAt time.Time
 	listAge   time.Duration // age of the list of upstreams when this one was chosen
+	listEra   int64         // era of the store that the list is of
 	delivered bool          // the caller has the response, or the part of it that the upstream sent
 }
 
@@ -113,13 +114,13 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	startedAt := time.Now()
-	listAge := f.Pool.Age(startedAt)
+	listAge, listEra := f.Pool.Age(startedAt), f.Pool.Era()
 	upstream := m.Current()
 	r := f.sender.send(ctx, x, Attempt{Upstream: upstream, Workspace: x.workspace.Name, TimeLeft: x.timeLeft()})
 	f.recordResponseHead(x, m, upstream, r, startedAt)
 	r = r.buffer(x.memory)
 	select {
-	case results <- callAttempt{member: m, upstream: upstream, reply: r, startedAt: startedAt, listAge: listAge}:
+	case results <- callAttempt{member: m, upstream: upstream, reply: r, startedAt: startedAt, listAge: listAge, listEra: listEra}:
 	case <-x.done: // the request has ended by another attempt or its deadline
 		r.close()
 		return
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -84,7 +84,7 @@
 	m, r := last.member, last.reply
 	fields := logrus.Fields{
 		"upstream": m.ID, "domain": m.FailureDomain, "route": x.route.Name, "result": r.result,
-		"took_ms": time.Since(last.startedAt).Milliseconds(), "configuration": x.version, "list_age_ms": last.listAge.Milliseconds(),
+		"took_ms": time.Since(last.startedAt).Milliseconds(), "configuration": x.version, "list_age_ms": last.listAge.Milliseconds(), "list_era": last.listEra,
 		"attempt": len(x.attempted), "left_ms": x.timeLeft().Milliseconds(),
 	}
 	if r.response != nil {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -281,7 +281,7 @@
 	fields := logrus.Fields{
 		"status": status, "reason": reason, "retry_after_ms": after.Milliseconds(), "configuration": x.version,
 		"age_ms": time.Since(x.receivedAt).Milliseconds(), "offered": x.state.Refused, "last": x.state.LastResult.String(),
-		"list_age_ms": f.Pool.Age(time.Now()).Milliseconds(), "waits_for": x.currentPhase(),
+		"list_age_ms": f.Pool.Age(time.Now()).Milliseconds(), "list_era": f.Pool.Era(), "waits_for": x.currentPhase(),
 	}
 	f.addGrace(fields)
 	x.log.WithFields(fields).Info("request refused")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -260,7 +260,7 @@
 	fields := logrus.Fields{
 		"upstream": m.ID, "domain": m.FailureDomain, "route": s.x.route.Name, "configuration": s.x.version, "result": result,
 		"after_event": attempt.LastEventID, "last_event": s.lastEventID, "took_ms": time.Since(startedAt).Milliseconds(),
-		"from_copy": attempt.ResumeFrom != nil, "attempt": len(s.x.attempted), "list_age_ms": s.upstreamListAge.Milliseconds(),
+		"from_copy": attempt.ResumeFrom != nil, "attempt": len(s.x.attempted), "list_age_ms": s.upstreamListAge.Milliseconds(), "list_era": s.f.Pool.Era(),
 		"head": r.response != nil, "written_ms": r.answer.written(time.Now()).Milliseconds(), "parts": formatParts(s.x.prompt),
 	}
 	if attempt.BackupHolder != nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -250,6 +250,7 @@
 type Pool struct {
 	snapshot    atomic.Pointer[Snapshot]
 	confirmedAt atomic.Pointer[time.Time] // when the list was last confirmed
+	era         atomic.Int64              // of the store, at that time
 	departed    departedProcesses         // used by Replace only
 	fleet       atomic.Pointer[fleetrate.Fleet]
 
@@ -322,8 +323,14 @@
 	return at == nil || at.Before(since)
 }
 
-// Confirm records that the list matched the store at a time.
-func (p *Pool) Confirm(now time.Time) { p.confirmedAt.Store(&now) }
+// Confirm records that the list matched the store in an era at a time.
+func (p *Pool) Confirm(now time.Time, era int64) {
+	p.confirmedAt.Store(&now)
+	p.era.Store(era)
+}
+
+// Era returns the era of the store that the list was last confirmed in.
+func (p *Pool) Era() int64 { return p.era.Load() }
 
 // Age returns the time since the list was last confirmed, 0 if it never was.
 func (p *Pool) Age(now time.Time) time.Duration {
