--- a/internal/storesync/harness_test.go
+++ b/internal/storesync/harness_test.go
@@ -345,6 +345,8 @@
 			WaitUntilDue: func(ctx context.Context, last time.Time) { p.syncer.AwaitRead(ctx, topic, schedules[topic], last) },
 		})
 		readers = append(readers, r)
+	}
+	for _, r := range readers {
 		running.Go(func() { r.Run(ctx) })
 	}
 	registrar := &Registrar{Store: connection, Self: self, Members: p.members, Syncer: p.syncer, Clock: h.clock, Log: discardLogger()}
