--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -32,8 +32,15 @@
 type Batch struct {
 	Rows    []Row
 	Version int64 // newest version of the store at the time of the response
+	Era     Era   // of the store at the time of the response
+	// Returned is set in the first batch of an era that a ChangeLog passes on after one of an earlier
+	// era: rows that are missing or older than before may be written again soon.
+	Returned bool
 }
 
+// Revision returns the state of the store that the batch is as of.
+func (b Batch) Revision() Revision { return Revision{Era: b.Era, Version: b.Version} }
+
 // Topic identifies a group of rows of the store that is read and followed on its own.
 type Topic int
 
