Keep the later process of an upstream that a copy of the store shows as it was before a restart

Callers' requests went to the address of the earlier process, and to a process that had announced its leaving, until the upstream wrote its entry again. Cause: the first list of a returned store withheld only processes whose entry had been removed. An entry that another process had taken over under the same ID went back with the copy, and the leaving state of the later process was compared with the earlier one only. Evidence: TestReturnOfStoreBringsBackNoEarlierProcessOfAnUpstream failed with 'a b c' to equal 'a c' (b leaves). Change: a process that another one replaces counts as removed, and one that is listed again no longer does. Result: internal/discovery passes, also with -race.

--- a/internal/discovery/removed.go
+++ b/internal/discovery/removed.go
@@ -30,7 +30,7 @@
 
 func sameProcess(a, b pool.Upstream) bool { return processOf(a) == processOf(b) }
 
-// removedUpstreams holds when the entries of processes were removed.
+// removedUpstreams holds when the entries of processes were removed, or replaced by those of others.
 type removedUpstreams map[process]time.Time
 
 func (r removedUpstreams) add(now time.Time, u pool.Upstream) {
@@ -50,7 +50,8 @@
 }
 
 // withhold keeps an upstream that was removed, and that a copy of the store lists, from the pool
-// until its entry changes or withholdTime is over. The caller holds mu.
+// until its entry changes or withholdTime is over. The process that has replaced it stays
+// listed. The caller holds mu.
 func (l *UpstreamList) withhold(key string, u pool.Upstream) {
 	l.withheld[key] = u
 	l.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "address": u.Address}).Info("upstream that was gone is listed in a copy of the store; withheld")
--- a/internal/discovery/upstreams.go
+++ b/internal/discovery/upstreams.go
@@ -109,6 +109,10 @@
 		return false
 	}
 	delete(l.lapsed, row.Key)
+	delete(l.removed, processOf(u))
+	if known && !sameProcess(old, u) {
+		l.removed.add(now, old)
+	}
 	if known && sameProcess(old, u) && (returned || u.StartedAt != 0) {
 		u.Draining = u.Draining || old.Draining // a copy of the store shows it as it was before
 	}
--- a/internal/discovery/upstreams_return_test.go
+++ b/internal/discovery/upstreams_return_test.go
@@ -96,3 +96,26 @@
 		g.Expect(usable(p)).To(Equal("a"))
 	})
 }
+
+// Guards against an upstream whose restart a copy of the store does not show: the list must not go
+// back to the process before, whose address may be another's, nor forget that the present one leaves.
+func TestReturnOfStoreBringsBackNoEarlierProcessOfAnUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := pool.New()
+		l := NewUpstreamList(p, processDecoder{}, discardLogger())
+		l.Apply(Batch{Rows: []Row{row("a", "ready 1 x", 1), row("b", "ready 1 y", 2), row("c", "ready 1 z", 3)}}, 0)
+		l.Apply(Batch{Rows: []Row{row("a", "ready 11 v", 4), row("b", "ready 11 y", 5)}}, time.Second)
+		l.Apply(Batch{Rows: []Row{row("b", "leaving 11 y", 6)}}, time.Second)
+		g.Expect(usable(p)).To(Equal("a c"))
+
+		l.Apply(returned(row("a", "ready 1 x", 1), row("b", "ready 1 y", 2)), time.Second)
+		g.Expect(usable(p)).To(Equal("a c"), "b leaves")
+		_, found := p.Find("a", 2)
+		g.Expect(found).To(BeTrue(), "the later process")
+		l.Apply(Batch{Era: 2, Rows: []Row{row("a", "ready 11 v", 4), deletedRow("b", 5)}}, time.Second)
+		g.Expect(usable(p)).To(Equal("a c"))
+		l.Apply(Batch{Era: 2, Rows: []Row{row("b", "ready 111 y", 6)}}, time.Second)
+		g.Expect(usable(p)).To(Equal("a b c"), "a later process")
+	})
+}
