Read the list of upstreams once more before missing ones count as gone

Callers got no upstream although all had written their entries again in time: after a return of the store from a copy, and after an outage, missing upstreams were removed at the end of the grace period, and the next read came later. Cause: the grace period (2.3 s) and the interval of the list (0.6 x leaving_ms: 1.2, 1.8 and 2.4 s) are independent, so the decision rested on a list from before the entries were back. Change: while entries are missing, an instance that reads the store reads the list 0.2 s before the end of the grace period.

--- a/internal/discovery/upstreams.go
+++ b/internal/discovery/upstreams.go
@@ -25,6 +25,8 @@
 	// returnGrace replaces lapseGrace after the store has come back from a copy, which can be seen
 	// at once. Live upstreams that the copy lacks register again within 2 s.
 	returnGrace = 2300 * time.Millisecond
+	// lastReadMargin is how long before the end of the grace period the list is read once more.
+	lastReadMargin = 200 * time.Millisecond
 )
 
 // UpstreamList keeps the pool in sync with the upstream entries of the store.
@@ -80,6 +82,17 @@
 	l.pool.Confirm(now)
 }
 
+// Schedule returns a schedule on which the list is read once more before missing upstreams are
+// removed: they may have written their entries again since the last read.
+func (l *UpstreamList) Schedule(schedule PollSchedule) PollSchedule {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if left := time.Until(l.graceUntil) - lastReadMargin; len(l.lapsed) > 0 && left > 0 {
+		schedule.Pause = min(schedule.Pause, left)
+	}
+	return schedule
+}
+
 // SameEntry reports whether two rows of an upstream are equivalent. Upstreams rewrite their
 // entry regularly, mostly without a change.
 func (l *UpstreamList) SameEntry(a, b Row) bool {
--- a/internal/discovery/upstreams_return_test.go
+++ b/internal/discovery/upstreams_return_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -119,3 +120,41 @@
 		g.Expect(usable(p)).To(Equal("a b c"), "a later process")
 	})
 }
+
+// Guards against upstreams that count as gone although they have written their entries again in
+// time, only since the list was last read before that.
+func TestUpstreamsThatWriteAgainInTimeAreNeverRemoved(t *testing.T) {
+	for _, pause := range []time.Duration{1200 * time.Millisecond, 1800 * time.Millisecond, 2400 * time.Millisecond, 6 * time.Second} {
+		for _, writtenAfter := range []time.Duration{500 * time.Millisecond, 1950 * time.Millisecond} {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				eras := NewEraTracker()
+				store := newReturningStore(eras)
+				store.write("a", "ready 1 x")
+				older := store.copy()
+				store.write("b", "ready 1 y")
+				p := pool.New()
+				l := NewUpstreamList(p, processDecoder{}, discardLogger())
+				began := time.Now()
+				clock := func() time.Duration { return time.Since(began) }
+				reader := NewReader(ReaderConfig{
+					Store: store, Topic: Upstreams, Schedule: func() PollSchedule { return l.Schedule(PollSchedule{Pause: pause}) },
+					ChangeLog: NewChangeLog(Upstreams, clock, l.SameEntry, discardLogger(), l.Apply),
+					Backoff:   NewBackoff(func(bool) {}), Clock: clock, Logger: discardLogger(), Eras: eras,
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go reader.Run(ctx)
+				time.Sleep(time.Second)
+				g.Expect(usable(p)).To(Equal("a b"))
+				store.returnFrom(older)
+				eras.Observe(2)
+				time.AfterFunc(writtenAfter, func() { store.write("b", "ready 1 y") })
+				for passed := time.Duration(0); passed < 10*time.Second; passed += 10 * time.Millisecond {
+					time.Sleep(10 * time.Millisecond)
+					g.Expect(usable(p)).To(Equal("a b"), "pause %v, written after %v: %v after the return", pause, writtenAfter, passed)
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -108,7 +108,7 @@
 	})
 	p.registrar = &storesync.Registrar{Store: g.platform.Store, Self: self, Members: p.members, Syncer: p.syncer, Clock: clock, Log: log}
 	calls := newCallCounter(g.registry)
-	addReader := func(topic discovery.Topic, schedule discovery.PollSchedule, equal func(a, b discovery.Row) bool, apply func(discovery.Batch, time.Duration), options ...discovery.ChangeLogOption) {
+	addReader := func(topic discovery.Topic, schedule func() discovery.PollSchedule, equal func(a, b discovery.Row) bool, apply func(discovery.Batch, time.Duration), options ...discovery.ChangeLogOption) {
 		p.changeLogs[topic] = discovery.NewChangeLog(topic, clock, equal, log, apply, options...)
 		registerEraGauge(g.registry, topic, p.changeLogs[topic])
 		if topic == discovery.Instances && settings.LinkAddress == "" {
@@ -116,18 +116,25 @@
 		}
 		p.readers = append(p.readers, discovery.NewReader(discovery.ReaderConfig{
 			Store: g.platform.Store, Topic: topic, Backoff: p.backoff, Clock: clock, Logger: log, CountCall: calls.count, ChangeLog: p.changeLogs[topic], Eras: g.platform.Eras,
-			Schedule:     func() discovery.PollSchedule { return p.syncer.PollSchedule(topic, schedule) },
-			WaitUntilDue: func(ctx context.Context, last time.Time) { p.syncer.AwaitRead(ctx, topic, schedule, last) },
+			Schedule:     func() discovery.PollSchedule { return p.syncer.PollSchedule(topic, schedule()) },
+			WaitUntilDue: func(ctx context.Context, last time.Time) { p.syncer.AwaitRead(ctx, topic, schedule(), last) },
 		}))
 	}
-	addReader(discovery.Configuration, discovery.PollSchedule{Wait: configurationMaxAge}, discovery.SameValue, startup.trackApplied(discovery.Configuration, g.configuration.Apply),
+	addReader(discovery.Configuration, fixed(discovery.PollSchedule{Wait: configurationMaxAge}), discovery.SameValue, startup.trackApplied(discovery.Configuration, g.configuration.Apply),
 		discovery.KeepNewer(discovery.OutdatedConfiguration(g.platform.Decoder)))
-	addReader(discovery.Upstreams, discovery.PollSchedule{Pause: upstreamsMaxAge}, g.upstreams.SameEntry, startup.trackApplied(discovery.Upstreams, g.upstreams.Apply))
-	addReader(discovery.Notices, discovery.PollSchedule{Wait: noticesPollHold}, discovery.SameValue, notices.keeper().Apply)
-	addReader(discovery.Instances, discovery.PollSchedule{Pause: instancesPollInterval}, discovery.SameValue, p.members.Apply)
+	addReader(discovery.Upstreams, func() discovery.PollSchedule {
+		return g.upstreams.Schedule(discovery.PollSchedule{Pause: upstreamsMaxAge})
+	}, g.upstreams.SameEntry, startup.trackApplied(discovery.Upstreams, g.upstreams.Apply))
+	addReader(discovery.Notices, fixed(discovery.PollSchedule{Wait: noticesPollHold}), discovery.SameValue, notices.keeper().Apply)
+	addReader(discovery.Instances, fixed(discovery.PollSchedule{Pause: instancesPollInterval}), discovery.SameValue, p.members.Apply)
 	return p
 }
 
+// fixed returns a function that returns a schedule.
+func fixed(schedule discovery.PollSchedule) func() discovery.PollSchedule {
+	return func() discovery.PollSchedule { return schedule }
+}
+
 // tasks returns the background tasks, each of which runs until its context ends.
 func (p *syncParts) tasks() []func(context.Context) {
 	all := []func(context.Context){p.rates.run, p.parts.run}
