Give upstreams that are missing the whole grace period again after a second return

Callers got no upstream when the store came back from a copy twice within two seconds. Cause: the time at which a missing upstream is removed was set at the first return and stayed, although the second one had begun a new grace period. Evidence: TestSecondReturnGivesMissingUpstreamsTimeAgain: '' to equal 'a b', 2 s after the second return. Change: a return extends the time of the upstreams that are missing already. Result: internal/discovery passes, also with -race.

--- a/internal/discovery/upstreams.go
+++ b/internal/discovery/upstreams.go
@@ -59,6 +59,7 @@
 	switch {
 	case batch.Returned:
 		l.graceUntil = now.Add(returnGrace)
+		l.extendGrace(now)
 		l.log.WithFields(logrus.Fields{"era": batch.Era, "version": batch.Version, "upstreams": len(l.upstreams)}).Info("list of upstreams is from a copy; missing upstreams kept for the grace period")
 	case gap > outageGap && len(l.upstreams) > 0:
 		l.graceUntil = now.Add(lapseGrace)
@@ -156,9 +157,7 @@
 	}
 	if now.Before(l.graceUntil) && !u.Draining {
 		l.lapsed[key] = l.graceUntil
-		// The next response of the store may arrive much later than the end of the grace
-		// period, after which an upstream that has left must get no more requests.
-		time.AfterFunc(l.graceUntil.Sub(now), l.expireLapsed)
+		l.expireAfterGrace(now)
 		l.log.WithFields(logrus.Fields{"upstream": u.ID, "grace_ms": l.graceUntil.Sub(now).Milliseconds()}).Info("upstream entry lapsed during a store outage; upstream kept for the grace period")
 		return false
 	}
@@ -166,6 +165,23 @@
 	return true
 }
 
+// extendGrace keeps the upstreams that are missing already for the whole grace period.
+func (l *UpstreamList) extendGrace(now time.Time) {
+	if len(l.lapsed) == 0 {
+		return
+	}
+	for key := range l.lapsed {
+		l.lapsed[key] = l.graceUntil
+	}
+	l.expireAfterGrace(now)
+}
+
+// expireAfterGrace calls expireLapsed at the end of the grace period. The next response of the store
+// may arrive much later, and an upstream that has left must get no more requests then.
+func (l *UpstreamList) expireAfterGrace(now time.Time) {
+	time.AfterFunc(l.graceUntil.Sub(now), l.expireLapsed)
+}
+
 // expireLapsed removes the upstreams whose grace period is over, and publishes the list.
 func (l *UpstreamList) expireLapsed() {
 	l.mu.Lock()
--- a/internal/discovery/upstreams_return_test.go
+++ b/internal/discovery/upstreams_return_test.go
@@ -158,3 +158,24 @@
 		}
 	}
 }
+
+// Guards against upstreams that are removed between two returns of the store, the second of which came
+// before they could write their entries again.
+func TestSecondReturnGivesMissingUpstreamsTimeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := pool.New()
+		l := NewUpstreamList(p, processDecoder{}, discardLogger())
+		l.Apply(Batch{Rows: []Row{row("a", "ready 1 x", 1), row("b", "ready 1 y", 2)}}, 0)
+		l.Apply(returned(deletedRow("a", 1), deletedRow("b", 1)), time.Second)
+		time.Sleep(returnGrace - 100*time.Millisecond)
+		l.Apply(Batch{Era: 3, Returned: true}, time.Second)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		g.Expect(usable(p)).To(Equal("a b"))
+		l.Apply(Batch{Era: 3, Rows: []Row{row("a", "ready 1 x", 2)}}, time.Second)
+		time.Sleep(returnGrace - 2*time.Second)
+		synctest.Wait()
+		g.Expect(usable(p)).To(Equal("a"))
+	})
+}
