discovery: test that rows never go back, and that a leaving upstream stays leaving after a return

Two mutations passed all tests of the package: an update of another instance that is older than the rows was applied, and a late entry made a leaving process eligible again once the first list of the later era had been read. The model of drawn histories now fails on the first ('went back from {1 2} to {1 1}'), a line of an existing test on the second.

--- a/internal/discovery/eramodel_test.go
+++ b/internal/discovery/eramodel_test.go
@@ -34,7 +34,8 @@
 	log     *ChangeLog
 	eras    *EraTracker
 	between func()
-	newest  int // version of the configuration that it has
+	newest  int      // version of the configuration that it has
+	held    Revision // when it was last checked
 }
 
 func (i *modelInstance) Read(context.Context, Topic) (Batch, error) {
@@ -225,6 +226,10 @@
 			m.Fatalf("instance %d has configuration %d after %d; the store had %d at %v", n, newest, i.newest, stored, held)
 		}
 		i.newest = newest
+		if held.Before(i.held) {
+			m.Fatalf("instance %d went back from %v to %v", n, i.held, held)
+		}
+		i.held = held
 		delete(want, "config")
 		delete(got, "config")
 		if !maps.Equal(want, got) {
--- a/internal/discovery/upstreams_return_test.go
+++ b/internal/discovery/upstreams_return_test.go
@@ -51,7 +51,9 @@
 		g.Expect(usable(p)).To(Equal("c"))
 		l.Apply(Batch{Era: 2, Rows: []Row{row("b", "leaving 1 y", 4)}}, time.Second)
 		g.Expect(usable(p)).To(Equal("c"), "written again as leaving")
-		l.Apply(Batch{Era: 2, Rows: []Row{row("a", "ready 11 x", 5)}}, time.Second)
+		l.Apply(Batch{Era: 2, Rows: []Row{row("a", "ready 1 x", 5)}}, time.Second)
+		g.Expect(usable(p)).To(Equal("c"), "written by a late call of before it left")
+		l.Apply(Batch{Era: 2, Rows: []Row{row("a", "ready 11 x", 6)}}, time.Second)
 		g.Expect(usable(p)).To(Equal("a c"), "another process under the same ID")
 	})
 }
