forward: test answers that begin at the moment at which requests without one are ended

Two mutations passed all tests of the package: events of a stream, and a long answer of a call, that are forwarded although the request has been ended, which cuts them off.

--- a/internal/forward/laterequests_test.go
+++ b/internal/forward/laterequests_test.go
@@ -175,3 +175,54 @@
 		h.g.Expect(h.receivedBy()).To(BeEmpty())
 	})
 }
+
+// Guards against an answer that begins at the moment at which a leaving instance ends the requests without one, and is
+// then cut off although its upstream goes on.
+func TestAnswerThatBeginsAtTheEndOfTheGraceIsNotCutOff(t *testing.T) {
+	call := idempotent
+	call.Timeout = 25 * time.Second
+	const event = 100 * time.Millisecond
+	longBody := func(req receivedRequest) (*http.Response, error) {
+		reader, writer := io.Pipe()
+		go func() {
+			for pause(req.ctx, event) {
+				if _, err := writer.Write(make([]byte, bufferedResponseBytes)); err != nil {
+					return
+				}
+			}
+			_ = writer.CloseWithError(req.ctx.Err())
+		}()
+		r := response(http.StatusOK, "")
+		r.Body, r.ContentLength = reader, 1<<30
+		return r, nil
+	}
+	for name, c := range map[string]struct {
+		route  route.Route
+		behave behaviour
+		begins time.Duration // of the answer, after the upstream begins to answer
+	}{
+		"stream":                  {route: streaming, behave: sendEvents(75, event, nil), begins: event},
+		"call with a long answer": {route: call, behave: longBody, begins: 2 * event},
+	} {
+		t.Run(name, func(t *testing.T) {
+			statuses := map[int]int{}
+			for range 100 {
+				inVirtualTime(t, func(t *testing.T) {
+					h := newHarness(t, c.route, c.route.Kind == route.Stream, "a")
+					endsAt := time.Now().Add(testGrace)
+					h.setBehaviour(respondAfter(testGrace-endMargin-c.begins, c.behave), "a")
+					time.AfterFunc(time.Second, func() { h.f.Drain.Start(endsAt) })
+					got, answered := h.sendLate(lateRequest{}, "request-1", endsAt)
+					statuses[got.status]++
+					if got.status == http.StatusOK {
+						h.g.Expect(time.Now()).To(Equal(endsAt), "cut off before the process ended")
+						return
+					}
+					h.g.Expect(answered).To(BeTrue())
+					h.g.Expect(got.status).To(Equal(http.StatusGatewayTimeout))
+				})
+			}
+			t.Log("answers by status: ", statuses)
+		})
+	}
+}
