--- a/internal/discovery/upstreams.go
+++ b/internal/discovery/upstreams.go
@@ -25,6 +25,8 @@
 	// returnGrace replaces lapseGrace after the store has come back from a copy, which can be seen
 	// at once. Live upstreams that the copy lacks register again within 2 s.
 	returnGrace = 2300 * time.Millisecond
+	// lastReadMargin is how long before the end of the grace period the list is read once more.
+	lastReadMargin = 200 * time.Millisecond
 )
 
 // UpstreamList keeps the pool in sync with the upstream entries of the store.
@@ -57,6 +59,7 @@
 	switch {
 	case batch.Returned:
 		l.graceUntil = now.Add(returnGrace)
+		l.extendGrace(now)
 		l.log.WithFields(logrus.Fields{"era": batch.Era, "version": batch.Version, "upstreams": len(l.upstreams)}).Info("list of upstreams is from a copy; missing upstreams kept for the grace period")
 	case gap > outageGap && len(l.upstreams) > 0:
 		l.graceUntil = now.Add(lapseGrace)
@@ -80,6 +83,17 @@
 	l.pool.Confirm(now, int64(batch.Era))
 }
 
+// Schedule returns a schedule on which the list is read once more before missing upstreams are
+// removed: they may have written their entries again since the last read.
+func (l *UpstreamList) Schedule(schedule PollSchedule) PollSchedule {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if left := time.Until(l.graceUntil) - lastReadMargin; len(l.lapsed) > 0 && left > 0 {
+		schedule.Pause = min(schedule.Pause, left)
+	}
+	return schedule
+}
+
 // SameEntry reports whether two rows of an upstream are equivalent. Upstreams rewrite their
 // entry regularly, mostly without a change.
 func (l *UpstreamList) SameEntry(a, b Row) bool {
@@ -109,6 +123,10 @@
 		return false
 	}
 	delete(l.lapsed, row.Key)
+	delete(l.removed, processOf(u))
+	if known && !sameProcess(old, u) {
+		l.removed.add(now, old)
+	}
 	if known && sameProcess(old, u) && (returned || u.StartedAt != 0) {
 		u.Draining = u.Draining || old.Draining // a copy of the store shows it as it was before
 	}
@@ -139,9 +157,7 @@
 	}
 	if now.Before(l.graceUntil) && !u.Draining {
 		l.lapsed[key] = l.graceUntil
-		// The next response of the store may arrive much later than the end of the grace
-		// period, after which an upstream that has left must get no more requests.
-		time.AfterFunc(l.graceUntil.Sub(now), l.expireLapsed)
+		l.expireAfterGrace(now)
 		l.log.WithFields(logrus.Fields{"upstream": u.ID, "grace_ms": l.graceUntil.Sub(now).Milliseconds()}).Info("upstream entry lapsed during a store outage; upstream kept for the grace period")
 		return false
 	}
@@ -149,6 +165,23 @@
 	return true
 }
 
+// extendGrace keeps the upstreams that are missing already for the whole grace period.
+func (l *UpstreamList) extendGrace(now time.Time) {
+	if len(l.lapsed) == 0 {
+		return
+	}
+	for key := range l.lapsed {
+		l.lapsed[key] = l.graceUntil
+	}
+	l.expireAfterGrace(now)
+}
+
+// expireAfterGrace calls expireLapsed at the end of the grace period. The next response of the store
+// may arrive much later, and an upstream that has left must get no more requests then.
+func (l *UpstreamList) expireAfterGrace(now time.Time) {
+	time.AfterFunc(l.graceUntil.Sub(now), l.expireLapsed)
+}
+
 // expireLapsed removes the upstreams whose grace period is over, and publishes the list.
 func (l *UpstreamList) expireLapsed() {
 	l.mu.Lock()
--- a/internal/discovery/upstreams_return_test.go
+++ b/internal/discovery/upstreams_return_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -50,7 +51,9 @@
 		g.Expect(usable(p)).To(Equal("c"))
 		l.Apply(Batch{Era: 2, Rows: []Row{row("b", "leaving 1 y", 4)}}, time.Second)
 		g.Expect(usable(p)).To(Equal("c"), "written again as leaving")
-		l.Apply(Batch{Era: 2, Rows: []Row{row("a", "ready 11 x", 5)}}, time.Second)
+		l.Apply(Batch{Era: 2, Rows: []Row{row("a", "ready 1 x", 5)}}, time.Second)
+		g.Expect(usable(p)).To(Equal("c"), "written by a late call of before it left")
+		l.Apply(Batch{Era: 2, Rows: []Row{row("a", "ready 11 x", 6)}}, time.Second)
 		g.Expect(usable(p)).To(Equal("a c"), "another process under the same ID")
 	})
 }
@@ -96,3 +99,85 @@
 		g.Expect(usable(p)).To(Equal("a"))
 	})
 }
+
+// Guards against an upstream whose restart a copy of the store does not show: the list must not go
+// back to the process before, whose address may be another's, nor forget that the present one leaves.
+func TestReturnOfStoreBringsBackNoEarlierProcessOfAnUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := pool.New()
+		l := NewUpstreamList(p, processDecoder{}, discardLogger())
+		l.Apply(Batch{Rows: []Row{row("a", "ready 1 x", 1), row("b", "ready 1 y", 2), row("c", "ready 1 z", 3)}}, 0)
+		l.Apply(Batch{Rows: []Row{row("a", "ready 11 v", 4), row("b", "ready 11 y", 5)}}, time.Second)
+		l.Apply(Batch{Rows: []Row{row("b", "leaving 11 y", 6)}}, time.Second)
+		g.Expect(usable(p)).To(Equal("a c"))
+
+		l.Apply(returned(row("a", "ready 1 x", 1), row("b", "ready 1 y", 2)), time.Second)
+		g.Expect(usable(p)).To(Equal("a c"), "b leaves")
+		_, found := p.Find("a", 2)
+		g.Expect(found).To(BeTrue(), "the later process")
+		l.Apply(Batch{Era: 2, Rows: []Row{row("a", "ready 11 v", 4), deletedRow("b", 5)}}, time.Second)
+		g.Expect(usable(p)).To(Equal("a c"))
+		l.Apply(Batch{Era: 2, Rows: []Row{row("b", "ready 111 y", 6)}}, time.Second)
+		g.Expect(usable(p)).To(Equal("a b c"), "a later process")
+	})
+}
+
+// Guards against upstreams that count as gone although they have written their entries again in
+// time, only since the list was last read before that.
+func TestUpstreamsThatWriteAgainInTimeAreNeverRemoved(t *testing.T) {
+	for _, pause := range []time.Duration{1200 * time.Millisecond, 1800 * time.Millisecond, 2400 * time.Millisecond, 6 * time.Second} {
+		for _, writtenAfter := range []time.Duration{500 * time.Millisecond, 1950 * time.Millisecond} {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				eras := NewEraTracker()
+				store := newReturningStore(eras)
+				store.write("a", "ready 1 x")
+				older := store.copy()
+				store.write("b", "ready 1 y")
+				p := pool.New()
+				l := NewUpstreamList(p, processDecoder{}, discardLogger())
+				began := time.Now()
+				clock := func() time.Duration { return time.Since(began) }
+				reader := NewReader(ReaderConfig{
+					Store: store, Topic: Upstreams, Schedule: func() PollSchedule { return l.Schedule(PollSchedule{Pause: pause}) },
+					ChangeLog: NewChangeLog(Upstreams, clock, l.SameEntry, discardLogger(), l.Apply),
+					Backoff:   NewBackoff(func(bool) {}), Clock: clock, Logger: discardLogger(), Eras: eras,
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go reader.Run(ctx)
+				time.Sleep(time.Second)
+				g.Expect(usable(p)).To(Equal("a b"))
+				store.returnFrom(older)
+				eras.Observe(2)
+				time.AfterFunc(writtenAfter, func() { store.write("b", "ready 1 y") })
+				for passed := time.Duration(0); passed < 10*time.Second; passed += 10 * time.Millisecond {
+					time.Sleep(10 * time.Millisecond)
+					g.Expect(usable(p)).To(Equal("a b"), "pause %v, written after %v: %v after the return", pause, writtenAfter, passed)
+				}
+			})
+		}
+	}
+}
+
+// Guards against upstreams that are removed between two returns of the store, the second of which came
+// before they could write their entries again.
+func TestSecondReturnGivesMissingUpstreamsTimeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := pool.New()
+		l := NewUpstreamList(p, processDecoder{}, discardLogger())
+		l.Apply(Batch{Rows: []Row{row("a", "ready 1 x", 1), row("b", "ready 1 y", 2)}}, 0)
+		l.Apply(returned(deletedRow("a", 1), deletedRow("b", 1)), time.Second)
+		time.Sleep(returnGrace - 100*time.Millisecond)
+		l.Apply(Batch{Era: 3, Returned: true}, time.Second)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		g.Expect(usable(p)).To(Equal("a b"))
+		l.Apply(Batch{Era: 3, Rows: []Row{row("a", "ready 1 x", 2)}}, time.Second)
+		time.Sleep(returnGrace - 2*time.Second)
+		synctest.Wait()
+		g.Expect(usable(p)).To(Equal("a"))
+	})
+}
