Give up an era that one damaged response has stated

What callers saw: a change of the configuration was never in force at an instance that had got one response with a damaged, too high Store-Era. Cause: all later responses counted as of an earlier era; contradictions were counted only for eras of peers. Evidence: TestEraOfOneDamagedResponseIsGivenUp, a still 1 and x after 3 s. Change: three responses in a row of a lower era to calls that began after the higher one was seen give it up; a store whose responses are in order can't give them after a return.

--- a/internal/discovery/era.go
+++ b/internal/discovery/era.go
@@ -41,6 +41,8 @@
 	mu      sync.Mutex // guards the fields below
 	newest  Era
 	changed chan struct{} // closed when newest rises
+	// contradictions is the number of consecutive responses of an earlier era.
+	contradictions int
 }
 
 // NewEraTracker returns a tracker that has seen no era yet.
@@ -50,6 +52,9 @@
 func (t *EraTracker) Observe(era Era) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if era >= t.newest {
+		t.contradictions = 0
+	}
 	if era <= t.newest {
 		return
 	}
@@ -65,6 +70,22 @@
 	return t.newest, t.changed
 }
 
+// Contradict records a response of an earlier era to a call that began after the newest one had been
+// seen. The newest era was wrong if several such responses follow each other: it is given up for
+// the one that they state, and Contradict returns true.
+func (t *EraTracker) Contradict(newest, stated Era) (givenUp bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if newest != t.newest {
+		return false
+	}
+	if t.contradictions++; t.contradictions < contradictionLimit {
+		return false
+	}
+	t.newest, t.contradictions = stated, 0
+	return true
+}
+
 // UntilLater returns a copy of ctx that also ends when an era later than the held one has been
 // seen, after ReturnDelay.
 func (t *EraTracker) UntilLater(ctx context.Context, held Era) (context.Context, context.CancelFunc) {
--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -441,6 +441,39 @@
 	})
 }
 
+// Guards against an instance that drops all responses of the store for good after one with a
+// damaged era.
+func TestEraOfOneDamagedResponseIsGivenUp(t *testing.T) {
+	for name, damage := range map[string]func(r *eraReader){
+		"in a refusal": func(*eraReader) {},
+		"with rows": func(r *eraReader) {
+			r.changeLog.Apply(Update{Batch: Batch{Era: 7, Version: 99, Rows: []Row{row("a", "x", 99)}}, Full: true})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				eras := NewEraTracker()
+				store := newReturningStore(eras)
+				store.write("a", "1")
+				r := startReader(t, store, eras, NewBackoff(func(bool) {}), PollSchedule{Wait: time.Second})
+				time.Sleep(3 * time.Second)
+				eras.Observe(7)
+				damage(r)
+				store.write("a", "2")
+				time.Sleep(3 * time.Second)
+				g.Expect(r.values()).To(HaveKeyWithValue("a", "2"))
+				newest, _ := eras.Newest()
+				g.Expect(newest).To(Equal(Era(1)))
+				store.returnFrom(store.copy())
+				store.write("a", "3")
+				time.Sleep(takeEffect)
+				g.Expect(r.values()).To(HaveKeyWithValue("a", "3"))
+			})
+		})
+	}
+}
+
 // interleavedStore runs a function before each response to a call for changes arrives.
 type interleavedStore struct {
 	Store
--- a/internal/discovery/reader.go
+++ b/internal/discovery/reader.go
@@ -21,8 +21,8 @@
 	// lost: several consecutive calls have failed.
 	outageThreshold = 2500 * time.Millisecond
 	// contradictionLimit is the number of consecutive calls whose responses are of an earlier era
-	// than the rows, after which an era that only peers have stated is given up. A single one
-	// may be a late response from before a return of the store.
+	// than the rows or than an earlier response, after which the later era is given up. A single
+	// one may be a late response from before a return of the store.
 	contradictionLimit = 3
 )
 
@@ -187,13 +187,17 @@
 // was only overtaken by an update of a peer, or by a sign of a return, during the call.
 func (r *Reader) read(ctx context.Context, held Revision, full bool) (DropReason, error) {
 	expected := held
-	if newest, _ := r.eras.Newest(); newest > expected.Era {
+	newest, _ := r.eras.Newest()
+	if newest > expected.Era {
 		expected = Revision{Era: newest}
 	}
 	update, err := r.call(ctx, held, full)
 	if err != nil {
 		return NotDropped, err
 	}
+	if update.Era < newest && r.eras.Contradict(newest, update.Era) {
+		r.log.WithFields(logrus.Fields{"era": update.Era, "given_up": newest, "held_era": held.Era}).Warn("the store contradicts the era that it stated before")
+	}
 	reason := r.apply(update)
 	if reason != DroppedLaterEra && !update.Revision().Before(expected) {
 		return NotDropped, nil
