testcluster: give each test process ports of its own

Cause: all test processes chose ports from one range, and a program that is down holds none. Another test process could take the port of a killed program before it restarted.

The run repeated alone passed.

--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -7,13 +7,9 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -107,42 +103,6 @@
 // ResidentBytes returns the resident memory of the process.
 func (p *Process) ResidentBytes() (int64, error) { return processResidentBytes(p.PID()) }
 
-// The ports lie below the range of ephemeral ports. Otherwise an outgoing connection
-// could take a port after it was selected and before a process listens on it.
-const (
-	firstPort = 12_000
-	portCount = 20_000
-)
-
-var nextPort atomic.Uint32
-
-func init() { nextPort.Store(rand.Uint32N(portCount)) }
-
-// freeAddress returns a loopback address whose TCP and UDP ports were free when it was
-// checked. Each call returns a different address.
-func freeAddress() (string, error) {
-	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
-		if isFree(address) {
-			return address, nil
-		}
-	}
-	return "", errors.New("no free port")
-}
-
-func isFree(address string) bool {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	defer listener.Close() //nolint:errcheck // only the address is needed
-	packets, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return false
-	}
-	return packets.Close() == nil
-}
-
 // freeAddresses returns count different loopback addresses from freeAddress.
 func freeAddresses(count int) ([]string, error) {
 	addresses := make([]string, 0, count)
