forward: let streams of a silent upstream move one after another without a pause

What callers saw: with five or more streams of one instance at an upstream that had stopped, the fifth paused for 0.88 s, although its route has a gap target of 0.7 s and other upstreams were free.

Cause: four streams at a time may be between two upstreams. One that found all four places taken asked again only after its next probe (400 ms and 120 ms), and a stalled one after the next stall timeout (1.05 s), also if the others had long gone on.

Ruled out: load.

Change: such a stream waits for its turn and moves when one of the others goes on. It stays if its upstream sends or answers meanwhile, or if it can no longer move. Waiting is an obstacle of its own in logs and metrics (moves).

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -86,9 +86,9 @@
 	Config
 	sender *sender
 	active atomic.Int64
-	// movingStreams is the number of streams that have left an upstream and have no event of
-	// the next one yet.
-	movingStreams atomic.Int64
+	// movingStreams has an element for each stream that has left an upstream and has no event
+	// of the next one yet.
+	movingStreams chan struct{}
 }
 
 // New returns a forwarder.
@@ -99,7 +99,7 @@
 	if config.PartExchange == nil {
 		config.PartExchange = unsharedParts{}
 	}
-	f := &Forwarder{Config: config, sender: newSender(config.Protocol, config.Transport)}
+	f := &Forwarder{Config: config, sender: newSender(config.Protocol, config.Transport), movingStreams: make(chan struct{}, maxMovingStreams)}
 	f.sender.confirmProcess = f.confirmProcess
 	return f
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -81,6 +81,9 @@
 	// the stream there.
 	silent   bool
 	obstacle moveObstacle
+	// awaitedMove is why the stream leaves the upstream once few enough others move; nil if it
+	// does not wait for that.
+	awaitedMove error
 }
 
 // markPrefilled records that the upstream has finished prefilling the prompt.
@@ -118,7 +121,7 @@
 			}
 		case <-timer.C:
 			if now := time.Now(); len(items) == 0 && !now.Before(r.monitor.StallDeadline()) {
-				if !r.silent && !r.memory.waiting.Load() && r.canMove(now) && r.reserveMove() {
+				if !r.silent && !r.memory.waiting.Load() && r.canMove(now) && r.reserveMove(errStalled) == noObstacle {
 					return Failed, errStalled
 				}
 				r.monitor.ExtendStall(now)
@@ -141,6 +144,11 @@
 			if r.leavesUpstream(p) {
 				return Failed, errors.Mark(p.err, errUnresponsive)
 			}
+		case r.turn() <- struct{}{}:
+			cause := r.awaitedMove
+			if r.useTurn(time.Now(), len(items) > 0 || r.memory.waiting.Load()) {
+				return Failed, cause
+			}
 		case <-r.verdictsChanged:
 			if err := r.checkVerdicts(); err != nil {
 				return Failed, err
@@ -212,6 +220,7 @@
 	now := time.Now()
 	if r.isProgress(e) {
 		r.endSilence(now)
+		r.awaitedMove = nil
 		r.monitor.ObserveEvent(now)
 		r.recordWriting(now)
 		r.markPrefilled()
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"foxtailhub.example/foxtailhub/internal/pool"
@@ -23,6 +24,7 @@
 	eventsUnnumbered moveObstacle = "unnumbered" // no other upstream can continue it
 	refusedByVerdict moveObstacle = "verdict"    // parts of its prompt are known to crash upstreams, or it is a trial of that
 	graceTooShort    moveObstacle = "grace"      // the instance is leaving and has no time for a new answer
+	othersMove       moveObstacle = "moves"      // too many streams have left an upstream; it moves when one of them goes on
 )
 
 // moveObstacle returns why the stream could not move to another upstream now.
@@ -126,6 +128,9 @@
 func (r *run) leavesUpstream(p probeResult) bool {
 	now := time.Now()
 	if p.err == nil || r.monitor.SinceLastEvent(now) < probeTimeout {
+		if r.silent {
+			r.awaitedMove = nil
+		}
 		r.endSilence(now)
 		r.monitor.ProbeSucceeded(now)
 		return false
@@ -134,41 +139,75 @@
 	if obstacle == noObstacle && !p.alternative && r.monitor.SinceLastEvent(now) < silenceLimit {
 		obstacle = noOtherUpstream
 	}
+	r.awaitedMove = nil
+	if obstacle == noObstacle {
+		obstacle = r.reserveMove(errors.Mark(p.err, errUnresponsive))
+	}
 	r.recordSilence(now, p, obstacle)
 	if !r.silent {
 		r.member.MarkLost(now)
 	}
 	r.silent, r.obstacle = true, obstacle
 	r.monitor.ProbeUnanswered(now)
-	return obstacle == noObstacle && r.reserveMove()
+	return obstacle == noObstacle
 }
 
 // maxMovingStreams bounds the streams of this instance that have left an upstream and have
-// no event of the next one yet. The others stay meanwhile: if upstreams refuse the first ones,
-// the rest would use up the retry budget and be left without an upstream.
+// no event of the next one yet. The others stay until one of these goes on: if upstreams refuse
+// the first ones, the rest would use up the retry budget and be left without an upstream.
 const maxMovingStreams = 4
 
-// reserveMove takes the move from the retry budget before the run is given up: the streams
+// reserveMove reserves a move of the stream because of cause. If too many others move, it
+// waits for its turn.
+func (r *run) reserveMove(cause error) moveObstacle {
+	if !r.moving {
+		select {
+		case r.f.movingStreams <- struct{}{}:
+			r.moving = true
+		default:
+			r.awaitedMove = cause
+			return othersMove
+		}
+	}
+	return r.takeRetry()
+}
+
+// takeRetry takes the move from the retry budget before the run is given up: the streams
 // of one upstream all see the same room in the budget.
-func (r *run) reserveMove() bool {
-	if !r.moving && r.f.movingStreams.Add(1) > maxMovingStreams {
-		r.f.movingStreams.Add(-1)
-		return false
+func (r *run) takeRetry() moveObstacle {
+	r.awaitedMove = nil
+	if !r.x.budget.Take() {
+		r.endMove()
+		return budgetUsedUp
 	}
+	r.x.retryReserved = true
+	return noObstacle
+}
+
+// turn is where a stream that waits for others to move gets its turn; nil for all others.
+func (r *run) turn() chan<- struct{} {
+	if r.awaitedMove == nil {
+		return nil
+	}
+	return r.f.movingStreams
+}
+
+// useTurn reports whether the stream, which has got its turn, leaves its upstream.
+func (r *run) useTurn(now time.Time, eventsWait bool) bool {
 	r.moving = true
-	if !r.x.budget.Take() {
+	if eventsWait || !r.canMove(now) {
+		r.awaitedMove = nil
 		r.endMove()
 		return false
 	}
-	r.x.retryReserved = true
-	return true
+	return r.takeRetry() == noObstacle
 }
 
 // endMove records that a stream which has left an upstream goes on or has ended.
 func (s *relay) endMove() {
 	if s.moving {
 		s.moving = false
-		s.f.movingStreams.Add(-1)
+		<-s.f.movingStreams
 	}
 }
 
--- a/internal/forward/silencedecision_test.go
+++ b/internal/forward/silencedecision_test.go
@@ -219,3 +219,34 @@
 		}
 	})
 }
+
+// Guards against streams of a dead upstream that pause longer than their gap target because they wait for each other.
+func TestStreamsOfDeadUpstreamMoveWithinGapTarget(t *testing.T) {
+	for _, streams := range []int{maxMovingStreams + 1, engineBurst} {
+		inVirtualTime(t, func(t *testing.T) {
+			h := newHarness(t, streaming, true, "a", "b", "c")
+			h.setBehaviour(h.silentAfter(20, time.Hour, 100), "a")
+			h.setBehaviour(sendEvents(100, testInterval, nil), "b", "c")
+			h.markAllLostBut("a")
+			for _, got := range h.requestAtOnce(t.Context(), streams) {
+				h.g.Expect(got.body).To(Equal(eventsText(1, 100)))
+				h.g.Expect(got.duration).To(BeNumerically("<", 100*testInterval+streaming.GapTarget), "%d streams", streams)
+			}
+		})
+	}
+}
+
+// Guards against streams of a dead connection that wait for each other for a whole stall timeout.
+func TestStalledStreamsMoveOneAfterAnother(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		h := newHarness(t, streaming, true, "a", "b", "c")
+		h.setBehaviour(sendEvents(20, testInterval, errHang), "a")
+		h.setBehaviour(sendEvents(100, testInterval, nil), "b", "c")
+		h.markAllLostBut("a")
+		stall := time.Duration(stallFactor * float64(streaming.GapTarget))
+		for _, got := range h.requestAtOnce(t.Context(), engineBurst) {
+			h.g.Expect(got.body).To(Equal(eventsText(1, 100)))
+			h.g.Expect(got.duration).To(BeNumerically("<", 100*testInterval+stall+streaming.GapTarget))
+		}
+	})
+}
