discovery: keep missing upstreams while the store is away again

What callers saw: no gateway was ready for 1 to 4 s although all servers ran.

Cause: the store came back from a copy without these entries, and went away again 0.1 s later, for 3.9 s. The grace period ended on a timer, so upstreams that could not reach the store counted as gone, although nobody had read it since. The class: an absence is taken as a removal before the owner could write again.

Change: a missing upstream counts as gone only if the store was read shortly before the end of the grace period. The first response after failed calls, or after a long gap, starts the grace period of missing upstreams again.

Evidence: TestMissingUpstreamsAreKeptWhileStoreIsAwayAgain (4 of 4 cases) and TestOutageAfterReturnRemovesNoUpstream fail on the code before; TestMissingUpstreamsAreRemovedByLateUpdatesToo bounds how long they stay. internal/discovery and internal/gateway pass with -race.

Not covered: an outage of less than 2.5 s that an instance does not notice, because it makes no call then or follows a peer.

--- a/internal/discovery/changelog.go
+++ b/internal/discovery/changelog.go
@@ -166,7 +166,9 @@
 
 // applyLocked applies an update to the rows. The caller holds mu.
 func (l *ChangeLog) applyLocked(update Update) {
-	changes := Batch{Version: update.Version, Era: update.Era, Returned: l.loaded && update.Era > l.revision.Era}
+	changes := Batch{
+		Version: update.Version, Era: update.Era, Returned: l.loaded && update.Era > l.revision.Era, Age: max(0, l.clock()-update.AsOf),
+	}
 	present := make(map[string]bool, len(update.Rows))
 	for _, row := range update.Rows {
 		present[row.Key] = !row.Deleted
--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -36,6 +36,8 @@
 	// Returned is set in the first batch of an era that a ChangeLog passes on after one of an earlier
 	// era: rows that are missing or older than before may be written again soon.
 	Returned bool
+	// Age is the time since the store was read, set by a ChangeLog.
+	Age time.Duration
 }
 
 // Revision returns the state of the store that the batch is as of.
--- a/internal/discovery/upstreams.go
+++ b/internal/discovery/upstreams.go
@@ -27,6 +27,9 @@
 	returnGrace = 2300 * time.Millisecond
 	// lastReadMargin is how long before the end of the grace period the list is read once more.
 	lastReadMargin = 200 * time.Millisecond
+	// evidenceMargin is how long before the end of the grace period the list may have been read last
+	// for its missing upstreams to count as gone then.
+	evidenceMargin = 700 * time.Millisecond
 )
 
 // UpstreamList keeps the pool in sync with the upstream entries of the store.
@@ -39,8 +42,11 @@
 	upstreams  map[string]pool.Upstream // by key
 	lapsed     map[string]time.Time     // missing entries after an outage, with the time at which they are removed
 	graceUntil time.Time                // end of the period in which missing entries may have lapsed
-	removed    removedUpstreams
-	withheld   map[string]pool.Upstream // listed again only because the store has come back from a copy
+	asOf       time.Time                // when the store was read for the newest update
+	// storeFailing is whether the last call of this instance to the store failed.
+	storeFailing bool
+	removed      removedUpstreams
+	withheld     map[string]pool.Upstream // listed again only because the store has come back from a copy
 }
 
 // NewUpstreamList returns an empty list.
@@ -56,13 +62,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	l.asOf = now.Add(-batch.Age)
 	switch {
 	case batch.Returned:
 		l.graceUntil = now.Add(returnGrace)
 		l.extendGrace(now)
 		l.log.WithFields(logrus.Fields{"era": batch.Era, "version": batch.Version, "upstreams": len(l.upstreams)}).Info("list of upstreams is from a copy; missing upstreams kept for the grace period")
-	case gap > outageGap && len(l.upstreams) > 0:
+	case gap > outageGap && len(l.upstreams) > 0, l.storeFailing && len(l.lapsed) > 0:
 		l.graceUntil = now.Add(lapseGrace)
+		l.extendGrace(now)
 	}
 	first := len(l.upstreams) == 0
 	changed := false
@@ -83,6 +91,18 @@
 	l.pool.Confirm(now, int64(batch.Era))
 }
 
+// StoreStateChanged is called when calls of this instance to the store begin to fail or succeed
+// again. Upstreams that are missing already could not write their entries in between either.
+func (l *UpstreamList) StoreStateChanged(failing bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.storeFailing = failing
+	if now := time.Now(); !failing && len(l.lapsed) > 0 {
+		l.graceUntil = now.Add(lapseGrace)
+		l.extendGrace(now)
+	}
+}
+
 // Schedule returns a schedule on which the list is read once more before missing upstreams are
 // removed: they may have written their entries again since the last read.
 func (l *UpstreamList) Schedule(schedule PollSchedule) PollSchedule {
@@ -177,7 +197,8 @@
 }
 
 // expireAfterGrace calls expireLapsed at the end of the grace period. The next response of the store
-// may arrive much later, and an upstream that has left must get no more requests then.
+// may arrive much later, and an upstream that the last one has shown to be gone must get no more
+// requests then.
 func (l *UpstreamList) expireAfterGrace(now time.Time) {
 	time.AfterFunc(l.graceUntil.Sub(now), l.expireLapsed)
 }
@@ -191,11 +212,12 @@
 	}
 }
 
-// expire removes the upstreams whose entries have not reappeared within the grace period.
+// expire removes the upstreams whose entries have not reappeared within the grace period. They
+// stay as long as the store has not been read again.
 func (l *UpstreamList) expire(now time.Time) bool {
 	changed := false
 	for key, until := range l.lapsed {
-		if !now.Before(until) {
+		if !now.Before(until) && !l.storeFailing && !l.asOf.Before(until.Add(-evidenceMargin)) {
 			delete(l.lapsed, key)
 			l.remove(key, l.upstreams[key])
 			changed = true
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -90,6 +90,7 @@
 		for _, reader := range p.readers {
 			reader.StoreStateChanged(failing)
 		}
+		g.upstreams.StoreStateChanged(failing)
 		p.syncer.StoreStateChanged(failing)
 	})
 	configurationMaxAge := time.Duration(maxAgeShare * float64(milliseconds(settings.ConfigurationMS)))
