gatewaysoak: check that no gateway loses all upstreams when the store returns

Callers of the soak saw seconds without any ready gateway, but the test passed, because it counted these calls without judging them. A gateway that becomes unready without leaving is a violation now.

--- a/internal/gatewaysoak/restored_test.go
+++ b/internal/gatewaysoak/restored_test.go
@@ -229,8 +229,21 @@
 	}
 }
 
-// Guards against an older configuration, requests to servers that left, and broken guarantees
-// when the store comes back from copies beside other faults.
+var unreadyLine = regexp.MustCompile(`(?m)^time="([^"]*)".* msg="readiness changed".* leaving=false .*ready=false upstreams=(\d+)`)
+
+// checkStaysReady checks that no gateway has become unready except to leave.
+func (h *harness) checkStaysReady(rec *recorder) {
+	for _, gateway := range h.Gateways {
+		log, err := os.ReadFile(filepath.Join(h.Dir, gateway.Name+".log"))
+		h.g.Expect(err).NotTo(HaveOccurred())
+		for _, unready := range unreadyLine.FindAllSubmatch(log, -1) {
+			rec.violation("%s became unready at %s with %s upstreams", gateway.Name, unready[1], unready[2])
+		}
+	}
+}
+
+// Guards against an older configuration, requests to servers that left, the loss of all upstreams,
+// and broken guarantees when the store comes back from copies beside other faults.
 func TestGatewaySoakWithRestoredStore(t *testing.T) {
 	for _, seed := range selectSeeds(restoredSeeds) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
@@ -278,6 +291,7 @@
 			callers.Wait()
 			h.checkRecovery(rec)
 			h.checkExecutions(rec)
+			h.checkStaysReady(rec)
 			for _, server := range left {
 				h.checkWithdrawn(rec, server, r, gatewaysStarted)
 			}
