gatewaysoak: let the removal of a server be known before the store returns

The trace shows that the case is allowed: the entries were removed at 17:00:39.81, the store returned from an empty copy 0.45 s later, before a gateway had read the list, and was away or returned until 17:00:50.69. All nine entries were missing and then listed again, so no gateway could know which two had left.

Change: one server leaves three seconds before the first return, and the strict bound holds for it; the other leaves as before, and has the bound after the last return if one came within three seconds of its removal. A new check holds for both: once a gateway process has removed a server it sends it nothing more.

--- a/internal/gatewaysoak/restored_test.go
+++ b/internal/gatewaysoak/restored_test.go
@@ -13,6 +13,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -33,6 +34,8 @@
 	maxLostMS        = 9000 // of the writes of the store, in one return
 	maxAwayMS        = 2000
 	probeInterval    = 50 * time.Millisecond
+	// logSlack bounds the difference between the times of an event and of its log line.
+	logSlack = 100 * time.Millisecond
 	// withdrawalBound is the time after the removal of an entry in which all gateways know it, also
 	// those that were paused or did not reach the store.
 	withdrawalBound = recoveryBound + restartMin + restartSpread + time.Second
@@ -204,8 +207,16 @@
 	arrivedAtLine = regexp.MustCompile(`arrived request=(\S+) server=(\S+) at_us=(\d+)`)
 )
 
+// returnedWithin reports whether the store has returned less than a bound after a time.
+func (r *returns) returnedWithin(since time.Time, bound time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.times, func(at time.Time) bool { return at.After(since) && at.Sub(since) < bound })
+}
+
 // checkWithdrawn checks that a server whose entry was removed got no requests. A gateway that
-// started later learns of it only when a restored entry is removed again.
+// started later, or had not read the list when the return lost the removal, learns of it only when
+// a restored entry is removed again, or is missing after servers had time to write theirs.
 func (h *harness) checkWithdrawn(rec *recorder, server *testfleet.Node, r *returns, gatewaysStarted bool) {
 	log, err := os.ReadFile(filepath.Join(h.Dir, server.Name+".log"))
 	h.g.Expect(err).NotTo(HaveOccurred())
@@ -220,9 +231,10 @@
 		return
 	}
 	since := at(withdrawn[2])
+	unread := gatewaysStarted || r.returnedWithin(since, recoveryBound)
 	for _, arrived := range arrivedAtLine.FindAllStringSubmatch(string(log), -1) {
 		when := at(arrived[3])
-		restored := gatewaysStarted && r.shortlyAfter(when, registerInterval+recoveryBound)
+		restored := unread && r.shortlyAfter(when, registerInterval+recoveryBound)
 		if arrived[2] == withdrawn[1] && when.Sub(since) > withdrawalBound && !restored {
 			rec.violation("request %s reached %s %v after the entry of the server was removed", arrived[1], arrived[2], when.Sub(since))
 		}
@@ -242,6 +254,45 @@
 	}
 }
 
+var (
+	startedLine  = regexp.MustCompile(`msg="gateway started"`)
+	upstreamLine = regexp.MustCompile(`^time="([^"]*)".* msg="(upstream gone|request sent|stream sent)"`)
+	tookField    = regexp.MustCompile(` took_ms=(\d+)`)
+)
+
+// checkGoneStaysGone checks that no gateway process has sent a request to a server after it had
+// removed the server from its list.
+func (h *harness) checkGoneStaysGone(rec *recorder, server *testfleet.Node) {
+	upstream := " upstream=" + server.Name + "-1" // the process whose entry was removed
+	for _, gateway := range h.Gateways {
+		log, err := os.ReadFile(filepath.Join(h.Dir, gateway.Name+".log"))
+		h.g.Expect(err).NotTo(HaveOccurred())
+		var goneAt time.Time
+		for line := range strings.Lines(string(log)) {
+			if startedLine.MatchString(line) {
+				goneAt = time.Time{}
+			}
+			match := upstreamLine.FindStringSubmatch(line)
+			if match == nil || !strings.Contains(strings.TrimSpace(line)+" ", upstream+" ") {
+				continue
+			}
+			at, err := time.Parse(time.RFC3339Nano, match[1])
+			h.g.Expect(err).NotTo(HaveOccurred())
+			if match[2] == "upstream gone" {
+				goneAt = at
+				continue
+			}
+			took := tookField.FindStringSubmatch(line)
+			h.g.Expect(took).NotTo(BeNil(), line)
+			ms, err := strconv.Atoi(took[1])
+			h.g.Expect(err).NotTo(HaveOccurred())
+			if sentAt := at.Add(-time.Duration(ms) * time.Millisecond); !goneAt.IsZero() && sentAt.Sub(goneAt) > logSlack {
+				rec.violation("%s sent a request to %s %v after it was gone", gateway.Name, server.Name, sentAt.Sub(goneAt))
+			}
+		}
+	}
+}
+
 // Guards against an older configuration, requests to servers that left, the loss of all upstreams,
 // and broken guarantees when the store comes back from copies beside other faults.
 func TestGatewaySoakWithRestoredStore(t *testing.T) {
@@ -263,7 +314,7 @@
 			if os.Getenv("FOXTAILHUB_SOAK_SECONDS") != "" {
 				length = duration()
 			}
-			ctx, cancel := context.WithTimeout(t.Context(), length)
+			ctx, cancel := context.WithTimeout(t.Context(), recoveryBound+length)
 			defer cancel()
 			var gatewaysBefore []*testcluster.Process
 			for _, gateway := range h.Gateways {
@@ -271,9 +322,9 @@
 			}
 			left := []*testfleet.Node{h.Engines[0], h.PlainServers[0]}
 			injector := &faultInjector{harness: h, faults: restoredFaults(r), rng: rand.New(rand.NewPCG(seed, seed))}
-			for _, server := range left {
-				injector.setServerFault(server, emulator.ServerFault{Withdrawn: true})
-			}
+			injector.setServerFault(left[0], emulator.ServerFault{Withdrawn: true})
+			sleep(ctx, recoveryBound) // until all gateways must know it
+			injector.setServerFault(left[1], emulator.ServerFault{Withdrawn: true})
 			callers := h.startCallers(ctx, rec)
 			for _, gateway := range h.Gateways {
 				callers.Go(func() { h.probeConfigurations(ctx, rec, gateway, r) })
@@ -294,6 +345,7 @@
 			h.checkStaysReady(rec)
 			for _, server := range left {
 				h.checkWithdrawn(rec, server, r, gatewaysStarted)
+				h.checkGoneStaysGone(rec, server)
 			}
 			t.Logf("seed %d: %d returns, %v, longest pause %v", seed, len(r.times), rec.counts, rec.longestPause)
 			h.g.Expect(rec.violations).To(BeEmpty())
