forward: test a long answer to a stream that arrives at the end of the grace

What callers would see: an answer that is cut off, instead of 504 or the whole answer. Change: a test in virtual time over connections of net/http, with and without a stated length. Each caller gets one answer, either 504 or the whole one of the upstream, and nothing follows it on the connection. The code is unchanged.

--- a/internal/forward/graceend_test.go
+++ b/internal/forward/graceend_test.go
@@ -1,7 +1,11 @@
 package forward
 
 import (
+	"fmt"
+	"io"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -81,3 +85,78 @@
 		})
 	}
 }
+
+// respondSlowly responds with a status and a body whose second part follows after a pause. length is stated; -1: none.
+func respondSlowly(status int, begin string, wait time.Duration, rest string, length int) behaviour {
+	return func(req receivedRequest) (*http.Response, error) {
+		reader, writer := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(writer, begin) // an error means that the answer was left
+			if !pause(req.ctx, wait) {
+				_ = writer.CloseWithError(req.ctx.Err())
+				return
+			}
+			_, _ = io.WriteString(writer, rest)
+			_ = writer.Close()
+		}()
+		r := response(status, "")
+		r.Body, r.ContentLength = reader, int64(length)
+		return r, nil
+	}
+}
+
+// exchangeAll sends a request and returns the answer, and what follows it on the connection.
+func (c keptConnection) exchangeAll() (status int, body, more string) {
+	_, err := io.WriteString(c.conn, "POST /path/ HTTP/1.1\r\nHost: host\r\nId: request-1\r\nContent-Length: 4\r\n\r\nbody")
+	c.h.g.Expect(err).NotTo(HaveOccurred())
+	response, err := http.ReadResponse(c.reader, nil)
+	c.h.g.Expect(err).NotTo(HaveOccurred())
+	got, err := io.ReadAll(response.Body)
+	c.h.g.Expect(err).NotTo(HaveOccurred(), "status %d, cut off after %d bytes", response.StatusCode, len(got))
+	after, err := io.ReadAll(c.reader)
+	c.h.g.Expect(err).NotTo(HaveOccurred())
+	return response.StatusCode, string(got), string(after)
+}
+
+// Guards against a stream that gets a second answer, or one that is cut off, because the long answer of its upstream
+// arrives at the moment at which a leaving instance ends the requests without an answer.
+func TestLongAnswerToStreamAtTheEndOfTheGraceIsNotCutOff(t *testing.T) {
+	const runs, callers = 50, 20
+	begin, rest := strings.Repeat("b", readChunkBytes), strings.Repeat("r", 1000)
+	for _, length := range []int{-1, len(begin) + len(rest)} {
+		t.Run(fmt.Sprint("length=", length), func(t *testing.T) {
+			answers := map[int]int{}
+			for range runs {
+				inVirtualTime(t, func(t *testing.T) {
+					h := newHarness(t, streaming, true, "a")
+					h.f.BodyMemory = NewBodyMemory(readChunkBytes-1, h.f.Log) // no answer fits, so that its rest is read on delivery
+					endsAt := time.Now().Add(testGrace)
+					h.setBehaviour(respondAfter(testGrace-endMargin, respondSlowly(http.StatusNotFound, begin, endMargin/2, rest, length)), "a")
+					var mu sync.Mutex // guards answers
+					var done sync.WaitGroup
+					for range callers {
+						c := h.keepConnection(t)
+						done.Go(func() {
+							status, body, more := c.exchangeAll()
+							h.g.Expect(more).To(BeEmpty())
+							switch status {
+							case http.StatusNotFound:
+								h.g.Expect(body == begin+rest).To(BeTrue(), "%d bytes", len(body))
+							default:
+								h.g.Expect(status).To(Equal(http.StatusGatewayTimeout))
+								h.g.Expect(body).To(ContainSubstring("leaving"))
+							}
+							mu.Lock()
+							defer mu.Unlock()
+							answers[status]++
+						})
+					}
+					time.AfterFunc(time.Second, func() { h.f.Drain.Start(endsAt) })
+					done.Wait()
+					h.g.Expect(h.receivedBy()).To(HaveLen(callers))
+				})
+			}
+			t.Log("answers by status: ", answers)
+		})
+	}
+}
