instance: answer a request whose head arrives while a draining instance exits

Cause: closeServer used http.Server.Shutdown, which closes a kept connection whose request is half read and drops a request that it reads after it began. Callers: a request whose head was arriving as the instance exited got a closed connection and no answer. Evidence: TestRequestThatArrivesWhileAnInstanceExitsIsAnswered over loopback, on the code before: "unexpected EOF" on a kept and on a new connection. Change: what the gateway's listener did moves to internal/conndrain, and both programs use it. Time-outs are unchanged: those of the gateway stay in its own listener, those of the instance in its http.Server, and its wait for connections still ends after 10 s. An unused connection is closed at once instead of after 5 s. Connections pass CloseWrite on, which net/http uses before it closes one whose caller may still send. Tests changed: the gateway's tests of closeFront call Drain, which replaces it; what they check is the same.

--- a/internal/gateway/closefront_test.go
+++ b/internal/gateway/closefront_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"testing"
@@ -15,7 +16,7 @@
 // closing closes the front listener and sends the result when its connections are closed.
 func (s *testServer) closing() <-chan error {
 	closed := make(chan error, 1)
-	go func() { closed <- closeFront(s.front) }()
+	go func() { closed <- s.front.Drain(context.Background()) }()
 	return closed
 }
 
@@ -64,7 +65,7 @@
 		s.g.Expect(kept.request()).To(Equal(http.StatusOK))
 		time.Sleep(time.Second)
 		began := time.Now()
-		s.g.Expect(closeFront(s.front)).To(Succeed())
+		s.g.Expect(s.front.Drain(context.Background())).To(Succeed())
 		s.g.Expect(time.Since(began)).To(Equal(time.Duration(0)))
 		s.g.Expect(unused.closedAfter()).To(Equal(time.Duration(0)))
 		s.g.Expect(kept.closedAfter()).To(Equal(time.Duration(0)))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -211,24 +211,11 @@
 	for time.Since(began) < balancerDetectionTime || g.forwarder.ActiveRequests() > 0 {
 		<-ticker.C
 	}
-	if err := closeFront(front); err != nil {
+	if err := front.Drain(context.Background()); err != nil {
 		g.log.WithError(err).Warn("front listener was not closed")
 	}
 }
 
-// closeFront closes the front listener and its connections, those with a request after its end:
-// one may have begun since the last check. The server's own shutdown would drop a request that
-// arrives meanwhile.
-func closeFront(front callerListener) error {
-	err := front.Listener.Close()
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for front.closeIdle() > 0 {
-		<-ticker.C
-	}
-	return err
-}
-
 // isReady reports whether the load balancer should send callers to this instance.
 func (g *Gateway) isReady() bool {
 	return !g.draining.Load() && g.configuration.Current() != nil && g.pool.Size() > 0
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailhub.example/foxtailhub/internal/conndrain"
 	"foxtailhub.example/foxtailhub/internal/route"
 )
 
@@ -26,49 +27,25 @@
 // callerListener applies the time-outs of the configuration in force to connections of
 // callers. The time-outs of http.Server are fixed, and connections outlive configurations.
 type callerListener struct {
-	net.Listener
+	*conndrain.Listener
 	limits func() route.Limits
-
-	mu   *sync.Mutex // guards open
-	open map[*callerConn]struct{}
 }
 
 func newCallerListener(listener net.Listener, limits func() route.Limits) callerListener {
-	return callerListener{Listener: listener, limits: limits, mu: &sync.Mutex{}, open: map[*callerConn]struct{}{}}
+	return callerListener{Listener: conndrain.NewListener(listener), limits: limits}
 }
 
 // Accept returns the next connection.
 func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.AcceptConn()
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: conn, limits: l.limits, onClose: l.remove}
+	c := &callerConn{Conn: conn, limits: l.limits}
 	c.beginIdle()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open[c] = struct{}{}
 	return c, nil
 }
 
-func (l callerListener) remove(c *callerConn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.open, c)
-}
-
-// closeIdle closes the connections without a request and returns the number of the others.
-func (l callerListener) closeIdle() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.open {
-		if c.closeIfIdle() {
-			delete(l.open, c)
-		}
-	}
-	return len(l.open)
-}
-
 // connPhase is the state of a connection of a caller.
 type connPhase int
 
@@ -82,37 +59,16 @@
 // follows the configuration, and deadlines set by the server are ignored. A shorter idle
 // time-out applies only to connections opened after the change.
 type callerConn struct {
-	net.Conn
-	limits  func() route.Limits
-	onClose func(*callerConn)
+	*conndrain.Conn
+	limits func() route.Limits
 
 	mu          sync.Mutex // guards the fields below
-	closed      bool       // while it was idle; what arrives then is not a request to the server
 	phase       connPhase
 	phaseStart  time.Time     // start of the phase
 	idleTimeout time.Duration // longest idle time-out since the connection was opened
 	headerBytes int
 }
 
-// Close closes the connection.
-func (c *callerConn) Close() error {
-	c.onClose(c)
-	return c.Conn.Close()
-}
-
-// closeIfIdle closes the connection if the server has no byte of a request, and reports
-// whether it did.
-func (c *callerConn) closeIfIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase != idle {
-		return false
-	}
-	c.closed = true
-	_ = c.Conn.Close() // the server closes it once more
-	return true
-}
-
 // beginIdle starts the wait for a request and sets the idle deadline.
 func (c *callerConn) beginIdle() {
 	c.mu.Lock()
@@ -181,8 +137,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.closed:
-		return net.ErrClosed
 	case c.phase == serving:
 		return nil
 	case c.phase == idle:
@@ -210,6 +164,7 @@
 		c.beginServing()
 	case http.StateIdle:
 		c.beginIdle()
+		c.EndUse()
 	}
 }
 
--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -124,6 +124,14 @@
 const drainLinger = time.Second
 
 func serveInstance(t *testing.T, s settings.Settings, delay time.Duration) *servedInstance {
+	listener := newPipeListener()
+	return serveInstanceAt(t, s, delay, listener, listener.dial)
+}
+
+// serveInstanceAt serves calls at a listener, to which dial connects.
+func serveInstanceAt(
+	t *testing.T, s settings.Settings, delay time.Duration, listener net.Listener, dial func(ctx context.Context, network, address string) (net.Conn, error),
+) *servedInstance {
 	g := NewWithT(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -143,14 +151,13 @@
 	})
 	s.DrainLingerMS = drainLinger.Milliseconds()
 	i := &Instance{settings: &s, log: log, handler: h, lifecycle: h.lifecycle, activity: h.activity, metrics: h.metrics, registry: h.registry, dispatcher: h.dispatcher}
-	listener := newPipeListener()
 	httpServer, err := i.server()
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, drain := context.WithCancel(context.Background())
 	background, stop := context.WithCancel(context.Background())
 	served := &servedInstance{
 		Instance: i, g: g, table: table, server: server, drain: drain, exited: make(chan struct{}), stopped: stop,
-		client: &http.Client{Transport: &http.Transport{DialContext: listener.dial}},
+		client: &http.Client{Transport: &http.Transport{DialContext: dial}},
 	}
 	go h.dispatcher.Run(background)
 	go func() {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -13,6 +13,7 @@
 
 	"foxtailhub.example/foxtailhub/internal/api/oas"
 	"foxtailhub.example/foxtailhub/internal/configuration"
+	"foxtailhub.example/foxtailhub/internal/conndrain"
 	"foxtailhub.example/foxtailhub/internal/contract"
 	"foxtailhub.example/foxtailhub/internal/dispatch"
 	"foxtailhub.example/foxtailhub/internal/generation"
@@ -126,8 +127,9 @@
 	served := make(chan struct{})
 	defer close(served)
 	go i.watchGrace(ctx, served)
+	front := conndrain.NewListener(listener)
 	serveFailed := make(chan error, 1)
-	go func() { serveFailed <- server.Serve(listener) }()
+	go func() { serveFailed <- server.Serve(front) }()
 	select {
 	case <-ctx.Done():
 		i.lifecycle.startDrain()
@@ -137,7 +139,7 @@
 	}
 	i.log.WithField("generations", i.registry.ActiveGenerations()).Info("drain started")
 	i.awaitIdle(milliseconds(i.settings.DrainLingerMS))
-	i.closeServer(server)
+	i.closeServer(server, front)
 	flushCtx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
 	if err := i.dispatcher.Flush(flushCtx); err != nil {
@@ -167,10 +169,10 @@
 }
 
 // closeServer stops accepting requests and waits for those that arrived until then.
-func (i *Instance) closeServer(server *http.Server) {
+func (i *Instance) closeServer(server *http.Server, front *conndrain.Listener) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
+	if err := front.Drain(ctx); err != nil {
 		i.log.WithError(err).Info("connections are still open at the end of the drain")
 	}
 	i.awaitIdle(0)
@@ -189,7 +191,9 @@
 	mux.HandleFunc("GET /readyz", i.serveReady)
 	mux.Handle("GET /metrics", i.metrics.handler())
 	mux.Handle("/", operations)
-	return &http.Server{Handler: crashOnInvariantViolation(i.closeWhileDraining(mux)), ReadHeaderTimeout: readHeaderTimeout}, nil
+	return &http.Server{
+		Handler: crashOnInvariantViolation(i.closeWhileDraining(mux)), ReadHeaderTimeout: readHeaderTimeout, ConnState: conndrain.TrackState,
+	}, nil
 }
 
 // closeWhileDraining closes each connection after its next response, so that
