forward: deliver the answers that arrived in a pause in which SIGTERM may have come

Cause: a SIGTERM that is handled after a pause of the process, or up to 50 ms after its end, is dated to the beginning of the pause. If the pause is longer than the grace time, its end is over, and the requests without an answer were ended at once, in a race with their answers, which wait in the connections. Callers: 504 for calls and streams whose answer was there, also if the process had its whole grace time left. The mistake is always on the early side: no request is cut off. TestAnswersOfAPauseAreDeliveredAfterTheEndOfTheGrace without the change: 504 instead of 200 for a call and a stream. Change: unanswered requests are ended 100 ms after the handling of SIGTERM at the earliest. The process may be killed in these 100 ms; it may as well have the whole grace time left. New requests are refused at once as before. What remains: a process can't tell a SIGTERM of the pause from one within 50 ms after it. The other choice would cut requests off without an answer if SIGTERM had come early in the pause.

--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -36,6 +36,10 @@
 	minKnownStreams = 8
 	// endMargin allows for an early end of the process by its clock.
 	endMargin = 200 * time.Millisecond
+	// catchUpTime is the time in which a process that was paused forwards the answers that arrived
+	// meanwhile. SIGTERM may have been sent at any time of the pause, so the end of the grace time
+	// may be over when it is handled, while the process may have most of it left.
+	catchUpTime = 100 * time.Millisecond
 )
 
 // NewDrainState returns the state of an instance that is not leaving.
@@ -45,10 +49,10 @@
 	return d
 }
 
-// Start records that the process ends at the given time.
+// Start records that the process ends at the given time, which may be over.
 func (d *DrainState) Start(end time.Time) {
 	d.endsAt.Store(&end)
-	time.AfterFunc(time.Until(end)-endMargin, d.endGraceNow)
+	time.AfterFunc(max(time.Until(end)-endMargin, catchUpTime), d.endGraceNow)
 }
 
 // GraceLeft returns the time until the process ends, false if the instance is not leaving.
--- a/internal/forward/graceend_test.go
+++ b/internal/forward/graceend_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/route"
 )
 
 // Guards against a request that is cut off at the end of the grace time without a log line that says what it waited for.
@@ -160,3 +162,38 @@
 		})
 	}
 }
+
+// Guards against answers that arrived while the process was paused, and whose callers get 504 because SIGTERM, which may
+// have been sent at the beginning of the pause, is handled before them.
+func TestAnswersOfAPauseAreDeliveredAfterTheEndOfTheGrace(t *testing.T) {
+	const handledAfter = 10 * time.Second
+	call := idempotent
+	call.Timeout = 25 * time.Second
+	for name, c := range map[string]struct {
+		route    route.Route
+		behave   behaviour
+		sentAt   time.Duration // after SIGTERM was handled; negative: before
+		status   int
+		answered time.Duration // after SIGTERM was handled
+	}{
+		"call, answer waits":   {call, respondWith(http.StatusOK, "answer"), -handledAfter, http.StatusOK, catchUpTime / 2},
+		"stream, event waits":  {streaming, sendEvents(1, catchUpTime/4, nil), -handledAfter, http.StatusOK, 3 * catchUpTime / 4},
+		"call without answer":  {call, neverRespond, -handledAfter, http.StatusGatewayTimeout, catchUpTime},
+		"stream without event": {streaming, neverRespond, -handledAfter, http.StatusGatewayTimeout, catchUpTime},
+		"later call":           {call, respondWith(http.StatusOK, "answer"), catchUpTime / 4, http.StatusServiceUnavailable, catchUpTime / 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				h := newHarness(t, c.route, c.route.Kind == route.Stream, "a")
+				handledAt := time.Now().Add(handledAfter)
+				h.setBehaviour(respondAfter(handledAfter+catchUpTime/2, c.behave), "a")
+				time.AfterFunc(handledAfter, func() { h.f.Drain.Start(handledAt.Add(-time.Second)) })
+				time.Sleep(handledAfter + c.sentAt)
+				got := h.request(t.Context(), nil)
+				h.g.Expect(got.status).To(Equal(c.status), got.body)
+				h.g.Expect(got.aborted).To(BeFalse())
+				h.g.Expect(time.Since(handledAt)).To(Equal(c.answered))
+			})
+		})
+	}
+}
