discovery: remove missing upstreams at followers whose last call failed

Requests would have gone to an upstream that is gone for as long as the instance follows a peer.

Cause: missing upstreams stay while calls to the store fail. Each update of its peer began the grace period again. An update with rows that were read earlier also moved the time of the newest read back.

Change: the first update that was read after the calls began to fail ends that state and begins the grace period once; the time of the newest read only rises.

Evidence: TestMissingUpstreamsAreRemovedAtFollowerThatMakesNoCall fails without the change of upstreams.go (still there 3 s after the store is back); all tests of internal/discovery pass.

--- a/internal/discovery/upstreams.go
+++ b/internal/discovery/upstreams.go
@@ -43,8 +43,9 @@
 	lapsed     map[string]time.Time     // missing entries after an outage, with the time at which they are removed
 	graceUntil time.Time                // end of the period in which missing entries may have lapsed
 	asOf       time.Time                // when the store was read for the newest update
-	// storeFailing is whether the last call of this instance to the store failed.
-	storeFailing bool
+	// failingSince is when calls of this instance to the store began to fail; zero if they succeed, or
+	// if an update shows that the store has been read since.
+	failingSince time.Time
 	removed      removedUpstreams
 	withheld     map[string]pool.Upstream // listed again only because the store has come back from a copy
 }
@@ -62,16 +63,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.asOf = now.Add(-batch.Age)
+	if asOf := now.Add(-batch.Age); asOf.After(l.asOf) {
+		l.asOf = asOf
+	}
 	switch {
 	case batch.Returned:
 		l.graceUntil = now.Add(returnGrace)
 		l.extendGrace(now)
 		l.log.WithFields(logrus.Fields{"era": batch.Era, "version": batch.Version, "upstreams": len(l.upstreams)}).Info("list of upstreams is from a copy; missing upstreams kept for the grace period")
-	case gap > outageGap && len(l.upstreams) > 0, l.storeFailing && len(l.lapsed) > 0:
+	case gap > outageGap && len(l.upstreams) > 0:
 		l.graceUntil = now.Add(lapseGrace)
 		l.extendGrace(now)
 	}
+	// A follower makes no call while it gets updates, so its calls may count as failing for long.
+	if l.asOf.After(l.failingSince) {
+		l.recordRecovery(now)
+	}
 	first := len(l.upstreams) == 0
 	changed := false
 	for _, row := range batch.Rows {
@@ -96,9 +103,22 @@
 func (l *UpstreamList) StoreStateChanged(failing bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.storeFailing = failing
-	if now := time.Now(); !failing && len(l.lapsed) > 0 {
-		l.graceUntil = now.Add(lapseGrace)
+	if failing {
+		l.failingSince = time.Now()
+		return
+	}
+	l.recordRecovery(time.Now())
+}
+
+// recordRecovery begins the grace period of missing upstreams again after failed calls. The caller
+// holds mu.
+func (l *UpstreamList) recordRecovery(now time.Time) {
+	if l.failingSince.IsZero() {
+		return
+	}
+	l.failingSince = time.Time{}
+	if until := now.Add(lapseGrace); len(l.lapsed) > 0 && until.After(l.graceUntil) {
+		l.graceUntil = until
 		l.extendGrace(now)
 	}
 }
@@ -217,7 +237,7 @@
 func (l *UpstreamList) expire(now time.Time) bool {
 	changed := false
 	for key, until := range l.lapsed {
-		if !now.Before(until) && !l.storeFailing && !l.asOf.Before(until.Add(-evidenceMargin)) {
+		if !now.Before(until) && l.failingSince.IsZero() && !l.asOf.Before(until.Add(-evidenceMargin)) {
 			delete(l.lapsed, key)
 			l.remove(key, l.upstreams[key])
 			changed = true
--- a/internal/discovery/upstreams_return_test.go
+++ b/internal/discovery/upstreams_return_test.go
@@ -245,6 +245,35 @@
 	}
 }
 
+// Guards against upstreams that stay for good at a follower whose last call to the store failed: it
+// makes no further one while its peer has new rows.
+func TestMissingUpstreamsAreRemovedAtFollowerThatMakesNoCall(t *testing.T) {
+	for _, age := range []time.Duration{0, 600 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			p := pool.New()
+			l := NewUpstreamList(p, processDecoder{}, discardLogger())
+			l.Apply(Batch{Rows: []Row{row("a", "ready 1 x", 1), row("b", "ready 1 y", 2)}}, 0)
+			l.Apply(returned(deletedRow("b", 1)), time.Second)
+			l.StoreStateChanged(true)
+			began := time.Now()
+			for range 2 {
+				time.Sleep(time.Second)
+				l.Apply(Batch{Era: 2, Age: time.Since(began) + time.Second}, 0)
+				g.Expect(usable(p)).To(Equal("a b"), "the peer has not read the store either")
+			}
+			back := time.Now()
+			for usable(p) != "a" {
+				time.Sleep(500 * time.Millisecond)
+				l.Apply(Batch{Era: 2, Age: age}, 500*time.Millisecond)
+				synctest.Wait()
+				g.Expect(time.Since(back)).To(BeNumerically("<", lapseGrace+age+time.Second))
+			}
+			g.Expect(time.Since(back)).To(BeNumerically(">=", lapseGrace))
+		})
+	}
+}
+
 // Guards against live upstreams that are removed when the store is away again right after it has
 // come back from a copy.
 func TestOutageAfterReturnRemovesNoUpstream(t *testing.T) {
