discovery: let only time in which the store is read settle missing rows

A second outage right after a return from a copy lifted stated request rates at all instances, and made instances forget each other, at the first read after it.

Cause: RowKeeper deleted rows that the copy lacked when the settle time had passed, also if the store was away for all of it, so that nobody could write them again. At a follower the time ran on while its peer repeated what it had.

Change: an update counts for the time since the update before was read, at most a third of the settle time. After an outage of any length at least 10 s (notices) and 40 s (instances) of reads remain. An instance without links, which reads notices each 15 s, keeps those that stay away for up to 45 s instead of 30. An instance still gives up its own part after 30 s by its clock: it cannot know whether the others read the store.

--- a/internal/discovery/rowkeeper.go
+++ b/internal/discovery/rowkeeper.go
@@ -9,15 +9,20 @@
 // reports whether the store has a row; it is valid during the call only.
 type RowConsumer func(changes Batch, gap time.Duration, stored func(key string) bool)
 
+// maxSettledShare is the part of the settle time that one update counts for, however long ago the one
+// before was read: the store may have been away in between.
+const maxSettledShare = 1.0 / 3
+
 // RowKeeper passes changes of a topic to its consumer. Rows that the store lacks after it has
-// come back from a copy are kept for the settle time, in which their owners write them again. The
-// first update after that deletes the others: an instance that has not read the rows since
-// does not know which are gone.
+// come back from a copy are kept for the settle time, in which their owners write them again. Only
+// time in which the store is read counts. The first update after that deletes the others: an
+// instance that has not read the rows since does not know which are gone.
 type RowKeeper struct {
 	settleTime time.Duration
 	consume    RowConsumer
 
 	mu      sync.Mutex            // guards the fields below
+	asOf    time.Time             // when the store was read for the newest update
 	present map[string]bool       // keys of the rows in the store
 	lacking map[string]lackingRow // by key
 }
@@ -25,7 +30,7 @@
 // lackingRow is a row that the store has lost.
 type lackingRow struct {
 	deletion Row
-	keptFrom time.Time
+	settled  time.Duration // part of the settle time that is over
 }
 
 // NewRowKeeper returns a keeper without rows.
@@ -37,7 +42,7 @@
 func (k *RowKeeper) Apply(batch Batch, gap time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := time.Now()
+	settled := k.advance(time.Now().Add(-batch.Age))
 	rows := make([]Row, 0, len(batch.Rows))
 	for _, row := range batch.Rows {
 		if row.Deleted {
@@ -53,11 +58,12 @@
 		rows = append(rows, row)
 	}
 	for key, row := range k.lacking {
-		switch {
-		case batch.Returned:
-			row.keptFrom = now
-			k.lacking[key] = row
-		case now.Sub(row.keptFrom) >= k.settleTime:
+		row.settled += settled
+		if batch.Returned {
+			row.settled = 0
+		}
+		k.lacking[key] = row
+		if row.settled >= k.settleTime {
 			delete(k.lacking, key)
 			rows = append(rows, row.deletion)
 		}
@@ -65,3 +71,14 @@
 	batch.Rows = rows
 	k.consume(batch, gap, func(key string) bool { return k.present[key] })
 }
+
+// advance records when the store was read for an update, and returns for how much of the settle time
+// it counts. The caller holds mu.
+func (k *RowKeeper) advance(asOf time.Time) time.Duration {
+	since := asOf.Sub(k.asOf)
+	if since <= 0 {
+		return 0
+	}
+	k.asOf = asOf
+	return min(since, time.Duration(maxSettledShare*float64(k.settleTime)))
+}
--- a/internal/gateway/copiednotices_test.go
+++ b/internal/gateway/copiednotices_test.go
@@ -30,13 +30,15 @@
 // copiedNotices is a store of notices that may come back from a copy of itself.
 type copiedNotices struct {
 	discovery.Store
-	t       *testing.T
-	mu      sync.Mutex // guards the fields below
-	rows    map[string][]byte
-	era     discovery.Era
-	down    bool
-	writes  []time.Time
-	changed chan struct{}
+	t    *testing.T
+	mu   sync.Mutex // guards the fields below
+	rows map[string][]byte
+	era  discovery.Era
+	down bool
+	// readOnly means that writes are refused.
+	readOnly bool
+	writes   []time.Time
+	changed  chan struct{}
 	// responseDelay is the time from a write to its response.
 	responseDelay time.Duration
 }
@@ -50,7 +52,7 @@
 	time.Sleep(copiedCallTime)
 	s.mu.Lock()
 	s.writes = append(s.writes, time.Now())
-	if s.down {
+	if s.down || s.readOnly {
 		s.mu.Unlock()
 		return errStoreDown
 	}
@@ -107,6 +109,18 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *copiedNotices) setReadOnly(readOnly bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readOnly = readOnly
+}
+
+func (s *copiedNotices) forgetWrites() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes = nil
+}
+
 func (s *copiedNotices) isDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/returnednotices_test.go
+++ b/internal/gateway/returnednotices_test.go
@@ -60,6 +60,42 @@
 	})
 }
 
+// Guards against request rates and verdicts that end, and evidence that nobody writes again, because
+// the store was away again before the instances could write the notices that it had lost.
+func TestNoticesOutlastOutageRightAfterAReturn(t *testing.T) {
+	for _, away := range []time.Duration{10 * time.Second, noticeSettleTime, 40 * time.Second} {
+		t.Run(away.String(), func(t *testing.T) {
+			forFleetSizes(t, func(t *testing.T, g Gomega, store *copiedNotices, size int) {
+				fleet := store.startNoticesFleet(size, ratedUpstream)
+				fleet[0].respond(stated(3))
+				store.convict(fleet)
+				g.Expect(poisonRefusals(fleet)).To(Equal(size))
+				store.setReadOnly(true)
+				store.restore(nil)
+				time.Sleep(copiedReturnDelay + copiedReadDelay)
+				store.setDown(true)
+				time.AfterFunc(away, func() {
+					store.setReadOnly(false)
+					store.forgetWrites()
+					store.setDown(false)
+				})
+				everyTenth(away+time.Minute, func(since time.Duration) {
+					for _, i := range fleet {
+						g.Expect(i.statedRate()).To(Equal(3.0), "after %s", since)
+					}
+					g.Expect(poisonRefusals(fleet)).To(Equal(size), "after %s", since)
+				})
+				g.Expect(store.count(rateKeyPrefix)).To(Equal(1))
+				g.Expect(store.count(verdictKeyPrefix)).To(Equal(1))
+				g.Expect(store.count(evidenceKeyPrefix)).NotTo(BeZero())
+				total, most := store.writesSinceReturn()
+				t.Log("writes since the outage: ", total, " most in a second: ", most)
+				g.Expect(most).To(BeNumerically("<=", mostReturningWrites))
+			})
+		})
+	}
+}
+
 // startAndRead starts an instance that has read the store.
 func (s *copiedNotices) startAndRead(upstreams ...pool.Upstream) *noticesInstance {
 	i := s.startNotices("started", upstreams...)
--- a/internal/storesync/returnedstore_test.go
+++ b/internal/storesync/returnedstore_test.go
@@ -40,6 +40,41 @@
 	}
 }
 
+// Guards against a short list of instances, and a second secret, because the store was away again before
+// the instances could write the rows that it had lost.
+func TestFleetOutlastsOutageRightAfterAReturn(t *testing.T) {
+	for _, size := range []int{1, 6, 300} {
+		for _, away := range []time.Duration{10 * time.Second, memberSettleTime, 5 * time.Minute} {
+			t.Run(fmt.Sprintf("%d instances, away for %v", size, away), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					store := newCopiedStore(t)
+					fleet := store.startFleet(size)
+					secret := fleet[0].members.AuthoritySecret()
+					store.update(func() { store.readOnly = true })
+					store.restore(nil)
+					time.Sleep(copiedEraDelay + copiedStoreDelay)
+					store.update(func() { store.down = true })
+					time.AfterFunc(away, func() {
+						store.update(func() { store.down, store.readOnly, store.writes = false, false, nil })
+					})
+					for began := time.Now(); time.Since(began) < away+80*time.Second; time.Sleep(250 * time.Millisecond) {
+						for _, i := range fleet {
+							g.Expect(i.members.Count()).To(Equal(size), "%s counts after %s", i.ID, time.Since(began))
+						}
+					}
+					store.expectOneFleet(fleet)
+					for _, i := range fleet {
+						g.Expect(i.fleetSettledAt()).To(And(Not(BeZero()), BeTemporally("<", time.Now())), "%s", i.ID)
+					}
+					g.Expect(bytes.Equal(fleet[0].members.AuthoritySecret(), secret)).To(BeTrue(), "the secret stays")
+					t.Log("writes since the outage: ", len(store.writes), " most in a second: ", store.mostWrites())
+				})
+			})
+		}
+	}
+}
+
 // Guards against a second secret, made by an instance that starts between a return and the time at
 // which the others have written theirs again: two parts of the fleet could not link.
 func TestStartedInstanceMakesNoSecondSecretAfterAReturn(t *testing.T) {
