gateway: write lost notices again after an outage of more than a minute

A stated request rate ended at all instances 20 s after an outage of 90 s that followed a return from a copy.

Cause: writes of lost notices are repeated for a minute. After that nobody wrote them, and their rows counted as gone once the store had been read for long enough.

Change: the first batch after a long time without a read says so while rows are missing (Batch.Resumed), and the instances plan the writes of their lost notices anew, spread as after a return. No call is added during the outage.

--- a/internal/discovery/rowkeeper.go
+++ b/internal/discovery/rowkeeper.go
@@ -42,7 +42,8 @@
 func (k *RowKeeper) Apply(batch Batch, gap time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	settled := k.advance(time.Now().Add(-batch.Age))
+	settled, afterGap := k.advance(time.Now().Add(-batch.Age))
+	batch.Resumed = afterGap && len(k.lacking) > 0
 	rows := make([]Row, 0, len(batch.Rows))
 	for _, row := range batch.Rows {
 		if row.Deleted {
@@ -73,12 +74,13 @@
 }
 
 // advance records when the store was read for an update, and returns for how much of the settle time
-// it counts. The caller holds mu.
-func (k *RowKeeper) advance(asOf time.Time) time.Duration {
-	since := asOf.Sub(k.asOf)
+// it counts. afterGap is whether that is less than the time since the update before. The caller
+// holds mu.
+func (k *RowKeeper) advance(asOf time.Time) (settled time.Duration, afterGap bool) {
+	since, most := asOf.Sub(k.asOf), time.Duration(maxSettledShare*float64(k.settleTime))
 	if since <= 0 {
-		return 0
+		return 0, false
 	}
 	k.asOf = asOf
-	return min(since, time.Duration(maxSettledShare*float64(k.settleTime)))
+	return min(since, most), since > most
 }
--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -36,6 +36,9 @@
 	// Returned is set in the first batch of an era that a ChangeLog passes on after one of an earlier
 	// era: rows that are missing or older than before may be written again soon.
 	Returned bool
+	// Resumed is set by a RowKeeper in the first batch after a long time without a read of the store, if
+	// rows are still missing after a return: writes of them may have been given up.
+	Resumed bool
 	// Age is the time since the store was read, set by a ChangeLog.
 	Age time.Duration
 }
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -40,9 +40,11 @@
 	if len(partRows) > 0 {
 		n.parts.apply(partRows, batch.Returned)
 	}
-	if batch.Returned {
+	if batch.Returned || batch.Resumed {
 		n.crashes.writeAgain(stored)
 		n.rates.writeAgain(stored)
+	}
+	if batch.Returned {
 		n.parts.writeAgain(stored)
 	}
 }
--- a/internal/gateway/returnednotices_test.go
+++ b/internal/gateway/returnednotices_test.go
@@ -63,7 +63,7 @@
 // Guards against request rates and verdicts that end, and evidence that nobody writes again, because
 // the store was away again before the instances could write the notices that it had lost.
 func TestNoticesOutlastOutageRightAfterAReturn(t *testing.T) {
-	for _, away := range []time.Duration{10 * time.Second, noticeSettleTime, 40 * time.Second} {
+	for _, away := range []time.Duration{10 * time.Second, noticeSettleTime, 40 * time.Second, 90 * time.Second} {
 		t.Run(away.String(), func(t *testing.T) {
 			forFleetSizes(t, func(t *testing.T, g Gomega, store *copiedNotices, size int) {
 				fleet := store.startNoticesFleet(size, ratedUpstream)
