discovery: take the first read after a contradicted era for a return

What callers saw: nothing yet, found in a review. After a wrong era, of a peer or of one damaged response, the first read of the store removed upstreams and rows of instances at once that a copy lacked, as if they had left.

Cause: ChangeLog.ForgetRevision made the next update count as the first one, so Batch.Returned was not set and missing rows had no time to be written again.

Change: the first update after it is marked as returned, with its gap.

--- a/internal/discovery/changelog.go
+++ b/internal/discovery/changelog.go
@@ -52,6 +52,7 @@
 
 	mu          sync.Mutex // guards the fields below
 	loaded      bool
+	forgotten   bool // the revision was given up since the last update
 	rows        map[string]loggedRow
 	revision    Revision      // of the store that the rows are as of
 	sequence    int64         // sequence number of the newest change of a row
@@ -144,11 +145,12 @@
 	return NotDropped
 }
 
-// ForgetRevision makes the log apply the next update, whatever its revision, as if it were the
-// first. The rows stay until then.
+// ForgetRevision makes the log apply the next update, whatever its revision, as the first one after a
+// return of the store. The rows stay until then.
 func (l *ChangeLog) ForgetRevision() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.forgotten = l.forgotten || l.loaded
 	l.loaded, l.revision, l.source = false, Revision{}, Position{}
 }
 
@@ -167,7 +169,7 @@
 // applyLocked applies an update to the rows. The caller holds mu.
 func (l *ChangeLog) applyLocked(update Update) {
 	changes := Batch{
-		Version: update.Version, Era: update.Era, Returned: l.loaded && update.Era > l.revision.Era, Age: max(0, l.clock()-update.AsOf),
+		Version: update.Version, Era: update.Era, Returned: l.forgotten || l.loaded && update.Era > l.revision.Era, Age: max(0, l.clock()-update.AsOf),
 	}
 	present := make(map[string]bool, len(update.Rows))
 	for _, row := range update.Rows {
@@ -192,10 +194,10 @@
 		}).Info("first rows of a later era of the store")
 	}
 	var gap time.Duration
-	if l.loaded {
+	if l.loaded || l.forgotten {
 		gap = max(0, update.AsOf-l.asOf)
 	}
-	l.loaded, l.revision, l.asOf = true, update.Revision(), max(l.asOf, update.AsOf)
+	l.loaded, l.forgotten, l.revision, l.asOf = true, false, update.Revision(), max(l.asOf, update.AsOf)
 	l.dropTombstones()
 	l.consume(changes, gap)
 	if len(changes.Rows) > 0 || changes.Returned {
--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -34,7 +34,8 @@
 	Version int64 // newest version of the store at the time of the response
 	Era     Era   // of the store at the time of the response
 	// Returned is set in the first batch of an era that a ChangeLog passes on after one of an earlier
-	// era: rows that are missing or older than before may be written again soon.
+	// era, or of one that was given up: rows that are missing or older than before may be written again
+	// soon.
 	Returned bool
 	// Resumed is set by a RowKeeper in the first batch after a long time without a read of the store, if
 	// rows are still missing after a return: writes of them may have been given up.
--- a/internal/discovery/upstreams_return_test.go
+++ b/internal/discovery/upstreams_return_test.go
@@ -319,3 +319,77 @@
 		}
 	}
 }
+
+// Guards against live upstreams and other rows that are removed at once because the store contradicts
+// an era that it never had, and has lost their rows in a return since.
+func TestReadAfterContradictedEraRemovesNoRowAtOnce(t *testing.T) {
+	for name, mislead := range map[string]func(eras *EraTracker, changeLog *ChangeLog, rows []Row){
+		"stated by a peer": func(_ *EraTracker, changeLog *ChangeLog, rows []Row) {
+			changeLog.ApplyFrom(Update{Batch: Batch{Era: 7, Version: 99, Rows: rows}, Full: true}, Position{}, Position{LogID: "peer", Sequence: 1})
+		},
+		"stated by the store": func(eras *EraTracker, changeLog *ChangeLog, rows []Row) {
+			eras.Observe(7)
+			changeLog.Apply(Update{Batch: Batch{Era: 7, Version: 99, Rows: rows}, Full: true})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				eras := NewEraTracker()
+				store := newReturningStore(eras)
+				store.write("a", "ready 1 x")
+				older := store.copy()
+				store.write("b", "ready 1 y")
+				store.write("c", "ready 1 z")
+				p := pool.New()
+				l := NewUpstreamList(p, processDecoder{}, discardLogger())
+				var deleted []string // as passed on by a keeper of the same rows
+				keeper := NewRowKeeper(5*time.Second, func(changes Batch, _ time.Duration, _ func(string) bool) {
+					for _, r := range changes.Rows {
+						if r.Deleted {
+							deleted = append(deleted, r.Key)
+						}
+					}
+				})
+				began := time.Now()
+				clock := func() time.Duration { return time.Since(began) }
+				changeLog := NewChangeLog(Upstreams, clock, l.SameEntry, discardLogger(), func(changes Batch, gap time.Duration) {
+					l.Apply(changes, gap)
+					keeper.Apply(changes, gap)
+				})
+				reader := NewReader(ReaderConfig{
+					Store: store, Topic: Upstreams, Schedule: func() PollSchedule { return l.Schedule(PollSchedule{Pause: 500 * time.Millisecond}) },
+					ChangeLog: changeLog, Backoff: NewBackoff(l.StoreStateChanged), Clock: clock, Logger: discardLogger(), Eras: eras,
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go reader.Run(ctx)
+				time.Sleep(time.Second)
+				batch, _ := store.Read(ctx, Upstreams)
+				mislead(eras, changeLog, batch.Rows)
+				store.returnFrom(older)
+				for !reader.isIn(2) {
+					time.Sleep(10 * time.Millisecond)
+				}
+				g.Expect(time.Since(began)).To(BeNumerically("<", 5*time.Second))
+				time.AfterFunc(1500*time.Millisecond, func() { store.write("b", "ready 1 y") })
+				for passed := time.Duration(0); passed < 2*time.Second; passed += 10 * time.Millisecond {
+					g.Expect(usable(p)).To(Equal("a b c"), "%v after the first read", passed)
+					time.Sleep(10 * time.Millisecond)
+				}
+				synctest.Wait()
+				g.Expect(deleted).To(BeEmpty())
+				time.Sleep(4 * time.Second)
+				synctest.Wait()
+				g.Expect(usable(p)).To(Equal("a b"))
+				g.Expect(deleted).To(Equal([]string{"c"}))
+			})
+		})
+	}
+}
+
+// isIn reports whether the rows are of an era.
+func (r *Reader) isIn(era Era) bool {
+	held, known := r.changeLog.Revision()
+	return known && held.Era == era
+}
