discovery: withhold upstreams that left while the store is away again

An upstream that had left, and that a copy of the store listed again, got requests 6 s after the return, also if the store was away for all of that time, so that its entry could not lapse, or had come back from another copy within it.

Cause: a timer released it.

Change: only time in which the store is read counts, at most 2 s per update, and a return begins it again. An instance that reads each 2.4 s uses an upstream that stays listed 1.2 s later.

--- a/internal/discovery/removed.go
+++ b/internal/discovery/removed.go
@@ -14,7 +14,7 @@
 	removedRetention = 10 * time.Minute
 	maxRemoved       = 10_000
 	// withholdTime is how long an upstream that was removed gets no requests after a copy of the
-	// store has listed it again. The platform removes the entries of dead upstreams sooner.
+	// store has listed it again, of the time in which the store is read. The platform removes the entries of dead upstreams sooner.
 	withholdTime = 6 * time.Second
 )
 
@@ -49,25 +49,41 @@
 	return known && now.Sub(at) < removedRetention
 }
 
+// withheldUpstream is an upstream that was removed, and that a copy of the store lists.
+type withheldUpstream struct {
+	pool.Upstream
+	settled time.Duration // part of withholdTime that is over
+}
+
 // withhold keeps an upstream that was removed, and that a copy of the store lists, from the pool
-// until its entry changes or withholdTime is over. The process that has replaced it stays
-// listed. The caller holds mu.
+// until its entry changes or the store has been read for withholdTime. The process that has
+// replaced it stays listed. The caller holds mu.
 func (l *UpstreamList) withhold(key string, u pool.Upstream) {
-	l.withheld[key] = u
+	l.withheld[key] = withheldUpstream{Upstream: u}
 	l.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "address": u.Address}).Info("upstream that was gone is listed in a copy of the store; withheld")
-	time.AfterFunc(withholdTime, func() { l.release(key, u) })
 }
 
-// release lists an upstream whose entry is still the one that was withheld.
-func (l *UpstreamList) release(key string, u pool.Upstream) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if current, withheld := l.withheld[key]; !withheld || current != u {
-		return
+// settleWithheld counts the time since the update before, and lists the upstreams whose entries have
+// stayed for withholdTime. It begins again after a return. It reports whether the list has changed. The
+// caller holds mu.
+func (l *UpstreamList) settleWithheld(sinceRead time.Duration, returned bool) (changed bool) {
+	for key, w := range l.withheld {
+		w.settled += min(sinceRead, time.Duration(maxSettledShare*float64(withholdTime)))
+		if returned {
+			w.settled = 0
+		}
+		l.withheld[key] = w
+		if w.settled >= withholdTime {
+			l.release(key, w.Upstream)
+			changed = true
+		}
 	}
+	return changed
+}
+
+func (l *UpstreamList) release(key string, u pool.Upstream) {
 	delete(l.withheld, key)
 	delete(l.removed, processOf(u))
 	l.upstreams[key] = u
 	l.log.WithField("upstream", u.ID).Info("withheld upstream is still listed")
-	l.publish()
 }
--- a/internal/discovery/upstreams.go
+++ b/internal/discovery/upstreams.go
@@ -47,14 +47,14 @@
 	// if an update shows that the store has been read since.
 	failingSince time.Time
 	removed      removedUpstreams
-	withheld     map[string]pool.Upstream // listed again only because the store has come back from a copy
+	withheld     map[string]withheldUpstream
 }
 
 // NewUpstreamList returns an empty list.
 func NewUpstreamList(p *pool.Pool, decoder Decoder, log logrus.FieldLogger) *UpstreamList {
 	return &UpstreamList{
 		pool: p, decoder: decoder, log: log,
-		upstreams: map[string]pool.Upstream{}, lapsed: map[string]time.Time{}, removed: removedUpstreams{}, withheld: map[string]pool.Upstream{},
+		upstreams: map[string]pool.Upstream{}, lapsed: map[string]time.Time{}, removed: removedUpstreams{}, withheld: map[string]withheldUpstream{},
 	}
 }
 
@@ -63,8 +63,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	var sinceRead time.Duration
 	if asOf := now.Add(-batch.Age); asOf.After(l.asOf) {
-		l.asOf = asOf
+		sinceRead, l.asOf = asOf.Sub(l.asOf), asOf
 	}
 	switch {
 	case batch.Returned:
@@ -88,6 +89,7 @@
 		}
 		changed = l.applyEntry(row, !first, batch.Returned, now) || changed
 	}
+	changed = l.settleWithheld(sinceRead, batch.Returned) || changed
 	changed = l.expire(now) || changed
 	if first && changed {
 		l.log.WithFields(logrus.Fields{"upstreams": len(l.upstreams), "version": batch.Version}).Info("first list of upstreams received")
