storesync: create no second secret after an outage right after a return

An instance that started after a return that had lost the secret of the fleet could replace it, after which all instances open their links again.

Cause: it leaves it to the holders for 5 to 8 s to write theirs again, on a timer. If the store was away then, it tried to create one as soon as the holders could write.

Change: it waits until calls to the store have succeeded for 5 s. It makes no call for the secret during the outage.

Evidence: TestStartedInstanceMakesNoSecondSecretAfterOutageRightAfterAReturn fails without the change of registrar.go; with it the tests of secrets, members and fleets pass three times. The stand-in of the store tells instances now when it is down, as the reads of other topics do.

Open: an outage of writes only is not noticed this way.

--- a/internal/storesync/copiedstore_test.go
+++ b/internal/storesync/copiedstore_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,6 +135,8 @@
 	store     *copiedStore
 	members   *Members
 	changeLog *discovery.ChangeLog // only has the time of the last read
+	syncer    *Syncer
+	failing   atomic.Bool // the store is down, as far as this instance knows
 	registrar *Registrar
 	cancel    context.CancelFunc
 	done      chan struct{}
@@ -153,15 +156,17 @@
 		logs[topic] = discovery.NewChangeLog(topic, clock, discovery.SameValue, discardLogger(), func(discovery.Batch, time.Duration) {})
 	}
 	syncer := NewSyncer(Config{
-		Self: self, LinksEnabled: true, Members: i.members, Logs: logs, Clock: clock, StoreFailing: func() bool { return false }, Log: discardLogger(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		Self: self, LinksEnabled: true, Members: i.members, Logs: logs, Clock: clock, StoreFailing: i.failing.Load, Log: discardLogger(), Metrics: NewMetrics(prometheus.NewRegistry()),
 		MaxAge: map[discovery.Topic]time.Duration{discovery.Instances: 3 * copiedReadInterval},
 	})
+	i.syncer = syncer
 	i.changeLog = logs[discovery.Instances]
 	i.registrar = &Registrar{Store: s, Self: self, Members: i.members, Syncer: syncer, Clock: clock, Log: discardLogger()}
 	i.fleetSettledAt()
 	var running sync.WaitGroup
 	running.Go(func() { i.registrar.Run(ctx) })
 	running.Go(func() { i.follow(ctx) })
+	running.Go(func() { i.watch(ctx) })
 	go func() {
 		running.Wait()
 		close(i.done)
@@ -201,6 +206,17 @@
 	}
 }
 
+// watch notices that the store is down, or no longer, like the reads of other topics.
+func (i *copiedInstance) watch(ctx context.Context) {
+	for ; ctx.Err() == nil; sleep(ctx, copiedEraDelay/2) {
+		var down bool
+		i.store.update(func() { down = i.store.down })
+		if i.failing.Swap(down) != down {
+			i.syncer.StoreStateChanged(down)
+		}
+	}
+}
+
 // read passes the difference from the rows that were read before to the members.
 func (i *copiedInstance) read(rows map[string][]byte, era discovery.Era) {
 	batch := discovery.Batch{Era: era, Returned: i.loaded && era > i.era}
--- a/internal/storesync/registrar.go
+++ b/internal/storesync/registrar.go
@@ -44,7 +44,7 @@
 	secretBackupDelay    = 12 * time.Second
 	secretBackupSpread   = 20 * time.Second
 	// secretWait and secretWaitSpread are the time in which an instance that knows no secret
-	// leaves it to others to write theirs again.
+	// leaves it to others to write theirs again while the store can be reached.
 	secretWait       = 5 * time.Second
 	secretWaitSpread = 3 * time.Second
 	// removalRetryPause is the time in which the removal of a row is read.
@@ -122,6 +122,10 @@
 		r.removeReappeared(ctx)
 		// An instance that reads the row of another one can thus expect the secret as well.
 		if secret.isDue(now) {
+			if wait := r.untilSecretIsAbsent(secretNeed); wait > 0 {
+				secret.dueAt = now.Add(wait)
+				continue
+			}
 			r.writeSecret(ctx)
 			secret.retry(time.Now())
 			continue
@@ -182,6 +186,16 @@
 	return fractionOf(mathrand.Float64(), 2*writeRetryPause)
 }
 
+// untilSecretIsAbsent returns how much longer an instance that knows no secret leaves it to others to
+// write theirs again, which they cannot while the store is away.
+func (r *Registrar) untilSecretIsAbsent(need writeNeed) time.Duration {
+	reachable := r.Syncer.storeReachableFor()
+	if need != absent || reachable >= secretWait || !r.Members.secretMayBeHeld() {
+		return 0
+	}
+	return secretWait - reachable + fractionOf(mathrand.Float64(), secretWaitSpread)
+}
+
 // lostSecretDelay returns the time until this instance writes a lost secret again. Few do so
 // soon, in an order that is the same at all instances.
 func (r *Registrar) lostSecretDelay() time.Duration {
--- a/internal/storesync/returnedstore_test.go
+++ b/internal/storesync/returnedstore_test.go
@@ -97,6 +97,38 @@
 	}
 }
 
+// Guards against a second secret, made by a started instance because the store was away again while it
+// left it to the others to write theirs.
+func TestStartedInstanceMakesNoSecondSecretAfterOutageRightAfterAReturn(t *testing.T) {
+	for _, size := range []int{1, 5, 60} {
+		for _, away := range []time.Duration{3 * time.Second, secretWait + 2*time.Second, 30 * time.Second} {
+			t.Run(fmt.Sprintf("%d instances, away for %v", size, away), func(t *testing.T) {
+				for range 10 {
+					synctest.Test(t, func(t *testing.T) {
+						g := NewWithT(t)
+						store := newCopiedStore(t)
+						fleet := store.startFleet(size)
+						secret := fleet[0].members.AuthoritySecret()
+						copied, _, _, _ := store.snapshot()
+						delete(copied, secretKey)
+						store.update(func() { store.readOnly = true })
+						store.restore(copied)
+						fleet = append(fleet, store.start(copiedMember(size)))
+						time.Sleep(copiedEraDelay)
+						store.update(func() { store.down = true })
+						time.Sleep(away)
+						store.update(func() { store.down, store.readOnly = false, false })
+						time.Sleep(time.Minute)
+						store.expectOneFleet(fleet)
+						rows, _, _, _ := store.snapshot()
+						g.Expect(bytes.Equal(rows[secretKey], secret)).To(BeTrue())
+					})
+				}
+			})
+		}
+	}
+}
+
 // Guards against instances that never link because they keep a secret that is not in the store.
 func TestSecretInTheStoreReplacesTheOneThatIsHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -75,6 +75,7 @@
 	leaving            bool
 	firstInstancesRead time.Duration // time of the first read of Instances, by the clock
 	startedAt          time.Duration
+	recoveredAt        time.Duration // when calls to the store last began to succeed, by the clock
 }
 
 // NewSyncer returns a syncer without a transport.
@@ -85,7 +86,7 @@
 	return &Syncer{
 		Config: config, source: dataSource{readStore: !config.LinksEnabled}, rescheduled: make(chan struct{}),
 		peerFailures: map[contract.InstanceID]peerFailure{}, followers: map[contract.InstanceID]time.Duration{},
-		directReads: map[discovery.Topic]time.Duration{}, startedAt: config.Clock(),
+		directReads: map[discovery.Topic]time.Duration{}, startedAt: config.Clock(), recoveredAt: config.Clock(),
 		firstInstancesRead: config.Clock() + fractionOf(rand.Float64(), config.StartupSpread),
 	}
 }
@@ -142,10 +143,21 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recoveredAt = s.Clock()
 	clear(s.directReads)
 	s.rescheduleReads()
 }
 
+// storeReachableFor returns how long calls to the store have succeeded.
+func (s *Syncer) storeReachableFor() time.Duration {
+	if s.StoreFailing() {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Clock() - s.recoveredAt
+}
+
 // rescheduleReads makes all calls of AwaitRead compute the time of their read anew. The caller
 // holds mu.
 func (s *Syncer) rescheduleReads() {
