storesync: ask peers for a newer configuration when reading the store

A reader of a failure domain that started or restarted between a return of the store and the operator's next write served the configuration of the copy until that write, also with peers that held a newer one.

Cause: followers get the configuration from their source, but the instance that ranks first reads the store and asks nobody. The revisions of the copy and of the peers do not tell which configuration is newer; its own version does.

Change: an instance that reads the store and has links asks up to three peers of its failure domain once, and takes configurations of which its own is an earlier version (ChangeLog.TakeNewer). No call to the store is added.

Evidence: TestStartedInstanceGetsConfigurationOfItsPeersAfterAReturn fails for readers (started, three at once, restarted; 4 and 8 instances) without the request. Without links (1 or 2 instances and the started one) it stays with that of the copy.

--- a/internal/discovery/changelog.go
+++ b/internal/discovery/changelog.go
@@ -145,6 +145,29 @@
 	return NotDropped
 }
 
+// TakeNewer replaces held rows by those of another log of which they are an earlier state, whatever
+// their revisions, and returns the number of those. Only logs with KeepNewer have such rows.
+func (l *ChangeLog) TakeNewer(rows []Row) (taken int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changes := Batch{Version: l.revision.Version, Era: l.revision.Era, Age: max(0, l.clock()-l.asOf)}
+	for _, row := range rows {
+		held := l.rows[row.Key].Row
+		if held.Key == "" {
+			held = Row{Key: row.Key, Deleted: true}
+		}
+		if !row.Deleted && l.outdated(row, held) && l.put(row) {
+			changes.Rows = append(changes.Rows, row)
+		}
+	}
+	if len(changes.Rows) > 0 {
+		l.consume(changes, 0)
+		close(l.changed)
+		l.changed = make(chan struct{})
+	}
+	return len(changes.Rows)
+}
+
 // ForgetRevision makes the log apply the next update, whatever its revision, as the first one after a
 // return of the store. The rows stay until then.
 func (l *ChangeLog) ForgetRevision() {
--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -172,6 +172,23 @@
 	g.Expect(c.state).To(Equal(held()))
 }
 
+// Guards against rows of a peer that replace newer ones, or such that have no order.
+func TestOnlyNewerConfigurationOfPeerIsTaken(t *testing.T) {
+	g := NewWithT(t)
+	var now time.Duration
+	c := newConsumer()
+	l := NewChangeLog(Configuration, func() time.Duration { return now }, SameValue, discardLogger(), c.apply, KeepNewer(OutdatedConfiguration(textDecoder{})))
+	l.Apply(Update{Batch: Batch{Era: 2, Version: 34, Rows: []Row{row("config", "12", 30), row("other", "1", 20)}}, Full: true, SinceEra: 2})
+	changed := l.Changed()
+	g.Expect(l.TakeNewer([]Row{row("config", "11", 36), row("other", "2", 36), row("config", "broken", 37), deletedRow("config", 38)})).To(BeZero())
+	g.Expect(changed).NotTo(BeClosed())
+	g.Expect(l.TakeNewer([]Row{row("config", "13", 29)})).To(Equal(1))
+	g.Expect(changed).To(BeClosed())
+	g.Expect(c.state).To(Equal(map[string]string{"config": "13", "other": "1"}))
+	held, _ := l.Revision()
+	g.Expect(held).To(Equal(Revision{Era: 2, Version: 34}))
+}
+
 // Guards against changes that are skipped because the response to a call from before a return
 // arrives after another instance's rows of the later era.
 func TestChangesSinceVersionOfEarlierEraAreDropped(t *testing.T) {
--- a/internal/storesync/returns_test.go
+++ b/internal/storesync/returns_test.go
@@ -372,3 +372,50 @@
 		p.g.Expect(with).To(BeNumerically("<=", without*11/10+allowed))
 	})
 }
+
+// Guards against an instance that reads the store for its failure domain and stays with the configuration
+// of a copy, because it has started since the return, although its peers have a newer one.
+func TestStartedInstanceGetsConfigurationOfItsPeersAfterAReturn(t *testing.T) {
+	for _, each := range []int{minDomainSize, 8} {
+		for name, starting := range map[string][]Member{
+			"follower":             {{ID: "started", Weight: 0.1}},
+			"reader":               {{ID: "started", Weight: 5}},
+			"three readers":        {{ID: "started", Weight: 5}, {ID: "started-2", Weight: 5}, {ID: "started-3", Weight: 5}},
+			"reader that restarts": {{ID: "", Weight: 0.8}},
+		} {
+			t.Run(fmt.Sprintf("%s beside %d", name, each), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					h := newHarness(t, 1)
+					defer h.close()
+					h.startFleet(0, 1, each)
+					time.Sleep(30 * time.Second)
+					copied := time.Now()
+					time.Sleep(100 * time.Millisecond)
+					h.store.write(discovery.Configuration, "config", "5", false)
+					time.Sleep(5 * time.Second)
+					h.store.goAway()
+					time.Sleep(time.Second)
+					h.store.comeBack(copied, true, true)
+					time.Sleep(3 * time.Second)
+					for _, m := range starting {
+						if m.ID == "" {
+							m.ID = h.readers()["d0"][0]
+						}
+						m.Address, m.Domain = "127.0.0.1:1", "d0"
+						h.startInstance(m, 0)
+					}
+					time.Sleep(3 * time.Second)
+					for id, p := range h.processes {
+						h.g.Expect(p.active.Current().Version).To(Equal(int64(5)), "%s, source %s", id, p.source())
+						h.g.Expect(p.value(discovery.Configuration, "config")).To(Equal("5"), "%s, source %s", id, p.source())
+					}
+					h.store.write(discovery.Configuration, "config", "6", false)
+					time.Sleep(changeBound)
+					for id, p := range h.processes {
+						h.g.Expect(p.active.Current().Version).To(Equal(int64(6)), "%s, source %s", id, p.source())
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -75,7 +75,8 @@
 	leaving            bool
 	firstInstancesRead time.Duration // time of the first read of Instances, by the clock
 	startedAt          time.Duration
-	recoveredAt        time.Duration // when calls to the store last began to succeed, by the clock
+	configuration      configurationRequests // used by Run only
+	recoveredAt        time.Duration         // when calls to the store last began to succeed, by the clock
 }
 
 // NewSyncer returns a syncer without a transport.
@@ -116,6 +117,7 @@
 		source := s.updateSource(ranked)
 		s.probePreferred(ctx, ranked, source)
 		if source.peer == "" {
+			s.requestConfiguration(ctx, ranked, source)
 			sleep(ctx, sourceCheckInterval)
 			continue
 		}
@@ -295,24 +297,30 @@
 		request.Eras = append(request.Eras, int64(held.Era))
 		request.Positions = append(request.Positions, wirePosition{Log: position.LogID, Sequence: position.Sequence, Version: held.Version})
 	}
+	response, err := s.send(ctx, transport, peer, request)
+	return response, from, err
+}
+
+// send sends a request and returns the response.
+func (s *Syncer) send(ctx context.Context, transport Transport, peer contract.InstanceID, request updateRequest) (updateResponse, error) {
 	body, err := link.Encode(request)
 	if err != nil {
-		return updateResponse{}, nil, err
+		return updateResponse{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, hold+responseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, milliseconds(request.HoldMS)+responseTimeout)
 	defer cancel()
 	encoded, err := transport.Request(ctx, peer, messageUpdates, body)
 	if err != nil {
 		s.Metrics.countRequest("failed")
-		return updateResponse{}, nil, err
+		return updateResponse{}, err
 	}
 	response, err := decodeResponse(encoded)
 	if err != nil {
 		s.Metrics.countRequest("unreadable")
-		return updateResponse{}, nil, err
+		return updateResponse{}, err
 	}
 	s.Metrics.countRequest("answered")
-	return response, from, nil
+	return response, nil
 }
 
 // isFresh reports whether a response is recent enough to follow the peer: the ages of its
