--- a/internal/discovery/upstreams_return_test.go
+++ b/internal/discovery/upstreams_return_test.go
@@ -62,8 +62,13 @@
 // Guards against an upstream that stays unused although it is listed after the return.
 func TestUpstreamThatStaysListedAfterReturnIsUsed(t *testing.T) {
 	for name, again := range map[string]func(l *UpstreamList){
-		"written again":     func(l *UpstreamList) { l.Apply(Batch{Era: 2, Rows: []Row{row("b", "ready 1 v", 7)}}, 0) },
-		"stays in the list": func(*UpstreamList) { time.Sleep(withholdTime) },
+		"written again": func(l *UpstreamList) { l.Apply(Batch{Era: 2, Rows: []Row{row("b", "ready 1 v", 7)}}, 0) },
+		"stays in the list": func(l *UpstreamList) {
+			for began := time.Now(); time.Since(began) < withholdTime; {
+				time.Sleep(time.Second)
+				l.Apply(Batch{Era: 2}, time.Second)
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -82,6 +87,55 @@
 	}
 }
 
+// Guards against an upstream that left and gets requests again because the store was away again, or has
+// come back from another copy, before its entry could lapse.
+func TestWithheldUpstreamStaysSoUntilTheStoreWasReadForLong(t *testing.T) {
+	for _, interval := range []time.Duration{100 * time.Millisecond, 840 * time.Millisecond, 2400 * time.Millisecond} {
+		for name, disturb := range map[string]func(l *UpstreamList){
+			"away again": func(l *UpstreamList) {
+				l.StoreStateChanged(true)
+				time.Sleep(2 * withholdTime)
+				l.Apply(Batch{Era: 2}, 2*withholdTime)
+				l.StoreStateChanged(false)
+			},
+			"away again at a follower": func(l *UpstreamList) {
+				for began := time.Now(); time.Since(began) < 2*withholdTime; {
+					time.Sleep(interval)
+					l.Apply(Batch{Era: 2, Age: time.Since(began)}, 0)
+				}
+			},
+			"second return": func(l *UpstreamList) {
+				for began := time.Now(); time.Since(began) < withholdTime-2*interval; {
+					time.Sleep(interval)
+					l.Apply(Batch{Era: 2}, interval)
+				}
+				l.Apply(Batch{Era: 3, Returned: true}, interval)
+			},
+		} {
+			t.Run(fmt.Sprintf("%s, updates every %v", name, interval), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					p := pool.New()
+					l := NewUpstreamList(p, processDecoder{}, discardLogger())
+					l.Apply(Batch{Rows: []Row{row("b", "ready 1 y", 2), row("c", "ready 1 z", 3)}}, 0)
+					l.Apply(Batch{Rows: []Row{deletedRow("b", 5)}}, time.Second)
+					l.Apply(returned(row("b", "ready 1 y", 2)), time.Second)
+					disturb(l)
+					g.Expect(usable(p)).To(Equal("c"))
+					began := time.Now()
+					for usable(p) == "c" {
+						time.Sleep(interval)
+						l.Apply(Batch{Era: 3}, interval)
+						synctest.Wait()
+						g.Expect(time.Since(began)).To(BeNumerically("<", withholdTime+2*interval), "it stays listed")
+					}
+					g.Expect(time.Since(began)).To(BeNumerically(">", withholdTime/2))
+				})
+			})
+		}
+	}
+}
+
 // Guards against the removal of upstreams whose entries are younger than the copy, also if the
 // store was away only for a moment, and against those that stay although they do not come back.
 func TestUpstreamsMissingInCopyAreKeptUntilTheyHadTimeToWrite(t *testing.T) {
@@ -245,6 +299,35 @@
 	}
 }
 
+// Guards against upstreams that stay for good at a follower whose last call to the store failed: it
+// makes no further one while its peer has new rows.
+func TestMissingUpstreamsAreRemovedAtFollowerThatMakesNoCall(t *testing.T) {
+	for _, age := range []time.Duration{0, 600 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			p := pool.New()
+			l := NewUpstreamList(p, processDecoder{}, discardLogger())
+			l.Apply(Batch{Rows: []Row{row("a", "ready 1 x", 1), row("b", "ready 1 y", 2)}}, 0)
+			l.Apply(returned(deletedRow("b", 1)), time.Second)
+			l.StoreStateChanged(true)
+			began := time.Now()
+			for range 2 {
+				time.Sleep(time.Second)
+				l.Apply(Batch{Era: 2, Age: time.Since(began) + time.Second}, 0)
+				g.Expect(usable(p)).To(Equal("a b"), "the peer has not read the store either")
+			}
+			back := time.Now()
+			for usable(p) != "a" {
+				time.Sleep(500 * time.Millisecond)
+				l.Apply(Batch{Era: 2, Age: age}, 500*time.Millisecond)
+				synctest.Wait()
+				g.Expect(time.Since(back)).To(BeNumerically("<", lapseGrace+age+time.Second))
+			}
+			g.Expect(time.Since(back)).To(BeNumerically(">=", lapseGrace))
+		})
+	}
+}
+
 // Guards against live upstreams that are removed when the store is away again right after it has
 // come back from a copy.
 func TestOutageAfterReturnRemovesNoUpstream(t *testing.T) {
@@ -290,3 +373,77 @@
 		}
 	}
 }
+
+// Guards against live upstreams and other rows that are removed at once because the store contradicts
+// an era that it never had, and has lost their rows in a return since.
+func TestReadAfterContradictedEraRemovesNoRowAtOnce(t *testing.T) {
+	for name, mislead := range map[string]func(eras *EraTracker, changeLog *ChangeLog, rows []Row){
+		"stated by a peer": func(_ *EraTracker, changeLog *ChangeLog, rows []Row) {
+			changeLog.ApplyFrom(Update{Batch: Batch{Era: 7, Version: 99, Rows: rows}, Full: true}, Position{}, Position{LogID: "peer", Sequence: 1})
+		},
+		"stated by the store": func(eras *EraTracker, changeLog *ChangeLog, rows []Row) {
+			eras.Observe(7)
+			changeLog.Apply(Update{Batch: Batch{Era: 7, Version: 99, Rows: rows}, Full: true})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				eras := NewEraTracker()
+				store := newReturningStore(eras)
+				store.write("a", "ready 1 x")
+				older := store.copy()
+				store.write("b", "ready 1 y")
+				store.write("c", "ready 1 z")
+				p := pool.New()
+				l := NewUpstreamList(p, processDecoder{}, discardLogger())
+				var deleted []string // as passed on by a keeper of the same rows
+				keeper := NewRowKeeper(5*time.Second, func(changes Batch, _ time.Duration, _ func(string) bool) {
+					for _, r := range changes.Rows {
+						if r.Deleted {
+							deleted = append(deleted, r.Key)
+						}
+					}
+				})
+				began := time.Now()
+				clock := func() time.Duration { return time.Since(began) }
+				changeLog := NewChangeLog(Upstreams, clock, l.SameEntry, discardLogger(), func(changes Batch, gap time.Duration) {
+					l.Apply(changes, gap)
+					keeper.Apply(changes, gap)
+				})
+				reader := NewReader(ReaderConfig{
+					Store: store, Topic: Upstreams, Schedule: func() PollSchedule { return l.Schedule(PollSchedule{Pause: 500 * time.Millisecond}) },
+					ChangeLog: changeLog, Backoff: NewBackoff(l.StoreStateChanged), Clock: clock, Logger: discardLogger(), Eras: eras,
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go reader.Run(ctx)
+				time.Sleep(time.Second)
+				batch, _ := store.Read(ctx, Upstreams)
+				mislead(eras, changeLog, batch.Rows)
+				store.returnFrom(older)
+				for !reader.isIn(2) {
+					time.Sleep(10 * time.Millisecond)
+				}
+				g.Expect(time.Since(began)).To(BeNumerically("<", 5*time.Second))
+				time.AfterFunc(1500*time.Millisecond, func() { store.write("b", "ready 1 y") })
+				for passed := time.Duration(0); passed < 2*time.Second; passed += 10 * time.Millisecond {
+					g.Expect(usable(p)).To(Equal("a b c"), "%v after the first read", passed)
+					time.Sleep(10 * time.Millisecond)
+				}
+				synctest.Wait()
+				g.Expect(deleted).To(BeEmpty())
+				time.Sleep(4 * time.Second)
+				synctest.Wait()
+				g.Expect(usable(p)).To(Equal("a b"))
+				g.Expect(deleted).To(Equal([]string{"c"}))
+			})
+		})
+	}
+}
+
+// isIn reports whether the rows are of an era.
+func (r *Reader) isIn(era Era) bool {
+	held, known := r.changeLog.Revision()
+	return known && held.Era == era
+}
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -75,6 +75,8 @@
 	leaving            bool
 	firstInstancesRead time.Duration // time of the first read of Instances, by the clock
 	startedAt          time.Duration
+	configuration      configurationRequests // used by Run only
+	recoveredAt        time.Duration         // when calls to the store last began to succeed, by the clock
 }
 
 // NewSyncer returns a syncer without a transport.
@@ -85,7 +87,7 @@
 	return &Syncer{
 		Config: config, source: dataSource{readStore: !config.LinksEnabled}, rescheduled: make(chan struct{}),
 		peerFailures: map[contract.InstanceID]peerFailure{}, followers: map[contract.InstanceID]time.Duration{},
-		directReads: map[discovery.Topic]time.Duration{}, startedAt: config.Clock(),
+		directReads: map[discovery.Topic]time.Duration{}, startedAt: config.Clock(), recoveredAt: config.Clock(),
 		firstInstancesRead: config.Clock() + fractionOf(rand.Float64(), config.StartupSpread),
 	}
 }
@@ -115,6 +117,7 @@
 		source := s.updateSource(ranked)
 		s.probePreferred(ctx, ranked, source)
 		if source.peer == "" {
+			s.requestConfiguration(ctx, ranked, source)
 			sleep(ctx, sourceCheckInterval)
 			continue
 		}
@@ -142,10 +145,21 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recoveredAt = s.Clock()
 	clear(s.directReads)
 	s.rescheduleReads()
 }
 
+// storeReachableFor returns how long calls to the store have succeeded.
+func (s *Syncer) storeReachableFor() time.Duration {
+	if s.StoreFailing() {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Clock() - s.recoveredAt
+}
+
 // rescheduleReads makes all calls of AwaitRead compute the time of their read anew. The caller
 // holds mu.
 func (s *Syncer) rescheduleReads() {
@@ -283,24 +297,30 @@
 		request.Eras = append(request.Eras, int64(held.Era))
 		request.Positions = append(request.Positions, wirePosition{Log: position.LogID, Sequence: position.Sequence, Version: held.Version})
 	}
+	response, err := s.send(ctx, transport, peer, request)
+	return response, from, err
+}
+
+// send sends a request and returns the response.
+func (s *Syncer) send(ctx context.Context, transport Transport, peer contract.InstanceID, request updateRequest) (updateResponse, error) {
 	body, err := link.Encode(request)
 	if err != nil {
-		return updateResponse{}, nil, err
+		return updateResponse{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, hold+responseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, milliseconds(request.HoldMS)+responseTimeout)
 	defer cancel()
 	encoded, err := transport.Request(ctx, peer, messageUpdates, body)
 	if err != nil {
 		s.Metrics.countRequest("failed")
-		return updateResponse{}, nil, err
+		return updateResponse{}, err
 	}
 	response, err := decodeResponse(encoded)
 	if err != nil {
 		s.Metrics.countRequest("unreadable")
-		return updateResponse{}, nil, err
+		return updateResponse{}, err
 	}
 	s.Metrics.countRequest("answered")
-	return response, from, nil
+	return response, nil
 }
 
 // isFresh reports whether a response is recent enough to follow the peer: the ages of its
