forward: give each request of a test its own end of the stream

Cause: the behaviour sendEvents wrote the error of the first request that hung into a variable that all requests to the upstream share. What was seen: TestStalledStreamsMoveOneAfterAnother fails with -race on a data race (in the run of the whole package, and in one run with -count 10, three reports), and later requests of such a test could end at once instead of hanging. Change: a variable for each request. The checks of the tests are unchanged. Measured: 10 runs with -race pass; the tests of the package pass without it.

--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -389,6 +389,7 @@
 func sendEvents(to int, interval time.Duration, end error) behaviour {
 	return func(req receivedRequest) (*http.Response, error) {
 		last, _ := strconv.Atoi(req.header.Get("Last"))
+		end := end // the behaviour may serve several requests
 		reader, writer := io.Pipe()
 		go func() {
 			for id := last + 1; id <= to; id++ {
