storesync: leave the rows of a later era to peers before reading them all

Callers saw nothing; the store saw up to 228 calls in the 1.5 s after a return from a copy with 60 instances, 21 to 106 after one without.

Cause, from a trace of calls by instance, topic and source: after about a second away all peers of a failure domain count as stale at once. The first five instances then read the store (up to 12 in three domains instead of 3), and followers whose rows are too old read it too. Each is refused the changes (410) and reads all rows, of each topic, although one of them could deliver them to the others a moment later. The first instance is often the last to reach the store again, because its backoff is the longest.

Change: an instance whose peers may deliver the rows of a later era waits for them before it reads all rows (Syncer.AwaitPeers): a follower 0.15 to 0.3 of the maximum age of the urgent topics, one that reads in the place of n stale peers 0.05n to 0.1n of it, at most as long, so that the first one that reaches the store reads for the others. The first instance of a domain, instances without links and those without rows do not wait. Further returns do not prolong the wait. Meanwhile stale peers are polled every 200 ms. A peer that knows it is behind and whose rows are too old sends none, and holds a request until it has them.

Tests of storesync, discovery and gateway pass.

TestIntervalsKeepMaxAge has a further bound for the wait. The harness sets the new dependency of readers.

--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -59,6 +59,58 @@
 	}
 }
 
+// Guards against a read of all rows of a later era that a peer delivers, against a missing one when no peer
+// does, and against a wait that counts as a failure of the store.
+func TestRowsOfLaterEraAreReadUnlessAPeerDelivers(t *testing.T) {
+	for name, c := range map[string]struct{ refused, delivers bool }{
+		"call refused, peer delivers": {true, true}, "call refused, no peer": {true, false},
+		"era shown before, peer delivers": {false, true}, "era shown before, no peer": {false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				eras, backoff := NewEraTracker(), NewBackoff(func(bool) {})
+				store := newReturningStore(eras)
+				copied := store.copy()
+				store.write("a", "1")
+				waits := 0
+				r := startReader(t, store, eras, backoff, PollSchedule{Pause: time.Second}, func(config *ReaderConfig) {
+					log := config.ChangeLog
+					config.AwaitPeers = func(ctx context.Context) bool {
+						waits++
+						g.Expect(!c.refused || !backoff.Failing()).To(BeTrue(), "the store has responded")
+						sleep(ctx, 300*time.Millisecond)
+						if c.delivers {
+							log.ApplyFrom(Update{Batch: Batch{Era: 2, Version: 0}, Full: true, AsOf: config.Clock()}, Position{}, Position{LogID: "peer", Sequence: 1})
+						}
+						return c.delivers
+					}
+				})
+				time.Sleep(1500 * time.Millisecond)
+				g.Expect(r.values()).To(HaveLen(1))
+				store.set(func(s *returningStore) { s.down = true })
+				time.Sleep(time.Second)
+				store.returnFrom(copied)
+				if !c.refused {
+					eras.Observe(2)
+				}
+				store.takeCounts()
+				time.Sleep(takeEffect)
+				g.Expect(r.values()).To(BeEmpty())
+				g.Expect(waits).To(Equal(1))
+				reads, _ := store.takeCounts()
+				if c.delivers {
+					g.Expect(reads).To(BeZero())
+				} else {
+					g.Expect(reads).To(Equal(1))
+				}
+				g.Expect(backoff.Failing()).To(BeFalse())
+				g.Expect(r.returns()).To(Equal(1))
+			})
+		})
+	}
+}
+
 // Guards against a held call across the return of the store, which sees no change until its
 // wait is over, while another topic has shown the later era.
 func TestReturnOfStoreInterruptsHeldCalls(t *testing.T) {
--- a/internal/discovery/reader.go
+++ b/internal/discovery/reader.go
@@ -48,7 +48,8 @@
 	backoff      *Backoff
 	clock        Clock
 	log          logrus.FieldLogger
-	waitUntilDue func(ctx context.Context, last time.Time) // waits until the topic has to be read
+	waitUntilDue func(ctx context.Context, last time.Time)  // waits until the topic has to be read
+	awaitPeers   func(ctx context.Context) (delivered bool) // waits while a peer may deliver a later era
 	countCall    func(topic Topic, outcome string)
 	eras         *EraTracker
 
@@ -77,6 +78,9 @@
 	// response. nil: the topic is read after the pause of the poll schedule, or when Eras has
 	// a later era than the rows.
 	WaitUntilDue func(ctx context.Context, last time.Time)
+	// AwaitPeers blocks while a peer may deliver the rows of a later era that the store has shown, and
+	// reports whether one did. Otherwise all rows are read. nil: they are read at once.
+	AwaitPeers func(ctx context.Context) (delivered bool)
 	// CountCall counts calls by topic and outcome; nil: calls are not counted.
 	CountCall func(topic Topic, outcome string)
 	// Eras observes the responses of the store.
@@ -101,7 +105,10 @@
 func NewReader(c ReaderConfig) *Reader {
 	r := &Reader{
 		store: c.Store, topic: c.Topic, schedule: c.Schedule, changeLog: c.ChangeLog, backoff: c.Backoff, clock: c.Clock,
-		log: c.Logger.WithField("topic", c.Topic), waitUntilDue: c.WaitUntilDue, countCall: c.CountCall, eras: c.Eras,
+		log: c.Logger.WithField("topic", c.Topic), waitUntilDue: c.WaitUntilDue, awaitPeers: c.AwaitPeers, countCall: c.CountCall, eras: c.Eras,
+	}
+	if r.awaitPeers == nil {
+		r.awaitPeers = func(context.Context) bool { return false }
 	}
 	if r.waitUntilDue == nil {
 		r.waitUntilDue = func(ctx context.Context, last time.Time) {
@@ -153,16 +160,28 @@
 }
 
 // poll reads the changes of the topic. It reads all rows if there are none yet, or if the store no
-// longer has the changes or has returned from a copy.
+// longer has the changes or has returned from a copy and no peer delivers them.
 func (r *Reader) poll(ctx context.Context) error {
 	held, known := r.changeLog.Revision()
-	newest, _ := r.eras.Newest()
-	full := !known || newest > held.Era
+	full := !known
+	if known && r.isBehind(held) {
+		if r.awaitPeers(ctx) {
+			return nil
+		}
+		held, _ = r.changeLog.Revision()
+		full = r.isBehind(held)
+	}
 	reason, err := r.read(ctx, held, full)
 	if !full && (errors.Is(err, ErrHistoryGone) || reason == DroppedLaterEra) {
 		if err != nil {
 			r.countCall(r.topic, OutcomeHistoryGone)
 		}
+		if r.isBehind(held) {
+			r.recordSuccess() // before the wait, which is no failure of the store
+			if r.awaitPeers(ctx) {
+				return nil
+			}
+		}
 		r.log.WithFields(logrus.Fields{"after": held.Version, "held_era": held.Era}).Info("the store has no changes since the held version; reading all rows")
 		reason, err = r.read(ctx, held, true)
 	}
@@ -179,10 +198,15 @@
 	}
 	r.contradictions = 0
 	r.recordSuccess()
-	r.lastResponse = time.Now()
 	return nil
 }
 
+// isBehind reports whether the store has shown a later era than that of the held rows.
+func (r *Reader) isBehind(held Revision) bool {
+	newest, _ := r.eras.Newest()
+	return newest > held.Era
+}
+
 // read makes one call to the store and applies its response. It returns no reason for a response that
 // was only overtaken by an update of a peer, or by a sign of a return, during the call.
 func (r *Reader) read(ctx context.Context, held Revision, full bool) (DropReason, error) {
@@ -284,6 +308,7 @@
 		r.inOutage = false
 		r.log.WithFields(r.stateFields()).Info("the store is back")
 	}
+	r.lastResponse = time.Now()
 }
 
 // stateFields returns what logs say about a lost or regained store.
--- a/internal/discovery/returningstore_test.go
+++ b/internal/discovery/returningstore_test.go
@@ -183,12 +183,16 @@
 }
 
 // startReader runs a reader until the test ends.
-func startReader(t *testing.T, store Store, eras *EraTracker, backoff *Backoff, schedule PollSchedule) *eraReader {
+func startReader(t *testing.T, store Store, eras *EraTracker, backoff *Backoff, schedule PollSchedule, options ...func(*ReaderConfig)) *eraReader {
 	c, r := clock(), &eraReader{state: map[string]string{}}
-	r.Reader = NewReader(ReaderConfig{
+	config := ReaderConfig{
 		Store: store, Topic: Configuration, Schedule: func() PollSchedule { return schedule }, Backoff: backoff, Clock: c, Logger: discardLogger(), Eras: eras,
 		ChangeLog: NewChangeLog(Configuration, c, SameValue, discardLogger(), r.apply),
-	})
+	}
+	for _, option := range options {
+		option(&config)
+	}
+	r.Reader = NewReader(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -119,6 +119,7 @@
 			Store: g.platform.Store, Topic: topic, Backoff: p.backoff, Clock: clock, Logger: log, CountCall: calls.count, ChangeLog: p.changeLogs[topic], Eras: g.platform.Eras,
 			Schedule:     func() discovery.PollSchedule { return p.syncer.PollSchedule(topic, schedule()) },
 			WaitUntilDue: func(ctx context.Context, last time.Time) { p.syncer.AwaitRead(ctx, topic, schedule(), last) },
+			AwaitPeers:   func(ctx context.Context) bool { return p.syncer.AwaitPeers(ctx, topic) },
 		}))
 	}
 	addReader(discovery.Configuration, fixed(discovery.PollSchedule{Wait: configurationMaxAge}), discovery.SameValue, startup.trackApplied(discovery.Configuration, g.configuration.Apply),
--- a/internal/storesync/choose_test.go
+++ b/internal/storesync/choose_test.go
@@ -70,6 +70,8 @@
 		// poll another peer before the latest time of a direct read.
 		g.Expect(fractionOf(readIntervalShare, fresh) + fractionOf(pollHoldShare, fresh) + responseTimeout).To(BeNumerically("<", fractionOf(directReadShare+directReadJitterShare, fresh)))
 		g.Expect(fractionOf(directReadShare+directReadJitterShare, fresh) + fractionOf(directReadBackoffShare, fresh)).To(BeNumerically("<", bound))
+		// A direct read may show a later era, whose rows are then awaited from peers.
+		g.Expect(fractionOf(directReadShare+directReadJitterShare+catchUpShare, fresh) + responseTimeout).To(BeNumerically("<", bound))
 	}
 }
 
--- a/internal/storesync/harness_test.go
+++ b/internal/storesync/harness_test.go
@@ -343,6 +343,7 @@
 			Store: connection, Topic: topic, ChangeLog: p.changeLogs[topic], Backoff: p.backoff, Clock: h.clock, Logger: discardLogger(), Eras: eras,
 			Schedule:     func() discovery.PollSchedule { return p.syncer.PollSchedule(topic, schedules[topic]) },
 			WaitUntilDue: func(ctx context.Context, last time.Time) { p.syncer.AwaitRead(ctx, topic, schedules[topic], last) },
+			AwaitPeers:   func(ctx context.Context) bool { return p.syncer.AwaitPeers(ctx, topic) },
 		})
 		readers = append(readers, r)
 	}
--- a/internal/storesync/serve.go
+++ b/internal/storesync/serve.go
@@ -11,7 +11,8 @@
 )
 
 // serveUpdates handles a long-poll request of a follower: it responds as soon as there
-// are updates or the hold time of the request is over.
+// are updates or the hold time of the request is over. While the rows of a later era are about to be
+// read, it awaits them.
 func (s *Syncer) serveUpdates(ctx context.Context, peer contract.InstanceID, body []byte) ([]byte, error) {
 	request, err := decodeRequest(body)
 	if err != nil {
@@ -24,16 +25,17 @@
 	timer := time.NewTimer(milliseconds(request.HoldMS))
 	defer timer.Stop()
 	for holdExpired := request.HoldMS == 0; ; {
-		if s.isStale() {
-			return link.Encode(updateResponse{Stale: true})
-		}
 		// Take the channels before reading the logs, so that no change is missed.
 		var changed [len(topics)]<-chan struct{}
 		for i, topic := range topics {
 			changed[i] = s.Logs[topic].Changed()
 		}
+		isStale, isBehind := s.isStale()
+		if isStale && (holdExpired || !isBehind) {
+			return link.Encode(updateResponse{Stale: true})
+		}
 		response, hasUpdates := s.updatesSince(request)
-		if hasUpdates || holdExpired || response.Leaving {
+		if (hasUpdates || holdExpired) && !isStale || response.Leaving {
 			response.HeldMS = (s.Clock() - receivedAt).Milliseconds()
 			return link.Encode(response)
 		}
@@ -50,19 +52,25 @@
 	}
 }
 
-// isStale reports whether the store is failing and this instance's rows are too old for
-// followers. They are not sent then: each instance polls several peers, and each peer has
-// a change log of its own, so every response would contain all rows.
-func (s *Syncer) isStale() bool {
-	if !s.StoreFailing() {
-		return false
-	}
+// isStale reports whether this instance's rows are too old for followers, and the store is failing or
+// has shown a later era than that of the rows, in which case isBehind is true. Stale rows are not sent:
+// each instance polls several peers, and each peer has a change log of its own, so every response
+// would contain all rows.
+func (s *Syncer) isStale() (isStale, isBehind bool) {
+	failing := s.StoreFailing()
+	newest, _ := s.Eras.Newest()
 	for _, topic := range urgentTopics {
-		if age, loaded := s.Logs[topic].Age(); loaded && age > fractionOf(peerStaleShare, s.MaxAge[topic]) {
-			return true
+		held, loaded := s.Logs[topic].Revision()
+		age, _ := s.Logs[topic].Age()
+		if !loaded || age <= fractionOf(peerStaleShare, s.MaxAge[topic]) {
+			continue
+		}
+		if failing {
+			return true, false
 		}
+		isBehind = isBehind || newest > held.Era
 	}
-	return false
+	return isBehind, isBehind
 }
 
 // updatesSince returns the updates after the positions of a request, and whether there
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -75,6 +75,8 @@
 	leaving            bool
 	firstInstancesRead time.Duration // time of the first read of Instances, by the clock
 	startedAt          time.Duration
+	catchUp            catchUp
+	staleBefore        int // number of stale peers that rank before this instance
 }
 
 // NewSyncer returns a syncer without a transport.
@@ -115,7 +117,7 @@
 		source := s.updateSource(ranked)
 		s.probePreferred(ctx, ranked, source)
 		if source.peer == "" {
-			sleep(ctx, sourceCheckInterval)
+			s.awaitSourceCheck(ctx)
 			continue
 		}
 		if err := s.pollPeer(ctx, source.peer, s.pollHold()); err != nil && ctx.Err() == nil {
@@ -158,6 +160,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.selectSource(ranked)
+	s.staleBefore = s.countStaleBefore(ranked)
 	if next == s.source {
 		return next
 	}
@@ -202,11 +205,14 @@
 	return "none"
 }
 
-// pollHold returns how long a peer may hold a request.
-func (s *Syncer) pollHold() time.Duration {
-	return fractionOf(pollHoldShare, min(s.MaxAge[discovery.Upstreams], s.MaxAge[discovery.Configuration]))
+// urgentMaxAge returns the maximum age of the rows of all urgent topics.
+func (s *Syncer) urgentMaxAge() time.Duration {
+	return min(s.MaxAge[discovery.Upstreams], s.MaxAge[discovery.Configuration])
 }
 
+// pollHold returns how long a peer may hold a request.
+func (s *Syncer) pollHold() time.Duration { return fractionOf(pollHoldShare, s.urgentMaxAge()) }
+
 // pollPeer requests the updates of a peer, applies them, and updates the peer's health.
 func (s *Syncer) pollPeer(ctx context.Context, peer contract.InstanceID, hold time.Duration) error {
 	s.mu.Lock()
@@ -349,7 +355,7 @@
 		if m.ID == source.peer || m.ID == s.Self.ID && source.readStore {
 			return // the remaining members rank lower
 		}
-		if failure, failed := s.peerFailures[m.ID]; failed && s.Clock() >= failure.retryAt {
+		if failure, failed := s.peerFailures[m.ID]; failed && s.Clock() >= s.retryTime(failure) {
 			s.probing = true
 			go func() {
 				err := s.pollPeer(ctx, m.ID, 0)
@@ -406,17 +412,21 @@
 
 // AwaitRead waits until a topic is due to be read from the store. lastRead is the time of the
 // last read, zero before the first. An instance that reads the store reads each topic again soon
-// after the store has returned from a copy; a follower gets the rows from its source.
+// after the store has returned from a copy, unless a peer delivers it (AwaitPeers); a follower gets the
+// rows from its source.
 func (s *Syncer) AwaitRead(ctx context.Context, topic discovery.Topic, standalone discovery.PollSchedule, lastRead time.Time) {
 	jitter, returnDelay := rand.Float64(), discovery.ReturnDelay()
 	var returnSeen time.Time
 	for {
 		newest, laterEra := s.Eras.Newest()
-		held, _ := s.Logs[topic].Revision()
+		held, loaded := s.Logs[topic].Revision()
 		if newest > held.Era && returnSeen.IsZero() {
 			returnSeen = time.Now()
 		}
 		s.mu.Lock()
+		if loaded && newest > held.Era {
+			s.observeEra(newest)
+		}
 		rescheduled := s.rescheduled
 		var wait time.Duration
 		if age, loaded := s.Logs[topic].Age(); !loaded || !s.source.readStore {
