--- a/internal/storesync/harness_test.go
+++ b/internal/storesync/harness_test.go
@@ -481,3 +481,13 @@
 		}
 	}
 }
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -129,15 +129,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // StoreStateChanged notifies the syncer that calls to the store have begun to fail, or succeed
 // again. On recovery old topics are read immediately: the backoff applies only while the
 // store fails.
