discovery: remove missing upstreams although single calls to the store fail

What callers saw: nothing yet, found in a review. After a return from a copy or an outage, an upstream that had left stayed listed, and got requests, for as long as single calls failed: one topic whose calls always fail is enough, since the calls of the others succeed in between.

Cause: each recovery of the calls begins the grace period of missing upstreams again, without a limit.

Change: failed calls prolong it until the store has been read for 12 s since the last outage or return, which give the whole time again as before.

Evidence: TestMissingUpstreamsAreRemovedWhileSingleCallsFail (virtual time) fails without the limit: still listed after a minute of calls that fail every 300 ms. The other test fails if an outage does not begin the count again (mutation).

--- a/internal/discovery/upstreams.go
+++ b/internal/discovery/upstreams.go
@@ -30,8 +30,17 @@
 	// evidenceMargin is how long before the end of the grace period the list may have been read last
 	// for its missing upstreams to count as gone then.
 	evidenceMargin = 700 * time.Millisecond
+	// maxLapseTime is how long short failures of calls may prolong the grace period of a missing upstream:
+	// the calls of one topic may fail for long while the others succeed.
+	maxLapseTime = 12 * time.Second
 )
 
+// lapse is the grace period of a missing upstream.
+type lapse struct {
+	until   time.Time     // when the upstream is removed
+	settled time.Duration // time since its last outage or return in which the store was read
+}
+
 // UpstreamList keeps the pool in sync with the upstream entries of the store.
 type UpstreamList struct {
 	pool    *pool.Pool
@@ -40,7 +49,7 @@
 
 	mu         sync.Mutex               // guards the fields below
 	upstreams  map[string]pool.Upstream // by key
-	lapsed     map[string]time.Time     // missing entries after an outage, with the time at which they are removed
+	lapsed     map[string]lapse         // missing entries after an outage, by key
 	graceUntil time.Time                // end of the period in which missing entries may have lapsed
 	asOf       time.Time                // when the store was read for the newest update
 	// failingSince is when calls of this instance to the store began to fail; zero if they succeed, or
@@ -54,7 +63,7 @@
 func NewUpstreamList(p *pool.Pool, decoder Decoder, log logrus.FieldLogger) *UpstreamList {
 	return &UpstreamList{
 		pool: p, decoder: decoder, log: log,
-		upstreams: map[string]pool.Upstream{}, lapsed: map[string]time.Time{}, removed: removedUpstreams{}, withheld: map[string]withheldUpstream{},
+		upstreams: map[string]pool.Upstream{}, lapsed: map[string]lapse{}, removed: removedUpstreams{}, withheld: map[string]withheldUpstream{},
 	}
 }
 
@@ -70,11 +79,13 @@
 	switch {
 	case batch.Returned:
 		l.graceUntil = now.Add(returnGrace)
-		l.extendGrace(now)
+		l.restartGrace(now)
 		l.log.WithFields(logrus.Fields{"era": batch.Era, "version": batch.Version, "upstreams": len(l.upstreams)}).Info("list of upstreams is from a copy; missing upstreams kept for the grace period")
 	case gap > outageGap && len(l.upstreams) > 0:
 		l.graceUntil = now.Add(lapseGrace)
-		l.extendGrace(now)
+		l.restartGrace(now)
+	default:
+		l.settleLapsed(sinceRead)
 	}
 	// A follower makes no call while it gets updates, so its calls may count as failing for long.
 	if l.asOf.After(l.failingSince) {
@@ -121,7 +132,13 @@
 	l.failingSince = time.Time{}
 	if until := now.Add(lapseGrace); len(l.lapsed) > 0 && until.After(l.graceUntil) {
 		l.graceUntil = until
-		l.extendGrace(now)
+		for key, missing := range l.lapsed {
+			if missing.settled < maxLapseTime {
+				missing.until = until
+				l.lapsed[key] = missing
+			}
+		}
+		l.expireAfterGrace(now)
 	}
 }
 
@@ -198,7 +215,7 @@
 		return false
 	}
 	if now.Before(l.graceUntil) && !u.Draining {
-		l.lapsed[key] = l.graceUntil
+		l.lapsed[key] = lapse{until: l.graceUntil}
 		l.expireAfterGrace(now)
 		l.log.WithFields(logrus.Fields{"upstream": u.ID, "grace_ms": l.graceUntil.Sub(now).Milliseconds()}).Info("upstream entry lapsed during a store outage; upstream kept for the grace period")
 		return false
@@ -207,17 +224,25 @@
 	return true
 }
 
-// extendGrace keeps the upstreams that are missing already for the whole grace period.
-func (l *UpstreamList) extendGrace(now time.Time) {
+// restartGrace keeps the upstreams that are missing already for the whole grace period.
+func (l *UpstreamList) restartGrace(now time.Time) {
 	if len(l.lapsed) == 0 {
 		return
 	}
 	for key := range l.lapsed {
-		l.lapsed[key] = l.graceUntil
+		l.lapsed[key] = lapse{until: l.graceUntil}
 	}
 	l.expireAfterGrace(now)
 }
 
+// settleLapsed counts the time since the update before for the missing upstreams.
+func (l *UpstreamList) settleLapsed(sinceRead time.Duration) {
+	for key, missing := range l.lapsed {
+		missing.settled += sinceRead
+		l.lapsed[key] = missing
+	}
+}
+
 // expireAfterGrace calls expireLapsed at the end of the grace period. The next response of the store
 // may arrive much later, and an upstream that the last one has shown to be gone must get no more
 // requests then.
@@ -238,8 +263,8 @@
 // stay as long as the store has not been read again.
 func (l *UpstreamList) expire(now time.Time) bool {
 	changed := false
-	for key, until := range l.lapsed {
-		if !now.Before(until) && l.failingSince.IsZero() && !l.asOf.Before(until.Add(-evidenceMargin)) {
+	for key, missing := range l.lapsed {
+		if !now.Before(missing.until) && l.failingSince.IsZero() && !l.asOf.Before(missing.until.Add(-evidenceMargin)) {
 			delete(l.lapsed, key)
 			l.remove(key, l.upstreams[key])
 			changed = true
--- a/internal/discovery/upstreams_return_test.go
+++ b/internal/discovery/upstreams_return_test.go
@@ -330,6 +330,57 @@
 	}
 }
 
+// failSingleCalls applies updates for a while, between which single calls to the store fail.
+func failSingleCalls(l *UpstreamList, interval, d time.Duration, while func() bool) {
+	for began := time.Now(); time.Since(began) < d && while(); {
+		time.Sleep(interval - 50*time.Millisecond)
+		l.StoreStateChanged(true)
+		time.Sleep(50 * time.Millisecond)
+		l.Apply(Batch{Era: 2}, interval)
+		l.StoreStateChanged(false)
+		synctest.Wait()
+	}
+}
+
+// Guards against upstreams that have left and stay listed for as long as the calls of another topic fail.
+func TestMissingUpstreamsAreRemovedWhileSingleCallsFail(t *testing.T) {
+	for _, interval := range []time.Duration{300 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			p := pool.New()
+			l := NewUpstreamList(p, processDecoder{}, discardLogger())
+			l.Apply(Batch{Rows: []Row{row("a", "ready 1 x", 1), row("b", "ready 1 y", 2)}}, 0)
+			l.Apply(returned(deletedRow("b", 1)), time.Second)
+			failSingleCalls(l, interval, maxLapseTime+lapseGrace+2*interval, func() bool { return usable(p) != "a" })
+			g.Expect(usable(p)).To(Equal("a"), "a call fails every %v", interval)
+		})
+	}
+}
+
+// Guards against live upstreams that are removed after an outage because single calls had failed before it.
+func TestOutageAfterSingleFailedCallsGivesMissingUpstreamsTimeAgain(t *testing.T) {
+	const interval = 300 * time.Millisecond
+	for name, store := range map[string]Batch{"outage": {Era: 2}, "second return": {Era: 3, Returned: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				p := pool.New()
+				l := NewUpstreamList(p, processDecoder{}, discardLogger())
+				l.Apply(Batch{Rows: []Row{row("a", "ready 1 x", 1), row("b", "ready 1 y", 2)}}, 0)
+				l.Apply(returned(deletedRow("b", 1)), time.Second)
+				failSingleCalls(l, interval, maxLapseTime-interval, func() bool { return true })
+				g.Expect(usable(p)).To(Equal("a b"))
+				l.StoreStateChanged(true)
+				time.Sleep(10 * time.Second)
+				l.Apply(store, 10*time.Second)
+				l.StoreStateChanged(false)
+				failSingleCalls(l, interval, lapseGrace+2*interval, func() bool { return true })
+				g.Expect(usable(p)).To(Equal("a b"))
+			})
+		})
+	}
+}
+
 // Guards against live upstreams that are removed when the store is away again right after it has
 // come back from a copy.
 func TestOutageAfterReturnRemovesNoUpstream(t *testing.T) {
