storesync: make the secret of the fleet although single calls to the store fail

What callers saw: nothing yet, found in a review. Instances that found rows of others but no secret made none, and so opened no links, for as long as single calls failed: one topic whose calls always fail is enough.

Cause: an instance waits until calls to the store have succeeded for 5 s on end, and each failed call began this time again.

Change: failures of less than a second are left out of the time instead; longer ones begin it again as before.

Evidence: TestFleetMakesItsSecretWhileSingleCallsFail (virtual time) fails without the change of syncer.go: no secret after a minute with 2 instances.

--- a/internal/storesync/returnedstore_test.go
+++ b/internal/storesync/returnedstore_test.go
@@ -129,6 +129,44 @@
 	}
 }
 
+// Guards against a fleet that makes no secret, and opens no links, for as long as the calls of another
+// topic fail.
+func TestFleetMakesItsSecretWhileSingleCallsFail(t *testing.T) {
+	for _, size := range []int{2, 6} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			store := newCopiedStore(t)
+			rows := map[string][]byte{}
+			for n := range size {
+				m := copiedMember(n)
+				key, value, err := m.row(time.Now())
+				g.Expect(err).NotTo(HaveOccurred())
+				rows[key] = value
+			}
+			store.restore(rows)
+			var fleet []*copiedInstance
+			for n := range size {
+				fleet = append(fleet, store.start(copiedMember(n)))
+			}
+			for began := time.Now(); time.Since(began) < time.Minute; {
+				time.Sleep(2400 * time.Millisecond)
+				for _, i := range fleet {
+					i.failing.Store(true)
+					i.syncer.StoreStateChanged(true)
+				}
+				time.Sleep(100 * time.Millisecond)
+				for _, i := range fleet {
+					if i.failing.Swap(false) {
+						i.syncer.StoreStateChanged(false)
+					}
+				}
+			}
+			time.Sleep(copiedReadInterval)
+			store.expectOneFleet(fleet)
+		})
+	}
+}
+
 // Guards against instances that never link because they keep a secret that is not in the store.
 func TestSecretInTheStoreReplacesTheOneThatIsHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -29,6 +29,9 @@
 	// linkStartupTimeout is how long a started instance waits for its links before it takes
 	// the store as its source.
 	linkStartupTimeout = time.Second
+	// briefFailure is how long calls to the store may fail without counting as an outage: those of one
+	// topic may fail while the others succeed.
+	briefFailure = time.Second
 )
 
 // Transport carries messages between instances.
@@ -76,7 +79,8 @@
 	firstInstancesRead time.Duration // time of the first read of Instances, by the clock
 	startedAt          time.Duration
 	configuration      configurationRequests // used by Run only
-	recoveredAt        time.Duration         // when calls to the store last began to succeed, by the clock
+	failingSince       time.Duration         // when calls to the store last began to fail, by the clock
+	recoveredAt        time.Duration         // when the last outage ended, later by the brief failures since
 	catchUp            catchUp
 	staleBefore        int // number of stale peers that rank before this instance
 }
@@ -133,17 +137,24 @@
 // again. On recovery old topics are read immediately: the backoff applies only while the
 // store fails.
 func (s *Syncer) StoreStateChanged(failing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock()
 	if failing {
+		s.failingSince = now
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.recoveredAt = s.Clock()
+	if failed := now - s.failingSince; failed < briefFailure {
+		s.recoveredAt += failed
+	} else {
+		s.recoveredAt = now
+	}
 	clear(s.directReads)
 	s.rescheduleReads()
 }
 
-// storeReachableFor returns how long calls to the store have succeeded.
+// storeReachableFor returns how long calls to the store have succeeded since the last outage; 0 while
+// they fail.
 func (s *Syncer) storeReachableFor() time.Duration {
 	if s.StoreFailing() {
 		return 0
