storesync: ask peers for a newer configuration after each return of the store

What callers saw: nothing yet, found in a review. A reader of a failure domain that was cut off from the store and its peers when a configuration was written, and reached them again when the store had come back from an older copy, served the copy's configuration until the operator's next write, beside peers with the newer one.

Cause: a reader asks its peers for a newer configuration only after its start; one that has run for long had used its three answers up then.

Change: it asks up to three peers in each era that its configuration is read in. The request asks for no rows of the other topics now, which the response held for nothing; earlier builds understand it, as their followers state versions too.

--- a/internal/storesync/returns_test.go
+++ b/internal/storesync/returns_test.go
@@ -419,3 +419,42 @@
 		}
 	}
 }
+
+// Guards against an instance that reads the store for its failure domain and stays with the configuration
+// of a copy, because it was cut off when a newer one was written, although its peers have it.
+func TestReaderThatWasCutOffGetsConfigurationOfItsPeersAfterAReturn(t *testing.T) {
+	for _, each := range []int{minDomainSize, 8} {
+		t.Run(fmt.Sprintf("%d instances", each), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, 1)
+				defer h.close()
+				h.startFleet(0, 1, each)
+				time.Sleep(30 * time.Second)
+				reader := h.readers()["d0"][0]
+				h.network.Partition([]contract.InstanceID{reader})
+				h.store.update(func(s *store) {
+					s.refuseCall = func(instance contract.InstanceID) error {
+						if instance == reader {
+							return errRefused
+						}
+						return nil
+					}
+				})
+				time.Sleep(time.Second)
+				copied := time.Now()
+				time.Sleep(100 * time.Millisecond)
+				h.store.write(discovery.Configuration, "config", "5", false)
+				time.Sleep(changeBound)
+				h.store.goAway()
+				time.Sleep(time.Second)
+				h.store.comeBack(copied, true, true)
+				h.network.Heal()
+				h.store.update(func(s *store) { s.refuseCall = nil })
+				time.Sleep(changeBound)
+				for id, p := range h.processes {
+					h.g.Expect(p.active.Current().Version).To(Equal(int64(5)), "%s, source %s", id, p.source())
+				}
+			})
+		})
+	}
+}
--- a/internal/storesync/startup.go
+++ b/internal/storesync/startup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -11,28 +12,32 @@
 )
 
 const (
-	// maxConfigurationPeers is the number of peers that an instance asks for a newer configuration. One
-	// that has just started too may not have it.
+	// maxConfigurationPeers is the number of peers that an instance asks for a newer configuration in
+	// each era of the store. One that has just started too may not have it.
 	maxConfigurationPeers = 3
-	// maxConfigurationRequests bounds the requests, of which some may fail.
+	// maxConfigurationRequests bounds the requests in an era, of which some may fail.
 	maxConfigurationRequests = 10
 )
 
 // configurationRequests are the requests of an instance for a newer configuration than that of the store.
 type configurationRequests struct {
+	era      discovery.Era // of the store's configuration
 	sent     int
 	answered map[contract.InstanceID]bool
 }
 
 // requestConfiguration asks a peer for a newer configuration than that of the store, which may have
-// come back from a copy before this instance started. Followers get it from their source, but an
-// instance that reads the store for them would stay with that of the copy.
+// come back from a copy before this instance started, or when it was cut off. Followers get it from
+// their source, but an instance that reads the store for them would stay with that of the copy.
 func (s *Syncer) requestConfiguration(ctx context.Context, ranked []Member, source dataSource) {
 	requests := &s.configuration
 	s.mu.Lock()
 	transport := s.transport
 	s.mu.Unlock()
-	_, loaded := s.Logs[discovery.Configuration].Revision()
+	held, loaded := s.Logs[discovery.Configuration].Revision()
+	if loaded && held.Era != requests.era {
+		*requests = configurationRequests{era: held.Era}
+	}
 	if !loaded || !source.readStore || transport == nil || requests.sent >= maxConfigurationRequests || len(requests.answered) >= maxConfigurationPeers {
 		return
 	}
@@ -41,7 +46,7 @@
 		return
 	}
 	requests.sent++
-	response, err := s.send(ctx, transport, peer, updateRequest{Positions: make([]wirePosition, len(topics))})
+	response, err := s.send(ctx, transport, peer, configurationRequest())
 	log := s.Log.WithField("peer", peer)
 	if err == nil && response.Stale {
 		err = errors.New("rows of the peer are stale")
@@ -65,6 +70,18 @@
 	}
 }
 
+// configurationRequest returns a request for the rows of the configuration only: no peer has newer rows of
+// the other topics than those that it states.
+func configurationRequest() updateRequest {
+	request := updateRequest{Positions: make([]wirePosition, len(topics))}
+	for i, topic := range topics {
+		if topic != discovery.Configuration {
+			request.Positions[i].Version = math.MaxInt64
+		}
+	}
+	return request
+}
+
 // next returns a peer that has not answered, another one with each request.
 func (r *configurationRequests) next(self contract.InstanceID, ranked []Member) (peer contract.InstanceID, found bool) {
 	var peers []contract.InstanceID
