forward: test that a stream waiting for its turn stays at an upstream that goes on

Found in a review of: without the lines that end the wait when the upstream sends an event or answers a probe, and without the check for events that wait, all tests of the package passed. So did a run of the tests on silence with a place that is kept by a stream which does not use its turn.

The check for events that wait (useTurn) is still not tested.

--- a/internal/forward/graceend_test.go
+++ b/internal/forward/graceend_test.go
@@ -80,6 +80,7 @@
 				switch {
 				case c.turnAt > 0:
 					h.g.Expect(h.log.String()).To(ContainSubstring("obstacle=moves"))
+					h.g.Expect(h.f.movingStreams).To(HaveLen(maxMovingStreams-1), "a turn that is not used is given back")
 				case c.silentAt > 0:
 					h.g.Expect(h.log.String()).To(ContainSubstring("obstacle=grace"))
 				}
--- a/internal/forward/silencedecision_test.go
+++ b/internal/forward/silencedecision_test.go
@@ -250,3 +250,34 @@
 		}
 	})
 }
+
+// Guards against a stream that leaves an upstream which has gone on while the stream waited for its turn to move.
+func TestStreamThatWaitsForItsTurnStaysAtUpstreamThatGoesOn(t *testing.T) {
+	const events = 60
+	for name, behave := range map[string]func(h *harness) behaviour{
+		"sends events": func(h *harness) behaviour { return h.silentAfter(20, 1200*time.Millisecond, events) },
+		"answers probes": func(h *harness) behaviour {
+			time.AfterFunc(100*time.Millisecond, func() { h.setSilent("a", true) })
+			time.AfterFunc(1300*time.Millisecond, func() { h.setSilent("a", false) })
+			return respondAfter(5*time.Second, sendEvents(events, testInterval, nil))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				h := newHarness(t, streaming, true, "a", "b")
+				h.setBehaviour(behave(h), "a")
+				h.setBehaviour(sendEvents(events, testInterval, nil), "b")
+				h.markAllLostBut("a")
+				for range maxMovingStreams {
+					h.f.movingStreams <- struct{}{}
+				}
+				time.AfterFunc(2*time.Second, func() { <-h.f.movingStreams })
+				got := h.request(t.Context(), nil)
+				h.g.Expect(got.body).To(Equal(eventsText(1, events)))
+				h.g.Expect(h.log.String()).To(ContainSubstring("obstacle=moves"))
+				h.g.Expect(h.receivedBy()).To(Equal([]string{"a"}))
+				h.g.Expect(h.f.movingStreams).To(HaveLen(maxMovingStreams - 1))
+			})
+		})
+	}
+}
