instance: wait for the close of a connection instead of sleeping in a test

TestRequestThatArrivesWhileAnInstanceExitsIsAnswered slept until the instance should have closed its idle connections. It now waits until one is closed, so a slow machine cannot make it miss the fault.

--- a/internal/instance/halfhead_test.go
+++ b/internal/instance/halfhead_test.go
@@ -20,6 +20,24 @@
 // exitTimeout bounds the exit of an instance in real time.
 const exitTimeout = 10 * time.Second
 
+func dialInstance(g Gomega, address string) (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(conn.SetDeadline(time.Now().Add(exitTimeout))).To(Succeed())
+	return conn, bufio.NewReader(conn)
+}
+
+// exchangeLivez makes a request, after which the connection is kept.
+func exchangeLivez(g Gomega, conn net.Conn, reader *bufio.Reader) {
+	_, err := io.WriteString(conn, "GET /livez HTTP/1.1\r\nHost: i\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	response, err := http.ReadResponse(reader, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.Copy(io.Discard, response.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Close).To(BeFalse())
+}
+
 // Guards against closing a connection without an answer because a draining instance exits while the head of a request
 // arrives (incident LOST).
 func TestRequestThatArrivesWhileAnInstanceExitsIsAnswered(t *testing.T) {
@@ -31,32 +49,22 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			address := listener.Addr().String()
 			s := serveInstanceAt(t, settings.Settings{}, 0, listener, (&net.Dialer{}).DialContext)
-			conn, err := net.Dial("tcp", address)
-			g.Expect(err).NotTo(HaveOccurred())
+			conn, reader := dialInstance(g, address)
 			defer conn.Close()
-			g.Expect(conn.SetDeadline(time.Now().Add(exitTimeout))).To(Succeed())
-			reader := bufio.NewReader(conn)
 			if kept {
-				_, err = io.WriteString(conn, "GET /livez HTTP/1.1\r\nHost: i\r\n\r\n")
-				g.Expect(err).NotTo(HaveOccurred())
-				response, err := http.ReadResponse(reader, nil)
-				g.Expect(err).NotTo(HaveOccurred())
-				g.Expect(response.Close).To(BeFalse())
+				exchangeLivez(g, conn, reader)
 			}
+			idle, idleReader := dialInstance(g, address)
+			defer idle.Close()
+			exchangeLivez(g, idle, idleReader)
 			request := fmt.Sprintf("POST /v1/workspaces/shop-a/services/stock/calls HTTP/1.1\r\nHost: i\r\n"+
 				"Content-Type: application/json\r\nIdempotency-Key: %s\r\nContent-Length: 2\r\n\r\n{}", contract.NewKey())
 			half := strings.Index(request, "Content-Type")
 			_, err = io.WriteString(conn, request[:half])
 			g.Expect(err).NotTo(HaveOccurred())
 			s.drain()
-			g.Eventually(func() error {
-				probe, err := net.Dial("tcp", address)
-				if err == nil {
-					_ = probe.Close()
-				}
-				return err
-			}, exitTimeout, 5*time.Millisecond).Should(HaveOccurred(), "the instance does not close its listener")
-			time.Sleep(drainPollInterval)
+			_, err = idleReader.ReadByte()
+			g.Expect(err).To(MatchError(io.EOF), "the instance does not close a connection without a request")
 			_, err = io.WriteString(conn, request[half:])
 			g.Expect(err).NotTo(HaveOccurred())
 			response, err := http.ReadResponse(reader, nil)
