--- a/internal/discovery/removed.go
+++ b/internal/discovery/removed.go
@@ -14,7 +14,8 @@
 	removedRetention = 10 * time.Minute
 	maxRemoved       = 10_000
 	// withholdTime is how long an upstream that was removed gets no requests after a copy of the
-	// store has listed it again, of the time in which the store is read. The platform removes the entries of dead upstreams sooner.
+	// store has listed it again. Only time in which the store is read counts. The platform removes
+	// the entries of dead upstreams sooner.
 	withholdTime = 6 * time.Second
 )
 
