--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -45,6 +45,7 @@
 	Work          time.Duration // of a call, or to prefill a prompt
 	EventInterval time.Duration // of a stream
 	Arguments     []string      // program and further arguments; nil: the project's stand-in
+	Dark          bool          // the server falls silent in a crash, until RestartDelay has passed
 }
 
 // Options describe a fleet.
@@ -173,9 +174,17 @@
 	}
 	f.restarts.Go(func() {
 		for count := 2; ; count++ {
-			_ = process.Wait()
-			f.recordEnd(s.Name)
-			time.Sleep(f.RestartDelay)
+			if s.Dark {
+				f.awaitCrash(log, count-1)
+				f.recordEnd(s.Name)
+				time.Sleep(f.RestartDelay)
+				_ = process.Process.Kill() // by its ID
+				_ = process.Wait()
+			} else {
+				_ = process.Wait()
+				f.recordEnd(s.Name)
+				time.Sleep(f.RestartDelay)
+			}
 			if f.isClosed() {
 				return
 			}
@@ -236,6 +245,17 @@
 	return process, nil
 }
 
+// awaitCrash waits until a server has logged a number of crashes, or the fleet is closed.
+func (f *Fleet) awaitCrash(log string, count int) {
+	for !f.isClosed() {
+		text, _ := os.ReadFile(log) // an error means that there is no log yet
+		if bytes.Count(text, []byte("crashed request=")) >= count {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 func (f *Fleet) recordEnd(server string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/review/harness/poison.go
+++ b/review/harness/poison.go
@@ -153,7 +153,7 @@
 	}
 	poison := slices.DeleteFunc(arrived, func(e Event) bool { return !e.HasPrefix("poison-") })
 	slices.SortFunc(poison, func(a, b Event) int { return a.At.Compare(b.At) })
-	crashes := fleet.crashes()
+	crashes := fleet.Crashes()
 	late := 0
 	for i, e := range poison {
 		isLate := len(crashes) >= knownCrashes && e.At.After(crashes[knownCrashes-1].Add(Contact))
@@ -172,8 +172,8 @@
 	return ExitHeld
 }
 
-// crashes returns when servers have ended, by the harness.
-func (f *Fleet) crashes() []time.Time {
+// Crashes returns when servers have crashed, as the harness has noticed.
+func (f *Fleet) Crashes() []time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Clone(f.ended)
