--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -76,14 +76,15 @@
 	mu        sync.Mutex
 	closed    bool
 	processes []*exec.Cmd
-	ended     []time.Time // when servers have ended by themselves
+	servers   map[string]*exec.Cmd // present process of each server
+	ended     []time.Time          // when servers have ended by themselves
 	restarts  sync.WaitGroup
 }
 
 // Start starts the store, the servers and the gateways, and waits until the gateways are ready.
 // Records go to record.txt in the folder of the case.
 func Start(options Options) (*Fleet, error) {
-	f := &Fleet{Options: options, started: time.Now()}
+	f := &Fleet{Options: options, started: time.Now(), servers: map[string]*exec.Cmd{}}
 	var err error
 	if f.bin, err = filepath.Abs("target"); err != nil {
 		return nil, err
@@ -166,7 +167,13 @@
 			arguments = append(arguments, "-token-interval", s.EventInterval.String())
 		}
 		f.Record("server %s starts as %s at %s", s.Name, id, address)
-		return f.run(s.Name, nil, arguments...)
+		process, err := f.run(s.Name, nil, arguments...)
+		if err == nil {
+			f.mu.Lock()
+			f.servers[s.Name] = process
+			f.mu.Unlock()
+		}
+		return process, err
 	}
 	process, err := launch(1)
 	if err != nil {
@@ -199,6 +206,13 @@
 	return nil
 }
 
+// KillServer kills the present process of a server.
+func (f *Fleet) KillServer(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_ = f.servers[name].Process.Kill() // by its ID; one that has ended needs none
+}
+
 // startGateway starts a gateway with the command of the deploy file.
 func (f *Fleet) startGateway(i int) error {
 	front, readiness := freeAddress(), freeAddress()
