--- a/review/build.sh
+++ b/review/build.sh
@@ -3,9 +3,9 @@
 # deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review/ ./cmd/foxtailhub-standin
-go build -tags review -o target/review/ ./review/server ./review/darkserver
+go build -buildvcs=false -o target/review/ ./cmd/foxtailhub-standin
+go build -buildvcs=false -tags review -o target/review/ ./review/server ./review/darkserver
 for folder in review/[1-5]; do
 	[ -f "$folder/main.go" ] || continue
-	go build -tags review -o "target/$folder" "./$folder"
+	go build -buildvcs=false -tags review -o "target/$folder" "./$folder"
 done
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -30,8 +31,9 @@
 
 const (
 	// Host and Key are those of the configuration that Start writes.
-	Host = "shop.example"
-	Key  = "key-1"
+	Host                = "shop.example"
+	Key                 = "key-1"
+	firstPort, lastPort = 15000, 30000
 	// startTimeout bounds the start of the processes.
 	startTimeout = 10 * time.Second
 )
@@ -46,6 +48,7 @@
 	EventInterval time.Duration // of a stream
 	Arguments     []string      // program and further arguments; nil: the project's stand-in
 	Dark          bool          // the server falls silent in a crash, until RestartDelay has passed
+	RestartDelay  time.Duration // replaces that of the options; 0: it does not
 }
 
 // Options describe a fleet.
@@ -179,18 +182,22 @@
 	if err != nil {
 		return err
 	}
+	delay := s.RestartDelay
+	if delay == 0 {
+		delay = f.RestartDelay
+	}
 	f.restarts.Go(func() {
 		for count := 2; ; count++ {
 			if s.Dark {
 				f.awaitCrash(log, count-1)
 				f.recordEnd(s.Name)
-				time.Sleep(f.RestartDelay)
+				time.Sleep(delay)
 				_ = process.Process.Kill() // by its ID
 				_ = process.Wait()
 			} else {
 				_ = process.Wait()
 				f.recordEnd(s.Name)
-				time.Sleep(f.RestartDelay)
+				time.Sleep(delay)
 			}
 			if f.isClosed() {
 				return
@@ -382,13 +389,16 @@
 // HasPrefix reports whether a request is one of a group.
 func (e Event) HasPrefix(prefix string) bool { return strings.HasPrefix(e.Request, prefix) }
 
+// freeAddress returns an address whose port is free now and below the ports that the kernel gives to
+// connections, one of which could take it before a server starts again.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:0"
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 func await(condition func() bool) error {
