--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -8,7 +8,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -31,9 +30,11 @@
 
 const (
 	// Host and Key are those of the configuration that Start writes.
-	Host                = "shop.example"
-	Key                 = "key-1"
-	firstPort, lastPort = 15000, 30000
+	Host       = "shop.example"
+	Key        = "key-1"
+	firstPort  = 15000
+	portBlock  = 100
+	portBlocks = 150
 	// startTimeout bounds the start of the processes.
 	startTimeout = 10 * time.Second
 )
@@ -389,11 +390,15 @@
 // HasPrefix reports whether a request is one of a group.
 func (e Event) HasPrefix(prefix string) bool { return strings.HasPrefix(e.Request, prefix) }
 
-// freeAddress returns an address whose port is free now and below the ports that the kernel gives to
-// connections, one of which could take it before a server starts again.
+// nextPort is the next port to try of the block of this process.
+var nextPort = firstPort + os.Getpid()%portBlocks*portBlock
+
+// freeAddress returns an address whose port is free and that was not returned before. Cases that run
+// beside each other have blocks of their own, below the ports that the kernel gives to connections.
 func freeAddress() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		nextPort++
 		if listener, err := net.Listen("tcp", address); err == nil {
 			_ = listener.Close()
 			return address
--- a/review/harness/poison.go
+++ b/review/harness/poison.go
@@ -27,6 +27,9 @@
 	soundClients = 6
 	soundPause   = 100 * time.Millisecond
 	soundWork    = 30 * time.Millisecond // of a call at the project's stand-in
+	// repeatCopies and repeatFor are x and for_s of retry_abuse in the site file.
+	repeatCopies = 3
+	repeatFor    = 5500 * time.Millisecond
 )
 
 // PoisonCase is a fleet with a plain service, to which a request comes that crashes each server
@@ -38,11 +41,15 @@
 	// Program is a server to be used instead of the project's stand-in, whose work is Work.
 	Program string
 	Work    time.Duration
-	// Leaves is the time after which the client of the poison request closes its connection; 0: it waits.
-	Leaves time.Duration
-	Length time.Duration // of the time in which requests come
-	Pause  time.Duration // between two repeats of the poison request
-	Copies int           // of the poison request at a time, at different gateways
+	// Leaves is the time after which the client of the poison request closes its connection, for
+	// LeavesFor from the first request on; 0: it waits.
+	Leaves    time.Duration
+	LeavesFor time.Duration
+	Length    time.Duration // of the time in which requests come
+	Pause     time.Duration // between two repeats of the poison request
+	// Repeats are the times, since the first poison request, from which on its client repeats it
+	// repeatCopies more times at once, for repeatFor each.
+	Repeats []time.Duration
 }
 
 // Run runs the case and returns its exit code.
@@ -103,8 +110,13 @@
 	}
 	var requests sync.WaitGroup
 	defer requests.Wait()
+	began := time.Now()
 	for n := 0; time.Now().Before(end); n++ {
-		for i := range c.Copies {
+		since := time.Since(began)
+		if since >= c.LeavesFor {
+			request.Leaves = 0
+		}
+		for i := range c.copies(since) {
 			r, gateway := request, (n+i)%len(fleet.Gateways)
 			r.ID = fmt.Sprintf("poison-%03d-%d", n, i)
 			requests.Go(func() {
@@ -117,6 +129,16 @@
 	}
 }
 
+// copies returns how often the poison request is sent at a time since the first one.
+func (c PoisonCase) copies(since time.Duration) int {
+	for _, from := range c.Repeats {
+		if since >= from && since < from+repeatFor {
+			return 1 + repeatCopies
+		}
+	}
+	return 1
+}
+
 // sendSound sends sound calls one after the other and reports those without success.
 func sendSound(fleet *Fleet, client int, end time.Time, failed func(id string)) {
 	for n := 0; time.Now().Before(end); n++ {
