--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 	"foxtailhub.example/foxtailhub/internal/route"
 )
@@ -73,8 +74,8 @@
 		r.MaxAttempts = 2
 		h := newHarness(t, r, true, "a", "b", "c")
 		h.resumeWith([]behaviour{respondWith(http.StatusNotFound, "error text")}, "a", "b", "c")
-		content := newContent("", http.MethodPost, "http://host/path/%2f?query=1", []byte("body"))
-		h.f.Quarantine.Add(time.Now(), Crash{Content: content, UpstreamID: "earlier"})
+		content := poison.NewContent("", http.MethodPost, "http://host/path/%2f?query=1", []byte("body"))
+		h.f.Quarantine.Add(time.Now(), poison.RequestCrash{Content: content, Process: "earlier"})
 		h.g.Expect(h.request(t.Context(), nil).aborted).To(BeTrue())
 		h.g.Expect(h.f.Quarantine.Crashes(content)).NotTo(BeEmpty())
 		h.g.Expect(h.log.String()).To(ContainSubstring("result=upstream_error"))
@@ -146,8 +147,8 @@
 					status = http.StatusNotFound
 				}
 				h.setBehaviour(truncated(status), "a", "b")
-				content := newContent("", http.MethodPost, "http://host/path/%2f?query=1", []byte("body"))
-				h.f.Quarantine.Add(time.Now(), Crash{Content: content, UpstreamID: "earlier"})
+				content := poison.NewContent("", http.MethodPost, "http://host/path/%2f?query=1", []byte("body"))
+				h.f.Quarantine.Add(time.Now(), poison.RequestCrash{Content: content, Process: "earlier"})
 				got := h.request(t.Context(), nil)
 				synctest.Wait()
 				h.g.Expect(got.aborted).To(BeTrue())
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 	"foxtailhub.example/foxtailhub/internal/route"
 )
@@ -68,8 +69,8 @@
 			}
 			f.recordResult(ctx, x, last.member, last.reply.result, last.reply.retryAfter > 0)
 			x.logCallAttempt(last)
-			if last.reply.result == Failed && ctx.Err() == nil {
-				go f.confirmCallCrash(x, last, time.Now())
+			if last.delivered {
+				f.recordCallEnd(ctx, x, last)
 			}
 			if last.delivered || last.reply.result == Answered {
 				f.recordCallSuccess(x, last.reply)
@@ -119,8 +120,12 @@
 	r := f.sender.send(ctx, x, Attempt{Upstream: upstream, Workspace: x.workspace.Name, TimeLeft: x.timeLeft()})
 	f.recordResponseHead(x, m, upstream, r, startedAt)
 	r = r.buffer(x.memory)
+	ended := callAttempt{member: m, upstream: upstream, reply: r, startedAt: startedAt, listAge: listAge, listEra: listEra}
+	if !r.partial {
+		f.recordCallEnd(ctx, x, ended) // the caller may have left
+	}
 	select {
-	case results <- callAttempt{member: m, upstream: upstream, reply: r, startedAt: startedAt, listAge: listAge, listEra: listEra}:
+	case results <- ended:
 	case <-x.done: // the request has ended by another attempt or its deadline
 		r.close()
 		return
@@ -134,6 +139,20 @@
 	}
 }
 
+// recordCallEnd records how a run of a call ended. ctx is that of the attempt.
+func (f *Forwarder) recordCallEnd(ctx context.Context, x *exchange, a callAttempt) {
+	ended := endedRun{
+		content: x.content, prompt: x.prompt, maxAttempts: x.state.MaxAttempts, service: x.service, log: x.log,
+		member: a.member, upstream: a.upstream, sentAt: a.startedAt, at: time.Now(), progress: notBegun, head: a.delivered, unanswered: true,
+		cause: endCause(ctx, x, a.reply.result, a.reply.err), reset: connectionEnded(a.reply.err),
+	}
+	if ended.cause == poison.CauseLost {
+		go f.recordRunEnd(ended) // it checks the process
+		return
+	}
+	f.recordRunEnd(ended)
+}
+
 // endCall delivers the response of the last attempt, unless that is done. The connection is aborted
 // if the response was truncated, so that it does not look complete.
 func (f *Forwarder) endCall(x *exchange, last callAttempt) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -15,26 +15,28 @@
 
 // exchange is one request of a caller with the state of its handling.
 type exchange struct {
-	request    *http.Request
-	writer     http.ResponseWriter
-	meta       Metadata
-	body       []byte
-	memory     *reservation  // memory for the body and for responses
-	done       chan struct{} // closed when the request has ended
-	content    ContentHash
-	prompt     poison.Prompt // parts of the prompt that others may share
-	trial      bool          // the request shows whether the verdict that refuses it is wrong
-	route      *route.Route
-	service    route.Service
-	workspace  route.Workspace
-	version    int64 // version of the configuration that selected the route
-	receivedAt time.Time
-	deadline   time.Time
-	budget     *RetryBudget
-	log        logrus.FieldLogger
-	attempted  []string // all attempted upstreams, for the log
-	excluded   []string // attempted upstreams that are not chosen again
-	state      RequestState
+	request *http.Request
+	writer  http.ResponseWriter
+	meta    Metadata
+	body    []byte
+	memory  *reservation   // memory for the body and for responses
+	done    chan struct{}  // closed when the request has ended
+	content poison.Content // of the whole request
+	prompt  poison.Prompt  // parts of the prompt that others may share
+	trial   bool           // the request shows whether the verdict that refuses it is wrong
+	// contentTrial is whether the request shows whether its own quarantine is wrong.
+	contentTrial bool
+	route        *route.Route
+	service      route.Service
+	workspace    route.Workspace
+	version      int64 // version of the configuration that selected the route
+	receivedAt   time.Time
+	deadline     time.Time
+	budget       *RetryBudget
+	log          logrus.FieldLogger
+	attempted    []string // all attempted upstreams, for the log
+	excluded     []string // attempted upstreams that are not chosen again
+	state        RequestState
 	// retryReserved is whether the next attempt is already taken from the retry budget.
 	retryReserved bool
 	budgetLogged  bool         // the empty retry budget is logged
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -58,11 +58,10 @@
 	Startup <-chan struct{}
 	// StoreUnreachable reports whether the store that holds the configuration is unreachable.
 	StoreUnreachable func() bool
-	// Quarantine holds the evidence against requests that crash upstreams. ShareCrash
-	// sends a crash to the other instances; it returns no error, since the evidence
-	// counts also at this instance alone.
-	Quarantine *Quarantine
-	ShareCrash func(Crash)
+	// Quarantine holds the evidence against requests that crash upstreams, and CrashExchange
+	// shares it with the other instances; nil: it is not shared.
+	Quarantine    *poison.Quarantine
+	CrashExchange CrashExchange
 	// Poison holds the evidence and the verdicts on parts of prompts, and PartExchange shares
 	// them with the other instances; nil: an own ledger, and they are not shared.
 	Poison       *poison.Ledger
@@ -89,6 +88,8 @@
 	// movingStreams has an element for each stream that has left an upstream and has no event
 	// of the next one yet.
 	movingStreams chan struct{}
+	// watchedRuns has an element for each ended run whose outcome is not known yet.
+	watchedRuns chan struct{}
 }
 
 // New returns a forwarder.
@@ -99,7 +100,13 @@
 	if config.PartExchange == nil {
 		config.PartExchange = unsharedParts{}
 	}
-	f := &Forwarder{Config: config, sender: newSender(config.Protocol, config.Transport), movingStreams: make(chan struct{}, maxMovingStreams)}
+	if config.CrashExchange == nil {
+		config.CrashExchange = unsharedCrashes{}
+	}
+	f := &Forwarder{
+		Config: config, sender: newSender(config.Protocol, config.Transport),
+		movingStreams: make(chan struct{}, maxMovingStreams), watchedRuns: make(chan struct{}, maxWatchedRuns),
+	}
 	f.sender.confirmProcess = f.confirmProcess
 	return f
 }
@@ -132,9 +139,9 @@
 	if !f.admit(x) || !f.readBody(ctx, x) {
 		return
 	}
-	x.content = newContent(x.workspace.Name, r.Method, r.RequestURI, x.body)
+	x.content = poison.NewContent(x.workspace.Name, r.Method, r.RequestURI, x.body)
 	x.prompt = poison.NewPrompt(x.meta.PromptParts)
-	if f.refuseQuarantined(x) || f.refusePoisonParts(x) {
+	if f.refuseQuarantined(ctx, x) || f.refusePoisonParts(x) {
 		return
 	}
 	x.setPhase(waitUpstream)
@@ -353,6 +360,9 @@
 	if m.Current().ID != target.ID {
 		return // another process has the address now
 	}
+	if r.response != nil {
+		m.Heard(time.Now())
+	}
 	if r.leaving {
 		f.recordLeaving(x.log, m)
 	}
@@ -448,7 +458,7 @@
 		m.MarkLost(time.Now())
 	case Misdirected:
 		m.MarkReplaced(0)
-		f.identify(x, m)
+		f.identify(x.log, m)
 	case Failed:
 		m.Failed(time.Now())
 		m.Suspect()
@@ -459,6 +469,6 @@
 	case Answered:
 		m.Succeeded(time.Now())
 		m.Accepted(time.Now())
-		f.Quarantine.Clear(x.content)
+		f.clearQuarantine(x)
 	}
 }
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 	"foxtailhub.example/foxtailhub/internal/route"
 )
@@ -109,7 +110,9 @@
 	healthChecks     []string       // addresses of health checks
 	unansweredLoads  int            // number of queries for a load report without an answer
 	storeUnreachable bool
-	sharedCrashes    []Crash
+	sharedCrashes    []poison.RequestCrash
+	withdrawnCrashes []poison.RequestCrash
+	claimedTrials    []int
 }
 
 const (
@@ -144,7 +147,7 @@
 	h.f = New(Config{
 		Tables: h, Pool: h.pool, Protocol: testProtocol{}, Prober: h, KVCopier: h, PromptFinder: h,
 		RetryBudgets: NewRetryBudgets(1), Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Drain: NewDrainState(), Transport: h, StoreUnreachable: func() bool { return h.storeUnreachable },
-		Quarantine: NewQuarantine(), ShareCrash: h.recordSharedCrash, BodyMemory: NewBodyMemory(testMemory, log),
+		Quarantine: poison.NewQuarantine(nil), CrashExchange: h, BodyMemory: NewBodyMemory(testMemory, log),
 	})
 	return h
 }
@@ -190,12 +193,30 @@
 	return respond(req)
 }
 
-func (h *harness) recordSharedCrash(c Crash) {
+func (h *harness) ShareCrash(c poison.RequestCrash) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.sharedCrashes = append(h.sharedCrashes, c)
 }
 
+func (h *harness) WithdrawCrash(c poison.RequestCrash) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.withdrawnCrashes = append(h.withdrawnCrashes, c)
+}
+
+// ClaimTrial lets the instance have each trial once.
+func (h *harness) ClaimTrial(_ context.Context, content poison.Content, trial int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if slices.Contains(h.claimedTrials, trial) {
+		return false
+	}
+	h.claimedTrials = append(h.claimedTrials, trial)
+	h.f.Quarantine.RecordTrial(content, trial)
+	return true
+}
+
 func (h *harness) isResponsive(address string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -427,5 +448,10 @@
 	}
 }
 
-// inVirtualTime runs a test in virtual time.
-func inVirtualTime(t *testing.T, test func(t *testing.T)) { synctest.Test(t, test) }
+// inVirtualTime runs a test in virtual time, until the watches of ended runs have ended.
+func inVirtualTime(t *testing.T, test func(t *testing.T)) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(poison.SilenceLimit + silentWatchTime + canceledWatchTime + time.Second)
+		test(t)
+	})
+}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 )
 
@@ -18,6 +19,9 @@
 	heldBack  prometheus.Counter
 	ends      *prometheus.CounterVec
 	poison    *prometheus.CounterVec
+	// runEnds counts by poison.RunOutcome.
+	runEnds       [poison.RunOutcomes]prometheus.Counter
+	unwatchedRuns prometheus.Counter
 	// unansweredProbes counts by moveObstacle.
 	unansweredProbes *prometheus.CounterVec
 	// graceEnds counts by waitPhase.
@@ -64,13 +68,22 @@
 	m.poison = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "foxtailhub_forward_poison_parts_total", Help: "Events about parts of prompts that crash upstreams.",
 	}, []string{"event"})
+	runEnds := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "foxtailhub_forward_run_ends_total", Help: "Runs of requests at upstreams that ended, by outcome.",
+	}, []string{"outcome"})
+	for outcome := range m.runEnds {
+		m.runEnds[outcome] = runEnds.WithLabelValues(poison.RunOutcome(outcome).String())
+	}
+	m.unwatchedRuns = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "foxtailhub_forward_unwatched_runs_total", Help: "Ended runs whose outcome was not found out, because too many others were watched.",
+	})
 	m.unansweredProbes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "foxtailhub_forward_unanswered_probes_total", Help: "Probes that the upstream of a stream did not answer, by what keeps the stream from moving to another upstream.",
 	}, []string{"obstacle"})
 	m.graceEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "foxtailhub_forward_grace_end_requests_total", Help: "Requests in progress shortly before the end of a leaving instance, by what they waited for.",
 	}, []string{"waits_for"})
-	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.ends, m.poison, m.unansweredProbes, m.graceEnds)
+	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.ends, m.poison, runEnds, m.unwatchedRuns, m.unansweredProbes, m.graceEnds)
 	return m
 }
 
@@ -83,6 +96,8 @@
 
 func (m *Metrics) countUpstreamEnd(p progress) { m.ends.WithLabelValues(string(p)).Inc() }
 
+func (m *Metrics) countRunEnd(outcome poison.RunOutcome) { m.runEnds[outcome].Inc() }
+
 func (m *Metrics) countPoison(event string) { m.poison.WithLabelValues(event).Inc() }
 
 func (m *Metrics) countOutcome(x *exchange, outcome string) {
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -121,7 +121,7 @@
 	reports := make([]*pool.LoadReport, len(members))
 	var pending sync.WaitGroup
 	for i, m := range members {
-		pending.Go(func() { reports[i], _ = f.requestReport(ctx, x, m) }) // the error is logged there
+		pending.Go(func() { reports[i], _ = f.requestReport(ctx, x.log, m) }) // the error is logged there
 	}
 	pending.Wait()
 	return reports
@@ -129,29 +129,29 @@
 
 // requestReport polls an upstream for its load and updates its state. The report is nil if
 // the upstream does not respond, which is an error, or pushes back.
-func (f *Forwarder) requestReport(ctx context.Context, x *exchange, m *pool.Member) (*pool.LoadReport, error) {
+func (f *Forwarder) requestReport(ctx context.Context, log logrus.FieldLogger, m *pool.Member) (*pool.LoadReport, error) {
 	report, err := f.Prober.Load(ctx, m.Address)
 	if ctx.Err() == context.Canceled {
 		return nil, ctx.Err() // the caller disconnected
 	}
 	if err != nil {
-		x.log.WithField("upstream", m.ID).WithError(err).Info("upstream did not report its load")
+		log.WithField("upstream", m.ID).WithError(err).Info("upstream did not report its load")
 		m.MarkLost(time.Now())
 		return nil, err
 	}
 	m.MarkAlive(time.Now())
 	if report.Leaving {
-		f.recordLeaving(x.log, m)
+		f.recordLeaving(log, m)
 	}
 	if report.Rate.Stated {
-		f.recordRate(x.log, m, report.Rate, time.Now())
+		f.recordRate(log, m, report.Rate, time.Now())
 	}
 	if report.RetryAfter > 0 {
 		m.StartPushback(time.Now(), report.RetryAfter)
 		return nil, nil
 	}
 	if !m.ObserveStartTime(report.StartedAt) {
-		f.identify(x, m)
+		f.identify(log, m)
 	}
 	return &report, nil
 }
@@ -160,13 +160,13 @@
 // list shows it. The address may have passed to an upstream of another service instead.
 // Only engines report their load, so if a single service has engines, an upstream that
 // reports belongs to that service.
-func (f *Forwarder) identify(x *exchange, m *pool.Member) {
+func (f *Forwarder) identify(log logrus.FieldLogger, m *pool.Member) {
 	table := f.Tables.Current()
 	if !table.IsOnlyEngineService(m.Service) || !m.TryStartIdentify() {
 		return
 	}
 	healthPath := table.Service(m.Service).HealthPath
-	log := x.log.WithFields(logrus.Fields{"upstream": m.ID, "address": m.Address})
+	log = log.WithFields(logrus.Fields{"upstream": m.ID, "address": m.Address})
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
 		defer cancel()
--- a/internal/forward/poisonparts.go
+++ b/internal/forward/poisonparts.go
@@ -33,11 +33,11 @@
 
 // addPoisonCrash adds the evidence that the process of an upstream ended at the start of an
 // answer.
-func (f *Forwarder) addPoisonCrash(x *exchange, upstreamID, domain string, at time.Time) {
-	if len(x.prompt) == 0 {
+func (f *Forwarder) addPoisonCrash(r endedRun) {
+	if len(r.prompt) == 0 {
 		return
 	}
-	crash := poison.Crash{UpstreamID: upstreamID, FailureDomain: domain, Prompts: []poison.Prompt{x.prompt}, At: at}
+	crash := poison.Crash{UpstreamID: r.process(), FailureDomain: r.member.FailureDomain, Prompts: []poison.Prompt{r.prompt}, At: r.at}
 	verdicts := f.Poison.AddCrash(time.Now(), crash)
 	f.PartExchange.ShareCrash(crash)
 	if len(verdicts) == 0 {
@@ -45,7 +45,7 @@
 	}
 	for _, v := range verdicts {
 		f.Metrics.countPoison(poisonVerdict)
-		x.log.WithField("verdict", v.ID()).WithField("parts", formatParts(v.Parts)).Warn("parts of prompts are known to crash upstreams")
+		r.log.WithField("verdict", v.ID()).WithField("parts", formatParts(v.Parts)).Warn("parts of prompts are known to crash upstreams")
 	}
 	f.PartExchange.ShareVerdicts(verdicts)
 }
@@ -156,7 +156,7 @@
 // mayRepeat reports whether no verdict keeps a call from a further upstream. A trial gets one.
 func (f *Forwarder) mayRepeat(x *exchange) bool {
 	_, refused := f.Poison.Refuses(x.prompt)
-	return !refused && !x.trial
+	return !refused && !x.trial && !x.contentTrial
 }
 
 // recordCallSuccess records the complete answer to a call.
--- a/internal/forward/poisonparts_test.go
+++ b/internal/forward/poisonparts_test.go
@@ -45,20 +45,29 @@
 		f.instances = append(f.instances, h)
 	}
 	for _, h := range f.instances {
-		h.f.ShareCrash = func(crash Crash) {
-			time.AfterFunc(crashNotice, func() {
-				for _, other := range f.instances {
-					if other != h {
-						other.f.Quarantine.Add(time.Now(), crash)
-					}
-				}
-			})
-		}
+		h.f.CrashExchange = &delayedCrashes{fleet: f, self: h}
 		h.f.PartExchange = &delayedExchange{fleet: f, self: h}
 	}
 	return f
 }
 
+// delayedCrashes tells the other instances of a fleet the crashes that one shares, crashNotice later.
+type delayedCrashes struct {
+	unsharedCrashes
+	fleet *crashingFleet
+	self  *harness
+}
+
+func (e *delayedCrashes) ShareCrash(crash poison.RequestCrash) {
+	time.AfterFunc(crashNotice, func() {
+		for _, other := range e.fleet.instances {
+			if other != e.self {
+				other.f.Quarantine.Add(time.Now(), crash)
+			}
+		}
+	})
+}
+
 // delayedExchange tells the other instances of a fleet what one shares, crashNotice later.
 type delayedExchange struct {
 	unsharedParts
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 )
 
@@ -29,17 +30,17 @@
 		h.crashOnRequest("a", "b", "c", "d", "e", "f")
 		got := h.request(t.Context(), nil)
 		h.g.Expect(got.status).To(Equal(http.StatusBadGateway))
-		h.g.Expect(h.receivedBy()).To(HaveLen(crashLimit))
+		h.g.Expect(h.receivedBy()).To(HaveLen(poison.CrashLimit))
 		synctest.Wait()
-		h.g.Expect(h.sharedCrashes).To(HaveLen(crashLimit), "the other instances need all crashes")
+		h.g.Expect(h.sharedCrashes).To(HaveLen(poison.CrashLimit), "the other instances need all crashes")
 
 		again := h.request(t.Context(), nil)
 		h.g.Expect(again.status).To(Equal(http.StatusBadGateway))
 		h.g.Expect(again.duration).To(BeZero())
-		h.g.Expect(h.receivedBy()).To(HaveLen(crashLimit))
-		time.Sleep(QuarantineDuration)
+		h.g.Expect(h.receivedBy()).To(HaveLen(poison.CrashLimit))
+		time.Sleep(poison.QuarantineDuration)
 		h.request(t.Context(), nil)
-		h.g.Expect(len(h.receivedBy())).To(BeNumerically(">", crashLimit))
+		h.g.Expect(len(h.receivedBy())).To(BeNumerically(">", poison.CrashLimit))
 	})
 }
 
@@ -54,7 +55,7 @@
 		synctest.Wait()
 		h.g.Expect(h.sharedCrashes).To(HaveLen(1))
 		for _, other := range []string{"x", "y"} {
-			h.f.Quarantine.Add(time.Now(), Crash{Content: h.sharedCrashes[0].Content, UpstreamID: other})
+			h.f.Quarantine.Add(time.Now(), poison.RequestCrash{Content: h.sharedCrashes[0].Content, Process: other})
 		}
 		h.g.Expect(h.request(t.Context(), nil).status).To(Equal(http.StatusBadGateway))
 		h.g.Expect(h.receivedBy()).To(HaveLen(1))
@@ -93,18 +94,18 @@
 		}, names...)
 		h.request(t.Context(), nil)
 		synctest.Wait()
-		h.g.Expect(h.f.Quarantine.Contains(time.Now(), newContent("", http.MethodPost, "http://host/path/%2f?query=1", []byte("body")))).To(BeFalse())
+		h.g.Expect(h.f.Quarantine.Contains(time.Now(), poison.NewContent("", http.MethodPost, "http://host/path/%2f?query=1", []byte("body")))).To(BeFalse())
 		h.g.Expect(h.sharedCrashes).To(BeEmpty())
 	})
 	inVirtualTime(t, func(t *testing.T) { // an upstream completed the request meanwhile
 		h := newHarness(t, streaming, true, "a", "b")
 		q := h.f.Quarantine
-		content := newContent("", http.MethodPost, "http://host/path/%2f?query=1", []byte("body"))
-		q.Add(time.Now(), Crash{Content: content, UpstreamID: "x"})
-		q.Add(time.Now(), Crash{Content: content, UpstreamID: "y"})
+		content := poison.NewContent("", http.MethodPost, "http://host/path/%2f?query=1", []byte("body"))
+		q.Add(time.Now(), poison.RequestCrash{Content: content, Process: "x"})
+		q.Add(time.Now(), poison.RequestCrash{Content: content, Process: "y"})
 		h.setBehaviour(sendEvents(5, time.Millisecond, nil), "a", "b")
 		h.request(t.Context(), nil)
-		q.Add(time.Now(), Crash{Content: content, UpstreamID: "z"})
+		q.Add(time.Now(), poison.RequestCrash{Content: content, Process: "z"})
 		h.g.Expect(q.Contains(time.Now(), content)).To(BeFalse())
 	})
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,14 +22,49 @@
 	head  *attemptResult
 	event event
 	err   error // io.EOF: the stream is complete
+	// progress is whether it brings the stream forward; comments, blank lines and old events
+	// do not.
+	progress bool
+}
+
+// pendingProgress counts the items of a run that bring its stream forward and wait for the
+// forwarder. While there are any, the upstream is not silent.
+type pendingProgress struct {
+	newestID int64 // used by the receiver only
+	waiting  atomic.Int32
+}
+
+// add counts an item that is about to wait.
+func (p *pendingProgress) add(it *item) {
+	switch e := it.event; {
+	case it.head != nil || it.err != nil:
+		it.progress = true
+	case e.numbered:
+		it.progress = e.id > p.newestID
+		p.newestID = max(p.newestID, e.id)
+	default:
+		it.progress = e.hasData && p.newestID == 0
+	}
+	if it.progress {
+		p.waiting.Add(1)
+	}
+}
+
+// remove records that an item no longer waits.
+func (p *pendingProgress) remove(it item) {
+	if it.progress {
+		p.waiting.Add(-1)
+	}
 }
 
 // receiveStream sends the request and emits the received items until the stream ends.
-// onHead is called with the head of the response, and memory is for the events.
+// onHead is called with the head of the response, memory is for the events, and pending counts
+// those that wait in out.
 func (s *sender) receiveStream(
-	ctx context.Context, x *exchange, attempt Attempt, memory *reservation, onHead func(attemptResult), out chan<- item,
+	ctx context.Context, x *exchange, attempt Attempt, memory *reservation, pending *pendingProgress, onHead func(attemptResult), out chan<- item,
 ) {
 	emit := func(it item) bool {
+		pending.add(&it)
 		select {
 		case out <- it:
 			return true
@@ -68,6 +104,7 @@
 	sentTo     pool.Upstream // the process that was addressed
 	sentAt     time.Time
 	memory     *reservation // for events that the caller does not have yet
+	pending    pendingProgress
 	monitor    StreamMonitor
 	backup     *backup
 	response   *http.Response
@@ -105,6 +142,7 @@
 	for {
 		select {
 		case it := <-items:
+			r.pending.remove(it)
 			result, ended, err := r.handleItem(it)
 			if ended {
 				return result, err
@@ -120,8 +158,8 @@
 				r.monitor.ProbeNow(time.Now())
 			}
 		case <-timer.C:
-			if now := time.Now(); len(items) == 0 && !now.Before(r.monitor.StallDeadline()) {
-				if !r.silent && !r.memory.waiting.Load() && r.canMove(now) && r.reserveMove(errStalled) == noObstacle {
+			if now := time.Now(); !now.Before(r.monitor.StallDeadline()) {
+				if !r.silent && !r.progressWaits() && r.canMove(now) && r.reserveMove(errStalled) == noObstacle {
 					return Failed, errStalled
 				}
 				r.monitor.ExtendStall(now)
@@ -135,7 +173,7 @@
 			if ctx.Err() != nil {
 				return Failed, ctx.Err()
 			}
-			if len(items) > 0 || r.memory.waiting.Load() {
+			if r.progressWaits() {
 				p.err, p.replaced = nil, false // events that wait here are a sign of life
 			}
 			if p.replaced && r.silent {
@@ -146,7 +184,7 @@
 			}
 		case r.turn() <- struct{}{}:
 			cause := r.awaitedMove
-			if r.useTurn(time.Now(), len(items) > 0 || r.memory.waiting.Load()) {
+			if r.useTurn(time.Now(), r.progressWaits()) {
 				return Failed, cause
 			}
 		case <-r.verdictsChanged:
@@ -164,6 +202,10 @@
 	}
 }
 
+// progressWaits reports whether something waits here that brings the stream forward, which is a
+// sign of life.
+func (r *run) progressWaits() bool { return r.pending.waiting.Load() > 0 || r.memory.waiting.Load() }
+
 // handleItem handles an item received from the upstream.
 func (r *run) handleItem(it item) (result Result, ended bool, err error) {
 	switch {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -70,7 +70,7 @@
 			return
 		}
 		x.state.TimeLeft = x.timeLeft()
-		if s.endIfRefused(ctx) || !s.headWritten && f.refuseQuarantined(x) {
+		if s.endIfRefused(ctx) || !s.headWritten && f.refuseQuarantined(ctx, x) {
 			return
 		}
 		if ctx.Err() != nil || s.callerDisconnected || s.unnumbered || !s.awaitRetry(ctx) {
@@ -230,7 +230,8 @@
 	run.endPrefill = m.BeginPrefill()
 	defer run.markPrefilled()
 	items := make(chan item, eventBuffer)
-	go s.f.sender.receiveStream(ctx, s.x, attempt, run.memory, func(r attemptResult) { s.f.recordResponseHead(s.x, m, attempt.Upstream, r, startedAt) }, items)
+	run.pending.newestID = attempt.LastEventID
+	go s.f.sender.receiveStream(ctx, s.x, attempt, run.memory, &run.pending, func(r attemptResult) { s.f.recordResponseHead(s.x, m, attempt.Upstream, r, startedAt) }, items)
 	result, err := run.forwardItems(ctx, items)
 	if s.callerDisconnected || errors.Is(err, errPoisonParts) {
 		cancel() // a failure from here on is no evidence against the upstream
@@ -243,12 +244,10 @@
 		s.x.state.Refused = max(s.x.state.Refused, maxRefusals-1)
 	}
 	s.recordAttempt(ctx, run, attempt, result, err, startedAt)
-	switch result {
-	case Answered:
+	if result == Answered {
 		s.recordCompletion(run, time.Now())
-	case Failed:
-		s.confirmCrash(ctx, run, attempt, err, time.Now())
 	}
+	s.f.recordRunEnd(run.ended(ctx, attempt, result, err, time.Now()))
 	s.updateKVCopy(result, run, attempt.LastEventID)
 	run.backup.end(s.copy != nil)
 	return result
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 	"foxtailhub.example/foxtailhub/internal/route"
 )
@@ -467,7 +468,7 @@
 		h.g.Expect(func() { h.f.ServeHTTP(failingWriter{httptest.NewRecorder()}, r) }).To(PanicWith(http.ErrAbortHandler))
 		synctest.Wait()
 		h.g.Expect(h.receivedBy()).To(HaveLen(1))
-		h.g.Expect(h.f.Quarantine.crashTimes).To(BeEmpty())
+		h.g.Expect(h.f.Quarantine.Crashes(poison.NewContent("", http.MethodPost, "http://host/x", nil))).To(BeEmpty())
 	})
 }
 
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -11,7 +11,6 @@
 	"sync"
 	"syscall"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -116,7 +115,7 @@
 	for _, resumable := range []bool{false, true} {
 		for _, what := range []after{staysSound, isSilent, ends, restarts} {
 			t.Run(fmt.Sprintf("%s, resumable=%t", what, resumable), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
+				inVirtualTime(t, func(t *testing.T) {
 					r := streaming
 					r.Resumable = resumable
 					h := newEndingHarness(t, r, true)
@@ -141,7 +140,7 @@
 	for _, what := range []after{staysSound, isSilent, ends, restarts, refuses, refusesOne} {
 		for _, text := range []string{"half", long} {
 			t.Run(fmt.Sprintf("%s, %d bytes", what, len(text)), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
+				inVirtualTime(t, func(t *testing.T) {
 					r := idempotent
 					r.Timeout = 5 * time.Second
 					h := newEndingHarness(t, r, false)
--- a/internal/forward/upstreamend.go
+++ b/internal/forward/upstreamend.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"foxtailhub.example/foxtailhub/internal/poison"
-	"foxtailhub.example/foxtailhub/internal/pool"
 )
 
 // justBegunWindow is the time since its first event in which a run has only just begun its
@@ -74,80 +73,30 @@
 	return errors.IsAny(err, io.EOF, syscall.ECONNREFUSED, syscall.ECONNRESET)
 }
 
-// processState is what a probe shows about the process that a request was sent to.
-type processState int
-
-const (
-	processUnknown processState = iota // the probe got no answer in time, or one without an identity
-	processAlive
-	processGone // the connection was refused, or another process has the address
-)
-
-// probeProcess checks whether the process that a request was sent to still exists.
-func (f *Forwarder) probeProcess(ctx context.Context, x *exchange, m *pool.Member, upstreamID string) processState {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	report, err := f.requestReport(ctx, x, m)
-	switch {
-	case report != nil && m.Current().ID == upstreamID:
-		return processAlive
-	case report != nil || refusesConnections(err):
-		return processGone
-	}
-	return processUnknown
-}
-
-// confirmCrash checks whether the upstream of a run that failed is still the same process, if
-// the run may have crashed it, and records a crash if not.
-func (s *relay) confirmCrash(ctx context.Context, r *run, attempt Attempt, err error, now time.Time) {
-	atStart := connectionEnded(err) && r.answer.at(now) != inProgress
-	noEvent := s.lastEventID == attempt.LastEventID
-	if ctx.Err() != nil || !atStart && !noEvent {
-		return
-	}
-	process := s.f.probeProcess(ctx, s.x, r.member, attempt.Upstream.ID)
-	if atStart && process == processGone {
-		s.f.recordEndAtStart(s.x, r.endedProcess(attempt, now))
-	}
-	silent := errors.IsAny(err, errUnresponsive, errStalled)
-	if noEvent && (process == processGone || process == processUnknown && !silent) {
-		s.f.recordCrash(s.x, r.member, attempt.Upstream.ID)
-	}
-}
-
-// endedProcess is a process that ended while it ran a request.
-type endedProcess struct {
-	member     *pool.Member
-	upstreamID string
-	sentAt     time.Time // of the request
-	at         time.Time
-	progress   progress
-	written    time.Duration // since the first event
-	head       bool          // the head of the response had arrived
-	resumed    bool          // an earlier run had begun the answer
-}
-
-func (r *run) endedProcess(attempt Attempt, now time.Time) endedProcess {
-	return endedProcess{
-		member: r.member, upstreamID: attempt.Upstream.ID, sentAt: r.sentAt, at: now, progress: r.answer.at(now), written: r.answer.written(now),
-		head: r.response != nil, resumed: attempt.LastEventID > 0,
+// ended returns the end of a run with a result. ctx is that of the attempt.
+func (r *run) ended(ctx context.Context, attempt Attempt, result Result, err error, now time.Time) endedRun {
+	return endedRun{
+		content: r.x.content, prompt: r.x.prompt, maxAttempts: r.x.state.MaxAttempts, service: r.x.service, log: r.x.log,
+		member: r.member, upstream: attempt.Upstream, sentAt: r.sentAt, at: now, progress: r.answer.at(now), written: r.answer.written(now),
+		head: r.response != nil, resumed: attempt.LastEventID > 0, unanswered: r.lastEventID == attempt.LastEventID,
+		cause: endCause(ctx, r.x, result, err), reset: connectionEnded(err),
 	}
 }
 
-// recordEndAtStart records that the process of an upstream ended when the answer to a request
+// recordEndAtStart records that the process of an upstream was lost when the answer to a request
 // there had not begun or had only just begun.
-func (f *Forwarder) recordEndAtStart(x *exchange, p endedProcess) {
-	if f.Poison.EndedBefore(p.upstreamID, p.sentAt) {
-		x.log.WithField("upstream", p.upstreamID).Info("request was sent to an upstream process that had ended")
+func (f *Forwarder) recordEndAtStart(r endedRun) {
+	if f.Poison.EndedBefore(r.process(), r.sentAt) {
+		r.log.WithField("upstream", r.upstream.ID).Info("request was sent to an upstream process that had ended")
 		return
 	}
-	f.Metrics.countUpstreamEnd(p.progress)
-	x.log.WithFields(logrus.Fields{
-		"upstream": p.upstreamID, "domain": p.member.FailureDomain, "progress": p.progress, "head": p.head,
-		"written_ms": p.written.Milliseconds(), "resumed": p.resumed,
-		"parts": formatParts(x.prompt), "domain_lost": f.domainLost(p.member),
+	f.Metrics.countUpstreamEnd(r.progress)
+	r.log.WithFields(logrus.Fields{
+		"upstream": r.upstream.ID, "domain": r.member.FailureDomain, "progress": r.progress, "head": r.head,
+		"written_ms": r.written.Milliseconds(), "resumed": r.resumed,
+		"parts": formatParts(r.prompt), "domain_lost": f.domainLost(r.member),
 	}).Warn("upstream process ended at the start of an answer")
-	f.addPoisonCrash(x, p.upstreamID, p.member.FailureDomain, p.at)
+	f.addPoisonCrash(r)
 }
 
 // formatParts returns the parts of a prompt for a log line.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 
 	"foxtailhub.example/foxtailhub/internal/discovery"
 	"foxtailhub.example/foxtailhub/internal/forward"
+	"foxtailhub.example/foxtailhub/internal/notices"
 	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 	"foxtailhub.example/foxtailhub/internal/route"
@@ -85,24 +86,22 @@
 	g.configuration = discovery.NewActiveConfiguration(platform.Decoder, log)
 	g.upstreams = discovery.NewUpstreamList(g.pool, platform.Decoder, log)
 	startup := newStartup(discovery.Configuration, discovery.Upstreams)
-	quarantine := forward.NewQuarantine()
 	ledger := poison.NewLedger()
+	quarantine := poison.NewQuarantine(ledger)
 	storeFailing := func() bool { return g.sync.backoff.Failing() }
-	notices := notices{
-		crashes: newCrashExchange(platform.Store, quarantine, log),
-		rates:   newRateExchange(platform.Store, storeFailing, g.pool, log),
-		parts:   newPartExchange(platform.Store, storeFailing, ledger, settings.Instance, log),
-	}
+	exchange := notices.New(notices.Config{
+		Instance: settings.Instance, Store: platform.Store, StoreFailing: storeFailing, Pool: g.pool, Quarantine: quarantine, Ledger: ledger, Log: log,
+	})
 	g.forwarder = forward.New(forward.Config{
 		Tables: g.configuration, Pool: g.pool, Protocol: platform.Protocol, Prober: platform.Prober, KVCopier: platform.KVCopier, PromptFinder: platform.PromptFinder,
 		RetryBudgets: forward.NewRetryBudgets(settings.RetryShare),
 		Log:          log, Metrics: forward.NewMetrics(g.registry), Drain: g.drainState,
-		Startup: startup.done, StoreUnreachable: g.storeUnavailable, Quarantine: quarantine, ShareCrash: notices.crashes.publish, ShareRate: notices.rates.share,
-		Poison: ledger, PartExchange: notices.parts,
+		Startup: startup.done, StoreUnreachable: g.storeUnavailable, Quarantine: quarantine, CrashExchange: exchange.Crashes(), ShareRate: exchange.ShareRate,
+		Poison: ledger, PartExchange: exchange.Parts(),
 		BodyMemory: forward.NewBodyMemory(settings.bodyMemory(), log), MaxRequests: settings.maxRequests(),
 	})
 	registerUsageGauges(g.registry, g.forwarder)
-	g.sync = newSyncParts(g, startup, notices)
+	g.sync = newSyncParts(g, startup, exchange)
 	return g
 }
 
--- a/internal/gateway/linksecret_test.go
+++ b/internal/gateway/linksecret_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -26,9 +28,10 @@
 		address := socket.LocalAddr().String()
 		g.Expect(socket.Close()).To(Succeed())
 		i := newTestGateway(t, &fakePlatform{})
+		i.platform.Store = writelessStore{i.platform.Store}
 		i.settings.Instance, i.settings.LinkAddress = fmt.Sprint("instance-", n), address
 		gateways[n] = New(i.settings, i.platform, discardLogger())
-		gateways[n].pool.Replace([]pool.Upstream{ratedUpstream})
+		gateways[n].pool.Replace(ratedUpstreams())
 		rows = append(rows, discovery.Row{
 			Key: "instance/" + i.settings.Instance, Value: fmt.Appendf(nil, `{"address":%q,"failure_domain":%q,"weight":%v}`, address, i.settings.FailureDomain, i.settings.Weight),
 		})
@@ -49,19 +52,38 @@
 	return gateways, setSecret
 }
 
+// writelessStore is a store that accepts no writes, so that notices go over links.
+type writelessStore struct{ discovery.Store }
+
+func (writelessStore) Put(context.Context, discovery.Topic, string, []byte) error {
+	return errors.New("store is down")
+}
+
+// ratedUpstreams are upstreams for one notice each.
+func ratedUpstreams() (list []pool.Upstream) {
+	for n := range 200 {
+		id := fmt.Sprint("u", n)
+		list = append(list, pool.Upstream{ID: id, Service: "service", Address: id, Slots: 8, StartedAt: 1})
+	}
+	return list
+}
+
 // Guards against two parts of a fleet that do not link because they hold two secrets.
 func TestInstancesLinkWithTheSecretThatTheStoreHasInTheEnd(t *testing.T) {
 	g := NewWithT(t)
 	fleet, setSecret := startLinked(t, 4, func(n int) byte { return byte(n/2 + 1) })
-	rate := 1.0
+	next := 0
 	reaches := func(from, to int) bool {
-		rate *= 2
-		fleet[from].sync.rates.spread(rateMessage{UpstreamID: ratedUpstream.ID, StartedAt: ratedUpstream.StartedAt, PerSecond: rate})
-		receiver := fleet[to].sync.rates
+		id := ratedUpstreams()[next].ID
+		next++
+		stated, found := fleet[from].pool.Find(id, 1)
+		g.Expect(found).To(BeTrue())
+		stated.ObserveRate(time.Now(), time.Now(), pool.RequestRate{Stated: true, PerSecond: 2})
+		fleet[from].sync.notices.ShareRate(stated)
 		received := func() bool {
-			receiver.mu.Lock()
-			defer receiver.mu.Unlock()
-			return receiver.linked[ratedUpstream.ID].message.PerSecond == rate
+			m, _ := fleet[to].pool.Find(id, 1)
+			_, limited := m.RateLimit(time.Now())
+			return limited
 		}
 		for deadline := time.Now().Add(300 * time.Millisecond); time.Now().Before(deadline); <-time.After(5 * time.Millisecond) {
 			if received() {
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -14,6 +14,7 @@
 	"foxtailhub.example/foxtailhub/internal/contract"
 	"foxtailhub.example/foxtailhub/internal/discovery"
 	"foxtailhub.example/foxtailhub/internal/link"
+	"foxtailhub.example/foxtailhub/internal/notices"
 	"foxtailhub.example/foxtailhub/internal/pool"
 	"foxtailhub.example/foxtailhub/internal/storesync"
 	"foxtailhub.example/foxtailhub/internal/tlskeys"
@@ -70,11 +71,10 @@
 	members    *storesync.Members
 	syncer     *storesync.Syncer
 	registrar  *storesync.Registrar
-	rates      *rateExchange
-	parts      *partExchange
+	notices    *notices.Exchange
 }
 
-func newSyncParts(g *Gateway, startup *startup, notices notices) *syncParts {
+func newSyncParts(g *Gateway, startup *startup, exchange *notices.Exchange) *syncParts {
 	settings, log := g.settings, g.log
 	clock := g.platform.Clock
 	if clock == nil {
@@ -84,7 +84,7 @@
 		ID: contract.InstanceID(settings.Instance), Address: settings.LinkAddress,
 		Domain: contract.FailureDomainID(settings.FailureDomain), Weight: settings.Weight,
 	}
-	p := &syncParts{settings: settings, pool: g.pool, started: g.started, rates: notices.rates, parts: notices.parts, log: log, changeLogs: map[discovery.Topic]*discovery.ChangeLog{}, members: storesync.NewMembers(self, log)}
+	p := &syncParts{settings: settings, pool: g.pool, started: g.started, notices: exchange, log: log, changeLogs: map[discovery.Topic]*discovery.ChangeLog{}, members: storesync.NewMembers(self, log)}
 	p.backoff = discovery.NewBackoff(func(failing bool) {
 		startup.finish()
 		for _, reader := range p.readers {
@@ -127,7 +127,7 @@
 	addReader(discovery.Upstreams, func() discovery.PollSchedule {
 		return g.upstreams.Schedule(discovery.PollSchedule{Pause: upstreamsMaxAge})
 	}, g.upstreams.SameEntry, startup.trackApplied(discovery.Upstreams, g.upstreams.Apply))
-	addReader(discovery.Notices, fixed(discovery.PollSchedule{Wait: noticesPollHold}), discovery.SameValue, notices.keeper().Apply)
+	addReader(discovery.Notices, fixed(discovery.PollSchedule{Wait: noticesPollHold}), discovery.SameValue, exchange.Keeper().Apply)
 	addReader(discovery.Instances, fixed(discovery.PollSchedule{Pause: instancesPollInterval}), discovery.SameValue, p.members.Apply)
 	return p
 }
@@ -139,7 +139,7 @@
 
 // tasks returns the background tasks, each of which runs until its context ends.
 func (p *syncParts) tasks() []func(context.Context) {
-	all := []func(context.Context){p.rates.run, p.parts.run}
+	all := p.notices.Tasks()
 	for _, reader := range p.readers {
 		all = append(all, reader.Run)
 	}
@@ -248,16 +248,9 @@
 	if err != nil {
 		return err
 	}
-	notices := &noticeLinks{self: contract.InstanceID(p.settings.Instance), members: p.members, transport: transport, log: p.log}
-	rates, parts := &rateLinks{notices, p.rates}, &partLinks{notices, p.parts}
-	transport.Handle(messageRate, rates.serve)
-	transport.Handle(messagePart, parts.serve)
 	p.syncer.Register(transport)
 	p.syncer.SetTransport(transport)
-	p.rates.setLinks(rates)
-	defer p.rates.setLinks(nil)
-	p.parts.setLinks(parts)
-	defer p.parts.setLinks(nil)
+	defer p.notices.Connect(transport, p.members)()
 	p.log.WithFields(logrus.Fields{"address": p.settings.LinkAddress, "domain_members": len(p.members.DomainMembers()), "members": p.members.Count()}).Info("links to other instances are open")
 	go p.awaitNewSecret(ctx, secret, stop)
 	err = transport.Run(ctx)
--- a/internal/notices/copiednotices_test.go
+++ b/internal/notices/copiednotices_test.go
@@ -1,9 +1,10 @@
-package gateway
+package notices
 
 import (
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"strings"
@@ -11,8 +12,9 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"foxtailhub.example/foxtailhub/internal/discovery"
-	"foxtailhub.example/foxtailhub/internal/forward"
 	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 )
@@ -174,13 +176,13 @@
 	i := &noticesInstance{rateInstance: rateInstance{pool: pool.New()}}
 	i.pool.Replace(upstreams)
 	i.rates = newRateExchange(s, s.isDown, i.pool, log)
-	i.crashes = newCrashExchange(s, forward.NewQuarantine(), log)
+	i.crashes = newCrashExchange(s, poison.NewQuarantine(nil), log)
 	i.partExchange = newPartExchange(s, s.isDown, poison.NewLedger(), name, log)
-	n := notices{crashes: i.crashes, rates: i.rates, parts: i.partExchange}
+	n := &Exchange{crashes: i.crashes, rates: i.rates, parts: i.partExchange}
 	var running sync.WaitGroup
 	running.Go(func() { i.partExchange.run(ctx) })
 	running.Go(func() { i.rates.run(ctx) })
-	running.Go(func() { s.follow(ctx, n.keeper().Apply) })
+	running.Go(func() { s.follow(ctx, n.Keeper().Apply) })
 	i.partInstance.stop = func() {
 		cancel()
 		running.Wait()
@@ -238,3 +240,9 @@
 		timer.Stop()
 	}
 }
+
+func discardLogger() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
--- a/internal/notices/drawnreturns_test.go
+++ b/internal/notices/drawnreturns_test.go
@@ -1,4 +1,4 @@
-package gateway
+package notices
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"foxtailhub.example/foxtailhub/internal/forward"
+	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 )
 
@@ -68,7 +68,7 @@
 	case 6:
 		d.instance().succeeds(soundPrompt(n))
 	case 7:
-		d.instance().crashes.publish(forward.Crash{Content: forward.ContentHash(fmt.Sprint("content-", n)), UpstreamID: "u"})
+		d.instance().crashes.ShareCrash(poison.RequestCrash{Content: poison.Content(fmt.Sprint("content-", n)), Process: "u"})
 	default:
 		d.instance().refuses(poisonPrompt(n))
 	}
--- a/internal/notices/oddnotice_test.go
+++ b/internal/notices/oddnotice_test.go
@@ -1,4 +1,4 @@
-package gateway
+package notices
 
 import (
 	"io"
@@ -10,19 +10,19 @@
 	"github.com/sirupsen/logrus"
 
 	"foxtailhub.example/foxtailhub/internal/discovery"
-	"foxtailhub.example/foxtailhub/internal/forward"
 	"foxtailhub.example/foxtailhub/internal/link"
+	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 )
 
 // fuzzedNotices returns notices whose rows and messages a fuzz test sets, with one upstream.
-func fuzzedNotices() (notices, *pool.Member) {
+func fuzzedNotices() (*Exchange, *pool.Member) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	p := pool.New()
 	p.Replace([]pool.Upstream{{ID: "i-1", Service: "service", Address: "10.0.0.1:80", Slots: 8, StartedAt: 1}})
-	return notices{
-		crashes: newCrashExchange(nil, forward.NewQuarantine(), log),
+	return &Exchange{
+		crashes: newCrashExchange(nil, poison.NewQuarantine(nil), log),
 		rates:   newRateExchange(nil, func() bool { return false }, p, log),
 	}, p.Members("service")[0]
 }
--- a/internal/notices/partstore_test.go
+++ b/internal/notices/partstore_test.go
@@ -1,4 +1,4 @@
-package gateway
+package notices
 
 import (
 	"context"
@@ -186,7 +186,7 @@
 		batch, changed, down := s.since(version)
 		if !down && batch.Version > version {
 			version = batch.Version
-			notices{parts: e}.apply(batch, 0, nil)
+			(&Exchange{parts: e}).apply(batch, 0, nil)
 		}
 		select {
 		case <-changed:
--- a/internal/notices/partsuccesses.go
+++ b/internal/notices/partsuccesses.go
@@ -1,4 +1,4 @@
-package gateway
+package notices
 
 import (
 	"maps"
--- a/internal/notices/rates_test.go
+++ b/internal/notices/rates_test.go
@@ -1,4 +1,4 @@
-package gateway
+package notices
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 	rows    map[string][]byte
 	writes  int
 	fails   bool
-	readers []notices
+	readers []*Exchange
 }
 
 var errStoreDown = errors.New("store is down")
@@ -103,9 +103,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, value := range s.rows {
-		notices{rates: i.rates}.apply(discovery.Batch{Rows: []discovery.Row{{Key: key, Value: value}}}, 0, nil)
+		(&Exchange{rates: i.rates}).apply(discovery.Batch{Rows: []discovery.Row{{Key: key, Value: value}}}, 0, nil)
 	}
-	s.readers = append(s.readers, notices{rates: i.rates})
+	s.readers = append(s.readers, &Exchange{rates: i.rates})
 	return i
 }
 
@@ -222,7 +222,7 @@
 	g := NewWithT(t)
 	i := (&noticeStore{rows: map[string][]byte{}}).newInstance(ratedUpstream)
 	for _, value := range []string{``, `null`, `{}`, `[]`, `{"started_at":1}`, `{"per_second":-1,"started_at":1}`, `{"per_second":"3","started_at":1}`, `{"per_second":1e999,"started_at":1}`} {
-		notices{rates: i.rates}.apply(discovery.Batch{Rows: []discovery.Row{{Key: "rate/u", Value: []byte(value)}, {Key: "rate/", Value: []byte(value)}}}, 0, nil)
+		(&Exchange{rates: i.rates}).apply(discovery.Batch{Rows: []discovery.Row{{Key: "rate/u", Value: []byte(value)}, {Key: "rate/", Value: []byte(value)}}}, 0, nil)
 		g.Expect(i.statedRate()).To(Equal(-1.0), value)
 	}
 }
--- a/internal/notices/returnednotices_test.go
+++ b/internal/notices/returnednotices_test.go
@@ -1,4 +1,4 @@
-package gateway
+package notices
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"foxtailhub.example/foxtailhub/internal/forward"
+	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 )
 
@@ -63,7 +63,7 @@
 // Guards against request rates and verdicts that end, and evidence that nobody writes again, because
 // the store was away again before the instances could write the notices that it had lost.
 func TestNoticesOutlastOutageRightAfterAReturn(t *testing.T) {
-	for _, away := range []time.Duration{10 * time.Second, noticeSettleTime, 40 * time.Second, 90 * time.Second} {
+	for _, away := range []time.Duration{10 * time.Second, settleTime, 40 * time.Second, 90 * time.Second} {
 		t.Run(away.String(), func(t *testing.T) {
 			forFleetSizes(t, func(t *testing.T, g Gomega, store *copiedNotices, size int) {
 				fleet := store.startNoticesFleet(size, ratedUpstream)
@@ -159,7 +159,7 @@
 	forFleetSizes(t, func(t *testing.T, g Gomega, store *copiedNotices, size int) {
 		fleet := store.startNoticesFleet(size)
 		for n := range 3 {
-			fleet[n*size/3].crashes.publish(forward.Crash{Content: "content", UpstreamID: fmt.Sprint(n)})
+			fleet[n*size/3].crashes.ShareCrash(poison.RequestCrash{Content: "content", Process: fmt.Sprint(n)})
 		}
 		time.Sleep(10 * time.Second)
 		quarantining := func() (n int) {
@@ -170,7 +170,6 @@
 			}
 			return n
 		}
-		copied := store.copyRows()
 		store.restore(nil)
 		time.Sleep(10 * time.Second)
 		g.Expect(quarantining()).To(Equal(size))
@@ -178,7 +177,10 @@
 		store.expectFewWrites(g, 3)
 		g.Expect(store.startAndRead().crashes.quarantine.Contains(time.Now(), "content")).To(BeTrue())
 
-		time.Sleep(forward.QuarantineDuration - 20*time.Second)
+		time.Sleep(poison.QuarantineIdle - time.Minute)
+		copied := store.copyRows()
+		g.Expect(copied).To(HaveLen(3), "quarantined contents keep their rows")
+		time.Sleep(poison.QuarantineDuration + time.Minute)
 		g.Expect(quarantining()).To(BeZero())
 		g.Expect(store.count("content")).To(BeZero())
 		store.restore(copied)
@@ -364,8 +366,8 @@
 func TestCrashOfAnEndedWriterInACopyIsRemovedByOthers(t *testing.T) {
 	forFleetSizes(t, func(t *testing.T, g Gomega, store *copiedNotices, size int) {
 		fleet := store.startNoticesFleet(size + 1)
-		fleet[size].crashes.publish(forward.Crash{Content: "content", UpstreamID: "u"})
-		time.Sleep(forward.QuarantineDuration - time.Second)
+		fleet[size].crashes.ShareCrash(poison.RequestCrash{Content: "content", Process: "u"})
+		time.Sleep(poison.QuarantineDuration - time.Second)
 		copied := store.copyRows()
 		g.Expect(store.count("content")).To(Equal(1))
 		time.Sleep(2 * time.Second)
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -254,6 +254,20 @@
 	return crash != nil && crash.at.Before(at)
 }
 
+// Explains reports whether a verdict explains the crash of a process.
+func (l *Ledger) Explains(process string) bool {
+	set := l.verdicts.Load()
+	if len(set.verdicts) == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	crash := l.crashes[process]
+	return crash != nil && slices.ContainsFunc(crash.prompts, func(s suspect) bool {
+		return slices.ContainsFunc(set.verdicts, func(v Verdict) bool { return s.matches(&v) })
+	})
+}
+
 // KnownGood returns those of the parts on which an answer is known to have gone on lately,
 // each with the time of the last one.
 func (l *Ledger) KnownGood(now time.Time, parts []Part) map[Part]time.Time {
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -181,6 +181,17 @@
 	return slices.Contains(lostDomains(candidatesAt(members, now)), domain)
 }
 
+// PickNeighbours returns up to n other upstreams of the failure domain of m, at random, that are not
+// known to be lost or to leave.
+func PickNeighbours(members []*Member, m *Member, n int, now time.Time) []*Member {
+	neighbours := slices.DeleteFunc(slices.Clone(members), func(o *Member) bool {
+		c := o.candidate(now)
+		return o.ID == m.ID || o.FailureDomain != m.FailureDomain || c.Leaving || c.Replaced || c.SinceLoss <= lossWindow
+	})
+	rand.Shuffle(len(neighbours), func(i, j int) { neighbours[i], neighbours[j] = neighbours[j], neighbours[i] })
+	return neighbours[:min(n, len(neighbours))]
+}
+
 // prefer returns the preferred indices, or all of them if none is preferred.
 func prefer(indices []int, preferred func(int) bool) []int {
 	kept := make([]int, 0, len(indices))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -45,6 +45,7 @@
 	suspected   atomic.Bool               // lost or silent, with no successful contact since
 	aliveAt     atomic.Pointer[time.Time] // last response to a health check or load request; nil: never
 	nextCheckAt atomic.Pointer[time.Time] // earliest time of the next check; nil: now
+	heardAt     atomic.Int64              // last sign of life, in nanoseconds since packageStart; 0: none
 	rateLimiter
 }
 
@@ -126,10 +127,26 @@
 
 // MarkAlive records a response to a health check or load request and clears the suspicion.
 func (o *observations) MarkAlive(now time.Time) {
+	o.Heard(now)
 	o.suspected.Store(false)
 	o.aliveAt.Store(&now)
 }
 
+// packageStart is the origin of times that are kept as numbers.
+var packageStart = time.Now()
+
+// Heard records a sign of life of the upstream.
+func (o *observations) Heard(now time.Time) { o.heardAt.Store(int64(now.Sub(packageStart))) }
+
+// HeardAt returns the time of the last sign of life, the zero time if there was none.
+func (o *observations) HeardAt() time.Time {
+	at := o.heardAt.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return packageStart.Add(time.Duration(at))
+}
+
 // MarkLeaving records that the upstream itself reported that it is leaving, and returns
 // whether this is its first report. The mark stays until another process has the
 // address, even if the list or an older response contradicts it.
@@ -309,6 +326,15 @@
 	return m, m != nil && m.Current().StartedAt == startedAt
 }
 
+// ListedStart returns the start time of the process that is listed under an ID; 0: unknown.
+func (p *Pool) ListedStart(id string) (startedAt int64, listed bool) {
+	m := p.snapshot.Load().byID[id]
+	if m == nil {
+		return 0, false
+	}
+	return m.StartedAt, true
+}
+
 // Serves reports whether the process with an identity is still listed, is not leaving,
 // and was not lost since a time.
 func (p *Pool) Serves(m *Member, identity Identity, since time.Time) bool {
--- a/internal/pool/pushback.go
+++ b/internal/pool/pushback.go
@@ -99,6 +99,7 @@
 // Accepted records a request that the upstream accepted: it got a response, or produced
 // its first event.
 func (o *observations) Accepted(now time.Time) {
+	o.Heard(now)
 	o.updatePushback(func(p pushback) (pushback, bool) { return p.accept(now) })
 }
 
