keptconn: send polls of load reports on kept connections

Ruled out: kept connections for health checks and requests, whose answers decide about an identity or belong to one caller; an older report of the same process does no harm. Waiting for the poll's time-out on a silent kept connection, since a poll decides whether an engine counts as lost: a poll without a response after 60 ms is sent on a new connection.

Change: a transport for GET requests without a body with at most one idle connection an engine and 64 in total, for 4 s.

--- a/cmd/foxtailhubd/gateway.go
+++ b/cmd/foxtailhubd/gateway.go
@@ -16,6 +16,7 @@
 
 	"foxtailhub.example/foxtailhub/internal/discovery"
 	"foxtailhub.example/foxtailhub/internal/gateway"
+	"foxtailhub.example/foxtailhub/internal/keptconn"
 	"foxtailhub.example/foxtailhub/internal/logsink"
 	"foxtailhub.example/foxtailhub/platform"
 )
@@ -68,9 +69,8 @@
 }
 
 func newPlatform(settings *gateway.Settings) gateway.Platform {
-	servers := platform.NewUpstreamClient(&http.Client{Transport: &http.Transport{
-		DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}})
+	unkept := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseHeaderBytes}
+	servers := platform.NewUpstreamClient(&http.Client{Transport: unkept}, &http.Client{Transport: keptconn.New(unkept)})
 	eras := discovery.NewEraTracker()
 	return gateway.Platform{
 		Store:         platform.NewStore(settings.StoreAddress, storeTransport(), eras.Observe),
