placement: place prompts by room, keep queued streams, yield by priority

Ruled out: X-Request-Urgency by priority.

Change: package placement decides by the room that is left once all requests have come to their ends, with the own placements that a report cannot show, and draws among engines that are as good. A copy needs room. A stream whose engine has prompts in prefill or in its queue stays, unless another one would begin at once. A new prompt of a less urgent route is refused once, with the time to return, if no polled engine has room.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"foxtailhub.example/foxtailhub/internal/placement"
 	"foxtailhub.example/foxtailhub/internal/poison"
 	"foxtailhub.example/foxtailhub/internal/pool"
 	"foxtailhub.example/foxtailhub/internal/route"
@@ -48,9 +49,16 @@
 // timeLeft returns the time until the deadline.
 func (x *exchange) timeLeft() time.Duration { return time.Until(x.deadline) }
 
+// demand returns what the request needs of an engine.
+func (x *exchange) demand() placement.Demand {
+	return placement.Demand{PromptTokens: x.meta.PromptTokens, OutputTokens: x.meta.OutputTokens}
+}
+
 // startAttempt records that the request is sent to an upstream.
 func (x *exchange) startAttempt(metrics *Metrics, m *pool.Member, why purpose) {
-	m.Started(time.Now())
+	now := time.Now()
+	m.Started(now)
+	m.Placed(now)
 	metrics.countLimited(m, why)
 	x.attempted = append(x.attempted, m.ID)
 	x.excluded = append(x.excluded, m.ID)
--- a/internal/forward/kvbackup.go
+++ b/internal/forward/kvbackup.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"foxtailhub.example/foxtailhub/internal/pool"
@@ -22,6 +23,8 @@
 	holderCheckInterval = 1500 * time.Millisecond
 	// kvCopyRetryDelay is the pause after a failed copy.
 	kvCopyRetryDelay = 500 * time.Millisecond
+	// noCopyRoomDelay is the pause until a run without a copy looks for room for one again.
+	noCopyRoomDelay = 2 * time.Second
 )
 
 // KVCopier copies the KV memory of runs between upstreams.
@@ -66,6 +69,9 @@
 // newBackup returns the backup of a run whose attempt named the holder.
 func newBackup(r *run, holder *pool.Member, now time.Time) *backup {
 	b := &backup{run: r, copied: make(chan copyResult, 1)}
+	if holder == nil && r.noCopyRoom {
+		b.nextCopyAt = now.Add(noCopyRoomDelay)
+	}
 	if holder != nil {
 		b.store(holder, holder.Identity(), KVCopy{Address: holder.Address, RunID: r.x.meta.ID}, now)
 	}
@@ -147,7 +153,7 @@
 	if b.holder.AliveSince(now.Add(-holderCheckInterval)) || b.holder.InPushback(now) {
 		return // another stream polled it, or it has just responded
 	}
-	go b.run.f.requestReports(ctx, b.run.x, []*pool.Member{b.holder})
+	go b.run.f.requestReports(ctx, b.run.x.log, []*pool.Member{b.holder})
 }
 
 // copy copies the KV memory to the holder, or to a live upstream that is not excluded if it is nil.
@@ -177,6 +183,9 @@
 	if r.err != nil {
 		b.run.x.log.WithFields(fields).WithError(r.err).Info("KV memory of the stream was not copied")
 		b.nextCopyAt = now.Add(kvCopyRetryDelay)
+		if errors.Is(r.err, errNoBackupHolder) {
+			b.nextCopyAt = now.Add(noCopyRoomDelay)
+		}
 		return
 	}
 	b.run.x.log.WithFields(fields).Info("KV memory of the stream copied")
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -22,6 +22,8 @@
 	// runEnds counts by poison.RunOutcome.
 	runEnds       [poison.RunOutcomes]prometheus.Counter
 	unwatchedRuns prometheus.Counter
+	// placements counts the prompts placed by reports, without and with room for the answer.
+	placements [2]prometheus.Counter
 	// unansweredProbes counts by moveObstacle.
 	unansweredProbes *prometheus.CounterVec
 	// graceEnds counts by waitPhase.
@@ -77,13 +79,17 @@
 	m.unwatchedRuns = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "foxtailhub_forward_unwatched_runs_total", Help: "Ended runs whose outcome was not found out, because too many others were watched.",
 	})
+	placements := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "foxtailhub_forward_placements_total", Help: "Prompts placed by load reports, by whether the engine has room for the whole answer.",
+	}, []string{"room"})
+	m.placements = [2]prometheus.Counter{placements.WithLabelValues("false"), placements.WithLabelValues("true")}
 	m.unansweredProbes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "foxtailhub_forward_unanswered_probes_total", Help: "Probes that the upstream of a stream did not answer, by what keeps the stream from moving to another upstream.",
 	}, []string{"obstacle"})
 	m.graceEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "foxtailhub_forward_grace_end_requests_total", Help: "Requests in progress shortly before the end of a leaving instance, by what they waited for.",
 	}, []string{"waits_for"})
-	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.ends, m.poison, runEnds, m.unwatchedRuns, m.unansweredProbes, m.graceEnds)
+	registry.MustRegister(m.outcomes, m.attempts, m.latencies, m.limited, m.heldBack, m.ends, m.poison, runEnds, m.unwatchedRuns, placements, m.unansweredProbes, m.graceEnds)
 	return m
 }
 
@@ -98,6 +104,14 @@
 
 func (m *Metrics) countRunEnd(outcome poison.RunOutcome) { m.runEnds[outcome].Inc() }
 
+func (m *Metrics) countPlacement(hasRoom bool) {
+	if hasRoom {
+		m.placements[1].Inc()
+		return
+	}
+	m.placements[0].Inc()
+}
+
 func (m *Metrics) countPoison(event string) { m.poison.WithLabelValues(event).Inc() }
 
 func (m *Metrics) countOutcome(x *exchange, outcome string) {
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"foxtailhub.example/foxtailhub/internal/placement"
 	"foxtailhub.example/foxtailhub/internal/pool"
 )
 
@@ -17,6 +19,9 @@
 	// random sampling keeps instances with the same stale reports from choosing the
 	// same upstream.
 	placementSampleSize = 4
+	// maxPlacementRounds is how many further samples are polled while the prompt would have to wait
+	// or has no room.
+	maxPlacementRounds = 2
 	// backupSampleSize is how many upstreams are polled before a KV copy is made on
 	// one.
 	backupSampleSize = 2
@@ -39,62 +44,129 @@
 	Health(ctx context.Context, address, healthPath string) (pool.HealthStatus, error)
 }
 
-// placement is the upstream for a prompt and the holder of its KV copy, or nil for the
+// placed is the upstream for a prompt and the holder of its KV copy, or nil for the
 // latter.
-type placement struct {
+type placed struct {
 	upstream     *pool.Member
 	backupHolder *pool.Member
+	// noCopyRoom means that no polled upstream has room for the copy.
+	noCopyRoom bool
+	// refused means that the prompt has to yield to more urgent ones.
+	refused bool
 }
 
+// polledEngines are engines with their load reports.
+type polledEngines struct {
+	members []*pool.Member
+	engines []placement.Engine
+}
+
+// pollEngines polls members for their load.
+func (f *Forwarder) pollEngines(ctx context.Context, x *exchange, members []*pool.Member) polledEngines {
+	polled := polledEngines{members: members}
+	reports := f.requestReports(ctx, x.log, members)
+	unreported := time.Now().Add(-placement.ReportAge)
+	for i, m := range members {
+		polled.engines = append(polled.engines, placement.Engine{Report: reports[i], Recent: m.PlacedSince(unreported), Usable: !m.Replaced()})
+	}
+	return polled
+}
+
+// choose chooses an engine for a new prompt.
+func (p polledEngines) choose(x *exchange) (i int, ok bool) {
+	return placement.Choose(p.engines, x.demand(), newRandom())
+}
+
+// chooseCopyHolder chooses an engine that accept allows for the KV copy of a run.
+func (p polledEngines) chooseCopyHolder(x *exchange, accept func(m *pool.Member) bool) (*pool.Member, bool) {
+	engines := slices.Clone(p.engines)
+	for i := range engines {
+		engines[i].Usable = engines[i].Usable && accept(p.members[i]) && engines[i].MayHoldCopy(x.demand())
+	}
+	i, ok := placement.Choose(engines, x.demand(), newRandom())
+	if !ok {
+		return nil, false
+	}
+	return p.members[i], true
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // placeByReport places a new prompt by current load reports of a few upstreams.
-func (f *Forwarder) placeByReport(ctx context.Context, x *exchange, need pool.Requirements) (placement, bool) {
+func (f *Forwarder) placeByReport(ctx context.Context, x *exchange, need pool.Requirements) (placed, bool) {
 	need.Exclude = append(need.Exclude, x.excluded...)
 	members := f.Pool.Members(x.service.Name)
-	if len(members) > searchAllLimit {
+	large := len(members) > searchAllLimit
+	if large {
 		need.AffinityKey = x.meta.PromptPartID
 	}
-	sampled := pool.PickN(members, need, placementSampleSize, time.Now())
-	reports := f.requestReports(ctx, x, sampled)
-	acceptAny := func(int) bool { return true }
-	i, ok := chooseLeastLoaded(x, sampled, reports, acceptAny)
-	if need.AffinityKey != "" && (!ok || reports[i].Prefilling+reports[i].Queued > 0) {
-		// The prompt would queue there, and all requests of a session rank the same
-		// upstreams highest, so a random sample is polled too.
+	polled := f.pollEngines(ctx, x, pool.PickN(members, need, placementSampleSize, time.Now()))
+	i, ok := polled.choose(x)
+	for round := 0; large && round < maxPlacementRounds && !f.placesWell(x, polled, i, ok, round); round++ {
+		// All requests of a session rank the same upstreams highest, and engines without room
+		// preempt other runs, so a random sample is polled too.
 		unranked := need
 		unranked.AffinityKey, unranked.Exclude = "", slices.Clone(need.Exclude)
-		for _, m := range sampled {
+		for _, m := range polled.members {
 			unranked.Exclude = append(unranked.Exclude, m.ID)
 		}
-		moreSampled := pool.PickN(members, unranked, placementSampleSize, time.Now())
-		sampled, reports = append(sampled, moreSampled...), append(reports, f.requestReports(ctx, x, moreSampled)...)
-		i, ok = chooseLeastLoaded(x, sampled, reports, acceptAny)
+		more := f.pollEngines(ctx, x, pool.PickN(members, unranked, placementSampleSize, time.Now()))
+		polled = polledEngines{members: append(polled.members, more.members...), engines: append(polled.engines, more.engines...)}
+		i, ok = polled.choose(x)
 	}
 	if !ok {
 		m, found := f.pick(x, need)
-		return placement{upstream: m}, found
+		return placed{upstream: m}, found
+	}
+	chosen, report := polled.members[i], polled.engines[i].Report
+	fits := polled.engines[i].Fits(x.demand())
+	if f.isRefused(x, polled, fits) {
+		return placed{refused: true}, false
 	}
+	f.Metrics.countPlacement(fits)
 	x.log.WithFields(logrus.Fields{
-		"upstream": sampled[i].ID, "writing": reports[i].Decoding, "reading": reports[i].Prefilling, "waiting": reports[i].Queued,
-		"memory_used": reports[i].KVTokensUsed, "asked": len(sampled),
+		"upstream": chosen.ID, "writing": report.Decoding, "reading": report.Prefilling, "waiting": report.Queued, "recent": polled.engines[i].Recent,
+		"memory_used": report.KVTokensUsed, "asked": len(polled.members), "fits": fits,
 	}).Info("upstream chosen by its report")
-	p := placement{upstream: sampled[i]}
+	p := placed{upstream: chosen}
 	// The other upstreams that responded are alive, whatever the list says.
-	if j, ok := chooseLeastLoaded(x, sampled, reports, func(j int) bool { return sampled[j].FailureDomain != sampled[i].FailureDomain }); ok {
-		p.backupHolder = sampled[j]
-	}
+	holder, found := polled.chooseCopyHolder(x, func(m *pool.Member) bool { return m.FailureDomain != chosen.FailureDomain })
+	p.backupHolder, p.noCopyRoom = holder, !found
 	return p, true
 }
 
-// findBackupHolder returns a live upstream for the KV copy of a run.
+// isRefused reports whether a new prompt is refused so that more urgent ones find room.
+func (f *Forwarder) isRefused(x *exchange, polled polledEngines, fits bool) bool {
+	reported := 0
+	for _, e := range polled.engines {
+		if e.Report != nil {
+			reported++
+		}
+	}
+	return placement.Arrival{
+		Fits: fits, Polled: reported, MostUrgent: f.Tables.Current().IsMostUrgent(x.service.Name, x.workspace.PriorityOn(x.route)),
+		Begun: x.state.Reached > 0 || x.meta.LastEventID > 0, TimeLeft: x.timeLeft(), Timeout: x.route.Timeout,
+	}.Refused()
+}
+
+// placesWell reports whether no further upstreams have to be polled. In the first round the prompt
+// should not wait, in the others it should have room.
+func (f *Forwarder) placesWell(x *exchange, polled polledEngines, i int, ok bool, round int) bool {
+	switch {
+	case !ok:
+		return false
+	case round == 0:
+		return polled.engines[i].Idle(x.demand())
+	}
+	return polled.engines[i].Fits(x.demand())
+}
+
+// findBackupHolder returns a live upstream with room for the KV copy of a run.
 func (f *Forwarder) findBackupHolder(ctx context.Context, x *exchange, m *pool.Member, excluded []string) (*pool.Member, bool) {
 	need := backupHolderRequirements(m)
 	need.Exclude = append(need.Exclude, excluded...)
-	sampled := pool.PickN(f.Pool.Members(x.service.Name), need, backupSampleSize, time.Now())
-	i, ok := chooseLeastLoaded(x, sampled, f.requestReports(ctx, x, sampled), func(int) bool { return true })
-	if !ok {
-		return nil, false
-	}
-	return sampled[i], true
+	polled := f.pollEngines(ctx, x, pool.PickN(f.Pool.Members(x.service.Name), need, backupSampleSize, time.Now()))
+	return polled.chooseCopyHolder(x, func(*pool.Member) bool { return true })
 }
 
 // backupHolderRequirements prefers an upstream outside the failure domain of the run.
@@ -102,26 +174,15 @@
 	return pool.Requirements{KVCopy: true, Exclude: []string{m.ID}, AvoidDomains: []string{m.FailureDomain}}
 }
 
-// chooseLeastLoaded returns the index of the least loaded upstream that has room for
-// the request, or of the least loaded one that responded.
-func chooseLeastLoaded(x *exchange, members []*pool.Member, reports []*pool.LoadReport, accept func(i int) bool) (int, bool) {
-	usable := func(i int) bool { return !members[i].Replaced() && accept(i) }
-	tokens := x.meta.PromptTokens + x.meta.OutputTokens
-	if i, ok := pool.ChooseByReport(reports, func(i int) bool { return usable(i) && reports[i].Fits(tokens) }); ok {
-		return i, true
-	}
-	return pool.ChooseByReport(reports, usable)
-}
-
 // requestReports polls upstreams for their load; the report of an upstream that does
 // not respond is nil.
-func (f *Forwarder) requestReports(ctx context.Context, x *exchange, members []*pool.Member) []*pool.LoadReport {
+func (f *Forwarder) requestReports(ctx context.Context, log logrus.FieldLogger, members []*pool.Member) []*pool.LoadReport {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	reports := make([]*pool.LoadReport, len(members))
 	var pending sync.WaitGroup
 	for i, m := range members {
-		pending.Go(func() { reports[i], _ = f.requestReport(ctx, x.log, m) }) // the error is logged there
+		pending.Go(func() { reports[i], _ = f.requestReport(ctx, log, m) }) // the error is logged there
 	}
 	pending.Wait()
 	return reports
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailhub.example/foxtailhub/internal/placement"
 	"foxtailhub.example/foxtailhub/internal/pool"
 )
 
@@ -100,18 +101,21 @@
 // run is the part of a stream that one upstream serves.
 type run struct {
 	*relay
-	member     *pool.Member
-	sentTo     pool.Upstream // the process that was addressed
-	sentAt     time.Time
-	memory     *reservation // for events that the caller does not have yet
-	pending    pendingProgress
-	monitor    StreamMonitor
-	backup     *backup
-	response   *http.Response
-	preamble   []byte // received before the first event; makes no progress for the caller
-	answer     answerProgress
-	succeeded  bool // the answer was recorded as a success on the parts of its prompt
-	endPrefill func()
+	member  *pool.Member
+	sentTo  pool.Upstream // the process that was addressed
+	sentAt  time.Time
+	memory  *reservation // for events that the caller does not have yet
+	pending pendingProgress
+	report  *pool.LoadReport // of the last probe; nil: none, or unanswered
+	// askedElsewhereAt is when other upstreams were last asked for a place without a queue.
+	askedElsewhereAt time.Time
+	monitor          StreamMonitor
+	backup           *backup
+	response         *http.Response
+	preamble         []byte // received before the first event; makes no progress for the caller
+	answer           answerProgress
+	succeeded        bool // the answer was recorded as a success on the parts of its prompt
+	endPrefill       func()
 	// pushedBack is whether the upstream refused the request with a pushback time.
 	pushedBack bool
 	// silent is whether the upstream did not answer the last probe, and obstacle what kept
@@ -159,14 +163,15 @@
 			}
 		case <-timer.C:
 			if now := time.Now(); !now.Before(r.monitor.StallDeadline()) {
-				if !r.silent && !r.progressWaits() && r.canMove(now) && r.reserveMove(errStalled) == noObstacle {
+				if !r.silent && !r.progressWaits() && !r.mayBeQueued() && r.canMove(now) && r.reserveMove(errStalled) == noObstacle {
 					return Failed, errStalled
 				}
 				r.monitor.ExtendStall(now)
 			}
 			if !probing {
 				probing = true
-				go r.probe(ctx, r.alternatives(time.Now()), probed)
+				now := time.Now()
+				go r.probe(ctx, r.alternatives(now), r.asksElsewhere(now), probed)
 			}
 		case p := <-probed:
 			probing = false
@@ -179,6 +184,10 @@
 			if p.replaced && r.silent {
 				return Failed, errUpstreamReplaced
 			}
+			r.report = p.report
+			if p.idleElsewhere && !r.progressWaits() && r.canMove(time.Now()) && r.reserveMove(errStalled) == noObstacle {
+				return Failed, errStalled
+			}
 			if r.leavesUpstream(p) {
 				return Failed, errors.Mark(p.err, errUnresponsive)
 			}
@@ -202,6 +211,21 @@
 	}
 }
 
+// mayBeQueued reports whether the request may still wait for its prefill at the upstream.
+func (r *run) mayBeQueued() bool {
+	return r.answer.firstEventAt.IsZero() && placement.MayBeQueued(r.report)
+}
+
+// asksElsewhere reports whether the next probe also looks for an upstream without a queue, and
+// records that it does.
+func (r *run) asksElsewhere(now time.Time) bool {
+	if !r.mayBeQueued() || now.Sub(r.sentAt) < firstEventTimeout || now.Sub(r.askedElsewhereAt) < askElsewhereInterval {
+		return false
+	}
+	r.askedElsewhereAt = now
+	return true
+}
+
 // progressWaits reports whether something waits here that brings the stream forward, which is a
 // sign of life.
 func (r *run) progressWaits() bool { return r.pending.waiting.Load() > 0 || r.memory.waiting.Load() }
--- a/internal/forward/runend.go
+++ b/internal/forward/runend.go
@@ -213,6 +213,9 @@
 	if !outcome.IsLoss() {
 		return
 	}
+	if !f.isReplaced(r) {
+		r.member.MarkLost(time.Now())
+	}
 	atStart := r.progress != inProgress && (r.cause != poison.CauseLost || r.reset && end.Process == poison.ProcessGone)
 	if atStart && (r.cause == poison.CauseLost || !f.domainLost(r.member)) {
 		f.recordEndAtStart(r)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"foxtailhub.example/foxtailhub/internal/placement"
 	"foxtailhub.example/foxtailhub/internal/pool"
 )
 
@@ -62,6 +63,10 @@
 // even if no other one has answered. Sound upstreams are silent for a second or so.
 const silenceLimit = 3 * time.Second
 
+// askElsewhereInterval is the time between two looks for an upstream without a queue by a stream that
+// may wait for its prefill.
+const askElsewhereInterval = 3 * time.Second
+
 // alternativeSampleSize is how many other upstreams are polled before a stream leaves one
 // that does not answer.
 const alternativeSampleSize = 2
@@ -71,7 +76,11 @@
 	err         error
 	sentAt      time.Time
 	alternative bool // the upstream did not answer, but another one did and has room
-	replaced    bool // another process answered at the address of the upstream, which matters after a silence
+	// report is that of the upstream; nil: it did not answer.
+	report *pool.LoadReport
+	// idleElsewhere means that another upstream would prefill the prompt at once.
+	idleElsewhere bool
+	replaced      bool // another process answered at the address of the upstream, which matters after a silence
 }
 
 // alternatives returns other upstreams at which the stream could go on; none if it cannot
@@ -90,32 +99,37 @@
 }
 
 // probe asks the upstream of the run for its load report, and the alternatives if it does
-// not answer.
-func (r *run) probe(ctx context.Context, alternatives []*pool.Member, probed chan<- probeResult) {
+// not answer, or if askElsewhere is set.
+func (r *run) probe(ctx context.Context, alternatives []*pool.Member, askElsewhere bool, probed chan<- probeResult) {
 	result := probeResult{sentAt: time.Now()}
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	report, err := r.f.Prober.Load(probeCtx, r.member.Address)
-	if result.err = err; err != nil {
-		result.alternative = r.anyHasRoom(ctx, alternatives)
+	switch result.err = err; {
+	case err != nil:
+		result.alternative = r.anyAccepts(ctx, alternatives, placement.Engine.Fits)
+	case askElsewhere:
+		result.idleElsewhere = r.anyAccepts(ctx, alternatives, placement.Engine.Idle)
+		fallthrough
+	default:
+		result.report = &report
 	}
 	result.replaced = err == nil && report.StartedAt != 0 && r.sentTo.StartedAt != 0 && report.StartedAt != r.sentTo.StartedAt
 	probed <- result
 }
 
-// anyHasRoom reports whether one of the upstreams answers a request for its load report and
-// has room for the stream.
-func (r *run) anyHasRoom(ctx context.Context, members []*pool.Member) bool {
-	tokens := r.x.meta.PromptTokens + r.x.meta.OutputTokens
-	hasRoom := make(chan bool, len(members))
+// anyAccepts reports whether one of the upstreams answers a request for its load report and is
+// acceptable for the stream.
+func (r *run) anyAccepts(ctx context.Context, members []*pool.Member, acceptable func(placement.Engine, placement.Demand) bool) bool {
+	accepts := make(chan bool, len(members))
 	for _, m := range members {
 		go func() {
-			report := r.f.requestReports(ctx, r.x, []*pool.Member{m})[0]
-			hasRoom <- report != nil && report.Fits(tokens)
+			engine := r.f.pollEngines(ctx, r.x, []*pool.Member{m}).engines[0]
+			accepts <- acceptable(engine, r.x.demand())
 		}()
 	}
 	for range members {
-		if <-hasRoom {
+		if <-accepts {
 			return true
 		}
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"foxtailhub.example/foxtailhub/internal/placement"
 	"foxtailhub.example/foxtailhub/internal/pool"
 )
 
@@ -44,6 +46,8 @@
 	moving             bool            // it has left an upstream and has no event of the next one yet
 	waits              int             // pauses since the last progress of a stream that stays open
 	leftUpstream       bool            // a run was given up while its connection was open, and no event has followed
+	refused            bool            // the prompt has to yield to more urgent ones
+	noCopyRoom         bool            // no polled upstream has room for the KV copy of the next run
 	verdictsChanged    <-chan struct{} // closed when the verdicts on parts of prompts have changed since the last check
 }
 
@@ -57,6 +61,10 @@
 		}
 		m, backupHolder, attempt, ok := s.planAttempt(ctx)
 		if !ok {
+			if s.refused {
+				f.refuse(x, http.StatusServiceUnavailable, "no engine has room", placement.ReturnAfter(rand.Float64()))
+				return
+			}
 			if s.endIfRefused(ctx) {
 				return
 			}
@@ -159,7 +167,7 @@
 		attempt.ResumeFrom = &s.copy.KVCopy
 	}
 	if s.kvCopyTTL() > 0 {
-		if backupHolder == nil {
+		if backupHolder == nil && !s.noCopyRoom {
 			backupHolder, _ = s.pickBackupHolder(m)
 		}
 		if backupHolder != nil {
@@ -172,14 +180,16 @@
 // chooseUpstream chooses the upstream of the next attempt and takes the request from this
 // instance's part of its request rate. backupHolder is nil if none was found on the way.
 func (s *relay) chooseUpstream(ctx context.Context, need pool.Requirements) (m, backupHolder *pool.Member, ok bool) {
+	s.noCopyRoom = false
 	if s.x.service.Engine == nil || need.Prefer != "" {
 		m, ok = s.f.pickForAttempt(s.x, need)
 		return m, nil, ok
 	}
 	for {
-		p, placed := s.f.placeByReport(ctx, s.x, need)
-		if !placed || p.upstream.TakeRequest(time.Now()) {
-			return p.upstream, p.backupHolder, placed
+		p, found := s.f.placeByReport(ctx, s.x, need)
+		if !found || p.upstream.TakeRequest(time.Now()) {
+			s.noCopyRoom, s.refused = p.noCopyRoom, p.refused
+			return p.upstream, p.backupHolder, found
 		}
 		need.Exclude = append(need.Exclude, p.upstream.ID) // another request was faster
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,14 +39,15 @@
 	failureRate atomic.Pointer[failureRate] // recent share of failed requests; nil: none
 	lostAt      atomic.Pointer[time.Time]   // last loss, with monotonic clock reading; nil: none
 	lostSignal  atomic.Pointer[chan struct{}]
-	identity    atomic.Pointer[Identity]  // of the process at the address; nil: as in the entry
-	leaving     atomic.Bool               // reported by the upstream itself; the list shows it later, or never
-	pushback    atomic.Pointer[pushback]  // it refused a request with a Retry-After; nil: not in pushback
-	identifying atomic.Bool               // a request for the identity is in progress
-	suspected   atomic.Bool               // lost or silent, with no successful contact since
-	aliveAt     atomic.Pointer[time.Time] // last response to a health check or load request; nil: never
-	nextCheckAt atomic.Pointer[time.Time] // earliest time of the next check; nil: now
-	heardAt     atomic.Int64              // last sign of life, in nanoseconds since packageStart; 0: none
+	identity    atomic.Pointer[Identity]    // of the process at the address; nil: as in the entry
+	leaving     atomic.Bool                 // reported by the upstream itself; the list shows it later, or never
+	pushback    atomic.Pointer[pushback]    // it refused a request with a Retry-After; nil: not in pushback
+	identifying atomic.Bool                 // a request for the identity is in progress
+	suspected   atomic.Bool                 // lost or silent, with no successful contact since
+	aliveAt     atomic.Pointer[time.Time]   // last response to a health check or load request; nil: never
+	nextCheckAt atomic.Pointer[time.Time]   // earliest time of the next check; nil: now
+	placedAt    atomic.Pointer[[]time.Time] // the last placements of prompts by this instance; nil: none
+	heardAt     atomic.Int64                // last sign of life, in nanoseconds since packageStart; 0: none
 	rateLimiter
 }
 
@@ -62,6 +64,37 @@
 // BeginPrefill counts a stream without a first event until the returned function is called.
 func (o *observations) BeginPrefill() (done func()) { return count(&o.prefills) }
 
+// maxPlacements bounds the placements that are kept of an upstream.
+const maxPlacements = 32
+
+// Placed records that this instance has placed a prompt here.
+func (o *observations) Placed(now time.Time) {
+	for {
+		old := o.placedAt.Load()
+		next := []time.Time{now}
+		if old != nil {
+			next = append(slices.Clone((*old)[max(0, len(*old)-maxPlacements+1):]), now)
+		}
+		if o.placedAt.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
+
+// PlacedSince returns how many prompts this instance has placed here since a time.
+func (o *observations) PlacedSince(t time.Time) (n int) {
+	placed := o.placedAt.Load()
+	if placed == nil {
+		return 0
+	}
+	for _, at := range *placed {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
 // BeginKVCopy counts a KV copy of a stream until the returned function is called.
 func (o *observations) BeginKVCopy() (done func()) { return count(&o.kvCopies) }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -119,6 +119,7 @@
 	routes     map[string][]*Route // by host, longest prefix first
 	services   map[string]*Service
 	workspaces map[string]Workspace
+	mostUrgent map[string]int // priority of the most urgent requests of each service
 }
 
 // NewTable builds the table of a document.
@@ -129,10 +130,22 @@
 		routes:     map[string][]*Route{},
 		services:   map[string]*Service{},
 		workspaces: document.Workspaces,
+		mostUrgent: map[string]int{},
 	}
 	for i := range document.Routes {
 		r := &document.Routes[i]
 		t.routes[r.Host] = append(t.routes[r.Host], r)
+		for _, target := range r.Targets {
+			t.noteUrgency(target.Service, r.Priority)
+		}
+	}
+	for _, w := range t.workspaces {
+		if w.Priority == nil {
+			continue
+		}
+		for service := range t.mostUrgent {
+			t.noteUrgency(service, *w.Priority)
+		}
 	}
 	for _, routes := range t.routes {
 		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -143,6 +156,26 @@
 	return t
 }
 
+func (t *Table) noteUrgency(service string, priority int) {
+	if most, known := t.mostUrgent[service]; !known || priority < most {
+		t.mostUrgent[service] = priority
+	}
+}
+
+// IsMostUrgent reports whether no requests of a service are more urgent than those with a priority.
+func (t *Table) IsMostUrgent(service string, priority int) bool {
+	most, known := t.mostUrgent[service]
+	return !known || priority <= most
+}
+
+// PriorityOn returns the priority of the workspace's requests on a route.
+func (w Workspace) PriorityOn(r *Route) int {
+	if w.Priority != nil {
+		return *w.Priority
+	}
+	return r.Priority
+}
+
 // Match returns the route of the host with the longest prefix of the path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	for _, r := range t.routes[hostName(host)] {
