--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -56,9 +56,7 @@
 
 // startAttempt records that the request is sent to an upstream.
 func (x *exchange) startAttempt(metrics *Metrics, m *pool.Member, why purpose) {
-	now := time.Now()
-	m.Started(now)
-	m.Placed(now)
+	m.Started(time.Now())
 	metrics.countLimited(m, why)
 	x.attempted = append(x.attempted, m.ID)
 	x.excluded = append(x.excluded, m.ID)
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -130,8 +130,9 @@
 	}).Info("upstream chosen by its report")
 	p := placed{upstream: chosen}
 	// The other upstreams that responded are alive, whatever the list says.
-	holder, found := polled.chooseCopyHolder(x, func(m *pool.Member) bool { return m.FailureDomain != chosen.FailureDomain })
-	p.backupHolder, p.noCopyRoom = holder, !found
+	otherDomain := func(m *pool.Member) bool { return m.FailureDomain != chosen.FailureDomain }
+	holder, found := polled.chooseCopyHolder(x, otherDomain)
+	p.backupHolder, p.noCopyRoom = holder, !found && slices.ContainsFunc(polled.members, otherDomain)
 	return p, true
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -162,6 +162,9 @@
 	}
 	s.setPhase(waitAnswer)
 	x.startAttempt(s.f.Metrics, m, x.nextPurpose())
+	if x.service.Engine != nil {
+		m.Placed(time.Now())
+	}
 	attempt = Attempt{Upstream: m.Current(), Workspace: x.workspace.Name, LastEventID: s.lastEventID}
 	if s.copy != nil && m.ID == s.copy.upstreamID {
 		attempt.ResumeFrom = &s.copy.KVCopy
