--- a/internal/forward/runend_test.go
+++ b/internal/forward/runend_test.go
@@ -56,6 +56,7 @@
 			cancel()
 			time.Sleep(2 * time.Second)
 		}
+		synctest.Wait()
 		h.g.Expect(h.arrivals()).To(Equal(poison.CrashLimit))
 		h.g.Expect(h.sharedCrashes).To(HaveLen(poison.CrashLimit))
 	})
@@ -188,6 +189,7 @@
 		h.g.Expect(h.f.Quarantine.Crashes(testContent)).To(HaveLen(1))
 		h.pool.Members("service")[0].MarkAlive(time.Now())
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		h.g.Expect(h.f.Quarantine.Crashes(testContent)).To(BeEmpty())
 		h.g.Expect(h.withdrawnCrashes).To(HaveLen(1))
 	})
@@ -233,9 +235,11 @@
 				stalled := ""
 				answer := sendEvents(20, 30*time.Millisecond, nil)
 				h.setBehaviour(func(req receivedRequest) (*http.Response, error) {
+					h.mu.Lock()
 					if stalled == "" {
 						stalled = req.upstream
 					}
+					h.mu.Unlock()
 					if req.upstream != stalled {
 						return answer(req)
 					}
