--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -44,15 +44,14 @@
 	Health(ctx context.Context, address, healthPath string) (pool.HealthStatus, error)
 }
 
-// placed is the upstream for a prompt and the holder of its KV copy, or nil for the
-// latter.
+// placed is the outcome of the placement of a prompt.
 type placed struct {
 	upstream     *pool.Member
-	backupHolder *pool.Member
+	backupHolder *pool.Member // for the KV copy of the run; nil: none
 	// noCopyRoom means that no polled upstream has room for the copy.
 	noCopyRoom bool
-	// refused means that the prompt has to yield to more urgent ones.
-	refused bool
+	// yields means that the new prompt is refused so that more urgent ones find room.
+	yields bool
 }
 
 // polledEngines are engines with their load reports.
@@ -120,8 +119,8 @@
 	}
 	chosen, report := polled.members[i], polled.engines[i].Report
 	fits := polled.engines[i].Fits(x.demand())
-	if f.isRefused(x, polled, fits) {
-		return placed{refused: true}, false
+	if f.yields(x, polled, fits) {
+		return placed{yields: true}, false
 	}
 	f.Metrics.countPlacement(fits)
 	x.log.WithFields(logrus.Fields{
@@ -136,8 +135,8 @@
 	return p, true
 }
 
-// isRefused reports whether a new prompt is refused so that more urgent ones find room.
-func (f *Forwarder) isRefused(x *exchange, polled polledEngines, fits bool) bool {
+// yields reports whether a new prompt is refused so that more urgent ones find room.
+func (f *Forwarder) yields(x *exchange, polled polledEngines, fits bool) bool {
 	reported := 0
 	for _, e := range polled.engines {
 		if e.Report != nil {
--- a/internal/forward/runend.go
+++ b/internal/forward/runend.go
@@ -181,7 +181,7 @@
 		report, err = f.requestReport(ctx, r.log, r.member)
 		answered = report != nil
 	} else {
-		answered, err = f.checkHealthOf(r)
+		answered, err = f.checkRunHealth(r)
 	}
 	switch {
 	case answered && !f.isReplaced(r):
@@ -192,9 +192,9 @@
 	return poison.ProcessUnknown
 }
 
-// checkHealthOf sends a health check to the upstream of a run, which takes a slot there like a
+// checkRunHealth sends a health check to the upstream of a run, which takes a slot there like a
 // request.
-func (f *Forwarder) checkHealthOf(r endedRun) (answered bool, err error) {
+func (f *Forwarder) checkRunHealth(r endedRun) (answered bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
 	defer cancel()
 	r.member.ChargeRequest(time.Now())
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -105,14 +105,11 @@
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	report, err := r.f.Prober.Load(probeCtx, r.member.Address)
-	switch result.err = err; {
-	case err != nil:
+	if result.err = err; err != nil {
 		result.alternative = r.anyAccepts(ctx, alternatives, placement.Engine.Fits)
-	case askElsewhere:
-		result.idleElsewhere = r.anyAccepts(ctx, alternatives, placement.Engine.Idle)
-		fallthrough
-	default:
+	} else {
 		result.report = &report
+		result.idleElsewhere = askElsewhere && r.anyAccepts(ctx, alternatives, placement.Engine.Idle)
 	}
 	result.replaced = err == nil && report.StartedAt != 0 && r.sentTo.StartedAt != 0 && report.StartedAt != r.sentTo.StartedAt
 	probed <- result
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -46,7 +46,7 @@
 	moving             bool            // it has left an upstream and has no event of the next one yet
 	waits              int             // pauses since the last progress of a stream that stays open
 	leftUpstream       bool            // a run was given up while its connection was open, and no event has followed
-	refused            bool            // the prompt has to yield to more urgent ones
+	yields             bool            // the new prompt is refused so that more urgent ones find room
 	noCopyRoom         bool            // no polled upstream has room for the KV copy of the next run
 	verdictsChanged    <-chan struct{} // closed when the verdicts on parts of prompts have changed since the last check
 }
@@ -61,7 +61,7 @@
 		}
 		m, backupHolder, attempt, ok := s.planAttempt(ctx)
 		if !ok {
-			if s.refused {
+			if s.yields {
 				f.refuse(x, http.StatusServiceUnavailable, "no engine has room", placement.ReturnAfter(rand.Float64()))
 				return
 			}
@@ -191,7 +191,7 @@
 	for {
 		p, found := s.f.placeByReport(ctx, s.x, need)
 		if !found || p.upstream.TakeRequest(time.Now()) {
-			s.noCopyRoom, s.refused = p.noCopyRoom, p.refused
+			s.noCopyRoom, s.yields = p.noCopyRoom, p.yields
 			return p.upstream, p.backupHolder, found
 		}
 		need.Exclude = append(need.Exclude, p.upstream.ID) // another request was faster
