poison: a process counts as lost after 2 s of silence

With 3 s the third loss counted at the end of the time that the users allow, before the other instances knew it.

Ruled out: a shorter time still. Whole failure domains are dark for 1.2 s and sound upstreams silent for a second or so (TestSilentMomentsConvictNoRequest plays 1.5 s).

Change: poison.SilenceLimit is 2 s.

--- a/internal/poison/outcome.go
+++ b/internal/poison/outcome.go
@@ -7,8 +7,8 @@
 
 // SilenceLimit is the time without a sign of life after which the process of an upstream that
 // fell silent under a run counts as lost. Sound upstreams and whole failure domains are silent
-// for a second or so.
-const SilenceLimit = 3 * time.Second
+// for a second or so, and all instances have to refuse the request 3 s after the third loss.
+const SilenceLimit = 2 * time.Second
 
 // EndCause is why a run of a request at an upstream ended, as seen on its connection.
 type EndCause int
