--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -1,5 +1,8 @@
-// Package poison decides which parts of prompts crash the upstreams that begin to write an
-// answer on them (poison parts), from crashes and successes at all instances.
+// Package poison decides how runs of requests at upstreams ended, and from that which requests and
+// which parts of prompts crash the upstreams that begin to answer them (poison requests and parts).
+//
+// A request is quarantined after three lost processes (Quarantine). Parts are shared by prompts, so
+// more is needed to convict one (Ledger):
 //
 // A part is convicted by crashes at several times and in several failure domains without a success
 // on it. Nothing but a success shows that a part is innocent, so an innocent part that is rare may be
