--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,10 +4,10 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/ ./cmd/foxtailhub-standin
-go build -tags review -o target/review-2/engine ./review/rig/engine
+go build -buildvcs=false -o target/review-2/ ./cmd/foxtailhub-standin
+go build -buildvcs=false -tags review -o target/review-2/engine ./review/rig/engine
 for folder in review/6 review/7 review/8 review/9 review/10; do
 	if [ -f "$folder/main.go" ]; then
-		go build -tags review -o "target/review-2/case-${folder##*/}" "./$folder"
+		go build -buildvcs=false -tags review -o "target/review-2/case-${folder##*/}" "./$folder"
 	fi
 done
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -146,6 +146,7 @@
 	defer log.Close()
 	cmd := exec.Command(p.path, p.args...)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = p.rig.root, log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if the driver is killed
 	cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}, p.env...)
 	if err := cmd.Start(); err != nil {
 		return err
