checkedhttp: reject responses with an invalid status

Callers saw: an upstream responded with status 000, 099 or +20, and the gateway closed the caller's connection without a response, because the handler panicked in WriteHeader. A response with status 600 or 999 to a call that must not be repeated was forwarded as the caller's answer. At the API of instances the outcome of such a call had the status 0 or 600.

Cause: http.ReadResponse accepts any three characters that strconv.Atoi takes for a number of zero and more. No reader of responses checked the range, and classify took everything below 500 for a response of the service.

Ruled out: a check in classify alone. Load reports, health checks, the store, KV copies and the API of instances do not pass through it; DropKVCopy took any status below 300 for a success.

Fix: all HTTP clients of the product send through checkedhttp.Transport, which returns an error for a final status outside of 200 to 599 (RFC 9110, sections 15 and 7.8). The request may have run, so a forwarded one is repeated where its route allows that, and answered with 502 otherwise. The attempt's log line has the reason.

--- a/cmd/foxtailhubd/gateway.go
+++ b/cmd/foxtailhubd/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
+	"foxtailhub.example/foxtailhub/internal/checkedhttp"
 	"foxtailhub.example/foxtailhub/internal/discovery"
 	"foxtailhub.example/foxtailhub/internal/gateway"
 	"foxtailhub.example/foxtailhub/internal/keptconn"
@@ -70,7 +71,7 @@
 
 func newPlatform(settings *gateway.Settings) gateway.Platform {
 	unkept := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseHeaderBytes}
-	servers := platform.NewUpstreamClient(&http.Client{Transport: unkept}, &http.Client{Transport: keptconn.New(unkept)})
+	servers := platform.NewUpstreamClient(&http.Client{Transport: checkedhttp.New(unkept)}, &http.Client{Transport: keptconn.New(unkept)})
 	eras := discovery.NewEraTracker()
 	return gateway.Platform{
 		Store:         platform.NewStore(settings.StoreAddress, storeTransport(), eras.Observe),
--- /dev/null
+++ b/internal/checkedhttp/transport.go
@@ -0,0 +1,51 @@
+// Package checkedhttp sends HTTP requests and rejects responses that are not valid HTTP. Package
+// net/http reads responses leniently, for clients that show them to a user; this system acts on them
+// or forwards them. All responses that other processes send over HTTP are read through it.
+//
+// The package must never return a response that it has not checked, and must never retry.
+package checkedhttp
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrInvalidResponse marks the errors of responses that are not valid HTTP. The request may have run.
+var ErrInvalidResponse = errors.New("invalid response")
+
+// Transport is an http.RoundTripper that returns an error instead of an invalid response.
+type Transport struct {
+	base *http.Transport
+}
+
+var _ http.RoundTripper = (*Transport)(nil)
+
+// New returns a transport that sends requests with a copy of base.
+func New(base *http.Transport) *Transport { return &Transport{base: base.Clone()} }
+
+// CloseIdleConnections closes the connections that are not in use.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// RoundTrip sends a request and returns its response.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.base.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close() // nothing is read from it
+		return nil, err
+	}
+	return response, nil
+}
+
+// checkStatus checks the status of a final response. Statuses outside of 100 to 599 are invalid
+// (RFC 9110, section 15), and a server must not switch to a protocol that the client has not offered
+// (RFC 9110, section 7.8).
+func checkStatus(status int) error {
+	if status < 200 || status > 599 {
+		return errors.Wrapf(ErrInvalidResponse, "status %03d", status)
+	}
+	return nil
+}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -17,6 +17,7 @@
 
 	"foxtailhub.example/foxtailhub/internal/api"
 	"foxtailhub.example/foxtailhub/internal/api/oas"
+	"foxtailhub.example/foxtailhub/internal/checkedhttp"
 )
 
 // Errors of the client.
@@ -80,7 +81,7 @@
 	for _, apply := range opts {
 		apply(&o)
 	}
-	transport := &http.Transport{DialContext: o.dial, DisableKeepAlives: true}
+	transport := checkedhttp.New(&http.Transport{DialContext: o.dial, DisableKeepAlives: true})
 	c := &Client{}
 	for _, url := range urls {
 		if parsed, err := neturl.Parse(url); err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
--- /dev/null
+++ b/internal/forward/invalidresponse_test.go
@@ -0,0 +1,83 @@
+package forward
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/checkedhttp"
+	"foxtailhub.example/foxtailhub/internal/route"
+)
+
+// requestOnWire sends a request to an HTTP server in front of the forwarder and returns all bytes
+// of its response.
+func (h *harness) requestOnWire(body string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	h.g.Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: h.f}
+	go func() { _ = server.Serve(listener) }() // ends with the test
+	defer server.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	h.g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	h.g.Expect(conn.SetDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+	request, err := http.NewRequest(http.MethodPost, "http://host/path", strings.NewReader(body))
+	h.g.Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Id", "request-1")
+	request.Close = true
+	h.g.Expect(request.Write(conn)).To(Succeed())
+	response, err := io.ReadAll(conn)
+	h.g.Expect(err).NotTo(HaveOccurred())
+	return string(response)
+}
+
+// expectRejected expects that the response of the first upstream did not reach the caller: it got
+// the complete one of another upstream, or a 502 if the request must not be repeated.
+func (h *harness) expectRejected(r route.Route, got, complete string, runs int64) {
+	if r.Kind == route.AtMostOnce {
+		h.g.Expect(got).To(HavePrefix("HTTP/1.1 502 "))
+		h.g.Expect(got).NotTo(ContainSubstring("broken"))
+		h.g.Expect(got).NotTo(ContainSubstring("Not-Run"))
+		h.g.Expect(runs).To(BeEquivalentTo(1))
+		return
+	}
+	h.g.Expect(got).To(HavePrefix("HTTP/1.1 200 OK\r\n"))
+	h.g.Expect(got).To(ContainSubstring(complete))
+	h.g.Expect(got).NotTo(ContainSubstring("broken"))
+	h.g.Expect(runs).To(BeEquivalentTo(2))
+}
+
+// rejectsResponses expects that no caller gets one of the responses, in any kind of route.
+func rejectsResponses(t *testing.T, responses map[string]string) {
+	for name, bytes := range responses {
+		for _, r := range []route.Route{atMostOnce, idempotent, streaming} {
+			t.Run(name+", "+r.Name, func(t *testing.T) {
+				h := newHarness(t, r, r.Kind == route.Stream)
+				complete := "complete"
+				if r.Kind == route.Stream {
+					complete = eventsText(1, 3)
+				}
+				runs := h.respondOnce(bytes, closePlainly, message(http.StatusOK, complete, namesRequest, signatureText))
+				got := h.requestOnWire("body")
+				h.expectRejected(r, got, complete, runs.Load())
+				h.g.Expect(strings.Count(h.log.String(), checkedhttp.ErrInvalidResponse.Error())).To(Equal(1), "log lines with the reason")
+			})
+		}
+	}
+}
+
+// Guards against a response whose status is not one of HTTP and that reaches the caller, or ends its
+// connection without a response.
+func TestInvalidStatusDoesNotReachCaller(t *testing.T) {
+	responses := map[string]string{}
+	for _, status := range []string{"000", "-00", "+20", "099", "600", "999"} {
+		responses[status] = "HTTP/1.1 " + status + " broken\r\nContent-Length: 6\r\n" + namesRequest + "\r\n" + signatureText + "\r\n\r\nbroken"
+	}
+	responses["000 after a 103"] = interim + responses["000"]
+	rejectsResponses(t, responses)
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailhub.example/foxtailhub/internal/checkedhttp"
 	"foxtailhub.example/foxtailhub/internal/pool"
 )
 
@@ -66,20 +67,25 @@
 
 func newSender(protocol Protocol, transport http.RoundTripper) *sender {
 	if transport == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
-		}}
-		transport = &http.Transport{
-			DialContext:        dialer.DialContext,
-			DisableKeepAlives:  true, // also prevents automatic retries by the transport
-			DisableCompression: true,
-
-			MaxResponseHeaderBytes: maxResponseHeadBytes,
-		}
+		transport = checkedhttp.New(newTransport())
 	}
 	return &sender{protocol: protocol, transport: transport}
 }
 
+// newTransport returns the transport to upstreams.
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
+	return &http.Transport{
+		DialContext:        dialer.DialContext,
+		DisableKeepAlives:  true, // also prevents automatic retries by the transport
+		DisableCompression: true,
+
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
+	}
+}
+
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
 	result     Result
--- a/internal/forward/send_test.go
+++ b/internal/forward/send_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"syscall"
 	"testing"
 
@@ -15,7 +14,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	defer listener.Close()
-	transport := newSender(nil, nil).transport.(*http.Transport)
+	transport := newTransport()
 	conn, err := transport.DialContext(t.Context(), "tcp", listener.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
 	defer conn.Close()
--- a/internal/keptconn/transport.go
+++ b/internal/keptconn/transport.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"foxtailhub.example/foxtailhub/internal/checkedhttp"
 )
 
 const (
@@ -45,7 +47,7 @@
 	kept, fresh := base.Clone(), base.Clone()
 	kept.DisableKeepAlives, fresh.DisableKeepAlives = false, true
 	kept.MaxIdleConnsPerHost, kept.MaxIdleConns, kept.IdleConnTimeout = maxPerServer, maxIdle, IdleTimeout
-	return &Transport{kept: kept, fresh: fresh}
+	return &Transport{kept: checkedhttp.New(kept), fresh: checkedhttp.New(fresh)}
 }
 
 // CloseIdleConnections closes the kept connections that are not in use.
--- a/internal/platform/platformhttp/client.go
+++ b/internal/platform/platformhttp/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailhub.example/foxtailhub/internal/checkedhttp"
 	"foxtailhub.example/foxtailhub/internal/platform"
 )
 
@@ -83,7 +84,7 @@
 		cfg.Timeout = DefaultTimeout
 	}
 	if cfg.Transport == nil {
-		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: time.Minute}
+		cfg.Transport = checkedhttp.New(&http.Transport{MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: time.Minute})
 	}
 	return &client{
 		base:    strings.TrimSuffix(cfg.Address, "/"),
--- a/internal/upstream/enginehttp/dialer.go
+++ b/internal/upstream/enginehttp/dialer.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailhub.example/foxtailhub/internal/checkedhttp"
 	"foxtailhub.example/foxtailhub/internal/upstream"
 )
 
@@ -30,8 +31,8 @@
 func NewDialer() *Dialer {
 	single := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dial}
 	return &Dialer{
-		client:     &http.Client{Transport: single, CheckRedirect: refuseRedirect},
-		loadClient: &http.Client{Transport: newLoadTransport(dial), CheckRedirect: refuseRedirect},
+		client:     &http.Client{Transport: checkedhttp.New(single), CheckRedirect: refuseRedirect},
+		loadClient: &http.Client{Transport: checkedhttp.New(newLoadTransport(dial)), CheckRedirect: refuseRedirect},
 	}
 }
 
--- a/internal/upstream/servicehttp/client.go
+++ b/internal/upstream/servicehttp/client.go
@@ -111,7 +111,7 @@
 // exchange uses RoundTrip instead of http.Client, which follows redirects. confirm, if
 // not nil, confirms a response that only the end of its connection ends.
 func exchange(
-	ctx context.Context, transport *http.Transport, request *http.Request, confirm func(context.Context, upstream.Incarnation) error,
+	ctx context.Context, transport http.RoundTripper, request *http.Request, confirm func(context.Context, upstream.Incarnation) error,
 ) (upstream.CallResponse, error) {
 	response, err := transport.RoundTrip(request)
 	if err != nil {
--- a/internal/upstream/servicehttp/dialer.go
+++ b/internal/upstream/servicehttp/dialer.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailhub.example/foxtailhub/internal/checkedhttp"
 	"foxtailhub.example/foxtailhub/internal/upstream"
 )
 
@@ -36,7 +37,7 @@
 // Dialer is an upstream.ServiceDialer over HTTP.
 type Dialer struct {
 	dial   DialFunc
-	pooled *http.Transport // idempotent calls and load reports
+	pooled *checkedhttp.Transport // idempotent calls and load reports
 }
 
 // New returns a Dialer.
@@ -48,13 +49,13 @@
 		config.DialTimeout = defaultDialTimeout
 	}
 	d := &Dialer{dial: boundedDial(config.Dial, config.DialTimeout)}
-	d.pooled = &http.Transport{
+	d.pooled = checkedhttp.New(&http.Transport{
 		DialContext:            d.dial,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
-	}
+	})
 	return d
 }
 
@@ -83,10 +84,10 @@
 // another connection. It does not set DisableKeepAlives: a server that is
 // requested to close the connection may do so before it has read the body, and
 // the resulting reset can discard its response.
-func singleUse(conn net.Conn) *http.Transport {
+func singleUse(conn net.Conn) *checkedhttp.Transport {
 	unused := make(chan net.Conn, 1)
 	unused <- conn
-	return &http.Transport{
+	return checkedhttp.New(&http.Transport{
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
 			select {
 			case c := <-unused:
@@ -97,7 +98,7 @@
 		},
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	})
 }
 
 // errSecondConnection is not marked as ErrUnreachable: the call may already
