checkedhttp: the response of an interrupted upload is not complete

Callers saw: an upstream answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a complete answer.

Cause: the kernel reports a reset to one system call only. The transport writes the request and reads the response at the same time. When the write gets ECONNRESET, the read returns 0, like after an orderly close, and only an orderly close ends such a response. confirmProcess did not help, because the process goes on.

Ruled out: the confirmation of the process (it answers); the end of the caller's connection (the gateway ended it properly, with the length of the part). Remembering the error of the write: it may be stored after the read has returned.

Fix: connections of checkedhttp ask the kernel for the state of the socket when their data ends. After a reset it is closed, after an orderly close it is not. A response without a length also needs a request that was written (RFC 9112, section 8): a server that closes its connection before it has read the request resets it afterwards, and the end of the data may arrive first. Responses with a length or chunks are not affected, so a server may still answer before it has read a long body. EndsWithConnection takes the place of two copies.

--- /dev/null
+++ b/internal/checkedhttp/conn.go
@@ -0,0 +1,66 @@
+package checkedhttp
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// checkedDial returns a dial function whose connections report a reset at the end of their data.
+func checkedDial(dial dialFunc) dialFunc {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return conn{c}, nil
+	}
+}
+
+// conn is a connection that does not end like one closed by its peer if it was reset.
+type conn struct{ net.Conn }
+
+// errReset is the error of a reset that a write has already returned.
+var errReset = os.NewSyscallError("read", syscall.ECONNRESET)
+
+// Read reads from the connection.
+func (c conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) && wasReset(c.Conn) {
+		err = errReset
+	}
+	return n, err
+}
+
+// tcpClose is the state of a TCP socket after a reset (TCP_CLOSE in include/net/tcp_states.h).
+// After an orderly close by the peer the state is TCP_CLOSE_WAIT.
+const tcpClose = 7
+
+// wasReset reports whether the peer has reset a connection that has no more data. The kernel returns
+// the error of a reset to one system call only. If that is a write, reads return the end of the data.
+func wasReset(c net.Conn) bool {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == tcpClose
+	})
+	return reset || err != nil // the transport closes a connection after a failed write
+}
--- a/internal/checkedhttp/transport.go
+++ b/internal/checkedhttp/transport.go
@@ -22,14 +22,19 @@
 var _ http.RoundTripper = (*Transport)(nil)
 
 // New returns a transport that sends requests with a copy of base.
-func New(base *http.Transport) *Transport { return &Transport{base: base.Clone()} }
+func New(base *http.Transport) *Transport {
+	base = base.Clone()
+	base.DialContext = checkedDial(base.DialContext)
+	return &Transport{base: base}
+}
 
 // CloseIdleConnections closes the connections that are not in use.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
 // RoundTrip sends a request and returns its response.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.base.RoundTrip(request)
+	traced, written := traceWrite(request)
+	response, err := t.base.RoundTrip(traced)
 	if err != nil {
 		return nil, err
 	}
@@ -37,6 +42,10 @@
 		_ = response.Body.Close() // nothing is read from it
 		return nil, err
 	}
+	response.Request = request
+	if EndsWithConnection(response) {
+		response.Body = &unframedBody{ReadCloser: response.Body, ctx: request.Context(), written: written}
+	}
 	return response, nil
 }
 
--- a/internal/forward/invalidresponse_test.go
+++ b/internal/forward/invalidresponse_test.go
@@ -1,14 +1,18 @@
 package forward
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"foxtailhub.example/foxtailhub/internal/checkedhttp"
 	"foxtailhub.example/foxtailhub/internal/route"
@@ -81,3 +85,69 @@
 	responses["000 after a 103"] = interim + responses["000"]
 	rejectsResponses(t, responses)
 }
+
+// Guards against a part of a response without a length that looks complete, because the upstream
+// reset the connection, or left, while the request was still being written to it. Of the read and the
+// write that a reset interrupts, only one gets its error, and which one is random.
+func TestResponseOfResetUploadIsNotComplete(t *testing.T) {
+	upload := strings.Repeat("x", 2<<20)
+	for name, read := range map[string]int64{"at once": 1, "after a part of the upload": 64 << 10} {
+		for endName, end := range map[string]ending{"reset": resetAtOnce, "closed": func(*net.TCPConn) {}, "closed after its end": closePlainly} {
+			for _, r := range []route.Route{atMostOnce, idempotent, streaming} {
+				t.Run(name+", "+endName+", "+r.Name, func(t *testing.T) {
+					broken, complete := "broken", "complete"
+					if r.Kind == route.Stream {
+						broken, complete = "id: 1\ndata: broken\n\n", eventsText(1, 3)
+					}
+					for range 24 {
+						h := newHarness(t, r, r.Kind == route.Stream)
+						var runs atomic.Int64
+						handle := func(u *rawUpstream, conn *net.TCPConn) {
+							if runs.Add(1) > 1 {
+								if u.run(conn) {
+									_, _ = io.WriteString(conn, message(http.StatusOK, complete, namesRequest, signatureText))
+								}
+								return
+							}
+							if _, err := io.CopyN(io.Discard, conn, read); err != nil {
+								return
+							}
+							_, _ = io.WriteString(conn, unframedHead+broken)
+							waitForUpload(conn)
+							end(conn)
+						}
+						h.useRawUpstreams(newRawUpstream(t, handle), newRawUpstream(t, handle))
+						got := h.requestOnWire(upload)
+						if r.Kind != route.Stream {
+							h.expectRejected(r, got, complete, runs.Load())
+							continue
+						}
+						// Events before the reset are forwarded, and the stream goes on after them.
+						response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(got)), nil)
+						h.g.Expect(err).NotTo(HaveOccurred())
+						body, err := io.ReadAll(response.Body)
+						h.g.Expect(err).NotTo(HaveOccurred(), "the response is not complete")
+						h.g.Expect(string(body)).To(HaveSuffix(eventText(2) + eventText(3)))
+					}
+				})
+			}
+		}
+	}
+}
+
+// waitForUpload waits until no more bytes arrive because the receive buffer of a connection is full.
+func waitForUpload(conn *net.TCPConn) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	for last := -1; ; {
+		unread := 0
+		_ = raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }) // fails on a closed connection only
+		if unread == last && unread > 0 {
+			return
+		}
+		last = unread
+		runtime.Gosched()
+	}
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -124,7 +124,7 @@
 		}
 		return r
 	}
-	if endsWithConnection(response) {
+	if checkedhttp.EndsWithConnection(response) {
 		response.Body = &unframedBody{response.Body, func() error { return s.confirmProcess(ctx, x, attempt.Upstream) }}
 	}
 	r := attemptResult{result: result, response: response}
--- a/internal/forward/unframed.go
+++ b/internal/forward/unframed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -23,11 +22,6 @@
 
 var errProcessGone = errors.New("upstream's process ended with its response, which has no length")
 
-// endsWithConnection reports whether only the end of the connection ends a response.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Close && response.Body != http.NoBody
-}
-
 // unframedBody is the body of a response that ends with its connection. The kernel also
 // closes the connection of a process that is killed, so the body is complete only if
 // confirm returns nil.
--- a/internal/upstream/servicehttp/client.go
+++ b/internal/upstream/servicehttp/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailhub.example/foxtailhub/internal/checkedhttp"
 	"foxtailhub.example/foxtailhub/internal/upstream"
 )
 
@@ -129,7 +130,7 @@
 	if len(body) > MaxResponseBytes {
 		return upstream.CallResponse{}, ErrResponseTooLarge
 	}
-	if confirm != nil && endsWithConnection(response) {
+	if confirm != nil && checkedhttp.EndsWithConnection(response) {
 		if err := confirm(ctx, incarnation); err != nil {
 			return upstream.CallResponse{}, err
 		}
--- a/internal/upstream/servicehttp/unframed.go
+++ b/internal/upstream/servicehttp/unframed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,11 +19,6 @@
 	confirmTries    = 3
 )
 
-// endsWithConnection reports whether only the end of its connection ends a response.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
-}
-
 // confirmServer returns nil if the server that sent a response without a length still runs.
 // The kernel also closes the connections of a process that crashed, so the response of one
 // that is gone may be incomplete. A server that does not respond in time, or has no load
