checkedhttp: reject responses with an invalid field name

Callers saw: an upstream sent a response with a blank in the name of a field. They got it as an answer: without the line, or with another body than the upstream's. With "Content-Length : 3" they got all bytes up to the end of the connection, with "Transfer-Encoding : chunked" the sizes of the chunks too, and with "Id : request-0" a response that states that it belongs to another request. At the API of instances it became the outcome of the call.

Cause: textproto.Reader accepts a blank in a name and takes it for a part of the name, so the field with the name that the upstream meant is missing. The HTTP server drops such a name when it writes the response, so nothing showed.

Ruled out: control bytes, bytes from 0x80, separators and an empty name: net/http rejects them, the tests for them passed before and stay. Interim responses and trailers: their fields are not used and not forwarded (TestFieldsOfInterimResponsesAndTrailersAreNotForwarded passed before), and the body is whole. Removing the blank before the colon, which RFC 9112, section 5.1, allows a proxy: net/http has read the body by then.

Fix: checkedhttp checks the names of a final response with httpguts.ValidHeaderFieldName (RFC 9110, section 5.1).

--- a/internal/checkedhttp/transport.go
+++ b/internal/checkedhttp/transport.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrInvalidResponse marks the errors of responses that are not valid HTTP. The request may have run.
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkStatus(response.StatusCode); err != nil {
+	if err := checkHead(response); err != nil {
 		_ = response.Body.Close() // nothing is read from it
 		return nil, err
 	}
@@ -49,12 +50,19 @@
 	return response, nil
 }
 
-// checkStatus checks the status of a final response. Statuses outside of 100 to 599 are invalid
-// (RFC 9110, section 15), and a server must not switch to a protocol that the client has not offered
-// (RFC 9110, section 7.8).
-func checkStatus(status int) error {
-	if status < 200 || status > 599 {
+// checkHead checks what net/http accepts in the head of a final response, but is invalid.
+func checkHead(response *http.Response) error {
+	// Statuses outside of 100 to 599 are invalid (RFC 9110, section 15), and a server must not switch
+	// to a protocol that the client has not offered (RFC 9110, section 7.8).
+	if status := response.StatusCode; status < 200 || status > 599 {
 		return errors.Wrapf(ErrInvalidResponse, "status %03d", status)
 	}
+	// A name is a token (RFC 9110, section 5.1). With a blank before the colon (RFC 9112, section 5.1)
+	// net/http has ignored the field, which may be the length of the body.
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrInvalidResponse, "field name %.64q", name)
+		}
+	}
 	return nil
 }
--- a/internal/checkedhttp/transport_test.go
+++ b/internal/checkedhttp/transport_test.go
@@ -89,6 +89,8 @@
 		"status 600":         {strings.Replace(valid, "200", "600", 1), false},
 		"status +20":         {strings.Replace(valid, "200", "+20", 1), false},
 		"000 after a 103":    {interim + strings.Replace(valid, "200", "000", 1), false},
+		"blank in a name":    {strings.Replace(valid, "X-A", "X A", 1), false},
+		"blank after a name": {strings.Replace(valid, "Content-Length", "Content-Length ", 1), false},
 	} {
 		for kind, transport := range transports() {
 			t.Run(name+", "+kind, func(t *testing.T) {
--- a/internal/forward/invalidresponse_test.go
+++ b/internal/forward/invalidresponse_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"runtime"
 	"strings"
 	"sync/atomic"
@@ -56,6 +58,9 @@
 	h.g.Expect(runs).To(BeEquivalentTo(2))
 }
 
+// invalidReason matches the reason of a rejected response in a log line.
+var invalidReason = regexp.MustCompile(`(` + checkedhttp.ErrInvalidResponse.Error() + `|malformed MIME header)`)
+
 // rejectsResponses expects that no caller gets one of the responses, in any kind of route.
 func rejectsResponses(t *testing.T, responses map[string]string) {
 	for name, bytes := range responses {
@@ -69,7 +74,7 @@
 				runs := h.respondOnce(bytes, closePlainly, message(http.StatusOK, complete, namesRequest, signatureText))
 				got := h.requestOnWire("body")
 				h.expectRejected(r, got, complete, runs.Load())
-				h.g.Expect(strings.Count(h.log.String(), checkedhttp.ErrInvalidResponse.Error())).To(Equal(1), "log lines with the reason")
+				h.g.Expect(invalidReason.FindAllString(h.log.String(), -1)).To(HaveLen(1), "log lines with the reason")
 			})
 		}
 	}
@@ -86,6 +91,46 @@
 	rejectsResponses(t, responses)
 }
 
+// Guards against a response with an invalid field name that reaches the caller, without the line or with
+// a body that is not the upstream's: net/http takes a blank in a name for a part of it, and so ignores
+// a length or an identification that the upstream has stated.
+func TestInvalidFieldNameDoesNotReachCaller(t *testing.T) {
+	const named = namesRequest + "\r\n" + signatureText + "\r\n"
+	responses := map[string]string{
+		"blank before the colon of a length": "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n" + named + "\r\nbroken",
+		"blank before the colon of chunks":   "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + named + "\r\n" + chunk("broken") + "0\r\n\r\n",
+		"blank in the name of a request":     "HTTP/1.1 200 OK\r\nContent-Length: 6\r\nId : request-0\r\n" + signatureText + "\r\n\r\nbroken",
+		"after a 103":                        interim + "HTTP/1.1 200 OK\r\nContent-Length: 6\r\nX-Broken : 1\r\n" + named + "\r\nbroken",
+		"error response":                     "HTTP/1.1 500 Error\r\nContent-Length: 6\r\nX Broken: 1\r\n" + named + "\r\nbroken",
+	}
+	for _, name := range invalidNames {
+		responses[fmt.Sprintf("%q", name)] = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n" + named + name + ": 1\r\n\r\nbroken"
+	}
+	rejectsResponses(t, responses)
+}
+
+var invalidNames = []string{"X Broken", "X-Broken ", "X-Broken\t", "X\tBroken", "X\x00Broken", "X\x01Broken", "X\x7fBroken", "X\x80Broken", "X\rBroken", "X(Broken)", "\x0bX", ""}
+
+// Guards against invalid fields of interim responses and trailers, which are not forwarded, that reach the
+// caller.
+func TestFieldsOfInterimResponsesAndTrailersAreNotForwarded(t *testing.T) {
+	const named = namesRequest + "\r\n" + signatureText + "\r\n"
+	for name, bytes := range map[string]string{
+		"interim": "HTTP/1.1 103 Early Hints\r\nX Broken: 1\r\nContent-Length : 3\r\n\r\n" + message(http.StatusOK, "complete", namesRequest, signatureText),
+		"trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Broken\r\n" + named + "\r\n" + chunk("complete") + "0\r\nX-Broken: 1\r\nX Broken: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, atMostOnce, false)
+			runs := h.respondOnce(bytes, closePlainly, "")
+			got := h.requestOnWire("body")
+			h.g.Expect(got).To(HavePrefix("HTTP/1.1 200 OK\r\n"))
+			h.g.Expect(got).To(HaveSuffix("\r\n\r\ncomplete"))
+			h.g.Expect(got).NotTo(ContainSubstring("Broken: 1"))
+			h.g.Expect(runs.Load()).To(BeEquivalentTo(1))
+		})
+	}
+}
+
 // Guards against a part of a response without a length that looks complete, because the upstream
 // reset the connection, or left, while the request was still being written to it. Of the read and the
 // write that a reset interrupts, only one gets its error, and which one is random.
--- a/internal/upstream/servicehttp/invalidresponse_test.go
+++ b/internal/upstream/servicehttp/invalidresponse_test.go
@@ -18,6 +18,7 @@
 	for name, response := range map[string]string{
 		"status 000": "HTTP/1.1 000 None\r\nContent-Length: 6\r\n\r\nbroken",
 		"status 600": "HTTP/1.1 600 None\r\nContent-Length: 6\r\n\r\nbroken",
+		"field name": "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nbroken",
 	} {
 		for _, once := range []bool{true, false} {
 			t.Run(fmt.Sprint(name, ", once: ", once), func(t *testing.T) {
