checkedhttp: bound the lines of a response head

Operators saw: a faulty server sent a head that is no response, and the gateway kept it for every request until it was out of memory; the requests of all callers on the machine ended with it.

Cause: the bytes of a head were bounded (64 KiB), not its fields. A decoded field of four bytes takes some hundred, so 60 KiB of short fields take more than a megabyte. A server that then sends nothing more holds that for each request in progress until its deadline. The clients of engines (API of instances), of the table service and of the command-line tool had net/http's bound of 10 MB for the bytes.

Ruled out: bytes without end.

Fix: connections of checkedhttp follow the heads that arrive and end the response at the 257th line of a head, also an interim one. Heads in forward may have 32 KiB instead of 64. Transports without a bound of their own get 64 KiB instead of 10 MB. Responses of the users' servers have some ten fields. A limit counts lines, not fields, so that folded lines count too.

The parser ignores an error inside folded lines and read on until the deadline; now the error stays.

--- a/internal/checkedhttp/conn.go
+++ b/internal/checkedhttp/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -13,7 +14,8 @@
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// checkedDial returns a dial function whose connections report a reset at the end of their data.
+// checkedDial returns a dial function whose connections check the heads of responses, and report a
+// reset at the end of their data.
 func checkedDial(dial dialFunc) dialFunc {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -23,19 +25,38 @@
 		if err != nil {
 			return nil, err
 		}
-		return conn{c}, nil
+		return &conn{Conn: c}, nil
 	}
 }
 
-// conn is a connection that does not end like one closed by its peer if it was reset.
-type conn struct{ net.Conn }
+// conn is a connection that checks the heads of responses, and that does not end like one closed by
+// its peer if it was reset.
+type conn struct {
+	net.Conn
+	responseDue atomic.Bool // a request is about to be sent
+	head        headScanner // owned by the reader, like headErr
+	headErr     error       // result of all reads after an invalid line
+}
+
+// expectResponse checks the head of the response to the next request.
+func (c *conn) expectResponse() { c.responseDue.Store(true) }
 
 // errReset is the error of a reset that a write has already returned.
 var errReset = os.NewSyscallError("read", syscall.ECONNRESET)
 
 // Read reads from the connection.
-func (c conn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
+	if c.headErr != nil {
+		return 0, c.headErr
+	}
 	n, err := c.Conn.Read(p)
+	if n > 0 && c.responseDue.Swap(false) {
+		c.head.start()
+	}
+	if readable, headErr := c.head.scan(p[:n]); headErr != nil {
+		c.headErr = headErr
+		return readable, headErr
+	}
 	if errors.Is(err, io.EOF) && wasReset(c.Conn) {
 		err = errReset
 	}
--- a/internal/checkedhttp/transport.go
+++ b/internal/checkedhttp/transport.go
@@ -7,6 +7,7 @@
 
 import (
 	"net/http"
+	"net/http/httptrace"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
@@ -26,6 +27,9 @@
 func New(base *http.Transport) *Transport {
 	base = base.Clone()
 	base.DialContext = checkedDial(base.DialContext)
+	if base.MaxResponseHeaderBytes == 0 {
+		base.MaxResponseHeaderBytes = maxHeadBytes
+	}
 	return &Transport{base: base}
 }
 
@@ -34,7 +38,7 @@
 
 // RoundTrip sends a request and returns its response.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	traced, written := traceWrite(request)
+	traced, written := trace(request)
 	response, err := t.base.RoundTrip(traced)
 	if err != nil {
 		return nil, err
@@ -50,6 +54,34 @@
 	return response, nil
 }
 
+// trace returns a request with the same effect whose response is checked. The channel receives the
+// result of writing the request.
+func trace(request *http.Request) (traced *http.Request, written <-chan error) {
+	results := make(chan error, 1)
+	forget := func() {
+		select {
+		case <-results:
+		default:
+		}
+	}
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			forget() // the transport may send the request again on another connection
+			if c, ok := info.Conn.(*conn); ok {
+				c.expectResponse()
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			forget()
+			select {
+			case results <- info.Err:
+			default:
+			}
+		},
+	})
+	return request.WithContext(ctx), results
+}
+
 // checkHead checks what net/http accepts in the head of a final response, but is invalid.
 func checkHead(response *http.Response) error {
 	// Statuses outside of 100 to 599 are invalid (RFC 9110, section 15), and a server must not switch
--- a/internal/checkedhttp/unframed.go
+++ b/internal/checkedhttp/unframed.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,29 +13,6 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Close && response.Body != http.NoBody
 }
 
-// traceWrite returns a request with the same effect, and a channel that receives the result of writing
-// it once a response may end.
-func traceWrite(request *http.Request) (traced *http.Request, written <-chan error) {
-	results := make(chan error, 1)
-	forget := func() {
-		select {
-		case <-results:
-		default:
-		}
-	}
-	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { forget() }, // the transport may send it again on another connection
-		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			forget()
-			select {
-			case results <- info.Err:
-			default:
-			}
-		},
-	})
-	return request.WithContext(ctx), results
-}
-
 // unframedBody is the body of a response that ends with its connection. Such a response is complete
 // unless the connection indicates an error (RFC 9112, section 8). A server that closes its connection
 // before it has read the request may have failed, and its reset may follow the end of the data.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -28,8 +28,9 @@
 	keepAliveInterval = time.Second
 	keepAliveCount    = 6
 	// maxResponseHeadBytes bounds the head of a response, including interim (1xx)
-	// responses.
-	maxResponseHeadBytes = 64 << 10
+	// responses. A server may hold the end of the head back, so each request in progress may
+	// keep a head and its decoded form.
+	maxResponseHeadBytes = 32 << 10
 	// bufferedResponseBytes is the part of a response that is read before the caller
 	// gets any of it, so that a request whose response is truncated can still be
 	// retried. Most responses are below a kilobyte.
