platformhttp: bound the responses that are read at the same time

Operators saw: a faulty service of the platform sent a body without end, and the instance that had called it ran out of memory.

Cause: each response was read up to 64 MiB, without a bound for all of them together. A long one was cut off there and decoded.

Ruled out: a smaller bound for each response. Lists and histories of configurations of up to 8 MiB each need it.

Fix: the responses of a service share 64 MiB beyond the first 4 KiB of each, so small ones are read beside a long one.

--- a/internal/platform/platformhttp/client.go
+++ b/internal/platform/platformhttp/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 
 	"foxtailhub.example/foxtailhub/internal/checkedhttp"
 	"foxtailhub.example/foxtailhub/internal/platform"
@@ -39,8 +40,15 @@
 // DefaultTimeout bounds one request.
 const DefaultTimeout = 2 * time.Second
 
-// maxResponseBytes bounds the body that is read of a response.
-const maxResponseBytes = 64 << 20
+const (
+	// maxBufferedBytes bounds the bodies of a service's responses that are read at the same time, beyond
+	// the first chunk of each, so also a single one. A configuration has 8 MiB at most.
+	maxBufferedBytes = 64 << 20
+	firstChunkBytes  = 4 << 10
+	readChunkBytes   = 64 << 10
+)
+
+var errTooManyBytes = errors.Newf("responses of the service exceed %d bytes", maxBufferedBytes)
 
 // CommitRequest is the body of a commit.
 type CommitRequest struct {
@@ -74,9 +82,10 @@
 
 // client sends the requests of one adapter.
 type client struct {
-	base    string
-	timeout time.Duration
-	http    *http.Client
+	base     string
+	timeout  time.Duration
+	http     *http.Client
+	buffered *semaphore.Weighted // bytes of responses that are being read
 }
 
 func newClient(cfg Config) *client {
@@ -90,6 +99,8 @@
 		base:    strings.TrimSuffix(cfg.Address, "/"),
 		timeout: cfg.Timeout,
 		http:    &http.Client{Transport: cfg.Transport, CheckRedirect: noRedirect},
+
+		buffered: semaphore.NewWeighted(maxBufferedBytes),
 	}
 }
 
@@ -156,10 +167,36 @@
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(EffectHeader) == EffectNone {
 		return statusNoEffect, nil, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := c.readBody(response.Body)
 	return response.StatusCode, body, err
 }
 
+// readBody reads a body, unless too many bytes of responses are being read.
+func (c *client) readBody(body io.Reader) ([]byte, error) {
+	var chunks [][]byte
+	taken := int64(0)
+	defer func() { c.buffered.Release(taken) }()
+	for size := firstChunkBytes; ; size = readChunkBytes {
+		chunk := make([]byte, size)
+		n, err := 0, error(nil)
+		for n < size && err == nil {
+			var read int
+			read, err = body.Read(chunk[n:])
+			n += read
+		}
+		chunks = append(chunks, chunk[:n])
+		switch {
+		case errors.Is(err, io.EOF):
+			return bytes.Join(chunks, nil), nil
+		case err != nil:
+			return nil, err
+		case !c.buffered.TryAcquire(readChunkBytes):
+			return nil, errTooManyBytes
+		}
+		taken += readChunkBytes
+	}
+}
+
 // errNotSent marks errors that occur before a request is sent.
 var errNotSent = errors.New("request was not sent")
 
