client: bound the bodies of responses that are read as a whole

Callers saw: the command-line tool, or a program with the client library, called an instance that sent a JSON body without end, and kept it until it was out of memory.

Cause: the generated decoders read a body with io.ReadAll, and nothing bounded it but the deadline of the call, ten minutes by default.

Ruled out: streams. Their events are read one by one and are bounded.

Fix: http.MaxBytesReader with 64 MiB around each body that is not a stream of events.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"mime"
 	"net"
 	"net/http"
 	neturl "net/url"
@@ -53,6 +54,24 @@
 	callTimeout = 10 * time.Minute
 )
 
+// maxBodyBytes bounds the body of a response that is read as a whole. The largest are configurations
+// and time lines.
+const maxBodyBytes = 64 << 20
+
+// boundedBodies bounds the bodies of responses other than streams.
+type boundedBodies struct{ http.RoundTripper }
+
+func (b boundedBodies) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := b.RoundTripper.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if mediaType, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type")); mediaType != "text/event-stream" {
+		response.Body = http.MaxBytesReader(nil, response.Body, maxBodyBytes)
+	}
+	return response, nil
+}
+
 // Client sends requests to its endpoints in round-robin order.
 type Client struct {
 	endpoints []*oas.Client
@@ -87,7 +106,7 @@
 		if parsed, err := neturl.Parse(url); err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
 			return nil, errors.Wrapf(ErrEndpointInvalid, "%q", url)
 		}
-		endpoint, err := oas.NewClient(url, oas.WithClient(&http.Client{Transport: transport}))
+		endpoint, err := oas.NewClient(url, oas.WithClient(&http.Client{Transport: boundedBodies{transport}}))
 		if err != nil {
 			return nil, errors.Wrapf(err, "endpoint %q", url)
 		}
