checkedhttp: reject responses of HTTP/1.0 with a transfer coding

Found while the readers of responses were looked at; not reported. Callers would see: an upstream sends a response of HTTP/1.0 in chunks, and they get the sizes of the chunks as a part of the body.

Cause: net/http ignores Transfer-Encoding in a response of HTTP/1.0 and removes the field, so that nothing shows afterwards.

Fix: the connection, which follows the heads, rejects the field there (RFC 9112, section 6.1).

--- a/internal/checkedhttp/head.go
+++ b/internal/checkedhttp/head.go
@@ -21,6 +21,7 @@
 type headScanner struct {
 	active  bool   // the next byte belongs to a head
 	interim bool   // the current head is of an interim response, which another head follows
+	http10  bool   // the current head has the version HTTP/1.0
 	lines   int    // complete lines of the current head
 	line    []byte // beginning of the current line
 }
@@ -54,13 +55,22 @@
 	case len(line) == 0:
 		s.active, s.lines = s.interim, 0
 	case s.lines == 1:
-		s.interim = isInterim(line)
+		s.interim, s.http10 = isInterim(line), bytes.HasPrefix(line, []byte("HTTP/1.0 "))
 	case s.lines > maxHeadLines:
 		return errors.Wrapf(ErrInvalidResponse, "head has more than %d lines", maxHeadLines)
+	case s.http10 && isTransferCoding(line):
+		return errors.Wrap(ErrInvalidResponse, "response of HTTP/1.0 with a transfer coding")
 	}
 	return nil
 }
 
+// isTransferCoding reports whether a line is the field Transfer-Encoding. In a response of HTTP/1.0 it makes
+// the framing faulty (RFC 9112, section 6.1), but net/http ignores and removes it there.
+func isTransferCoding(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return bytes.EqualFold(name, []byte("Transfer-Encoding"))
+}
+
 // isInterim reports whether a status line is that of an interim response (RFC 9110, section 15.2).
 // After 101 no other response follows.
 func isInterim(statusLine []byte) bool {
--- a/internal/checkedhttp/transport_test.go
+++ b/internal/checkedhttp/transport_test.go
@@ -82,6 +82,8 @@
 		"length after a 103": {interim + valid, true},
 		"chunks":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-Sum: 1\r\n\r\n", true},
 		"no length":          {"HTTP/1.1 200 OK\r\n\r\nwhole", true},
+		"HTTP/1.0":           {"HTTP/1.0 200 OK\r\nX-A: Transfer-Encoding: chunked\r\n\r\nwhole", true},
+		"HTTP/1.0, chunks":   {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", false},
 		"error status":       {strings.Replace(valid, "200", "599", 1), true},
 		"status 000":         {strings.Replace(valid, "200", "000", 1), false},
 		"status 099":         {strings.Replace(valid, "200", "099", 1), false},
--- a/internal/forward/invalidresponse_test.go
+++ b/internal/forward/invalidresponse_test.go
@@ -111,6 +111,18 @@
 
 var invalidNames = []string{"X Broken", "X-Broken ", "X-Broken\t", "X\tBroken", "X\x00Broken", "X\x01Broken", "X\x7fBroken", "X\x80Broken", "X\rBroken", "X(Broken)", "\x0bX", ""}
 
+// Guards against the sizes of chunks as a part of the body: net/http ignores the transfer coding of a
+// response of HTTP/1.0.
+func TestTransferCodingOfHTTP10DoesNotReachCaller(t *testing.T) {
+	const named = namesRequest + "\r\n" + signatureText + "\r\n"
+	chunks := chunk("broken") + "0\r\n\r\n"
+	rejectsResponses(t, map[string]string{
+		"no length":  "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + named + "\r\n" + chunks,
+		"length":     fmt.Sprintf("HTTP/1.0 200 OK\r\ntransfer-encoding:chunked\r\nContent-Length: %d\r\n%s\r\n%s", len(chunks), named, chunks),
+		"last field": "HTTP/1.0 200 OK\n" + strings.ReplaceAll(named, "\r", "") + "Transfer-Encoding: chunked\n\n" + chunks,
+	})
+}
+
 // Guards against invalid fields of interim responses and trailers, which are not forwarded, that reach the
 // caller.
 func TestFieldsOfInterimResponsesAndTrailersAreNotForwarded(t *testing.T) {
