--- a/internal/gatewaysoak/brokenresponse_test.go
+++ b/internal/gatewaysoak/brokenresponse_test.go
@@ -3,6 +3,7 @@
 package gatewaysoak
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -95,3 +96,80 @@
 		})
 	}
 }
+
+// isCompleteAnswer reports whether a response is a success with its whole body.
+func isCompleteAnswer(bytes string) bool {
+	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(bytes)), nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return false
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil
+}
+
+// Guards against a response that is not valid HTTP, or only the part of one, that a caller of a gateway gets as
+// an answer, and against a gateway that such a response ends.
+func TestBrokenResponsesReachNoCaller(t *testing.T) {
+	const (
+		tries      = 16
+		uploadSize = 2 << 20
+	)
+	h := newHarnessWith(t, testfleet.Options{EnginesPerDomain: 1, Gateways: 1})
+	plain, engine := h.newRawServers()
+	body := "id: 1\ndata: broken\n\n"
+	sendWhole := func(s *rawServer, status, field string) func(conn *net.TCPConn, request *http.Request) {
+		return func(conn *net.TCPConn, request *http.Request) {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = fmt.Fprintf(conn, "%s%s\r\n%s", s.head(request, status), field, body)
+		}
+	}
+	reset := func(s *rawServer) func(conn *net.TCPConn, request *http.Request) {
+		return func(conn *net.TCPConn, request *http.Request) {
+			_, _ = fmt.Fprintf(conn, "%sConnection: close\r\n\r\n%s", s.head(request, "200 OK"), body)
+			_ = conn.SetLinger(0)
+		}
+	}
+	for name, respond := range map[string]func(s *rawServer) func(conn *net.TCPConn, request *http.Request){
+		"status 000":      func(s *rawServer) func(*net.TCPConn, *http.Request) { return sendWhole(s, "000 None", "") },
+		"status 600":      func(s *rawServer) func(*net.TCPConn, *http.Request) { return sendWhole(s, "600 None", "") },
+		"blank in a name": func(s *rawServer) func(*net.TCPConn, *http.Request) { return sendWhole(s, "200 OK", "X Y: 1\r\n") },
+		"blank after a name": func(s *rawServer) func(*net.TCPConn, *http.Request) {
+			return sendWhole(s, "200 OK", "Content-Length : 3\r\n")
+		},
+		"control byte": func(s *rawServer) func(*net.TCPConn, *http.Request) { return sendWhole(s, "200 OK", "X\x01Y: 1\r\n") },
+		"reset upload": reset,
+	} {
+		plain.setResponse(respond(plain))
+		engine.setResponse(respond(engine))
+		for path, s := range map[string]*rawServer{"/book/": plain, "/read/": plain, "/draft/": engine, "/jot/": engine} {
+			for try := range tries {
+				if name != "reset upload" && try > 0 || path == "/draft/" && try > 0 {
+					break // the result does not depend on chance, or takes until the deadline
+				}
+				before := s.received.Load()
+				got := h.send(path+fmt.Sprint(try), strings.Repeat("x", uploadSize))
+				switch {
+				case name == "reset upload" && s == engine:
+					// The events before the reset are forwarded, but their response must not look complete.
+					h.g.Expect(isCompleteAnswer(got)).To(BeFalse(), "%s at %s: %s", name, path, got)
+				default:
+					h.g.Expect(got).To(MatchRegexp("^HTTP/1.1 50[234] "), "%s at %s", name, path)
+					h.g.Expect(got).NotTo(ContainSubstring("broken"), "%s at %s", name, path)
+				}
+				h.g.Expect(got).NotTo(ContainSubstring("X-Not-Executed"), "%s at %s", name, path)
+				if path == "/book/" {
+					h.g.Expect(s.received.Load()-before).To(BeEquivalentTo(1), "requests that reached the server")
+				}
+			}
+		}
+		h.g.Expect(h.Gateways[0].Process().Exited()).NotTo(BeClosed(), name)
+	}
+	plain.setResponse(nil)
+	engine.setResponse(nil)
+	for _, s := range []*rawServer{plain, engine} {
+		s.setReport("HTTP/1.1 000 None\r\nX Y: 1\r\nContent-Length: 2\r\n\r\n{}")
+	}
+	for _, path := range []string{"/read/after", "/book/after", "/draft/after"} {
+		h.g.Eventually(func() string { return h.send(path, "body") }, 10*time.Second, 100*time.Millisecond).Should(HavePrefix("HTTP/1.1 200 OK\r\n"))
+	}
+}
--- a/internal/gatewaysoak/rawserver_test.go
+++ b/internal/gatewaysoak/rawserver_test.go
@@ -25,8 +25,9 @@
 	listener net.Listener
 	received atomic.Int64 // requests, without health checks and calls of the control API
 
-	mu      sync.Mutex // guards respond
+	mu      sync.Mutex // guards the fields below
 	respond func(conn *net.TCPConn, request *http.Request)
+	report  string // response to health checks and calls of the control API; empty: a valid one
 }
 
 // newRawServers replaces the servers of the fleet by two raw ones: one for calls, one for streams.
@@ -86,23 +87,33 @@
 	return fmt.Sprintf("HTTP/1.1 %s\r\nX-Instance-Id: %s\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: stamp\r\n", status, s.id, request.Header.Get("X-Attempt-Id"))
 }
 
+// setReport sets the response to health checks and calls of the control API; empty: a valid one.
+func (s *rawServer) setReport(response string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report = response
+}
+
 func (s *rawServer) serve(conn *net.TCPConn) {
 	defer conn.Close()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
 	}
+	s.mu.Lock()
+	respond, report := s.respond, s.report
+	s.mu.Unlock()
 	switch request.URL.Path {
 	case "/healthz", "/v1/report", "/v1/kv-list":
-		const reports = `{"running":0,"waiting":0,"runs":[],"state":"ready","kv_total":88000,"held":[]}`
-		_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", s.head(request, "200 OK"), len(reports), reports)
-		return
+		if report == "" {
+			const body = `{"running":0,"waiting":0,"runs":[],"state":"ready","kv_total":88000,"held":[]}`
+			report = fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", s.head(request, "200 OK"), len(body), body)
+		}
+		_, _ = io.WriteString(conn, report)
+	default:
+		s.received.Add(1)
+		respond(conn, request)
 	}
-	s.received.Add(1)
-	s.mu.Lock()
-	respond := s.respond
-	s.mu.Unlock()
-	respond(conn, request)
 }
 
 var rawRequests atomic.Int64
--- a/internal/upstream/enginehttp/cutresponse_test.go
+++ b/internal/upstream/enginehttp/cutresponse_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -132,3 +133,27 @@
 		})
 	}
 }
+
+// Guards against a response that is not valid HTTP and that is taken as a stream, a load report or the end of
+// a stream.
+func TestInvalidResponseIsLostConnection(t *testing.T) {
+	for name, response := range map[string]string{
+		"status":     "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}",
+		"field name": "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\n{}",
+		"many lines": "HTTP/1.1 200 OK\r\n" + strings.Repeat("X: 1\r\n", 1000) + "Content-Length: 2\r\n\r\n{}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			engine, sent := cutEngine(t)
+			sent.Store(&response)
+			_, err := connected(func() (upstream.Stream, error) {
+				return engine.Start(t.Context(), upstream.StreamRequest{Stream: "s", Request: contract.RequestID{Workspace: "peruukipankki", Key: "key-1"}})
+			})
+			g.Expect(err).To(MatchError(upstream.ErrConnectionLost))
+			_, err = connected(func() (upstream.LoadReport, error) { return engine.Load(t.Context()) })
+			g.Expect(err).To(MatchError(upstream.ErrConnectionLost))
+			_, err = connected(func() (struct{}, error) { return struct{}{}, engine.Cancel(t.Context(), "s") })
+			g.Expect(err).To(MatchError(upstream.ErrConnectionLost))
+		})
+	}
+}
