--- a/internal/gatewaysoak/brokenresponse_test.go
+++ b/internal/gatewaysoak/brokenresponse_test.go
@@ -173,3 +173,47 @@
 		h.g.Eventually(func() string { return h.send(path, "body") }, 10*time.Second, 100*time.Millisecond).Should(HavePrefix("HTTP/1.1 200 OK\r\n"))
 	}
 }
+
+// Guards against a gateway that keeps the load reports and lists of cached prompts that faulty engines send
+// without end, for each stream that it starts or that its caller resumes.
+func TestReportsWithoutEndUseLittleMemory(t *testing.T) {
+	const (
+		crowd   = 900
+		engines = 4
+	)
+	for name, report := range map[string]string{
+		"one long text":           `{"held":[["","` + strings.Repeat("x", 4<<20),
+		"one text, then nothing":  `{"held":[["","` + strings.Repeat("x", 900<<10),
+		"many numbers":            `{"held":[[` + strings.Repeat("0,", 2<<20),
+		"many runs":               `{"runs":[` + strings.Repeat("[],", 2<<20),
+		"some runs, then nothing": `{"runs":[` + strings.Repeat("[],", 20<<10),
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarnessWith(t, testfleet.Options{EnginesPerDomain: 1, Gateways: 1})
+			_, engine := h.newRawServers()
+			servers := []*rawServer{engine}
+			for i := range engines - 1 {
+				servers = append(servers, h.newRawServer(fmt.Sprint("engine-", i), testfleet.EngineService))
+			}
+			for _, s := range servers {
+				s.setReport("HTTP/1.1 200 OK\r\nX-Instance-Id: " + s.id + "\r\n\r\n" + report)
+			}
+			var callers sync.WaitGroup
+			for i := range crowd {
+				callers.Go(func() {
+					h.sendWith(fmt.Sprint("/draft/", i), "body", []string{"", "Last-Event-Id: 1\r\nX-Prompt-Prefix: part:1\r\n"}[i%2])
+				})
+			}
+			callers.Wait()
+			gateway := h.Gateways[0]
+			h.g.Expect(gateway.Process().Exited()).NotTo(BeClosed())
+			memory := h.peakMemoryKB(gateway)
+			t.Logf("%s: at most %d MiB", name, memory>>10)
+			h.g.Expect(memory).To(BeNumerically("<", machineMemoryMB<<10))
+			for _, s := range servers {
+				s.setReport("")
+			}
+			h.g.Eventually(func() string { return h.send("/draft/after", "body") }, 10*time.Second, 100*time.Millisecond).Should(HavePrefix("HTTP/1.1 200 OK\r\n"))
+		})
+	}
+}
--- a/internal/gatewaysoak/rawserver_test.go
+++ b/internal/gatewaysoak/rawserver_test.go
@@ -35,7 +35,7 @@
 	for _, n := range append(append([]*testfleet.Node{}, h.Engines...), h.PlainServers...) {
 		h.g.Expect(h.SetFault(n, emulator.ServerFault{Withdrawn: true})).To(Succeed())
 	}
-	plain, engine = h.newRawServer(testfleet.PlainService), h.newRawServer(testfleet.EngineService)
+	plain, engine = h.newRawServer("plain", testfleet.PlainService), h.newRawServer("engine", testfleet.EngineService)
 	for path, s := range map[string]*rawServer{"/read/first": plain, "/draft/first": engine} {
 		h.g.Eventually(func() int64 {
 			h.send(path, "")
@@ -45,11 +45,11 @@
 	return plain, engine
 }
 
-func (h *harness) newRawServer(service string) *rawServer {
+func (h *harness) newRawServer(id, service string) *rawServer {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	h.g.Expect(err).NotTo(HaveOccurred())
 	h.t.Cleanup(func() { _ = listener.Close() })
-	s := &rawServer{id: "raw-" + service, listener: listener}
+	s := &rawServer{id: "raw-" + id, listener: listener}
 	s.setResponse(nil)
 	entry, err := json.Marshal(map[string]any{
 		"service": service, "address": listener.Addr().String(), "zone": "domain-0", "slots": 1000, "state": "ready", "born": time.Now().UnixMilli(),
@@ -105,7 +105,9 @@
 	s.mu.Unlock()
 	switch request.URL.Path {
 	case "/healthz", "/v1/report", "/v1/kv-list":
-		if report == "" {
+		if report != "" {
+			defer func() { _, _ = io.Copy(io.Discard, conn) }() // until the gateway closes the connection
+		} else {
 			const body = `{"running":0,"waiting":0,"runs":[],"state":"ready","kv_total":88000,"held":[]}`
 			report = fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", s.head(request, "200 OK"), len(body), body)
 		}
@@ -119,7 +121,10 @@
 var rawRequests atomic.Int64
 
 // send sends a request to the first gateway and returns all bytes of the response.
-func (h *harness) send(path, body string) string {
+func (h *harness) send(path, body string) string { return h.sendWith(path, body, "") }
+
+// sendWith is send with further header fields.
+func (h *harness) sendWith(path, body, fields string) string {
 	conn, err := net.DialTimeout("tcp", h.Gateways[0].Address, 5*time.Second)
 	if err != nil {
 		return ""
@@ -131,8 +136,8 @@
 		method = http.MethodGet
 	}
 	go func() {
-		_, _ = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer key-1\r\nX-Attempt-Id: raw-%d\r\nX-Deadline-Ms: 8000\r\nX-Token-Counts: 1,1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
-			method, path, testfleet.Host, rawRequests.Add(1), len(body), body)
+		_, _ = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer key-1\r\nX-Attempt-Id: raw-%d\r\nX-Deadline-Ms: 8000\r\nX-Token-Counts: 1,1\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+			method, path, testfleet.Host, rawRequests.Add(1), fields, len(body), body)
 	}()
 	response, _ := io.ReadAll(conn)
 	return string(response)
