--- a/internal/checkedhttp/head.go
+++ b/internal/checkedhttp/head.go
@@ -21,7 +21,7 @@
 type headScanner struct {
 	active  bool   // the next byte belongs to a head
 	interim bool   // the current head is of an interim response, which another head follows
-	http10  bool   // the current head has the version HTTP/1.0
+	old     bool   // the version of the current head is older than HTTP/1.1
 	lines   int    // complete lines of the current head
 	line    []byte // beginning of the current line
 }
@@ -55,10 +55,10 @@
 	case len(line) == 0:
 		s.active, s.lines = s.interim, 0
 	case s.lines == 1:
-		s.interim, s.http10 = isInterim(line), bytes.HasPrefix(line, []byte("HTTP/1.0 "))
+		s.interim, s.old = isInterim(line), bytes.Compare(line, []byte("HTTP/1.1")) < 0
 	case s.lines > maxHeadLines:
 		return errors.Wrapf(ErrInvalidResponse, "head has more than %d lines", maxHeadLines)
-	case s.http10 && isTransferCoding(line):
+	case s.old && isTransferCoding(line):
 		return errors.Wrap(ErrInvalidResponse, "response of HTTP/1.0 with a transfer coding")
 	}
 	return nil
--- a/internal/checkedhttp/transport_test.go
+++ b/internal/checkedhttp/transport_test.go
@@ -1,7 +1,6 @@
 package checkedhttp
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -9,43 +8,20 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"foxtailhub.example/foxtailhub/internal/rawserver"
 )
 
 // serveRaw returns the address of a server that lets a function handle each connection.
 func serveRaw(t *testing.T, handle func(conn *net.TCPConn)) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := rawserver.Listen(rawserver.Loopback, handle)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				handle(conn.(*net.TCPConn))
-			}()
-		}
-	}()
 	return listener.Addr().String()
 }
 
-// respond returns a handler that reads a request and writes a response.
-func respond(bytes string) func(conn *net.TCPConn) {
-	return func(conn *net.TCPConn) {
-		request, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, request.Body); err == nil {
-			_, _ = io.WriteString(conn, bytes)
-		}
-	}
-}
-
 // get sends a request and returns the whole body of its response.
 func get(t *testing.T, transport http.RoundTripper, address string) (string, error) {
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address, nil)
@@ -98,7 +74,7 @@
 			t.Run(name+", "+kind, func(t *testing.T) {
 				g := NewWithT(t)
 				defer transport.CloseIdleConnections()
-				address := serveRaw(t, respond(test.response))
+				address := serveRaw(t, rawserver.Respond(test.response, ""))
 				body, err := get(t, transport, address)
 				if !test.valid {
 					g.Expect(err).To(MatchError(ErrInvalidResponse))
--- a/internal/e2e/brokenresponse_test.go
+++ b/internal/e2e/brokenresponse_test.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"os"
 	"regexp"
 	"strings"
@@ -18,6 +16,7 @@
 
 	"foxtailhub.example/foxtailhub/internal/client"
 	"foxtailhub.example/foxtailhub/internal/contract"
+	"foxtailhub.example/foxtailhub/internal/rawserver"
 	"foxtailhub.example/foxtailhub/internal/testcluster"
 )
 
@@ -26,27 +25,9 @@
 // takeOver kills a server and answers each connection to its address with bytes that it repeats without end.
 func (h *harness) takeOver(p *testcluster.Process, begin, repeated string) (stop func()) {
 	h.kill(p)
-	listener, err := net.Listen("tcp", p.Address)
-	h.Expect(err).NotTo(HaveOccurred())
 	repeated = strings.Repeat(repeated, 1+(16<<10)/len(repeated))
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, err := conn.Read(make([]byte, 4<<10))
-				if err == nil {
-					_, err = io.WriteString(conn, begin)
-				}
-				for err == nil {
-					_, err = io.WriteString(conn, repeated)
-				}
-			}()
-		}
-	}()
+	listener, err := rawserver.Listen(p.Address, rawserver.Respond(begin, repeated))
+	h.Expect(err).NotTo(HaveOccurred())
 	return func() { _ = listener.Close() }
 }
 
--- a/internal/gatewaysoak/rawserver_test.go
+++ b/internal/gatewaysoak/rawserver_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"foxtailhub.example/foxtailhub/internal/rawserver"
 	"foxtailhub.example/foxtailhub/internal/standin/emulator"
 	"foxtailhub.example/foxtailhub/internal/testfleet"
 )
@@ -22,7 +23,6 @@
 // rawServer is a server in the process of the test that writes the bytes of its responses itself.
 type rawServer struct {
 	id       string
-	listener net.Listener
 	received atomic.Int64 // requests, without health checks and calls of the control API
 
 	mu      sync.Mutex // guards the fields below
@@ -46,25 +46,16 @@
 }
 
 func (h *harness) newRawServer(id, service string) *rawServer {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s := &rawServer{id: "raw-" + id}
+	s.setResponse(nil)
+	listener, err := rawserver.Listen(rawserver.Loopback, s.serve)
 	h.g.Expect(err).NotTo(HaveOccurred())
 	h.t.Cleanup(func() { _ = listener.Close() })
-	s := &rawServer{id: "raw-" + id, listener: listener}
-	s.setResponse(nil)
 	entry, err := json.Marshal(map[string]any{
 		"service": service, "address": listener.Addr().String(), "zone": "domain-0", "slots": 1000, "state": "ready", "born": time.Now().UnixMilli(),
 	})
 	h.g.Expect(err).NotTo(HaveOccurred())
 	h.g.Expect(h.WriteRow("servers", s.id, entry)).To(Succeed())
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn.(*net.TCPConn))
-		}
-	}()
 	return s
 }
 
@@ -95,7 +86,6 @@
 }
 
 func (s *rawServer) serve(conn *net.TCPConn) {
-	defer conn.Close()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
--- a/internal/platform/platformhttp/endless_test.go
+++ b/internal/platform/platformhttp/endless_test.go
@@ -1,10 +1,6 @@
 package platformhttp_test
 
 import (
-	"bufio"
-	"io"
-	"net"
-	"net/http"
 	"runtime"
 	"strings"
 	"sync"
@@ -16,33 +12,17 @@
 
 	"foxtailhub.example/foxtailhub/internal/platform"
 	"foxtailhub.example/foxtailhub/internal/platform/platformhttp"
+	"foxtailhub.example/foxtailhub/internal/rawserver"
 )
 
-// serveBytes returns the address of a server that answers with bytes, of which it repeats the last part
-// without end.
-func serveBytes(t *testing.T, begin, repeated string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// serveBytes returns the address of a server that answers with bytes, and repeats some without end unless they
+// are empty.
+func serveBytes(t *testing.T, response, repeated string) string {
+	listener, err := rawserver.Listen(rawserver.Loopback, rawserver.Respond(response, repeated))
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				for _, err = io.WriteString(conn, begin); err == nil && repeated != ""; {
-					_, err = io.WriteString(conn, repeated)
-				}
-			}()
-		}
-	}()
 	return listener.Addr().String()
 }
 
