--- a/internal/checkedhttp/conn.go
+++ b/internal/checkedhttp/conn.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"syscall"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -57,7 +56,7 @@
 		c.headErr = headErr
 		return readable, headErr
 	}
-	if errors.Is(err, io.EOF) && wasReset(c.Conn) {
+	if err == io.EOF && wasReset(c.Conn) { // connections do not wrap io.EOF
 		err = errReset
 	}
 	return n, err
