--- a/internal/e2e/brokenresponse_test.go
+++ b/internal/e2e/brokenresponse_test.go
@@ -34,6 +34,19 @@
 // Guards against an instance that keeps what an upstream sends instead of a response until it is out
 // of memory.
 func TestUpstreamThatSendsNoResponseUsesLittleMemory(t *testing.T) {
+	checkEndlessResponses(t, time.Minute)
+}
+
+// Guards against an instance that refuses charges as overloaded long after its service has recovered
+// from responses without end.
+func TestChargesAreAnsweredSoonAfterEndlessResponses(t *testing.T) {
+	checkEndlessResponses(t, 20*time.Second)
+}
+
+// checkEndlessResponses sends requests to upstreams that respond without end, and checks that the instance
+// lives, that its memory stays below that of the machine, and that an ordinary charge is answered in time
+// afterwards.
+func checkEndlessResponses(t *testing.T, answeredWithin time.Duration) {
 	const (
 		crowd         = 300
 		machineMemory = 256 << 10 // kilobytes
@@ -78,8 +91,7 @@
 			t.Logf("%s: at most %d MiB", name, kilobytes>>10)
 			h.Expect(kilobytes).To(BeNumerically("<", machineMemory))
 			h.restartService(0)
-			// The service counts as slow for a while after the responses that lasted until the deadline.
-			h.Eventually(func() contract.Verdict { return h.charge(0, contract.NewKey()).Verdict }, time.Minute).Should(HaveField("Outcome", contract.Completed))
+			h.Eventually(func() contract.Verdict { return h.charge(0, contract.NewKey()).Verdict }, answeredWithin).Should(HaveField("Outcome", contract.Completed))
 		})
 	}
 }
