--- a/review/common/rig/crowd.go
+++ b/review/common/rig/crowd.go
@@ -156,55 +156,147 @@
 	return true, nil
 }
 
-// checkIdleCrowd opens as many connections to one instance as its settings allow, which send nothing, and
-// then lets ordinary callers try. Nothing is sent to the other instance.
-func checkIdleCrowd(f *fleet, trouble bool) (broken bool, err error) {
-	const crowd, ordinary = 1900, 10
+// unreadBody is a request that is refused before its body is read, which does not follow.
+const unreadBody = "POST /book/1 HTTP/1.1\r\nHost: " + callerHost + "\r\nX-Attempt-Id: crowd\r\nX-Deadline-Ms: 2500\r\nContent-Length: 100\r\n" +
+	"Authorization: Bearer revoked\r\n\r\n"
+
+// checkUnreadBodies lets as many callers as the settings of one instance allow send the head of a request with
+// an unknown key, and no body. Ordinary callers try when each limit of the configuration for these has passed.
+func checkUnreadBodies(f *fleet, trouble bool) (broken bool, err error) {
+	return checkCrowd(f, trouble, unreadBody, 30*time.Second)
+}
+
+// checkCrowd lets a crowd connect to one instance and send a text, and then lets ordinary callers try. Nothing
+// is sent to the other instance.
+func checkCrowd(f *fleet, trouble bool, text string, pause time.Duration) (broken bool, err error) {
 	gateways, err := startPlain(f, 3)
 	if err != nil {
 		return false, err
 	}
 	g := gateways[0]
 	if trouble {
-		f.record.printf("%d callers connect to %s and are idle", crowd, g.name)
-		for range crowd {
-			c, err := dial(g.front)
-			if err != nil {
-				f.record.printf("an idle caller could not connect: %v", err)
-				break
-			}
-			defer c.close()
+		defer connectCrowd(f, g, text)()
+	}
+	time.Sleep(pause)
+	tries := tryCalls(f, g, "GET", idempotentPath+"1", 2*contactTime)
+	f.record.printf("callers=%d requests=%d answered=%d readiness_misses=%d seconds=%.1f", ordinaryCallers, tries.sent, tries.answered, tries.notReady, tries.took.Seconds())
+	if tries.answered == 0 && tries.notReady == 0 {
+		f.record.printf("RECOVER %s said that it was ready and took no new connection", g.name)
+		return true, nil
+	}
+	return false, nil
+}
+
+// crowdSize is a little more than the connections that an instance takes.
+const crowdSize = 1900
+
+// connectCrowd lets a crowd connect to an instance and send a text. The returned function closes its
+// connections.
+func connectCrowd(f *fleet, g *gateway, text string) (leave func()) {
+	var crowd []*caller
+	f.record.printf("%d callers connect to %s and send %q", crowdSize, g.name, text)
+	for range crowdSize {
+		c, err := dial(g.front)
+		if err == nil {
+			crowd = append(crowd, c)
+			_, err = io.WriteString(c.conn, text)
+		}
+		if err != nil {
+			f.record.printf("a caller of the crowd failed: %v", err)
+			break
 		}
-		time.Sleep(500 * time.Millisecond)
 	}
-	startedAt := time.Now()
-	var served, tried, notReady atomic.Int64
+	time.Sleep(500 * time.Millisecond)
+	return func() {
+		for _, c := range crowd {
+			c.close()
+		}
+		f.record.printf("the crowd of %d has left", len(crowd))
+	}
+}
+
+// ordinaryCallers is the number of callers that try while a crowd is connected.
+const ordinaryCallers = 10
+
+// tries are the requests of ordinary callers.
+type tries struct {
+	sent, answered, notReady int
+	took                     time.Duration
+	leftAt                   map[string]time.Time // when its caller closed the connection, by request
+}
+
+// tryCalls lets ordinary callers send one request after another, each on a connection of its own, and asks once a
+// second whether the instance is ready.
+func tryCalls(f *fleet, g *gateway, method, path string, length time.Duration) tries {
+	result := tries{leftAt: map[string]time.Time{}}
+	var mu sync.Mutex // guards result
 	var callers sync.WaitGroup
-	for i := range ordinary {
+	startedAt := time.Now()
+	for i := range ordinaryCallers {
 		callers.Go(func() {
-			for n := 0; time.Since(startedAt) < 2*contactTime; n++ {
+			for n := 0; time.Since(startedAt) < length; n++ {
 				id := fmt.Sprintf("call-%d-%d", i, n)
-				a := call(g.front, "GET", idempotentPath+"1", id, "", 2500*time.Millisecond)
+				a := call(g.front, method, path, id, "", 2500*time.Millisecond)
+				leftAt := time.Now()
 				f.record.printf("request=%s %s", id, a)
-				tried.Add(1)
+				mu.Lock()
+				result.sent++
+				result.leftAt[id] = leftAt
 				if a.complete() {
-					served.Add(1)
+					result.answered++
 				}
+				mu.Unlock()
 				time.Sleep(100 * time.Millisecond)
 			}
 		})
 	}
-	for time.Since(startedAt) < 2*contactTime {
-		if !g.ready() {
-			notReady.Add(1)
+	for time.Since(startedAt) < length {
+		ready := g.ready()
+		mu.Lock()
+		if !ready {
+			result.notReady++
 		}
+		mu.Unlock()
 		time.Sleep(time.Second)
 	}
 	callers.Wait()
-	f.record.printf("callers=%d requests=%d answered=%d readiness_misses=%d seconds=%.1f", ordinary, tried.Load(), served.Load(), notReady.Load(), time.Since(startedAt).Seconds())
-	if served.Load() == 0 && notReady.Load() == 0 {
-		f.record.printf("RECOVER %s said that it was ready and took no new connection", g.name)
-		return true, nil
+	result.took = time.Since(startedAt)
+	return result
+}
+
+// checkLeftCallers lets a crowd of idle callers connect to one instance for some seconds. Ordinary callers send
+// requests meanwhile and give up at their deadline. Then the crowd leaves.
+func checkLeftCallers(f *fleet, trouble bool) (broken bool, err error) {
+	const allowed = 10 // "a few"
+	const slack = 500 * time.Millisecond
+	gateways, err := startPlain(f, 3)
+	if err != nil {
+		return false, err
 	}
-	return false, nil
+	g := gateways[0]
+	leave := func() {}
+	if trouble {
+		leave = connectCrowd(f, g, "")
+	}
+	tries := tryCalls(f, g, "POST", atMostOncePath+"1", 2*contactTime)
+	time.Sleep(time.Second)
+	leave()
+	time.Sleep(2 * time.Second)
+	late := 0
+	for id, lines := range f.runs() {
+		leftAt, sent := tries.leftAt[id]
+		for _, line := range lines {
+			var request string
+			var ms int64
+			if _, err := fmt.Sscanf(line, "runs request=%s at_ms=%d", &request, &ms); err != nil {
+				return false, fmt.Errorf("%w: server log %q", errNotRun, line)
+			}
+			if after := time.UnixMilli(ms).Sub(leftAt); sent && after > slack {
+				late++
+				f.record.printf("GONE request=%s reached a server %d ms after its caller had closed the connection: %s", id, after.Milliseconds(), line)
+			}
+		}
+	}
+	f.record.printf("callers=%d requests=%d answered=%d readiness_misses=%d reached a server over %v after their callers had left=%d", ordinaryCallers, tries.sent, tries.answered, tries.notReady, slack, late)
+	return late > allowed, nil
 }
--- a/review/common/rig/main.go
+++ b/review/common/rig/main.go
@@ -28,10 +28,11 @@
 
 // checks are the cases. Each returns the number of times that its rule was broken.
 var checks = map[string]func(f *fleet, trouble bool) (broken bool, err error){
-	"cut-answer":   checkCutAnswer,
-	"many-lines":   checkManyLines,
-	"idle-crowd":   checkIdleCrowd,
-	"double-slash": checkDoubleSlash,
+	"cut-answer":    checkCutAnswer,
+	"many-lines":    checkManyLines,
+	"left-callers":  checkLeftCallers,
+	"unread-bodies": checkUnreadBodies,
+	"double-slash":  checkDoubleSlash,
 }
 
 func main() {
--- a/review/common/rig/server.go
+++ b/review/common/rig/server.go
@@ -80,7 +80,7 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	fmt.Fprintf(os.Stdout, "runs request=%s server=%s born=%d method=%s target=%q\n", id, s.id, s.born, r.Method, r.RequestURI)
+	fmt.Fprintf(os.Stdout, "runs request=%s at_ms=%d server=%s born=%d method=%s target=%q\n", id, time.Now().UnixMilli(), s.id, s.born, r.Method, r.RequestURI)
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
