--- a/review/common/rig/caller.go
+++ b/review/common/rig/caller.go
@@ -52,9 +52,19 @@
 
 // send sends a request on the connection and reads its answer.
 func (c *caller) send(method, path, id, body string, deadline time.Duration) answer {
+	return c.exchange(method, head(method, path, id, deadline), body, deadline)
+}
+
+// sendStream sends a request for a stream.
+func (c *caller) sendStream(path, id string, deadline time.Duration) answer {
+	prompt := fmt.Sprintf("X-Model: m\r\nX-Token-Counts: 8200,%d\r\nX-Prompt-Prefix: 5c1e07a2:200,%x:8000\r\n", 10*streamEvents, id)
+	return c.exchange("POST", head("POST", path, id, deadline)+prompt, "the history of "+id, deadline)
+}
+
+func (c *caller) exchange(method, head, body string, deadline time.Duration) answer {
 	startedAt := time.Now()
 	_ = c.conn.SetDeadline(startedAt.Add(deadline)) // fails on a closed connection only
-	text := head(method, path, id, deadline) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	text := head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 	if _, err := io.WriteString(c.conn, text); err != nil {
 		return answer{err: err, took: time.Since(startedAt)}
 	}
