--- a/review/common/rig/fleet.go
+++ b/review/common/rig/fleet.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -79,7 +80,7 @@
 	}()
 	f.store = freeAddress()
 	if _, err := f.start("store", nil, standinPath, "-role", "routed-store", "-listen", f.store); err != nil {
-		return nil, err
+		return f, err
 	}
 	return f, f.await("the store", func() bool { return f.writeRow("other", "other", []byte("{}")) == nil })
 }
@@ -302,17 +303,23 @@
 	given     = map[string]bool{}
 )
 
+// Ports of the rig: below those that the kernel gives to outgoing connections.
+const (
+	firstPort = 15000
+	lastPort  = 30000
+)
+
 // freeAddress returns a loopback address with a free port that it has not returned before.
 func freeAddress() string {
 	addressMu.Lock()
 	defer addressMu.Unlock()
 	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			panic(err) // no port is free
+			continue
 		}
-		address := listener.Addr().String()
-		_ = listener.Close() // it was only needed for its port
+		_ = listener.Close() // it was only needed to see that the port is free
 		if !given[address] {
 			given[address] = true
 			return address
--- a/review/common/rig/main.go
+++ b/review/common/rig/main.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -65,20 +64,35 @@
 	if f != nil {
 		defer f.stop()
 	}
-	broken := false
-	if err == nil {
-		broken, err = check(f, trouble)
+	if err != nil {
+		r.printf("the case could not run: %v", err)
+		return exitNotRun
+	}
+	type result struct {
+		broken bool
+		err    error
 	}
-	switch {
-	case err != nil || ctx.Err() != nil:
-		r.printf("the case could not run: %v", errors.Join(err, ctx.Err()))
+	results := make(chan result, 1)
+	go func() {
+		broken, err := check(f, trouble)
+		results <- result{broken, err}
+	}()
+	select {
+	case checked := <-results:
+		switch {
+		case checked.err != nil:
+			r.printf("the case could not run: %v", checked.err)
+			return exitNotRun
+		case checked.broken:
+			r.printf("the rule was broken")
+			return exitBroken
+		}
+		r.printf("the rule held")
+		return exitHeld
+	case <-ctx.Done():
+		r.printf("the case was ended: %v", ctx.Err())
 		return exitNotRun
-	case broken:
-		r.printf("the rule was broken")
-		return exitBroken
 	}
-	r.printf("the rule held")
-	return exitHeld
 }
 
 // record is what was sent, answered and run, with the time since the start.
